--- /dev/null
+++ b/balancer/balancer.go
@@ -0,0 +1,783 @@
+package balancer
+
+// The interface (settings, events, actions) is in api.go; every decision is in this file.
+//
+// A request's path: Request -> admit (load shedding) -> dispatch -> pick: healthy / counted against the panic
+// threshold, then rendezvous hashing inside the set with a pass-over of loaded hosts -> send (pacing of cold
+// hosts, attempt time-out) -> Outcome or the attempt's mark (Timer) -> judge the host -> permit (may it go
+// again, may it be refused) -> dispatch again, or settle with one final answer.
+
+import (
+	"fmt"
+	"math"
+	"math/bits"
+	"slices"
+)
+
+const (
+	// panicThreshold is the healthy share below which health is ignored. Within the quarter to half that the
+	// design page allows: with about ten hosts a zone's loss should not yet feed the dead ones.
+	panicThreshold = 0.34
+	// passOverMean and passOverFloor: a host with more in flight from this balancer than
+	// passOverMean x mean + 1, and at least passOverFloor, yields to the next.
+	passOverMean  = 1.5
+	passOverFloor = 2.0
+	// localityPrice is the crossing price at which hosts of other zones are only picked when all of this
+	// zone's are passed over; below it their rendezvous weight shrinks in proportion.
+	localityPrice = 0.06
+
+	// judgeStep is the weight of one outcome in a host's failure share; two failures in a row reach ejectAt.
+	judgeStep = 0.25
+	ejectAt   = 0.4
+	clearAt   = 0.2 // failure share under which a host on trial is trusted again
+	// ejectAims is the first ejection in units of the longest aim; each further one doubles, up to
+	// 2^ejectDoublings times.
+	ejectAims      = 4.0
+	ejectDoublings = 3
+
+	// markShare of the aim: an attempt still out by then counts as late, against its host and as pressure.
+	markShare = 0.5
+	// markService: but never before this multiple of what the work should take, up to markLimit of the aim.
+	markService = 3.0
+	markLimit   = 0.8
+
+	// shedStep moves the share of offered work that is refused, per outcome; lateTarget is the share of late
+	// outcomes at which it rests; shedMost leaves a trickle that shows when the load has gone.
+	shedStep   = 0.03
+	lateTarget = 0.1
+	shedMost   = 0.95
+	// hedgeBelow: no second copies while more than this share is shed, as they would add to the overload.
+	hedgeBelow = 0.02
+
+	// retryShare of requests may be followed by a further attempt, with retryBurst saved up at the most.
+	retryShare = 0.2
+	retryBurst = 10.0
+
+	// coldSafety is the part of a cold host's budget that is used: the rest covers chance and unequal proxies.
+	coldSafety = 0.4
+	// memoryAims is the memory of rates and means, in longest aims.
+	memoryAims = 8.0
+	meanStep   = 0.05 // weight of one answer in a mean
+	// watchTries is how many calls for the list fit into AskWithin at the longest back-off.
+	watchTries = 5.0
+)
+
+// Timer tokens hold a purpose, an attempt and a request id, which is below 2^52.
+const (
+	timerMark uint64 = iota
+	timerTick
+	timerWatch
+	tokenKind    = 60
+	tokenAttempt = 52
+)
+
+// host is what this balancer knows of one server.
+type host struct {
+	Host
+	listed   bool
+	heard    bool    // had an outcome since its start: counted
+	fail     float64 // recent failure share
+	until    float64 // ejected until then
+	trial    bool    // ejected and not yet trusted again
+	ejected  int     // ejections in a row
+	inflight int
+	weight   float64 // size relative to the mean of the list
+	zoneRank float64 // rendezvous weight for this balancer's zone
+	late     float64 // clock of the last time it turned work away
+	coldSent []sent  // work sent in the last FallAfter while cold
+}
+
+type sent struct{ at, work float64 }
+
+type attempt struct {
+	h        *host
+	at       float64
+	out      bool
+	late     bool // passed its mark
+	neverRan bool
+}
+
+// op is one request being worked on.
+type op struct {
+	Request
+	class    *Class
+	deadline float64
+	aimAt    float64
+	attempts []attempt
+	out      int
+	done     bool // answered; attempts may still be out
+	begun    bool
+	work     float64
+}
+
+// bucket is the recent offered work of one class within or over its tenant's share.
+type bucket struct{ rate, density float64 }
+
+// Balancer decides for one client process. Make one with New.
+type Balancer struct {
+	cfg     Config
+	act     Actions
+	rng     uint64
+	now     float64
+	hosts   []*host // every host ever listed, by id
+	index   map[HostID]*host
+	ops     map[RequestID]*op
+	free    []*op
+	classes []Class
+	longest float64 // longest aim
+
+	listTries int
+	subbed    bool
+	panicking bool
+
+	shed    float64
+	buckets []bucket // class*2, +1 for work over a tenant's share
+	tenants []float64
+	retries float64
+	slow    float64 // recent share of outcomes that were late, all hosts
+
+	classWork []float64 // mean seconds that a class takes, from answers
+	pace      float64   // mean seconds of answer per second of hinted work
+	sentWork  float64   // decayed sum of work sent to warm hosts
+}
+
+// New starts a balancer at time now. It subscribes to the list at once where that must be asked for.
+func New(now float64, cfg Config, act Actions) *Balancer {
+	b := &Balancer{cfg: cfg, act: act, now: now, rng: cfg.Seed, index: map[HostID]*host{},
+		ops: map[RequestID]*op{}, classes: cfg.Classes, retries: retryBurst, pace: 1}
+	if len(b.classes) == 0 {
+		b.classes = []Class{{Aim: 1, Deadline: 1, Worth: 1}}
+	}
+	for _, c := range b.classes {
+		b.longest = max(b.longest, c.Aim)
+		b.classWork = append(b.classWork, c.Aim/8)
+	}
+	if b.longest <= 0 {
+		b.longest = 1
+	}
+	b.buckets = make([]bucket, 2*len(b.classes))
+	b.tenants = make([]float64, len(cfg.Tenants))
+	if cfg.AskForList {
+		act.Watch()
+	}
+	act.Timer(b.tick(), timerTick<<tokenKind)
+	return b
+}
+
+func (b *Balancer) tick() float64 { return b.longest / 4 }
+
+// random returns a number in [0, 1) from the instance's own sequence (splitmix64).
+func (b *Balancer) random() float64 {
+	b.rng += 0x9e3779b97f4a7c15
+	return float64(mix(b.rng)>>11) / (1 << 53)
+}
+
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// ---- the server list
+
+// Members takes a list, changes to it, or word that a call for it failed.
+func (b *Balancer) Members(now float64, kind ListKind, hosts []Host) {
+	b.now = now
+	if kind == ListFailed {
+		b.subbed = false
+		if b.cfg.AskForList {
+			b.act.Timer(b.watchDelay(), timerWatch<<tokenKind)
+		}
+		return
+	}
+	if kind != ListCached {
+		b.subbed, b.listTries = true, 0
+	}
+	if kind != ListChanges {
+		for _, h := range b.hosts {
+			h.listed = false
+		}
+	}
+	for _, e := range hosts {
+		b.learn(e)
+	}
+	for _, h := range b.hosts {
+		if !h.listed {
+			h.Status = Gone // absent from a complete list
+		}
+	}
+	b.resize()
+}
+
+// learn takes one list entry. A new start time means a new process: what was known of the old one is void.
+func (b *Balancer) learn(e Host) {
+	h := b.index[e.ID]
+	if h == nil {
+		h = &host{}
+		b.index[e.ID] = h
+		at, _ := slices.BinarySearchFunc(b.hosts, e.ID, func(h *host, id HostID) int {
+			if h.ID < id {
+				return -1
+			}
+			return 1
+		})
+		b.hosts = slices.Insert(b.hosts, at, h)
+	} else if e.Status == Ready && e.Started > h.Started {
+		h.heard, h.trial, h.fail, h.until, h.ejected = false, false, 0, 0, 0
+	}
+	h.Host, h.listed = e, e.Status != Gone
+}
+
+// resize makes sizes relative to the mean of the ready hosts.
+func (b *Balancer) resize() {
+	sum, n := 0.0, 0
+	for _, h := range b.hosts {
+		if h.Status == Ready && h.Weight > 0 {
+			sum, n = sum+h.Weight, n+1
+		}
+	}
+	for _, h := range b.hosts {
+		h.weight = 1
+		if b.cfg.Weighted && h.Weight > 0 && n > 0 {
+			h.weight = h.Weight * float64(n) / sum
+		}
+		h.zoneRank = h.weight
+		if h.Zone != b.cfg.Zone {
+			h.zoneRank *= max(0, 1-b.cfg.Prices.CrossZone/localityPrice)
+		}
+	}
+}
+
+// watchDelay backs off with jitter, so that a struggling discovery is not called by all at once, and stays
+// well inside AskWithin, after which this balancer counts as told of a list it has not seen.
+func (b *Balancer) watchDelay() float64 {
+	most := b.cfg.AskWithin / watchTries
+	if most <= 0 {
+		most = b.longest
+	}
+	b.listTries = min(b.listTries+1, 10)
+	return most * (0.5 + b.random()/2) / float64(uint(1)<<max(0, 3-b.listTries))
+}
+
+// ---- a request
+
+// Request takes a request. It is answered, refused or failed exactly once.
+func (b *Balancer) Request(now float64, r Request) {
+	b.now = now
+	if b.ops[r.ID] != nil {
+		return
+	}
+	o := b.newOp(r)
+	b.retries = min(retryBurst, b.retries+retryShare)
+	if !b.admit(o) {
+		b.settle(o)
+		return
+	}
+	b.dispatch(o)
+}
+
+func (b *Balancer) newOp(r Request) *op {
+	var o *op
+	if n := len(b.free); n > 0 {
+		o, b.free = b.free[n-1], b.free[:n-1]
+		*o = op{attempts: o.attempts[:0]}
+	} else {
+		o = &op{}
+	}
+	if r.Class < 0 || r.Class >= len(b.classes) {
+		r.Class = 0
+	}
+	if r.Key == 0 { // no key: a random value spreads it
+		b.random()
+		r.Key = mix(b.rng)
+	}
+	o.Request, o.class = r, &b.classes[r.Class]
+	o.work = r.Work
+	if o.work <= 0 {
+		o.work = b.classWork[r.Class]
+	}
+	budget := r.Budget
+	if budget <= 0 {
+		budget = o.class.Deadline
+	}
+	o.deadline = b.now + budget
+	o.aimAt = min(o.deadline, b.now+o.class.Aim+o.class.AimStretch*o.work)
+	b.ops[r.ID] = o
+	return o
+}
+
+// admit sheds load: while the hosts answer late, the work worth least is refused first. Work beyond a tenant's
+// share comes cheapest.
+func (b *Balancer) admit(o *op) bool {
+	k := 2 * o.Class
+	if b.overShare(o) {
+		k++
+	}
+	b.buckets[k].rate += o.work
+	if b.shed <= 0 {
+		return true
+	}
+	mine := b.density(k)
+	total, below, same := 0.0, 0.0, 0.0
+	for i := range b.buckets {
+		total += b.buckets[i].rate
+		if d := b.density(i); d < mine {
+			below += b.buckets[i].rate
+		} else if d == mine {
+			same += b.buckets[i].rate
+		}
+	}
+	over := b.shed*total - below
+	return over <= 0 || over < same*b.random()
+}
+
+// density is the worth of a unit of work in a bucket.
+func (b *Balancer) density(k int) float64 {
+	d := b.classes[k/2].Worth
+	if !b.cfg.WorthByWork {
+		d /= b.classWork[k/2]
+	}
+	if k%2 == 1 {
+		d *= b.cfg.OverShareWorth
+	}
+	return d
+}
+
+// overShare guesses whether a request is beyond its tenant's share, from the tenants' shares of what comes here.
+func (b *Balancer) overShare(o *op) bool {
+	if o.Tenant < 0 || o.Tenant >= len(b.tenants) {
+		return false
+	}
+	b.tenants[o.Tenant] += o.work
+	sum := 0.0
+	for _, w := range b.tenants {
+		sum += w
+	}
+	mine := b.tenants[o.Tenant] / sum
+	return mine > b.cfg.Tenants[o.Tenant].Share && b.random() < 1-b.cfg.Tenants[o.Tenant].Share/mine
+}
+
+// permit is the one place that says whether a request may be sent again, where, and whether it may be refused.
+// anchor is a host of the group inside which a keyed request has to stay; nil: anywhere.
+func (b *Balancer) permit(o *op) (send bool, anchor *host, refuse bool) {
+	send, refuse = !o.done && !o.begun && b.now < o.deadline, true
+	if b.cfg.MaxAttempts > 0 && len(o.attempts) >= b.cfg.MaxAttempts {
+		send = false
+	}
+	if o.out > 0 && !b.cfg.SecondCopies {
+		send = false
+	}
+	for i := range o.attempts {
+		a := &o.attempts[i]
+		if a.neverRan || o.class.Effect == Safe {
+			continue
+		}
+		if o.class.Effect == Unsafe {
+			return false, nil, false
+		}
+		if anchor == nil { // the first that may have run opens the window
+			anchor = a.h
+			send = send && b.now < a.at+o.class.Window
+			refuse = o.class.Group == GroupAll
+		}
+	}
+	return send, anchor, refuse
+}
+
+// inGroup reports whether h drops repeats of what anchor may have run.
+func inGroup(g Group, anchor, h *host) bool {
+	switch {
+	case anchor == nil || g == GroupAll:
+		return true
+	case g == GroupZone:
+		return anchor.Zone == h.Zone
+	}
+	return anchor.Cell == h.Cell
+}
+
+// dispatch sends a request to the picked host, or ends it at once if it may not go anywhere.
+func (b *Balancer) dispatch(o *op) {
+	send, anchor, _ := b.permit(o)
+	if send {
+		if h := b.pick(o, anchor); h != nil {
+			b.send(o, h)
+			return
+		}
+	}
+	if o.out == 0 {
+		b.settle(o)
+	}
+}
+
+// settle gives the final answer of a request that was not served: refused where that is a true promise.
+func (b *Balancer) settle(o *op) {
+	if o.done {
+		return
+	}
+	if _, _, refuse := b.permit(o); refuse {
+		b.act.Refuse(o.ID, b.cfg.MaxCoolDown*min(1, 2*b.shed))
+	} else {
+		b.act.Fail(o.ID)
+	}
+	b.finish(o)
+}
+
+// finish drops a request that has its answer and calls off what is still out.
+func (b *Balancer) finish(o *op) {
+	o.done = true
+	for i := range o.attempts {
+		if o.attempts[i].out && b.cfg.Cancelling && !o.begun {
+			b.act.Cancel(o.ID, i)
+		}
+	}
+	b.drop(o)
+}
+
+// drop forgets a request once it is answered and nothing of it is out.
+func (b *Balancer) drop(o *op) {
+	if o.done && o.out == 0 {
+		delete(b.ops, o.ID)
+		b.free = append(b.free, o)
+	}
+}
+
+// ---- the pick
+
+// pick is the mechanism: healthy / counted against the threshold chooses the set, rendezvous hashing picks
+// inside it, a loaded host yields to the next.
+func (b *Balancer) pick(o *op, anchor *host) *host {
+	healthy, counted := 0, 0
+	inflight, weight := 0, 0.0
+	for _, h := range b.hosts {
+		if h.Status != Ready {
+			continue
+		}
+		inflight, weight = inflight+h.inflight, weight+h.weight
+		if h.heard {
+			counted++
+			if h.until <= b.now {
+				healthy++
+			}
+		}
+	}
+	panicking := float64(healthy) < panicThreshold*float64(counted)
+	if panicking != b.panicking {
+		b.panicking = panicking
+		b.act.Log(fmt.Sprintf("panic %v: %d healthy of %d counted", panicking, healthy, counted))
+	}
+	mean := 0.0
+	if weight > 0 {
+		mean = float64(inflight) / weight
+	}
+	var best, spare *host
+	bestScore, spareScore, bestTier := math.Inf(1), math.Inf(1), 3
+	for _, h := range b.hosts {
+		if h.Status != Ready || !panicking && h.until > b.now || !inGroup(o.class.Group, anchor, h) ||
+			o.tried(h) || !b.coldRoom(h, o.work) {
+			continue
+		}
+		if load := float64(h.inflight+1) / h.weight; load < spareScore {
+			spare, spareScore = h, load
+		}
+		if b.yields(o, h, mean, panicking) {
+			continue
+		}
+		tier, rank := 0, h.zoneRank
+		if rank <= 0 {
+			tier, rank = 1, h.weight
+		}
+		if tier > bestTier {
+			continue
+		}
+		if score := rendezvous(o.Key, h.ID) / rank; tier < bestTier || score < bestScore {
+			best, bestScore, bestTier = h, score, tier
+		}
+	}
+	if best == nil {
+		return spare
+	}
+	return best
+}
+
+// yields says that a host is passed over: too much in flight from here, or on trial after an ejection, when it
+// gets one repeatable request at a time.
+func (b *Balancer) yields(o *op, h *host, mean float64, panicking bool) bool {
+	if h.trial && !panicking && (h.inflight > 0 || o.class.Effect == Unsafe) {
+		return true
+	}
+	return float64(h.inflight) >= max(passOverFloor, passOverMean*mean*h.weight+1)
+}
+
+// rendezvous is an exponential variate fixed by key and host: divided by a weight, the lowest wins in
+// proportion to the weights, and a host that leaves moves only its own keys.
+func rendezvous(key uint64, id HostID) float64 {
+	u := mix(key ^ bits.RotateLeft64(mix(uint64(id)+0x9e3779b97f4a7c15), 23))
+	return -math.Log((float64(u>>11) + 0.5) / (1 << 53))
+}
+
+func (o *op) tried(h *host) bool {
+	for i := range o.attempts {
+		if o.attempts[i].h == h {
+			return true
+		}
+	}
+	return false
+}
+
+// warmth is the share of its capacity that a host surely has by now.
+func (b *Balancer) warmth(h *host) float64 {
+	age := b.now - h.Started
+	if h.Started <= 0 || b.cfg.ColdFor <= 0 || age >= b.cfg.ColdFor {
+		return 1
+	}
+	return b.cfg.ColdFrom + (1-b.cfg.ColdFrom)*max(0, age)/b.cfg.ColdFor
+}
+
+// coldRoom keeps a freshly started host from being pushed over: in any FallAfter it gets at most part of what
+// this balancer's share of its present capacity allows, told from what warm hosts get from here. Summed over
+// proxies that stays under the limit however unequal they are.
+func (b *Balancer) coldRoom(h *host, work float64) bool {
+	warm := b.warmth(h)
+	if warm >= 1 {
+		h.coldSent = h.coldSent[:0]
+		return true
+	}
+	spent, keep := 0.0, h.coldSent[:0]
+	for _, s := range h.coldSent {
+		if s.at > b.now-b.cfg.FallAfter {
+			spent, keep = spent+s.work, append(keep, s)
+		}
+	}
+	h.coldSent = keep
+	if len(keep) == 0 {
+		return true
+	}
+	weight := 0.0
+	for _, other := range b.hosts {
+		if other.Status == Ready && b.warmth(other) >= 1 {
+			weight += other.weight
+		}
+	}
+	rate := b.sentWork / (memoryAims * b.longest) / max(weight, 1) * h.weight
+	return spent+work <= coldSafety*b.cfg.FallMultiple*warm*rate*b.cfg.FallAfter
+}
+
+// send starts an attempt. An answer that would come too late to be worth anything is not waited for.
+func (b *Balancer) send(o *op, h *host) {
+	timeout := 0.0
+	if o.class.LateWorth <= 0 && o.aimAt < o.deadline {
+		timeout = max(o.aimAt-b.now, 0.001)
+	}
+	o.attempts = append(o.attempts, attempt{h: h, at: b.now, out: true})
+	o.out++
+	h.inflight++
+	if b.warmth(h) < 1 {
+		h.coldSent = append(h.coldSent, sent{b.now, o.work})
+	} else {
+		b.sentWork += o.work
+	}
+	b.act.Send(o.ID, h.ID, timeout)
+	n := uint64(len(o.attempts) - 1)
+	b.act.Timer(b.mark(o, h), timerMark<<tokenKind|n<<tokenAttempt|uint64(o.ID))
+}
+
+// mark is how long an attempt may be out before it counts as late.
+func (b *Balancer) mark(o *op, h *host) float64 {
+	aim := o.class.Aim
+	expected := b.classWork[o.Class]
+	if o.Work > 0 {
+		expected = o.Work * b.pace / h.weight
+	}
+	return min(max(markShare*aim, markService*expected), markLimit*aim)
+}
+
+// ---- what comes back
+
+// Begun takes the start of a streamed answer: the attempt is the client's from now on.
+func (b *Balancer) Begun(now float64, id RequestID, n int) {
+	b.now = now
+	o := b.ops[id]
+	if o == nil || n < 0 || n >= len(o.attempts) {
+		return
+	}
+	o.begun = true
+	o.attempts[n].h.heard = true
+	for i := range o.attempts {
+		if i != n && o.attempts[i].out && b.cfg.Cancelling {
+			b.act.Cancel(id, i)
+		}
+	}
+}
+
+// Outcome takes the end of an attempt.
+func (b *Balancer) Outcome(now float64, r Outcome) {
+	b.now = now
+	o := b.ops[r.ID]
+	if o == nil || r.Attempt < 0 || r.Attempt >= len(o.attempts) || !o.attempts[r.Attempt].out {
+		return
+	}
+	a := &o.attempts[r.Attempt]
+	a.out, a.neverRan = false, r.Result.NeverRan()
+	o.out--
+	a.h.inflight--
+	b.weigh(o, a, r)
+	switch {
+	case o.done:
+		b.drop(o)
+	case r.Final:
+		b.finish(o)
+	case o.out > 0: // another copy may still answer
+	case b.worthAnother(o, r.Result):
+		b.dispatch(o)
+	default:
+		b.settle(o)
+	}
+}
+
+// worthAnother says whether a further attempt could still earn anything and the retry budget allows it. What
+// never reached a host costs nothing to send again.
+func (b *Balancer) worthAnother(o *op, r Result) bool {
+	if r == TimedOut || b.now >= o.aimAt && o.class.LateWorth <= 0 {
+		return false
+	}
+	return r == ConnectFailed || b.spendRetry()
+}
+
+func (b *Balancer) spendRetry() bool {
+	if b.retries < 1 {
+		return false
+	}
+	b.retries--
+	return true
+}
+
+// weigh takes an outcome as evidence on the host and on the load.
+func (b *Balancer) weigh(o *op, a *attempt, r Outcome) {
+	h := a.h
+	switch r.Result {
+	case OK:
+		b.classWork[o.Class] += meanStep * (r.Took - b.classWork[o.Class])
+		if o.Work > 0 {
+			b.pace += meanStep * (min(r.Took*h.weight/o.Work, 10) - b.pace)
+		}
+		if !a.late {
+			b.pressure(h, false)
+			b.judge(h, 0)
+		}
+		h.heard = true
+	case TurnedAway: // proves load, not sickness
+		h.heard = true
+		b.pressure(h, true)
+	case TimedOut:
+		if !a.late {
+			b.markLate(a)
+		}
+	case Errored, ConnectFailed, Reset:
+		b.judge(h, 1)
+	}
+}
+
+// pressure moves the shed share by one outcome. A host that is out on its own account does not count.
+func (b *Balancer) pressure(h *host, late bool) {
+	x := 0.0
+	if late {
+		x = 1
+	}
+	b.slow += meanStep * (x - b.slow)
+	if late && (h.trial || h.until > b.now) {
+		return
+	}
+	before := b.shed
+	b.shed = min(shedMost, max(0, b.shed+shedStep*(x-lateTarget)))
+	if (before > 0.1) != (b.shed > 0.1) {
+		b.act.Log(fmt.Sprintf("shedding %.2f of the work, late share %.2f", b.shed, b.slow))
+	}
+}
+
+// markLate counts an attempt as late. When all hosts are late it says little about this one.
+func (b *Balancer) markLate(a *attempt) {
+	a.late = true
+	b.pressure(a.h, true)
+	b.judge(a.h, max(0, 1-2*b.slow))
+}
+
+// judge is outlier ejection: bad is 1 for a failure, 0 for a good answer.
+func (b *Balancer) judge(h *host, bad float64) {
+	h.heard = true
+	if bad > h.fail || bad == 0 {
+		h.fail += judgeStep * (bad - h.fail)
+	}
+	switch {
+	case bad > 0 && h.fail >= ejectAt && h.until <= b.now:
+		h.until = b.now + ejectAims*b.longest*float64(uint(1)<<h.ejected)
+		h.ejected = min(h.ejected+1, ejectDoublings)
+		h.trial = true
+		b.act.Log(fmt.Sprintf("ejected %x until %.1f, failure share %.2f", h.ID, h.until, h.fail))
+	case h.trial && h.fail < clearAt:
+		h.trial, h.ejected, h.until = false, 0, 0
+		b.act.Log(fmt.Sprintf("returned %x", h.ID))
+	}
+}
+
+// Timer takes a timer that fell due.
+func (b *Balancer) Timer(now float64, token uint64) {
+	b.now = now
+	switch token >> tokenKind {
+	case timerMark:
+		n := int(token >> tokenAttempt & 0xff)
+		if o := b.ops[RequestID(token&(1<<tokenAttempt-1))]; o != nil && n < len(o.attempts) {
+			b.overdue(o, n)
+		}
+	case timerTick:
+		b.decay()
+		b.act.Timer(b.tick(), token)
+	case timerWatch:
+		if !b.subbed {
+			b.act.Watch()
+		}
+	}
+}
+
+// overdue handles an attempt that is out past its mark: evidence, and a second copy where that may be sent and
+// the fleet has room (hedging). It finds hosts that take work and answer none.
+func (b *Balancer) overdue(o *op, n int) {
+	a := &o.attempts[n]
+	if !a.out || o.begun || o.done {
+		return
+	}
+	b.markLate(a)
+	if b.shed > hedgeBelow || o.out > 1 || b.retries < 1 {
+		return
+	}
+	if send, anchor, _ := b.permit(o); send {
+		if h := b.pick(o, anchor); h != nil && b.spendRetry() {
+			b.send(o, h)
+		}
+	}
+}
+
+// decay ages the rates.
+func (b *Balancer) decay() {
+	keep := 1 - b.tick()/(memoryAims*b.longest)
+	for i := range b.buckets {
+		b.buckets[i].rate *= keep
+	}
+	for i := range b.tenants {
+		b.tenants[i] *= keep
+	}
+	b.sentWork *= keep
+}
+
+// Probed takes a probe's result.
+func (b *Balancer) Probed(now float64, p ProbeResult) { b.now = now }
+
+// Peer takes a message of another balancer.
+func (b *Balancer) Peer(now float64, from int, data []byte) { b.now = now }
+
+// Gone takes word that a client left: nothing is owed, and what is out is called off.
+func (b *Balancer) Gone(now float64, id RequestID) {
+	b.now = now
+	if o := b.ops[id]; o != nil && !o.done {
+		b.finish(o)
+	}
+}
