--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -36,15 +36,15 @@
 	ejectDoublings = 3
 
 	// markShare of the aim: an attempt still out by then counts as late, against its host and as pressure.
-	markShare = 0.5
+	markShare = 0.7
 	// markService: but never before this multiple of what the work should take, up to markLimit of the aim.
 	markService = 3.0
-	markLimit   = 0.8
+	markLimit   = 0.9
 
 	// shedStep moves the share of offered work that is refused, per outcome; lateTarget is the share of late
 	// outcomes at which it rests; shedMost leaves a trickle that shows when the load has gone.
 	shedStep   = 0.03
-	lateTarget = 0.1
+	lateTarget = 0.05
 	shedMost   = 0.95
 	// hedgeBelow: no second copies while more than this share is shed, as they would add to the overload.
 	hedgeBelow = 0.02
@@ -269,7 +269,7 @@
 	}
 	o := b.newOp(r)
 	b.retries = min(retryBurst, b.retries+retryShare)
-	if !b.admit(o) {
+	if o.deadline <= b.now || !b.admit(o) { // a try may come with no time left: it still is owed an answer
 		b.settle(o)
 		return
 	}
@@ -296,11 +296,7 @@
 	if o.work <= 0 {
 		o.work = b.classWork[r.Class]
 	}
-	budget := r.Budget
-	if budget <= 0 {
-		budget = o.class.Deadline
-	}
-	o.deadline = b.now + budget
+	o.deadline = b.now + r.Budget
 	o.aimAt = min(o.deadline, b.now+o.class.Aim+o.class.AimStretch*o.work)
 	b.ops[r.ID] = o
 	return o
@@ -637,7 +633,7 @@
 // worthAnother says whether a further attempt could still earn anything and the retry budget allows it. What
 // never reached a host costs nothing to send again.
 func (b *Balancer) worthAnother(o *op, r Result) bool {
-	if r == TimedOut || b.now >= o.aimAt && o.class.LateWorth <= 0 {
+	if r == TimedOut || r == Moot || b.now >= o.aimAt && o.class.LateWorth <= 0 {
 		return false
 	}
 	return r == ConnectFailed || b.spendRetry()
