--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -17,7 +17,7 @@
 const (
 	// panicThreshold is the healthy share below which health is ignored. Within the quarter to half that the
 	// design page allows: with about ten hosts a zone's loss should not yet feed the dead ones.
-	panicThreshold = 0.34
+	panicThreshold = 0.3
 	// passOverMean and passOverFloor: a host with more in flight from this balancer than
 	// passOverMean x mean + 1, and at least passOverFloor, yields to the next.
 	passOverMean  = 1.5
@@ -30,6 +30,8 @@
 	judgeStep = 0.25
 	ejectAt   = 0.4
 	clearAt   = 0.2 // failure share under which a host on trial is trusted again
+	// deadAfter failed connections in a row, with nothing else heard, a host counts as not there.
+	deadAfter = 2
 	// ejectAims is the first ejection in units of the longest aim; each further one doubles, up to
 	// 2^ejectDoublings times.
 	ejectAims      = 4.0
@@ -41,11 +43,12 @@
 	markService = 3.0
 	markLimit   = 0.9
 
-	// shedStep moves the share of offered work that is refused, per outcome; lateTarget is the share of late
-	// outcomes at which it rests; shedMost leaves a trickle that shows when the load has gone.
-	shedStep   = 0.03
-	lateTarget = 0.05
-	shedMost   = 0.95
+	// shedStep moves the share of offered work that is refused, per outcome; aimTarget is the mean answer time
+	// as a share of the aim at which it rests; shedMost leaves a trickle that shows when the load has gone.
+	shedStep  = 0.04
+	aimTarget = 0.55
+	aimWorst  = 1.5 // what an answer that did not come in time counts as
+	shedMost  = 0.95
 	// hedgeBelow: no second copies while more than this share is shed, as they would add to the overload.
 	hedgeBelow = 0.02
 
@@ -83,7 +86,8 @@
 	inflight int
 	weight   float64 // size relative to the mean of the list
 	zoneRank float64 // rendezvous weight for this balancer's zone
-	late     float64 // clock of the last time it turned work away
+	answered float64 // clock of its last answer
+	refused  int     // failed connections in a row
 	coldSent []sent  // work sent in the last FallAfter while cold
 }
 
@@ -134,7 +138,6 @@
 	buckets []bucket // class*2, +1 for work over a tenant's share
 	tenants []float64
 	retries float64
-	slow    float64 // recent share of outcomes that were late, all hosts
 
 	classWork []float64 // mean seconds that a class takes, from answers
 	pace      float64   // mean seconds of answer per second of hinted work
@@ -449,7 +452,7 @@
 			continue
 		}
 		inflight, weight = inflight+h.inflight, weight+h.weight
-		if h.heard {
+		if h.heard && !h.dead() {
 			counted++
 			if h.until <= b.now {
 				healthy++
@@ -468,7 +471,7 @@
 	var best, spare *host
 	bestScore, spareScore, bestTier := math.Inf(1), math.Inf(1), 3
 	for _, h := range b.hosts {
-		if h.Status != Ready || !panicking && h.until > b.now || !inGroup(o.class.Group, anchor, h) ||
+		if h.Status != Ready || (!panicking || h.dead()) && h.until > b.now || !inGroup(o.class.Group, anchor, h) ||
 			o.tried(h) || !b.coldRoom(h, o.work) {
 			continue
 		}
@@ -495,6 +498,10 @@
 	return best
 }
 
+// dead says that a host does not even take connections. It cannot share load, which is what panic counts on, so
+// it is left out of both figures and of panic until a trial reaches it. Guards a lost or cut-off zone.
+func (h *host) dead() bool { return h.refused >= deadAfter }
+
 // yields says that a host is passed over: too much in flight from here, or on trial after an ejection, when it
 // gets one repeatable request at a time.
 func (b *Balancer) yields(o *op, h *host, mean float64, panicking bool) bool {
@@ -650,6 +657,10 @@
 // weigh takes an outcome as evidence on the host and on the load.
 func (b *Balancer) weigh(o *op, a *attempt, r Outcome) {
 	h := a.h
+	h.refused++
+	if r.Result != ConnectFailed {
+		h.refused = 0
+	}
 	switch r.Result {
 	case OK:
 		b.classWork[o.Class] += meanStep * (r.Took - b.classWork[o.Class])
@@ -657,13 +668,13 @@
 			b.pace += meanStep * (min(r.Took*h.weight/o.Work, 10) - b.pace)
 		}
 		if !a.late {
-			b.pressure(h, false)
-			b.judge(h, 0)
+			b.pressure(h, r.Took/o.class.Aim)
 		}
-		h.heard = true
+		h.answered = b.now
+		b.judge(h, 0)
 	case TurnedAway: // proves load, not sickness
 		h.heard = true
-		b.pressure(h, true)
+		b.pressure(h, aimWorst)
 	case TimedOut:
 		if !a.late {
 			b.markLate(a)
@@ -673,28 +684,27 @@
 	}
 }
 
-// pressure moves the shed share by one outcome. A host that is out on its own account does not count.
-func (b *Balancer) pressure(h *host, late bool) {
-	x := 0.0
-	if late {
-		x = 1
-	}
-	b.slow += meanStep * (x - b.slow)
-	if late && (h.trial || h.until > b.now) {
+// pressure moves the shed share by one outcome, took as a share of the aim. A host that is out on its own
+// account does not count.
+func (b *Balancer) pressure(h *host, took float64) {
+	if h.trial || h.until > b.now {
 		return
 	}
 	before := b.shed
-	b.shed = min(shedMost, max(0, b.shed+shedStep*(x-lateTarget)))
+	b.shed = min(shedMost, max(0, b.shed+shedStep*(min(took, aimWorst)-aimTarget)))
 	if (before > 0.1) != (b.shed > 0.1) {
-		b.act.Log(fmt.Sprintf("shedding %.2f of the work, late share %.2f", b.shed, b.slow))
+		b.act.Log(fmt.Sprintf("shedding %.2f of the work", b.shed))
 	}
 }
 
-// markLate counts an attempt as late. When all hosts are late it says little about this one.
+// markLate counts an attempt as late. Load makes a host late too; a host that answered nothing at all since
+// the attempt went out has hung.
 func (b *Balancer) markLate(a *attempt) {
 	a.late = true
-	b.pressure(a.h, true)
-	b.judge(a.h, max(0, 1-2*b.slow))
+	b.pressure(a.h, aimWorst)
+	if a.h.answered < a.at {
+		b.judge(a.h, 1)
+	}
 }
 
 // judge is outlier ejection: bad is 1 for a failure, 0 for a good answer.
