--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -2,7 +2,7 @@
 
 // The interface (settings, events, actions) is in api.go; every decision is in this file.
 //
-// A request's path: Request -> admit (load shedding) -> dispatch -> pick: healthy / counted against the panic
+// A request's path: Request -> dispatch (or hold, or load shedding) -> pick: healthy / counted against the panic
 // threshold, then rendezvous hashing inside the set with a pass-over of loaded hosts -> send (pacing of cold
 // hosts, attempt time-out) -> Outcome or the attempt's mark (Timer) -> judge the host -> permit (may it go
 // again, may it be refused) -> dispatch again, or settle with one final answer.
@@ -43,14 +43,15 @@
 	markService = 3.0
 	markLimit   = 0.9
 
-	// shedStep moves the share of offered work that is refused, per outcome; aimTarget is the mean answer time
-	// as a share of the aim at which it rests; shedMost leaves a trickle that shows when the load has gone.
-	shedStep  = 0.04
-	aimTarget = 0.55
-	aimWorst  = 1.5 // what an answer that did not come in time counts as
-	shedMost  = 0.95
-	// hedgeBelow: no second copies while more than this share is shed, as they would add to the overload.
-	hedgeBelow = 0.02
+	// windowStart is the first limit of requests in flight to a host of mean size. An answer under growBelow of
+	// its aim lets a limit in use grow by one a round trip; one past its mark cuts it by windowCut, once for what
+	// was out together. It keeps queues short, so hosts are not driven where crowding slows them.
+	windowStart = 3.0
+	growBelow   = 0.45
+	windowCut   = 0.75
+	windowLeast = 1.0
+	// holdShare of the aim a request may wait here for room; it is only held if that seems long enough.
+	holdShare = 0.4
 
 	// retryShare of requests may be followed by a further attempt, with retryBurst saved up at the most.
 	retryShare = 0.2
@@ -70,6 +71,7 @@
 	timerMark uint64 = iota
 	timerTick
 	timerWatch
+	timerHold
 	tokenKind    = 60
 	tokenAttempt = 52
 )
@@ -88,6 +90,8 @@
 	zoneRank float64 // rendezvous weight for this balancer's zone
 	answered float64 // clock of its last answer
 	refused  int     // failed connections in a row
+	window   float64 // limit of requests in flight from here
+	cutAt    float64 // clock of the last cut
 	coldSent []sent  // work sent in the last FallAfter while cold
 }
 
@@ -112,11 +116,10 @@
 	done     bool // answered; attempts may still be out
 	begun    bool
 	work     float64
+	density  float64 // worth of a unit of its work
+	waits    bool
 }
 
-// bucket is the recent offered work of one class within or over its tenant's share.
-type bucket struct{ rate, density float64 }
-
 // Balancer decides for one client process. Make one with New.
 type Balancer struct {
 	cfg     Config
@@ -134,10 +137,11 @@
 	subbed    bool
 	panicking bool
 
-	shed    float64
-	buckets []bucket // class*2, +1 for work over a tenant's share
+	held    []*op // waiting for room, in order of arrival
 	tenants []float64
 	retries float64
+	strain  float64 // recent share of requests that found no room in time
+	flow    float64 // decayed sum of work answered
 
 	classWork []float64 // mean seconds that a class takes, from answers
 	pace      float64   // mean seconds of answer per second of hinted work
@@ -158,7 +162,6 @@
 	if b.longest <= 0 {
 		b.longest = 1
 	}
-	b.buckets = make([]bucket, 2*len(b.classes))
 	b.tenants = make([]float64, len(cfg.Tenants))
 	if cfg.AskForList {
 		act.Watch()
@@ -216,7 +219,7 @@
 func (b *Balancer) learn(e Host) {
 	h := b.index[e.ID]
 	if h == nil {
-		h = &host{}
+		h = &host{window: -1}
 		b.index[e.ID] = h
 		at, _ := slices.BinarySearchFunc(b.hosts, e.ID, func(h *host, id HostID) int {
 			if h.ID < id {
@@ -244,6 +247,9 @@
 		if b.cfg.Weighted && h.Weight > 0 && n > 0 {
 			h.weight = h.Weight * float64(n) / sum
 		}
+		if h.window < 0 {
+			h.window = windowStart * h.weight
+		}
 		h.zoneRank = h.weight
 		if h.Zone != b.cfg.Zone {
 			h.zoneRank *= max(0, 1-b.cfg.Prices.CrossZone/localityPrice)
@@ -272,10 +278,14 @@
 	}
 	o := b.newOp(r)
 	b.retries = min(retryBurst, b.retries+retryShare)
-	if o.deadline <= b.now || !b.admit(o) { // a try may come with no time left: it still is owed an answer
+	if o.deadline <= b.now { // a try may come with no time left: it still is owed an answer
 		b.settle(o)
 		return
 	}
+	if len(b.held) > 0 && !b.ahead(o) {
+		b.hold(o)
+		return
+	}
 	b.dispatch(o)
 }
 
@@ -301,45 +311,74 @@
 	}
 	o.deadline = b.now + r.Budget
 	o.aimAt = min(o.deadline, b.now+o.class.Aim+o.class.AimStretch*o.work)
+	o.density = o.class.Worth
+	if !b.cfg.WorthByWork {
+		o.density /= b.classWork[r.Class]
+	}
+	if b.overShare(o) {
+		o.density *= b.cfg.OverShareWorth
+	}
 	b.ops[r.ID] = o
 	return o
 }
 
-// admit sheds load: while the hosts answer late, the work worth least is refused first. Work beyond a tenant's
-// share comes cheapest.
-func (b *Balancer) admit(o *op) bool {
-	k := 2 * o.Class
-	if b.overShare(o) {
-		k++
-	}
-	b.buckets[k].rate += o.work
-	if b.shed <= 0 {
-		return true
+// ahead says that no request held is worth more than o.
+func (b *Balancer) ahead(o *op) bool {
+	for _, w := range b.held {
+		if w.density >= o.density {
+			return false
+		}
 	}
-	mine := b.density(k)
-	total, below, same := 0.0, 0.0, 0.0
-	for i := range b.buckets {
-		total += b.buckets[i].rate
-		if d := b.density(i); d < mine {
-			below += b.buckets[i].rate
-		} else if d == mine {
-			same += b.buckets[i].rate
+	return true
+}
+
+// hold keeps a request until a host has room, if what is held before it should be gone by then, judged by the
+// work lately answered. Otherwise it is refused at once (load shedding); worth least goes first, and work beyond
+// a tenant's share comes cheapest.
+func (b *Balancer) hold(o *op) {
+	patience := min(holdShare*o.class.Aim, o.deadline-b.now)
+	before := 0.0
+	for _, w := range b.held {
+		if w.density >= o.density {
+			before += w.work
 		}
 	}
-	over := b.shed*total - below
-	return over <= 0 || over < same*b.random()
+	if rate := b.flow / (memoryAims * b.longest); before+o.work > rate*patience {
+		b.strain += meanStep * (1 - b.strain)
+		b.settle(o)
+		return
+	}
+	o.waits = true
+	b.held = append(b.held, o)
+	b.act.Timer(patience, timerHold<<tokenKind|uint64(o.ID))
 }
 
-// density is the worth of a unit of work in a bucket.
-func (b *Balancer) density(k int) float64 {
-	d := b.classes[k/2].Worth
-	if !b.cfg.WorthByWork {
-		d /= b.classWork[k/2]
+// release sends held requests while there is room, worth most first.
+func (b *Balancer) release() {
+	for len(b.held) > 0 {
+		best := 0
+		for i, w := range b.held {
+			if w.density > b.held[best].density {
+				best = i
+			}
+		}
+		o := b.held[best]
+		_, anchor, _ := b.permit(o)
+		h := b.pick(o, anchor)
+		if h == nil {
+			return
+		}
+		b.unhold(o)
+		b.send(o, h)
 	}
-	if k%2 == 1 {
-		d *= b.cfg.OverShareWorth
+}
+
+func (b *Balancer) unhold(o *op) {
+	if o.waits {
+		o.waits = false
+		i := slices.Index(b.held, o)
+		b.held = slices.Delete(b.held, i, i+1)
 	}
-	return d
 }
 
 // overShare guesses whether a request is beyond its tenant's share, from the tenants' shares of what comes here.
@@ -397,15 +436,16 @@
 // dispatch sends a request to the picked host, or ends it at once if it may not go anywhere.
 func (b *Balancer) dispatch(o *op) {
 	send, anchor, _ := b.permit(o)
-	if send {
-		if h := b.pick(o, anchor); h != nil {
-			b.send(o, h)
-			return
-		}
-	}
-	if o.out == 0 {
+	if !send {
 		b.settle(o)
+		return
 	}
+	if h := b.pick(o, anchor); h != nil {
+		b.strain -= meanStep * b.strain
+		b.send(o, h)
+		return
+	}
+	b.hold(o)
 }
 
 // settle gives the final answer of a request that was not served: refused where that is a true promise.
@@ -414,7 +454,7 @@
 		return
 	}
 	if _, _, refuse := b.permit(o); refuse {
-		b.act.Refuse(o.ID, b.cfg.MaxCoolDown*min(1, 2*b.shed))
+		b.act.Refuse(o.ID, b.cfg.MaxCoolDown*b.strain)
 	} else {
 		b.act.Fail(o.ID)
 	}
@@ -424,6 +464,7 @@
 // finish drops a request that has its answer and calls off what is still out.
 func (b *Balancer) finish(o *op) {
 	o.done = true
+	b.unhold(o)
 	for i := range o.attempts {
 		if o.attempts[i].out && b.cfg.Cancelling && !o.begun {
 			b.act.Cancel(o.ID, i)
@@ -469,10 +510,10 @@
 		mean = float64(inflight) / weight
 	}
 	var best, spare *host
-	bestScore, spareScore, bestTier := math.Inf(1), math.Inf(1), 3
+	bestScore, spareScore, bestTier := math.Inf(1), math.Inf(1), 2
 	for _, h := range b.hosts {
 		if h.Status != Ready || (!panicking || h.dead()) && h.until > b.now || !inGroup(o.class.Group, anchor, h) ||
-			o.tried(h) || !b.coldRoom(h, o.work) {
+			float64(h.inflight) >= h.window || o.tried(h) || !b.coldRoom(h, o.work) {
 			continue
 		}
 		if load := float64(h.inflight+1) / h.weight; load < spareScore {
@@ -635,6 +676,7 @@
 	default:
 		b.settle(o)
 	}
+	b.release()
 }
 
 // worthAnother says whether a further attempt could still earn anything and the retry budget allows it. What
@@ -667,14 +709,15 @@
 		if o.Work > 0 {
 			b.pace += meanStep * (min(r.Took*h.weight/o.Work, 10) - b.pace)
 		}
-		if !a.late {
-			b.pressure(h, r.Took/o.class.Aim)
+		b.flow += o.work
+		if float64(h.inflight+1) > h.window/2 && r.Took < growBelow*o.class.Aim {
+			h.window += 1 / h.window
 		}
 		h.answered = b.now
 		b.judge(h, 0)
 	case TurnedAway: // proves load, not sickness
 		h.heard = true
-		b.pressure(h, aimWorst)
+		b.cut(a)
 	case TimedOut:
 		if !a.late {
 			b.markLate(a)
@@ -684,16 +727,10 @@
 	}
 }
 
-// pressure moves the shed share by one outcome, took as a share of the aim. A host that is out on its own
-// account does not count.
-func (b *Balancer) pressure(h *host, took float64) {
-	if h.trial || h.until > b.now {
-		return
-	}
-	before := b.shed
-	b.shed = min(shedMost, max(0, b.shed+shedStep*(min(took, aimWorst)-aimTarget)))
-	if (before > 0.1) != (b.shed > 0.1) {
-		b.act.Log(fmt.Sprintf("shedding %.2f of the work", b.shed))
+// cut lowers a host's limit, once for all attempts that were out together.
+func (b *Balancer) cut(a *attempt) {
+	if a.at >= a.h.cutAt {
+		a.h.window, a.h.cutAt = max(windowLeast, a.h.window*windowCut), b.now
 	}
 }
 
@@ -701,7 +738,7 @@
 // the attempt went out has hung.
 func (b *Balancer) markLate(a *attempt) {
 	a.late = true
-	b.pressure(a.h, aimWorst)
+	b.cut(a)
 	if a.h.answered < a.at {
 		b.judge(a.h, 1)
 	}
@@ -734,8 +771,14 @@
 		if o := b.ops[RequestID(token&(1<<tokenAttempt-1))]; o != nil && n < len(o.attempts) {
 			b.overdue(o, n)
 		}
+	case timerHold:
+		if o := b.ops[RequestID(token&(1<<tokenAttempt-1))]; o != nil && o.waits {
+			b.strain += meanStep * (1 - b.strain)
+			b.settle(o)
+		}
 	case timerTick:
 		b.decay()
+		b.release()
 		b.act.Timer(b.tick(), token)
 	case timerWatch:
 		if !b.subbed {
@@ -752,7 +795,7 @@
 		return
 	}
 	b.markLate(a)
-	if b.shed > hedgeBelow || o.out > 1 || b.retries < 1 {
+	if len(b.held) > 0 || o.out > 1 || b.retries < 1 {
 		return
 	}
 	if send, anchor, _ := b.permit(o); send {
@@ -765,13 +808,11 @@
 // decay ages the rates.
 func (b *Balancer) decay() {
 	keep := 1 - b.tick()/(memoryAims*b.longest)
-	for i := range b.buckets {
-		b.buckets[i].rate *= keep
-	}
 	for i := range b.tenants {
 		b.tenants[i] *= keep
 	}
 	b.sentWork *= keep
+	b.flow *= keep
 }
 
 // Probed takes a probe's result.
