--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -38,7 +38,7 @@
 	ejectDoublings = 3
 
 	// markShare of the aim: an attempt still out by then counts as late, against its host and as pressure.
-	markShare = 0.7
+	markShare = 0.6
 	// markService: but never before this multiple of what the work should take, up to markLimit of the aim.
 	markService = 3.0
 	markLimit   = 0.9
@@ -47,8 +47,8 @@
 	// its aim lets a limit in use grow by one a round trip; one past its mark cuts it by windowCut, once for what
 	// was out together. It keeps queues short, so hosts are not driven where crowding slows them.
 	windowStart = 3.0
-	growBelow   = 0.45
-	windowCut   = 0.75
+	growBelow   = 0.35
+	windowCut   = 0.6
 	windowLeast = 1.0
 	// holdShare of the aim a request may wait here for room; it is only held if that seems long enough.
 	holdShare = 0.4
