--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -47,8 +47,8 @@
 	// its aim lets a limit in use grow by one a round trip; one past its mark cuts it by windowCut, once for what
 	// was out together. It keeps queues short, so hosts are not driven where crowding slows them.
 	windowStart = 3.0
-	growBelow   = 0.35
-	windowCut   = 0.6
+	growBelow   = 0.25
+	windowCut   = 0.5
 	windowLeast = 1.0
 	// holdShare of the aim a request may wait here for room; it is only held if that seems long enough.
 	holdShare = 0.4
