Rates count over the time seen so far

A restarted proxy judged its flow against a memory it had not lived through, and refused what it could hold.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -142,6 +142,7 @@
 	retries float64
 	strain  float64 // recent share of requests that found no room in time
 	flow    float64 // decayed sum of work answered
+	span    float64 // seconds over which the decayed sums reach
 
 	classWork []float64 // mean seconds that a class takes, from answers
 	pace      float64   // mean seconds of answer per second of hinted work
@@ -343,7 +344,7 @@
 			before += w.work
 		}
 	}
-	if rate := b.flow / (memoryAims * b.longest); before+o.work > rate*patience {
+	if b.span > 0 && before+o.work > b.flow/b.span*patience {
 		b.strain += meanStep * (1 - b.strain)
 		b.settle(o)
 		return
@@ -602,7 +603,7 @@
 			weight += other.weight
 		}
 	}
-	rate := b.sentWork / (memoryAims * b.longest) / max(weight, 1) * h.weight
+	rate := b.sentWork / max(b.span, b.longest) / max(weight, 1) * h.weight
 	return spent+work <= coldSafety*b.cfg.FallMultiple*warm*rate*b.cfg.FallAfter
 }
 
@@ -813,6 +814,7 @@
 	}
 	b.sentWork *= keep
 	b.flow *= keep
+	b.span = b.span*keep + b.tick()
 }
 
 // Probed takes a probe's result.
