--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -30,6 +30,8 @@
 	judgeStep = 0.25
 	ejectAt   = 0.4
 	clearAt   = 0.2 // failure share under which a host on trial is trusted again
+	// lateDoubt: with 1/lateDoubt of all attempts late, lateness says nothing about a single host.
+	lateDoubt = 3.0
 	// deadAfter failed connections in a row, with nothing else heard, a host counts as not there.
 	deadAfter = 2
 	// ejectAims is the first ejection in units of the longest aim; each further one doubles, up to
@@ -141,6 +143,7 @@
 	tenants []float64
 	retries float64
 	strain  float64 // recent share of requests that found no room in time
+	late    float64 // recent share of attempts that passed their mark
 	flow    float64 // decayed sum of work answered
 	span    float64 // seconds over which the decayed sums reach
 
@@ -711,6 +714,9 @@
 			b.pace += meanStep * (min(r.Took*h.weight/o.Work, 10) - b.pace)
 		}
 		b.flow += o.work
+		if !a.late {
+			b.late -= meanStep * b.late
+		}
 		if float64(h.inflight+1) > h.window/2 && r.Took < growBelow*o.class.Aim {
 			h.window += 1 / h.window
 		}
@@ -735,14 +741,15 @@
 	}
 }
 
-// markLate counts an attempt as late. Load makes a host late too; a host that answered nothing at all since
-// the attempt went out has hung.
+// markLate counts an attempt as late. Load makes a host late too; one that answered nothing at all since the
+// attempt went out may have hung, which is the more credible the fewer are late elsewhere.
 func (b *Balancer) markLate(a *attempt) {
 	a.late = true
 	b.cut(a)
 	if a.h.answered < a.at {
-		b.judge(a.h, 1)
+		b.judge(a.h, max(0, 1-lateDoubt*b.late))
 	}
+	b.late += meanStep * (1 - b.late)
 }
 
 // judge is outlier ejection: bad is 1 for a failure, 0 for a good answer.
