--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -803,7 +803,7 @@
 		return
 	}
 	b.markLate(a)
-	if len(b.held) > 0 || o.out > 1 || b.retries < 1 {
+	if a.h.fail < ejectAt || len(b.held) > 0 || o.out > 1 || b.retries < 1 {
 		return
 	}
 	if send, anchor, _ := b.permit(o); send {
