--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -689,7 +689,7 @@
 	if r == TimedOut || r == Moot || b.now >= o.aimAt && o.class.LateWorth <= 0 {
 		return false
 	}
-	return r == ConnectFailed || b.spendRetry()
+	return r == ConnectFailed || r == TurnedAway && len(b.held) == 0 || b.spendRetry()
 }
 
 func (b *Balancer) spendRetry() bool {
@@ -722,9 +722,8 @@
 		}
 		h.answered = b.now
 		b.judge(h, 0)
-	case TurnedAway: // proves load, not sickness
+	case TurnedAway: // neither sickness nor, while others are answered in time, a reason to send less
 		h.heard = true
-		b.cut(a)
 	case TimedOut:
 		if !a.late {
 			b.markLate(a)
