--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -717,8 +717,8 @@
 		if !a.late {
 			b.late -= meanStep * b.late
 		}
-		if float64(h.inflight+1) > h.window/2 && r.Took < growBelow*o.class.Aim {
-			h.window += 1 / h.window
+		if float64(h.inflight+2) > h.window && r.Took < growBelow*o.class.Aim {
+			h.window += r.Took / o.class.Aim / growBelow / h.window
 		}
 		h.answered = b.now
 		b.judge(h, 0)
