--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -53,7 +53,7 @@
 	windowCut   = 0.5
 	windowLeast = 1.0
 	// holdShare of the aim a request may wait here for room; it is only held if that seems long enough.
-	holdShare = 0.4
+	holdShare = 0.2
 
 	// retryShare of requests may be followed by a further attempt, with retryBurst saved up at the most.
 	retryShare = 0.2
