--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -30,8 +30,6 @@
 	judgeStep = 0.25
 	ejectAt   = 0.4
 	clearAt   = 0.2 // failure share under which a host on trial is trusted again
-	// lateDoubt: with 1/lateDoubt of all attempts late, lateness says nothing about a single host.
-	lateDoubt = 3.0
 	// deadAfter failed connections in a row, with nothing else heard, a host counts as not there.
 	deadAfter = 2
 	// ejectAims is the first ejection in units of the longest aim; each further one doubles, up to
@@ -39,19 +37,18 @@
 	ejectAims      = 4.0
 	ejectDoublings = 3
 
-	// markShare of the aim: an attempt still out by then counts as late, against its host and as pressure.
+	// markShare of the aim: an attempt still out by then counts as late.
 	markShare = 0.6
-	// markService: but never before this multiple of what the work should take, up to markLimit of the aim.
-	markService = 3.0
-	markLimit   = 0.9
 
 	// windowStart is the first limit of requests in flight to a host of mean size. An answer under growBelow of
 	// its aim lets a limit in use grow by one a round trip; one past its mark cuts it by windowCut, once for what
 	// was out together. It keeps queues short, so hosts are not driven where crowding slows them.
-	windowStart = 3.0
+	windowStart = 2.0
 	growBelow   = 0.25
 	windowCut   = 0.5
 	windowLeast = 1.0
+	// crowdAt: a host that reports this multiple of the requests that fill its CPU is crowded by all balancers.
+	crowdAt = 1.35
 	// holdShare of the aim a request may wait here for room; it is only held if that seems long enough.
 	holdShare = 0.2
 
@@ -65,7 +62,8 @@
 	memoryAims = 8.0
 	meanStep   = 0.05 // weight of one answer in a mean
 	// watchTries is how many calls for the list fit into AskWithin at the longest back-off.
-	watchTries = 5.0
+	watchTries     = 2.5
+	watchDoublings = 3
 )
 
 // Timer tokens hold a purpose, an attempt and a request id, which is below 2^52.
@@ -88,13 +86,16 @@
 	trial    bool    // ejected and not yet trusted again
 	ejected  int     // ejections in a row
 	inflight int
-	weight   float64 // size relative to the mean of the list
-	zoneRank float64 // rendezvous weight for this balancer's zone
-	answered float64 // clock of its last answer
-	refused  int     // failed connections in a row
-	window   float64 // limit of requests in flight from here
-	cutAt    float64 // clock of the last cut
-	coldSent []sent  // work sent in the last FallAfter while cold
+	weight   float64    // size relative to the mean of the list
+	zoneRank float64    // rendezvous weight for this balancer's zone
+	answered float64    // clock of its last answer
+	refused  int        // failed connections in a row
+	window   float64    // limit of requests in flight from here
+	cutAt    float64    // clock of the last cut
+	report   [2]float32 // last requests in hand and share of CPU reported
+	cores    float64    // requests in hand at which its CPU is just full, from reports; 0: unknown
+	crowded  bool       // by its last report
+	coldSent []sent     // work sent in the last FallAfter while cold
 }
 
 type sent struct{ at, work float64 }
@@ -137,25 +138,24 @@
 
 	listTries int
 	subbed    bool
+	watchAt   float64 // when to ask for the list next, while not subscribed
 	panicking bool
 
 	held    []*op // waiting for room, in order of arrival
 	tenants []float64
 	retries float64
 	strain  float64 // recent share of requests that found no room in time
-	late    float64 // recent share of attempts that passed their mark
 	flow    float64 // decayed sum of work answered
 	span    float64 // seconds over which the decayed sums reach
 
 	classWork []float64 // mean seconds that a class takes, from answers
-	pace      float64   // mean seconds of answer per second of hinted work
 	sentWork  float64   // decayed sum of work sent to warm hosts
 }
 
 // New starts a balancer at time now. It subscribes to the list at once where that must be asked for.
 func New(now float64, cfg Config, act Actions) *Balancer {
 	b := &Balancer{cfg: cfg, act: act, now: now, rng: cfg.Seed, index: map[HostID]*host{},
-		ops: map[RequestID]*op{}, classes: cfg.Classes, retries: retryBurst, pace: 1}
+		ops: map[RequestID]*op{}, classes: cfg.Classes, retries: retryBurst}
 	if len(b.classes) == 0 {
 		b.classes = []Class{{Aim: 1, Deadline: 1, Worth: 1}}
 	}
@@ -168,7 +168,7 @@
 	}
 	b.tenants = make([]float64, len(cfg.Tenants))
 	if cfg.AskForList {
-		act.Watch()
+		b.watch()
 	}
 	act.Timer(b.tick(), timerTick<<tokenKind)
 	return b
@@ -194,10 +194,7 @@
 func (b *Balancer) Members(now float64, kind ListKind, hosts []Host) {
 	b.now = now
 	if kind == ListFailed {
-		b.subbed = false
-		if b.cfg.AskForList {
-			b.act.Timer(b.watchDelay(), timerWatch<<tokenKind)
-		}
+		b.watchFailed()
 		return
 	}
 	if kind != ListCached {
@@ -216,6 +213,13 @@
 			h.Status = Gone // absent from a complete list
 		}
 	}
+	b.hosts = slices.DeleteFunc(b.hosts, func(h *host) bool {
+		if h.Status == Gone && h.inflight == 0 {
+			delete(b.index, h.ID)
+			return true
+		}
+		return false
+	})
 	b.resize()
 }
 
@@ -261,15 +265,29 @@
 	}
 }
 
-// watchDelay backs off with jitter, so that a struggling discovery is not called by all at once, and stays
-// well inside AskWithin, after which this balancer counts as told of a list it has not seen.
-func (b *Balancer) watchDelay() float64 {
+// watch asks for the list, and again if no reply comes. All of it stays well inside AskWithin, after which this
+// balancer counts as told of a list it has not seen.
+func (b *Balancer) watch() {
+	b.act.Watch()
+	b.watchIn(1)
+}
+
+// watchFailed backs off with jitter, so that a struggling discovery is not called by all at once.
+func (b *Balancer) watchFailed() {
+	b.subbed = false
+	if b.cfg.AskForList {
+		b.listTries = min(b.listTries+1, watchDoublings)
+		b.watchIn((0.5 + b.random()/2) / float64(uint(1)<<(watchDoublings-b.listTries)))
+	}
+}
+
+func (b *Balancer) watchIn(part float64) {
 	most := b.cfg.AskWithin / watchTries
 	if most <= 0 {
 		most = b.longest
 	}
-	b.listTries = min(b.listTries+1, 10)
-	return most * (0.5 + b.random()/2) / float64(uint(1)<<max(0, 3-b.listTries))
+	b.watchAt = b.now + part*most
+	b.act.Timer(part*most, timerWatch<<tokenKind)
 }
 
 // ---- a request
@@ -367,7 +385,11 @@
 			}
 		}
 		o := b.held[best]
-		_, anchor, _ := b.permit(o)
+		send, anchor, _ := b.permit(o)
+		if !send {
+			b.settle(o)
+			continue
+		}
 		h := b.pick(o, anchor)
 		if h == nil {
 			return
@@ -626,17 +648,7 @@
 	}
 	b.act.Send(o.ID, h.ID, timeout)
 	n := uint64(len(o.attempts) - 1)
-	b.act.Timer(b.mark(o, h), timerMark<<tokenKind|n<<tokenAttempt|uint64(o.ID))
-}
-
-// mark is how long an attempt may be out before it counts as late.
-func (b *Balancer) mark(o *op, h *host) float64 {
-	aim := o.class.Aim
-	expected := b.classWork[o.Class]
-	if o.Work > 0 {
-		expected = o.Work * b.pace / h.weight
-	}
-	return min(max(markShare*aim, markService*expected), markLimit*aim)
+	b.act.Timer(markShare*o.class.Aim, timerMark<<tokenKind|n<<tokenAttempt|uint64(o.ID))
 }
 
 // ---- what comes back
@@ -689,10 +701,9 @@
 	if r == TimedOut || r == Moot || b.now >= o.aimAt && o.class.LateWorth <= 0 {
 		return false
 	}
-	return r == ConnectFailed || r == TurnedAway && len(b.held) == 0 || b.spendRetry()
-}
-
-func (b *Balancer) spendRetry() bool {
+	if r == ConnectFailed || r == TurnedAway && len(b.held) == 0 {
+		return true
+	}
 	if b.retries < 1 {
 		return false
 	}
@@ -700,6 +711,34 @@
 	return true
 }
 
+// reported takes a load report with requests in hand and use of CPU: their ratio below saturation tells how many
+// requests fill the host, and many more than that a queue, which this balancer alone may not see. Guards against
+// crowding that every balancer adds to a little.
+func (b *Balancer) reported(h *host, values []float32) {
+	inflight, util := b.column(LoadInflight), b.column(LoadUtil)
+	if inflight < 0 || util < 0 || max(inflight, util) >= len(values) {
+		return
+	}
+	fresh := [2]float32{values[inflight], values[util]}
+	if fresh == h.report {
+		return
+	}
+	h.report = fresh
+	n, u := float64(fresh[0]), float64(fresh[1])
+	if u > 0.2 && u < 0.9 && n >= 1 {
+		if h.cores == 0 {
+			h.cores = n / u
+		}
+		h.cores += judgeStep * (n/u - h.cores)
+	}
+	h.crowded = h.cores > 0 && n > crowdAt*h.cores
+	if h.crowded {
+		h.window = max(windowLeast, h.window*max(windowCut, crowdAt*h.cores/n))
+	}
+}
+
+func (b *Balancer) column(l Load) int { return slices.Index(b.cfg.Report, l) }
+
 // weigh takes an outcome as evidence on the host and on the load.
 func (b *Balancer) weigh(o *op, a *attempt, r Outcome) {
 	h := a.h
@@ -707,17 +746,12 @@
 	if r.Result != ConnectFailed {
 		h.refused = 0
 	}
+	b.reported(h, r.Report)
 	switch r.Result {
 	case OK:
 		b.classWork[o.Class] += meanStep * (r.Took - b.classWork[o.Class])
-		if o.Work > 0 {
-			b.pace += meanStep * (min(r.Took*h.weight/o.Work, 10) - b.pace)
-		}
 		b.flow += o.work
-		if !a.late {
-			b.late -= meanStep * b.late
-		}
-		if float64(h.inflight+2) > h.window && r.Took < growBelow*o.class.Aim {
+		if !h.crowded && float64(h.inflight+2) > h.window && r.Took < growBelow*o.class.Aim {
 			h.window += r.Took / o.class.Aim / growBelow / h.window
 		}
 		h.answered = b.now
@@ -741,14 +775,13 @@
 }
 
 // markLate counts an attempt as late. Load makes a host late too; one that answered nothing at all since the
-// attempt went out may have hung, which is the more credible the fewer are late elsewhere.
+// attempt went out may have hung: it need not take whole deadlines to find that out.
 func (b *Balancer) markLate(a *attempt) {
 	a.late = true
 	b.cut(a)
 	if a.h.answered < a.at {
-		b.judge(a.h, max(0, 1-lateDoubt*b.late))
+		b.judge(a.h, 1)
 	}
-	b.late += meanStep * (1 - b.late)
 }
 
 // judge is outlier ejection: bad is 1 for a failure, 0 for a good answer.
@@ -775,8 +808,9 @@
 	switch token >> tokenKind {
 	case timerMark:
 		n := int(token >> tokenAttempt & 0xff)
-		if o := b.ops[RequestID(token&(1<<tokenAttempt-1))]; o != nil && n < len(o.attempts) {
-			b.overdue(o, n)
+		o := b.ops[RequestID(token&(1<<tokenAttempt-1))]
+		if o != nil && n < len(o.attempts) && o.attempts[n].out && !o.begun {
+			b.markLate(&o.attempts[n])
 		}
 	case timerHold:
 		if o := b.ops[RequestID(token&(1<<tokenAttempt-1))]; o != nil && o.waits {
@@ -788,26 +822,8 @@
 		b.release()
 		b.act.Timer(b.tick(), token)
 	case timerWatch:
-		if !b.subbed {
-			b.act.Watch()
-		}
-	}
-}
-
-// overdue handles an attempt that is out past its mark: evidence, and a second copy where that may be sent and
-// the fleet has room (hedging). It finds hosts that take work and answer none.
-func (b *Balancer) overdue(o *op, n int) {
-	a := &o.attempts[n]
-	if !a.out || o.begun || o.done {
-		return
-	}
-	b.markLate(a)
-	if a.h.fail < ejectAt || len(b.held) > 0 || o.out > 1 || b.retries < 1 {
-		return
-	}
-	if send, anchor, _ := b.permit(o); send {
-		if h := b.pick(o, anchor); h != nil && b.spendRetry() {
-			b.send(o, h)
+		if !b.subbed && b.now >= b.watchAt {
+			b.watch()
 		}
 	}
 }
