Tests of the module; a retry without room ends at once instead of blocking what is held

Found by the ejection tests: a request whose only host had been tried was held, and held requests keep cheaper ones back.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -385,12 +385,7 @@
 			}
 		}
 		o := b.held[best]
-		send, anchor, _ := b.permit(o)
-		if !send {
-			b.settle(o)
-			continue
-		}
-		h := b.pick(o, anchor)
+		h := b.pick(o, nil)
 		if h == nil {
 			return
 		}
@@ -471,6 +466,10 @@
 		b.send(o, h)
 		return
 	}
+	if len(o.attempts) > 0 { // no untried host has room: held, it would stand in the way of those that have one
+		b.settle(o)
+		return
+	}
 	b.hold(o)
 }
 
--- /dev/null
+++ b/balancer/balancer_test.go
@@ -0,0 +1,676 @@
+package balancer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// event is one recorded action.
+type event struct {
+	kind    string
+	id      RequestID
+	host    HostID
+	timeout float64
+}
+
+// recorder is the host program of a test: it notes what it is asked and keeps timers.
+type recorder struct {
+	now    float64
+	log    []event
+	timers []pending
+	tries  map[RequestID]int
+	watch  int
+}
+
+type pending struct {
+	at    float64
+	token uint64
+}
+
+func (r *recorder) Send(id RequestID, h HostID, t float64) {
+	r.tries[id]++
+	r.log = append(r.log, event{"send", id, h, t})
+}
+func (r *recorder) Refuse(id RequestID, _ float64) {
+	r.log = append(r.log, event{kind: "refuse", id: id})
+}
+func (r *recorder) Fail(id RequestID)          { r.log = append(r.log, event{kind: "fail", id: id}) }
+func (r *recorder) Cancel(id RequestID, _ int) { r.log = append(r.log, event{kind: "cancel", id: id}) }
+func (r *recorder) Probe(HostID)               {}
+func (r *recorder) Timer(after float64, token uint64) {
+	r.timers = append(r.timers, pending{r.now + after, token})
+}
+func (r *recorder) Watch()      { r.watch++ }
+func (r *recorder) Fetch()      {}
+func (r *recorder) Tell([]byte) {}
+func (r *recorder) Log(string)  {}
+
+// count tells how many actions of a kind were recorded.
+func (r *recorder) count(kind string) (n int) {
+	for _, e := range r.log {
+		if e.kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
+// last is the newest action.
+func (r *recorder) last() event {
+	if len(r.log) == 0 {
+		return event{}
+	}
+	return r.log[len(r.log)-1]
+}
+
+// advance moves the clock, delivering the timers that fall due.
+func (r *recorder) advance(b *Balancer, to float64) {
+	for {
+		next := -1
+		for i, p := range r.timers {
+			if p.at <= to && (next < 0 || p.at < r.timers[next].at) {
+				next = i
+			}
+		}
+		if next < 0 {
+			break
+		}
+		p := r.timers[next]
+		r.timers = slices.Delete(r.timers, next, next+1)
+		r.now = max(r.now, p.at)
+		b.Timer(r.now, p.token)
+	}
+	r.now = to
+}
+
+func testConfig() Config {
+	return Config{
+		Seed: 7, Balancers: 3, OverShareWorth: 0.2, WorthByWork: true,
+		Classes: []Class{
+			{Aim: 2, Deadline: 8, Worth: 1, LateWorth: 0.5, Effect: Safe},
+			{Aim: 2, Deadline: 8, Worth: 6, LateWorth: 0.5, Effect: Unsafe},
+			{Aim: 2, Deadline: 8, Worth: 6, LateWorth: 0.5, Effect: Keyed, Group: GroupZone, Window: 3},
+			{Aim: 2, Deadline: 8, Worth: 6, LateWorth: 0.5, Effect: Keyed, Group: GroupAll, Window: 3},
+		},
+		AskForList: true, MaxAttempts: 4, SecondCopies: true, Cancelling: true, AskWithin: 20, DrainGrace: 1,
+		ColdFrom: 0.25, ColdFor: 10, FallMultiple: 2, FallAfter: 1, MaxCoolDown: 1,
+	}
+}
+
+// fleet is n ready hosts, alternating over two zones and in cells of three.
+func fleet(n int) []Host {
+	hosts := make([]Host, n)
+	for i := range hosts {
+		hosts[i] = Host{ID: HostID(100 + i), Zone: i % 2, Cell: i / 3, Status: Ready}
+	}
+	return hosts
+}
+
+func start(cfg Config, hosts []Host) (*Balancer, *recorder) {
+	r := &recorder{now: 50, tries: map[RequestID]int{}}
+	b := New(r.now, cfg, r)
+	b.Members(r.now, ListFull, hosts)
+	return b, r
+}
+
+func (r *recorder) ask(b *Balancer, id RequestID, class int, key uint64) HostID {
+	b.Request(r.now, Request{ID: id, Class: class, Key: key, Work: 0.1, Budget: 8})
+	if e := r.last(); e.kind == "send" && e.id == id {
+		return e.host
+	}
+	return 0
+}
+
+func (r *recorder) end(b *Balancer, id RequestID, attempt int, h HostID, res Result) {
+	b.Outcome(r.now, Outcome{ID: id, Attempt: attempt, Host: h, Result: res, Took: 0.1, Final: res == OK})
+}
+
+// TestSecondTry is rule 2: what may follow an attempt that ended in each way.
+func TestSecondTry(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		class  int
+		result Result
+		wait   float64 // between the attempt and its end
+		want   string
+	}{
+		{"safe is sent again after an error", 0, Errored, 0, "send"},
+		{"unsafe fails after an error", 1, Errored, 0, "fail"},
+		{"unsafe fails after a reset", 1, Reset, 0, "fail"},
+		{"unsafe fails after a time-out", 1, TimedOut, 0, "fail"},
+		{"unsafe fails after a cancel", 1, Cancelled, 0, "fail"},
+		{"unsafe is sent again when the connection failed", 1, ConnectFailed, 0, "send"},
+		{"unsafe is sent again when turned away", 1, TurnedAway, 0, "send"},
+		{"keyed is sent again inside its window", 2, Errored, 1, "send"},
+		{"keyed fails after its window", 2, Errored, 3.5, "fail"},
+		{"keyed over all hosts is refused after its window", 3, Errored, 3.5, "refuse"},
+		{"safe is refused after a time-out", 0, TimedOut, 0, "refuse"},
+		{"an attempt that was moot is no reason for another", 1, Moot, 0, "refuse"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b, r := start(testConfig(), fleet(6))
+			h := r.ask(b, 1, c.class, 9)
+			r.advance(b, r.now+c.wait)
+			r.end(b, 1, 0, h, c.result)
+			if got := r.last(); got.kind != c.want || got.id != 1 {
+				t.Fatalf("got %+v, want %s", got, c.want)
+			}
+			if c.want == "send" && c.class == 2 && r.last().host%2 != h%2 {
+				t.Fatalf("a keyed repeat left its zone: %d after %d", r.last().host, h)
+			}
+		})
+	}
+}
+
+// TestNoTimeLeft guards against holding a try that comes with a zero budget: it is owed an answer at once.
+func TestNoTimeLeft(t *testing.T) {
+	b, r := start(testConfig(), fleet(4))
+	b.Request(r.now, Request{ID: 1, Budget: 0})
+	if got := r.last(); got.kind != "refuse" || r.count("send") != 0 {
+		t.Fatalf("got %+v after %d sends", got, r.count("send"))
+	}
+}
+
+// TestNoHost: with an empty list a request is held for part of its aim at the most, and then refused.
+func TestNoHost(t *testing.T) {
+	b, r := start(testConfig(), nil)
+	r.ask(b, 1, 0, 9)
+	r.advance(b, r.now+2)
+	if r.count("refuse") != 1 || len(b.ops) != 0 {
+		t.Fatalf("refusals %d, requests kept %d", r.count("refuse"), len(b.ops))
+	}
+}
+
+// TestDrain is rule 3: nothing new goes to a host listed as draining or gone, or absent from a full list.
+func TestDrain(t *testing.T) {
+	hosts := fleet(4)
+	draining, absent := slices.Clone(hosts), slices.Clone(hosts[1:])
+	draining[0].Status = Draining
+	gone := []Host{{ID: 100, Status: Gone}}
+	for _, c := range []struct {
+		name  string
+		kind  ListKind
+		hosts []Host
+	}{{"draining", ListChanges, draining[:1]}, {"gone", ListChanges, gone}, {"absent", ListFull, absent}} {
+		t.Run(c.name, func(t *testing.T) {
+			b, r := start(testConfig(), hosts)
+			b.Members(r.now, c.kind, c.hosts)
+			for i := range 200 {
+				id := RequestID(i + 1)
+				if h := r.ask(b, id, 0, uint64(i+1)); h == 100 {
+					t.Fatal("sent to a host that takes nothing new")
+				} else if h != 0 {
+					r.end(b, id, 0, h, OK)
+				}
+			}
+		})
+	}
+}
+
+// TestMinimalRemap: a key keeps its host, and losing a host moves only that host's keys.
+func TestMinimalRemap(t *testing.T) {
+	b, r := start(testConfig(), fleet(6))
+	where := func(base int) map[uint64]HostID {
+		got := map[uint64]HostID{}
+		for k := uint64(1); k <= 300; k++ {
+			id := RequestID(base + int(k))
+			got[k] = r.ask(b, id, 0, k)
+			r.end(b, id, 0, got[k], OK)
+		}
+		return got
+	}
+	before := where(0)
+	b.Members(r.now, ListChanges, []Host{{ID: 102, Status: Gone}})
+	moved := 0
+	for k, h := range where(1000) {
+		if before[k] == 102 {
+			moved++
+		} else if h != before[k] {
+			t.Fatalf("key %d moved from %d to %d", k, before[k], h)
+		}
+	}
+	if moved < 20 || moved > 90 {
+		t.Fatalf("%d of 300 keys were on one of six hosts", moved)
+	}
+}
+
+// TestPanic: below the threshold health is ignored and ejected hosts are picked; above it they are not.
+func TestPanic(t *testing.T) {
+	for _, c := range []struct{ ejected, of int }{{1, 10}, {6, 10}, {8, 10}, {10, 10}} {
+		t.Run(fmt.Sprintf("%d of %d ejected", c.ejected, c.of), func(t *testing.T) {
+			b, r := start(testConfig(), fleet(c.of))
+			for i, h := range b.hosts {
+				h.heard = true
+				if i < c.ejected {
+					h.until, h.trial = r.now+100, true
+				}
+			}
+			picked := map[HostID]bool{}
+			for i := range 400 {
+				id := RequestID(i + 1)
+				h := r.ask(b, id, 0, uint64(i+1))
+				picked[h] = true
+				r.end(b, id, 0, h, TurnedAway)
+				b.Gone(r.now, id)
+				for n := range r.tries[id] {
+					r.end(b, id, n, 0, Cancelled)
+				}
+			}
+			panicking := float64(c.of-c.ejected) < panicThreshold*float64(c.of)
+			for i, h := range b.hosts {
+				if want := i >= c.ejected || panicking; picked[h.ID] != want {
+					t.Errorf("host %d (%d th) picked %v, want %v", h.ID, i, picked[h.ID], want)
+				}
+			}
+		})
+	}
+}
+
+// TestUnreachableLeavePanic guards against panic feeding a lost zone: hosts that refuse connections are left
+// out of both figures, and come back by a trial.
+func TestUnreachableLeavePanic(t *testing.T) {
+	b, r := start(testConfig(), fleet(10))
+	for i, h := range b.hosts {
+		if h.heard = true; i < 8 {
+			h.refused, h.until, h.trial, h.fail = deadAfter, r.now+5, true, 0.9
+		}
+	}
+	for i := range 100 {
+		id := RequestID(i + 1)
+		if h := r.ask(b, id, 0, uint64(i+1)); h < 108 {
+			t.Fatalf("sent to unreachable host %d", h)
+		} else {
+			r.end(b, id, 0, h, OK)
+		}
+	}
+	r.advance(b, r.now+6)
+	back := false
+	for i := range 300 {
+		id := RequestID(i + 1000)
+		h := r.ask(b, id, 0, uint64(i+1))
+		back = back || h < 108
+		r.end(b, id, 0, h, OK)
+	}
+	if !back {
+		t.Fatal("no trial after the ejection ran out")
+	}
+}
+
+// TestEjection: what ejects a host, and what does not.
+func TestEjection(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		results []Result
+		want    bool
+	}{
+		{"two errors in a row", []Result{Errored, Errored}, true},
+		{"two failed connections", []Result{ConnectFailed, ConnectFailed}, true},
+		{"one error", []Result{OK, Errored, OK}, false},
+		{"turned away proves load", []Result{TurnedAway, TurnedAway, TurnedAway, TurnedAway}, false},
+		{"own cancels", []Result{Cancelled, Cancelled, Cancelled}, false},
+		{"half fail", []Result{Errored, OK, Errored, OK, Errored, Errored, OK, Errored}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b, r := start(testConfig(), fleet(1))
+			for i, res := range c.results {
+				id := RequestID(i + 1)
+				if h := r.ask(b, id, 0, 9); h != 0 {
+					r.end(b, id, 0, h, res)
+				}
+			}
+			if got := b.hosts[0].until > r.now; got != c.want {
+				t.Fatalf("ejected %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// TestHang guards against waiting whole deadlines for a host that takes work and answers none, and against
+// taking load for that: a host that goes on answering is not ejected for one late attempt.
+func TestHang(t *testing.T) {
+	for _, answers := range []bool{false, true} {
+		b, r := start(testConfig(), fleet(1))
+		r.ask(b, 1, 0, 9)
+		r.ask(b, 2, 0, 9)
+		r.advance(b, r.now+0.5)
+		b.hosts[0].window = 9
+		if answers {
+			h := r.ask(b, 3, 0, 9)
+			r.end(b, 3, 0, h, OK)
+		}
+		r.advance(b, r.now+markShare*2)
+		if got := b.hosts[0].until > r.now; got == answers {
+			t.Fatalf("host answering %v: ejected %v", answers, got)
+		}
+	}
+}
+
+// TestTrialReturn: after its ejection a host gets one repeatable request at a time until it is trusted.
+func TestTrialReturn(t *testing.T) {
+	b, r := start(testConfig(), fleet(3))
+	h := b.hosts[1]
+	for _, other := range b.hosts {
+		other.heard, other.window = true, 50
+	}
+	h.trial, h.fail = true, 0.9
+	out := 0
+	for i := range 60 {
+		if got := r.ask(b, RequestID(i+1), i%2, uint64(i+1)); got == h.ID {
+			if out++; i%2 == 1 {
+				t.Fatal("an unsafe request went to a host on trial")
+			}
+		}
+	}
+	if out != 1 {
+		t.Fatalf("%d requests out to a host on trial, want 1", out)
+	}
+}
+
+// TestPassOver: a host with more in flight than the margin yields, never below two.
+func TestPassOver(t *testing.T) {
+	b, r := start(testConfig(), fleet(5))
+	for _, h := range b.hosts {
+		h.window = 50
+	}
+	var got []HostID
+	for i := range 5 {
+		got = append(got, r.ask(b, RequestID(i+1), 0, 77))
+	}
+	if got[0] != got[1] {
+		t.Fatalf("yielded with one in flight: %v", got)
+	}
+	if got[3] == got[0] {
+		t.Fatalf("did not yield: %v", got)
+	}
+}
+
+// TestLimit guards against queues that crowd a host: late answers cut the limit of requests in flight, answers
+// well inside the aim let it grow, and a report of more requests than fill the CPU cuts it too.
+func TestLimit(t *testing.T) {
+	cfg := testConfig()
+	cfg.Report = []Load{LoadInflight, LoadUtil}
+	b, r := start(cfg, fleet(1))
+	h := b.hosts[0]
+	r.ask(b, 1, 0, 9)
+	r.ask(b, 2, 0, 9)
+	b.Outcome(r.now, Outcome{ID: 1, Result: OK, Took: 0.3, Final: true})
+	if h.window <= windowStart {
+		t.Fatalf("limit %.2f did not grow", h.window)
+	}
+	h.window = 8
+	r.advance(b, r.now+markShare*2+0.1)
+	if h.window >= 8 {
+		t.Fatalf("limit %.2f was not cut by a late attempt", h.window)
+	}
+	h.window, h.cores = 8, 2
+	b.reported(h, []float32{2, 0.5})
+	if h.window != 8 {
+		t.Fatalf("limit cut to %.2f by a report without a queue", h.window)
+	}
+	b.reported(h, []float32{12, 1})
+	if h.window >= 8 {
+		t.Fatalf("limit %.2f was not cut by a crowded host's report", h.window)
+	}
+}
+
+// TestShedding: with no room the work worth least is refused first, and what is held is sent when room comes.
+func TestShedding(t *testing.T) {
+	b, r := start(testConfig(), fleet(1))
+	b.flow, b.span = 10, 1
+	r.ask(b, 1, 0, 9)
+	r.ask(b, 2, 0, 9)
+	r.ask(b, 3, 0, 9)
+	r.ask(b, 4, 1, 9)
+	if len(b.held) != 2 {
+		t.Fatalf("%d held, want 2", len(b.held))
+	}
+	r.end(b, 1, 0, 100, Reset) // its only host has been tried
+	if got := r.last(); got.kind != "send" || got.id != 4 {
+		t.Fatalf("got %+v, want the dearer request sent", got)
+	}
+	r.advance(b, r.now+holdShare*2+0.01)
+	if r.count("refuse") != 2 {
+		t.Fatalf("%d refused, want the one that was reset and the one that waited", r.count("refuse"))
+	}
+}
+
+// TestCold is rule 4: in no window does a cold host get more than its budget, though all keys point at it.
+func TestCold(t *testing.T) {
+	cfg := testConfig()
+	hosts := fleet(2)
+	b, r := start(cfg, hosts)
+	work := func(from, n int, cold HostID) (sum float64) {
+		for i := range n {
+			r.advance(b, r.now+0.01)
+			id := RequestID(from + i)
+			h := r.ask(b, id, 0, uint64(from+i))
+			if h == cold {
+				sum += 0.1
+			}
+			if h != 0 {
+				r.end(b, id, 0, h, OK)
+			}
+		}
+		return sum
+	}
+	work(1, 1000, 0)
+	rate := 0.1 * 100 / 2 // work a second to each warm host
+	b.Members(r.now, ListChanges, []Host{{ID: 200, Status: Ready, Started: r.now}})
+	if got, most := work(2000, 100, 200), cfg.FallMultiple*cfg.ColdFrom*rate; got > most || got == 0 {
+		t.Fatalf("cold host got %.2f in its first second, of at most %.2f", got, most)
+	}
+}
+
+// TestWatchAgain guards against living on a stale list: a failed call is repeated well inside AskWithin.
+func TestWatchAgain(t *testing.T) {
+	cfg := testConfig()
+	r := &recorder{now: 1, tries: map[RequestID]int{}}
+	b := New(1, cfg, r)
+	b.Members(1, ListCached, fleet(2))
+	for range 20 {
+		calls, asked := r.watch, r.now
+		b.Members(r.now, ListFailed, nil)
+		for r.watch == calls {
+			r.advance(b, r.now+0.1)
+		}
+		if r.now-asked > cfg.AskWithin/2 {
+			t.Fatalf("asked again after %.1f s", r.now-asked)
+		}
+	}
+	b.Members(r.now, ListFull, fleet(2))
+	calls := r.watch
+	r.advance(b, r.now+60)
+	if r.watch != calls {
+		t.Fatalf("%d calls while subscribed", r.watch-calls)
+	}
+}
+
+// world checks the four rules over random events.
+type world struct {
+	t     *testing.T
+	r     *recorder
+	b     *Balancer
+	rnd   *rand.Rand
+	cfg   Config
+	live  map[RequestID]*tracked
+	state map[HostID]Host
+	seen  int
+}
+
+type tracked struct {
+	req   Request
+	until float64
+	sends []sendState
+}
+
+type sendState struct {
+	host Host
+	at   float64
+	out  bool
+	ran  bool
+}
+
+// drain checks and plays the actions recorded since the last call.
+func (w *world) drain() {
+	for ; w.seen < len(w.r.log); w.seen++ {
+		e := w.r.log[w.seen]
+		q := w.live[e.id]
+		if e.kind == "cancel" {
+			continue
+		}
+		if q == nil {
+			w.t.Fatalf("%s for request %d, which has its answer", e.kind, e.id)
+		}
+		class := w.cfg.Classes[q.req.Class]
+		ran := slices.IndexFunc(q.sends, func(s sendState) bool { return s.ran })
+		switch e.kind {
+		case "send":
+			host := w.state[e.host]
+			if host.Status != Ready {
+				w.t.Fatalf("sent to host %d in state %d", e.host, host.Status)
+			}
+			if ran >= 0 && class.Effect == Unsafe {
+				w.t.Fatalf("unsafe request %d sent again", e.id)
+			}
+			if ran >= 0 && class.Effect == Keyed && (w.r.now >= q.sends[ran].at+class.Window ||
+				class.Group == GroupZone && host.Zone != q.sends[ran].host.Zone) {
+				w.t.Fatalf("keyed request %d sent outside its group or window", e.id)
+			}
+			q.sends = append(q.sends, sendState{host: host, at: w.r.now, out: true, ran: true})
+		case "refuse":
+			if ran >= 0 && (class.Effect == Unsafe || class.Effect == Keyed && class.Group != GroupAll) {
+				w.t.Fatalf("request %d refused though it may have run", e.id)
+			}
+			delete(w.live, e.id)
+		case "fail":
+			delete(w.live, e.id)
+		}
+	}
+	w.r.log, w.seen = w.r.log[:0], 0
+}
+
+func (w *world) members() {
+	var changes []Host
+	for i := range 1 + w.rnd.IntN(2) {
+		id := HostID(100 + w.rnd.IntN(8))
+		h := Host{ID: id, Zone: int(id) % 2, Cell: int(id) % 3, Status: Status(w.rnd.IntN(3))}
+		if h.Status == Ready && w.rnd.IntN(2) == 0 {
+			h.Started = w.r.now
+		}
+		if i == 0 || h.ID != changes[0].ID {
+			changes = append(changes, h)
+			w.state[id] = h
+		}
+	}
+	w.b.Members(w.r.now, ListChanges, changes)
+}
+
+// finish ends a random outstanding attempt of the oldest requests in a random way.
+func (w *world) finish() {
+	ids := make([]RequestID, 0, len(w.live))
+	for id := range w.live {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		q := w.live[id]
+		n := slices.IndexFunc(q.sends, func(s sendState) bool { return s.out })
+		late := w.r.now >= q.until
+		if n < 0 || !late && w.rnd.IntN(3) > 0 {
+			continue
+		}
+		res := Result(w.rnd.IntN(int(Cancelled)))
+		if late {
+			res = TimedOut
+		}
+		q.sends[n].out, q.sends[n].ran = false, !res.NeverRan()
+		if res == OK {
+			delete(w.live, id)
+		}
+		w.b.Outcome(w.r.now, Outcome{ID: id, Attempt: n, Host: q.sends[n].host.ID, Result: res, Took: 0.2,
+			Final: res == OK})
+		w.drain()
+	}
+}
+
+// TestRulesHold plays long random sequences and asserts rules 1 to 3 after every event.
+func TestRulesHold(t *testing.T) {
+	for seed := range uint64(30) {
+		cfg := testConfig()
+		cfg.Seed = seed
+		cfg.MaxAttempts = int(seed % 5)
+		w := &world{t: t, cfg: cfg, rnd: rand.New(rand.NewPCG(seed, 1)), live: map[RequestID]*tracked{},
+			state: map[HostID]Host{}}
+		w.b, w.r = start(cfg, fleet(8))
+		for _, h := range fleet(8) {
+			w.state[h.ID] = h
+		}
+		for i := range 3000 {
+			w.r.advance(w.b, w.r.now+w.rnd.ExpFloat64()*0.02)
+			w.drain()
+			switch k := w.rnd.IntN(20); {
+			case k == 0:
+				w.members()
+			case k == 1 && len(w.live) > 0:
+				id := RequestID(1 + w.rnd.IntN(i+1))
+				delete(w.live, id)
+				w.b.Gone(w.r.now, id)
+			case k < 12:
+				q := Request{ID: RequestID(i + 1), Class: w.rnd.IntN(4), Key: uint64(w.rnd.IntN(20)),
+					Work: 0.05, Budget: w.rnd.Float64() * 4}
+				w.live[q.ID] = &tracked{req: q, until: w.r.now + q.Budget}
+				w.b.Request(w.r.now, q)
+			default:
+				w.finish()
+			}
+			w.drain()
+		}
+		w.settleAll()
+	}
+}
+
+// settleAll lets the time of every request run out: rule 1 leaves none without its answer.
+func (w *world) settleAll() {
+	for range 200 {
+		w.r.advance(w.b, w.r.now+0.1)
+		w.drain()
+		w.finish()
+	}
+	if len(w.live) != 0 || len(w.b.held) != 0 {
+		w.t.Fatalf("%d requests without an answer, %d held", len(w.live), len(w.b.held))
+	}
+}
+
+// TestSameEventsSameActions: two balancers with one seed act alike.
+func TestSameEventsSameActions(t *testing.T) {
+	play := func() []event {
+		b, r := start(testConfig(), fleet(9))
+		for i := range 2000 {
+			r.advance(b, r.now+0.003)
+			id := RequestID(i + 1)
+			if h := r.ask(b, id, i%4, uint64(i%7)); h != 0 && i%3 > 0 {
+				r.end(b, id, 0, h, Result(i%6))
+			}
+		}
+		return r.log
+	}
+	if !slices.Equal(play(), play()) {
+		t.Fatal("the same events gave other actions")
+	}
+}
+
+// BenchmarkRequest is one request through the module with its outcome.
+func BenchmarkRequest(bench *testing.B) {
+	b, r := start(testConfig(), fleet(16))
+	bench.ReportAllocs()
+	for i := 0; bench.Loop(); i++ {
+		r.log, r.timers = r.log[:0], r.timers[:0]
+		id := RequestID(i + 1)
+		if h := r.ask(b, id, 0, uint64(i)); h != 0 {
+			r.end(b, id, 0, h, OK)
+		}
+		clear(r.tries)
+	}
+}
