--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -2,10 +2,10 @@
 
 // The interface (settings, events, actions) is in api.go; every decision is in this file.
 //
-// A request's path: Request -> dispatch (or hold, or load shedding) -> pick: healthy / counted against the panic
-// threshold, then rendezvous hashing inside the set with a pass-over of loaded hosts -> send (pacing of cold
-// hosts, attempt time-out) -> Outcome or the attempt's mark (Timer) -> judge the host -> permit (may it go
-// again, may it be refused) -> dispatch again, or settle with one final answer.
+// A request's path: Request -> dispatch (or hold, or load shedding) -> pick: healthy / counted against the
+// panic threshold, then rendezvous hashing inside the set with a pass-over of loaded hosts -> send (pacing
+// of cold hosts, attempt time-out) -> Outcome or the attempt's mark (Timer) -> judge the host -> permit
+// (may it go again, may it be refused) -> dispatch again, or settle with one final answer.
 
 import (
 	"fmt"
@@ -15,18 +15,19 @@
 )
 
 const (
-	// panicThreshold is the healthy share below which health is ignored. Within the quarter to half that the
-	// design page allows: with about ten hosts a zone's loss should not yet feed the dead ones.
+	// panicThreshold is the healthy share below which health is ignored. Within the quarter to half that
+	// the design page allows: with about ten hosts a zone's loss should not yet feed the dead ones.
 	panicThreshold = 0.3
-	// passOverMean and passOverFloor: a host with more in flight from this balancer than
-	// passOverMean x mean + 1, and at least passOverFloor, yields to the next.
+	// passOverMean and passOverFloor: a host with more in flight from this balancer than passOverMean x
+	// mean + 1, and at least passOverFloor, yields to the next.
 	passOverMean  = 1.5
 	passOverFloor = 2.0
 	// localityPrice is the crossing price at which hosts of other zones are only picked when all of this
 	// zone's are passed over; below it their rendezvous weight shrinks in proportion.
 	localityPrice = 0.06
 
-	// judgeStep is the weight of one outcome in a host's failure share; two failures in a row reach ejectAt.
+	// judgeStep is the weight of one outcome in a host's failure share; two failures in a row reach
+	// ejectAt.
 	judgeStep = 0.25
 	ejectAt   = 0.4
 	clearAt   = 0.2 // failure share under which a host on trial is trusted again
@@ -40,14 +41,16 @@
 	// markShare of the aim: an attempt still out by then counts as late.
 	markShare = 0.6
 
-	// windowStart is the first limit of requests in flight to a host of mean size. An answer under growBelow of
-	// its aim lets a limit in use grow by one a round trip; one past its mark cuts it by windowCut, once for what
-	// was out together. It keeps queues short, so hosts are not driven where crowding slows them.
+	// windowStart is the first limit of requests in flight to a host of mean size. An answer under
+	// growBelow of its aim lets a limit in use grow by one a round trip; one past its mark cuts it by
+	// windowCut, once for what was out together. It keeps queues short, so hosts are not driven where
+	// crowding slows them.
 	windowStart = 2.0
 	growBelow   = 0.25
 	windowCut   = 0.5
 	windowLeast = 1.0
-	// crowdAt: a host that reports this multiple of the requests that fill its CPU is crowded by all balancers.
+	// crowdAt: a host that reports this multiple of the requests that fill its CPU is crowded by all
+	// balancers.
 	crowdAt = 1.35
 	// holdShare of the aim a request may wait here for room; it is only held if that seems long enough.
 	holdShare = 0.2
@@ -56,7 +59,8 @@
 	retryShare = 0.2
 	retryBurst = 10.0
 
-	// coldSafety is the part of a cold host's budget that is used: the rest covers chance and unequal proxies.
+	// coldSafety is the part of a cold host's budget that is used: the rest covers chance and unequal
+	// proxies.
 	coldSafety = 0.4
 	// memoryAims is the memory of rates and means, in longest aims.
 	memoryAims = 8.0
@@ -265,8 +269,8 @@
 	}
 }
 
-// watch asks for the list, and again if no reply comes. All of it stays well inside AskWithin, after which this
-// balancer counts as told of a list it has not seen.
+// watch asks for the list, and again if no reply comes. All of it stays well inside AskWithin, after which
+// this balancer counts as told of a list it has not seen.
 func (b *Balancer) watch() {
 	b.act.Watch()
 	b.watchIn(1)
@@ -354,9 +358,9 @@
 	return true
 }
 
-// hold keeps a request until a host has room, if what is held before it should be gone by then, judged by the
-// work lately answered. Otherwise it is refused at once (load shedding); worth least goes first, and work beyond
-// a tenant's share comes cheapest.
+// hold keeps a request until a host has room, if what is held before it should be gone by then, judged by
+// the work lately answered. Otherwise it is refused at once (load shedding); worth least goes first, and
+// work beyond a tenant's share comes cheapest.
 func (b *Balancer) hold(o *op) {
 	patience := min(holdShare*o.class.Aim, o.deadline-b.now)
 	before := 0.0
@@ -402,7 +406,8 @@
 	}
 }
 
-// overShare guesses whether a request is beyond its tenant's share, from the tenants' shares of what comes here.
+// overShare guesses whether a request is beyond its tenant's share, from the tenants' shares of what comes
+// here.
 func (b *Balancer) overShare(o *op) bool {
 	if o.Tenant < 0 || o.Tenant >= len(b.tenants) {
 		return false
@@ -416,8 +421,8 @@
 	return mine > b.cfg.Tenants[o.Tenant].Share && b.random() < 1-b.cfg.Tenants[o.Tenant].Share/mine
 }
 
-// permit is the one place that says whether a request may be sent again, where, and whether it may be refused.
-// anchor is a host of the group inside which a keyed request has to stay; nil: anywhere.
+// permit is the one place that says whether a request may be sent again, where, and whether it may be
+// refused. anchor is a host of the group inside which a keyed request has to stay; nil: anywhere.
 func (b *Balancer) permit(o *op) (send bool, anchor *host, refuse bool) {
 	send, refuse = !o.done && !o.begun && b.now < o.deadline, true
 	if b.cfg.MaxAttempts > 0 && len(o.attempts) >= b.cfg.MaxAttempts {
@@ -466,7 +471,7 @@
 		b.send(o, h)
 		return
 	}
-	if len(o.attempts) > 0 { // no untried host has room: held, it would stand in the way of those that have one
+	if len(o.attempts) > 0 { // no untried host has room; held, it would stand in the way of others
 		b.settle(o)
 		return
 	}
@@ -537,8 +542,9 @@
 	var best, spare *host
 	bestScore, spareScore, bestTier := math.Inf(1), math.Inf(1), 2
 	for _, h := range b.hosts {
-		if h.Status != Ready || (!panicking || h.dead()) && h.until > b.now || !inGroup(o.class.Group, anchor, h) ||
-			float64(h.inflight) >= h.window || o.tried(h) || !b.coldRoom(h, o.work) {
+		out := h.until > b.now && (!panicking || h.dead())
+		if h.Status != Ready || out || float64(h.inflight) >= h.window || o.tried(h) ||
+			!inGroup(o.class.Group, anchor, h) || !b.coldRoom(h, o.work) {
 			continue
 		}
 		if load := float64(h.inflight+1) / h.weight; load < spareScore {
@@ -564,12 +570,13 @@
 	return best
 }
 
-// dead says that a host does not even take connections. It cannot share load, which is what panic counts on, so
-// it is left out of both figures and of panic until a trial reaches it. Guards a lost or cut-off zone.
+// dead says that a host does not even take connections. It cannot share load, which is what panic counts
+// on, so it is left out of both figures and of panic until a trial reaches it. Guards a lost or cut-off
+// zone.
 func (h *host) dead() bool { return h.refused >= deadAfter }
 
-// yields says that a host is passed over: too much in flight from here, or on trial after an ejection, when it
-// gets one repeatable request at a time.
+// yields says that a host is passed over: too much in flight from here, or on trial after an ejection, when
+// it gets one repeatable request at a time.
 func (b *Balancer) yields(o *op, h *host, mean float64, panicking bool) bool {
 	if h.trial && !panicking && (h.inflight > 0 || o.class.Effect == Unsafe) {
 		return true
@@ -602,9 +609,9 @@
 	return b.cfg.ColdFrom + (1-b.cfg.ColdFrom)*max(0, age)/b.cfg.ColdFor
 }
 
-// coldRoom keeps a freshly started host from being pushed over: in any FallAfter it gets at most part of what
-// this balancer's share of its present capacity allows, told from what warm hosts get from here. Summed over
-// proxies that stays under the limit however unequal they are.
+// coldRoom keeps a freshly started host from being pushed over: in any FallAfter it gets at most part of
+// what this balancer's share of its present capacity allows, told from what warm hosts get from here.
+// Summed over proxies that stays under the limit however unequal they are.
 func (b *Balancer) coldRoom(h *host, work float64) bool {
 	warm := b.warmth(h)
 	if warm >= 1 {
@@ -694,8 +701,8 @@
 	b.release()
 }
 
-// worthAnother says whether a further attempt could still earn anything and the retry budget allows it. What
-// never reached a host costs nothing to send again.
+// worthAnother says whether a further attempt could still earn anything and the retry budget allows it.
+// What never reached a host costs nothing to send again.
 func (b *Balancer) worthAnother(o *op, r Result) bool {
 	if r == TimedOut || r == Moot || b.now >= o.aimAt && o.class.LateWorth <= 0 {
 		return false
@@ -710,9 +717,9 @@
 	return true
 }
 
-// reported takes a load report with requests in hand and use of CPU: their ratio below saturation tells how many
-// requests fill the host, and many more than that a queue, which this balancer alone may not see. Guards against
-// crowding that every balancer adds to a little.
+// reported takes a load report with requests in hand and use of CPU: their ratio below saturation tells how
+// many requests fill the host, and many more than that a queue, which this balancer alone may not see.
+// Guards against crowding that every balancer adds to a little.
 func (b *Balancer) reported(h *host, values []float32) {
 	inflight, util := b.column(LoadInflight), b.column(LoadUtil)
 	if inflight < 0 || util < 0 || max(inflight, util) >= len(values) {
@@ -773,8 +780,8 @@
 	}
 }
 
-// markLate counts an attempt as late. Load makes a host late too; one that answered nothing at all since the
-// attempt went out may have hung: it need not take whole deadlines to find that out.
+// markLate counts an attempt as late. Load makes a host late too; one that answered nothing at all since
+// the attempt went out may have hung: it need not take whole deadlines to find that out.
 func (b *Balancer) markLate(a *attempt) {
 	a.late = true
 	b.cut(a)
