--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -31,6 +31,8 @@
 	judgeStep = 0.25
 	ejectAt   = 0.4
 	clearAt   = 0.2 // failure share under which a host on trial is trusted again
+	// lateDoubt: with 1/lateDoubt of all attempts late, lateness says nothing about a single host.
+	lateDoubt = 3.0
 	// deadAfter failed connections in a row, with nothing else heard, a host counts as not there.
 	deadAfter = 2
 	// ejectAims is the first ejection in units of the longest aim; each further one doubles, up to
@@ -149,6 +151,7 @@
 	tenants []float64
 	retries float64
 	strain  float64 // recent share of requests that found no room in time
+	late    float64 // recent share of attempts that passed their mark
 	flow    float64 // decayed sum of work answered
 	span    float64 // seconds over which the decayed sums reach
 
@@ -757,6 +760,9 @@
 	case OK:
 		b.classWork[o.Class] += meanStep * (r.Took - b.classWork[o.Class])
 		b.flow += o.work
+		if !a.late {
+			b.late -= meanStep * b.late
+		}
 		if !h.crowded && float64(h.inflight+2) > h.window && r.Took < growBelow*o.class.Aim {
 			h.window += r.Took / o.class.Aim / growBelow / h.window
 		}
@@ -786,8 +792,9 @@
 	a.late = true
 	b.cut(a)
 	if a.h.answered < a.at {
-		b.judge(a.h, 1)
+		b.judge(a.h, max(0, 1-lateDoubt*b.late))
 	}
+	b.late += meanStep * (1 - b.late)
 }
 
 // judge is outlier ejection: bad is 1 for a failure, 0 for a good answer.
