--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -54,6 +54,9 @@
 	// crowdAt: a host that reports this multiple of the requests that fill its CPU is crowded by all
 	// balancers.
 	crowdAt = 1.35
+	// restAims of the aim a host that turned work away is left alone, twice as long each time in a row.
+	restAims      = 0.02
+	restDoublings = 5
 	// holdShare of the aim a request may wait here for room; it is only held if that seems long enough.
 	holdShare = 0.2
 
@@ -95,6 +98,8 @@
 	weight   float64    // size relative to the mean of the list
 	zoneRank float64    // rendezvous weight for this balancer's zone
 	answered float64    // clock of its last answer
+	full     int        // times it turned work away in a row
+	rest     float64    // passed over until then, as it turned work away
 	refused  int        // failed connections in a row
 	window   float64    // limit of requests in flight from here
 	cutAt    float64    // clock of the last cut
@@ -545,7 +550,7 @@
 	var best, spare *host
 	bestScore, spareScore, bestTier := math.Inf(1), math.Inf(1), 2
 	for _, h := range b.hosts {
-		out := h.until > b.now && (!panicking || h.dead())
+		out := h.until > b.now && (!panicking || h.dead()) || h.rest > b.now
 		if h.Status != Ready || out || float64(h.inflight) >= h.window || o.tried(h) ||
 			!inGroup(o.class.Group, anchor, h) || !b.coldRoom(h, o.work) {
 			continue
@@ -766,10 +771,12 @@
 		if !h.crowded && float64(h.inflight+2) > h.window && r.Took < growBelow*o.class.Aim {
 			h.window += r.Took / o.class.Aim / growBelow / h.window
 		}
-		h.answered = b.now
+		h.answered, h.full = b.now, 0
 		b.judge(h, 0)
 	case TurnedAway: // neither sickness nor, while others are answered in time, a reason to send less
 		h.heard = true
+		h.full = min(h.full+1, restDoublings)
+		h.rest = b.now + restAims*o.class.Aim*float64(uint(1)<<h.full)
 	case TimedOut:
 		if !a.late {
 			b.markLate(a)
