--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -47,10 +47,10 @@
 	// growBelow of its aim lets a limit in use grow by one a round trip; one past its mark cuts it by
 	// windowCut, once for what was out together. It keeps queues short, so hosts are not driven where
 	// crowding slows them.
-	windowStart = 2.0
+	windowStart = 5.0
 	growBelow   = 0.25
 	windowCut   = 0.5
-	windowLeast = 1.0
+	windowLeast = 0.1
 	// crowdAt: a host that reports this multiple of the requests that fill its CPU is crowded by all
 	// balancers.
 	crowdAt = 1.35
@@ -103,6 +103,7 @@
 	refused  int        // failed connections in a row
 	window   float64    // limit of requests in flight from here
 	cutAt    float64    // clock of the last cut
+	idleTo   float64    // with a limit under one: no request before then
 	report   [2]float32 // last requests in hand and share of CPU reported
 	cores    float64    // requests in hand at which its CPU is just full, from reports; 0: unknown
 	crowded  bool       // by its last report
@@ -268,7 +269,7 @@
 			h.weight = h.Weight * float64(n) / sum
 		}
 		if h.window < 0 {
-			h.window = windowStart * h.weight
+			h.window = windowStart * h.weight / float64(max(1, b.cfg.Balancers))
 		}
 		h.zoneRank = h.weight
 		if h.Zone != b.cfg.Zone {
@@ -551,7 +552,7 @@
 	bestScore, spareScore, bestTier := math.Inf(1), math.Inf(1), 2
 	for _, h := range b.hosts {
 		out := h.until > b.now && (!panicking || h.dead()) || h.rest > b.now
-		if h.Status != Ready || out || float64(h.inflight) >= h.window || o.tried(h) ||
+		if h.Status != Ready || out || !h.room(b.now) || o.tried(h) ||
 			!inGroup(o.class.Group, anchor, h) || !b.coldRoom(h, o.work) {
 			continue
 		}
@@ -578,6 +579,12 @@
 	return best
 }
 
+// room says that the limit allows one more. Under one it is a share of the time: with many balancers even one
+// request from each is too long a queue.
+func (h *host) room(now float64) bool {
+	return float64(h.inflight) < h.window && (h.window >= 1 || now >= h.idleTo)
+}
+
 // dead says that a host does not even take connections. It cannot share load, which is what panic counts
 // on, so it is left out of both figures and of panic until a trial reaches it. Guards a lost or cut-off
 // zone.
@@ -694,6 +701,7 @@
 	a.out, a.neverRan = false, r.Result.NeverRan()
 	o.out--
 	a.h.inflight--
+	a.h.idleTo = b.now + r.Took*(1/min(1, a.h.window)-1)
 	b.weigh(o, a, r)
 	switch {
 	case o.done:
@@ -769,7 +777,7 @@
 			b.late -= meanStep * b.late
 		}
 		if !h.crowded && float64(h.inflight+2) > h.window && r.Took < growBelow*o.class.Aim {
-			h.window += r.Took / o.class.Aim / growBelow / h.window
+			h.window += r.Took / o.class.Aim / growBelow / max(1, h.window)
 		}
 		h.answered, h.full = b.now, 0
 		b.judge(h, 0)
