--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -57,6 +57,9 @@
 	// restAims of the aim a host that turned work away is left alone, twice as long each time in a row.
 	restAims      = 0.02
 	restDoublings = 5
+	// limitGrow is what a quick answer adds to the limit of all requests in flight while it is in use; a late one
+	// takes one off. A balancer with thin traffic learns of a load that is everywhere from all hosts together.
+	limitGrow = 0.1
 	// holdShare of the aim a request may wait here for room; it is only held if that seems long enough.
 	holdShare = 0.2
 
@@ -157,6 +160,8 @@
 	tenants []float64
 	retries float64
 	strain  float64 // recent share of requests that found no room in time
+	limit   float64 // of all requests in flight from here
+	out     int     // in flight from here
 	late    float64 // recent share of attempts that passed their mark
 	flow    float64 // decayed sum of work answered
 	span    float64 // seconds over which the decayed sums reach
@@ -263,6 +268,9 @@
 			sum, n = sum+h.Weight, n+1
 		}
 	}
+	if b.limit == 0 {
+		b.limit = windowStart * float64(len(b.hosts))
+	}
 	for _, h := range b.hosts {
 		h.weight = 1
 		if b.cfg.Weighted && h.Weight > 0 && n > 0 {
@@ -544,6 +552,9 @@
 		b.panicking = panicking
 		b.act.Log(fmt.Sprintf("panic %v: %d healthy of %d counted", panicking, healthy, counted))
 	}
+	if float64(b.out) >= b.limit {
+		return nil
+	}
 	mean := 0.0
 	if weight > 0 {
 		mean = float64(inflight) / weight
@@ -662,6 +673,7 @@
 	o.attempts = append(o.attempts, attempt{h: h, at: b.now, out: true})
 	o.out++
 	h.inflight++
+	b.out++
 	if b.warmth(h) < 1 {
 		h.coldSent = append(h.coldSent, sent{b.now, o.work})
 	} else {
@@ -701,6 +713,7 @@
 	a.out, a.neverRan = false, r.Result.NeverRan()
 	o.out--
 	a.h.inflight--
+	b.out--
 	a.h.idleTo = b.now + r.Took*(1/min(1, a.h.window)-1)
 	b.weigh(o, a, r)
 	switch {
@@ -776,6 +789,9 @@
 		if !a.late {
 			b.late -= meanStep * b.late
 		}
+		if float64(b.out+2) > b.limit && r.Took < growBelow*o.class.Aim {
+			b.limit += limitGrow
+		}
 		if !h.crowded && float64(h.inflight+2) > h.window && r.Took < growBelow*o.class.Aim {
 			h.window += r.Took / o.class.Aim / growBelow / max(1, h.window)
 		}
@@ -805,6 +821,7 @@
 // the attempt went out may have hung: it need not take whole deadlines to find that out.
 func (b *Balancer) markLate(a *attempt) {
 	a.late = true
+	b.limit = max(1, b.limit-1)
 	b.cut(a)
 	if a.h.answered < a.at {
 		b.judge(a.h, max(0, 1-lateDoubt*b.late))
