--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -47,19 +47,13 @@
 	// growBelow of its aim lets a limit in use grow by one a round trip; one past its mark cuts it by
 	// windowCut, once for what was out together. It keeps queues short, so hosts are not driven where
 	// crowding slows them.
-	windowStart = 5.0
+	windowStart = 2.0
 	growBelow   = 0.25
 	windowCut   = 0.5
-	windowLeast = 0.1
+	windowLeast = 1.0
 	// crowdAt: a host that reports this multiple of the requests that fill its CPU is crowded by all
 	// balancers.
 	crowdAt = 1.35
-	// restAims of the aim a host that turned work away is left alone, twice as long each time in a row.
-	restAims      = 0.02
-	restDoublings = 5
-	// limitGrow is what a quick answer adds to the limit of all requests in flight while it is in use; a late one
-	// takes one off. A balancer with thin traffic learns of a load that is everywhere from all hosts together.
-	limitGrow = 0.1
 	// holdShare of the aim a request may wait here for room; it is only held if that seems long enough.
 	holdShare = 0.2
 
@@ -101,12 +95,9 @@
 	weight   float64    // size relative to the mean of the list
 	zoneRank float64    // rendezvous weight for this balancer's zone
 	answered float64    // clock of its last answer
-	full     int        // times it turned work away in a row
-	rest     float64    // passed over until then, as it turned work away
 	refused  int        // failed connections in a row
 	window   float64    // limit of requests in flight from here
 	cutAt    float64    // clock of the last cut
-	idleTo   float64    // with a limit under one: no request before then
 	report   [2]float32 // last requests in hand and share of CPU reported
 	cores    float64    // requests in hand at which its CPU is just full, from reports; 0: unknown
 	crowded  bool       // by its last report
@@ -160,8 +151,6 @@
 	tenants []float64
 	retries float64
 	strain  float64 // recent share of requests that found no room in time
-	limit   float64 // of all requests in flight from here
-	out     int     // in flight from here
 	late    float64 // recent share of attempts that passed their mark
 	flow    float64 // decayed sum of work answered
 	span    float64 // seconds over which the decayed sums reach
@@ -268,16 +257,13 @@
 			sum, n = sum+h.Weight, n+1
 		}
 	}
-	if b.limit == 0 {
-		b.limit = windowStart * float64(len(b.hosts))
-	}
 	for _, h := range b.hosts {
 		h.weight = 1
 		if b.cfg.Weighted && h.Weight > 0 && n > 0 {
 			h.weight = h.Weight * float64(n) / sum
 		}
 		if h.window < 0 {
-			h.window = windowStart * h.weight / float64(max(1, b.cfg.Balancers))
+			h.window = windowStart * h.weight
 		}
 		h.zoneRank = h.weight
 		if h.Zone != b.cfg.Zone {
@@ -552,9 +538,6 @@
 		b.panicking = panicking
 		b.act.Log(fmt.Sprintf("panic %v: %d healthy of %d counted", panicking, healthy, counted))
 	}
-	if float64(b.out) >= b.limit {
-		return nil
-	}
 	mean := 0.0
 	if weight > 0 {
 		mean = float64(inflight) / weight
@@ -562,8 +545,8 @@
 	var best, spare *host
 	bestScore, spareScore, bestTier := math.Inf(1), math.Inf(1), 2
 	for _, h := range b.hosts {
-		out := h.until > b.now && (!panicking || h.dead()) || h.rest > b.now
-		if h.Status != Ready || out || !h.room(b.now) || o.tried(h) ||
+		out := h.until > b.now && (!panicking || h.dead())
+		if h.Status != Ready || out || float64(h.inflight) >= h.window || o.tried(h) ||
 			!inGroup(o.class.Group, anchor, h) || !b.coldRoom(h, o.work) {
 			continue
 		}
@@ -590,12 +573,6 @@
 	return best
 }
 
-// room says that the limit allows one more. Under one it is a share of the time: with many balancers even one
-// request from each is too long a queue.
-func (h *host) room(now float64) bool {
-	return float64(h.inflight) < h.window && (h.window >= 1 || now >= h.idleTo)
-}
-
 // dead says that a host does not even take connections. It cannot share load, which is what panic counts
 // on, so it is left out of both figures and of panic until a trial reaches it. Guards a lost or cut-off
 // zone.
@@ -673,7 +650,6 @@
 	o.attempts = append(o.attempts, attempt{h: h, at: b.now, out: true})
 	o.out++
 	h.inflight++
-	b.out++
 	if b.warmth(h) < 1 {
 		h.coldSent = append(h.coldSent, sent{b.now, o.work})
 	} else {
@@ -713,8 +689,6 @@
 	a.out, a.neverRan = false, r.Result.NeverRan()
 	o.out--
 	a.h.inflight--
-	b.out--
-	a.h.idleTo = b.now + r.Took*(1/min(1, a.h.window)-1)
 	b.weigh(o, a, r)
 	switch {
 	case o.done:
@@ -789,18 +763,13 @@
 		if !a.late {
 			b.late -= meanStep * b.late
 		}
-		if float64(b.out+2) > b.limit && r.Took < growBelow*o.class.Aim {
-			b.limit += limitGrow
-		}
 		if !h.crowded && float64(h.inflight+2) > h.window && r.Took < growBelow*o.class.Aim {
-			h.window += r.Took / o.class.Aim / growBelow / max(1, h.window)
+			h.window += r.Took / o.class.Aim / growBelow / h.window
 		}
-		h.answered, h.full = b.now, 0
+		h.answered = b.now
 		b.judge(h, 0)
 	case TurnedAway: // neither sickness nor, while others are answered in time, a reason to send less
 		h.heard = true
-		h.full = min(h.full+1, restDoublings)
-		h.rest = b.now + restAims*o.class.Aim*float64(uint(1)<<h.full)
 	case TimedOut:
 		if !a.late {
 			b.markLate(a)
@@ -821,7 +790,6 @@
 // the attempt went out may have hung: it need not take whole deadlines to find that out.
 func (b *Balancer) markLate(a *attempt) {
 	a.late = true
-	b.limit = max(1, b.limit-1)
 	b.cut(a)
 	if a.h.answered < a.at {
 		b.judge(a.h, max(0, 1-lateDoubt*b.late))
