--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -8,6 +8,7 @@
 // (may it go again, may it be refused) -> dispatch again, or settle with one final answer.
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/bits"
@@ -25,9 +26,9 @@
 	// localityPrice is the crossing price at which hosts of other zones are only picked when all of this
 	// zone's are passed over; below it their rendezvous weight shrinks in proportion.
 	localityPrice = 0.06
+	farRank       = 1e-6
 
-	// judgeStep is the weight of one outcome in a host's failure share; two failures in a row reach
-	// ejectAt.
+	// judgeStep is the weight of one outcome in a host's failure share; two failures in a row reach ejectAt.
 	judgeStep = 0.25
 	ejectAt   = 0.4
 	clearAt   = 0.2 // failure share under which a host on trial is trusted again
@@ -35,8 +36,7 @@
 	lateDoubt = 3.0
 	// deadAfter failed connections in a row, with nothing else heard, a host counts as not there.
 	deadAfter = 2
-	// ejectAims is the first ejection in units of the longest aim; each further one doubles, up to
-	// 2^ejectDoublings times.
+	// ejectAims is the first ejection in longest aims; each further one doubles, ejectDoublings times at most.
 	ejectAims      = 4.0
 	ejectDoublings = 3
 
@@ -51,8 +51,9 @@
 	growBelow   = 0.25
 	windowCut   = 0.5
 	windowLeast = 1.0
-	// crowdAt: a host that reports this multiple of the requests that fill its CPU is crowded by all
-	// balancers.
+	// reserveGain times the share of dearer work that finds no room is the chance to give way to it.
+	reserveGain = 10.0
+	// crowdAt: a host that reports this multiple of the requests that fill its CPU is crowded.
 	crowdAt = 1.35
 	// holdShare of the aim a request may wait here for room; it is only held if that seems long enough.
 	holdShare = 0.2
@@ -61,15 +62,13 @@
 	retryShare = 0.2
 	retryBurst = 10.0
 
-	// coldSafety is the part of a cold host's budget that is used: the rest covers chance and unequal
-	// proxies.
+	// coldSafety is the part of a cold host's budget that is used: the rest covers chance.
 	coldSafety = 0.4
 	// memoryAims is the memory of rates and means, in longest aims.
 	memoryAims = 8.0
 	meanStep   = 0.05 // weight of one answer in a mean
-	// watchTries is how many calls for the list fit into AskWithin at the longest back-off.
-	watchTries     = 2.5
-	watchDoublings = 3
+	// watchTries is how many calls for the list fit into AskWithin while none is answered.
+	watchTries = 2.5
 )
 
 // Timer tokens hold a purpose, an attempt and a request id, which is below 2^52.
@@ -142,7 +141,6 @@
 	classes []Class
 	longest float64 // longest aim
 
-	listTries int
 	subbed    bool
 	watchAt   float64 // when to ask for the list next, while not subscribed
 	panicking bool
@@ -150,10 +148,10 @@
 	held    []*op // waiting for room, in order of arrival
 	tenants []float64
 	retries float64
-	strain  float64 // recent share of requests that found no room in time
-	late    float64 // recent share of attempts that passed their mark
-	flow    float64 // decayed sum of work answered
-	span    float64 // seconds over which the decayed sums reach
+	strain  []float64 // recent share of each class that found no room in time
+	late    float64   // recent share of attempts that passed their mark
+	flow    float64   // decayed sum of work answered
+	span    float64   // seconds over which the decayed sums reach
 
 	classWork []float64 // mean seconds that a class takes, from answers
 	sentWork  float64   // decayed sum of work sent to warm hosts
@@ -173,6 +171,7 @@
 	if b.longest <= 0 {
 		b.longest = 1
 	}
+	b.strain = make([]float64, len(b.classes))
 	b.tenants = make([]float64, len(cfg.Tenants))
 	if cfg.AskForList {
 		b.watch()
@@ -201,11 +200,14 @@
 func (b *Balancer) Members(now float64, kind ListKind, hosts []Host) {
 	b.now = now
 	if kind == ListFailed {
-		b.watchFailed()
+		b.subbed = false
+		if b.cfg.AskForList { // with jitter, so that a struggling discovery is not called by all at once
+			b.watchIn(0.1 + 0.4*b.random())
+		}
 		return
 	}
 	if kind != ListCached {
-		b.subbed, b.listTries = true, 0
+		b.subbed = true
 	}
 	if kind != ListChanges {
 		for _, h := range b.hosts {
@@ -227,6 +229,7 @@
 		}
 		return false
 	})
+	slices.SortFunc(b.hosts, func(x, y *host) int { return cmp.Compare(x.ID, y.ID) })
 	b.resize()
 }
 
@@ -236,13 +239,7 @@
 	if h == nil {
 		h = &host{window: -1}
 		b.index[e.ID] = h
-		at, _ := slices.BinarySearchFunc(b.hosts, e.ID, func(h *host, id HostID) int {
-			if h.ID < id {
-				return -1
-			}
-			return 1
-		})
-		b.hosts = slices.Insert(b.hosts, at, h)
+		b.hosts = append(b.hosts, h)
 	} else if e.Status == Ready && e.Started > h.Started {
 		h.heard, h.trial, h.fail, h.until, h.ejected = false, false, 0, 0, 0
 	}
@@ -267,7 +264,7 @@
 		}
 		h.zoneRank = h.weight
 		if h.Zone != b.cfg.Zone {
-			h.zoneRank *= max(0, 1-b.cfg.Prices.CrossZone/localityPrice)
+			h.zoneRank *= max(farRank, 1-b.cfg.Prices.CrossZone/localityPrice)
 		}
 	}
 }
@@ -279,15 +276,6 @@
 	b.watchIn(1)
 }
 
-// watchFailed backs off with jitter, so that a struggling discovery is not called by all at once.
-func (b *Balancer) watchFailed() {
-	b.subbed = false
-	if b.cfg.AskForList {
-		b.listTries = min(b.listTries+1, watchDoublings)
-		b.watchIn((0.5 + b.random()/2) / float64(uint(1)<<(watchDoublings-b.listTries)))
-	}
-}
-
 func (b *Balancer) watchIn(part float64) {
 	most := b.cfg.AskWithin / watchTries
 	if most <= 0 {
@@ -311,6 +299,10 @@
 		b.settle(o)
 		return
 	}
+	if b.random() < b.reserve(o) {
+		b.settle(o)
+		return
+	}
 	if len(b.held) > 0 && !b.ahead(o) {
 		b.hold(o)
 		return
@@ -340,10 +332,7 @@
 	}
 	o.deadline = b.now + r.Budget
 	o.aimAt = min(o.deadline, b.now+o.class.Aim+o.class.AimStretch*o.work)
-	o.density = o.class.Worth
-	if !b.cfg.WorthByWork {
-		o.density /= b.classWork[r.Class]
-	}
+	o.density = b.classDensity(r.Class)
 	if b.overShare(o) {
 		o.density *= b.cfg.OverShareWorth
 	}
@@ -361,6 +350,26 @@
 	return true
 }
 
+// reserve is the chance that a request gives way at once because work worth more finds no room: without it the
+// dearer work would only get what is free at its moment.
+func (b *Balancer) reserve(o *op) float64 {
+	most := 0.0
+	for c, share := range b.strain {
+		if b.classDensity(c) > o.density {
+			most = max(most, share)
+		}
+	}
+	return reserveGain * most
+}
+
+// classDensity is the worth of a unit of a class's work.
+func (b *Balancer) classDensity(c int) float64 {
+	if b.cfg.WorthByWork {
+		return b.classes[c].Worth
+	}
+	return b.classes[c].Worth / b.classWork[c]
+}
+
 // hold keeps a request until a host has room, if what is held before it should be gone by then, judged by
 // the work lately answered. Otherwise it is refused at once (load shedding); worth least goes first, and
 // work beyond a tenant's share comes cheapest.
@@ -373,7 +382,7 @@
 		}
 	}
 	if b.span > 0 && before+o.work > b.flow/b.span*patience {
-		b.strain += meanStep * (1 - b.strain)
+		b.strain[o.Class] += meanStep * (1 - b.strain[o.Class])
 		b.settle(o)
 		return
 	}
@@ -470,7 +479,6 @@
 		return
 	}
 	if h := b.pick(o, anchor); h != nil {
-		b.strain -= meanStep * b.strain
 		b.send(o, h)
 		return
 	}
@@ -487,7 +495,7 @@
 		return
 	}
 	if _, _, refuse := b.permit(o); refuse {
-		b.act.Refuse(o.ID, b.cfg.MaxCoolDown*b.strain)
+		b.act.Refuse(o.ID, b.cfg.MaxCoolDown*b.strain[o.Class])
 	} else {
 		b.act.Fail(o.ID)
 	}
@@ -543,7 +551,7 @@
 		mean = float64(inflight) / weight
 	}
 	var best, spare *host
-	bestScore, spareScore, bestTier := math.Inf(1), math.Inf(1), 2
+	bestScore, spareScore := math.Inf(1), math.Inf(1)
 	for _, h := range b.hosts {
 		out := h.until > b.now && (!panicking || h.dead())
 		if h.Status != Ready || out || float64(h.inflight) >= h.window || o.tried(h) ||
@@ -556,15 +564,8 @@
 		if b.yields(o, h, mean, panicking) {
 			continue
 		}
-		tier, rank := 0, h.zoneRank
-		if rank <= 0 {
-			tier, rank = 1, h.weight
-		}
-		if tier > bestTier {
-			continue
-		}
-		if score := rendezvous(o.Key, h.ID) / rank; tier < bestTier || score < bestScore {
-			best, bestScore, bestTier = h, score, tier
+		if score := rendezvous(o.Key, h.ID) / h.zoneRank; score < bestScore {
+			best, bestScore = h, score
 		}
 	}
 	if best == nil {
@@ -647,6 +648,9 @@
 	if o.class.LateWorth <= 0 && o.aimAt < o.deadline {
 		timeout = max(o.aimAt-b.now, 0.001)
 	}
+	if len(o.attempts) == 0 {
+		b.strain[o.Class] -= meanStep * b.strain[o.Class]
+	}
 	o.attempts = append(o.attempts, attempt{h: h, at: b.now, out: true})
 	o.out++
 	h.inflight++
@@ -827,7 +831,7 @@
 		}
 	case timerHold:
 		if o := b.ops[RequestID(token&(1<<tokenAttempt-1))]; o != nil && o.waits {
-			b.strain += meanStep * (1 - b.strain)
+			b.strain[o.Class] += meanStep * (1 - b.strain[o.Class])
 			b.settle(o)
 		}
 	case timerTick:
