--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -23,6 +23,9 @@
 	// mean + 1, and at least passOverFloor, yields to the next.
 	passOverMean  = 1.5
 	passOverFloor = 2.0
+	// farShare: where warm keys cost less work, a host that is not a key's first choice in its zone or beyond
+	// takes it only up to this share of its limit. Else overload scatters the keys and makes more work.
+	farShare = 0.6
 	// localityPrice is the crossing price at which hosts of other zones are only picked when all of this
 	// zone's are passed over; below it their rendezvous weight shrinks in proportion.
 	localityPrice = 0.06
@@ -93,6 +96,7 @@
 	inflight int
 	weight   float64    // size relative to the mean of the list
 	zoneRank float64    // rendezvous weight for this balancer's zone
+	side     int        // 0: in this balancer\'s zone, 1: in another
 	answered float64    // clock of its last answer
 	refused  int        // failed connections in a row
 	window   float64    // limit of requests in flight from here
@@ -103,6 +107,12 @@
 	coldSent []sent     // work sent in the last FallAfter while cold
 }
 
+// ranked is a host of the set with its rendezvous score for the key at hand; the lowest comes first.
+type ranked struct {
+	h     *host
+	score float64
+}
+
 type sent struct{ at, work float64 }
 
 type attempt struct {
@@ -136,6 +146,7 @@
 	now     float64
 	hosts   []*host // every host ever listed, by id
 	index   map[HostID]*host
+	set     []ranked // of the pick at hand
 	ops     map[RequestID]*op
 	free    []*op
 	classes []Class
@@ -262,8 +273,9 @@
 		if h.window < 0 {
 			h.window = windowStart * h.weight
 		}
-		h.zoneRank = h.weight
+		h.zoneRank, h.side = h.weight, 0
 		if h.Zone != b.cfg.Zone {
+			h.side = 1
 			h.zoneRank *= max(farRank, 1-b.cfg.Prices.CrossZone/localityPrice)
 		}
 	}
@@ -524,9 +536,44 @@
 
 // ---- the pick
 
-// pick is the mechanism: healthy / counted against the threshold chooses the set, rendezvous hashing picks
-// inside it, a loaded host yields to the next.
+// pick is the mechanism: healthy / counted against the threshold chooses the set, rendezvous hashing ranks
+// it by the key, and a loaded host yields to the next.
 func (b *Balancer) pick(o *op, anchor *host) *host {
+	panicking, mean := b.split()
+	b.set = b.set[:0]
+	home := [2]float64{math.Inf(1), math.Inf(1)} // the best score in this zone and in others
+	for _, h := range b.hosts {
+		out := h.until > b.now && (!panicking || h.dead())
+		if h.Status != Ready || out || o.tried(h) || !inGroup(o.class.Group, anchor, h) {
+			continue
+		}
+		score := rendezvous(o.Key, h.ID) / h.zoneRank
+		b.set = append(b.set, ranked{h, score})
+		home[h.side] = min(home[h.side], score)
+	}
+	var best, spare *host
+	bestScore, spareScore := math.Inf(1), math.Inf(1)
+	for _, r := range b.set {
+		h := r.h
+		far := b.cfg.WarmKeys && r.score > home[h.side] && float64(h.inflight+1) > farShare*h.window
+		if far || float64(h.inflight) >= h.window || !b.coldRoom(h, o.work) {
+			continue
+		}
+		if load := float64(h.inflight+1) / h.weight; load < spareScore {
+			spare, spareScore = h, load
+		}
+		if r.score < bestScore && !b.yields(o, h, mean, panicking) {
+			best, bestScore = h, r.score
+		}
+	}
+	if best == nil {
+		return spare
+	}
+	return best
+}
+
+// split decides between the healthy set and panic, and gives this balancer's mean in flight by weight.
+func (b *Balancer) split() (panicking bool, mean float64) {
 	healthy, counted := 0, 0
 	inflight, weight := 0, 0.0
 	for _, h := range b.hosts {
@@ -541,37 +588,12 @@
 			}
 		}
 	}
-	panicking := float64(healthy) < panicThreshold*float64(counted)
+	panicking = float64(healthy) < panicThreshold*float64(counted)
 	if panicking != b.panicking {
 		b.panicking = panicking
 		b.act.Log(fmt.Sprintf("panic %v: %d healthy of %d counted", panicking, healthy, counted))
 	}
-	mean := 0.0
-	if weight > 0 {
-		mean = float64(inflight) / weight
-	}
-	var best, spare *host
-	bestScore, spareScore := math.Inf(1), math.Inf(1)
-	for _, h := range b.hosts {
-		out := h.until > b.now && (!panicking || h.dead())
-		if h.Status != Ready || out || float64(h.inflight) >= h.window || o.tried(h) ||
-			!inGroup(o.class.Group, anchor, h) || !b.coldRoom(h, o.work) {
-			continue
-		}
-		if load := float64(h.inflight+1) / h.weight; load < spareScore {
-			spare, spareScore = h, load
-		}
-		if b.yields(o, h, mean, panicking) {
-			continue
-		}
-		if score := rendezvous(o.Key, h.ID) / h.zoneRank; score < bestScore {
-			best, bestScore = h, score
-		}
-	}
-	if best == nil {
-		return spare
-	}
-	return best
+	return panicking, float64(inflight) / max(weight, 1)
 }
 
 // dead says that a host does not even take connections. It cannot share load, which is what panic counts
