--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -54,10 +54,6 @@
 	growBelow   = 0.25
 	windowCut   = 0.5
 	windowLeast = 1.0
-	// reserveGain times the share of dearer work that finds no room is the chance to give way to it.
-	reserveGain = 10.0
-	// crowdAt: a host that reports this multiple of the requests that fill its CPU is crowded.
-	crowdAt = 1.35
 	// holdShare of the aim a request may wait here for room; it is only held if that seems long enough.
 	holdShare = 0.2
 
@@ -94,17 +90,14 @@
 	trial    bool    // ejected and not yet trusted again
 	ejected  int     // ejections in a row
 	inflight int
-	weight   float64    // size relative to the mean of the list
-	zoneRank float64    // rendezvous weight for this balancer's zone
-	side     int        // 0: in this balancer\'s zone, 1: in another
-	answered float64    // clock of its last answer
-	refused  int        // failed connections in a row
-	window   float64    // limit of requests in flight from here
-	cutAt    float64    // clock of the last cut
-	report   [2]float32 // last requests in hand and share of CPU reported
-	cores    float64    // requests in hand at which its CPU is just full, from reports; 0: unknown
-	crowded  bool       // by its last report
-	coldSent []sent     // work sent in the last FallAfter while cold
+	weight   float64 // size relative to the mean of the list
+	zoneRank float64 // rendezvous weight for this balancer's zone
+	side     int     // 0: in this balancer\'s zone, 1: in another
+	answered float64 // clock of its last answer
+	refused  int     // failed connections in a row
+	window   float64 // limit of requests in flight from here
+	cutAt    float64 // clock of the last cut
+	coldSent []sent  // work sent in the last FallAfter while cold
 }
 
 // ranked is a host of the set with its rendezvous score for the key at hand; the lowest comes first.
@@ -159,10 +152,10 @@
 	held    []*op // waiting for room, in order of arrival
 	tenants []float64
 	retries float64
-	strain  []float64 // recent share of each class that found no room in time
-	late    float64   // recent share of attempts that passed their mark
-	flow    float64   // decayed sum of work answered
-	span    float64   // seconds over which the decayed sums reach
+	strain  float64 // recent share of requests that found no room in time
+	late    float64 // recent share of attempts that passed their mark
+	flow    float64 // decayed sum of work answered
+	span    float64 // seconds over which the decayed sums reach
 
 	classWork []float64 // mean seconds that a class takes, from answers
 	sentWork  float64   // decayed sum of work sent to warm hosts
@@ -182,7 +175,6 @@
 	if b.longest <= 0 {
 		b.longest = 1
 	}
-	b.strain = make([]float64, len(b.classes))
 	b.tenants = make([]float64, len(cfg.Tenants))
 	if cfg.AskForList {
 		b.watch()
@@ -311,10 +303,6 @@
 		b.settle(o)
 		return
 	}
-	if b.random() < b.reserve(o) {
-		b.settle(o)
-		return
-	}
 	if len(b.held) > 0 && !b.ahead(o) {
 		b.hold(o)
 		return
@@ -344,7 +332,10 @@
 	}
 	o.deadline = b.now + r.Budget
 	o.aimAt = min(o.deadline, b.now+o.class.Aim+o.class.AimStretch*o.work)
-	o.density = b.classDensity(r.Class)
+	o.density = o.class.Worth
+	if !b.cfg.WorthByWork {
+		o.density /= b.classWork[r.Class]
+	}
 	if b.overShare(o) {
 		o.density *= b.cfg.OverShareWorth
 	}
@@ -362,26 +353,6 @@
 	return true
 }
 
-// reserve is the chance that a request gives way at once because work worth more finds no room: without it the
-// dearer work would only get what is free at its moment.
-func (b *Balancer) reserve(o *op) float64 {
-	most := 0.0
-	for c, share := range b.strain {
-		if b.classDensity(c) > o.density {
-			most = max(most, share)
-		}
-	}
-	return reserveGain * most
-}
-
-// classDensity is the worth of a unit of a class's work.
-func (b *Balancer) classDensity(c int) float64 {
-	if b.cfg.WorthByWork {
-		return b.classes[c].Worth
-	}
-	return b.classes[c].Worth / b.classWork[c]
-}
-
 // hold keeps a request until a host has room, if what is held before it should be gone by then, judged by
 // the work lately answered. Otherwise it is refused at once (load shedding); worth least goes first, and
 // work beyond a tenant's share comes cheapest.
@@ -394,7 +365,7 @@
 		}
 	}
 	if b.span > 0 && before+o.work > b.flow/b.span*patience {
-		b.strain[o.Class] += meanStep * (1 - b.strain[o.Class])
+		b.strain += meanStep * (1 - b.strain)
 		b.settle(o)
 		return
 	}
@@ -507,7 +478,7 @@
 		return
 	}
 	if _, _, refuse := b.permit(o); refuse {
-		b.act.Refuse(o.ID, b.cfg.MaxCoolDown*b.strain[o.Class])
+		b.act.Refuse(o.ID, b.cfg.MaxCoolDown*b.strain)
 	} else {
 		b.act.Fail(o.ID)
 	}
@@ -671,7 +642,7 @@
 		timeout = max(o.aimAt-b.now, 0.001)
 	}
 	if len(o.attempts) == 0 {
-		b.strain[o.Class] -= meanStep * b.strain[o.Class]
+		b.strain -= meanStep * b.strain
 	}
 	o.attempts = append(o.attempts, attempt{h: h, at: b.now, out: true})
 	o.out++
@@ -746,34 +717,6 @@
 	return true
 }
 
-// reported takes a load report with requests in hand and use of CPU: their ratio below saturation tells how
-// many requests fill the host, and many more than that a queue, which this balancer alone may not see.
-// Guards against crowding that every balancer adds to a little.
-func (b *Balancer) reported(h *host, values []float32) {
-	inflight, util := b.column(LoadInflight), b.column(LoadUtil)
-	if inflight < 0 || util < 0 || max(inflight, util) >= len(values) {
-		return
-	}
-	fresh := [2]float32{values[inflight], values[util]}
-	if fresh == h.report {
-		return
-	}
-	h.report = fresh
-	n, u := float64(fresh[0]), float64(fresh[1])
-	if u > 0.2 && u < 0.9 && n >= 1 {
-		if h.cores == 0 {
-			h.cores = n / u
-		}
-		h.cores += judgeStep * (n/u - h.cores)
-	}
-	h.crowded = h.cores > 0 && n > crowdAt*h.cores
-	if h.crowded {
-		h.window = max(windowLeast, h.window*max(windowCut, crowdAt*h.cores/n))
-	}
-}
-
-func (b *Balancer) column(l Load) int { return slices.Index(b.cfg.Report, l) }
-
 // weigh takes an outcome as evidence on the host and on the load.
 func (b *Balancer) weigh(o *op, a *attempt, r Outcome) {
 	h := a.h
@@ -781,7 +724,6 @@
 	if r.Result != ConnectFailed {
 		h.refused = 0
 	}
-	b.reported(h, r.Report)
 	switch r.Result {
 	case OK:
 		b.classWork[o.Class] += meanStep * (r.Took - b.classWork[o.Class])
@@ -789,7 +731,7 @@
 		if !a.late {
 			b.late -= meanStep * b.late
 		}
-		if !h.crowded && float64(h.inflight+2) > h.window && r.Took < growBelow*o.class.Aim {
+		if float64(h.inflight+2) > h.window && r.Took < growBelow*o.class.Aim {
 			h.window += r.Took / o.class.Aim / growBelow / h.window
 		}
 		h.answered = b.now
@@ -853,7 +795,7 @@
 		}
 	case timerHold:
 		if o := b.ops[RequestID(token&(1<<tokenAttempt-1))]; o != nil && o.waits {
-			b.strain[o.Class] += meanStep * (1 - b.strain[o.Class])
+			b.strain += meanStep * (1 - b.strain)
 			b.settle(o)
 		}
 	case timerTick:
