--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -149,7 +149,7 @@
 	watchAt   float64 // when to ask for the list next, while not subscribed
 	panicking bool
 
-	held    []*op // waiting for room, in order of arrival
+	held    []*op // waiting for room, worth most first
 	tenants []float64
 	retries float64
 	strain  float64 // recent share of requests that found no room in time
@@ -303,10 +303,6 @@
 		b.settle(o)
 		return
 	}
-	if len(b.held) > 0 && !b.ahead(o) {
-		b.hold(o)
-		return
-	}
 	b.dispatch(o)
 }
 
@@ -343,26 +339,15 @@
 	return o
 }
 
-// ahead says that no request held is worth more than o.
-func (b *Balancer) ahead(o *op) bool {
-	for _, w := range b.held {
-		if w.density >= o.density {
-			return false
-		}
-	}
-	return true
-}
-
 // hold keeps a request until a host has room, if what is held before it should be gone by then, judged by
 // the work lately answered. Otherwise it is refused at once (load shedding); worth least goes first, and
 // work beyond a tenant's share comes cheapest.
 func (b *Balancer) hold(o *op) {
 	patience := min(holdShare*o.class.Aim, o.deadline-b.now)
-	before := 0.0
-	for _, w := range b.held {
-		if w.density >= o.density {
-			before += w.work
-		}
+	before, at := 0.0, 0
+	for at < len(b.held) && b.held[at].density >= o.density {
+		before += b.held[at].work
+		at++
 	}
 	if b.span > 0 && before+o.work > b.flow/b.span*patience {
 		b.strain += meanStep * (1 - b.strain)
@@ -370,26 +355,20 @@
 		return
 	}
 	o.waits = true
-	b.held = append(b.held, o)
+	b.held = slices.Insert(b.held, at, o)
 	b.act.Timer(patience, timerHold<<tokenKind|uint64(o.ID))
 }
 
-// release sends held requests while there is room, worth most first.
+// release sends held requests that have room somewhere. They are kept by worth, so the dearest goes first.
 func (b *Balancer) release() {
-	for len(b.held) > 0 {
-		best := 0
-		for i, w := range b.held {
-			if w.density > b.held[best].density {
-				best = i
-			}
+	for i := 0; i < len(b.held); {
+		o := b.held[i]
+		if h := b.pick(o, nil); h != nil {
+			b.unhold(o)
+			b.send(o, h)
+		} else {
+			i++
 		}
-		o := b.held[best]
-		h := b.pick(o, nil)
-		if h == nil {
-			return
-		}
-		b.unhold(o)
-		b.send(o, h)
 	}
 }
 
