--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -44,14 +44,14 @@
 	ejectDoublings = 3
 
 	// markShare of the aim: an attempt still out by then counts as late.
-	markShare = 0.6
+	markShare = 0.45
 
 	// windowStart is the first limit of requests in flight to a host of mean size. An answer under
 	// growBelow of its aim lets a limit in use grow by one a round trip; one past its mark cuts it by
 	// windowCut, once for what was out together. It keeps queues short, so hosts are not driven where
 	// crowding slows them.
 	windowStart = 2.0
-	growBelow   = 0.25
+	growBelow   = 0.22
 	windowCut   = 0.5
 	windowLeast = 1.0
 	// holdShare of the aim a request may wait here for room; it is only held if that seems long enough.
