--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -54,6 +54,8 @@
 	growBelow   = 0.22
 	windowCut   = 0.5
 	windowLeast = 1.0
+	// giveWay times the share of dearer work that finds no room is the chance to give way to it.
+	giveWay = 5.0
 	// holdShare of the aim a request may wait here for room; it is only held if that seems long enough.
 	holdShare = 0.2
 
@@ -152,10 +154,10 @@
 	held    []*op // waiting for room, worth most first
 	tenants []float64
 	retries float64
-	strain  float64 // recent share of requests that found no room in time
-	late    float64 // recent share of attempts that passed their mark
-	flow    float64 // decayed sum of work answered
-	span    float64 // seconds over which the decayed sums reach
+	strain  []float64 // recent share of each class that found no room in time
+	late    float64   // recent share of attempts that passed their mark
+	flow    float64   // decayed sum of work answered
+	span    float64   // seconds over which the decayed sums reach
 
 	classWork []float64 // mean seconds that a class takes, from answers
 	sentWork  float64   // decayed sum of work sent to warm hosts
@@ -175,6 +177,7 @@
 	if b.longest <= 0 {
 		b.longest = 1
 	}
+	b.strain = make([]float64, len(b.classes))
 	b.tenants = make([]float64, len(cfg.Tenants))
 	if cfg.AskForList {
 		b.watch()
@@ -303,6 +306,10 @@
 		b.settle(o)
 		return
 	}
+	if b.givesWay(o) {
+		b.settle(o)
+		return
+	}
 	b.dispatch(o)
 }
 
@@ -328,10 +335,7 @@
 	}
 	o.deadline = b.now + r.Budget
 	o.aimAt = min(o.deadline, b.now+o.class.Aim+o.class.AimStretch*o.work)
-	o.density = o.class.Worth
-	if !b.cfg.WorthByWork {
-		o.density /= b.classWork[r.Class]
-	}
+	o.density = b.density(r.Class)
 	if b.overShare(o) {
 		o.density *= b.cfg.OverShareWorth
 	}
@@ -339,6 +343,26 @@
 	return o
 }
 
+// givesWay refuses cheaper work at once, by chance, while dearer work finds no room: without it the dearer would
+// only get what is free at its moment.
+func (b *Balancer) givesWay(o *op) bool {
+	most := 0.0
+	for c, share := range b.strain {
+		if b.density(c) > o.density {
+			most = max(most, share)
+		}
+	}
+	return most > 0 && b.random() < giveWay*most
+}
+
+// density is the worth of a unit of a class's work.
+func (b *Balancer) density(c int) float64 {
+	if b.cfg.WorthByWork {
+		return b.classes[c].Worth
+	}
+	return b.classes[c].Worth / b.classWork[c]
+}
+
 // hold keeps a request until a host has room, if what is held before it should be gone by then, judged by
 // the work lately answered. Otherwise it is refused at once (load shedding); worth least goes first, and
 // work beyond a tenant's share comes cheapest.
@@ -350,7 +374,7 @@
 		at++
 	}
 	if b.span > 0 && before+o.work > b.flow/b.span*patience {
-		b.strain += meanStep * (1 - b.strain)
+		b.strain[o.Class] += meanStep * (1 - b.strain[o.Class])
 		b.settle(o)
 		return
 	}
@@ -457,7 +481,7 @@
 		return
 	}
 	if _, _, refuse := b.permit(o); refuse {
-		b.act.Refuse(o.ID, b.cfg.MaxCoolDown*b.strain)
+		b.act.Refuse(o.ID, b.cfg.MaxCoolDown*b.strain[o.Class])
 	} else {
 		b.act.Fail(o.ID)
 	}
@@ -621,7 +645,7 @@
 		timeout = max(o.aimAt-b.now, 0.001)
 	}
 	if len(o.attempts) == 0 {
-		b.strain -= meanStep * b.strain
+		b.strain[o.Class] -= meanStep * b.strain[o.Class]
 	}
 	o.attempts = append(o.attempts, attempt{h: h, at: b.now, out: true})
 	o.out++
@@ -774,7 +798,7 @@
 		}
 	case timerHold:
 		if o := b.ops[RequestID(token&(1<<tokenAttempt-1))]; o != nil && o.waits {
-			b.strain += meanStep * (1 - b.strain)
+			b.strain[o.Class] += meanStep * (1 - b.strain[o.Class])
 			b.settle(o)
 		}
 	case timerTick:
