--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -803,6 +803,7 @@
 		}
 	case timerTick:
 		b.decay()
+		b.probeDead()
 		b.release()
 		b.act.Timer(b.tick(), token)
 	case timerWatch:
@@ -823,8 +824,24 @@
 	b.span = b.span*keep + b.tick()
 }
 
+// probeDead is the active health check: hosts that took no connection are asked until one does, so that a zone
+// comes back when it can be reached and not when its ejections end, and no request is spent on finding out.
+func (b *Balancer) probeDead() {
+	for _, h := range b.hosts {
+		if b.cfg.Probes && h.Status == Ready && h.dead() {
+			h.until = max(h.until, b.now+2*b.tick()) // the answer decides
+			b.act.Probe(h.ID)
+		}
+	}
+}
+
 // Probed takes a probe's result.
-func (b *Balancer) Probed(now float64, p ProbeResult) { b.now = now }
+func (b *Balancer) Probed(now float64, p ProbeResult) {
+	b.now = now
+	if h := b.index[p.Host]; h != nil && p.Result == OK && h.dead() {
+		h.refused, h.until = 0, now
+	}
+}
 
 // Peer takes a message of another balancer.
 func (b *Balancer) Peer(now float64, from int, data []byte) { b.now = now }
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -368,6 +368,33 @@
 	}
 }
 
+// TestProbeReturn guards against a zone staying out after a cut has healed: an unreachable host is probed, stays
+// out while probes fail, and is on trial as soon as one gets through.
+func TestProbeReturn(t *testing.T) {
+	cfg := testConfig()
+	cfg.Probes = true
+	b, r := start(cfg, fleet(3))
+	h := b.hosts[0]
+	h.heard, h.refused, h.trial, h.fail, h.until = true, deadAfter, true, 0.9, r.now+1
+	r.advance(b, r.now+20)
+	if r.count("probe") == 0 || h.until <= r.now {
+		t.Fatalf("%d probes, out until %.1f at %.1f", r.count("probe"), h.until, r.now)
+	}
+	b.Probed(r.now, ProbeResult{Host: h.ID, Result: TimedOut})
+	if h.until <= r.now {
+		t.Fatal("back after a failed probe")
+	}
+	b.Probed(r.now, ProbeResult{Host: h.ID, Result: OK})
+	if h.until > r.now || !h.trial || h.dead() {
+		t.Fatalf("not on trial after a probe got through: %+v", h)
+	}
+	probes := r.count("probe")
+	r.advance(b, r.now+5)
+	if r.count("probe") != probes {
+		t.Fatal("a reachable host is still probed")
+	}
+}
+
 // TestPassOver: a host with more in flight than the margin yields, never below two.
 func TestPassOver(t *testing.T) {
 	b, r := start(testConfig(), fleet(5))
@@ -506,7 +533,7 @@
 	for ; w.seen < len(w.r.log); w.seen++ {
 		e := w.r.log[w.seen]
 		q := w.live[e.id]
-		if e.kind == "cancel" {
+		if e.kind == "cancel" || e.kind == "probe" {
 			continue
 		}
 		if q == nil {
