--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -38,7 +38,7 @@
 }
 func (r *recorder) Fail(id RequestID)          { r.log = append(r.log, event{kind: "fail", id: id}) }
 func (r *recorder) Cancel(id RequestID, _ int) { r.log = append(r.log, event{kind: "cancel", id: id}) }
-func (r *recorder) Probe(HostID)               {}
+func (r *recorder) Probe(h HostID)             { r.log = append(r.log, event{kind: "probe", host: h}) }
 func (r *recorder) Timer(after float64, token uint64) {
 	r.timers = append(r.timers, pending{r.now + after, token})
 }
