--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -23,15 +23,17 @@
 	// mean + 1, and at least passOverFloor, yields to the next.
 	passOverMean  = 1.5
 	passOverFloor = 2.0
-	// farShare: where warm keys cost less work, a host that is not a key's first choice in its zone or beyond
-	// takes it only up to this share of its limit. Else overload scatters the keys and makes more work.
+	// farShare: where warm keys cost less work, a host that is not a key's first choice in its zone or
+	// beyond takes it only up to this share of its limit. Else overload scatters the keys and makes more
+	// work.
 	farShare = 0.6
 	// localityPrice is the crossing price at which hosts of other zones are only picked when all of this
 	// zone's are passed over; below it their rendezvous weight shrinks in proportion.
 	localityPrice = 0.06
 	farRank       = 1e-6
 
-	// judgeStep is the weight of one outcome in a host's failure share; two failures in a row reach ejectAt.
+	// judgeStep is the weight of one outcome in a host's failure share; two failures in a row reach
+	// ejectAt.
 	judgeStep = 0.25
 	ejectAt   = 0.4
 	clearAt   = 0.2 // failure share under which a host on trial is trusted again
@@ -39,7 +41,8 @@
 	lateDoubt = 3.0
 	// deadAfter failed connections in a row, with nothing else heard, a host counts as not there.
 	deadAfter = 2
-	// ejectAims is the first ejection in longest aims; each further one doubles, ejectDoublings times at most.
+	// ejectAims is the first ejection in longest aims; each further one doubles, ejectDoublings times at
+	// most.
 	ejectAims      = 4.0
 	ejectDoublings = 3
 
@@ -343,8 +346,8 @@
 	return o
 }
 
-// givesWay refuses cheaper work at once, by chance, while dearer work finds no room: without it the dearer would
-// only get what is free at its moment.
+// givesWay refuses cheaper work at once, by chance, while dearer work finds no room: without it the dearer
+// would only get what is free at its moment.
 func (b *Balancer) givesWay(o *op) bool {
 	most := 0.0
 	for c, share := range b.strain {
@@ -824,8 +827,9 @@
 	b.span = b.span*keep + b.tick()
 }
 
-// probeDead is the active health check: hosts that took no connection are asked until one does, so that a zone
-// comes back when it can be reached and not when its ejections end, and no request is spent on finding out.
+// probeDead is the active health check: hosts that took no connection are asked until one does, so that a
+// zone comes back when it can be reached and not when its ejections end, and no request is spent on finding
+// out.
 func (b *Balancer) probeDead() {
 	for _, h := range b.hosts {
 		if b.cfg.Probes && h.Status == Ready && h.dead() {
