--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -31,6 +31,7 @@
 	// zone's are passed over; below it their rendezvous weight shrinks in proportion.
 	localityPrice = 0.06
 	farRank       = 1e-6
+	lastRank      = 1e12 // behind every rendezvous score
 
 	// judgeStep is the weight of one outcome in a host's failure share; two failures in a row reach
 	// ejectAt.
@@ -71,6 +72,7 @@
 	// memoryAims is the memory of rates and means, in longest aims.
 	memoryAims = 8.0
 	meanStep   = 0.05 // weight of one answer in a mean
+	shedSeen   = 0.1  // share refused of a class from which on shedding is logged
 	// watchTries is how many calls for the list fit into AskWithin while none is answered.
 	watchTries = 2.5
 )
@@ -83,6 +85,7 @@
 	timerHold
 	tokenKind    = 60
 	tokenAttempt = 52
+	mostAttempts = 1 << (tokenKind - tokenAttempt)
 )
 
 // host is what this balancer knows of one server.
@@ -147,12 +150,13 @@
 	set     []ranked // of the pick at hand
 	ops     map[RequestID]*op
 	free    []*op
-	classes []Class
 	longest float64 // longest aim
 
 	subbed    bool
 	watchAt   float64 // when to ask for the list next, while not subscribed
 	panicking bool
+	shedding  bool
+	quiet     map[string]float64 // no line of a kind, told by its format, before then
 
 	held    []*op // waiting for room, worth most first
 	tenants []float64
@@ -169,18 +173,18 @@
 // New starts a balancer at time now. It subscribes to the list at once where that must be asked for.
 func New(now float64, cfg Config, act Actions) *Balancer {
 	b := &Balancer{cfg: cfg, act: act, now: now, rng: cfg.Seed, index: map[HostID]*host{},
-		ops: map[RequestID]*op{}, classes: cfg.Classes, retries: retryBurst}
-	if len(b.classes) == 0 {
-		b.classes = []Class{{Aim: 1, Deadline: 1, Worth: 1}}
+		ops: map[RequestID]*op{}, quiet: map[string]float64{}, retries: retryBurst}
+	if len(b.cfg.Classes) == 0 {
+		b.cfg.Classes = []Class{{Aim: 1, Deadline: 1, Worth: 1}}
 	}
-	for _, c := range b.classes {
+	for _, c := range b.cfg.Classes {
 		b.longest = max(b.longest, c.Aim)
 		b.classWork = append(b.classWork, c.Aim/8)
 	}
 	if b.longest <= 0 {
 		b.longest = 1
 	}
-	b.strain = make([]float64, len(b.classes))
+	b.strain = make([]float64, len(b.cfg.Classes))
 	b.tenants = make([]float64, len(cfg.Tenants))
 	if cfg.AskForList {
 		b.watch()
@@ -209,13 +213,17 @@
 func (b *Balancer) Members(now float64, kind ListKind, hosts []Host) {
 	b.now = now
 	if kind == ListFailed {
+		if b.subbed {
+			b.say("list lost, %d hosts known", len(b.hosts))
+		}
 		b.subbed = false
 		if b.cfg.AskForList { // with jitter, so that a struggling discovery is not called by all at once
 			b.watchIn(0.1 + 0.4*b.random())
 		}
 		return
 	}
-	if kind != ListCached {
+	if kind != ListCached && !b.subbed {
+		b.say("list received, %d entries", len(hosts))
 		b.subbed = true
 	}
 	if kind != ListChanges {
@@ -246,11 +254,11 @@
 func (b *Balancer) learn(e Host) {
 	h := b.index[e.ID]
 	if h == nil {
-		h = &host{window: -1}
+		h = &host{window: -1, until: b.now, cutAt: b.now, answered: math.Inf(-1)}
 		b.index[e.ID] = h
 		b.hosts = append(b.hosts, h)
-	} else if e.Status == Ready && e.Started > h.Started {
-		h.heard, h.trial, h.fail, h.until, h.ejected = false, false, 0, 0, 0
+	} else if e.Status == Ready && e.Started != 0 && e.Started != h.Started {
+		h.heard, h.trial, h.fail, h.until, h.ejected, h.refused = false, false, 0, b.now, 0, 0
 	}
 	h.Host, h.listed = e, e.Status != Gone
 }
@@ -324,14 +332,14 @@
 	} else {
 		o = &op{}
 	}
-	if r.Class < 0 || r.Class >= len(b.classes) {
+	if r.Class < 0 || r.Class >= len(b.cfg.Classes) {
 		r.Class = 0
 	}
 	if r.Key == 0 { // no key: a random value spreads it
 		b.random()
 		r.Key = mix(b.rng)
 	}
-	o.Request, o.class = r, &b.classes[r.Class]
+	o.Request, o.class = r, &b.cfg.Classes[r.Class]
 	o.work = r.Work
 	if o.work <= 0 {
 		o.work = b.classWork[r.Class]
@@ -361,9 +369,9 @@
 // density is the worth of a unit of a class's work.
 func (b *Balancer) density(c int) float64 {
 	if b.cfg.WorthByWork {
-		return b.classes[c].Worth
+		return b.cfg.Classes[c].Worth
 	}
-	return b.classes[c].Worth / b.classWork[c]
+	return b.cfg.Classes[c].Worth / b.classWork[c]
 }
 
 // hold keeps a request until a host has room, if what is held before it should be gone by then, judged by
@@ -426,7 +434,7 @@
 // refused. anchor is a host of the group inside which a keyed request has to stay; nil: anywhere.
 func (b *Balancer) permit(o *op) (send bool, anchor *host, refuse bool) {
 	send, refuse = !o.done && !o.begun && b.now < o.deadline, true
-	if b.cfg.MaxAttempts > 0 && len(o.attempts) >= b.cfg.MaxAttempts {
+	if b.cfg.MaxAttempts > 0 && len(o.attempts) >= b.cfg.MaxAttempts || len(o.attempts) >= mostAttempts {
 		send = false
 	}
 	if o.out > 0 && !b.cfg.SecondCopies {
@@ -528,24 +536,21 @@
 		b.set = append(b.set, ranked{h, score})
 		home[h.side] = min(home[h.side], score)
 	}
-	var best, spare *host
-	bestScore, spareScore := math.Inf(1), math.Inf(1)
+	var best *host
+	lowest := math.Inf(1)
 	for _, r := range b.set {
 		h := r.h
 		far := b.cfg.WarmKeys && r.score > home[h.side] && float64(h.inflight+1) > farShare*h.window
 		if far || float64(h.inflight) >= h.window || !b.coldRoom(h, o.work) {
 			continue
 		}
-		if load := float64(h.inflight+1) / h.weight; load < spareScore {
-			spare, spareScore = h, load
+		if b.yields(o, h, mean, panicking) { // counts only if all do: then the least loaded
+			r.score = lastRank * float64(h.inflight+1) / h.weight
 		}
-		if r.score < bestScore && !b.yields(o, h, mean, panicking) {
-			best, bestScore = h, r.score
+		if r.score < lowest {
+			best, lowest = h, r.score
 		}
 	}
-	if best == nil {
-		return spare
-	}
 	return best
 }
 
@@ -568,7 +573,7 @@
 	panicking = float64(healthy) < panicThreshold*float64(counted)
 	if panicking != b.panicking {
 		b.panicking = panicking
-		b.act.Log(fmt.Sprintf("panic %v: %d healthy of %d counted", panicking, healthy, counted))
+		b.say("panic %v: %d healthy of %d counted", panicking, healthy, counted)
 	}
 	return panicking, float64(inflight) / max(weight, 1)
 }
@@ -606,7 +611,7 @@
 // warmth is the share of its capacity that a host surely has by now.
 func (b *Balancer) warmth(h *host) float64 {
 	age := b.now - h.Started
-	if h.Started <= 0 || b.cfg.ColdFor <= 0 || age >= b.cfg.ColdFor {
+	if h.Started == 0 || b.cfg.ColdFor <= 0 || age >= b.cfg.ColdFor {
 		return 1
 	}
 	return b.cfg.ColdFrom + (1-b.cfg.ColdFrom)*max(0, age)/b.cfg.ColdFor
@@ -782,10 +787,10 @@
 		h.until = b.now + ejectAims*b.longest*float64(uint(1)<<h.ejected)
 		h.ejected = min(h.ejected+1, ejectDoublings)
 		h.trial = true
-		b.act.Log(fmt.Sprintf("ejected %x until %.1f, failure share %.2f", h.ID, h.until, h.fail))
+		b.say("ejected %x until %.1f, failure share %.2f", h.ID, h.until, h.fail)
 	case h.trial && h.fail < clearAt:
-		h.trial, h.ejected, h.until = false, 0, 0
-		b.act.Log(fmt.Sprintf("returned %x", h.ID))
+		h.trial, h.ejected, h.until = false, 0, b.now
+		b.say("returned %x", h.ID)
 	}
 }
 
@@ -806,6 +811,10 @@
 		}
 	case timerTick:
 		b.decay()
+		if most := slices.Max(b.strain); b.shedding != (most > shedSeen) {
+			b.shedding = !b.shedding
+			b.say("shedding %v: %.2f of a class refused, %d held", b.shedding, most, len(b.held))
+		}
 		b.probeDead()
 		b.release()
 		b.act.Timer(b.tick(), token)
@@ -816,6 +825,14 @@
 	}
 }
 
+// say logs a line, at most one of a kind each quarter aim.
+func (b *Balancer) say(format string, args ...any) {
+	if until, known := b.quiet[format]; !known || b.now >= until {
+		b.quiet[format] = b.now + b.tick()
+		b.act.Log(fmt.Sprintf(format, args...))
+	}
+}
+
 // decay ages the rates.
 func (b *Balancer) decay() {
 	keep := 1 - b.tick()/(memoryAims*b.longest)
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -623,30 +623,35 @@
 		for _, h := range fleet(8) {
 			w.state[h.ID] = h
 		}
-		for i := range 3000 {
-			w.r.advance(w.b, w.r.now+w.rnd.ExpFloat64()*0.02)
-			w.drain()
-			switch k := w.rnd.IntN(20); {
-			case k == 0:
-				w.members()
-			case k == 1 && len(w.live) > 0:
-				id := RequestID(1 + w.rnd.IntN(i+1))
-				delete(w.live, id)
-				w.b.Gone(w.r.now, id)
-			case k < 12:
-				q := Request{ID: RequestID(i + 1), Class: w.rnd.IntN(4), Key: uint64(w.rnd.IntN(20)),
-					Work: 0.05, Budget: w.rnd.Float64() * 4}
-				w.live[q.ID] = &tracked{req: q, until: w.r.now + q.Budget}
-				w.b.Request(w.r.now, q)
-			default:
-				w.finish()
-			}
-			w.drain()
-		}
+		w.play(3000)
 		w.settleAll()
 	}
 }
 
+// play sends random events.
+func (w *world) play(steps int) {
+	for i := range steps {
+		w.r.advance(w.b, w.r.now+w.rnd.ExpFloat64()*0.02)
+		w.drain()
+		switch k := w.rnd.IntN(20); {
+		case k == 0:
+			w.members()
+		case k == 1 && len(w.live) > 0:
+			id := RequestID(1 + w.rnd.IntN(i+1))
+			delete(w.live, id)
+			w.b.Gone(w.r.now, id)
+		case k < 12:
+			q := Request{ID: RequestID(i + 1), Class: w.rnd.IntN(len(w.cfg.Classes)), Key: uint64(w.rnd.IntN(20)),
+				Work: 0.05, Budget: w.rnd.Float64() * 4}
+			w.live[q.ID] = &tracked{req: q, until: w.r.now + q.Budget}
+			w.b.Request(w.r.now, q)
+		default:
+			w.finish()
+		}
+		w.drain()
+	}
+}
+
 // settleAll lets the time of every request run out: rule 1 leaves none without its answer.
 func (w *world) settleAll() {
 	for range 200 {
--- /dev/null
+++ b/balancer/hardening_test.go
@@ -0,0 +1,163 @@
+package balancer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+)
+
+// logger is a recorder that keeps the log lines.
+type logger struct {
+	recorder
+	lines []string
+}
+
+func (l *logger) Log(text string) { l.lines = append(l.lines, text) }
+
+// TestOddSettings plays settings outside any deployment measured so far: whatever they are, every request is
+// answered and the rules hold.
+func TestOddSettings(t *testing.T) {
+	for name, change := range map[string]func(*Config){
+		"nothing given":      func(c *Config) { *c = Config{Seed: 1} },
+		"one attempt":        func(c *Config) { c.MaxAttempts = 1 },
+		"no limit":           func(c *Config) { c.MaxAttempts = 0 },
+		"no second copies":   func(c *Config) { c.SecondCopies = false },
+		"no cancelling":      func(c *Config) { c.Cancelling = false },
+		"pushed list":        func(c *Config) { c.AskForList = false },
+		"cells":              func(c *Config) { c.Classes[2].Group = GroupCell },
+		"one balancer":       func(c *Config) { c.Balancers = 1 },
+		"dear crossings":     func(c *Config) { c.Prices.CrossZone = 1 },
+		"probes":             func(c *Config) { c.Probes = true },
+		"late worth nothing": func(c *Config) { c.Classes[0].LateWorth = 0 },
+		"steady weights":     func(c *Config) { c.Weighted = true },
+		"warm keys":          func(c *Config) { c.WarmKeys = true },
+		"no cold figures":    func(c *Config) { c.ColdFor, c.FallAfter = 0, 0 },
+	} {
+		for _, size := range []int{0, 1, 8, 300} {
+			t.Run(fmt.Sprintf("%s, %d hosts", name, size), func(t *testing.T) {
+				cfg := testConfig()
+				change(&cfg)
+				w := &world{t: t, cfg: cfg, rnd: rand.New(rand.NewPCG(3, 3)), live: map[RequestID]*tracked{},
+					state: map[HostID]Host{}}
+				w.b, w.r = start(cfg, fleet(size))
+				w.cfg.Classes = w.b.cfg.Classes // with the default where none are given
+				for _, h := range fleet(size) {
+					w.state[h.ID] = h
+				}
+				w.play(400)
+				w.settleAll()
+			})
+		}
+	}
+}
+
+// TestClock: the clock may start anywhere. Negative times once looked like ejections that had not ended.
+func TestClock(t *testing.T) {
+	var want []event
+	for i, from := range []float64{0, -1 << 20, 1 << 30} {
+		r := &recorder{now: from, tries: map[RequestID]int{}}
+		b := New(from, testConfig(), r)
+		b.Members(from, ListFull, fleet(5))
+		for n := range 300 {
+			r.advance(b, r.now+0.0078125)
+			if h := r.ask(b, RequestID(n+1), n%4, uint64(n%9+1)); h != 0 && n%3 > 0 {
+				r.end(b, RequestID(n+1), 0, h, Result(n%6))
+			}
+		}
+		if i == 0 {
+			want = r.log
+		} else if fmt.Sprint(r.log) != fmt.Sprint(want) {
+			t.Errorf("other actions with a clock from %v", from)
+		}
+	}
+}
+
+// TestMemory: what an instance keeps is bounded by what is alive, not by what has come and gone.
+func TestMemory(t *testing.T) {
+	b, r := start(testConfig(), nil)
+	for i := range 20000 {
+		r.log, r.timers = r.log[:0], r.timers[:0]
+		r.now += 0.01
+		if i%50 == 0 {
+			host := Host{ID: HostID(1<<40 + i), Zone: i % 2, Status: Ready, Started: r.now}
+			b.Members(r.now, ListFull, []Host{host, {ID: 7, Status: Ready}})
+		}
+		b.Peer(r.now, i, []byte{byte(i), byte(i >> 8)})
+		id := RequestID(1<<51 + i)
+		if h := r.ask(b, id, i%4, uint64(i)); h != 0 {
+			r.end(b, id, 0, h, OK)
+		}
+		clear(r.tries)
+		b.Timer(r.now, timerTick<<tokenKind)
+	}
+	if len(b.hosts) > 3 || len(b.index) > 3 || len(b.ops) > 1 || len(b.free) > 4 || len(b.held) > 1 {
+		t.Fatalf("%d hosts, %d indexed, %d requests, %d free, %d held", len(b.hosts), len(b.index), len(b.ops),
+			len(b.free), len(b.held))
+	}
+	for _, h := range b.hosts {
+		if cap(h.coldSent) > 1000 {
+			t.Fatalf("%d entries of cold work", cap(h.coldSent))
+		}
+	}
+}
+
+// TestUnknownEvents: what names nothing known is ignored.
+func TestUnknownEvents(t *testing.T) {
+	b, r := start(testConfig(), fleet(2))
+	h := r.ask(b, 1, 0, 5)
+	before := len(r.log)
+	b.Gone(r.now, 99)
+	b.Outcome(r.now, Outcome{ID: 99, Host: h})
+	b.Outcome(r.now, Outcome{ID: 1, Attempt: 7, Host: h})
+	b.Outcome(r.now, Outcome{ID: 1, Attempt: -1, Host: h})
+	b.Begun(r.now, 99, 0)
+	b.Begun(r.now, 1, 9)
+	b.Probed(r.now, ProbeResult{Host: 12345})
+	b.Timer(r.now, 1<<64-1)
+	b.Peer(r.now, 3, nil)
+	b.Request(r.now, Request{ID: 1, Budget: 1}) // an id already known
+	if len(r.log) != before {
+		t.Fatalf("acted on unknown events: %+v", r.log[before:])
+	}
+}
+
+// TestStream: a stream that has begun belongs to the client; it is neither cancelled nor counted late.
+func TestStream(t *testing.T) {
+	b, r := start(testConfig(), fleet(2))
+	h := r.ask(b, 1, 0, 5)
+	b.Begun(r.now, 1, 0)
+	r.advance(b, r.now+30)
+	b.Gone(r.now, 1)
+	if r.count("cancel") != 0 || r.count("fail") != 0 || r.count("refuse") != 0 {
+		t.Fatalf("acted on a stream under way: %+v", r.log)
+	}
+	b.Outcome(r.now, Outcome{ID: 1, Host: h, Result: Reset, Final: true})
+	if len(b.ops) != 0 || b.hosts[0].inflight+b.hosts[1].inflight != 0 {
+		t.Fatalf("%d requests kept after the stream", len(b.ops))
+	}
+}
+
+// TestLogLines: panic, ejection, return, shedding and the list are told, and not more than once each quarter aim.
+func TestLogLines(t *testing.T) {
+	l := &logger{recorder: recorder{now: 5, tries: map[RequestID]int{}}}
+	b := New(5, testConfig(), l)
+	b.Members(5, ListFull, fleet(2))
+	b.Members(5.1, ListFailed, nil)
+	for i, h := range b.hosts {
+		for range 4 {
+			b.now = 6 + 10*float64(i)
+			b.judge(h, 1)
+		}
+	}
+	b.strain[0] = 0.5
+	b.Timer(17, timerTick<<tokenKind)
+	b.Request(17, Request{ID: 1, Budget: 3, Work: 0.1})
+	all := strings.Join(l.lines, "\n")
+	for _, want := range []string{"list received, 2 entries", "ejected 64 until", "ejected 65 until",
+		"shedding true: 0.50"} {
+		if strings.Count(all, want) != 1 {
+			t.Errorf("%q stands %d times in\n%s", want, strings.Count(all, want), all)
+		}
+	}
+}
