--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -50,9 +50,9 @@
 	// markShare of the aim: an attempt still out by then counts as late.
 	markShare = 0.45
 
-	// windowStart is the first limit of requests in flight to a host of mean size. An answer under
-	// growBelow of its aim lets a limit in use grow by one a round trip; one past its mark cuts it by
-	// windowCut, once for what was out together. It keeps queues short, so hosts are not driven where
+	// windowStart is the first limit of requests in flight to a host of mean size. Answers under growBelow
+	// of their aim let a limit in use grow by about one in that time; an attempt past its mark cuts it by
+	// windowCut, once for what was out together. Queues stay short, so hosts are not driven to where
 	// crowding slows them.
 	windowStart = 2.0
 	growBelow   = 0.22
