--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -23,9 +23,8 @@
 	// mean + 1, and at least passOverFloor, yields to the next.
 	passOverMean  = 1.5
 	passOverFloor = 2.0
-	// farShare: where warm keys cost less work, a host that is not a key's first choice in its zone or
-	// beyond takes it only up to this share of its limit. Else overload scatters the keys and makes more
-	// work.
+	// farShare: where warm keys cost less work, a host that is not a key's first in its zone or beyond takes
+	// it only up to this share of its limit. Else overload scatters the keys and makes more work.
 	farShare = 0.6
 	// localityPrice is the crossing price at which hosts of other zones are only picked when all of this
 	// zone's are passed over; below it their rendezvous weight shrinks in proportion.
@@ -33,8 +32,7 @@
 	farRank       = 1e-6
 	lastRank      = 1e12 // behind every rendezvous score
 
-	// judgeStep is the weight of one outcome in a host's failure share; two failures in a row reach
-	// ejectAt.
+	// judgeStep is the weight of an outcome in a host's failure share; two failures in a row reach ejectAt.
 	judgeStep = 0.25
 	ejectAt   = 0.4
 	clearAt   = 0.2 // failure share under which a host on trial is trusted again
@@ -42,18 +40,18 @@
 	lateDoubt = 3.0
 	// deadAfter failed connections in a row, with nothing else heard, a host counts as not there.
 	deadAfter = 2
-	// ejectAims is the first ejection in longest aims; each further one doubles, ejectDoublings times at
-	// most.
+	// ejectAims is the first ejection in longest aims; each further one doubles, at most ejectDoublings times.
 	ejectAims      = 4.0
 	ejectDoublings = 3
 
+	// fitShare of the time to the aim is what a request should take on a host, by what its answers took.
+	fitShare = 0.8
 	// markShare of the aim: an attempt still out by then counts as late.
 	markShare = 0.45
 
 	// windowStart is the first limit of requests in flight to a host of mean size. Answers under growBelow
 	// of their aim let a limit in use grow by about one in that time; an attempt past its mark cuts it by
-	// windowCut, once for what was out together. Queues stay short, so hosts are not driven to where
-	// crowding slows them.
+	// windowCut, once for what was out together. Short queues keep hosts from where crowding slows them.
 	windowStart = 2.0
 	growBelow   = 0.22
 	windowCut   = 0.5
@@ -102,13 +100,15 @@
 	zoneRank float64 // rendezvous weight for this balancer's zone
 	side     int     // 0: in this balancer\'s zone, 1: in another
 	answered float64 // clock of its last answer
+	took     float64 // mean time of answers to work with a hint
+	did      float64 // mean hint of that work
 	refused  int     // failed connections in a row
 	window   float64 // limit of requests in flight from here
 	cutAt    float64 // clock of the last cut
 	coldSent []sent  // work sent in the last FallAfter while cold
 }
 
-// ranked is a host of the set with its rendezvous score for the key at hand; the lowest comes first.
+// ranked is a host with its rendezvous score for the key at hand; the lowest comes first.
 type ranked struct {
 	h     *host
 	score float64
@@ -575,17 +575,19 @@
 	return panicking, float64(inflight) / max(weight, 1)
 }
 
-// dead says that a host does not even take connections. It cannot share load, which is what panic counts
-// on, so it is left out of both figures and of panic until a trial reaches it. Guards a lost or cut-off
-// zone.
+// dead says that a host takes no connections. It cannot share load, which is what panic counts on, so it is
+// left out of both figures and of panic until a trial reaches it. Guards a lost or cut-off zone.
 func (h *host) dead() bool { return h.refused >= deadAfter }
 
-// yields says that a host is passed over: too much in flight from here, or on trial after an ejection, when
-// it gets one repeatable request at a time.
+// yields says that a host is passed over: too much in flight from here, too slow for so much work, or on trial
+// after an ejection, when it gets one repeatable request at a time.
 func (b *Balancer) yields(o *op, h *host, mean float64, panicking bool) bool {
 	if h.trial && !panicking && (h.inflight > 0 || o.class.Effect == Unsafe) {
 		return true
 	}
+	if o.Work*h.took > fitShare*(o.aimAt-b.now)*h.did {
+		return true
+	}
 	return float64(h.inflight) >= max(passOverFloor, passOverMean*mean*h.weight+1)
 }
 
@@ -742,6 +744,9 @@
 		if float64(h.inflight+2) > h.window && r.Took < growBelow*o.class.Aim {
 			h.window += r.Took / o.class.Aim / growBelow / h.window
 		}
+		if o.Work > 0 {
+			h.took, h.did = h.took+meanStep*(r.Took-h.took), h.did+meanStep*(o.Work-h.did)
+		}
 		h.answered = b.now
 		b.judge(h, 0)
 	case TurnedAway: // neither sickness nor, while others are answered in time, a reason to send less
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -441,6 +441,29 @@
 	}
 }
 
+// TestHeavyWork guards against heavy requests late on slow hosts while others could make it: a host that would take
+// too long for so much work yields, and takes light work as before.
+func TestHeavyWork(t *testing.T) {
+	for _, c := range []struct {
+		work float64
+		same bool
+	}{{0.1, true}, {1.5, false}} {
+		b, r := start(testConfig(), fleet(4))
+		first := r.ask(b, 1, 0, 77)
+		r.end(b, 1, 0, first, OK)
+		for _, h := range b.hosts {
+			h.took, h.did = 0.1, 0.1
+			if h.ID == first {
+				h.took = 0.3
+			}
+		}
+		b.Request(r.now, Request{ID: 2, Key: 77, Work: c.work, Budget: 8})
+		if got := r.last().host; (got == first) != c.same {
+			t.Errorf("work %.1f went to %d, its key's first host is %d", c.work, got, first)
+		}
+	}
+}
+
 // TestLimit guards against queues that crowd a host: late answers cut the limit of requests in flight, answers
 // well inside the aim let it grow.
 func TestLimit(t *testing.T) {
