--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -40,12 +40,10 @@
 	lateDoubt = 3.0
 	// deadAfter failed connections in a row, with nothing else heard, a host counts as not there.
 	deadAfter = 2
-	// ejectAims is the first ejection in longest aims; each further one doubles, at most ejectDoublings times.
+	// ejectAims is the first ejection in longest aims; it doubles each time, at most ejectDoublings times.
 	ejectAims      = 4.0
 	ejectDoublings = 3
 
-	// fitShare of the time to the aim is what a request should take on a host, by what its answers took.
-	fitShare = 0.8
 	// markShare of the aim: an attempt still out by then counts as late.
 	markShare = 0.45
 
@@ -579,13 +577,13 @@
 // left out of both figures and of panic until a trial reaches it. Guards a lost or cut-off zone.
 func (h *host) dead() bool { return h.refused >= deadAfter }
 
-// yields says that a host is passed over: too much in flight from here, too slow for so much work, or on trial
-// after an ejection, when it gets one repeatable request at a time.
+// yields says that a host is passed over: too much in flight from here, too slow for so much work, or on
+// trial after an ejection, when it gets one repeatable request at a time.
 func (b *Balancer) yields(o *op, h *host, mean float64, panicking bool) bool {
 	if h.trial && !panicking && (h.inflight > 0 || o.class.Effect == Unsafe) {
 		return true
 	}
-	if o.Work*h.took > fitShare*(o.aimAt-b.now)*h.did {
+	if o.Work*h.took > (o.aimAt-b.now)*h.did { // by what its answers took, it would miss the aim
 		return true
 	}
 	return float64(h.inflight) >= max(passOverFloor, passOverMean*mean*h.weight+1)
