--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -3,9 +3,9 @@
 // The interface (settings, events, actions) is in api.go; every decision is in this file.
 //
 // A request's path: Request -> givesWay (load shedding) -> dispatch -> pick: healthy / counted against the
-// panic threshold, then rendezvous hashing inside the set with a pass-over of loaded hosts; no room: hold, or
-// refuse -> send (attempt time-out, late mark) -> Outcome or the mark (Timer) -> weigh, judge the host -> permit
-// (may it go again, may it be refused) -> dispatch again, or settle with one final answer.
+// panic threshold, then rendezvous hashing inside the set with a pass-over of loaded hosts; no room: hold,
+// or refuse -> send (attempt time-out, late mark) -> Outcome or the mark (Timer) -> weigh, judge the host ->
+// permit (may it go again, may it be refused) -> dispatch again, or settle with one final answer.
 
 import (
 	"cmp"
