--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -63,14 +63,15 @@
 	retryShare = 0.2
 	retryBurst = 10.0
 
-	// coldSafety is the part of a cold host's budget that is used: the rest covers chance.
-	coldSafety = 0.4
-	// memoryAims is the memory of rates and means, in longest aims.
-	memoryAims = 8.0
-	meanStep   = 0.05 // weight of one answer in a mean
-	shedSeen   = 0.1  // share refused of a class from which on shedding is logged
+	coldSafety = 0.4   // part of a cold host's budget that is used: the rest covers chance
+	memoryAims = 8.0   // memory of rates, in longest aims
+	tickAims   = 0.25  // the balancer's own timer, in longest aims
+	firstWork  = 0.125 // share of its aim that a class's work is taken for at first
+	meanStep   = 0.05  // weight of one answer in a mean
+	shedSeen   = 0.1   // share refused of a class from which on shedding is logged
 	// watchTries is how many calls for the list fit into AskWithin while none is answered.
-	watchTries = 2.5
+	watchTries                = 2.5
+	watchSoonest, watchSpread = 0.1, 0.4 // when to ask again after a failure, as parts of that
 )
 
 // Timer tokens hold a purpose, an attempt and a request id, which is below 2^52.
@@ -177,7 +178,7 @@
 	}
 	for _, c := range b.cfg.Classes {
 		b.longest = max(b.longest, c.Aim)
-		b.classWork = append(b.classWork, c.Aim/8)
+		b.classWork = append(b.classWork, firstWork*c.Aim)
 	}
 	if b.longest <= 0 {
 		b.longest = 1
@@ -191,7 +192,7 @@
 	return b
 }
 
-func (b *Balancer) tick() float64 { return b.longest / 4 }
+func (b *Balancer) tick() float64 { return tickAims * b.longest }
 
 // random returns a number in [0, 1) from the instance's own sequence (splitmix64).
 func (b *Balancer) random() float64 {
@@ -216,7 +217,7 @@
 		}
 		b.subbed = false
 		if b.cfg.AskForList { // with jitter, so that a struggling discovery is not called by all at once
-			b.watchIn(0.1 + 0.4*b.random())
+			b.watchIn(watchSoonest + watchSpread*b.random())
 		}
 		return
 	}
