The cold budget divides work when it is sent; rule 4 is asserted over random events

Cause: work sent to many warm hosts was divided by the few left after a loss, which made the budget of those that came back too large. Found while asserting the fourth rule in the random-event test, which fails with the pacing taken out.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -38,8 +38,7 @@
 	clearAt   = 0.2 // failure share under which a host on trial is trusted again
 	// lateDoubt: with 1/lateDoubt of all attempts late, lateness says nothing about a single host.
 	lateDoubt = 3.0
-	// deadAfter failed connections in a row, with nothing else heard, a host counts as not there.
-	deadAfter = 2
+	deadAfter = 2 // failed connections in a row, after which a host counts as not there
 	// ejectAims is the first ejection in longest aims; it doubles each time, at most ejectDoublings times.
 	ejectAims      = 4.0
 	ejectDoublings = 3
@@ -53,15 +52,13 @@
 	windowStart = 2.0
 	growBelow   = 0.22
 	windowCut   = 0.5
-	windowLeast = 1.0
 	// giveWay times the share of dearer work that finds no room is the chance to give way to it.
 	giveWay = 5.0
 	// holdShare of the aim a request may wait here for room; it is only held if that seems long enough.
 	holdShare = 0.2
 
-	// retryShare of requests may be followed by a further attempt, with retryBurst saved up at the most.
-	retryShare = 0.2
-	retryBurst = 10.0
+	retryShare = 0.2  // of requests may be followed by a further attempt
+	retryBurst = 10.0 // such attempts saved up at the most
 
 	coldSafety = 0.4   // part of a cold host's budget that is used: the rest covers chance
 	memoryAims = 8.0   // memory of rates, in longest aims
@@ -166,7 +163,7 @@
 	span    float64   // seconds over which the decayed sums reach
 
 	classWork []float64 // mean seconds that a class takes, from answers
-	sentWork  float64   // decayed sum of work sent to warm hosts
+	sentWork  float64   // decayed sum of work sent to warm hosts, for each unit of their weight
 }
 
 // New starts a balancer at time now. It subscribes to the list at once where that must be asked for.
@@ -634,14 +631,19 @@
 	if len(keep) == 0 {
 		return true
 	}
-	weight := 0.0
-	for _, other := range b.hosts {
-		if other.Status == Ready && b.warmth(other) >= 1 {
-			weight += other.weight
+	rate := b.sentWork / max(b.span, b.longest) * h.weight
+	return spent+work <= coldSafety*b.cfg.FallMultiple*warm*rate*b.cfg.FallAfter
+}
+
+// warmWeight is the size of all warm hosts. Work is divided by it when sent: divided later, by the few left
+// after a loss, it would make the budget of those that come back too large.
+func (b *Balancer) warmWeight() (weight float64) {
+	for _, h := range b.hosts {
+		if h.Status == Ready && b.warmth(h) >= 1 {
+			weight += h.weight
 		}
 	}
-	rate := b.sentWork / max(b.span, b.longest) / max(weight, 1) * h.weight
-	return spent+work <= coldSafety*b.cfg.FallMultiple*warm*rate*b.cfg.FallAfter
+	return weight
 }
 
 // send starts an attempt. An answer that would come too late to be worth anything is not waited for.
@@ -659,7 +661,7 @@
 	if b.warmth(h) < 1 {
 		h.coldSent = append(h.coldSent, sent{b.now, o.work})
 	} else {
-		b.sentWork += o.work
+		b.sentWork += o.work / b.warmWeight()
 	}
 	b.act.Send(o.ID, h.ID, timeout)
 	n := uint64(len(o.attempts) - 1)
@@ -762,7 +764,7 @@
 // cut lowers a host's limit, once for all attempts that were out together.
 func (b *Balancer) cut(a *attempt) {
 	if a.at >= a.h.cutAt {
-		a.h.window, a.h.cutAt = max(windowLeast, a.h.window*windowCut), b.now
+		a.h.window, a.h.cutAt = max(1, a.h.window*windowCut), b.now
 	}
 }
 
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -564,6 +564,46 @@
 	live  map[RequestID]*tracked
 	state map[HostID]Host
 	seen  int
+	work  []placed // sent in the last while
+}
+
+// placed is work sent to a host.
+type placed struct {
+	host     HostID
+	at, work float64
+	share    float64 // for each warm host of the time; none if it was cold
+}
+
+// cold asserts rule 4 for one more send: in any FallAfter a cold host gets no more than FallMultiple times what it can
+// do by then, its full capacity taken to be what a warm host has lately been sent; one request may always pass.
+func (w *world) cold(host Host, work float64) {
+	now, c, warm := w.r.now, w.cfg, 0
+	w.work = slices.DeleteFunc(w.work, func(p placed) bool { return p.at < now-20 })
+	isCold := func(h Host) bool { return h.Started != 0 && now < h.Started+c.ColdFor }
+	for _, h := range w.state {
+		if h.Status == Ready && !isCold(h) {
+			warm++
+		}
+	}
+	total, recent := 0.0, 0.0
+	for _, p := range w.work {
+		if p.host == host.ID && p.at > now-c.FallAfter && p.at >= host.Started {
+			recent += p.work
+		}
+		total += p.share
+	}
+	if !isCold(host) {
+		w.work = append(w.work, placed{host.ID, now, work, work / float64(warm)})
+		return
+	}
+	w.work = append(w.work, placed{host.ID, now, work, 0})
+	if recent == 0 {
+		return
+	}
+	share := c.ColdFrom + (1-c.ColdFrom)*(now-host.Started)/c.ColdFor
+	if most := c.FallMultiple * share * total / min(10, max(1, now-50)) * c.FallAfter; recent+work > most {
+		w.t.Fatalf("cold host %d was sent %.2f in %.1f s, of at most %.2f", host.ID, recent+work, c.FallAfter, most)
+	}
 }
 
 type tracked struct {
@@ -605,6 +645,7 @@
 				class.Group == GroupZone && host.Zone != q.sends[ran].host.Zone) {
 				w.t.Fatalf("keyed request %d sent outside its group or window", e.id)
 			}
+			w.cold(host, q.req.Work)
 			q.sends = append(q.sends, sendState{host: host, at: w.r.now, out: true, ran: true})
 		case "refuse":
 			if ran >= 0 && (class.Effect == Unsafe || class.Effect == Keyed && class.Group != GroupAll) {
@@ -662,7 +703,7 @@
 	}
 }
 
-// TestRulesHold plays long random sequences and asserts rules 1 to 3 after every event.
+// TestRulesHold plays long random sequences and asserts the four rules after every event.
 func TestRulesHold(t *testing.T) {
 	for seed := range uint64(30) {
 		cfg := testConfig()
