--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -85,7 +85,6 @@
 // host is what this balancer knows of one server.
 type host struct {
 	Host
-	listed   bool
 	heard    bool    // had an outcome since its start: counted
 	fail     float64 // recent failure share
 	until    float64 // ejected until then
@@ -94,7 +93,7 @@
 	inflight int
 	weight   float64 // size relative to the mean of the list
 	zoneRank float64 // rendezvous weight for this balancer's zone
-	side     int     // 0: in this balancer\'s zone, 1: in another
+	side     int     // 0: in this balancer's zone, 1: in another
 	answered float64 // clock of its last answer
 	took     float64 // mean time of answers to work with a hint
 	did      float64 // mean hint of that work
@@ -141,7 +140,7 @@
 	act     Actions
 	rng     uint64
 	now     float64
-	hosts   []*host // every host ever listed, by id
+	hosts   []*host // by id: listed, or gone with something still out
 	index   map[HostID]*host
 	set     []ranked // of the pick at hand
 	ops     map[RequestID]*op
@@ -189,6 +188,9 @@
 	return b
 }
 
+// drift moves a running mean towards x by one answer's weight.
+func drift(mean *float64, x float64) { *mean += meanStep * (x - *mean) }
+
 func (b *Balancer) tick() float64 { return tickAims * b.longest }
 
 // random returns a number in [0, 1) from the instance's own sequence (splitmix64).
@@ -224,17 +226,12 @@
 	}
 	if kind != ListChanges {
 		for _, h := range b.hosts {
-			h.listed = false
+			h.Status = Gone // if absent from a complete list
 		}
 	}
 	for _, e := range hosts {
 		b.learn(e)
 	}
-	for _, h := range b.hosts {
-		if !h.listed {
-			h.Status = Gone // absent from a complete list
-		}
-	}
 	b.hosts = slices.DeleteFunc(b.hosts, func(h *host) bool {
 		if h.Status == Gone && h.inflight == 0 {
 			delete(b.index, h.ID)
@@ -256,7 +253,7 @@
 	} else if e.Status == Ready && e.Started != 0 && e.Started != h.Started {
 		h.heard, h.trial, h.fail, h.until, h.ejected, h.refused = false, false, 0, b.now, 0, 0
 	}
-	h.Host, h.listed = e, e.Status != Gone
+	h.Host = e
 }
 
 // resize makes sizes relative to the mean of the ready hosts.
@@ -377,7 +374,7 @@
 		at++
 	}
 	if b.span > 0 && before+o.work > b.flow/b.span*patience {
-		b.strain[o.Class] += meanStep * (1 - b.strain[o.Class])
+		drift(&b.strain[o.Class], 1)
 		b.settle(o)
 		return
 	}
@@ -496,12 +493,19 @@
 func (b *Balancer) finish(o *op) {
 	o.done = true
 	b.unhold(o)
+	if !o.begun {
+		b.callOff(o, -1)
+	}
+	b.drop(o)
+}
+
+// callOff cancels what is out of a request, except for one attempt.
+func (b *Balancer) callOff(o *op, but int) {
 	for i := range o.attempts {
-		if o.attempts[i].out && b.cfg.Cancelling && !o.begun {
+		if i != but && o.attempts[i].out && b.cfg.Cancelling {
 			b.act.Cancel(o.ID, i)
 		}
 	}
-	b.drop(o)
 }
 
 // drop forgets a request once it is answered and nothing of it is out.
@@ -653,7 +657,7 @@
 		timeout = max(o.aimAt-b.now, 0.001)
 	}
 	if len(o.attempts) == 0 {
-		b.strain[o.Class] -= meanStep * b.strain[o.Class]
+		drift(&b.strain[o.Class], 0)
 	}
 	o.attempts = append(o.attempts, attempt{h: h, at: b.now, out: true})
 	o.out++
@@ -679,11 +683,7 @@
 	}
 	o.begun = true
 	o.attempts[n].h.heard = true
-	for i := range o.attempts {
-		if i != n && o.attempts[i].out && b.cfg.Cancelling {
-			b.act.Cancel(id, i)
-		}
-	}
+	b.callOff(o, n)
 }
 
 // Outcome takes the end of an attempt.
@@ -737,16 +737,17 @@
 	}
 	switch r.Result {
 	case OK:
-		b.classWork[o.Class] += meanStep * (r.Took - b.classWork[o.Class])
+		drift(&b.classWork[o.Class], r.Took)
 		b.flow += o.work
 		if !a.late {
-			b.late -= meanStep * b.late
+			drift(&b.late, 0)
 		}
 		if float64(h.inflight+2) > h.window && r.Took < growBelow*o.class.Aim {
 			h.window += r.Took / o.class.Aim / growBelow / h.window
 		}
 		if o.Work > 0 {
-			h.took, h.did = h.took+meanStep*(r.Took-h.took), h.did+meanStep*(o.Work-h.did)
+			drift(&h.took, r.Took)
+			drift(&h.did, o.Work)
 		}
 		h.answered = b.now
 		b.judge(h, 0)
@@ -776,7 +777,7 @@
 	if a.h.answered < a.at {
 		b.judge(a.h, max(0, 1-lateDoubt*b.late))
 	}
-	b.late += meanStep * (1 - b.late)
+	drift(&b.late, 1)
 }
 
 // judge is outlier ejection: bad is 1 for a failure, 0 for a good answer.
@@ -800,16 +801,16 @@
 // Timer takes a timer that fell due.
 func (b *Balancer) Timer(now float64, token uint64) {
 	b.now = now
+	o := b.ops[RequestID(token&(1<<tokenAttempt-1))]
 	switch token >> tokenKind {
 	case timerMark:
-		n := int(token >> tokenAttempt & 0xff)
-		o := b.ops[RequestID(token&(1<<tokenAttempt-1))]
+		n := int(token >> tokenAttempt & (mostAttempts - 1))
 		if o != nil && n < len(o.attempts) && o.attempts[n].out && !o.begun {
 			b.markLate(&o.attempts[n])
 		}
 	case timerHold:
-		if o := b.ops[RequestID(token&(1<<tokenAttempt-1))]; o != nil && o.waits {
-			b.strain[o.Class] += meanStep * (1 - b.strain[o.Class])
+		if o != nil && o.waits {
+			drift(&b.strain[o.Class], 1)
 			b.settle(o)
 		}
 	case timerTick:
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -574,6 +574,16 @@
 	share    float64 // for each warm host of the time; none if it was cold
 }
 
+func newWorld(t *testing.T, cfg Config, hosts []Host, src rand.Source) *world {
+	w := &world{t: t, cfg: cfg, rnd: rand.New(src), live: map[RequestID]*tracked{}, state: map[HostID]Host{}}
+	w.b, w.r = start(cfg, hosts)
+	w.cfg.Classes = w.b.cfg.Classes // with the default where none are given
+	for _, h := range hosts {
+		w.state[h.ID] = h
+	}
+	return w
+}
+
 // cold asserts rule 4 for one more send: in any FallAfter a cold host gets no more than FallMultiple times what it can
 // do by then, its full capacity taken to be what a warm host has lately been sent; one request may always pass.
 func (w *world) cold(host Host, work float64) {
@@ -709,12 +719,7 @@
 		cfg := testConfig()
 		cfg.Seed = seed
 		cfg.MaxAttempts = int(seed % 5)
-		w := &world{t: t, cfg: cfg, rnd: rand.New(rand.NewPCG(seed, 1)), live: map[RequestID]*tracked{},
-			state: map[HostID]Host{}}
-		w.b, w.r = start(cfg, fleet(8))
-		for _, h := range fleet(8) {
-			w.state[h.ID] = h
-		}
+		w := newWorld(t, cfg, fleet(8), rand.NewPCG(seed, 1))
 		w.play(3000)
 		w.settleAll()
 	}
--- a/balancer/hardening_test.go
+++ b/balancer/hardening_test.go
@@ -38,13 +38,7 @@
 			t.Run(fmt.Sprintf("%s, %d hosts", name, size), func(t *testing.T) {
 				cfg := testConfig()
 				change(&cfg)
-				w := &world{t: t, cfg: cfg, rnd: rand.New(rand.NewPCG(3, 3)), live: map[RequestID]*tracked{},
-					state: map[HostID]Host{}}
-				w.b, w.r = start(cfg, fleet(size))
-				w.cfg.Classes = w.b.cfg.Classes // with the default where none are given
-				for _, h := range fleet(size) {
-					w.state[h.ID] = h
-				}
+				w := newWorld(t, cfg, fleet(size), rand.NewPCG(3, 3))
 				w.play(400)
 				w.settleAll()
 			})
--- a/internal/simwire/codec.go
+++ b/internal/simwire/codec.go
@@ -102,19 +102,13 @@
 	return 0
 }
 
-// f64 reads a number; one that is not finite would poison every figure made from it and counts as damage.
-func (r *reader) f64() float64 {
-	v := math.Float64frombits(r.u64())
-	if r.err == nil && (math.IsNaN(v) || math.IsInf(v, 0)) {
-		r.err = errors.New("a number is not finite")
-		return 0
-	}
-	return v
-}
+func (r *reader) f64() float64 { return r.finite(math.Float64frombits(r.u64())) }
 
-func (r *reader) f32() float32 {
-	v := math.Float32frombits(r.u32())
-	if r.err == nil && (math.IsNaN(float64(v)) || math.IsInf(float64(v), 0)) {
+func (r *reader) f32() float32 { return float32(r.finite(float64(math.Float32frombits(r.u32())))) }
+
+// finite takes a number that is not finite for damage: it would poison every figure made from it.
+func (r *reader) finite(v float64) float64 {
+	if r.err == nil && (math.IsNaN(v) || math.IsInf(v, 0)) {
 		r.err = errors.New("a number is not finite")
 		return 0
 	}
