--- /dev/null
+++ b/cmd/beechwing/main.go
@@ -0,0 +1,41 @@
+// Command beechwing is one client proxy: it takes the requests of the application beside it and balances them over the
+// hosts that discovery lists. PROXY_CONFIG names its configuration; BEECHWING_LOG sets the level of its log.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"go.uber.org/zap/zapcore"
+
+	"beechwing/internal/proxy"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "beechwing:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	level := zapcore.InfoLevel
+	if text := os.Getenv("BEECHWING_LOG"); text != "" {
+		var err error
+		if level, err = zapcore.ParseLevel(text); err != nil {
+			return fmt.Errorf("BEECHWING_LOG: %w", err)
+		}
+	}
+	cfg, err := proxy.LoadConfig(os.Getenv)
+	if err != nil {
+		return err
+	}
+	log, flush := proxy.NewLogger(os.Stderr, level)
+	defer flush()
+	return proxy.New(cfg, log).Run(ctx)
+}
--- /dev/null
+++ b/internal/proxy/accept.go
@@ -0,0 +1,116 @@
+package proxy
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	acceptPause = 5 * time.Millisecond // after a failed accept: out of descriptors it would fail at once again
+	clientIdle  = 2 * time.Minute      // a connection without a request is closed after this
+)
+
+// front takes connections of clients and keeps count of them.
+type front struct {
+	ln    net.Listener
+	log   *zap.Logger
+	owner *owner
+	bufs  *pool
+	names *names
+	most  int           // connections served
+	slots chan struct{} // connections served, and the few over that are turned down with an answer
+
+	wg       sync.WaitGroup
+	mu       sync.Mutex
+	clients  map[*client]struct{}
+	draining bool // answers close their connection
+}
+
+func newFront(ln net.Listener, most int, o *owner, bufs *pool, n *names, log *zap.Logger) *front {
+	return &front{ln: ln, log: log, owner: o, bufs: bufs, names: n, most: most,
+		slots: make(chan struct{}, most+shedReserve), clients: map[*client]struct{}{}}
+}
+
+// accept takes connections until the listener closes or its deadline passes. When all places are taken, those that
+// wait in the backlog stay there until one is free.
+func (f *front) accept() {
+	for {
+		f.slots <- struct{}{}
+		c, err := f.ln.Accept()
+		if err == nil {
+			f.admit(c)
+			continue
+		}
+		<-f.slots
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
+			return
+		}
+		f.log.Warn("accept failed", zap.Error(err))
+		time.Sleep(acceptPause)
+	}
+}
+
+// admit starts to serve a connection. Over the bound an idle one makes room; without any, the new one gets a plain
+// failure for its first request.
+func (f *front) admit(c net.Conn) {
+	f.mu.Lock()
+	over := len(f.clients) >= f.most
+	if over {
+		over = !f.closeOldestIdle()
+	}
+	cl := &client{front: f, conn: c, meter: meter{r: c}, over: over, idleSince: time.Now()}
+	f.clients[cl] = struct{}{}
+	f.mu.Unlock()
+	f.wg.Go(func() {
+		cl.serve()
+		f.mu.Lock()
+		delete(f.clients, cl)
+		f.mu.Unlock()
+		<-f.slots
+	})
+}
+
+// closeOldestIdle asks the connection that has been idle for longest to end. f.mu is held.
+func (f *front) closeOldestIdle() bool {
+	var oldest *client
+	var first time.Time
+	for cl := range f.clients {
+		if since, ok := cl.idle(); ok && (oldest == nil || since.Before(first)) {
+			oldest, first = cl, since
+		}
+	}
+	if oldest != nil {
+		oldest.leave()
+	}
+	return oldest != nil
+}
+
+// drain makes every answer from now on the last of its connection, and ends those that are idle. It is called again
+// when nothing new can come any more.
+func (f *front) drain() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.draining = true
+	for cl := range f.clients {
+		cl.leave()
+	}
+}
+
+func (f *front) isDraining() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.draining
+}
+
+// backlog takes what clients have already connected and this proxy has not yet accepted: closing the listener would
+// reset those connections and lose their requests.
+func (f *front) backlog(within time.Duration) {
+	if d, ok := f.ln.(interface{ SetDeadline(time.Time) error }); ok {
+		d.SetDeadline(time.Now().Add(within))
+	}
+}
--- /dev/null
+++ b/internal/proxy/answer.go
@@ -0,0 +1,64 @@
+package proxy
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// answer is the final word on a request. A status of zero means that nobody is there to hear one.
+type answer struct {
+	status   int
+	kind     string // content type of a served body
+	body     body   // of a host's answer
+	text     string // of an answer of our own
+	coolDown float64
+	last     bool       // the connection ends after it
+	stopped  []*attempt // called off with it
+}
+
+// respond waits for the owner's answer and writes it. It says whether the connection may go on.
+func (c *client) respond(q *request, last bool) bool {
+	a := <-q.answer
+	defer c.front.bufs.freeBody(&a.body)
+	for _, at := range a.stopped { // nothing may be sent for a request once it is answered
+		at.quiet()
+	}
+	if a.status == 0 {
+		return false
+	}
+	a.last = last || c.front.isDraining()
+	if c.write(&a) != nil {
+		return false
+	}
+	c.setIdle()
+	return !a.last
+}
+
+// write sends an answer in one gathered write.
+func (c *client) write(a *answer) error {
+	buf := c.front.bufs.buffer()
+	defer c.front.bufs.putBuffer(buf)
+	w := &fixedWriter{buf: buf[:0]}
+	fmt.Fprintf(w, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n", a.status, http.StatusText(a.status),
+		a.body.size+len(a.text))
+	if a.kind != "" {
+		fmt.Fprintf(w, "Content-Type: %s\r\n", a.kind)
+	}
+	if a.coolDown > 0 {
+		fmt.Fprintf(w, "Retry-After: %s\r\n", strconv.FormatFloat(a.coolDown, 'f', 3, 64))
+	}
+	if a.last {
+		fmt.Fprint(w, "Connection: close\r\n")
+	}
+	fmt.Fprintf(w, "\r\n%s", a.text)
+	if w.full { // only a host's content type can be that long
+		return errTooLarge
+	}
+	c.conn.SetWriteDeadline(time.Now().Add(answerTime))
+	parts := a.body.parts(net.Buffers{w.buf})
+	_, err := parts.WriteTo(c.conn)
+	return err
+}
--- /dev/null
+++ b/internal/proxy/buffer.go
@@ -0,0 +1,125 @@
+package proxy
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+const (
+	// bufferSize is the one size of all buffers: a message's head fits into one, a body takes as many as it needs.
+	bufferSize = 16 << 10
+	maxHead    = 12 << 10 // of a client's request, so that the head made of it for a host fits into a buffer
+	maxBody    = 64 << 10
+)
+
+var errTooLarge = errors.New("message is too large")
+
+// pool hands out buffers and bufio.Readers of bufferSize and takes them back. live counts what is out: a number
+// that does not come back to zero when all connections are closed is a leak.
+type pool struct {
+	buffers, readers sync.Pool
+	live             atomic.Int64
+}
+
+func newPool() *pool {
+	return &pool{
+		buffers: sync.Pool{New: func() any { return new([bufferSize]byte) }},
+		readers: sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferSize) }},
+	}
+}
+
+func (p *pool) buffer() *[bufferSize]byte {
+	p.live.Add(1)
+	return p.buffers.Get().(*[bufferSize]byte)
+}
+
+func (p *pool) putBuffer(b *[bufferSize]byte) {
+	p.live.Add(-1)
+	p.buffers.Put(b)
+}
+
+func (p *pool) reader(r io.Reader) *bufio.Reader {
+	p.live.Add(1)
+	br := p.readers.Get().(*bufio.Reader)
+	br.Reset(r)
+	return br
+}
+
+func (p *pool) putReader(br *bufio.Reader) {
+	p.live.Add(-1)
+	br.Reset(nil) // a pooled reader must not keep its connection alive
+	p.readers.Put(br)
+}
+
+// body is a message body held in buffers of the pool. The zero body is empty.
+type body struct {
+	bufs []*[bufferSize]byte
+	size int
+}
+
+// readBody takes all of r, at most maxBody bytes. On an error nothing stays taken from the pool.
+func (p *pool) readBody(r io.Reader) (body, error) {
+	var b body
+	for {
+		buf := p.buffer()
+		b.bufs = append(b.bufs, buf)
+		n, err := io.ReadFull(r, buf[:])
+		b.size += n
+		switch {
+		case b.size > maxBody:
+			p.freeBody(&b)
+			return body{}, errTooLarge
+		case errors.Is(err, io.EOF) || isShortFill(err):
+			if n == 0 {
+				p.putBuffer(buf)
+				b.bufs = b.bufs[:len(b.bufs)-1]
+			}
+			return b, nil
+		case err != nil:
+			p.freeBody(&b)
+			return body{}, fmt.Errorf("body: %w", err)
+		}
+	}
+}
+
+// isShortFill tells the end of a whole body from one cut short. Both come as io.ErrUnexpectedEOF: ReadFull makes the
+// first itself, and wholeBody marks the second.
+func isShortFill(err error) bool {
+	return errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, errCut)
+}
+
+var errCut = errors.New("cut short")
+
+// wholeBody marks an end that came before the body's announced length.
+type wholeBody struct{ io.Reader }
+
+func (w wholeBody) Read(b []byte) (int, error) {
+	n, err := w.Reader.Read(b)
+	if err == io.ErrUnexpectedEOF {
+		err = errCut
+	}
+	return n, err
+}
+
+func (p *pool) freeBody(b *body) {
+	for _, buf := range b.bufs {
+		p.putBuffer(buf)
+	}
+	*b = body{}
+}
+
+// parts appends the body's bytes to v for one gathered write.
+func (b *body) parts(v net.Buffers) net.Buffers {
+	left := b.size
+	for _, buf := range b.bufs {
+		n := min(left, bufferSize)
+		v = append(v, buf[:n])
+		left -= n
+	}
+	return v
+}
--- /dev/null
+++ b/internal/proxy/catalog.go
@@ -0,0 +1,74 @@
+package proxy
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net"
+	"slices"
+
+	"beechwing/balancer"
+)
+
+// catalog is a list of hosts, or changes to one, as discovery words it.
+type catalog struct {
+	version uint64
+	full    bool
+	hosts   []balancer.Host
+	addrs   []string // of hosts, in the same order
+}
+
+var statuses = map[string]balancer.Status{
+	"ready": balancer.Ready, "draining": balancer.Draining, "gone": balancer.Gone,
+}
+
+// parseCatalog reads an answer of discovery. An entry that makes no sense is skipped, so that it does not take the
+// others with it.
+func parseCatalog(text []byte, zones []string) (catalog, error) {
+	var f struct {
+		Version *uint64           `json:"version"`
+		Full    bool              `json:"full"`
+		Servers []json.RawMessage `json:"servers"`
+	}
+	if err := json.Unmarshal(text, &f); err != nil {
+		return catalog{}, fmt.Errorf("list: %w", err)
+	}
+	if f.Version == nil {
+		return catalog{}, fmt.Errorf("list: no version")
+	}
+	c := catalog{version: *f.Version, full: f.Full}
+	for _, raw := range f.Servers {
+		if h, addr, ok := parseEntry(raw, zones); ok {
+			c.hosts, c.addrs = append(c.hosts, h), append(c.addrs, addr)
+		}
+	}
+	return c, nil
+}
+
+func parseEntry(raw []byte, zones []string) (h balancer.Host, addr string, ok bool) {
+	var e struct {
+		ID, Addr, Zone, State string
+		Cell                  int
+		Weight                float64
+		StartedMS             float64 `json:"started_ms"`
+	}
+	if json.Unmarshal(raw, &e) != nil || e.ID == "" {
+		return h, "", false
+	}
+	status, known := statuses[e.State]
+	if _, _, err := net.SplitHostPort(e.Addr); !known || status != balancer.Gone && err != nil {
+		return h, "", false
+	}
+	zone := slices.Index(zones, e.Zone)
+	if zone < 0 { // a zone nobody told of is still not this proxy's own
+		zone = len(zones)
+	}
+	return balancer.Host{
+		ID: hostID(e.ID), Weight: e.Weight, Zone: zone, Cell: e.Cell, Status: status,
+		Started: math.Max(0, e.StartedMS) / 1000,
+	}, e.Addr, true
+}
+
+// hostID makes the number that the module knows a host by of its name alone: the address differs from proxy to
+// proxy, and rendezvous hashing needs the same number in all of them.
+func hostID(name string) balancer.HostID { return balancer.HostID(hash(name)) }
--- /dev/null
+++ b/internal/proxy/config.go
@@ -0,0 +1,161 @@
+package proxy
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"beechwing/balancer"
+	"beechwing/internal/settings"
+)
+
+// Config is what a client proxy is told at its start.
+type Config struct {
+	Name, Listen, Discovery string
+	Seed                    uint64
+	Limits                  Limits
+	Known                   catalog // the list as last held before a restart; it may be old
+	Settings                *settings.Settings
+	Balancer                balancer.Config
+}
+
+// Limits is what the machine of a client proxy grants it. Zero means that nothing was said.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+const (
+	defaultSockets  = 1024
+	defaultMemoryMB = 192
+	spareSockets    = 64   // of the descriptors: listener, discovery, poller, standard streams, and some to spare
+	softMemory      = 0.75 // of the memory limit: from there on the garbage collector works harder
+	memoryPerClient = 2 * (maxBody + 2*bufferSize)
+	shedReserve     = 32 // connections beyond the bound that still get an answer before they are closed
+)
+
+// configFile is the file that PROXY_CONFIG names.
+type configFile struct {
+	Name      string          `json:"name"`
+	Listen    string          `json:"listen"`
+	Discovery string          `json:"discovery"`
+	Seed      string          `json:"seed"`
+	Limits    Limits          `json:"limits"`
+	Known     json.RawMessage `json:"known"`
+	Settings  json.RawMessage `json:"settings"`
+}
+
+// LoadConfig reads the file that PROXY_CONFIG names. The other variables go before what the file says.
+func LoadConfig(getenv func(string) string) (*Config, error) {
+	path := getenv("PROXY_CONFIG")
+	if path == "" {
+		return nil, errors.New("configuration: PROXY_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	c, err := parseConfig(text, getenv)
+	if err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return c, nil
+}
+
+func parseConfig(text []byte, getenv func(string) string) (*Config, error) {
+	var f configFile
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, err
+	}
+	if f.Settings == nil {
+		return nil, errors.New("no settings")
+	}
+	c := &Config{Limits: f.Limits}
+	c.Name = firstOf(getenv("PROXY_NAME"), f.Name)
+	c.Listen = firstOf(getenv("PROXY_LISTEN"), f.Listen)
+	c.Discovery = firstOf(getenv("PROXY_DISCOVERY"), f.Discovery)
+	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return nil, fmt.Errorf("%s address: %w", name, err)
+		}
+	}
+	var err error
+	if c.Settings, err = settings.Parse(f.Settings); err != nil {
+		return nil, err
+	}
+	if len(c.Settings.Classes) == 0 {
+		return nil, errors.New("settings: no classes")
+	}
+	c.Seed = parseSeed(f.Seed)
+	if c.Balancer, err = c.Settings.Config(c.Seed); err != nil {
+		return nil, err
+	}
+	c.Balancer.PeerMessages = false // the protocol has none
+	if f.Known != nil {
+		if c.Known, err = parseCatalog(f.Known, c.Settings.Dcs); err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+	}
+	c.Limits.setDefaults()
+	return c, nil
+}
+
+func firstOf(a, b string) string {
+	if a != "" {
+		return a
+	}
+	return b
+}
+
+// parseSeed takes hexadecimal as it is; any other text is hashed, and an empty one is the time.
+func parseSeed(text string) uint64 {
+	if seed, err := strconv.ParseUint(text, 16, 64); err == nil {
+		return seed
+	}
+	if text == "" {
+		return uint64(time.Now().UnixNano())
+	}
+	return hash(text)
+}
+
+// hash gives names a number that is the same in every proxy.
+func hash(text string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(text))
+	return h.Sum64()
+}
+
+func (l *Limits) setDefaults() {
+	if l.Sockets <= 0 {
+		l.Sockets = defaultSockets
+	}
+	if l.MemoryMB <= 0 {
+		l.MemoryMB = defaultMemoryMB
+	}
+}
+
+// apply bends the runtime to the machine: as many threads as cores, and a garbage collector that keeps below the
+// memory limit, over which the process would be killed.
+func (l Limits) apply() {
+	if l.Cores > 0 {
+		runtime.GOMAXPROCS(min(runtime.NumCPU(), int(math.Ceil(l.Cores))))
+	}
+	debug.SetMemoryLimit(int64(softMemory * float64(l.MemoryMB) * (1 << 20)))
+}
+
+// connections says how many connections may be open to clients and to hosts. A client has one request at a time, so
+// this bounds requests in hand, the owner's queue and held bodies as well.
+func (l Limits) connections() (clients, hosts int) {
+	half := max(1, (l.Sockets-spareSockets-shedReserve)/2)
+	byMemory := int(softMemory * float64(l.MemoryMB) * (1 << 20) / memoryPerClient)
+	return max(1, min(half, byMemory)), half
+}
--- /dev/null
+++ b/internal/proxy/discovery.go
@@ -0,0 +1,197 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"beechwing/balancer"
+)
+
+const (
+	membersPath = "/catalog/members"
+	maxList     = 4 << 20 // bytes of one answer
+
+	// A first call does not wait: it tells at once whether the list is held. Later ones wait for changes, and
+	// callTimeout is how much longer than its wait a call may take.
+	callTimeout          = 1500 * time.Millisecond
+	shortWait            = time.Millisecond
+	leastWait, mostWait  = time.Second, 20 * time.Second
+	discoveryDialTimeout = time.Second
+)
+
+// discovery follows the list. The module says when to watch; a watch goes on until a call fails.
+type discovery struct {
+	addr    string
+	zones   []string
+	wait    time.Duration
+	log     *zap.Logger
+	post    func(event)
+	watch   chan struct{} // asks for a watch; more than one at a time is one
+	fetch   chan struct{} // asks for the whole list once
+	version uint64        // of the last list handed on
+	held    bool          // there was one
+}
+
+func newDiscovery(cfg *Config, log *zap.Logger, post func(event)) *discovery {
+	wait := seconds(cfg.Balancer.AskWithin / 2) // a silent discovery is to be found out while the list still holds
+	if wait <= 0 {
+		wait = mostWait
+	}
+	return &discovery{
+		addr: cfg.Discovery, zones: cfg.Settings.Dcs, log: log, post: post,
+		wait:  min(max(wait, leastWait), mostWait),
+		watch: make(chan struct{}, 1), fetch: make(chan struct{}, 1),
+		version: cfg.Known.version, held: len(cfg.Known.hosts) > 0,
+	}
+}
+
+// ask notes a call for the list; it never blocks. While the same is asked for already there is nothing to add.
+func ask(what chan struct{}) {
+	select {
+	case what <- struct{}{}:
+	default:
+	}
+}
+
+// run serves calls for the list until ctx ends.
+func (d *discovery) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.watch:
+			d.follow(ctx)
+		case <-d.fetch:
+			d.once(ctx)
+		}
+	}
+}
+
+// once fetches the whole list on a connection of its own.
+func (d *discovery) once(ctx context.Context) {
+	conn, err := d.dial(ctx)
+	if err == nil {
+		err = d.call(conn, true, 0)
+		conn.close()
+	}
+	d.failed(ctx, err)
+}
+
+// follow keeps a watch up on one connection until a call fails. The next call goes out as soon as the last answer is
+// handed on: after 200 ms the watch would count as a new one.
+func (d *discovery) follow(ctx context.Context) {
+	conn, err := d.dial(ctx)
+	for wait := shortWait; err == nil; wait = d.wait {
+		select {
+		case <-d.fetch: // the whole list fits between two calls of a watch
+			err = d.call(conn, true, 0)
+		default:
+			err = d.call(conn, !d.held, wait)
+		}
+		if conn.spent || err != nil {
+			conn.close()
+		}
+		if conn.spent && err == nil {
+			conn, err = d.dial(ctx)
+		}
+	}
+	select { // a call made meanwhile is answered by the failure; the module decides when to ask again
+	case <-d.watch:
+	default:
+	}
+	d.failed(ctx, err)
+}
+
+func (d *discovery) failed(ctx context.Context, err error) {
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	d.log.Warn("call for the list failed", zap.Error(err))
+	d.post(members{kind: balancer.ListFailed})
+}
+
+// call asks once and hands the answer on.
+func (d *discovery) call(conn *listConn, whole bool, wait time.Duration) error {
+	path := membersPath
+	if !whole {
+		path = fmt.Sprintf("%s?since=%d&timeout_ms=%d", membersPath, d.version, wait.Milliseconds())
+	}
+	text, err := conn.get(d.addr, path, wait+callTimeout)
+	if err != nil {
+		return err
+	}
+	c, err := parseCatalog(text, d.zones)
+	if err != nil {
+		return err
+	}
+	if whole && !c.full {
+		return errors.New("changes came where the whole list was asked for")
+	}
+	if d.held && c.version < d.version {
+		return fmt.Errorf("version %d came after %d", c.version, d.version)
+	}
+	kind := balancer.ListChanges
+	if c.full {
+		kind = balancer.ListFull
+	}
+	d.version, d.held = c.version, true
+	d.post(members{kind: kind, list: c})
+	return nil
+}
+
+// listConn is a connection to discovery.
+type listConn struct {
+	net.Conn
+	meter
+	br    *bufio.Reader
+	stop  func() bool
+	spent bool // discovery closes it
+}
+
+func (d *discovery) dial(ctx context.Context) (*listConn, error) {
+	dialer := net.Dialer{Timeout: discoveryDialTimeout, KeepAlive: -1}
+	nc, err := dialer.DialContext(ctx, "tcp", d.addr)
+	if err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	c := &listConn{Conn: nc, meter: meter{r: nc}}
+	c.br = bufio.NewReaderSize(&c.meter, bufferSize)
+	c.stop = context.AfterFunc(ctx, func() { nc.Close() })
+	return c, nil
+}
+
+func (c *listConn) close() {
+	c.stop()
+	c.Conn.Close()
+}
+
+// get reads one answer whole, within the time given.
+func (c *listConn) get(addr, path string, within time.Duration) ([]byte, error) {
+	c.SetDeadline(time.Now().Add(within))
+	c.allow(maxList)
+	if _, err := fmt.Fprintf(c.Conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, addr); err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	r, err := http.ReadResponse(c.br, nil)
+	if err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	defer r.Body.Close()
+	text, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	if r.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("discovery: answered %d", r.StatusCode)
+	}
+	c.spent = r.Close
+	return text, nil
+}
--- /dev/null
+++ b/internal/proxy/meter.go
@@ -0,0 +1,53 @@
+package proxy
+
+import (
+	"io"
+	"net"
+	"syscall"
+)
+
+// meter bounds what one message may read off a connection: neither ReadRequest nor ReadResponse has a limit of its own.
+type meter struct {
+	r    io.Reader
+	left int
+}
+
+// allow lets the message at hand read n more bytes.
+func (m *meter) allow(n int) { m.left = n }
+
+func (m *meter) Read(b []byte) (int, error) {
+	if m.left <= 0 {
+		return 0, errTooLarge
+	}
+	n, err := m.r.Read(b[:min(len(b), m.left)])
+	m.left -= n
+	return n, err
+}
+
+// arrived looks whether anything waits to be read off c, without taking it: bytes, or the end of the connection.
+// A goroutine that reads c would learn the same, but only once it is scheduled.
+func arrived(c net.Conn) (bytes, ended bool) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false, false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false, true
+	}
+	var b [1]byte
+	var n int
+	var got error
+	err = raw.Control(func(fd uintptr) {
+		n, _, got = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	switch {
+	case err != nil:
+		return false, true
+	case got == syscall.EAGAIN || got == syscall.EINTR:
+		return false, false
+	case got != nil || n <= 0:
+		return false, true
+	}
+	return true, false
+}
--- /dev/null
+++ b/internal/proxy/owner.go
@@ -0,0 +1,340 @@
+package proxy
+
+import (
+	"container/heap"
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"beechwing/balancer"
+)
+
+// queueLength bounds what waits for the owner. Socket code that finds the queue full waits in turn.
+const queueLength = 1024
+
+// owner is the one goroutine that the module runs in. Socket code reaches it through its queue only. It does no I/O
+// itself and never waits for anything but the queue and its timers, so a slow peer cannot hold up the decisions.
+type owner struct {
+	clock    clock
+	bal      *balancer.Balancer
+	cfg      balancer.Config
+	queue    chan event
+	local    []event // events that actions gave rise to; the module may not be called from within an action
+	timers   timerHeap
+	flights  map[balancer.RequestID]*flight
+	probes   int
+	lastID   balancer.RequestID
+	hosts    *hosts
+	list     *discovery
+	bufs     *pool
+	log      *zap.Logger
+	ctx      context.Context // of attempts and probes
+	ready    atomic.Bool     // hosts are known
+	stopping bool
+	done     chan struct{} // closed when the owner has ended
+}
+
+// flight is a request that the module has not done with.
+type flight struct {
+	request  *request
+	deadline float64
+	attempts []*attempt
+	out      int
+	answered bool
+}
+
+// event is what the owner's queue holds.
+type event interface{ apply(o *owner) }
+
+// arrival is a request that has come whole.
+type arrival struct{ request *request }
+
+// departure is word that a request's client has left.
+type departure struct{ request *request }
+
+// outcome is the end of an attempt.
+type outcome struct {
+	attempt *attempt
+	result  balancer.Result
+	reply   reply
+}
+
+// probed is the end of a probe.
+type probed struct {
+	host   balancer.HostID
+	sent   float64
+	result balancer.Result
+	report []float32
+}
+
+// members is word on the list.
+type members struct {
+	kind balancer.ListKind
+	list catalog
+}
+
+// stop ends the owner once nothing is in flight.
+type stop struct{}
+
+func newOwner(ctx context.Context, cfg *Config, c clock, h *hosts, bufs *pool, log *zap.Logger) *owner {
+	o := &owner{
+		clock: c, cfg: cfg.Balancer, queue: make(chan event, queueLength),
+		flights: map[balancer.RequestID]*flight{}, hosts: h, bufs: bufs, log: log, ctx: ctx,
+		done: make(chan struct{}),
+	}
+	o.list = newDiscovery(cfg, log, o.post)
+	return o
+}
+
+// post queues an event. After the owner's end nobody is left whom it could concern.
+func (o *owner) post(e event) {
+	select {
+	case o.queue <- e:
+	case <-o.done:
+	}
+}
+
+// run is the owner's loop.
+func (o *owner) run(known catalog) {
+	defer close(o.done)
+	o.bal = balancer.New(o.clock.now(), o.cfg, o)
+	members{kind: balancer.ListCached, list: known}.apply(o)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		o.settleLocal()
+		wait := o.fire()
+		if len(o.local) > 0 {
+			continue
+		}
+		if o.stopping && len(o.flights) == 0 && o.probes == 0 {
+			return
+		}
+		timer.Reset(wait)
+		select {
+		case e := <-o.queue:
+			e.apply(o)
+		case <-timer.C:
+		}
+	}
+}
+
+// settleLocal plays the events that actions gave rise to, in order.
+func (o *owner) settleLocal() {
+	for len(o.local) > 0 {
+		e := o.local[0]
+		o.local = o.local[1:]
+		e.apply(o)
+	}
+}
+
+func (e arrival) apply(o *owner) {
+	o.lastID++
+	q := e.request
+	q.ID = o.lastID
+	now := o.clock.now()
+	o.flights[q.ID] = &flight{request: q, deadline: now + q.Budget}
+	o.bal.Request(now, q.Request)
+}
+
+func (e departure) apply(o *owner) {
+	f := o.flights[e.request.ID]
+	if f == nil || f.answered {
+		return
+	}
+	o.conclude(f, answer{})
+	o.bal.Gone(o.clock.now(), e.request.ID)
+	o.drop(f)
+}
+
+func (e outcome) apply(o *owner) {
+	a := e.attempt
+	f := o.flights[a.request.ID]
+	a.over = true
+	f.out--
+	if e.result == balancer.OK && !f.answered {
+		o.conclude(f, answer{status: http.StatusOK, kind: e.reply.kind, body: e.reply.body})
+	} else {
+		o.bufs.freeBody(&e.reply.body)
+	}
+	now := o.clock.now()
+	o.bal.Outcome(now, balancer.Outcome{ID: a.request.ID, Attempt: a.number, Host: a.host, Result: e.result,
+		Took: now - a.sent, Final: f.answered, Report: e.reply.report})
+	o.drop(f)
+}
+
+func (e probed) apply(o *owner) {
+	o.probes--
+	now := o.clock.now()
+	o.bal.Probed(now, balancer.ProbeResult{Host: e.host, Result: e.result, Took: now - e.sent, Report: e.report})
+}
+
+func (e members) apply(o *owner) {
+	now := o.clock.now()
+	if e.kind != balancer.ListFailed {
+		o.hosts.update(e.kind, e.list, now)
+	}
+	o.bal.Members(now, e.kind, e.list.hosts)
+	if len(e.list.hosts) > 0 {
+		o.ready.Store(true)
+	}
+}
+
+func (stop) apply(o *owner) { o.stopping = true }
+
+// conclude gives a request its one answer. Nothing may be sent for it from then on, so what is out is called off.
+func (o *owner) conclude(f *flight, a answer) {
+	if f.answered {
+		return
+	}
+	f.answered = true
+	for _, at := range f.attempts {
+		if !at.over && at.cancel != nil {
+			at.cancel()
+			a.stopped = append(a.stopped, at)
+		}
+	}
+	f.request.answer <- a // has room for the one
+}
+
+// drop forgets a flight that is answered and has nothing out.
+func (o *owner) drop(f *flight) {
+	if f.answered && f.out == 0 && o.flights[f.request.ID] == f {
+		delete(o.flights, f.request.ID)
+		o.bufs.freeRequest(f.request)
+	}
+}
+
+// ---- balancer.Actions
+
+// Send starts the next attempt of a request.
+func (o *owner) Send(id balancer.RequestID, host balancer.HostID, timeout float64) {
+	f := o.flights[id]
+	if f == nil {
+		return
+	}
+	now := o.clock.now()
+	until := f.deadline
+	if timeout != 0 {
+		until = min(until, now+timeout)
+	}
+	a := &attempt{request: f.request, number: len(f.attempts), host: host, sent: now, until: o.clock.at(until)}
+	f.attempts = append(f.attempts, a)
+	f.out++
+	up := o.hosts.find(host)
+	switch {
+	case f.answered, until <= now, o.cfg.MaxAttempts > 0 && a.number >= o.cfg.MaxAttempts:
+		o.local = append(o.local, outcome{attempt: a, result: balancer.Moot})
+	case up == nil:
+		o.local = append(o.local, outcome{attempt: a, result: balancer.ConnectFailed})
+	default:
+		a.ctx, a.cancel = context.WithDeadline(o.ctx, a.until)
+		go func() { o.post(a.run(up)) }()
+	}
+}
+
+// Refuse answers that trying again is harmless.
+func (o *owner) Refuse(id balancer.RequestID, coolDown float64) {
+	o.give(id, answer{status: http.StatusServiceUnavailable, text: "refused\n", coolDown: coolDown})
+}
+
+// Fail answers that nothing is promised.
+func (o *owner) Fail(id balancer.RequestID) {
+	o.give(id, answer{status: http.StatusBadGateway, text: "failed\n"})
+}
+
+// give answers a request.
+func (o *owner) give(id balancer.RequestID, a answer) {
+	f := o.flights[id]
+	if f == nil {
+		return
+	}
+	o.conclude(f, a)
+	o.local = append(o.local, dropped{f})
+}
+
+// dropped looks, once the module has returned, whether a flight has ended.
+type dropped struct{ flight *flight }
+
+func (e dropped) apply(o *owner) { o.drop(e.flight) }
+
+// Cancel stops waiting for an attempt.
+func (o *owner) Cancel(id balancer.RequestID, n int) {
+	f := o.flights[id]
+	if f == nil || n < 0 || n >= len(f.attempts) {
+		return
+	}
+	if a := f.attempts[n]; a.cancel != nil && !a.over {
+		a.cancel()
+	}
+}
+
+// Probe asks a host for its state.
+func (o *owner) Probe(host balancer.HostID) {
+	o.probes++
+	p := probed{host: host, sent: o.clock.now(), result: balancer.ConnectFailed}
+	up := o.hosts.find(host)
+	if up == nil {
+		o.local = append(o.local, p)
+		return
+	}
+	go func() { o.post(p.run(o.ctx, up)) }()
+}
+
+// Timer asks for an event.
+func (o *owner) Timer(after float64, token uint64) {
+	heap.Push(&o.timers, timer{at: o.clock.now() + max(0, after), token: token})
+}
+
+// Watch asks for the list and its changes.
+func (o *owner) Watch() { ask(o.list.watch) }
+
+// Fetch asks for the list once.
+func (o *owner) Fetch() { ask(o.list.fetch) }
+
+// Tell would send a message to every peer. The protocol has none, and the module is told so in its Config.
+func (o *owner) Tell([]byte) {}
+
+// Log writes a line of the module's.
+func (o *owner) Log(text string) { o.log.Info(text) }
+
+// ---- timers
+
+// timer is an event that the module asked for.
+type timer struct {
+	at    float64
+	token uint64
+}
+
+// timerHeap holds the timers, the next one due first.
+type timerHeap []timer
+
+func (h timerHeap) Len() int           { return len(h) }
+func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(x any)        { *h = append(*h, x.(timer)) }
+func (h *timerHeap) Pop() any {
+	last := len(*h) - 1
+	t := (*h)[last]
+	*h = (*h)[:last]
+	return t
+}
+
+// fire plays one timer that is due and says how long to wait for the next event. One at a time: what the module asked
+// for in it comes first.
+func (o *owner) fire() time.Duration {
+	const idle = time.Second
+	if len(o.timers) == 0 {
+		return idle
+	}
+	now := o.clock.now()
+	if next := o.timers[0].at; next > now {
+		return seconds(next - now)
+	}
+	t := heap.Pop(&o.timers).(timer)
+	o.bal.Timer(now, t.token)
+	return 0
+}
--- /dev/null
+++ b/internal/proxy/parse.go
@@ -0,0 +1,227 @@
+package proxy
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"beechwing/balancer"
+	"beechwing/internal/settings"
+)
+
+// Headers of the platform's protocol.
+const (
+	headerID        = "X-Txn"
+	headerClass     = "X-Lane"
+	headerTenant    = "X-Org"
+	headerKey       = "X-Entity"
+	headerRemaining = "X-Remaining"
+	headerRepeat    = "X-Resent"
+	headerWork      = "X-Estimate"
+	headerReport    = "X-Pressure"
+	headerTurned    = "X-Turned-Away"
+
+	healthPath = "/_health"
+
+	mostRemaining = 600.0 // seconds: a client that says it waits longer than this has made a mistake
+	mostIDLength  = 256
+)
+
+// request is one that a client proxy has taken whole.
+type request struct {
+	balancer.Request
+	head   *[bufferSize]byte // as it goes to a host, but for the time remaining and the empty line
+	headed int
+	body   body
+	answer chan answer // gets exactly one
+}
+
+func (p *pool) freeRequest(q *request) {
+	p.putBuffer(q.head)
+	p.freeBody(&q.body)
+}
+
+// badRequest is what is answered to something that cannot be taken as a request.
+type badRequest struct {
+	status int
+	why    string
+}
+
+// errorFor words the answer to a message that could not be read. Where nothing whole has come, and nothing can be
+// told to the other side, it is nil.
+func errorFor(err error) *badRequest {
+	var ne net.Error
+	switch {
+	case errors.Is(err, errTooLarge):
+		return &badRequest{http.StatusRequestHeaderFieldsTooLarge, "request header is too large"}
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &ne):
+		return nil
+	}
+	return &badRequest{http.StatusBadRequest, "malformed request"}
+}
+
+// names turns the names that requests carry into the module's numbers.
+type names struct {
+	classes map[string]int
+	tenants map[string]int
+	effects []balancer.Effect
+}
+
+func newNames(s *settings.Settings, c balancer.Config) *names {
+	n := &names{classes: map[string]int{}, tenants: map[string]int{}}
+	for i, k := range s.Classes {
+		n.classes[k.Name] = i
+		n.effects = append(n.effects, c.Classes[i].Effect)
+	}
+	for i, t := range s.Tenants {
+		n.tenants[t.Name] = i
+	}
+	return n
+}
+
+// parse takes the rest of a request off the connection. On an error nothing stays taken from the pool.
+func (c *client) parse(r *http.Request) (*request, *badRequest) {
+	defer r.Body.Close()
+	in, bad := c.front.names.translate(r)
+	if bad != nil {
+		return nil, bad
+	}
+	q := &request{Request: in, answer: make(chan answer, 1)}
+	if bad := c.takeBody(r, &q.body); bad != nil {
+		return nil, bad
+	}
+	if r.Method == http.MethodGet && q.body.size > 0 {
+		c.front.bufs.freeBody(&q.body)
+		return nil, &badRequest{http.StatusBadRequest, "GET with a body"}
+	}
+	q.head = c.front.bufs.buffer()
+	if err := q.writeHead(r); err != nil {
+		c.front.bufs.freeRequest(q)
+		return nil, &badRequest{http.StatusRequestHeaderFieldsTooLarge, err.Error()}
+	}
+	return q, nil
+}
+
+// takeBody reads the body. A status of zero closes the connection without a word: the body never came whole, so no
+// request was taken.
+func (c *client) takeBody(r *http.Request, b *body) *badRequest {
+	if r.ContentLength > maxBody {
+		return &badRequest{http.StatusRequestEntityTooLarge, "body is too large"}
+	}
+	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
+		if _, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return &badRequest{}
+		}
+	}
+	c.meter.allow(maxBody + bufferSize) // and the framing of chunks
+	got, err := c.front.bufs.readBody(wholeBody{r.Body})
+	var ne net.Error
+	switch {
+	case errors.Is(err, errTooLarge):
+		return &badRequest{http.StatusRequestEntityTooLarge, "body is too large"}
+	case errors.Is(err, errCut), errors.As(err, &ne):
+		return &badRequest{}
+	case err != nil:
+		return &badRequest{http.StatusBadRequest, "malformed body"}
+	}
+	*b = got
+	return nil
+}
+
+// translate reads what the module needs to know of a request.
+func (n *names) translate(r *http.Request) (q balancer.Request, bad *badRequest) {
+	reject := func(format string, args ...any) (balancer.Request, *badRequest) {
+		return q, &badRequest{http.StatusBadRequest, fmt.Sprintf(format, args...)}
+	}
+	if id := r.Header.Get(headerID); id == "" || len(id) > mostIDLength {
+		return reject("%s is missing or too long", headerID)
+	}
+	var known bool
+	if q.Class, known = n.classes[r.Header.Get(headerClass)]; !known {
+		return reject("unknown class")
+	}
+	if safe := n.effects[q.Class] == balancer.Safe; safe != (r.Method == http.MethodGet) ||
+		!safe && r.Method != http.MethodPost {
+		return q, &badRequest{http.StatusMethodNotAllowed, "the method does not fit the class"}
+	}
+	if q.Tenant, known = n.tenants[r.Header.Get(headerTenant)]; !known && len(n.tenants) > 0 {
+		return reject("unknown tenant")
+	}
+	var err error
+	if q.Budget, err = parseSpan(r.Header.Get(headerRemaining)); err != nil || q.Budget > mostRemaining {
+		return reject("%s is missing or absurd", headerRemaining)
+	}
+	if key := r.Header.Get(headerKey); key != "" {
+		q.Key = hash(key)
+	}
+	if us, err := strconv.ParseFloat(r.Header.Get(headerWork), 64); err == nil && us > 0 && !math.IsInf(us, 0) {
+		q.Work = us / 1e6
+	}
+	q.Repeat = r.Header.Get(headerRepeat) == "1"
+	return q, nil
+}
+
+// parseSpan reads a time such as 480m (milliseconds) or 250u (microseconds).
+func parseSpan(text string) (float64, error) {
+	for unit, size := range map[string]float64{"m": 1e-3, "u": 1e-6} {
+		digits, found := strings.CutSuffix(text, unit)
+		if !found {
+			continue
+		}
+		n, err := strconv.ParseFloat(digits, 64)
+		if err != nil || math.IsNaN(n) || math.IsInf(n, 0) || n < 0 {
+			return 0, fmt.Errorf("%q is not a time", text)
+		}
+		return n * size, nil
+	}
+	return 0, fmt.Errorf("%q is not a time", text)
+}
+
+// hopHeaders concern one connection only, or are set anew for each.
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Expect": true, "Content-Length": true, headerRemaining: true,
+}
+
+// writeHead words the request for a host: method, path, query and headers as they came, framing anew.
+func (q *request) writeHead(r *http.Request) error {
+	w := &fixedWriter{buf: q.head[:0]}
+	fmt.Fprintf(w, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.RequestURI, r.Host)
+	for _, field := range r.Header["Connection"] { // names further headers of this connection only
+		for name := range strings.SplitSeq(field, ",") {
+			name = http.CanonicalHeaderKey(strings.TrimSpace(name))
+			if name != headerID { // which has to go on
+				r.Header.Del(name)
+			}
+		}
+	}
+	r.Header.WriteSubset(w, hopHeaders)
+	if r.Method != http.MethodGet {
+		fmt.Fprintf(w, "Content-Length: %d\r\n", q.body.size)
+	}
+	if w.full {
+		return errTooLarge
+	}
+	q.headed = len(w.buf)
+	return nil
+}
+
+// fixedWriter fills a buffer and notes when it does not suffice.
+type fixedWriter struct {
+	buf  []byte
+	full bool
+}
+
+func (w *fixedWriter) Write(b []byte) (int, error) {
+	if len(w.buf)+len(b) > cap(w.buf) {
+		w.full = true
+		return 0, io.ErrShortWrite
+	}
+	w.buf = append(w.buf, b...)
+	return len(b), nil
+}
--- /dev/null
+++ b/internal/proxy/proxy.go
@@ -0,0 +1,152 @@
+// Package proxy is the client proxy on sockets: the platform's protocol between an application, its hosts and
+// discovery, built round the decision module.
+//
+// The files follow the stages of a request: accept, client (read and watch), parse, owner (the module and its queue),
+// attempt, upstream (connections), reply, answer. Beside them stand the list (discovery, catalog), probes, and the
+// phases of the program in this file.
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// Phase is a stage in the life of a client proxy.
+type Phase int
+
+// The phases, in their order.
+const (
+	Starting  Phase = iota // takes the address it serves on and starts its parts
+	Serving                // takes requests
+	Draining               // told to end: still takes what comes, every answer closes its connection
+	Finishing              // takes nothing new, finishes what is out
+	Stopped
+)
+
+func (p Phase) String() string {
+	return [...]string{"starting", "serving", "draining", "finishing", "stopped"}[p]
+}
+
+const (
+	// New connections go on coming for up to 0.4 s after SIGTERM; the rest covers a machine that is slow just then.
+	drainTime   = 550 * time.Millisecond
+	backlogTime = 50 * time.Millisecond  // for what then still waits in the backlog
+	lingerIdle  = 250 * time.Millisecond // an accepted connection may yet bring its request
+	finishSpare = 600 * time.Millisecond // after the longest deadline; SIGKILL may come at 0.7 s
+)
+
+// Proxy is one client proxy.
+type Proxy struct {
+	cfg   *Config
+	log   *zap.Logger
+	phase Phase
+	steps map[Phase]func(context.Context) (Phase, error)
+
+	told     time.Time // when it was told to end
+	listener net.Listener
+	bufs     *pool
+	hosts    *hosts
+	owner    *owner
+	front    *front
+	parts    sync.WaitGroup
+	halt     context.CancelFunc // ends attempts and the watch
+}
+
+// New makes a client proxy; Run runs it.
+func New(cfg *Config, log *zap.Logger) *Proxy {
+	p := &Proxy{cfg: cfg, log: log}
+	p.steps = map[Phase]func(context.Context) (Phase, error){
+		Starting: p.start, Serving: p.serve, Draining: p.drain, Finishing: p.finish,
+	}
+	return p
+}
+
+// Run goes through the phases. It returns when everything taken has been answered after ctx has ended.
+func (p *Proxy) Run(ctx context.Context) error {
+	for p.phase != Stopped {
+		next, err := p.steps[p.phase](ctx)
+		if err != nil {
+			return fmt.Errorf("%s: %w", p.phase, err)
+		}
+		p.log.Info("phase", zap.Stringer("from", p.phase), zap.Stringer("to", next))
+		p.phase = next
+	}
+	return nil
+}
+
+func (p *Proxy) start(context.Context) (Phase, error) {
+	p.cfg.Limits.apply()
+	ln, err := net.Listen("tcp", p.cfg.Listen)
+	if err != nil {
+		return Stopped, err
+	}
+	run, halt := context.WithCancel(context.Background()) // outlives the signal: what is out is finished
+	p.halt = halt
+	p.listener = ln
+	p.bufs = newPool()
+	c := newClock(time.Now())
+	p.hosts = newHosts(p.cfg, c, p.bufs)
+	p.owner = newOwner(run, p.cfg, c, p.hosts, p.bufs, p.log)
+	clients, _ := p.cfg.Limits.connections()
+	p.front = newFront(ln, clients, p.owner, p.bufs, newNames(p.cfg.Settings, p.cfg.Balancer), p.log)
+	p.parts.Go(func() { p.owner.run(p.cfg.Known) })
+	p.parts.Go(func() { p.owner.list.run(run) })
+	p.log.Info("listening", zap.String("name", p.cfg.Name), zap.Stringer("addr", ln.Addr()))
+	return Serving, nil
+}
+
+func (p *Proxy) serve(ctx context.Context) (Phase, error) {
+	accepted := make(chan struct{})
+	p.parts.Go(func() {
+		p.front.accept()
+		close(accepted)
+	})
+	select {
+	case <-ctx.Done():
+		p.told = time.Now()
+		return Draining, nil
+	case <-accepted:
+		return Stopped, fmt.Errorf("the listener has closed")
+	}
+}
+
+// drain goes on accepting: clients learn of the end only from the answers, and closing the listener resets what waits
+// in its backlog.
+func (p *Proxy) drain(context.Context) (Phase, error) {
+	p.front.drain()
+	time.Sleep(time.Until(p.told.Add(drainTime)))
+	p.front.backlog(backlogTime)
+	time.Sleep(backlogTime)
+	return Finishing, nil
+}
+
+// finish waits for what is out, no longer than any client waits for it.
+func (p *Proxy) finish(context.Context) (Phase, error) {
+	p.listener.Close()
+	time.Sleep(lingerIdle)
+	p.front.drain()
+	longest := 0.0
+	for _, c := range p.cfg.Balancer.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	answered := make(chan struct{})
+	go func() {
+		p.front.wg.Wait()
+		close(answered)
+	}()
+	select {
+	case <-answered:
+	case <-time.After(time.Until(p.told.Add(seconds(longest) + finishSpare))):
+		p.log.Warn("requests left unanswered at the end")
+	}
+	p.halt()
+	p.owner.post(stop{})
+	p.hosts.closeAll()
+	p.parts.Wait()
+	return Stopped, nil
+}
--- /dev/null
+++ b/internal/proxy/reply.go
@@ -0,0 +1,95 @@
+package proxy
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"net/http"
+
+	"beechwing/balancer"
+)
+
+// reply is what a host answered, or why it did not.
+type reply struct {
+	err      error // no whole answer came
+	result   balancer.Result
+	status   int
+	kind     string
+	body     body // of an OK answer
+	report   []float32
+	reusable bool
+}
+
+const mostInterim = 4 // interim answers (1xx) before the one that counts
+
+// readReply reads one answer whole.
+func (c *hostConn) readReply() reply {
+	for range mostInterim {
+		c.meter.allow(maxHead)
+		r, err := http.ReadResponse(c.br, nil)
+		if err != nil {
+			return reply{err: err}
+		}
+		if r.StatusCode >= 200 || r.StatusCode == http.StatusSwitchingProtocols {
+			return c.takeReply(r)
+		}
+	}
+	return reply{err: errors.New("too many interim answers")}
+}
+
+func (c *hostConn) takeReply(r *http.Response) reply {
+	defer r.Body.Close()
+	c.meter.allow(maxBody + bufferSize)
+	b, err := c.up.hosts.bufs.readBody(wholeBody{r.Body})
+	if err != nil {
+		return reply{err: err}
+	}
+	columns := c.up.hosts.columns
+	out := reply{status: r.StatusCode, result: resultOf(r), kind: r.Header.Get("Content-Type"), body: b,
+		report: parseReport(r.Header.Get(headerReport), columns)}
+	// Bytes beyond the answer belong to nothing; who sends them cannot be trusted with a further request.
+	out.reusable = !r.Close && c.br.Buffered() == 0 && r.StatusCode != http.StatusSwitchingProtocols
+	return out
+}
+
+// resultOf reads the protocol's table. Only the host's own word proves that a request has not run.
+func resultOf(r *http.Response) balancer.Result {
+	switch r.StatusCode {
+	case http.StatusOK:
+		return balancer.OK
+	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		if r.Header.Get(headerTurned) == "1" {
+			return balancer.TurnedAway
+		}
+	}
+	return balancer.Errored
+}
+
+// plainNames are the names that a report may use for the columns of the settings.
+var plainNames = map[string]string{
+	"active": "inflight", "waiting": "queue", "cpu": "util", "avg_ms": "latency_ms", "rps": "qps", "err_rps": "eps",
+}
+
+// parseReport reads a load report into the order of columns. A broken one counts as none; a value that is missing is
+// not a number.
+func parseReport(text string, columns []string) []float32 {
+	if text == "" || len(columns) == 0 {
+		return nil
+	}
+	var fields map[string]float64
+	if json.Unmarshal([]byte(text), &fields) != nil || len(fields) == 0 {
+		return nil
+	}
+	report := make([]float32, len(columns))
+	for i, name := range columns {
+		v, known := fields[name]
+		if !known {
+			v, known = fields[plainNames[name]]
+		}
+		if !known {
+			v = math.NaN()
+		}
+		report[i] = float32(v)
+	}
+	return report
+}
--- /dev/null
+++ b/internal/proxy/upstream.go
@@ -0,0 +1,333 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"beechwing/balancer"
+)
+
+const (
+	// idleShare of the time after which a host closes an idle connection: from then on it is not used again. A request
+	// written to it as it closes would end as a reset, and an unsafe one would be lost.
+	idleShare       = 0.7
+	defaultConnIdle = 10.0
+	defaultConnect  = 1.0
+)
+
+var errNoRoom = errors.New("no room for a further connection")
+
+// hosts holds what is kept for the hosts of the list: addresses and connections. Only the owner adds and removes.
+type hosts struct {
+	bufs    *pool
+	clock   clock
+	columns []string
+	connect time.Duration
+	idle    time.Duration
+	grace   float64 // seconds after word of a drain in which a request may still be written
+	slots   chan struct{}
+
+	mu  sync.Mutex
+	all map[balancer.HostID]*upstream
+}
+
+// upstream is one host as the sockets see it.
+type upstream struct {
+	hosts *hosts
+
+	mu      sync.Mutex
+	addr    string
+	drained float64     // clock time of word that it drains or is gone; 0: it takes requests
+	idle    []*hostConn // the one used last comes last and is used first
+	listed  bool
+}
+
+func newHosts(cfg *Config, c clock, bufs *pool) *hosts {
+	_, most := cfg.Limits.connections()
+	h := &hosts{
+		bufs: bufs, clock: c, columns: cfg.Settings.Columns(), grace: cfg.Balancer.DrainGrace / 2,
+		connect: seconds(orElse(cfg.Balancer.ConnectTimeout, defaultConnect)),
+		idle:    seconds(idleShare * orElse(cfg.Settings.Limits.ConnIdleS, defaultConnIdle)),
+		slots:   make(chan struct{}, most), all: map[balancer.HostID]*upstream{},
+	}
+	return h
+}
+
+func orElse(v, otherwise float64) float64 {
+	if v > 0 {
+		return v
+	}
+	return otherwise
+}
+
+func (h *hosts) find(id balancer.HostID) *upstream {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.all[id]
+}
+
+// update takes a list or changes to one. Idle connections to hosts that want nothing new are closed.
+func (h *hosts) update(kind balancer.ListKind, list catalog, now float64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if kind != balancer.ListChanges {
+		for _, u := range h.all {
+			u.listed = false
+		}
+	}
+	for i, e := range list.hosts {
+		u := h.all[e.ID]
+		if u == nil {
+			u = &upstream{hosts: h}
+			h.all[e.ID] = u
+		}
+		u.listed = e.Status != balancer.Gone
+		u.told(list.addrs[i], e.Status, now)
+	}
+	for id, u := range h.all {
+		if !u.listed {
+			u.told("", balancer.Gone, now)
+			delete(h.all, id)
+		}
+	}
+}
+
+// told takes a host's entry.
+func (u *upstream) told(addr string, status balancer.Status, now float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	moved := addr != "" && addr != u.addr
+	if moved {
+		u.addr = addr
+	}
+	if status == balancer.Ready {
+		u.drained = 0
+	} else if u.drained == 0 {
+		u.drained = now
+	}
+	if moved || status != balancer.Ready {
+		u.closeIdle()
+	}
+}
+
+// closeIdle closes all idle connections. u.mu is held.
+func (u *upstream) closeIdle() {
+	for _, c := range u.idle {
+		go c.close() // not here: the owner does no I/O
+	}
+	u.idle = nil
+}
+
+// connect gives a connection to the host: an idle one if there is, else a new one.
+func (u *upstream) connect(ctx context.Context) (*hostConn, error) {
+	u.mu.Lock()
+	addr, drained := u.addr, u.drained
+	var c *hostConn
+	if n := len(u.idle); n > 0 {
+		c, u.idle = u.idle[n-1], u.idle[:n-1]
+	}
+	u.mu.Unlock()
+	if drained > 0 && u.hosts.clock.now() > drained+u.hosts.grace {
+		if c != nil {
+			c.close()
+		}
+		return nil, errors.New("the host drains") // guards requests that were on their way when word came
+	}
+	if c != nil {
+		c.reused = true
+		return c, nil
+	}
+	return u.dial(ctx, addr)
+}
+
+func (u *upstream) dial(ctx context.Context, addr string) (*hostConn, error) {
+	if !u.hosts.reserve() {
+		return nil, errNoRoom
+	}
+	dialer := net.Dialer{Timeout: u.hosts.connect, KeepAlive: -1}
+	nc, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		<-u.hosts.slots
+		return nil, fmt.Errorf("host: %w", err)
+	}
+	c := &hostConn{up: u, addr: addr, conn: nc, meter: meter{r: nc}}
+	c.br = u.hosts.bufs.reader(&c.meter)
+	go c.read()
+	return c, nil
+}
+
+// reserve takes a place for a connection. If all are taken, an idle connection to some host makes room.
+func (h *hosts) reserve() bool {
+	select {
+	case h.slots <- struct{}{}:
+		return true
+	default:
+	}
+	if c := h.takeIdle(); c != nil {
+		c.close()
+	}
+	select {
+	case h.slots <- struct{}{}:
+		return true
+	case <-time.After(h.connect):
+		return false
+	}
+}
+
+// takeIdle takes some idle connection away from its host.
+func (h *hosts) takeIdle() *hostConn {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, u := range h.all {
+		if c := u.takeOldest(); c != nil {
+			return c
+		}
+	}
+	return nil
+}
+
+func (u *upstream) takeOldest() *hostConn {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if len(u.idle) == 0 {
+		return nil
+	}
+	c := u.idle[0]
+	u.idle = u.idle[1:]
+	return c
+}
+
+// keep takes a connection back for later use, unless the host wants nothing new.
+func (u *upstream) keep(c *hostConn) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.drained > 0 || c.addr != u.addr {
+		return false
+	}
+	u.idle = append(u.idle, c)
+	return true
+}
+
+// forget removes a connection that has ended while it was idle.
+func (u *upstream) forget(c *hostConn) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for i, other := range u.idle {
+		if other == c {
+			u.idle = append(u.idle[:i], u.idle[i+1:]...)
+			return
+		}
+	}
+}
+
+// hostConn is one connection to a host. It carries one call at a time. Its reader goroutine ends with it, and watches
+// it while it is idle.
+type hostConn struct {
+	up     *upstream
+	addr   string
+	conn   net.Conn
+	meter  meter
+	br     *bufio.Reader
+	reused bool // it carried a call before
+
+	mu   sync.Mutex
+	call *call // at hand; nil: idle
+	dead bool
+}
+
+// call is one message to a host and the answer to it. done gets exactly one reply.
+type call struct{ done chan reply }
+
+func newCall() *call { return &call{done: make(chan reply, 1)} }
+
+// begin readies the connection for a call. It fails if the host has closed it meanwhile, or said something unasked.
+func (c *hostConn) begin(call *call) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if bytes, ended := arrived(c.conn); c.dead || bytes || ended {
+		c.dead = true
+		c.conn.Close()
+		return false
+	}
+	c.conn.SetReadDeadline(time.Time{})
+	c.call = call
+	return true
+}
+
+func (c *hostConn) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dead = true
+	c.conn.Close()
+}
+
+// read waits for answers until the connection ends.
+func (c *hostConn) read() {
+	for c.readOne() {
+	}
+	c.close()
+	c.up.hosts.bufs.putReader(c.br)
+	<-c.up.hosts.slots
+}
+
+// readOne waits for what comes next and says whether the connection goes on.
+func (c *hostConn) readOne() bool {
+	c.meter.allow(maxHead)
+	_, err := c.br.Peek(1)
+	call := c.atHand(err)
+	switch {
+	case call == nil:
+		c.up.forget(c)
+		return false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return true // it was about to be retired when the call came
+	case err != nil:
+		call.done <- reply{err: err}
+		return false
+	}
+	r := c.readReply()
+	c.mu.Lock()
+	c.call = nil
+	c.mu.Unlock()
+	call.done <- r
+	return r.reusable
+}
+
+// atHand gives the call that something read belongs to. If there is none, the host has ended or broken an idle
+// connection, or it is time to retire it.
+func (c *hostConn) atHand(err error) *call {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.call == nil {
+		c.dead = true
+	}
+	return c.call
+}
+
+// rest makes the connection idle. Whose call it carried does so, after nothing of that call can close it any more.
+func (c *hostConn) rest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.conn.SetReadDeadline(time.Now().Add(c.up.hosts.idle))
+	if c.dead || !c.up.keep(c) {
+		c.conn.Close()
+	}
+}
+
+// closeAll closes every idle connection at the end.
+func (h *hosts) closeAll() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, u := range h.all {
+		u.mu.Lock()
+		u.drained = 1 // nothing is kept from now on
+		u.closeIdle()
+		u.mu.Unlock()
+	}
+}
