--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,21 @@
-.PHONY: check build
+.PHONY: build test lint check run
 MODULE := balancer/balancer.go
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
 
-check:
+test:
+	go test -race -timeout 120s ./...
+
+lint:
 	@test -z "$$(gofmt -l .)" || { echo "gofmt wanted:"; gofmt -l .; exit 1; }
 	go vet ./...
-	go test -race ./...
 	@n=$$(grep -c '[^[:space:]]' $(MODULE)); test $$n -le 810 || { echo "$(MODULE): $$n lines, 810 allowed"; exit 1; }
 	@expand -t 4 $(MODULE) | awk 'length > 110 { print "$(MODULE):" NR ": longer than 110 columns"; bad = 1 } END { exit bad }'
+
+check: lint test
+
+# The toy server of examples/ and one client proxy in front of it, until an interrupt.
+run: build
+	go build -o bin/ ./examples/toyserver
+	bin/toyserver & toy=$$!; trap 'kill $$toy 2>/dev/null' EXIT; trap : INT TERM; PROXY_CONFIG=examples/config.json bin/beechwing
--- a/internal/proxy/accept.go
+++ b/internal/proxy/accept.go
@@ -23,6 +23,8 @@
 	most  int           // connections served
 	slots chan struct{} // connections served, and the few over that are turned down with an answer
 
+	closed chan struct{} // with the listener, for an accept that waits for a place
+
 	wg       sync.WaitGroup
 	mu       sync.Mutex
 	clients  map[*client]struct{}
@@ -31,14 +33,18 @@
 
 func newFront(ln net.Listener, most int, o *owner, bufs *pool, n *names, t timing, log *zap.Logger) *front {
 	return &front{ln: ln, log: log, owner: o, bufs: bufs, names: n, times: t, most: most,
-		slots: make(chan struct{}, most+shedReserve), clients: map[*client]struct{}{}}
+		slots: make(chan struct{}, most+shedReserve), closed: make(chan struct{}), clients: map[*client]struct{}{}}
 }
 
 // accept takes connections until the listener closes or its deadline passes. When all places are taken, those that
 // wait in the backlog stay there until one is free.
 func (f *front) accept() {
 	for {
-		f.slots <- struct{}{}
+		select {
+		case f.slots <- struct{}{}:
+		case <-f.closed:
+			return
+		}
 		c, err := f.ln.Accept()
 		if err == nil {
 			f.admit(c)
@@ -105,6 +111,12 @@
 	return f.draining
 }
 
+// close ends accepting.
+func (f *front) close() {
+	f.ln.Close()
+	close(f.closed)
+}
+
 // backlog takes what clients have already connected and this proxy has not yet accepted: closing the listener would
 // reset those connections and lose their requests.
 func (f *front) backlog(within time.Duration) {
--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -30,6 +30,7 @@
 // discovery follows the list. The module says when to watch; a watch goes on until a call fails.
 type discovery struct {
 	addr    string
+	bufs    *pool
 	zones   []string
 	wait    time.Duration
 	log     *zap.Logger
@@ -40,13 +41,13 @@
 	held    bool          // there was one
 }
 
-func newDiscovery(cfg *Config, log *zap.Logger, post func(event)) *discovery {
+func newDiscovery(cfg *Config, bufs *pool, log *zap.Logger, post func(event)) *discovery {
 	wait := seconds(cfg.Balancer.AskWithin / 2) // a silent discovery is to be found out while the list still holds
 	if wait <= 0 {
 		wait = mostWait
 	}
 	return &discovery{
-		addr: cfg.Discovery, zones: cfg.Settings.Dcs, log: log, post: post,
+		addr: cfg.Discovery, bufs: bufs, zones: cfg.Settings.Dcs, log: log, post: post,
 		wait:  min(max(wait, leastWait), mostWait),
 		watch: make(chan struct{}, 1), fetch: make(chan struct{}, 1),
 		version: cfg.Known.version, held: len(cfg.Known.hosts) > 0,
@@ -151,6 +152,7 @@
 type listConn struct {
 	net.Conn
 	meter
+	bufs  *pool
 	br    *bufio.Reader
 	stop  func() bool
 	spent bool // discovery closes it
@@ -162,8 +164,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
-	c := &listConn{Conn: nc, meter: meter{r: nc}}
-	c.br = bufio.NewReaderSize(&c.meter, bufferSize)
+	c := &listConn{Conn: nc, meter: meter{r: nc}, bufs: d.bufs}
+	c.br = c.bufs.reader(&c.meter)
 	c.stop = context.AfterFunc(ctx, func() { nc.Close() })
 	return c, nil
 }
@@ -171,6 +173,7 @@
 func (c *listConn) close() {
 	c.stop()
 	c.Conn.Close()
+	c.bufs.putReader(c.br)
 }
 
 // get reads one answer whole, within the time given.
--- a/internal/proxy/log.go
+++ b/internal/proxy/log.go
@@ -3,34 +3,44 @@
 import (
 	"fmt"
 	"io"
-	"sync"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
 
-const logLines = 512 // that may wait to be written
+const (
+	logLines  = 512         // that may wait to be written
+	flushTime = time.Second // the end does not wait longer for an output that takes nothing
+)
 
 // logSink writes lines from a goroutine of its own. A full pipe behind standard error must not hold up who logs, least
 // of all the owner; lines over the bound are dropped and counted.
 type logSink struct {
 	out     io.Writer
 	lines   chan []byte
+	quit    chan struct{}
 	dropped atomic.Int64
-	wg      sync.WaitGroup
 }
 
 // NewLogger makes the program's logger and the function that writes out what waits and ends it.
 func NewLogger(out io.Writer, level zapcore.Level) (*zap.Logger, func()) {
-	s := &logSink{out: out, lines: make(chan []byte, logLines)}
-	s.wg.Go(s.run)
+	s := &logSink{out: out, lines: make(chan []byte, logLines), quit: make(chan struct{})}
+	ended := make(chan struct{})
+	go func() {
+		s.run()
+		close(ended)
+	}()
 	cfg := zap.NewProductionEncoderConfig()
 	cfg.EncodeTime = zapcore.ISO8601TimeEncoder
 	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(cfg), s, level))
 	return log, func() {
-		close(s.lines)
-		s.wg.Wait()
+		close(s.quit)
+		select {
+		case <-ended:
+		case <-time.After(flushTime):
+		}
 	}
 }
 
@@ -48,10 +58,22 @@
 func (s *logSink) Sync() error { return nil }
 
 func (s *logSink) run() {
-	for line := range s.lines {
-		s.out.Write(line)
-		if n := s.dropped.Swap(0); n > 0 {
-			fmt.Fprintf(s.out, "{\"level\":\"warn\",\"msg\":\"%d log lines dropped\"}\n", n)
+	for {
+		select {
+		case line := <-s.lines:
+			s.write(line)
+		case <-s.quit:
+			for len(s.lines) > 0 {
+				s.write(<-s.lines)
+			}
+			return
 		}
 	}
 }
+
+func (s *logSink) write(line []byte) {
+	s.out.Write(line)
+	if n := s.dropped.Swap(0); n > 0 {
+		fmt.Fprintf(s.out, "{\"level\":\"warn\",\"msg\":\"%d log lines dropped\"}\n", n)
+	}
+}
--- a/internal/proxy/log_test.go
+++ b/internal/proxy/log_test.go
@@ -37,3 +37,13 @@
 		t.Fatal("a debug line was written")
 	}
 }
+
+// TestLogEnds: an output that takes nothing does not keep the program from ending, and a late line is no crash.
+func TestLogEnds(t *testing.T) {
+	out := &stuck{release: make(chan struct{})}
+	log, flush := NewLogger(out, zapcore.InfoLevel)
+	log.Info("a line")
+	flush()
+	log.Info("a late line")
+	close(out.release)
+}
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -85,7 +85,7 @@
 		flights: map[balancer.RequestID]*flight{}, hosts: h, bufs: bufs, log: log, ctx: ctx,
 		done: make(chan struct{}),
 	}
-	o.list = newDiscovery(cfg, log, o.post)
+	o.list = newDiscovery(cfg, bufs, log, o.post)
 	return o
 }
 
@@ -136,6 +136,7 @@
 	q := e.request
 	q.ID = o.lastID
 	now := o.clock.now()
+	q.Budget = max(0, q.Budget-time.Since(q.taken).Seconds()) // it may have waited in the queue
 	o.flights[q.ID] = &flight{request: q, deadline: now + q.Budget}
 	o.bal.Request(now, q.Request)
 }
--- a/internal/proxy/owner_test.go
+++ b/internal/proxy/owner_test.go
@@ -458,3 +458,23 @@
 }
 
 func (s timed) Timer(_ float64, token uint64) { s.fired(token) }
+
+// TestQueueTimeCounts: a client's time runs on while its request waits for the owner.
+func TestQueueTimeCounts(t *testing.T) {
+	h := newHost(t, says(ok))
+	s := newScript()
+	budgets := make(watched[float64], 1)
+	s.request = func(s *script, r balancer.Request) {
+		budgets <- r.Budget
+		s.act.Refuse(r.ID, 0)
+	}
+	g := one(t, h, s.decides)
+	for _, c := range []struct{ waited, least, most float64 }{{1, 0, 0.4}, {5, 0, 0}} {
+		q := &request{Request: balancer.Request{Budget: 1.4}, head: g.p.bufs.buffer(), answer: make(chan answer, 1),
+			taken: time.Now().Add(-seconds(c.waited))}
+		g.p.owner.post(arrival{q})
+		if got := budgets.next(t, "the request"); got < c.least || got > c.most {
+			t.Errorf("after %v s in the queue %v s are left", c.waited, got)
+		}
+	}
+}
--- a/internal/proxy/parse.go
+++ b/internal/proxy/parse.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"beechwing/balancer"
 	"beechwing/internal/settings"
@@ -39,6 +40,7 @@
 	head   *[bufferSize]byte // as it goes to a host, but for the time remaining and the empty line
 	headed int
 	body   body
+	taken  time.Time   // when it had come whole: its client's time runs since then
 	answer chan answer // gets exactly one
 }
 
@@ -110,6 +112,7 @@
 		c.front.bufs.freeBody(&q.body)
 		return nil, &badRequest{http.StatusBadRequest, "GET with a body"}
 	}
+	q.taken = time.Now()
 	q.head = c.front.bufs.buffer()
 	if err := q.writeHead(r); err != nil {
 		c.front.bufs.freeRequest(q)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -44,14 +44,13 @@
 	phase  Phase
 	steps  map[Phase]func(context.Context) (Phase, error)
 
-	told     time.Time // when it was told to end
-	listener net.Listener
-	bufs     *pool
-	hosts    *hosts
-	owner    *owner
-	front    *front
-	parts    sync.WaitGroup
-	halt     context.CancelFunc // ends attempts and the watch
+	told  time.Time // when it was told to end
+	bufs  *pool
+	hosts *hosts
+	owner *owner
+	front *front
+	parts sync.WaitGroup
+	halt  context.CancelFunc // ends attempts and the watch
 }
 
 // New makes a client proxy; Run runs it.
@@ -87,7 +86,6 @@
 	}
 	run, halt := context.WithCancel(context.Background()) // outlives the signal: what is out is finished
 	p.halt = halt
-	p.listener = ln
 	p.bufs = newPool()
 	c := newClock(time.Now())
 	p.hosts = newHosts(p.cfg, c, p.bufs)
@@ -128,7 +126,7 @@
 
 // finish waits for what is out, no longer than any client waits for it.
 func (p *Proxy) finish(context.Context) (Phase, error) {
-	p.listener.Close()
+	p.front.close()
 	time.Sleep(p.times.last)
 	p.front.drain()
 	longest := 0.0
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -119,3 +119,23 @@
 		}
 	}
 }
+
+// TestFullHouseEnds: with every place for clients taken, so that accepting waits for one, it still ends with the
+// listener.
+func TestFullHouseEnds(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := newFront(ln, 1, nil, newPool(), nil, quickTiming(), zap.NewNop())
+	for range cap(f.slots) {
+		f.slots <- struct{}{}
+	}
+	ended := make(watched[bool], 1)
+	go func() {
+		f.accept()
+		ended <- true
+	}()
+	f.close()
+	ended.next(t, "the end of accepting")
+}
