A watch that falls silent is asked anew at once, on another connection

What the list had to tell counts as told 2 s after the wait, and the grace is 1 s: in about one case in three a drain told meanwhile would have been learnt too late (discovery.go follow). The failure reaches the module as before; the call is made anew without waiting for it. Ruled out: a shorter limit for all calls, as discovery under load may take 2 s, and calls given up too early would only add to its load; an immediate call after a reset or a 503, which all proxies see together and should not answer together.

Test: TestSilentWatch.

--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,9 +20,7 @@
 	membersPath = "/catalog/members"
 	maxList     = 4 << 20 // bytes of one answer
 
-	// A first call does not wait: it tells at once whether the list is held. Later ones wait for changes, and
-	// callTimeout is how much longer than its wait a call may take.
-	callTimeout          = 1500 * time.Millisecond
+	// A first call does not wait: it tells at once whether the list is held. Later ones wait for changes.
 	shortWait            = time.Millisecond
 	leastWait, mostWait  = time.Second, 20 * time.Second
 	discoveryDialTimeout = time.Second
@@ -32,6 +31,7 @@
 	addr    string
 	bufs    *pool
 	zones   []string
+	times   timing
 	wait    time.Duration
 	log     *zap.Logger
 	post    func(event)
@@ -41,13 +41,13 @@
 	held    bool          // there was one
 }
 
-func newDiscovery(cfg *Config, bufs *pool, log *zap.Logger, post func(event)) *discovery {
+func newDiscovery(cfg *Config, bufs *pool, t timing, log *zap.Logger, post func(event)) *discovery {
 	wait := seconds(cfg.Balancer.AskWithin / 2) // a silent discovery is to be found out while the list still holds
 	if wait <= 0 {
 		wait = mostWait
 	}
 	return &discovery{
-		addr: cfg.Discovery, bufs: bufs, zones: cfg.Settings.Dcs, log: log, post: post,
+		addr: cfg.Discovery, bufs: bufs, times: t, zones: cfg.Settings.Dcs, log: log, post: post,
 		wait:  min(max(wait, leastWait), mostWait),
 		watch: make(chan struct{}, 1), fetch: make(chan struct{}, 1),
 		version: cfg.Known.version, held: len(cfg.Known.hosts) > 0,
@@ -88,19 +88,29 @@
 
 // follow keeps a watch up on one connection until a call fails. The next call goes out as soon as the last answer is
 // handed on: after 200 ms the watch would count as a new one.
+//
+// A watch that falls silent is a failure like others, but the next connection is tried without waiting for the module:
+// the way to discovery may be cut for this connection only, and what it had to tell soon counts as told.
 func (d *discovery) follow(ctx context.Context) {
 	conn, err := d.dial(ctx)
-	for wait := shortWait; err == nil; wait = d.wait {
+	for wait := shortWait; err == nil; {
 		select {
 		case <-d.fetch: // the whole list fits between two calls of a watch
 			err = d.call(conn, true, 0)
 		default:
 			err = d.call(conn, !d.held, wait)
 		}
+		silent := errors.Is(err, os.ErrDeadlineExceeded) && wait == d.wait
+		if silent {
+			d.failed(ctx, err)
+		}
+		if wait = d.wait; silent {
+			wait = shortWait
+		}
 		if conn.spent || err != nil {
 			conn.close()
 		}
-		if conn.spent && err == nil {
+		if silent || conn.spent && err == nil {
 			conn, err = d.dial(ctx)
 		}
 	}
@@ -125,7 +135,11 @@
 	if !whole {
 		path = fmt.Sprintf("%s?since=%d&timeout_ms=%d", membersPath, d.version, wait.Milliseconds())
 	}
-	text, err := conn.get(d.addr, path, wait+callTimeout)
+	within := d.times.call
+	if wait > shortWait {
+		within = wait + d.times.watch
+	}
+	text, err := conn.get(d.addr, path, within)
 	if err != nil {
 		return err
 	}
--- a/internal/proxy/discovery_test.go
+++ b/internal/proxy/discovery_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"beechwing/balancer"
 )
@@ -148,7 +149,8 @@
 func TestSilentDiscovery(t *testing.T) {
 	quiet := newToy(t, func(c net.Conn, br *bufio.Reader) { io.Copy(io.Discard, br) })
 	s := newScript()
-	start(t, quiet.addr(), listText(5, true, entry("h1", "127.0.0.1:1")), s.decides)
+	start(t, quiet.addr(), listText(5, true, entry("h1", "127.0.0.1:1")), s.decides,
+		func(p *Proxy) { p.times.call = 50 * time.Millisecond })
 	s.lists.next(t, "the cached list")
 	if e := s.lists.next(t, "word of the failure"); e.kind != balancer.ListFailed {
 		t.Fatalf("event %+v", e)
@@ -190,3 +192,29 @@
 		l.calls.next(t, "a call")
 	}
 }
+
+// TestSilentWatch: a watch that falls silent is told as a failure, and asked anew on another connection at once; what
+// has changed meanwhile comes with the first answer there.
+func TestSilentWatch(t *testing.T) {
+	h := newHost(t, says(ok))
+	l := newList(t, entry("h1", h.addr()))
+	s := newScript()
+	start(t, l.addr(), listText(1, true, entry("h1", h.addr())), s.decides, func(p *Proxy) {
+		p.cfg.Balancer.AskWithin, p.times.watch = 0.001, 50*time.Millisecond // waits a second
+		l.deaf = 1
+	})
+	for _, want := range []balancer.ListKind{balancer.ListCached, balancer.ListChanges, balancer.ListFailed,
+		balancer.ListFull} {
+		if e := s.lists.next(t, "an event"); e.kind != want {
+			t.Fatalf("event %+v, want %v", e, want)
+		}
+		if want == balancer.ListChanges {
+			l.calls.next(t, "the first call")
+			l.calls.next(t, "the watch")
+			l.set(entry("h1", h.addr()), entry("h2", h.addr())) // which the silent watch does not tell
+		}
+	}
+	if call := l.calls.next(t, "a call"); call != "/catalog/members?since=1&timeout_ms=1" {
+		t.Fatalf("asked %s", call)
+	}
+}
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -212,6 +212,7 @@
 	version int
 	entries []listEntry
 	changed chan struct{}
+	deaf    int      // watches that are not answered
 	raw     []string // answers to the next calls, in place of the list; "" ends the connection
 }
 
@@ -247,8 +248,16 @@
 	}
 	since, err := strconv.Atoi(r.URL.Query().Get("since"))
 	ms, _ := strconv.Atoi(r.URL.Query().Get("timeout_ms"))
+	deaf := l.deaf > 0 && ms > 1
+	if deaf {
+		l.deaf--
+	}
 	changed, newer := l.changed, err != nil || l.version > since
 	l.mu.Unlock()
+	if deaf {
+		<-l.done
+		return ""
+	}
 	if !newer {
 		select {
 		case <-changed:
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -79,13 +79,13 @@
 // stop ends the owner once nothing is in flight.
 type stop struct{}
 
-func newOwner(ctx context.Context, cfg *Config, c clock, h *hosts, bufs *pool, log *zap.Logger) *owner {
+func newOwner(ctx context.Context, cfg *Config, c clock, h *hosts, bufs *pool, t timing, log *zap.Logger) *owner {
 	o := &owner{
 		clock: c, cfg: cfg.Balancer, queue: make(chan event, queueLength),
 		flights: map[balancer.RequestID]*flight{}, hosts: h, bufs: bufs, log: log, ctx: ctx,
 		done: make(chan struct{}),
 	}
-	o.list = newDiscovery(cfg, bufs, log, o.post)
+	o.list = newDiscovery(cfg, bufs, t, log, o.post)
 	return o
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -89,7 +89,7 @@
 	p.bufs = newPool()
 	c := newClock(time.Now())
 	p.hosts = newHosts(p.cfg, c, p.bufs)
-	p.owner = newOwner(run, p.cfg, c, p.hosts, p.bufs, p.log)
+	p.owner = newOwner(run, p.cfg, c, p.hosts, p.bufs, p.times, p.log)
 	clients, _ := p.cfg.Limits.connections()
 	p.front = newFront(ln, clients, p.owner, p.bufs, newNames(p.cfg.Settings, p.cfg.Balancer), p.times,
 		p.log)
--- a/internal/proxy/timing.go
+++ b/internal/proxy/timing.go
@@ -9,6 +9,9 @@
 	answer time.Duration // and a client has to take its answer within this
 	linger time.Duration // for which a client that sent something malformed may read the answer
 
+	call  time.Duration // for a call to discovery that need not wait: under load it answers, or says that it cannot, in 2 s
+	watch time.Duration // by which a watch may take longer than its wait; what it should tell counts as told 2 s after
+
 	// New connections go on coming for up to 0.4 s after SIGTERM; the rest covers a machine that is slow just then.
 	drain   time.Duration
 	backlog time.Duration // for what then still waits in the listener's backlog
@@ -19,6 +22,7 @@
 func defaultTiming() timing {
 	return timing{
 		idle: 2 * time.Minute, head: 5 * time.Second, answer: 5 * time.Second, linger: 500 * time.Millisecond,
+		call: 2200 * time.Millisecond, watch: 1500 * time.Millisecond,
 		drain: 550 * time.Millisecond, backlog: 50 * time.Millisecond, last: 250 * time.Millisecond,
 		spare: 600 * time.Millisecond,
 	}
