--- a/internal/proxy/config_test.go
+++ b/internal/proxy/config_test.go
@@ -95,3 +95,15 @@
 		t.Fatal("a span overflows")
 	}
 }
+
+// TestExample: the configuration of examples/ is one that the program takes.
+func TestExample(t *testing.T) {
+	env := map[string]string{"PROXY_CONFIG": filepath.Join("..", "..", "examples", "config.json")}
+	c, err := LoadConfig(func(name string) string { return env[name] })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(c.Balancer.Classes) != 2 || len(c.Known.hosts) != 0 {
+		t.Fatalf("got %+v", c)
+	}
+}
