Attempts do not outlast their time waiting for a place; connections to an old process go

With all places for connections to hosts taken, an attempt waited up to the connect time-out for one even after its client's time was over: the answer could come 0.25 s late (upstream.go reserve). A machine that was cut off resets the connections to its old process only when they are used: an unsafe request would have failed on one that the list had already told of (upstream.go told). Both have a test that fails without the change.

The tests' proxies use all cores now: start sets GOMAXPROCS from the configuration, and one core hid races.

--- a/internal/proxy/config_test.go
+++ b/internal/proxy/config_test.go
@@ -3,6 +3,8 @@
 import (
 	"os"
 	"path/filepath"
+	"runtime"
+	"runtime/debug"
 	"strings"
 	"testing"
 	"time"
@@ -107,3 +109,19 @@
 		t.Fatalf("got %+v", c)
 	}
 }
+
+// TestApply: the runtime is bent to what the machine grants.
+func TestApply(t *testing.T) {
+	procs, memory := runtime.GOMAXPROCS(0), debug.SetMemoryLimit(-1)
+	defer func() {
+		runtime.GOMAXPROCS(procs)
+		debug.SetMemoryLimit(memory)
+	}()
+	Limits{Cores: 1, MemoryMB: 100}.apply()
+	if n := runtime.GOMAXPROCS(0); n != 1 {
+		t.Errorf("%d threads for one core", n)
+	}
+	if n := debug.SetMemoryLimit(-1); n != 75<<20 {
+		t.Errorf("soft limit of %d bytes", n)
+	}
+}
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -306,7 +306,7 @@
 		t.Fatal(err)
 	}
 	file := fmt.Sprintf(`{"name": "n1", "listen": %q, "discovery": %q, "seed": "7",
- "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": %s, "settings": %s}`,
+ "limits": {"memory_mb": 192, "sockets": 1024}, "known": %s, "settings": %s}`,
 		ln.Addr(), discovery, known, testSettings)
 	cfg, err := parseConfig([]byte(file), func(string) string { return "" })
 	if err != nil {
--- a/internal/proxy/owner_test.go
+++ b/internal/proxy/owner_test.go
@@ -280,7 +280,7 @@
 func TestDrained(t *testing.T) {
 	h1, h2 := newHost(t, says(ok)), newHost(t, says(ok))
 	l := newList(t, entry("h1", h1.addr()))
-	g := start(t, l.addr(), "null")
+	g := start(t, l.addr(), "null", func(p *Proxy) { p.cfg.Settings.Limits.ConnIdleS = 1000 })
 	g.waitReady()
 	g.raw(message("read", ""))
 	h1.seen.next(t, "a request")
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -43,6 +43,7 @@
 
 	mu      sync.Mutex
 	addr    string
+	started float64     // of its process, as the list says
 	drained float64     // clock time of word that it drains or is gone; 0: it takes requests
 	idle    []*hostConn // the one used last comes last and is used first
 	listed  bool
@@ -88,30 +89,33 @@
 			h.all[e.ID] = u
 		}
 		u.listed = e.Status != balancer.Gone
-		u.told(list.addrs[i], e.Status, now)
+		u.told(list.addrs[i], e, now)
 	}
 	for id, u := range h.all {
 		if !u.listed {
-			u.told("", balancer.Gone, now)
+			u.told("", balancer.Host{Status: balancer.Gone}, now)
 			delete(h.all, id)
 		}
 	}
 }
 
 // told takes a host's entry.
-func (u *upstream) told(addr string, status balancer.Status, now float64) {
+func (u *upstream) told(addr string, e balancer.Host, now float64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	moved := addr != "" && addr != u.addr
 	if moved {
 		u.addr = addr
 	}
-	if status == balancer.Ready {
+	// A machine that was cut off resets the connections to its old process only when they are used.
+	restarted := e.Started != 0 && e.Started != u.started
+	u.started = e.Started
+	if e.Status == balancer.Ready {
 		u.drained = 0
 	} else if u.drained == 0 {
 		u.drained = now
 	}
-	if moved || status != balancer.Ready {
+	if moved || restarted || e.Status != balancer.Ready {
 		u.closeIdle()
 	}
 }
@@ -147,7 +151,7 @@
 }
 
 func (u *upstream) dial(ctx context.Context, addr string) (*hostConn, error) {
-	if !u.hosts.reserve() {
+	if !u.hosts.reserve(ctx) {
 		return nil, errNoRoom
 	}
 	dialer := net.Dialer{Timeout: u.hosts.connect, KeepAlive: -1}
@@ -163,7 +167,7 @@
 }
 
 // reserve takes a place for a connection. If all are taken, an idle connection to some host makes room.
-func (h *hosts) reserve() bool {
+func (h *hosts) reserve(ctx context.Context) bool {
 	select {
 	case h.slots <- struct{}{}:
 		return true
@@ -175,6 +179,8 @@
 	select {
 	case h.slots <- struct{}{}:
 		return true
+	case <-ctx.Done(): // the client's time may be over before a place is free
+		return false
 	case <-time.After(h.connect):
 		return false
 	}
--- a/internal/proxy/upstream_test.go
+++ b/internal/proxy/upstream_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"io"
 	"net"
 	"testing"
 	"time"
+
+	"beechwing/balancer"
 )
 
 // TestLookBeforeUse: a connection that the host has closed, or said something unasked on, does not take a call, even
@@ -53,3 +57,39 @@
 		})
 	}
 }
+
+// TestNoPlaceInTime: with all places for connections taken, an attempt does not outlast its time waiting for one.
+func TestNoPlaceInTime(t *testing.T) {
+	h := newHost(t, says(ok))
+	g := one(t, h)
+	hosts := g.p.hosts
+	hosts.connect = patience
+	for range cap(hosts.slots) {
+		hosts.slots <- struct{}{}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	_, result := hosts.find(hostID("h1")).exchange(ctx, func(net.Conn) (bool, error) { return false, nil })
+	if took := time.Since(began); result != balancer.ConnectFailed || took > patience/2 {
+		t.Fatalf("%v after %v", result, took)
+	}
+	for range cap(hosts.slots) {
+		<-hosts.slots
+	}
+}
+
+// TestRestartedHost: idle connections to a host's old process are not kept once the list tells of a new one.
+func TestRestartedHost(t *testing.T) {
+	h := newHost(t, says(ok))
+	l := newList(t, entry("h1", h.addr()))
+	g := start(t, l.addr(), "null", func(p *Proxy) { p.cfg.Settings.Limits.ConnIdleS = 1000 })
+	g.waitReady()
+	g.raw(message("read", ""))
+	again := entry("h1", h.addr())
+	again.Started = time.Now().UnixMilli()
+	l.set(again)
+	if err := h.ended.next(t, "the end of the idle connection"); !errors.Is(err, io.EOF) {
+		t.Fatalf("it ended with %v", err)
+	}
+}
