--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -80,9 +81,9 @@
 		return nil, errors.New("no settings")
 	}
 	c := &Config{Limits: f.Limits}
-	c.Name = firstOf(getenv("PROXY_NAME"), f.Name)
-	c.Listen = firstOf(getenv("PROXY_LISTEN"), f.Listen)
-	c.Discovery = firstOf(getenv("PROXY_DISCOVERY"), f.Discovery)
+	c.Name = cmp.Or(getenv("PROXY_NAME"), f.Name)
+	c.Listen = cmp.Or(getenv("PROXY_LISTEN"), f.Listen)
+	c.Discovery = cmp.Or(getenv("PROXY_DISCOVERY"), f.Discovery)
 	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
 		if _, _, err := net.SplitHostPort(addr); err != nil {
 			return nil, fmt.Errorf("%s address: %w", name, err)
@@ -109,13 +110,6 @@
 	return c, nil
 }
 
-func firstOf(a, b string) string {
-	if a != "" {
-		return a
-	}
-	return b
-}
-
 // parseSeed takes hexadecimal as it is; any other text is hashed, and an empty one is the time.
 func parseSeed(text string) uint64 {
 	if seed, err := strconv.ParseUint(text, 16, 64); err == nil {
@@ -135,12 +129,8 @@
 }
 
 func (l *Limits) setDefaults() {
-	if l.Sockets <= 0 {
-		l.Sockets = defaultSockets
-	}
-	if l.MemoryMB <= 0 {
-		l.MemoryMB = defaultMemoryMB
-	}
+	l.Sockets = cmp.Or(max(0, l.Sockets), defaultSockets)
+	l.MemoryMB = cmp.Or(max(0, l.MemoryMB), defaultMemoryMB)
 }
 
 // apply bends the runtime to the machine: as many threads as cores, and a garbage collector that keeps below the
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -39,34 +40,27 @@
 
 // upstream is one host as the sockets see it.
 type upstream struct {
-	hosts *hosts
+	hosts  *hosts
+	listed bool // guarded by hosts.mu
 
 	mu      sync.Mutex
 	addr    string
 	started float64     // of its process, as the list says
 	drained float64     // clock time of word that it drains or is gone; 0: it takes requests
 	idle    []*hostConn // the one used last comes last and is used first
-	listed  bool
 }
 
 func newHosts(cfg *Config, c clock, bufs *pool) *hosts {
 	_, most := cfg.Limits.connections()
 	h := &hosts{
 		bufs: bufs, clock: c, columns: cfg.Settings.Columns(), grace: cfg.Balancer.DrainGrace / 2,
-		connect: seconds(orElse(cfg.Balancer.ConnectTimeout, defaultConnect)),
-		idle:    seconds(idleShare * orElse(cfg.Settings.Limits.ConnIdleS, defaultConnIdle)),
+		connect: seconds(cmp.Or(cfg.Balancer.ConnectTimeout, defaultConnect)),
+		idle:    seconds(idleShare * cmp.Or(cfg.Settings.Limits.ConnIdleS, defaultConnIdle)),
 		slots:   make(chan struct{}, most), all: map[balancer.HostID]*upstream{},
 	}
 	return h
 }
 
-func orElse(v, otherwise float64) float64 {
-	if v > 0 {
-		return v
-	}
-	return otherwise
-}
-
 func (h *hosts) find(id balancer.HostID) *upstream {
 	h.mu.Lock()
 	defer h.mu.Unlock()
