--- a/internal/proxy/buffer.go
+++ b/internal/proxy/buffer.go
@@ -62,9 +62,10 @@
 	size int
 }
 
-// readBody takes all of r, at most maxBody bytes. On an error nothing stays taken from the pool.
+// readBody takes all of a message's body, at most maxBody bytes. On an error nothing stays taken from the pool.
 func (p *pool) readBody(r io.Reader) (body, error) {
 	var b body
+	r = wholeBody{r}
 	for {
 		buf := p.buffer()
 		b.bufs = append(b.bufs, buf)
@@ -74,7 +75,7 @@
 		case b.size > maxBody:
 			p.freeBody(&b)
 			return body{}, errTooLarge
-		case errors.Is(err, io.EOF) || isShortFill(err):
+		case err == io.EOF || err == io.ErrUnexpectedEOF: // the end, as ReadFull words it
 			if n == 0 {
 				p.putBuffer(buf)
 				b.bufs = b.bufs[:len(b.bufs)-1]
@@ -87,15 +88,10 @@
 	}
 }
 
-// isShortFill tells the end of a whole body from one cut short. Both come as io.ErrUnexpectedEOF: ReadFull makes the
-// first itself, and wholeBody marks the second.
-func isShortFill(err error) bool {
-	return errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, errCut)
-}
-
 var errCut = errors.New("cut short")
 
-// wholeBody marks an end that came before the body's announced length.
+// wholeBody marks an end that came before the body's announced length. It would come as io.ErrUnexpectedEOF, which is
+// also what ReadFull makes of a buffer that the end leaves half full.
 type wholeBody struct{ io.Reader }
 
 func (w wholeBody) Read(b []byte) (int, error) {
--- a/internal/proxy/parse.go
+++ b/internal/proxy/parse.go
@@ -134,7 +134,7 @@
 		}
 	}
 	c.meter.allow(maxBody + bufferSize) // and the framing of chunks
-	got, err := c.front.bufs.readBody(wholeBody{r.Body})
+	got, err := c.front.bufs.readBody(r.Body)
 	var ne net.Error
 	switch {
 	case errors.Is(err, errTooLarge):
--- a/internal/proxy/reply.go
+++ b/internal/proxy/reply.go
@@ -40,7 +40,7 @@
 func (c *hostConn) takeReply(r *http.Response) reply {
 	defer r.Body.Close()
 	c.meter.allow(maxBody + bufferSize)
-	b, err := c.up.hosts.bufs.readBody(wholeBody{r.Body})
+	b, err := c.up.hosts.bufs.readBody(r.Body)
 	if err != nil {
 		return reply{err: err}
 	}
