Each call to a host sets its own write deadline; a test no longer trusts a freed port

An attempt left its write deadline on a connection that is kept. A probe there after that time failed to write and took the connection for dead, and then the next idle one (attempt.go write). The deadline is set in transact now, for every call, from its context; attempt.until is gone, as the context holds it. TestProbeOnKeptConnection failed before: the probe came on a new connection.

TestRefusedConnection used a port it had freed, which the next listener could be given; it failed once for that.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -17,8 +17,7 @@
 	number  int
 	host    balancer.HostID
 	sent    float64 // on the owner's clock
-	until   time.Time
-	over    bool // its outcome has come; the owner's
+	over    bool    // its outcome has come; the owner's
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -39,18 +38,18 @@
 	defer a.writing.Unlock()
 }
 
-// write puts the request on a connection. It says whether the last byte has gone out.
+// write puts the request on a connection. It says whether any byte has gone out; without an error, all have.
 func (a *attempt) write(c net.Conn) (began bool, err error) {
 	a.writing.Lock()
 	defer a.writing.Unlock()
 	if err := a.ctx.Err(); err != nil {
 		return false, err
 	}
-	left := time.Until(a.until)
+	until, _ := a.ctx.Deadline()
+	left := time.Until(until)
 	if left <= 0 {
 		return false, context.DeadlineExceeded
 	}
-	c.SetWriteDeadline(a.until)
 	q := a.request
 	tail := fmt.Appendf(nil, "%s: %du\r\n\r\n", headerRemaining, left.Microseconds())
 	parts := q.body.parts(net.Buffers{q.head[:q.headed], tail})
@@ -93,6 +92,8 @@
 			c.close()
 		}
 	}()
+	until, _ := ctx.Deadline()
+	c.conn.SetWriteDeadline(until) // for every call: that of the call before may be over
 	began, err := write(c.conn)
 	if err != nil { // the last byte has not gone out, so the host has not begun it
 		c.close()
--- a/internal/proxy/attempt_test.go
+++ b/internal/proxy/attempt_test.go
@@ -183,10 +183,8 @@
 
 // TestRefusedConnection: nothing listens, so nothing has run; the request goes elsewhere or is refused.
 func TestRefusedConnection(t *testing.T) {
-	gone := newToy(t, func(net.Conn, *bufio.Reader) {})
-	gone.close()
 	h := newHost(t, says(ok))
-	l := newList(t, entry("h1", h.addr()), entry("h2", gone.addr()))
+	l := newList(t, entry("h1", h.addr()), entry("h2", nobody))
 	g := start(t, l.addr(), "null")
 	g.waitReady()
 	for n := range 20 {
@@ -194,7 +192,7 @@
 			t.Fatalf("answered %d", a.status)
 		}
 	}
-	l.set(entry("h2", gone.addr()))
+	l.set(entry("h2", nobody))
 	g.settled(l)
 	if a := g.raw(message("write", "x")); a.status != http.StatusServiceUnavailable {
 		t.Fatalf("with no host left: %d, want a refusal", a.status)
--- a/internal/proxy/discovery_test.go
+++ b/internal/proxy/discovery_test.go
@@ -155,9 +155,8 @@
 	if e := s.lists.next(t, "word of the failure"); e.kind != balancer.ListFailed {
 		t.Fatalf("event %+v", e)
 	}
-	quiet.close()
 	s2 := newScript()
-	start(t, quiet.addr(), listText(5, true, entry("h1", "127.0.0.1:1")), s2.decides)
+	start(t, nobody, listText(5, true, entry("h1", "127.0.0.1:1")), s2.decides)
 	s2.lists.next(t, "the cached list")
 	if e := s2.lists.next(t, "word of the failure"); e.kind != balancer.ListFailed {
 		t.Fatalf("event %+v", e)
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -23,6 +23,9 @@
 // patience bounds every wait of the tests; nothing that passes comes near it.
 const patience = 10 * time.Second
 
+// nobody is an address that refuses connections. One that a test has freed could be given to the next listener.
+const nobody = "127.0.0.1:1"
+
 const testSettings = `{"Balancers": 2, "Me": 0, "Zone": 0, "Dcs": ["a", "b"], "Discovery": "ask",
  "Classes": [
  {"Name": "read", "Effect": "repeatable", "AimS": 0.5, "DeadlineS": 1.5, "Credit": 1.0, "LateWorth": 0.5},
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -222,7 +222,7 @@
 	if timeout != 0 {
 		until = min(until, now+timeout)
 	}
-	a := &attempt{request: f.request, number: len(f.attempts), host: host, sent: now, until: o.clock.at(until)}
+	a := &attempt{request: f.request, number: len(f.attempts), host: host, sent: now}
 	f.attempts = append(f.attempts, a)
 	f.out++
 	up := o.hosts.find(host)
@@ -232,7 +232,7 @@
 	case up == nil:
 		o.local = append(o.local, outcome{attempt: a, result: balancer.ConnectFailed})
 	default:
-		a.ctx, a.cancel = context.WithDeadline(o.ctx, a.until)
+		a.ctx, a.cancel = context.WithDeadline(o.ctx, o.clock.at(until))
 		go func() { o.post(a.run(up)) }()
 	}
 }
--- a/internal/proxy/owner_test.go
+++ b/internal/proxy/owner_test.go
@@ -481,3 +481,23 @@
 		}
 	}
 }
+
+// TestProbeOnKeptConnection: the time of the call before does not hold for the next call on its connection.
+func TestProbeOnKeptConnection(t *testing.T) {
+	h := newHost(t, says(httpOK(`{"util":0.5}`)))
+	s := newScript()
+	s.request = sends("h1")
+	g := one(t, h, s.decides)
+	if a := g.raw(message("read", "", "X-Remaining: 300m")); a.status != http.StatusOK {
+		t.Fatalf("answered %d", a.status)
+	}
+	h.seen.next(t, "the request")
+	time.Sleep(350 * time.Millisecond) // its time is over
+	g.p.owner.post(inside(func(o *owner) { o.Probe(hostID("h1")) }))
+	if p := s.probes.next(t, "the result"); p.Result != balancer.OK {
+		t.Fatalf("result %+v", p)
+	}
+	if r := h.seen.next(t, "the probe"); !r.again {
+		t.Fatal("the probe took a new connection")
+	}
+}
