Clean-up after a last reading: one way to call off, to go idle and to close what is idle

No change in behaviour. callOff serves Cancel and the end of a request; setIdle serves the start of a connection too; an empty list closes idle connections at the end, in place of a function of its own; an unused parameter is gone and two comments that said something else than the code are right.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -32,6 +32,15 @@
 	return outcome{attempt: a, result: result, reply: r}
 }
 
+// callOff ends an attempt that is under way, and says whether it was. The owner calls it.
+func (a *attempt) callOff() bool {
+	if a.over || a.cancel == nil { // it has ended, or never went out
+		return false
+	}
+	a.cancel()
+	return true
+}
+
 // quiet returns when no byte of the attempt can go out any more. The attempt has been called off before.
 func (a *attempt) quiet() {
 	a.writing.Lock()
--- a/internal/proxy/buffer.go
+++ b/internal/proxy/buffer.go
@@ -119,3 +119,18 @@
 	}
 	return v
 }
+
+// fixedWriter fills a buffer and notes when it does not suffice.
+type fixedWriter struct {
+	buf  []byte
+	full bool
+}
+
+func (w *fixedWriter) Write(b []byte) (int, error) {
+	if len(w.buf)+len(b) > cap(w.buf) {
+		w.full = true
+		return 0, io.ErrShortWrite
+	}
+	w.buf = append(w.buf, b...)
+	return len(b), nil
+}
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -54,7 +54,7 @@
 	c.conn.SetReadDeadline(time.Now().Add(c.front.times.head))
 }
 
-// setIdle marks the end of one.
+// setIdle marks the end of one, or the start of the connection.
 func (c *client) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -73,11 +73,7 @@
 		c.conn.Close()
 		c.front.bufs.putReader(c.br)
 	}()
-	c.mu.Lock()
-	if !c.leaving {
-		c.conn.SetReadDeadline(c.idleSince.Add(c.front.times.idle))
-	}
-	c.mu.Unlock()
+	c.setIdle()
 	for c.await() == nil {
 		c.setBusy()
 		if !c.next() {
--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -101,10 +101,9 @@
 			err = d.call(conn, !d.held, wait)
 		}
 		silent := errors.Is(err, os.ErrDeadlineExceeded) && wait == d.wait
+		wait = d.wait
 		if silent {
 			d.failed(ctx, err)
-		}
-		if wait = d.wait; silent {
 			wait = shortWait
 		}
 		if conn.spent || err != nil {
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -193,8 +193,7 @@
 	}
 	f.answered = true
 	for _, at := range f.attempts {
-		if !at.over && at.cancel != nil {
-			at.cancel()
+		if at.callOff() {
 			a.stopped = append(a.stopped, at)
 		}
 	}
@@ -268,9 +267,7 @@
 	if f == nil || n < 0 || n >= len(f.attempts) {
 		return
 	}
-	if a := f.attempts[n]; a.cancel != nil && !a.over {
-		a.cancel()
-	}
+	f.attempts[n].callOff()
 }
 
 // Probe asks a host for its state.
--- a/internal/proxy/parse.go
+++ b/internal/proxy/parse.go
@@ -224,18 +224,3 @@
 	q.headed = len(w.buf)
 	return nil
 }
-
-// fixedWriter fills a buffer and notes when it does not suffice.
-type fixedWriter struct {
-	buf  []byte
-	full bool
-}
-
-func (w *fixedWriter) Write(b []byte) (int, error) {
-	if len(w.buf)+len(b) > cap(w.buf) {
-		w.full = true
-		return 0, io.ErrShortWrite
-	}
-	w.buf = append(w.buf, b...)
-	return len(b), nil
-}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -145,7 +145,7 @@
 	}
 	p.halt()
 	p.owner.post(stop{})
-	p.hosts.closeAll()
+	p.hosts.update(balancer.ListFull, catalog{}, p.owner.clock.now()) // no host is left: closes what is idle
 	p.parts.Wait()
 	return Stopped, nil
 }
--- a/internal/proxy/reply.go
+++ b/internal/proxy/reply.go
@@ -15,7 +15,7 @@
 	result   balancer.Result
 	status   int
 	kind     string
-	body     body // of an OK answer
+	body     body
 	report   []float32
 	reusable bool
 }
--- a/internal/proxy/timing.go
+++ b/internal/proxy/timing.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// timing holds the time limits that no setting gives.
+// timing holds the time limits towards clients and discovery that no setting gives.
 type timing struct {
 	idle   time.Duration // a client's connection without a request is closed after this
 	head   time.Duration // a request has to come whole within this after its first byte
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -52,13 +52,12 @@
 
 func newHosts(cfg *Config, c clock, bufs *pool) *hosts {
 	_, most := cfg.Limits.connections()
-	h := &hosts{
+	return &hosts{
 		bufs: bufs, clock: c, columns: cfg.Settings.Columns(), grace: cfg.Balancer.DrainGrace / 2,
 		connect: seconds(cmp.Or(cfg.Balancer.ConnectTimeout, defaultConnect)),
 		idle:    seconds(idleShare * cmp.Or(cfg.Settings.Limits.ConnIdleS, defaultConnIdle)),
 		slots:   make(chan struct{}, most), all: map[balancer.HostID]*upstream{},
 	}
-	return h
 }
 
 func (h *hosts) find(id balancer.HostID) *upstream {
@@ -87,7 +86,7 @@
 	}
 	for id, u := range h.all {
 		if !u.listed {
-			u.told("", balancer.Host{Status: balancer.Gone}, now)
+			u.told("", balancer.Host{Status: balancer.Gone}, now) // whoever still has it keeps no connection
 			delete(h.all, id)
 		}
 	}
@@ -280,7 +279,7 @@
 func (c *hostConn) readOne() bool {
 	c.meter.allow(maxHead)
 	_, err := c.br.Peek(1)
-	call := c.atHand(err)
+	call := c.atHand()
 	switch {
 	case call == nil:
 		c.up.forget(c)
@@ -301,7 +300,7 @@
 
 // atHand gives the call that something read belongs to. If there is none, the host has ended or broken an idle
 // connection, or it is time to retire it.
-func (c *hostConn) atHand(err error) *call {
+func (c *hostConn) atHand() *call {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.call == nil {
@@ -319,15 +318,3 @@
 		c.conn.Close()
 	}
 }
-
-// closeAll closes every idle connection at the end.
-func (h *hosts) closeAll() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, u := range h.all {
-		u.mu.Lock()
-		u.drained = 1 // nothing is kept from now on
-		u.closeIdle()
-		u.mu.Unlock()
-	}
-}
