SIGHUP reads the configuration again and goes to the discovery that it names

Now: Reload is an event of the object with the phases (reload.go), served by a part of its own, so it does no harm at any time, twice in a row or while draining. What has changed in the file goes before PROXY_DISCOVERY, which is still that of the start. At the new address the whole list is asked for at once and believed whatever its version, the watch goes on there, and the module is told of no failure: it goes on with the hosts it has. A file that cannot be read or makes no sense changes nothing and is logged, as is a change that has to wait for the next start. A log that nobody reads (SIGPIPE) no longer ends the program either.

--- a/cmd/beechwing/main.go
+++ b/cmd/beechwing/main.go
@@ -24,6 +24,9 @@
 func run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	hangups := make(chan os.Signal, 1) // from the first on: unheard, the signal would end the program
+	signal.Notify(hangups, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE) // so would a log that nobody reads any more
 	level := zapcore.InfoLevel
 	if text := os.Getenv("BEECHWING_LOG"); text != "" {
 		var err error
@@ -37,5 +40,11 @@
 	}
 	log, flush := proxy.NewLogger(os.Stderr, level)
 	defer flush()
-	return proxy.New(cfg, log).Run(ctx)
+	p := proxy.New(cfg, log)
+	go func() {
+		for range hangups {
+			p.Reload()
+		}
+	}()
+	return p.Run(ctx)
 }
--- a/cmd/beechwing/main_test.go
+++ b/cmd/beechwing/main_test.go
@@ -124,14 +124,14 @@
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	send := func() (net.Conn, *bufio.Reader) {
+	send := func(id string) (net.Conn, *bufio.Reader) {
 		t.Helper()
 		for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
 			c, err := net.Dial("tcp", addr)
 			if err == nil {
 				c.SetDeadline(time.Now().Add(patience))
-				fmt.Fprint(c, "POST /api HTTP/1.1\r\nHost: x\r\nX-Txn: t\r\nX-Lane: write\r\nX-Remaining: 8000m\r\n"+
-					"Content-Length: 1\r\n\r\nx")
+				fmt.Fprint(c, "POST /api HTTP/1.1\r\nHost: x\r\nX-Txn: "+id+"\r\nX-Lane: write\r\n"+
+					"X-Remaining: 8000m\r\nContent-Length: 1\r\n\r\nx")
 				return c, bufio.NewReader(c)
 			}
 			if time.Now().After(end) {
@@ -139,12 +139,12 @@
 			}
 		}
 	}
-	_, before := send()
+	_, before := send("a")
 	<-got
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
-	_, after := send() // new connections are taken for a while yet
+	_, after := send("b") // new connections are taken for a while yet
 	<-got
 	close(release)
 	for name, br := range map[string]*bufio.Reader{"before": before, "after": after} {
@@ -162,3 +162,92 @@
 		}
 	}
 }
+
+// TestHangup: at SIGHUP the program reads its file again and goes to the discovery that it names now, though
+// PROXY_DISCOVERY still names the old one. A broken file and a signal early on do no harm.
+func TestHangup(t *testing.T) {
+	calls := make(chan string, 64)
+	discovery := func(name string) string {
+		ln := listen(t)
+		go func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer c.Close()
+					for br := bufio.NewReader(c); ; {
+						r, err := http.ReadRequest(br)
+						if err != nil {
+							return
+						}
+						calls <- name
+						if r.URL.Query().Get("timeout_ms") > "1" {
+							br.Peek(1) // a watch with nothing to tell, until the proxy leaves
+							return
+						}
+						io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 38\r\n\r\n"+
+							"{\"version\":1,\"full\":true,\"servers\":[]}")
+					}
+				}()
+			}
+		}()
+		return ln.Addr().String()
+	}
+	wait := func(name string) {
+		t.Helper()
+		for end := time.After(patience); ; {
+			select {
+			case got := <-calls:
+				if got == name {
+					return
+				}
+			case <-end:
+				t.Fatalf("no call at the %s discovery", name)
+			}
+		}
+	}
+	place := listen(t)
+	addr := place.Addr().String()
+	place.Close()
+	before, after := discovery("old"), discovery("new")
+	path := configFile(t, addr, before)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	write := func(discovery string) {
+		t.Helper()
+		if err := os.WriteFile(path, bytes.ReplaceAll(text, []byte("127.0.0.1:1"), []byte(discovery)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(before)
+	cmd, log := program(t, "PROXY_CONFIG="+path, "PROXY_DISCOVERY="+before)
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	wait("old")
+	hangUp := func() {
+		t.Helper()
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := os.WriteFile(path, []byte("{"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	hangUp()
+	write(after)
+	hangUp()
+	hangUp()
+	wait("new")
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	hangUp()
+	if err := cmd.Wait(); err != nil {
+		t.Fatalf("it ended with %v; log: %s", err, log)
+	}
+}
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -26,6 +26,9 @@
 	Known                   catalog // the list as last held before a restart; it may be old
 	Settings                *settings.Settings
 	Balancer                balancer.Config
+
+	file   configFile // as it was read
+	reread func() (*Config, error)
 }
 
 // Limits is what the machine of a client proxy grants it. Zero means that nothing was said.
@@ -69,6 +72,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
+	c.reread = func() (*Config, error) { return LoadConfig(getenv) }
 	return c, nil
 }
 
@@ -80,7 +84,7 @@
 	if f.Settings == nil {
 		return nil, errors.New("no settings")
 	}
-	c := &Config{Limits: f.Limits}
+	c := &Config{Limits: f.Limits, file: f}
 	c.Name = cmp.Or(getenv("PROXY_NAME"), f.Name)
 	c.Listen = cmp.Or(getenv("PROXY_LISTEN"), f.Listen)
 	c.Discovery = cmp.Or(getenv("PROXY_DISCOVERY"), f.Discovery)
--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -28,7 +29,10 @@
 
 // discovery follows the list. The module says when to watch; a watch goes on until a call fails.
 type discovery struct {
-	addr    string
+	mu    sync.Mutex
+	addr  string
+	leave context.CancelFunc // ends the calls to addr; nil: none have begun
+
 	bufs    *pool
 	zones   []string
 	times   timing
@@ -62,12 +66,43 @@
 	}
 }
 
+// move makes discovery another service, at addr. That is no failure, so the module is not told: the hosts it knows stay
+// until the new service lists others, and the watch goes on there.
+func (d *discovery) move(addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.addr = addr
+	if d.leave != nil {
+		d.leave()
+	}
+}
+
 // run serves calls for the list until ctx ends.
 func (d *discovery) run(ctx context.Context) {
-	for {
+	d.serve(d.settle(ctx))
+	for ctx.Err() == nil { // it has moved
+		d.held = false // the new service may number its versions anew
+		ask(d.watch)
+		d.serve(d.settle(ctx))
+	}
+}
+
+// settle begins the calls to the address at hand.
+func (d *discovery) settle(ctx context.Context) context.Context {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.leave != nil {
+		d.leave()
+	}
+	ctx, d.leave = context.WithCancel(ctx)
+	return ctx
+}
+
+// serve makes the calls that are asked for until ctx ends.
+func (d *discovery) serve(ctx context.Context) {
+	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
-			return
 		case <-d.watch:
 			d.follow(ctx)
 		case <-d.fetch:
@@ -76,6 +111,13 @@
 	}
 }
 
+// place is where discovery is now.
+func (d *discovery) place() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.addr
+}
+
 // once fetches the whole list on a connection of its own.
 func (d *discovery) once(ctx context.Context) {
 	conn, err := d.dial(ctx)
@@ -138,7 +180,7 @@
 	if wait > shortWait {
 		within = wait + d.times.watch
 	}
-	text, err := conn.get(d.addr, path, within)
+	text, err := conn.get(d.place(), path, within)
 	if err != nil {
 		return err
 	}
@@ -173,7 +215,7 @@
 
 func (d *discovery) dial(ctx context.Context) (*listConn, error) {
 	dialer := net.Dialer{Timeout: discoveryDialTimeout, KeepAlive: -1}
-	nc, err := dialer.DialContext(ctx, "tcp", d.addr)
+	nc, err := dialer.DialContext(ctx, "tcp", d.place())
 	if err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -44,18 +44,21 @@
 	phase  Phase
 	steps  map[Phase]func(context.Context) (Phase, error)
 
+	reloads chan struct{} // asks for the configuration to be read again
+
 	told  time.Time // when it was told to end
 	bufs  *pool
 	hosts *hosts
 	owner *owner
 	front *front
 	parts sync.WaitGroup
-	halt  context.CancelFunc // ends attempts and the watch
+	halt  context.CancelFunc // ends attempts, the watch and reloads
 }
 
 // New makes a client proxy; Run runs it.
 func New(cfg *Config, log *zap.Logger) *Proxy {
-	p := &Proxy{cfg: cfg, log: log, times: defaultTiming(), listen: net.Listen}
+	p := &Proxy{cfg: cfg, log: log, times: defaultTiming(), listen: net.Listen,
+		reloads: make(chan struct{}, 1)}
 	p.decide = func(now float64, cfg balancer.Config, act balancer.Actions) balancer.Handler {
 		return balancer.New(now, cfg, act)
 	}
@@ -95,6 +98,7 @@
 		p.log)
 	p.parts.Go(func() { p.owner.run(p.decide, p.cfg.Known) })
 	p.parts.Go(func() { p.owner.list.run(run) })
+	p.parts.Go(func() { p.reload(run) })
 	p.log.Info("listening", zap.String("name", p.cfg.Name), zap.Stringer("addr", ln.Addr()))
 	return Serving, nil
 }
--- /dev/null
+++ b/internal/proxy/reload.go
@@ -0,0 +1,67 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+
+	"go.uber.org/zap"
+)
+
+// Reload asks for the configuration to be read again. It may be called at any time and never blocks; several calls that
+// come together are one.
+func (p *Proxy) Reload() { ask(p.reloads) }
+
+// reload serves Reload until ctx ends.
+func (p *Proxy) reload(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.reloads:
+			if err := p.adopt(); err != nil {
+				p.log.Error("configuration not read again, the old one stays", zap.Error(err))
+			}
+		}
+	}
+}
+
+// adopt takes over what a new configuration may change in a running proxy: the address of discovery. PROXY_DISCOVERY is
+// still that of the start, so what has changed in the file goes before it; what has not changed there changes nothing.
+func (p *Proxy) adopt() error {
+	if p.cfg.reread == nil {
+		return errors.New("it was not read from a file")
+	}
+	c, err := p.cfg.reread()
+	if err != nil {
+		return err
+	}
+	was, is := p.cfg.file, c.file
+	if is.Discovery != was.Discovery {
+		if _, _, err := net.SplitHostPort(is.Discovery); err != nil {
+			return err
+		}
+		p.log.Info("discovery has moved", zap.String("from", was.Discovery), zap.String("to", is.Discovery))
+		p.owner.list.move(is.Discovery)
+	} else {
+		p.log.Info("configuration read again, discovery is where it was")
+	}
+	for name, same := range map[string]bool{
+		"name": is.Name == was.Name, "listen": is.Listen == was.Listen, "limits": is.Limits == was.Limits,
+		"settings": sameJSON(is.Settings, was.Settings),
+	} {
+		if !same {
+			p.log.Warn("a change that waits for the next start", zap.String("of", name))
+		}
+	}
+	p.cfg.file = is
+	return nil
+}
+
+// sameJSON compares two texts that have been read as JSON, but for white space.
+func sameJSON(a, b []byte) bool {
+	var x, y bytes.Buffer
+	return json.Compact(&x, a) == nil && json.Compact(&y, b) == nil && bytes.Equal(x.Bytes(), y.Bytes())
+}
