--- a/internal/proxy/client_test.go
+++ b/internal/proxy/client_test.go
@@ -201,17 +201,13 @@
 // TestOpenID: a request with the id of one that is open is turned down before the module sees it; the first goes on, and
 // once it is answered its id is free again.
 func TestOpenID(t *testing.T) {
-	release := make(chan struct{})
+	release := newGate()
+	defer release.open()
 	h := newHost(t, func(c net.Conn, r seenRequest) bool {
-		<-release
+		<-release.opened
 		return says(ok)(c, r)
 	})
 	g := one(t, h)
-	defer func() {
-		if t.Failed() {
-			close(release)
-		}
-	}()
 	first := g.dial()
 	io.WriteString(first, message("read", "", "X-Txn: a"))
 	h.seen.next(t, "the first request")
@@ -221,7 +217,7 @@
 		}
 	}
 	h.seen.none(t, "the same id was sent on")
-	close(release)
+	release.open()
 	if a := hear(t, bufio.NewReader(first)); a.status != http.StatusOK {
 		t.Fatalf("the first got %d", a.status)
 	}
@@ -250,9 +246,10 @@
 
 // TestTooManyClients: over the bound an idle connection makes room; if none is idle, the new one gets a plain failure.
 func TestTooManyClients(t *testing.T) {
-	release := make(chan struct{})
+	release := newGate()
+	defer release.open()
 	h := newHost(t, func(c net.Conn, r seenRequest) bool {
-		<-release
+		<-release.opened
 		return says(ok)(c, r)
 	})
 	g := one(t, h, func(p *Proxy) { p.cfg.Limits.Sockets = spareSockets + shedReserve + 4 }) // two clients
@@ -269,7 +266,7 @@
 		t.Errorf("the one over the bound got %d", a.status)
 	}
 	h.seen.none(t, "it was sent")
-	close(release)
+	release.open()
 	for _, c := range busy {
 		if a := hear(t, bufio.NewReader(c)); a.status != http.StatusOK {
 			t.Errorf("a busy one got %d", a.status)
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -170,6 +170,16 @@
 	}
 }
 
+// gate holds hosts back until it is opened. Tests defer that too: one that fails must not leave a host waiting.
+type gate struct {
+	opened chan struct{}
+	once   sync.Once
+}
+
+func newGate() *gate { return &gate{opened: make(chan struct{})} }
+
+func (g *gate) open() { g.once.Do(func() { close(g.opened) }) }
+
 // resets ends a connection with a reset.
 func resets(c net.Conn) {
 	c.(*net.TCPConn).SetLinger(0)
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -15,9 +15,10 @@
 // TestDrainPhases: told to end, a proxy answers what is out and what still comes, closes each connection with its
 // answer, and ends.
 func TestDrainPhases(t *testing.T) {
-	release := make(chan struct{})
+	release := newGate()
+	defer release.open()
 	h := newHost(t, func(c net.Conn, r seenRequest) bool {
-		<-release
+		<-release.opened
 		return says(ok)(c, r)
 	})
 	g := one(t, h, func(p *Proxy) { p.times.drain = 1500 * time.Millisecond })
@@ -35,7 +36,7 @@
 	after := g.dial() // new connections are still taken
 	io.WriteString(after, long())
 	h.seen.next(t, "the request that came after")
-	close(release)
+	release.open()
 	for name, c := range map[string]net.Conn{"busy": busy, "after": after} {
 		if a := hear(t, bufio.NewReader(c)); a.status != http.StatusOK || !a.last {
 			t.Errorf("%s: %d, last %v", name, a.status, a.last)
--- a/internal/proxy/reload_test.go
+++ b/internal/proxy/reload_test.go
@@ -137,7 +137,8 @@
 
 // TestReloadAnyTime: before the start, many times at once, while draining and after the end a call does no harm.
 func TestReloadAnyTime(t *testing.T) {
-	release := make(chan struct{})
+	release := newGate()
+	defer release.open()
 	h := newHost(t, says(ok))
 	l := newList(t, entry("h1", h.addr()))
 	_, f := reloads()
@@ -145,7 +146,7 @@
 		p.Reload()
 		steps := p.steps[Draining]
 		p.steps[Draining] = func(ctx context.Context) (Phase, error) {
-			<-release
+			<-release.opened
 			return steps(ctx)
 		}
 	})
@@ -158,7 +159,7 @@
 	}
 	g.tell()
 	g.p.Reload()
-	close(release)
+	release.open()
 	g.stop()
 	g.p.Reload()
 }
