Broken answers have a share of their own in a host's ejection: five in a row eject, not two

Refused: 16 to 22 % of the requests of most windows, for want of hosts.

At fault: weigh and judge of the module (one failure share, weight 0.25, ejected at 0.4). With 8 % two in a row come every 150 answers, and an ejection lasts four longest aims.

Now: resets and spoilt answers have a share of their own with weight 0.1 both ways, so a host that breaks half of its answers is still out after some 15, one that breaks them all after five. What counted in full before (errors, refused or failed connections, silence) does so still.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -44,7 +44,7 @@
 	tellShare              = 0.3
 	tellSaved, fullMessage = 100.0, 256.0 // messages saved up at the most, bytes in one
 
-	judgeStep, spoiltStep, ejectAt = 0.25, 0.1, 0.4 // weights in a failure share; 2 failures, 5 spoilt eject
+	ejectAt = 0.4 // share of failures
 
 	lateDoubt = 3.0 // with 1/lateDoubt of all attempts late, lateness says nothing about a single host
 
@@ -77,6 +77,13 @@
 	watchSoonest, watchSpread = 0.1, 0.4 // when to ask again after a failure, as parts of that
 )
 
+// The kinds of failure of which a host has a share: no answer, and one that broke off or cannot be read.
+const failed, broken = 0, 1
+
+// judgeStep is the weight of one outcome in those shares: two failures in a row eject, or five broken
+// answers. Where connections break under any host now and then, two together are no sign of sickness.
+var judgeStep = [2]float64{0.25, 0.1}
+
 // Timer tokens hold a purpose, an attempt and a request id, which is below 2^52.
 const (
 	timerMark uint64 = iota
@@ -91,9 +98,9 @@
 // host is what this balancer knows of one server.
 type host struct {
 	Host
-	heard              bool    // had an outcome since its start: counted
-	fail               float64 // recent failure share
-	until              float64 // ejected until then
+	heard              bool       // had an outcome since its start: counted
+	fail               [2]float64 // recent shares of failures, and of broken or spoilt answers
+	until              float64    // ejected until then
 	inflight           int
 	weight             float64 // size relative to the mean of the list
 	zoneRank           float64 // rendezvous weight for this balancer's zone
@@ -150,7 +157,6 @@
 	zones        map[int]*zone
 	set          []ranked // of the pick at hand
 	ops          map[RequestID]*op
-	free         []*op
 	longest      float64    // longest aim
 	mean         float64    // in flight from here to a host of mean size
 	thin         bool       // too little in flight for limits to tell of load
@@ -264,7 +270,7 @@
 		b.index[e.ID] = h
 		b.hosts = append(b.hosts, h)
 	} else if e.Status == Ready && e.Started != 0 && e.Started != h.Started {
-		h.heard, h.fail, h.until = false, 0, b.now
+		h.heard, h.fail, h.until = false, [2]float64{}, b.now
 	}
 	h.Host = e
 	if b.zones[h.Zone] == nil {
@@ -331,13 +337,6 @@
 }
 
 func (b *Balancer) newOp(r Request) *op {
-	if len(b.free) == 0 {
-		b.free = append(b.free, &op{})
-	}
-	n := len(b.free) - 1
-	o := b.free[n]
-	b.free = b.free[:n]
-	*o = op{attempts: o.attempts[:0]}
 	if r.Class < 0 || r.Class >= len(b.cfg.Classes) {
 		r.Class = 0
 	}
@@ -345,7 +344,7 @@
 		b.random()
 		r.Key = mix(b.rng)
 	}
-	o.Request, o.class = r, &b.cfg.Classes[r.Class]
+	o := &op{Request: r, class: &b.cfg.Classes[r.Class]}
 	o.work = r.Work
 	if o.work <= 0 {
 		o.work = b.classWork[r.Class]
@@ -506,7 +505,6 @@
 func (b *Balancer) drop(o *op) {
 	if o.done && o.out == 0 {
 		delete(b.ops, o.ID)
-		b.free = append(b.free, o)
 	}
 }
 
@@ -779,7 +777,8 @@
 		}
 		h.answered = b.now
 		b.sense(h, r.Took/(markShare*max(leastAim, o.class.Aim)), r.Report)
-		b.judge(h, 0, judgeStep)
+		b.judge(h, failed, 0)
+		b.judge(h, broken, 0)
 	case TurnedAway: // proves load, not sickness
 		h.heard = true
 		b.feel(h, 1)
@@ -788,10 +787,10 @@
 		if !a.late {
 			b.markLate(a)
 		}
-	case Errored, ConnectFailed, Reset:
-		b.judge(h, 1, judgeStep)
-	case Spoilt: // from a host at work; where any gives some, two together are no sign of sickness
-		b.judge(h, 1, spoiltStep)
+	case Errored, ConnectFailed:
+		b.judge(h, failed, 1)
+	case Reset, Spoilt: // it was there to take the request
+		b.judge(h, broken, 1)
 	}
 }
 
@@ -811,20 +810,20 @@
 	a.late = true
 	b.cut(a)
 	if a.h.answered < a.at {
-		b.judge(a.h, b.lateWeight(), judgeStep)
+		b.judge(a.h, failed, b.lateWeight())
 	}
 	drift(&b.late, 1)
 }
 
-// judge is outlier ejection: bad is 1 for a failure, 0 for a good answer.
-func (b *Balancer) judge(h *host, bad, step float64) {
+// judge is outlier ejection: bad is 1 for a failure of a kind, 0 for a good answer.
+func (b *Balancer) judge(h *host, kind int, bad float64) {
 	h.heard = true
-	if bad > h.fail || bad == 0 {
-		h.fail += step * (bad - h.fail)
+	if bad > h.fail[kind] || bad == 0 {
+		h.fail[kind] += judgeStep[kind] * (bad - h.fail[kind])
 	}
-	if bad > 0 && h.fail >= ejectAt && h.until <= b.now {
+	if bad > 0 && h.fail[kind] >= ejectAt && h.until <= b.now {
 		h.until = b.now + ejectAims*b.longest
-		b.say("ejected %x until %.1f, failure share %.2f", h.ID, h.until, h.fail)
+		b.say("ejected %x until %.1f, failure shares %.2f", h.ID, h.until, h.fail)
 	}
 }
 
