An attempt that later ones on its host overtake is given up for lost

A probe that logged every attempt: 268 of 6,702 timed out, 180 of them overtaken by three or more that went to the same host later and were answered.

At fault: markLate cut the host's limit for every attempt past its mark, and Outcome kept its place until the client's time was over, so that at 4 % the limits were at 1 and one swallowed attempt shut a host out for up to 3.4 s.

Ruled out: ejections (4 in 23 s), overload (the other proxy used the same hosts), broken connections (3), the release (it begins 3 s after the refusals).

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -106,6 +106,7 @@
 	zoneRank           float64 // rendezvous weight for this balancer's zone
 	side               int     // 0: in this balancer's zone, 1: in another
 	answered           float64 // clock of its last answer
+	newest             float64 // when the newest of the attempts that it answered went out
 	zone               *zone
 	admit              float64 // share of requests that may come here, by load seen here and by peers
 	took, did          float64 // mean time of answers to work with a hint, and mean of that work
@@ -130,6 +131,7 @@
 	h                   *host
 	at                  float64
 	out, late, neverRan bool // late: passed its mark
+	place               int  // in its host's limit: 0 once it is given up for lost
 }
 
 // op is one request being worked on.
@@ -265,7 +267,7 @@
 func (b *Balancer) learn(e Host) {
 	h := b.index[e.ID]
 	if h == nil {
-		h = &host{window: -1, until: b.now, cutAt: b.now, answered: math.Inf(-1),
+		h = &host{window: -1, until: b.now, cutAt: b.now, answered: math.Inf(-1), newest: math.Inf(-1),
 			admit: 1, admitTold: 1, admitAt: b.now}
 		b.index[e.ID] = h
 		b.hosts = append(b.hosts, h)
@@ -687,7 +689,7 @@
 	if len(o.attempts) == 0 {
 		drift(&b.strain[o.Class], 0)
 	}
-	o.attempts = append(o.attempts, attempt{h: h, at: b.now, out: true})
+	o.attempts = append(o.attempts, attempt{h: h, at: b.now, out: true, place: 1})
 	o.out++
 	h.inflight++
 	b.act.Send(o.ID, h.ID, timeout)
@@ -719,7 +721,7 @@
 	a := &o.attempts[r.Attempt]
 	a.out, a.neverRan = false, r.Result.NeverRan()
 	o.out--
-	a.h.inflight--
+	a.h.inflight, a.place = a.h.inflight-a.place, 0
 	b.weigh(o, a, r)
 	switch {
 	case o.done:
@@ -775,7 +777,7 @@
 			drift(&h.took, r.Took)
 			drift(&h.did, o.Work)
 		}
-		h.answered = b.now
+		h.answered, h.newest = b.now, max(h.newest, a.at)
 		b.sense(h, r.Took/(markShare*max(leastAim, o.class.Aim)), r.Report)
 		b.judge(h, failed, 0)
 		b.judge(h, broken, 0)
@@ -794,13 +796,6 @@
 	}
 }
 
-// cut lowers a host's limit, once for all attempts that were out together.
-func (b *Balancer) cut(a *attempt) {
-	if a.at >= a.h.cutAt {
-		a.h.window, a.h.cutAt = max(1, a.h.window*windowCut), b.now
-	}
-}
-
 // lateWeight is what lateness says about a single host: the less, the more attempts are late everywhere.
 func (b *Balancer) lateWeight() float64 { return max(0, 1-lateDoubt*b.late) }
 
@@ -808,7 +803,13 @@
 // the attempt went out may have hung: it need not take whole deadlines to find that out.
 func (b *Balancer) markLate(a *attempt) {
 	a.late = true
-	b.cut(a)
+	if 2*a.h.newest > a.at+b.now { // lost: what went out in the later half of its wait has been answered
+		a.h.inflight, a.place = a.h.inflight-a.place, 0
+		return
+	}
+	if a.at >= a.h.cutAt { // once for all attempts that were out together
+		a.h.window, a.h.cutAt = max(1, a.h.window*windowCut), b.now
+	}
 	if a.h.answered < a.at {
 		b.judge(a.h, failed, b.lateWeight())
 	}
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -410,6 +410,31 @@
 	}
 }
 
+// TestOvertaken guards against a swallowed attempt shutting its host out: once what went out well after it has been
+// answered, it neither cuts the host's limit nor holds a place in it. Without such an answer it does both.
+func TestOvertaken(t *testing.T) {
+	for _, overtaken := range []bool{false, true} {
+		b, r := start(testConfig(), fleet(1))
+		h := b.hosts[0]
+		h.window = 8
+		r.ask(b, 1, 1, 7)
+		mark := r.now + markShare*2
+		if overtaken {
+			r.advance(b, mark-0.2)
+			r.end(b, 2, 0, r.ask(b, 2, 1, 8), OK)
+		}
+		r.advance(b, mark+0.01)
+		cut, out := h.window < 8, h.inflight
+		if cut == overtaken || out == 1 == overtaken {
+			t.Errorf("overtaken %v: window %v, %d in flight", overtaken, h.window, out)
+		}
+		r.end(b, 1, 0, h.ID, TimedOut)
+		if h.inflight != 0 {
+			t.Errorf("overtaken %v: %d in flight after its end", overtaken, h.inflight)
+		}
+	}
+}
+
 // TestAdmittedShare guards against all proxies crowding a host that each of them hardly meets: its reports, and
 // peers' words, lower the share that it gets, and it gets it back.
 func TestAdmittedShare(t *testing.T) {
