--- a/internal/proxy/upstream_test.go
+++ b/internal/proxy/upstream_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -93,3 +94,32 @@
 		t.Fatalf("it ended with %v", err)
 	}
 }
+
+// TestReplacedHosts: thousands of hosts that come under new ids, at addresses of those that have gone, and thousands of
+// clients that ask once leave nothing behind: no host, id, flight or connection beyond those of the last.
+func TestReplacedHosts(t *testing.T) {
+	h := newHost(t, says(ok))
+	l := newList(t, entry("h1", h.addr()))
+	s := newScript()
+	s.request = sends("h1")
+	g := start(t, l.addr(), "null", s.decides)
+	g.waitReady()
+	for n := range 3000 {
+		list := catalog{full: true, hosts: []balancer.Host{{ID: hostID("h1"), Status: balancer.Ready},
+			{ID: balancer.HostID(n), Status: balancer.Ready}}, addrs: []string{h.addr(), h.addr()}}
+		g.p.hosts.update(balancer.ListFull, list, float64(n))
+		if n%10 == 0 {
+			if a := g.raw(message("read", "")); a.status != http.StatusOK {
+				t.Fatalf("request %d got %d", n, a.status)
+			}
+		}
+	}
+	sizes := make(watched[[3]int], 1)
+	g.p.owner.post(inside(func(o *owner) { sizes <- [3]int{len(o.hosts.all), len(o.flights), len(o.open)} }))
+	if got := sizes.next(t, "the sizes"); got != [3]int{2, 0, 0} {
+		t.Errorf("hosts, flights and ids left: %v", got)
+	}
+	if n := len(g.p.hosts.slots); n > 1 {
+		t.Errorf("%d connections to hosts", n)
+	}
+}
