Idle connections that their caller passes over give way, by reuse distance

Change: internal/places, a book of who holds a place, without I/O. For each distance (connections that the caller has opened and used since one became idle, in powers of two) it counts how many idle ones came that far and how many of them were used there, and lets those go whose chance of another use is under 5%, rising with occupancy. One in eight is kept on trial, so that a wrong judgement is found. It also ranks who gives way when places run out, and shortens idle times as occupancy rises.

--- a/internal/proxy/accept.go
+++ b/internal/proxy/accept.go
@@ -3,16 +3,22 @@
 import (
 	"errors"
 	"net"
+	"net/netip"
 	"os"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
+
+	"beechwing/internal/places"
 )
 
-const acceptPause = 5 * time.Millisecond // after a failed accept: out of descriptors it would fail at once again
+const (
+	acceptPause = 5 * time.Millisecond // after a failed accept: out of descriptors it would fail at once again
+	reapMost    = 1 << 20
+)
 
-// front takes connections of clients and keeps count of them.
+// front takes connections of clients. Which of them keep their places its book decides.
 type front struct {
 	ln    net.Listener
 	log   *zap.Logger
@@ -20,20 +26,20 @@
 	bufs  *pool
 	names *names
 	times timing
-	most  int           // connections served
+	since time.Time     // the book's zero
 	slots chan struct{} // connections served, and the few over that are turned down with an answer
 
 	closed chan struct{} // with the listener, for an accept that waits for a place
 
-	wg       sync.WaitGroup
-	mu       sync.Mutex
-	clients  map[*client]struct{}
-	draining bool // answers close their connection
+	wg   sync.WaitGroup
+	mu   sync.Mutex
+	book *places.Book
 }
 
 func newFront(ln net.Listener, most int, o *owner, bufs *pool, n *names, t timing, log *zap.Logger) *front {
-	return &front{ln: ln, log: log, owner: o, bufs: bufs, names: n, times: t, most: most,
-		slots: make(chan struct{}, most+shedReserve), closed: make(chan struct{}), clients: map[*client]struct{}{}}
+	return &front{ln: ln, log: log, owner: o, bufs: bufs, names: n, times: t, since: time.Now(),
+		slots: make(chan struct{}, most+shedReserve), closed: make(chan struct{}),
+		book: places.New(places.Config{Most: most, Fresh: t.fresh, Late: t.late, Idle: t.idle, IdleLeast: t.idleLeast})}
 }
 
 // accept takes connections until the listener closes or its deadline passes. When all places are taken, those that
@@ -62,58 +68,47 @@
 // admit starts to serve a connection. Over the bound another makes room; without any, the new one gets a plain failure
 // for its first request.
 func (f *front) admit(c net.Conn) {
-	f.mu.Lock()
-	over := len(f.clients) >= f.most && !f.makeRoom()
-	cl := &client{front: f, conn: c, over: over, use: fresh, since: time.Now()}
+	cl := &client{front: f, conn: c, accepted: time.Now()}
 	cl.meter.r = cl
-	f.clients[cl] = struct{}{}
-	f.mu.Unlock()
+	f.seat(func(now time.Duration) {
+		c.SetReadDeadline(cl.accepted.Add(f.times.fresh))
+		f.book.Enter(now, origin(c), &cl.seat, cl)
+	})
 	f.wg.Go(func() {
 		cl.serve()
-		f.mu.Lock()
-		delete(f.clients, cl)
-		f.mu.Unlock()
+		f.seat(func(time.Duration) { f.book.Leave(&cl.seat) })
 		<-f.slots
 	})
 }
 
-// makeRoom ends the connection that is missed least: what only waits for its end, then what has brought no request,
-// whole or at all, then what is idle, and of equals the one that is so for longest. A request that is being worked on, or
-// a further one that is coming, is never cut off. f.mu is held.
-func (f *front) makeRoom() bool {
-	var least *client
-	var at use
-	var first time.Time
-	for cl := range f.clients {
-		u, since := cl.place()
-		if u > idle || u == started && time.Since(since) < f.times.late {
-			continue
-		}
-		if least == nil || u < at || u == at && since.Before(first) {
-			least, at, first = cl, u, since
-		}
+// origin is the address that a connection comes from.
+func origin(c net.Conn) netip.Addr {
+	if a, ok := c.RemoteAddr().(*net.TCPAddr); ok {
+		return a.AddrPort().Addr()
 	}
-	if least != nil {
-		least.giveWay()
-	}
-	return least != nil
+	return netip.Addr{}
 }
 
-// drain makes every answer from now on the last of its connection, and ends those that are idle. It is called again
-// when nothing new can come any more.
-func (f *front) drain() {
+// seat tells the book something, and ends the connections that it then names.
+func (f *front) seat(tell func(now time.Duration)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.draining = true
-	for cl := range f.clients {
-		cl.leave()
+	now := time.Since(f.since)
+	tell(now)
+	for _, s := range f.book.Reap(now, reapMost) {
+		s.Holder().(*client).giveWay()
 	}
 }
 
-func (f *front) isDraining() bool {
+// drain makes every answer from now on the last of its connection, and ends those that are idle. It is called again
+// when nothing new can come any more.
+func (f *front) drain() { f.seat(f.book.Drain) }
+
+// figures is what the book says of now.
+func (f *front) figures() places.Figures {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.draining
+	return f.book.Figures()
 }
 
 // close ends accepting.
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -34,7 +34,7 @@
 		c.finish(&a)
 		return false
 	}
-	a.last = last || c.front.isDraining()
+	a.last = last || c.last()
 	if c.write(&a) != nil {
 		return false
 	}
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -6,10 +6,11 @@
 	"net"
 	"net/http"
 	"os"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
+
+	"beechwing/internal/places"
 )
 
 const lingerMost = 256 << 10 // bytes of a malformed request's rest that are taken and thrown away
@@ -17,60 +18,19 @@
 // client is one connection of a client. Its goroutine reads requests and, while one is being worked on, watches for
 // the client's leaving; respond writes the answer.
 type client struct {
-	front *front
-	conn  net.Conn
-	meter meter
-	br    *bufio.Reader
-	over  bool // beyond the bound of connections
-
-	mu      sync.Mutex
-	use     use
-	leaving bool      // it is to end as soon as it is idle
-	since   time.Time // when it came to its present use
-	served  bool      // it has brought a whole request
-	graced  bool      // the request at hand was read past its time
-}
-
-// use is what a client's connection is at. The order is that in which connections give way to new ones.
-type use int
-
-const (
-	lingering use = iota // has its last answer
-	fresh                // has brought nothing yet
-	started              // its first request has begun to come
-	idle                 // between two requests
-	reading              // a further request has begun to come
-	taken                // a request is being worked on
-	leaving              // about to end
-)
-
-// place says what the connection is at, and since when.
-func (c *client) place() (use, time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.leaving {
-		return leaving, c.since
-	}
-	return c.use, c.since
+	front    *front
+	conn     net.Conn
+	accepted time.Time
+	meter    meter
+	br       *bufio.Reader
+	served   bool        // it has brought a whole request
+	graced   bool        // the request at hand was read past its time
+	seat     places.Seat // guarded by front.mu
 }
 
-// leave ends the connection as soon as no request is on its way or worked on.
-func (c *client) leave() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.leaving = true
-	if c.use <= idle && c.use != started {
-		c.conn.SetReadDeadline(time.Now())
-	}
-}
-
-// giveWay ends a connection whose place is wanted, but for a request that is whole in its socket already.
-func (c *client) giveWay() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.leaving = true
-	c.conn.SetReadDeadline(time.Now())
-}
+// giveWay ends a connection whose place is wanted, but for a request that is whole in its socket already. front.mu is
+// held, so that no change of the connection's use can move the deadline.
+func (c *client) giveWay() { c.conn.SetReadDeadline(time.Now()) }
 
 // Read reads off the connection. A deadline that has passed says nothing about bytes that have come: once for each
 // request, what is there counts.
@@ -87,36 +47,50 @@
 	return c.conn.Read(b)
 }
 
-// set marks a change of the connection's use. within bounds what is to be read in it.
-func (c *client) set(u use, within time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.use, c.since = u, time.Now()
-	if c.leaving && u == idle {
-		within = 0
-	}
-	c.conn.SetReadDeadline(c.since.Add(within))
+// mark tells the book what the connection is at. within bounds what is to be read in it.
+func (c *client) mark(tell func(now time.Duration, s *places.Seat), within time.Duration) {
+	c.front.seat(func(now time.Duration) {
+		var until time.Time
+		if within > 0 {
+			until = time.Now().Add(within)
+		}
+		c.conn.SetReadDeadline(until)
+		tell(now, &c.seat)
+	})
 }
 
 // setReading marks the first byte of a request. The limit of a connection's first one runs since it was accepted.
 func (c *client) setReading() {
-	if c.served {
-		c.set(reading, c.front.times.head)
-	} else {
-		c.set(started, max(c.front.times.late, time.Until(c.since.Add(c.front.times.fresh))))
+	t := &c.front.times
+	within := t.head
+	if !c.served {
+		within = max(t.late, time.Until(c.accepted.Add(t.fresh)))
 	}
+	c.mark(c.front.book.Begin, within)
 }
 
 // setTaken marks a request that has come whole: from here on only its own time bounds it.
 func (c *client) setTaken() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.use, c.since, c.served, c.graced = taken, time.Now(), true, false
-	c.conn.SetReadDeadline(time.Time{})
+	c.served, c.graced = true, false
+	c.mark(c.front.book.Work, 0)
 }
 
-// setIdle marks the end of a request.
-func (c *client) setIdle() { c.set(idle, c.front.times.idle) }
+// setIdle marks the end of a request. The book may end the connection at once.
+func (c *client) setIdle() { c.mark(c.front.book.Rest, c.front.times.idle) }
+
+// last says whether the connection ends with the request at hand.
+func (c *client) last() bool {
+	c.front.mu.Lock()
+	defer c.front.mu.Unlock()
+	return c.front.book.Last(&c.seat)
+}
+
+// over says whether the connection is beyond the bound.
+func (c *client) over() bool {
+	c.front.mu.Lock()
+	defer c.front.mu.Unlock()
+	return c.seat.Kind() == places.Over
+}
 
 // serve reads requests until the connection ends.
 func (c *client) serve() {
@@ -125,7 +99,6 @@
 		c.conn.Close()
 		c.front.bufs.putReader(c.br)
 	}()
-	c.set(fresh, c.front.times.fresh)
 	for c.await() == nil {
 		c.setReading()
 		if !c.next() {
@@ -152,7 +125,7 @@
 		return c.health(r)
 	}
 	q, bad := c.parse(r)
-	if bad == nil && c.over {
+	if bad == nil && c.over() {
 		c.front.bufs.freeRequest(q)
 		bad = &badRequest{http.StatusInternalServerError, "too many connections"}
 	}
@@ -209,8 +182,8 @@
 	if !c.front.owner.ready.Load() {
 		a.status = http.StatusInternalServerError // not 503, which would be a refusal
 	}
-	a.last = r.Close || c.front.isDraining()
-	c.served = true
+	c.setTaken()
+	a.last = r.Close || c.last()
 	if err := c.write(&a); err != nil {
 		return false
 	}
@@ -244,7 +217,7 @@
 // linger takes what the client still sends for a moment: closing at once would reset the connection and with it the
 // answer.
 func (c *client) linger() {
-	c.set(lingering, c.front.times.linger)
+	c.mark(c.front.book.Linger, c.front.times.linger)
 	c.meter.allow(lingerMost)
 	for {
 		if _, err := c.br.Discard(bufferSize); err != nil {
--- a/internal/proxy/client_test.go
+++ b/internal/proxy/client_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"beechwing/internal/places"
 )
 
 // TestServed: what a client sends reaches the host as the protocol says, and the host's answer comes back unchanged.
@@ -286,14 +288,8 @@
 	hear(t, bufio.NewReader(idle))
 	h.seen.next(t, "the request before")
 	io.WriteString(begun, "GET /api HTTP/1.1\r\n")
-	for at := use(0); at != started; time.Sleep(time.Millisecond) { // until its first bytes are read
-		g.p.front.mu.Lock()
-		for cl := range g.p.front.clients {
-			if u, _ := cl.place(); u == started {
-				at = u
-			}
-		}
-		g.p.front.mu.Unlock()
+	for g.p.front.figures().Held[places.Partial] == 0 { // until its first bytes are read
+		time.Sleep(time.Millisecond)
 	}
 	for _, c := range []struct {
 		name string
@@ -425,3 +421,29 @@
 		t.Fatal("the host ended it")
 	}
 }
+
+// TestAskOnceAndKeep: clients that ask once and keep their connection, up to a bound of their own that is under the
+// proxy's, always find a place for the next: what they do not use again is closed long before its idle time is over.
+func TestAskOnceAndKeep(t *testing.T) {
+	const own, asked = 40, 300
+	h := newHost(t, says(ok))
+	g := one(t, h, func(p *Proxy) { p.cfg.Limits.Sockets = spareSockets + shedReserve + 2*48 })
+	places := make(chan struct{}, own)
+	for n := range asked {
+		select {
+		case places <- struct{}{}:
+		case <-time.After(patience):
+			t.Fatalf("request %d finds no place: %+v", n, g.p.front.figures())
+		}
+		c := g.dial()
+		io.WriteString(c, message("read", ""))
+		if a := hear(t, bufio.NewReader(c)); a.status != http.StatusOK {
+			t.Fatalf("request %d got %d", n, a.status)
+		}
+		go func() {
+			c.Read(make([]byte, 1)) // until the proxy ends it
+			c.Close()
+			<-places
+		}()
+	}
+}
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -394,9 +394,10 @@
 		}
 	}
 	for f := g.p.front; ; time.Sleep(time.Millisecond) { // until the connections that asked are gone
-		f.mu.Lock()
-		n := len(f.clients)
-		f.mu.Unlock()
+		n := 0
+		for _, held := range f.figures().Held {
+			n += held
+		}
 		if n == 0 {
 			return
 		}
--- a/internal/proxy/timing.go
+++ b/internal/proxy/timing.go
@@ -4,12 +4,13 @@
 
 // timing holds the time limits that no setting gives.
 type timing struct {
-	idle   time.Duration // a client's connection that has brought a request is closed after this without another
-	fresh  time.Duration // one that has brought none yet has to bring it whole within this; bytes sent slowly do not renew it
-	head   time.Duration // a further request has to come whole within this after its first byte
-	late   time.Duration // for what has come but was not read when its time was over
-	answer time.Duration // a client has to take its answer within this
-	linger time.Duration // for which a client that sent something malformed may read the answer
+	idle      time.Duration // a client's connection that has brought a request is closed after this without another
+	idleLeast time.Duration // the same when all places are taken
+	fresh     time.Duration // one that has brought none yet has to bring it whole within this; bytes sent slowly do not renew it
+	head      time.Duration // a further request has to come whole within this after its first byte
+	late      time.Duration // for what has come but was not read when its time was over
+	answer    time.Duration // a client has to take its answer within this
+	linger    time.Duration // for which a client that sent something malformed may read the answer
 
 	// The last byte of a request is held back for this. A host resets what it does not want within a round trip.
 	settle time.Duration
@@ -26,7 +27,7 @@
 
 func defaultTiming() timing {
 	return timing{
-		idle: 30 * time.Second, fresh: 2500 * time.Millisecond, head: 2500 * time.Millisecond,
+		idle: 30 * time.Second, idleLeast: 2 * time.Second, fresh: 2500 * time.Millisecond, head: 2500 * time.Millisecond,
 		late: 50 * time.Millisecond, answer: 5 * time.Second, linger: 500 * time.Millisecond, settle: time.Millisecond,
 		call: 2200 * time.Millisecond, watch: 1500 * time.Millisecond,
 		drain: 550 * time.Millisecond, backlog: 50 * time.Millisecond, last: 250 * time.Millisecond,
