Idle connections of clients are parked: one epoll, no goroutine, buffer or timer each

Cause: each idle connection held a goroutine, a 16 KB reader and a runtime timer, so memory bounded how many could be held at all, and a wave of them would have taken a reader and a body buffer each.

Change: internal/park watches waiting connections with one epoll instance that the runtime's own waits for (no thread); armed for one report only. A goroutine with a reader is started when something comes and goes on for 100 ms after a request, for a quarter of the places at the desk at most. places.Desk bounds by memory how many requests are read and worked on at once; who waits holds no buffer, and after 50 ms is read by one of 32 and refused with 503 and Retry-After, nothing having run. Idle times are looked at four times a second by one goroutine; what ends at once is ended in batches. Accept without descriptors makes an idle connection give way and logs once. The bound of clients now follows from descriptors and 2 KB each, no longer from 192 KB each.

--- a/internal/places/places.go
+++ b/internal/places/places.go
@@ -291,6 +291,9 @@
 	}
 }
 
+// Shed names the connection that is missed least, where something else than the limit is short.
+func (b *Book) Shed(now time.Duration) { b.makeRoom(now) }
+
 // Linger marks a connection that has its last answer.
 func (b *Book) Linger(now time.Duration, s *Seat) {
 	if s.kind < Ending {
--- a/internal/proxy/accept.go
+++ b/internal/proxy/accept.go
@@ -6,45 +6,68 @@
 	"net/netip"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 
+	"beechwing/internal/park"
 	"beechwing/internal/places"
 )
 
 const (
 	acceptPause = 5 * time.Millisecond // after a failed accept: out of descriptors it would fail at once again
-	reapMost    = 1 << 20
+	endAtOnce   = 16                   // connections that one event of another may end on its way; the keeper ends the rest
 )
 
-// front takes connections of clients. Which of them keep their places its book decides.
+// front takes connections of clients. Which of them keep their places its book decides, and whose requests are read its
+// desk. A connection that brings nothing is parked.
 type front struct {
-	ln    net.Listener
-	log   *zap.Logger
-	owner *owner
-	bufs  *pool
-	names *names
-	times timing
-	since time.Time     // the book's zero
-	slots chan struct{} // connections served, and the few over that are turned down with an answer
-
+	ln     net.Listener
+	log    *zap.Logger
+	owner  *owner
+	bufs   *pool
+	names  *names
+	times  timing
+	limits frontLimits
+	since  time.Time     // zero of the book's and the desk's time
+	slots  chan struct{} // connections held, and the few over that are turned down with an answer
+	lot    *park.Lot
+	kick   chan struct{} // wakes the keeper
 	closed chan struct{} // with the listener, for an accept that waits for a place
+	ended  chan struct{} // ends the keeper
+
+	wg      sync.WaitGroup // of connections
+	mu      sync.Mutex
+	book    *places.Book
+	desk    *places.Desk
+	warm    int  // connections that wait for their next request with a goroutine and a reader
+	binding bool // the limit of connections was reached, and has been logged
+}
 
-	wg   sync.WaitGroup
-	mu   sync.Mutex
-	book *places.Book
+// frontLimits is what a front may hold.
+type frontLimits struct {
+	connections int
+	desk        places.DeskConfig
+	warm        int     // connections that may wait unparked for a moment after a request
+	coolDown    float64 // seconds that a refusal of the front's own names; 0: settings allow none
 }
 
-func newFront(ln net.Listener, most int, o *owner, bufs *pool, n *names, t timing, log *zap.Logger) *front {
-	return &front{ln: ln, log: log, owner: o, bufs: bufs, names: n, times: t, since: time.Now(),
-		slots: make(chan struct{}, most+shedReserve), closed: make(chan struct{}),
-		book: places.New(places.Config{Most: most, Fresh: t.fresh, Late: t.late, Idle: t.idle, IdleLeast: t.idleLeast})}
+func newFront(ln net.Listener, l frontLimits, o *owner, bufs *pool, n *names, t timing, log *zap.Logger) (*front, error) {
+	f := &front{ln: ln, log: log, owner: o, bufs: bufs, names: n, times: t, limits: l, since: time.Now(),
+		slots: make(chan struct{}, l.connections+shedReserve), kick: make(chan struct{}, 1),
+		closed: make(chan struct{}), ended: make(chan struct{}), desk: places.NewDesk(l.desk),
+		book: places.New(places.Config{Most: l.connections, Fresh: t.fresh, Late: t.late, Idle: t.idle,
+			IdleLeast: t.idleLeast})}
+	var err error
+	f.lot, err = park.New(func(holder any) { f.wake(holder.(*client)) })
+	return f, err
 }
 
 // accept takes connections until the listener closes or its deadline passes. When all places are taken, those that
 // wait in the backlog stay there until one is free.
 func (f *front) accept() {
+	failing := false
 	for {
 		select {
 		case f.slots <- struct{}{}:
@@ -53,6 +76,7 @@
 		}
 		c, err := f.ln.Accept()
 		if err == nil {
+			failing = false
 			f.admit(c)
 			continue
 		}
@@ -60,25 +84,46 @@
 		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return
 		}
-		f.log.Warn("accept failed", zap.Error(err))
+		if !failing {
+			f.log.Warn("accept failed", zap.Error(err))
+			failing = true
+		}
+		// Descriptors may be short in ways that no limit foresees. One that is idle is missed less than a new one.
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			f.seat(f.book.Shed)
+		}
 		time.Sleep(acceptPause)
 	}
 }
 
-// admit starts to serve a connection. Over the bound another makes room; without any, the new one gets a plain failure
-// for its first request.
+// admit starts to hold a connection. Over the limit another makes room; without any, the new one gets a plain failure for
+// its first request.
 func (f *front) admit(c net.Conn) {
 	cl := &client{front: f, conn: c, accepted: time.Now()}
 	cl.meter.r = cl
+	f.wg.Add(1)
 	f.seat(func(now time.Duration) {
-		c.SetReadDeadline(cl.accepted.Add(f.times.fresh))
 		f.book.Enter(now, origin(c), &cl.seat, cl)
+		f.noteLimit(&cl.seat)
 	})
-	f.wg.Go(func() {
-		cl.serve()
-		f.seat(func(time.Duration) { f.book.Leave(&cl.seat) })
-		<-f.slots
-	})
+	if over := cl.over(); over || !f.park(cl) {
+		c.SetReadDeadline(cl.accepted.Add(f.times.fresh))
+		go cl.serve(places.Serve, 0)
+	}
+}
+
+// noteLimit logs when the limit of connections begins to bind, and when it has ceased to. mu is held.
+func (f *front) noteLimit(s *places.Seat) {
+	over := s.Kind() == places.Over
+	switch figures := f.book.Figures(); {
+	case over && !f.binding:
+		f.binding = true
+		f.log.Warn("connections of clients: limit reached with none idle, new ones get an error",
+			zap.Int("limit", figures.Most), zap.Int("active", figures.Held[places.Active]))
+	case f.binding && figures.Press < 0.8:
+		f.binding = false
+		f.log.Info("connections of clients: below the limit again", zap.Uint64("turned down", figures.Refused))
+	}
 }
 
 // origin is the address that a connection comes from.
@@ -92,31 +137,53 @@
 // seat tells the book something, and ends the connections that it then names.
 func (f *front) seat(tell func(now time.Duration)) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := time.Since(f.since)
+	now := f.now()
 	tell(now)
-	for _, s := range f.book.Reap(now, reapMost) {
-		s.Holder().(*client).giveWay()
+	f.unlockAndEnd(now, endAtOnce)
+}
+
+// now is the book's and the desk's time.
+func (f *front) now() time.Duration { return time.Since(f.since) }
+
+// unlockAndEnd releases mu and ends up to n connections that the book has named.
+func (f *front) unlockAndEnd(now time.Duration, n int) (all bool) {
+	named := f.book.Reap(now, n)
+	idle := make([]*client, 0, len(named))
+	for _, s := range named {
+		c := s.Holder().(*client)
+		if c.parked {
+			c.parked = false
+			idle = append(idle, c)
+		} else {
+			c.giveWay()
+		}
+	}
+	f.mu.Unlock()
+	for _, c := range idle {
+		f.endParked(c)
+	}
+	if len(named) == n {
+		ask(f.kick)
 	}
+	return len(named) < n
 }
 
 // drain makes every answer from now on the last of its connection, and ends those that are idle. It is called again
 // when nothing new can come any more.
 func (f *front) drain() { f.seat(f.book.Drain) }
 
-// figures is what the book says of now.
-func (f *front) figures() places.Figures {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.book.Figures()
-}
-
 // close ends accepting.
 func (f *front) close() {
 	f.ln.Close()
 	close(f.closed)
 }
 
+// stop ends what watches connections. None is held any more, or those that are will not be served.
+func (f *front) stop() {
+	close(f.ended)
+	f.lot.Close()
+}
+
 // backlog takes what clients have already connected and this proxy has not yet accepted: closing the listener would
 // reset those connections and lose their requests.
 func (f *front) backlog(within time.Duration) {
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -10,26 +10,35 @@
 
 	"go.uber.org/zap"
 
+	"beechwing/internal/park"
 	"beechwing/internal/places"
 )
 
 const lingerMost = 256 << 10 // bytes of a malformed request's rest that are taken and thrown away
 
-// client is one connection of a client. Its goroutine reads requests and, while one is being worked on, watches for
-// the client's leaving; respond writes the answer.
+// client is one connection of a client. It is parked while it brings nothing. Otherwise a goroutine reads requests and,
+// while one is being worked on, watches for the client's leaving; respond writes the answer.
 type client struct {
 	front    *front
 	conn     net.Conn
 	accepted time.Time
 	meter    meter
-	br       *bufio.Reader
-	served   bool        // it has brought a whole request
-	graced   bool        // the request at hand was read past its time
-	seat     places.Seat // guarded by front.mu
+	br       *bufio.Reader  // nil while it is parked
+	served   bool           // it has brought a whole request
+	graced   bool           // the request at hand was read past its time
+	verdict  places.Verdict // on the request at hand
+	waited   time.Duration  // of the request at hand, before it was read
+
+	// Guarded by front.mu.
+	seat   places.Seat
+	turn   places.Turn
+	spot   park.Spot
+	parked bool
+	warm   bool // it counts among those that wait unparked
 }
 
-// giveWay ends a connection whose place is wanted, but for a request that is whole in its socket already. front.mu is
-// held, so that no change of the connection's use can move the deadline.
+// giveWay ends a connection whose place is wanted and that has a goroutine, but for a request that is whole in its socket
+// already. front.mu is held, so that no change of the connection's use can move the deadline.
 func (c *client) giveWay() { c.conn.SetReadDeadline(time.Now()) }
 
 // Read reads off the connection. A deadline that has passed says nothing about bytes that have come: once for each
@@ -50,15 +59,29 @@
 // mark tells the book what the connection is at. within bounds what is to be read in it.
 func (c *client) mark(tell func(now time.Duration, s *places.Seat), within time.Duration) {
 	c.front.seat(func(now time.Duration) {
-		var until time.Time
-		if within > 0 {
-			until = time.Now().Add(within)
-		}
-		c.conn.SetReadDeadline(until)
+		c.cool()
+		c.limitRead(within)
 		tell(now, &c.seat)
 	})
 }
 
+// limitRead bounds what is read next; 0: not.
+func (c *client) limitRead(within time.Duration) {
+	var until time.Time
+	if within > 0 {
+		until = time.Now().Add(within)
+	}
+	c.conn.SetReadDeadline(until)
+}
+
+// cool ends the connection's waiting unparked, if it did. front.mu is held.
+func (c *client) cool() {
+	if c.warm {
+		c.warm = false
+		c.front.warm--
+	}
+}
+
 // setReading marks the first byte of a request. The limit of a connection's first one runs since it was accepted.
 func (c *client) setReading() {
 	t := &c.front.times
@@ -75,8 +98,21 @@
 	c.mark(c.front.book.Work, 0)
 }
 
-// setIdle marks the end of a request. The book may end the connection at once.
-func (c *client) setIdle() { c.mark(c.front.book.Rest, c.front.times.idle) }
+// setIdle marks the end of a request. For a moment the goroutine waits for the next one, if not too many do so and none
+// waits for its turn; then the connection is parked. The book may end it at once.
+func (c *client) setIdle() {
+	f := c.front
+	f.seat(func(now time.Duration) {
+		within := time.Nanosecond // over at once
+		if f.warm < f.limits.warm && f.desk.Waiting() == 0 {
+			c.warm = true
+			f.warm++
+			within = f.times.warm
+		}
+		c.limitRead(within)
+		f.book.Rest(now, &c.seat)
+	})
+}
 
 // last says whether the connection ends with the request at hand.
 func (c *client) last() bool {
@@ -92,26 +128,28 @@
 	return c.seat.Kind() == places.Over
 }
 
-// serve reads requests until the connection ends.
-func (c *client) serve() {
+// serve reads what has come and goes on until nothing comes for a moment, or the connection ends.
+func (c *client) serve(v places.Verdict, waited time.Duration) {
 	c.br = c.front.bufs.reader(&c.meter)
-	defer func() {
-		c.conn.Close()
-		c.front.bufs.putReader(c.br)
-	}()
-	for c.await() == nil {
+	c.verdict, c.waited = v, waited
+	c.limitRead(c.front.times.fresh) // the last limit may be over; that of a request is set with its first byte
+	goesOn := true
+	for goesOn && c.await() {
 		c.setReading()
-		if !c.next() {
-			return
-		}
+		goesOn = c.next()
+		c.waited = 0
 	}
+	c.front.mu.Lock()
+	c.cool()
+	c.front.mu.Unlock()
+	c.settle(goesOn && c.meter.err != nil && errors.Is(c.meter.err, os.ErrDeadlineExceeded))
 }
 
 // await waits for the first byte of a request.
-func (c *client) await() error {
+func (c *client) await() bool {
 	c.meter.allow(maxHead)
 	_, err := c.br.Peek(1)
-	return err
+	return err == nil
 }
 
 // next takes one request and sees to its answer; it says whether the connection goes on.
@@ -133,6 +171,9 @@
 		c.reject(bad)
 		return false
 	}
+	if c.verdict == places.Refuse {
+		return c.turnDown(q, r.Close)
+	}
 	return c.handOver(q, r.Close)
 }
 
@@ -176,6 +217,18 @@
 	return goesOn && (err == nil || errors.Is(err, os.ErrDeadlineExceeded))
 }
 
+// turnDown refuses a request that has waited for too long to be read. Nothing has been sent for it.
+func (c *client) turnDown(q *request, last bool) bool {
+	c.front.bufs.freeRequest(q)
+	c.setTaken()
+	a := answer{status: http.StatusServiceUnavailable, text: "busy\n", coolDown: c.front.limits.coolDown}
+	if a.last = last || c.last(); c.write(&a) != nil {
+		return false
+	}
+	c.setIdle()
+	return !a.last
+}
+
 // health answers the client's question whether it may begin.
 func (c *client) health(r *http.Request) bool {
 	a := answer{status: http.StatusOK}
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -44,7 +44,9 @@
 	spareSockets    = 48   // of the descriptors: listener, discovery, poller, standard streams, and some to spare
 	softMemory      = 0.75 // of the memory limit: from there on the garbage collector works harder
 	memoryPerClient = 2 * (maxBody + 2*bufferSize)
-	shedReserve     = 32 // connections beyond the bound that still get an answer before they are closed
+	memoryPerParked = 2 << 10 // of a connection that brings nothing
+	parkedShare     = 0.25    // of the soft limit, for them all
+	shedReserve     = 32      // connections beyond the bound that still get an answer before they are closed
 )
 
 // configFile is the file that PROXY_CONFIG names.
@@ -146,10 +148,11 @@
 	debug.SetMemoryLimit(int64(softMemory * float64(l.MemoryMB) * (1 << 20)))
 }
 
-// connections says how many connections may be open to clients and to hosts. A client has one request at a time, so
-// this bounds requests in hand, the owner's queue and held bodies as well.
-func (l Limits) connections() (clients, hosts int) {
+// connections says how many connections may be open to clients and to hosts, and how many requests may be read and worked
+// on at once. A client has one request at a time, so the last bounds the owner's queue and held bodies as well.
+func (l Limits) connections() (clients, requests, hosts int) {
 	half := max(1, (l.Sockets-spareSockets-shedReserve)/2)
-	byMemory := int(softMemory * float64(l.MemoryMB) * (1 << 20) / memoryPerClient)
-	return max(1, min(half, byMemory)), half
+	memory := softMemory * float64(l.MemoryMB) * (1 << 20)
+	clients = max(1, min(half, int(parkedShare*memory/memoryPerParked)))
+	return clients, max(1, min(clients, int(memory/memoryPerClient))), half
 }
--- a/internal/proxy/parse.go
+++ b/internal/proxy/parse.go
@@ -127,7 +127,7 @@
 		c.front.bufs.freeBody(&q.body)
 		return nil, bad
 	}
-	q.taken = time.Now()
+	q.taken = time.Now().Add(-c.waited)
 	q.head = c.front.bufs.buffer()
 	if err := q.writeHead(r); err != nil {
 		c.front.bufs.freeRequest(q)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"beechwing/balancer"
+	"beechwing/internal/places"
 )
 
 // Phase is a stage in the life of a client proxy.
@@ -93,9 +94,13 @@
 	c := newClock(time.Now())
 	p.hosts = newHosts(p.cfg, c, p.bufs, p.times)
 	p.owner = newOwner(run, p.cfg, c, p.hosts, p.bufs, p.times, p.log)
-	clients, _ := p.cfg.Limits.connections()
-	p.front = newFront(ln, clients, p.owner, p.bufs, newNames(p.cfg.Settings, p.cfg.Balancer), p.times,
+	p.front, err = newFront(ln, p.frontLimits(), p.owner, p.bufs, newNames(p.cfg.Settings, p.cfg.Balancer), p.times,
 		p.log)
+	if err != nil {
+		return Stopped, err
+	}
+	p.parts.Go(p.front.keep)
+	p.parts.Go(p.front.lot.Run)
 	p.parts.Go(func() { p.owner.run(p.decide, p.cfg.Known) })
 	p.parts.Go(func() { p.owner.list.run(run) })
 	p.parts.Go(func() { p.reload(run) })
@@ -103,6 +108,12 @@
 	return Serving, nil
 }
 
+func (p *Proxy) frontLimits() frontLimits {
+	clients, requests, _ := p.cfg.Limits.connections()
+	return frontLimits{connections: clients, warm: max(1, requests/4), coolDown: p.cfg.Balancer.MaxCoolDown / 4,
+		desk: places.DeskConfig{Most: requests, Refusing: shedReserve, Patience: p.times.turn}}
+}
+
 func (p *Proxy) serve(ctx context.Context) (Phase, error) {
 	accepted := make(chan struct{})
 	p.parts.Go(func() {
@@ -147,6 +158,7 @@
 	case <-time.After(time.Until(p.told.Add(seconds(longest) + p.times.spare))):
 		p.log.Warn("requests left unanswered at the end")
 	}
+	p.front.stop()
 	p.halt()
 	p.owner.post(stop{})
 	p.hosts.update(balancer.ListFull, catalog{}, p.owner.clock.now()) // no host is left: closes what is idle
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -52,7 +52,7 @@
 }
 
 func newHosts(cfg *Config, c clock, bufs *pool, t timing) *hosts {
-	_, most := cfg.Limits.connections()
+	_, _, most := cfg.Limits.connections()
 	return &hosts{
 		bufs: bufs, clock: c, columns: cfg.Settings.Columns(), grace: cfg.Balancer.DrainGrace / 2,
 		connect: seconds(cmp.Or(cfg.Balancer.ConnectTimeout, defaultConnect)),
