--- a/internal/places/desk.go
+++ b/internal/places/desk.go
@@ -17,12 +17,17 @@
 	Most     int           // connections whose requests are read or worked on, each with buffers of its own
 	Refusing int           // further ones whose requests are read and refused
 	Patience time.Duration // for which a connection waits before its request is refused
+	Pace     float64       // turns given a second
+	Burst    int           // turns given at once after a pause
 }
 
 // Desk decides which of the connections that bring requests are served, and which refused, when more come together than
-// memory allows to work on. Who waits costs no buffer. It is not safe for concurrent use.
+// memory allows to work on, or so suddenly that work begun on all would be finished for hardly any. Who waits costs no
+// buffer. It is not safe for concurrent use.
 type Desk struct {
 	cfg      DeskConfig
+	tokens   float64       // turns that may be given now: a token bucket (RFC 2697, section 3)
+	filled   time.Duration // when they were counted
 	serving  int
 	refusing int
 	waiting  chain[Turn]
@@ -39,14 +44,27 @@
 }
 
 // NewDesk makes a desk at which nobody is.
-func NewDesk(cfg DeskConfig) *Desk { return &Desk{cfg: cfg} }
+func NewDesk(cfg DeskConfig) *Desk { return &Desk{cfg: cfg, tokens: float64(cfg.Burst)} }
+
+// free says whether a turn can be given now.
+func (d *Desk) free(now time.Duration) bool {
+	d.tokens = min(float64(d.cfg.Burst), d.tokens+d.cfg.Pace*(now-d.filled).Seconds())
+	d.filled = now
+	return d.serving < d.cfg.Most && d.tokens >= 1
+}
+
+// serve gives a turn.
+func (d *Desk) serve(t *Turn) {
+	d.serving++
+	d.tokens--
+	t.at = Serve
+}
 
 // Come asks for a turn. Who is told to wait is named by Next.
 func (d *Desk) Come(now time.Duration, t *Turn, holder any) Verdict {
 	*t = Turn{holder: holder, since: now, at: Wait, known: true}
-	if d.waiting.length == 0 && d.serving < d.cfg.Most {
-		d.serving++
-		t.at = Serve
+	if d.waiting.length == 0 && d.free(now) {
+		d.serve(t)
 		return Serve
 	}
 	d.waiting.push(&t.link, t)
@@ -84,9 +102,8 @@
 		d.refusing++
 		d.refused++
 		t.at = Refuse
-	case waited <= d.cfg.Patience && d.serving < d.cfg.Most:
-		d.serving++
-		t.at = Serve
+	case waited <= d.cfg.Patience && d.free(now):
+		d.serve(t)
 	default:
 		return nil, Wait, waited
 	}
--- a/internal/places/figures.go
+++ b/internal/places/figures.go
@@ -18,3 +18,6 @@
 	f.Most, f.Callers, f.Press = b.cfg.Most, len(b.callers), b.press()
 	return f
 }
+
+// Held gives the connection that has been of a kind for longest; nil: none is.
+func (b *Book) Held(k Kind) *Seat { return b.seats[k].front() }
--- a/internal/places/places.go
+++ b/internal/places/places.go
@@ -143,8 +143,12 @@
 // New makes an empty book.
 func New(cfg Config) *Book { return &Book{cfg: cfg, callers: map[netip.Addr]*caller{}} }
 
-// SetMost changes the limit. What is over a lowered one is named by Reap as soon as it can give way.
-func (b *Book) SetMost(n int) { b.cfg.Most = n }
+// Configure changes the limits, but for who counts as one caller. What is over a lowered one is named by Reap as soon as
+// it can give way.
+func (b *Book) Configure(cfg Config) {
+	cfg.ByAddress = b.cfg.ByAddress
+	b.cfg = cfg
+}
 
 // Enter gives a connection that was accepted a place. If the limit is reached another makes room, which is named by Reap;
 // if none can, the connection is Over. holder is whatever the connection is to its holder.
--- a/internal/places/places_test.go
+++ b/internal/places/places_test.go
@@ -135,7 +135,7 @@
 			"leave": on(func(_ time.Duration, s *Seat) { w.leave(s) }, Ending, Lingering, Once, Often, Silent, Over, Active),
 			"reap":  func(t *rapid.T) { w.reap(rapid.IntRange(1, 100).Draw(t, "at most")) },
 			"wait":  func(t *rapid.T) { w.now += time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond },
-			"limit": func(t *rapid.T) { w.b.SetMost(rapid.IntRange(1, 40).Draw(t, "most")) },
+			"limit": func(t *rapid.T) { w.b.Configure(testConfig(rapid.IntRange(1, 40).Draw(t, "most"), false)) },
 			"":      func(*rapid.T) { w.check() },
 		})
 		for len(w.seats) > 0 {
--- a/internal/proxy/accept.go
+++ b/internal/proxy/accept.go
@@ -13,6 +13,7 @@
 
 	"beechwing/internal/park"
 	"beechwing/internal/places"
+	"beechwing/internal/site"
 )
 
 const (
@@ -47,7 +48,9 @@
 
 // frontLimits is what a front may hold.
 type frontLimits struct {
-	connections int
+	most        int // connections that the machine allows
+	connections int // that the operator allows
+	byAddress   bool
 	desk        places.DeskConfig
 	warm        int     // connections that may wait unparked for a moment after a request
 	coolDown    float64 // seconds that a refusal of the front's own names; 0: settings allow none
@@ -55,15 +58,31 @@
 
 func newFront(ln net.Listener, l frontLimits, o *owner, bufs *pool, n *names, t timing, log *zap.Logger) (*front, error) {
 	f := &front{ln: ln, log: log, owner: o, bufs: bufs, names: n, times: t, limits: l, since: time.Now(),
-		slots: make(chan struct{}, l.connections+shedReserve), kick: make(chan struct{}, 1),
+		slots: make(chan struct{}, l.most+shedReserve), kick: make(chan struct{}, 1),
 		closed: make(chan struct{}), ended: make(chan struct{}), desk: places.NewDesk(l.desk),
-		book: places.New(places.Config{Most: l.connections, Fresh: t.fresh, Late: t.late, Idle: t.idle,
-			IdleLeast: t.idleLeast})}
+		book: places.New(bookConfig(l, t))}
 	var err error
 	f.lot, err = park.New(func(holder any) { f.wake(holder.(*client)) })
 	return f, err
 }
 
+func bookConfig(l frontLimits, t timing) places.Config {
+	return places.Config{Most: l.connections, Fresh: t.fresh, Late: t.late, Idle: t.idle, IdleLeast: t.idleLeast,
+		ByAddress: l.byAddress}
+}
+
+// configure takes over what the operator says of connections now. What is over a lowered limit ends as soon as it is
+// idle.
+func (f *front) configure(c site.Connections) {
+	f.seat(func(time.Duration) {
+		t := f.times
+		t.set(c)
+		l := f.limits
+		l.connections = clientLimit(l.most, c)
+		f.book.Configure(bookConfig(l, t))
+	})
+}
+
 // accept takes connections until the listener closes or its deadline passes. When all places are taken, those that
 // wait in the backlog stay there until one is free.
 func (f *front) accept() {
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -16,6 +16,7 @@
 
 	"beechwing/balancer"
 	"beechwing/internal/settings"
+	"beechwing/internal/site"
 )
 
 // Config is what a client proxy is told at its start.
@@ -26,6 +27,7 @@
 	Known                   catalog // the list as last held before a restart; it may be old
 	Settings                *settings.Settings
 	Balancer                balancer.Config
+	Site                    site.File // what the operator sets
 
 	file   configFile // as it was read
 	reread func() (*Config, error)
@@ -74,6 +76,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
+	if path := getenv("PROXY_SITE"); path != "" {
+		if c.Site, err = site.Load(path); err != nil {
+			return nil, err
+		}
+	}
 	c.reread = func() (*Config, error) { return LoadConfig(getenv) }
 	return c, nil
 }
@@ -86,7 +93,7 @@
 	if f.Settings == nil {
 		return nil, errors.New("no settings")
 	}
-	c := &Config{Limits: f.Limits, file: f}
+	c := &Config{Limits: f.Limits, file: f, Site: site.Default()}
 	c.Name = cmp.Or(getenv("PROXY_NAME"), f.Name)
 	c.Listen = cmp.Or(getenv("PROXY_LISTEN"), f.Listen)
 	c.Discovery = cmp.Or(getenv("PROXY_DISCOVERY"), f.Discovery)
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"beechwing/balancer"
+	"beechwing/internal/site"
 )
 
 // patience bounds every wait of the tests; nothing that passes comes near it.
@@ -308,6 +309,7 @@
 // quickTiming is short where a test would only wait, and long where it would race.
 func quickTiming() timing {
 	q := defaultTiming()
+	q.set(site.Default().Connections)
 	q.drain, q.backlog, q.last, q.linger = 20*time.Millisecond, 20*time.Millisecond, 20*time.Millisecond, patience
 	return q
 }
--- a/internal/proxy/idle.go
+++ b/internal/proxy/idle.go
@@ -11,7 +11,7 @@
 
 const (
 	keepEvery = 250 * time.Millisecond // at which what has been idle for too long is looked for
-	turnEvery = 5 * time.Millisecond   // at which who waits at the desk is looked at
+	turnEvery = 1 * time.Millisecond   // at which who waits at the desk is looked at
 	keepBatch = 64                     // connections ended between two looks at whether others want to run
 	keepMost  = 1024                   // ended at one look, so that a great many idle times over together are spread
 )
--- /dev/null
+++ b/internal/proxy/idle_test.go
@@ -0,0 +1,318 @@
+package proxy
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"beechwing/internal/places"
+	"beechwing/internal/site"
+)
+
+// desks lets every address be a caller, as on a site with desk tools, so that none is judged by the others.
+func desks(p *Proxy) { p.cfg.Site.Connections.Callers = site.Address }
+
+// crowd opens connections from addresses of their own that ask once, and waits until all are parked.
+func (g *rig) crowd(n int) []net.Conn {
+	g.t.Helper()
+	conns := make([]net.Conn, n)
+	for i := range conns {
+		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 2, byte(i>>8), byte(i))}}
+		c, err := d.Dial("tcp", g.addr)
+		if err != nil {
+			g.t.Fatal(err)
+		}
+		g.t.Cleanup(func() { c.Close() })
+		c.SetDeadline(time.Now().Add(patience))
+		io.WriteString(c, message("read", ""))
+		if a := hear(g.t, bufio.NewReader(c)); a.status != http.StatusOK {
+			g.t.Fatalf("connection %d got %d", i, a.status)
+		}
+		conns[i] = c
+	}
+	g.await("all are parked", func() bool { return g.parked() >= n })
+	return conns
+}
+
+// parked is how many idle connections wait without a goroutine.
+func (g *rig) parked() int {
+	f := g.p.front.figures()
+	return f.Places.Held[places.Once] + f.Places.Held[places.Often] + f.Places.Held[places.Trial] - f.Warm - f.Desk.Serving
+}
+
+func (g *rig) await(what string, true func() bool) {
+	g.t.Helper()
+	for end := time.Now().Add(patience); !true(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			g.t.Fatalf("waited in vain until %s: %+v", what, g.p.front.figures())
+		}
+	}
+}
+
+// TestParkedCost: an idle connection has neither a goroutine nor a buffer, and is served like any other when it wakes.
+func TestParkedCost(t *testing.T) {
+	h := newHost(t, says(ok))
+	g := one(t, h, desks)
+	g.crowd(1)
+	goroutines, buffers := runtime.NumGoroutine(), g.p.bufs.live.Load()
+	conns := g.crowd(200)
+	g.await("the rest has settled", func() bool { return runtime.NumGoroutine() <= goroutines+20 }) // of the host, mostly
+	if n := g.p.bufs.live.Load(); n > buffers+4 {
+		t.Errorf("%d buffers with 200 more idle connections, %d before", n, buffers)
+	}
+	io.WriteString(conns[7], message("write", "x"))
+	if a := hear(t, bufio.NewReader(conns[7])); a.status != http.StatusOK {
+		t.Errorf("woken: %d", a.status)
+	}
+}
+
+// TestWave: every idle connection brings a request at once, and memory allows few to be worked on. Each gets one answer,
+// served or refused with a time to come back, and nothing runs twice.
+func TestWave(t *testing.T) {
+	const many = 300
+	h := newHost(t, func(c net.Conn, r seenRequest) bool {
+		time.Sleep(time.Millisecond)
+		return says(ok)(c, r)
+	})
+	g := one(t, h, desks, func(p *Proxy) { p.cfg.Limits.MemoryMB = 16 }) // 64 requests at once
+	conns := g.crowd(many)
+	for range many {
+		h.seen.next(t, "the first requests")
+	}
+	var wg sync.WaitGroup
+	got := make(chan heard, many)
+	for _, c := range conns {
+		wg.Go(func() {
+			io.WriteString(c, message("write", "x", "X-Remaining: 1000m"))
+			got <- hear(t, bufio.NewReader(c))
+		})
+	}
+	wg.Wait()
+	close(got)
+	count := map[int]int{}
+	for a := range got {
+		if count[a.status]++; a.status == http.StatusServiceUnavailable && a.text == "busy\n" && a.header.Get("Retry-After") == "" {
+			t.Error("refused without a time to come back")
+		}
+	}
+	if count[http.StatusOK] == 0 || count[http.StatusOK]+count[http.StatusServiceUnavailable] != many {
+		t.Errorf("answers by status: %v", count)
+	}
+	seen := map[string]bool{}
+	for len(h.seen) > 0 {
+		id := (<-h.seen).Header.Get(headerID)
+		if seen[id] {
+			t.Errorf("%s ran twice", id)
+		}
+		seen[id] = true
+	}
+	if len(seen) < count[http.StatusOK] {
+		t.Errorf("%d ran, %d were served", len(seen), count[http.StatusOK])
+	}
+}
+
+// TestBusyDesk: with nobody leaving the desk, who waits is read and refused in time; the connection goes on.
+func TestBusyDesk(t *testing.T) {
+	release := newGate()
+	defer release.open()
+	h := newHost(t, func(c net.Conn, r seenRequest) bool {
+		<-release.opened
+		return says(ok)(c, r)
+	})
+	s := newScript()
+	s.request = sends("h1")
+	g := one(t, h, s.decides, desks, func(p *Proxy) { p.cfg.Limits.MemoryMB = 1 }) // three requests at once
+	most := g.p.front.figures().Desk.Most
+	busy := make([]net.Conn, most)
+	for i := range busy {
+		busy[i] = g.dial()
+		io.WriteString(busy[i], message("write", "x", "X-Remaining: 9000m"))
+		h.seen.next(t, "a request")
+	}
+	c := g.dial()
+	br := bufio.NewReader(c)
+	for range 2 {
+		io.WriteString(c, message("write", "x", "X-Remaining: 9000m"))
+		if a := hear(t, br); a.status != http.StatusServiceUnavailable || a.last || a.header.Get("Retry-After") == "" {
+			t.Fatalf("answer %+v", a)
+		}
+	}
+	h.seen.none(t, "a refused request was sent")
+	release.open()
+	for _, c := range busy {
+		if a := hear(t, bufio.NewReader(c)); a.status != http.StatusOK {
+			t.Errorf("one that was worked on got %d", a.status)
+		}
+	}
+}
+
+// TestCloseCrossesRequest: a connection is told to end with a request whole in its socket, which nobody has seen yet. It is
+// served, and told that the connection ends.
+func TestCloseCrossesRequest(t *testing.T) {
+	h := newHost(t, says(ok))
+	g := one(t, h, desks)
+	c := g.crowd(1)[0]
+	h.seen.next(t, "its first request")
+	f := g.p.front
+	f.mu.Lock() // the report of the request waits for it
+	held := f.book.Held(places.Once)
+	io.WriteString(c, message("write", "x"))
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if bytes, _ := arrived(held.Holder().(*client).conn); bytes {
+			break
+		}
+	}
+	f.book.Shed(f.now())
+	f.unlockAndEnd(f.now(), endAtOnce)
+	if a := hear(t, bufio.NewReader(c)); a.status != http.StatusOK || !a.last {
+		t.Fatalf("answer %+v", a)
+	}
+	h.seen.next(t, "the request")
+	h.seen.none(t, "it ran twice")
+}
+
+// TestExpireTogether: many idle times are over at once, while the proxy is told to end and requests come. All of these
+// are answered.
+func TestExpireTogether(t *testing.T) {
+	h := newHost(t, says(ok))
+	g := one(t, h, desks, func(p *Proxy) { p.times.drain = 300 * time.Millisecond })
+	g.crowd(400)
+	f := g.p.front
+	f.seat(func(now time.Duration) {
+		c := bookConfig(f.limits, f.times)
+		c.Idle, c.IdleLeast = 0, 0
+		f.book.Configure(c)
+	})
+	g.tell()
+	for i := range 20 {
+		c := g.dial()
+		io.WriteString(c, message("write", "x"))
+		if a := hear(t, bufio.NewReader(c)); a.status != http.StatusOK {
+			t.Fatalf("request %d got %d", i, a.status)
+		}
+	}
+	g.await("the idle ones are gone", func() bool { return f.figures().Places.Callers <= 1 })
+	g.stop()
+}
+
+// short is a listener that fails for want of descriptors until it is told otherwise.
+type short struct {
+	net.Listener
+	failing chan struct{} // closed: no longer
+	tries   watched[bool]
+}
+
+func (s short) Accept() (net.Conn, error) {
+	select {
+	case <-s.failing:
+		return s.Listener.Accept()
+	default:
+		select {
+		case s.tries <- true:
+		default:
+		}
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+}
+
+// TestNoDescriptors: accept fails for want of descriptors. An idle connection gives way, the log says so once, and when
+// there are descriptors again connections are taken.
+func TestNoDescriptors(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	core, logs := observer.New(zap.WarnLevel)
+	l := short{ln, make(chan struct{}), make(watched[bool], 1)}
+	f, err := newFront(l, frontLimits{most: 4, connections: 4, desk: places.DeskConfig{Most: 1, Burst: 1, Pace: 1}}, nil,
+		newPool(), nil, quickTiming(), zap.New(core))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.stop()
+	near, far := net.Pipe()
+	idle := &client{front: f, conn: near}
+	f.slots <- struct{}{}
+	f.wg.Add(1)
+	f.seat(func(now time.Duration) {
+		f.book.Enter(now, origin(near), &idle.seat, idle)
+		f.book.Work(now, &idle.seat)
+		f.book.Rest(now, &idle.seat)
+		idle.parked = true
+	})
+	accepted := make(watched[bool], 1)
+	go func() {
+		f.accept()
+		accepted <- true
+	}()
+	l.tries.next(t, "an accept")
+	far.SetReadDeadline(time.Now().Add(patience))
+	if _, err := far.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the idle connection: %v", err)
+	}
+	l.tries.next(t, "another accept")
+	l.tries.next(t, "one more")
+	if n := logs.FilterMessage("accept failed").Len(); n != 1 {
+		t.Errorf("%d lines in the log", n)
+	}
+	close(l.failing)
+	f.close()
+	accepted.next(t, "the end of accepting")
+	f.wg.Wait()
+}
+
+// TestLoweredLimit: SIGHUP with an operator's file that allows fewer connections than are held. Idle ones end, one that is
+// worked on does not. A broken file changes nothing.
+func TestLoweredLimit(t *testing.T) {
+	release := newGate()
+	defer release.open()
+	h := newHost(t, func(c net.Conn, r seenRequest) bool {
+		if r.Method == http.MethodPost {
+			<-release.opened
+		}
+		return says(ok)(c, r)
+	})
+	g := one(t, h, desks)
+	g.crowd(50)
+	busy := g.dial()
+	io.WriteString(busy, message("write", "x", "X-Remaining: 9000m"))
+	g.await("it is worked on", func() bool { return g.p.front.figures().Places.Held[places.Active] == 1 })
+	path := filepath.Join(t.TempDir(), "site.toml")
+	reread := func() (*Config, error) {
+		c := *g.p.cfg
+		var err error
+		c.Site, err = site.Load(path)
+		return &c, err
+	}
+	g.p.cfg.reread = reread
+	os.WriteFile(path, []byte("[connections]\ncallers = \"address\"\nlimit = -5\n"), 0o600)
+	if err := g.p.adopt(); err == nil || g.p.front.figures().Places.Most < 50 {
+		t.Fatalf("a broken file: %v", err)
+	}
+	os.WriteFile(path, []byte("[connections]\ncallers = \"address\"\nlimit = 10\n"), 0o600)
+	if err := g.p.adopt(); err != nil {
+		t.Fatal(err)
+	}
+	g.await("ten are left", func() bool {
+		held := 0
+		for _, n := range g.p.front.figures().Places.Held {
+			held += n
+		}
+		return held <= 10
+	})
+	release.open()
+	if a := hear(t, bufio.NewReader(busy)); a.status != http.StatusOK {
+		t.Errorf("the one worked on got %d", a.status)
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -7,6 +7,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -17,6 +18,7 @@
 
 	"beechwing/balancer"
 	"beechwing/internal/places"
+	"beechwing/internal/site"
 )
 
 // Phase is a stage in the life of a client proxy.
@@ -60,6 +62,7 @@
 func New(cfg *Config, log *zap.Logger) *Proxy {
 	p := &Proxy{cfg: cfg, log: log, times: defaultTiming(), listen: net.Listen,
 		reloads: make(chan struct{}, 1)}
+	p.times.set(cfg.Site.Connections)
 	p.decide = func(now float64, cfg balancer.Config, act balancer.Actions) balancer.Handler {
 		return balancer.New(now, cfg, act)
 	}
@@ -110,8 +113,41 @@
 
 func (p *Proxy) frontLimits() frontLimits {
 	clients, requests, _ := p.cfg.Limits.connections()
-	return frontLimits{connections: clients, warm: max(1, requests/4), coolDown: p.cfg.Balancer.MaxCoolDown / 4,
-		desk: places.DeskConfig{Most: requests, Refusing: shedReserve, Patience: p.times.turn}}
+	return frontLimits{most: clients, connections: clientLimit(clients, p.cfg.Site.Connections),
+		byAddress: p.cfg.Site.Connections.Callers == site.Address, warm: max(1, requests/4),
+		coolDown: p.cfg.Balancer.MaxCoolDown / 4,
+		desk: places.DeskConfig{Most: requests, Refusing: shedReserve, Patience: patienceFor(p.cfg.Balancer.Classes),
+			Pace: paceOf(p.cfg.Limits.Cores), Burst: min(requests, turnBurst)}}
+}
+
+// The turns that are given at once and in a second. A core finishes some 5,000 requests a second here; begun all together,
+// thousands go to hosts whose limits are those of before, and all but a few are refused after the work.
+const (
+	turnBurst   = 64
+	turnsByCore = 7000
+	turnsLeast  = 2000 // where the machine grants part of a core, which is not always all that it gives
+)
+
+func paceOf(cores float64) float64 { return max(turnsLeast, turnsByCore*cmp.Or(cores, 1)) }
+
+// patienceFor is how long a request may wait before it is read: a quarter of the shortest deadline, so that a refusal
+// leaves its client time to go elsewhere.
+func patienceFor(classes []balancer.Class) time.Duration {
+	shortest := 1.0
+	for _, c := range classes {
+		if c.Deadline > 0 {
+			shortest = min(shortest, c.Deadline)
+		}
+	}
+	return seconds(shortest / 4)
+}
+
+// clientLimit is the operator's limit of connections, where it is under what the machine allows.
+func clientLimit(most int, c site.Connections) int {
+	if c.Limit > 0 {
+		return min(most, c.Limit)
+	}
+	return most
 }
 
 func (p *Proxy) serve(ctx context.Context) (Phase, error) {
--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -28,7 +28,8 @@
 	}
 }
 
-// adopt takes over what a new configuration may change in a running proxy: the address of discovery. PROXY_DISCOVERY is
+// adopt takes over what a new configuration may change in a running proxy: the address of discovery, and the operator's
+// limits of connections. PROXY_DISCOVERY is
 // still that of the start, so what has changed in the file goes before it; what has not changed there changes nothing.
 func (p *Proxy) adopt() error {
 	if p.cfg.reread == nil {
@@ -57,6 +58,14 @@
 		}
 	}
 	p.cfg.file = is
+	if p.cfg.Site != c.Site {
+		p.log.Info("operator's file read again, limits of connections taken over")
+		if p.cfg.Site.Connections.Callers != c.Site.Connections.Callers {
+			p.log.Warn("a change that waits for the next start", zap.String("of", "connections.callers"))
+		}
+		p.cfg.Site = c.Site
+		p.front.configure(c.Site.Connections)
+	}
 	return nil
 }
 
--- a/internal/proxy/timing.go
+++ b/internal/proxy/timing.go
@@ -1,13 +1,16 @@
 package proxy
 
-import "time"
+import (
+	"time"
+
+	"beechwing/internal/site"
+)
 
 // timing holds the time limits that no setting gives.
 type timing struct {
 	idle      time.Duration // a client's connection that has brought a request is closed after this without another
 	idleLeast time.Duration // the same when all places are taken
 	warm      time.Duration // after a request its connection\'s goroutine waits for this before it is parked
-	turn      time.Duration // a request waits for this at the most before it is read or refused
 	fresh     time.Duration // one that has brought none yet has to bring it whole within this; bytes sent slowly do not renew it
 	head      time.Duration // a further request has to come whole within this after its first byte
 	late      time.Duration // for what has come but was not read when its time was over
@@ -29,10 +32,15 @@
 
 func defaultTiming() timing {
 	return timing{
-		idle: 30 * time.Second, idleLeast: 2 * time.Second, warm: 100 * time.Millisecond, turn: 50 * time.Millisecond, fresh: 2500 * time.Millisecond, head: 2500 * time.Millisecond,
+		warm: 100 * time.Millisecond, head: 2500 * time.Millisecond,
 		late: 50 * time.Millisecond, answer: 5 * time.Second, linger: 500 * time.Millisecond, settle: time.Millisecond,
 		call: 2200 * time.Millisecond, watch: 1500 * time.Millisecond,
 		drain: 550 * time.Millisecond, backlog: 50 * time.Millisecond, last: 250 * time.Millisecond,
 		spare: 600 * time.Millisecond,
 	}
 }
+
+// set takes over what the operator says of connections.
+func (t *timing) set(c site.Connections) {
+	t.idle, t.idleLeast, t.fresh = time.Duration(c.Idle), time.Duration(c.IdleFull), time.Duration(c.First)
+}
--- /dev/null
+++ b/internal/site/site_test.go
@@ -0,0 +1,58 @@
+package site
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestParse(t *testing.T) {
+	f, err := Parse("site.toml", []byte("[connections]\ncallers = \"address\"\nidle = \"8h\"\nlimit = 9000\n"))
+	if err != nil || f.Connections.Callers != Address || f.Connections.Limit != 9000 ||
+		f.Connections.Idle != Duration(8*time.Hour) || f.Connections.IdleFull != Default().Connections.IdleFull {
+		t.Fatalf("%+v, %v", f, err)
+	}
+	if f, err := Parse("site.toml", nil); err != nil || f != Default() {
+		t.Fatalf("an empty file: %+v, %v", f, err)
+	}
+}
+
+// TestFaults: each fault is one line with file, line and field, and all of a kind are told at once.
+func TestFaults(t *testing.T) {
+	for _, c := range []struct {
+		name, text string
+		want       []string
+	}{
+		{"unknown fields", "[connections]\nlimits = 3\n\n[conections]\n",
+			[]string{"site.toml:2: connections.limits: no such field", "site.toml:4: conections: no such field"}},
+		{"wrong type", "[connections]\nlimit = \"many\"\n", []string{"site.toml:2: connections.limit: "}},
+		{"no time", "[connections]\n\nidle = \"soon\"\n", []string{"site.toml:3: connections.idle: "}},
+		{"not TOML", "[connections]\nidle\n", []string{"site.toml:2: "}},
+		{"values", "[connections]\n# odd ones\ncallers = \"all\"\nlimit = -1\nidle = \"1s\"\nidle_full = \"1m\"\nfirst = \"0s\"\n",
+			[]string{"site.toml:3: connections.callers: ", "site.toml:4: connections.limit: ", "site.toml:5: connections.idle: ",
+				"site.toml:6: connections.idle_full: ", "site.toml:7: connections.first: "}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := Parse("site.toml", []byte(c.text))
+			if err == nil {
+				t.Fatal("taken")
+			}
+			lines := strings.Split(err.Error(), "\n")
+			if len(lines) != len(c.want) {
+				t.Fatalf("%d lines: %v", len(lines), err)
+			}
+			for i, want := range c.want {
+				if !strings.HasPrefix(lines[i], want) {
+					t.Errorf("%q, want %q", lines[i], want)
+				}
+			}
+		})
+	}
+}
+
+// FuzzParse: no text makes it panic.
+func FuzzParse(f *testing.F) {
+	f.Add("[connections]\nidle = \"8h\"\n")
+	f.Add("connections.limit = -1\nconnections.callers = 'x'")
+	f.Fuzz(func(t *testing.T, text string) { Parse("site.toml", []byte(text)) })
+}
