Clients and hosts lend each other descriptors; slow heads give up their turns

Need: two fixed halves left one side without descriptors while the other had them idle; and since turns are bounded by memory, heads that never end could take all of them.

With every turn taken and somebody waiting, connections that linger or whose first head comes slowly give way. A refused request has to come whole within 250 ms. Idle connections to hosts retire spread over a fifth of their time, the longest unused of the host with most first. Figures of connections are logged each minute; one line says when a limit begins to bind and when it stops. The lab also ends idle connections under steady traffic, and has a test.

--- a/cmd/beechwing-lab/idle.go
+++ b/cmd/beechwing-lab/idle.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -25,11 +26,15 @@
 	memoryMB int
 	wave     time.Duration
 	settle   time.Duration
+	expire   time.Duration
 	out      io.Writer
 }
 
-// site lets each source address be a caller of its own, and lets connections stay.
-const site = "[connections]\ncallers = \"address\"\nidle = \"1h\"\nidle_full = \"1m\"\n"
+// Operators' files. site lets each source address be a caller of its own, and lets connections stay.
+const (
+	site      = "[connections]\ncallers = \"address\"\nidle = \"1h\"\nidle_full = \"1m\"\n"
+	shortSite = "[connections]\ncallers = \"address\"\nidle = \"%v\"\nidle_full = \"%[1]v\"\n"
+)
 
 const (
 	sockets   = 40_000           // descriptors that the proxy is told; the process has those that the shell grants
@@ -54,6 +59,7 @@
 	f.IntVar(&e.repeats, "repeats", 3, "times that steady traffic runs with and without idle connections, in turn")
 	f.IntVar(&e.memoryMB, "memory", 192, "the proxy's memory limit in MB")
 	f.DurationVar(&e.settle, "settle", 10*time.Second, "before memory is read, and then for the CPU")
+	f.DurationVar(&e.expire, "expire", 8*time.Second, "idle time that is over for all connections; at least 2s")
 	f.DurationVar(&e.wave, "wave", time.Second, "within which all idle connections wake")
 	return c
 }
@@ -65,11 +71,14 @@
 	if err := e.steady(ctx); err != nil {
 		return err
 	}
+	if err := e.expiring(ctx); err != nil {
+		return err
+	}
 	return e.waking(ctx)
 }
 
 // with runs f on a fresh proxy before a few nodes.
-func (e *idle) with(ctx context.Context, f func(*process.Proxy, []*fleet.Node) error) error {
+func (e *idle) with(ctx context.Context, site string, f func(*process.Proxy, []*fleet.Node) error) error {
 	var nodes []*fleet.Node
 	var entries []fleet.Entry
 	for i := range e.nodes {
@@ -100,7 +109,7 @@
 	fmt.Fprintf(e.out, "%10s %10s %12s %12s %12s\n", "held", "standing", "MB", "bytes each", "CPU ms/s")
 	var base int64
 	for _, n := range append([]int{0}, e.held...) {
-		err := e.with(ctx, func(p *process.Proxy, _ []*fleet.Node) error {
+		err := e.with(ctx, site, func(p *process.Proxy, _ []*fleet.Node) error {
 			crowd, err := load.Gather(p.Addr, n, gatherers)
 			if err != nil {
 				return err
@@ -141,7 +150,7 @@
 		"CPU us/req")
 	for run := range e.repeats {
 		for _, n := range []int{0, e.beside} {
-			err := e.with(ctx, func(p *process.Proxy, _ []*fleet.Node) error {
+			err := e.with(ctx, site, func(p *process.Proxy, _ []*fleet.Node) error {
 				crowd, err := load.Gather(p.Addr, n, gatherers)
 				if err != nil {
 					return err
@@ -175,13 +184,52 @@
 	return nil
 }
 
+// expiring lets all idle times be over within a few seconds, and then SIGTERM end all idle connections at once, under steady
+// traffic: nothing may go unanswered, and the latencies show whether anything stood still.
+func (e *idle) expiring(ctx context.Context) error {
+	fmt.Fprintf(e.out, "\nidle connections end under steady traffic of %.0f requests a second\n", e.rate)
+	fmt.Fprintf(e.out, "%10s %10s %10s %9s %9s %9s %9s %9s %11s\n", "held", "by", "left", "served", "refused", "silent", "p99 us",
+		"p99.9 us", "slowest us")
+	for _, c := range []struct {
+		by     string
+		held   int
+		site   string
+		signal bool
+	}{{"nothing", 0, site, false}, {"idle-time", e.beside, fmt.Sprintf(shortSite, e.expire), false}, {"SIGTERM", e.beside, site, true}} {
+		err := e.with(ctx, c.site, func(p *process.Proxy, _ []*fleet.Node) error {
+			crowd, err := load.Gather(p.Addr, c.held, gatherers)
+			if err != nil {
+				return err
+			}
+			defer crowd.Close()
+			held, span := crowd.Held(), e.expire+2*time.Second
+			if c.signal { // new connections go on being taken for half a second
+				span = min(span, 3*time.Second)
+				timer := time.AfterFunc(span-400*time.Millisecond, func() { p.Signal(syscall.SIGTERM) })
+				defer timer.Stop()
+			}
+			r, err := load.Steady(p.Addr, e.rate, span, 7)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(e.out, "%10d %10s %10d %9d %9d %9d %9d %9d %11d\n", held, c.by, crowd.Held(), r.Served, r.Refused,
+				r.Unanswered, r.Quantile(99).Microseconds(), r.Quantile(99.9).Microseconds(), r.Slowest.Microseconds())
+			return nil
+		})
+		if err != nil {
+			return fmt.Errorf("ended by %s: %w", c.by, err)
+		}
+	}
+	return nil
+}
+
 // waking lets every idle connection bring a request within the same second, or all at once.
 func (e *idle) waking(ctx context.Context) error {
 	fmt.Fprintf(e.out, "\nall idle connections wake, with %d MB\n", e.memoryMB)
 	fmt.Fprintf(e.out, "%10s %10s %9s %9s %9s %9s %9s %9s %11s %8s %8s\n", "woken", "within", "served", "refused", "failed",
 		"silent", "p50 ms", "p99 ms", "slowest ms", "peak MB", "doubled")
 	for _, within := range []time.Duration{e.wave, 0} {
-		err := e.with(ctx, func(p *process.Proxy, nodes []*fleet.Node) error {
+		err := e.with(ctx, site, func(p *process.Proxy, nodes []*fleet.Node) error {
 			crowd, err := load.Gather(p.Addr, e.beside, gatherers)
 			if err != nil {
 				return err
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -19,7 +19,7 @@
 	wg   sync.WaitGroup
 	mu   sync.Mutex
 	open map[net.Conn]struct{}
-	shut bool
+	shut chan struct{} // closed with it
 }
 
 func listen(serve func(net.Conn, *bufio.Reader)) (*listener, error) {
@@ -27,7 +27,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
-	l := &listener{ln: ln, open: map[net.Conn]struct{}{}}
+	l := &listener{ln: ln, open: map[net.Conn]struct{}{}, shut: make(chan struct{})}
 	l.wg.Go(func() {
 		for {
 			c, err := ln.Accept()
@@ -49,9 +49,11 @@
 func (l *listener) enter(c net.Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.shut {
+	select {
+	case <-l.shut:
 		c.Close()
 		return false
+	default:
 	}
 	l.open[c] = struct{}{}
 	return true
@@ -67,11 +69,13 @@
 // Addr is where it listens.
 func (l *listener) Addr() string { return l.ln.Addr().String() }
 
-// Close ends it, and with it all its connections.
+// Close ends it, and with it all its connections. Only the first call does anything.
 func (l *listener) Close() {
-	l.ln.Close()
+	if l.ln.Close() != nil {
+		return
+	}
 	l.mu.Lock()
-	l.shut = true
+	close(l.shut)
 	for c := range l.open {
 		c.Close()
 	}
@@ -189,6 +193,8 @@
 		if !newer {
 			select {
 			case <-changed:
+			case <-d.shut:
+				return
 			case <-time.After(time.Duration(wait) * time.Millisecond):
 			}
 		}
--- a/internal/places/places.go
+++ b/internal/places/places.go
@@ -150,6 +150,12 @@
 	b.cfg = cfg
 }
 
+// SetMost changes the limit of connections alone.
+func (b *Book) SetMost(n int) { b.cfg.Most = n }
+
+// Count is how many connections hold places and were not told to end.
+func (b *Book) Count() int { return b.held() }
+
 // Enter gives a connection that was accepted a place. If the limit is reached another makes room, which is named by Reap;
 // if none can, the connection is Over. holder is whatever the connection is to its holder.
 func (b *Book) Enter(now time.Duration, from netip.Addr, s *Seat, holder any) {
@@ -298,6 +304,17 @@
 // Shed names the connection that is missed least, where something else than the limit is short.
 func (b *Book) Shed(now time.Duration) { b.makeRoom(now) }
 
+// FreeTurn names a connection that is being read for little: one that has its last answer, or whose first request has been
+// coming for long.
+func (b *Book) FreeTurn(now time.Duration) {
+	for _, k := range []Kind{Lingering, Partial} {
+		if s := b.least(now, k); s != nil {
+			b.name(now, s, Full)
+			return
+		}
+	}
+}
+
 // Linger marks a connection that has its last answer.
 func (b *Book) Linger(now time.Duration, s *Seat) {
 	if s.kind < Ending {
--- a/internal/proxy/accept.go
+++ b/internal/proxy/accept.go
@@ -31,19 +31,24 @@
 	names  *names
 	times  timing
 	limits frontLimits
-	since  time.Time     // zero of the book's and the desk's time
-	slots  chan struct{} // connections held, and the few over that are turned down with an answer
-	lot    *park.Lot
-	kick   chan struct{} // wakes the keeper
-	closed chan struct{} // with the listener, for an accept that waits for a place
-	ended  chan struct{} // ends the keeper
-
-	wg      sync.WaitGroup // of connections
-	mu      sync.Mutex
-	book    *places.Book
-	desk    *places.Desk
-	warm    int  // connections that wait for their next request with a goroutine and a reader
-	binding bool // the limit of connections was reached, and has been logged
+	room   *room
+	// giveBack closes so many idle connections to hosts.
+	giveBack func(int)
+	since    time.Time     // zero of the book's and the desk's time
+	space    chan struct{} // wakes an accept that waits for a place
+	lot      *park.Lot
+	kick     chan struct{} // wakes the keeper
+	closed   chan struct{} // with the listener, for an accept that waits for a place
+	ended    chan struct{} // ends the keeper
+
+	wg       sync.WaitGroup // of connections
+	mu       sync.Mutex
+	open     int // connections, those over the limit that are turned down with an answer too
+	book     *places.Book
+	desk     *places.Desk
+	warm     int  // connections that wait for their next request with a goroutine and a reader
+	refusing bool // requests are refused unread, and that has been logged
+	binding  bool // the limit of connections was reached, and has been logged
 }
 
 // frontLimits is what a front may hold.
@@ -56,16 +61,38 @@
 	coolDown    float64 // seconds that a refusal of the front's own names; 0: settings allow none
 }
 
-func newFront(ln net.Listener, l frontLimits, o *owner, bufs *pool, n *names, t timing, log *zap.Logger) (*front, error) {
-	f := &front{ln: ln, log: log, owner: o, bufs: bufs, names: n, times: t, limits: l, since: time.Now(),
-		slots: make(chan struct{}, l.most+shedReserve), kick: make(chan struct{}, 1),
+func newFront(ln net.Listener, l frontLimits, r *room, giveBack func(int), o *owner, bufs *pool, n *names, t timing, log *zap.Logger) (*front, error) {
+	f := &front{ln: ln, log: log, room: r, giveBack: giveBack, owner: o, bufs: bufs, names: n, times: t, limits: l, since: time.Now(),
+		space: make(chan struct{}, 1), kick: make(chan struct{}, 1),
 		closed: make(chan struct{}), ended: make(chan struct{}), desk: places.NewDesk(l.desk),
 		book: places.New(bookConfig(l, t))}
 	var err error
+	r.owing = func() { ask(f.kick) }
 	f.lot, err = park.New(func(holder any) { f.wake(holder.(*client)) })
 	return f, err
 }
 
+// awaitPlace waits until one more connection may be held, and says whether the listener is still open.
+func (f *front) awaitPlace() bool {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		f.mu.Lock()
+		free := f.open < min(f.limits.connections, f.room.limit(places.Callers))+shedReserve
+		f.mu.Unlock()
+		if free {
+			return true
+		}
+		timer.Reset(keepEvery) // hosts may have given some back, of which nobody tells
+		select {
+		case <-f.closed:
+			return false
+		case <-f.space:
+		case <-timer.C:
+		}
+	}
+}
+
 func bookConfig(l frontLimits, t timing) places.Config {
 	return places.Config{Most: l.connections, Fresh: t.fresh, Late: t.late, Idle: t.idle, IdleLeast: t.idleLeast,
 		ByAddress: l.byAddress}
@@ -77,9 +104,8 @@
 	f.seat(func(time.Duration) {
 		t := f.times
 		t.set(c)
-		l := f.limits
-		l.connections = clientLimit(l.most, c)
-		f.book.Configure(bookConfig(l, t))
+		f.limits.connections = clientLimit(f.limits.most, c)
+		f.book.Configure(bookConfig(f.limits, t))
 	})
 }
 
@@ -87,19 +113,13 @@
 // wait in the backlog stay there until one is free.
 func (f *front) accept() {
 	failing := false
-	for {
-		select {
-		case f.slots <- struct{}{}:
-		case <-f.closed:
-			return
-		}
+	for f.awaitPlace() {
 		c, err := f.ln.Accept()
 		if err == nil {
 			failing = false
 			f.admit(c)
 			continue
 		}
-		<-f.slots
 		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return
 		}
@@ -122,6 +142,8 @@
 	cl.meter.r = cl
 	f.wg.Add(1)
 	f.seat(func(now time.Duration) {
+		f.open++
+		f.makeLimit(1)
 		f.book.Enter(now, origin(c), &cl.seat, cl)
 		f.noteLimit(&cl.seat)
 	})
@@ -131,6 +153,17 @@
 	}
 }
 
+// makeLimit asks for room for more connections of clients and gives the book its limit, which what hosts hold may bring
+// under the operator's. mu is held.
+func (f *front) makeLimit(more int) {
+	count := f.book.Count()
+	limit := f.room.clients(count + more)
+	if limit < count+more {
+		ask(f.kick) // hosts may hold some that they can give back
+	}
+	f.book.SetMost(min(f.limits.connections, limit))
+}
+
 // noteLimit logs when the limit of connections begins to bind, and when it has ceased to. mu is held.
 func (f *front) noteLimit(s *places.Seat) {
 	over := s.Kind() == places.Over
@@ -157,7 +190,11 @@
 func (f *front) seat(tell func(now time.Duration)) {
 	f.mu.Lock()
 	now := f.now()
+	count := f.book.Count()
 	tell(now)
+	if f.book.Count() != count {
+		f.room.clients(f.book.Count())
+	}
 	f.unlockAndEnd(now, endAtOnce)
 }
 
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -89,6 +89,9 @@
 	if !c.served {
 		within = max(t.late, time.Until(c.accepted.Add(t.fresh)))
 	}
+	if c.verdict == places.Refuse { // those that wait to be refused behind it have waited for long enough
+		within = min(within, t.refuse)
+	}
 	c.mark(c.front.book.Begin, within)
 }
 
@@ -104,7 +107,7 @@
 	f := c.front
 	f.seat(func(now time.Duration) {
 		within := time.Nanosecond // over at once
-		if f.warm < f.limits.warm && f.desk.Waiting() == 0 {
+		if f.warm < f.limits.warm && f.desk.Waiting() == 0 && c.verdict == places.Serve {
 			c.warm = true
 			f.warm++
 			within = f.times.warm
--- a/internal/proxy/client_test.go
+++ b/internal/proxy/client_test.go
@@ -278,7 +278,7 @@
 	s := newScript()
 	s.request = sends("h1")
 	g := one(t, h, s.decides, func(p *Proxy) {
-		p.cfg.Limits.Sockets = spareSockets + shedReserve + 8 // four clients
+		p.cfg.Site.Connections.Limit = 4
 		p.times.fresh, p.times.late = patience, 0
 	})
 	busy, idle, begun, silent := g.dial(), g.dial(), g.dial(), g.dial()
@@ -312,7 +312,7 @@
 func TestFlood(t *testing.T) {
 	h := newHost(t, says(ok))
 	g := one(t, h, func(p *Proxy) {
-		p.cfg.Limits.Sockets = spareSockets + shedReserve + 16 // eight clients
+		p.cfg.Site.Connections.Limit = 8
 		p.times.linger = 50 * time.Millisecond
 	})
 	for n := range 30 {
@@ -354,7 +354,7 @@
 		<-release.opened
 		return says(ok)(c, r)
 	})
-	g := one(t, h, func(p *Proxy) { p.cfg.Limits.Sockets = spareSockets + shedReserve + 4 }) // two clients
+	g := one(t, h, func(p *Proxy) { p.cfg.Site.Connections.Limit = 2 })
 	idle := g.dial()
 	busy := []net.Conn{g.dial(), g.dial()}
 	for _, c := range busy {
@@ -427,7 +427,7 @@
 func TestAskOnceAndKeep(t *testing.T) {
 	const own, asked = 40, 300
 	h := newHost(t, says(ok))
-	g := one(t, h, func(p *Proxy) { p.cfg.Limits.Sockets = spareSockets + shedReserve + 2*48 })
+	g := one(t, h, func(p *Proxy) { p.cfg.Site.Connections.Limit = 48 })
 	places := make(chan struct{}, own)
 	for n := range asked {
 		select {
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -155,11 +155,20 @@
 	debug.SetMemoryLimit(int64(softMemory * float64(l.MemoryMB) * (1 << 20)))
 }
 
-// connections says how many connections may be open to clients and to hosts, and how many requests may be read and worked
-// on at once. A client has one request at a time, so the last bounds the owner's queue and held bodies as well.
-func (l Limits) connections() (clients, requests, hosts int) {
-	half := max(1, (l.Sockets-spareSockets-shedReserve)/2)
+// shares says how many connections there may be in all, and how many of them are always clients' and always hosts'. Clients
+// may hold a third of the descriptors for requests, so that much is theirs.
+func (l Limits) shares() (total, clients, hosts int) {
+	total = max(2, l.Sockets-spareSockets-shedReserve)
+	clients = min(total-1, max(1, (l.Sockets+2)/3))
+	hosts = max(1, min(total-clients, l.Sockets/4))
+	return total, min(clients, total-hosts), hosts
+}
+
+// connections says how many clients may be connected at the most, and how many of their requests may be read and worked on
+// at once. A client has one request at a time, so the last bounds the owner's queue and held bodies as well.
+func (l Limits) connections() (clients, requests int) {
+	total, _, hosts := l.shares()
 	memory := softMemory * float64(l.MemoryMB) * (1 << 20)
-	clients = max(1, min(half, int(parkedShare*memory/memoryPerParked)))
-	return clients, max(1, min(clients, int(memory/memoryPerClient))), half
+	clients = max(1, min(total-hosts, int(parkedShare*memory/memoryPerParked)))
+	return clients, max(1, min(clients, int(memory/memoryPerClient)))
 }
--- /dev/null
+++ b/internal/proxy/figures.go
@@ -0,0 +1,72 @@
+package proxy
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"beechwing/internal/places"
+)
+
+const reportEvery = time.Minute // at which what connections have done since is logged
+
+// frontFigures is what operators can read of a front.
+type frontFigures struct {
+	Places places.Figures
+	Desk   places.DeskFigures
+	Warm   int // that wait for a further request with a goroutine
+	Limit  int // of connections, by what hosts leave and the operator allows
+	Hosts  int // connections to hosts
+}
+
+func (f *front) figures() frontFigures {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return frontFigures{Places: f.book.Figures(), Desk: f.desk.Figures(), Warm: f.warm,
+		Limit: min(f.limits.connections, f.room.limit(places.Callers)), Hosts: f.room.hostCount()}
+}
+
+// MarshalLogObject words the figures for the log. Counters run from the start.
+func (g frontFigures) MarshalLogObject(e zapcore.ObjectEncoder) error {
+	for k, n := range g.Places.Held {
+		if n > 0 {
+			e.AddInt(places.Kind(k).String(), n)
+		}
+	}
+	for c, n := range g.Places.Ended {
+		if n > 0 {
+			e.AddUint64("ended: "+places.Cause(c).String(), n)
+		}
+	}
+	e.AddInt("limit", g.Limit)
+	e.AddFloat64("press", g.Places.Press)
+	e.AddInt("callers", g.Places.Callers)
+	e.AddUint64("entered", g.Places.Entered)
+	e.AddUint64("reused", g.Places.Reused)
+	e.AddUint64("turned down", g.Places.Refused)
+	e.AddInt("requests at work", g.Desk.Serving)
+	e.AddInt("requests waiting", g.Desk.Waiting)
+	e.AddUint64("requests refused unread", g.Desk.Refused)
+	e.AddInt("warm", g.Warm)
+	e.AddInt("to hosts", g.Hosts)
+	return nil
+}
+
+// reporter logs figures now and then, if anything has happened.
+type reporter struct {
+	front *front
+	last  frontFigures
+	due   time.Time
+}
+
+func (r *reporter) look(now time.Time, atOnce bool) {
+	if !atOnce && now.Before(r.due) {
+		return
+	}
+	r.due = now.Add(reportEvery)
+	if g := r.front.figures(); g != r.last {
+		r.last = g
+		r.front.log.Info("connections of clients", zap.Object("figures", g))
+	}
+}
--- a/internal/proxy/idle.go
+++ b/internal/proxy/idle.go
@@ -40,9 +40,7 @@
 		return
 	}
 	c.parked = false
-	now := f.now()
-	f.book.Begin(now, &c.seat)
-	f.comeToDesk(now, c)
+	f.comeToDesk(f.now(), c)
 }
 
 // comeToDesk reads what a connection brings, or lets it wait for that. mu is held.
@@ -58,13 +56,26 @@
 func (f *front) callNext(now time.Duration) {
 	for {
 		holder, v, waited := f.desk.Next(now)
-		if holder == nil {
+		if f.noteDesk(v); holder == nil {
 			return
 		}
 		go holder.(*client).serve(v, waited)
 	}
 }
 
+// noteDesk logs when requests begin to be refused unread, and when none waits any more. mu is held.
+func (f *front) noteDesk(v places.Verdict) {
+	switch d := f.desk.Figures(); {
+	case v == places.Refuse && !f.refusing:
+		f.refusing = true
+		f.log.Warn("requests are refused unread: more came together than can be worked on", zap.Int("at work", d.Serving),
+			zap.Int("of", d.Most), zap.Int("waiting", d.Waiting))
+	case f.refusing && d.Waiting == 0 && d.Refusing == 0:
+		f.refusing = false
+		f.log.Info("no request waits to be read any more", zap.Uint64("refused", d.Refused))
+	}
+}
+
 // settle parks a connection whose goroutine ends, or ends it too.
 func (c *client) settle(goesOn bool) {
 	f := c.front
@@ -94,10 +105,12 @@
 func (f *front) end(c *client) {
 	c.conn.Close()
 	f.mu.Lock()
+	f.open--
 	f.lot.Leave(&c.spot)
 	f.book.Leave(&c.seat)
+	f.room.clients(f.book.Count())
 	f.mu.Unlock()
-	<-f.slots
+	ask(f.space)
 	f.wg.Done()
 }
 
@@ -106,23 +119,55 @@
 func (f *front) keep() {
 	timer := time.NewTimer(keepEvery)
 	defer timer.Stop()
+	report := reporter{front: f, due: time.Now().Add(reportEvery)}
 	for {
 		select {
 		case <-f.ended:
+			report.look(time.Now(), true)
 			return
 		case <-f.kick:
 		case <-timer.C:
 		}
+		if n := f.room.owes(places.Nodes); n > 0 {
+			f.giveBack(n)
+		}
+		f.takeBack()
 		f.endNamed()
-		f.mu.Lock()
-		f.callNext(f.now())
-		next := keepEvery
-		if f.desk.Waiting() > 0 {
-			next = turnEvery
+		report.look(time.Now(), false)
+		timer.Reset(f.turns())
+	}
+}
+
+// turns gives turns to those that wait, and says when to look again.
+func (f *front) turns() time.Duration {
+	next := keepEvery
+	f.seat(func(now time.Duration) {
+		f.callNext(now)
+		d := f.desk.Figures()
+		if d.Waiting == 0 {
+			return
+		}
+		next = turnEvery
+		if d.Serving == d.Most { // heads that come slowly, by whom ever, must not lock out those that come whole
+			for range min(d.Waiting, endAtOnce) {
+				f.book.FreeTurn(now)
+			}
 		}
-		f.mu.Unlock()
-		timer.Reset(next)
+	})
+	return next
+}
+
+// takeBack makes idle connections of clients give way where hosts lack what clients hold beyond their own part.
+func (f *front) takeBack() {
+	n := f.room.owes(places.Callers)
+	if n == 0 {
+		return
 	}
+	f.seat(func(now time.Duration) {
+		for range n {
+			f.book.Shed(now)
+		}
+	})
 }
 
 func (f *front) endNamed() {
@@ -134,16 +179,3 @@
 		runtime.Gosched() // on one core everything else waits for this
 	}
 }
-
-// frontFigures is what operators can read of a front.
-type frontFigures struct {
-	Places places.Figures
-	Desk   places.DeskFigures
-	Warm   int
-}
-
-func (f *front) figures() frontFigures {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return frontFigures{f.book.Figures(), f.desk.Figures(), f.warm}
-}
--- a/internal/proxy/idle_test.go
+++ b/internal/proxy/idle_test.go
@@ -235,17 +235,17 @@
 	}
 	core, logs := observer.New(zap.WarnLevel)
 	l := short{ln, make(chan struct{}), make(watched[bool], 1)}
-	f, err := newFront(l, frontLimits{most: 4, connections: 4, desk: places.DeskConfig{Most: 1, Burst: 1, Pace: 1}}, nil,
-		newPool(), nil, quickTiming(), zap.New(core))
+	f, err := newFront(l, frontLimits{most: 4, connections: 4, desk: places.DeskConfig{Most: 1, Burst: 1, Pace: 1}},
+		newRoom(Limits{Sockets: 100}), nil, nil, newPool(), nil, quickTiming(), zap.New(core))
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer f.stop()
 	near, far := net.Pipe()
 	idle := &client{front: f, conn: near}
-	f.slots <- struct{}{}
 	f.wg.Add(1)
 	f.seat(func(now time.Duration) {
+		f.open++
 		f.book.Enter(now, origin(near), &idle.seat, idle)
 		f.book.Work(now, &idle.seat)
 		f.book.Rest(now, &idle.seat)
@@ -316,3 +316,54 @@
 		t.Errorf("the one worked on got %d", a.status)
 	}
 }
+
+// TestLent: clients hold descriptors beyond their own part. When hosts lack one, an idle client gives way and the attempt
+// that waits gets it; and what is held together never passes what there is.
+func TestLent(t *testing.T) {
+	h := newHost(t, says(ok))
+	g := one(t, h, desks, func(p *Proxy) { p.cfg.Limits.Sockets = 240 })
+	total, clients, hosts := g.p.cfg.Limits.shares()
+	room := g.p.hosts.room
+	g.p.hosts.giveBack(total)
+	g.await("no connection to the host is left", func() bool { return room.hostCount() == 0 })
+	most := total - hosts
+	g.crowd(most - 1) // one place is that of the connection that asks the host for them
+	if most-1 <= clients {
+		t.Fatalf("%d of %d lent", most-1-clients, total)
+	}
+	for room.hostCount() < hosts+5 {
+		if !room.takeHost() && !room.awaitHost(t.Context(), patience) {
+			t.Fatalf("no place for a host with %d of them and %+v", room.hostCount(), g.p.front.figures())
+		}
+		if held := g.p.front.figures(); room.hostCount()+held.Places.Held[places.Once] > total {
+			t.Fatalf("%d to hosts, %+v", room.hostCount(), held)
+		}
+	}
+	if n := g.p.front.figures().Places.Ended[places.Full]; n == 0 {
+		t.Error("no client gave way")
+	}
+	for room.hostCount() > 0 {
+		room.giveHost()
+	}
+}
+
+// TestSlowHeads: connections that never end their first head take every turn. They give way to one that brings a request
+// whole, well before their own time is over.
+func TestSlowHeads(t *testing.T) {
+	h := newHost(t, says(ok))
+	g := one(t, h, desks, func(p *Proxy) {
+		p.cfg.Limits.MemoryMB = 1
+		p.times.fresh = patience
+	})
+	most := g.p.front.figures().Desk.Most
+	for range most {
+		io.WriteString(g.dial(), "GET /api HTTP/1.1\r\n")
+	}
+	g.await("all turns are taken", func() bool { return g.p.front.figures().Places.Held[places.Partial] == most })
+	for n := range 5 {
+		if a := g.raw(message("write", "x")); a.status != http.StatusOK {
+			t.Fatalf("request %d got %d: %+v", n, a.status, g.p.front.figures())
+		}
+		io.WriteString(g.dial(), "GET /api HTTP/1.1\r\n")
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -95,9 +95,10 @@
 	p.halt = halt
 	p.bufs = newPool()
 	c := newClock(time.Now())
-	p.hosts = newHosts(p.cfg, c, p.bufs, p.times)
+	room := newRoom(p.cfg.Limits)
+	p.hosts = newHosts(p.cfg, c, p.bufs, room, p.times)
 	p.owner = newOwner(run, p.cfg, c, p.hosts, p.bufs, p.times, p.log)
-	p.front, err = newFront(ln, p.frontLimits(), p.owner, p.bufs, newNames(p.cfg.Settings, p.cfg.Balancer), p.times,
+	p.front, err = newFront(ln, p.frontLimits(), room, p.hosts.giveBack, p.owner, p.bufs, newNames(p.cfg.Settings, p.cfg.Balancer), p.times,
 		p.log)
 	if err != nil {
 		return Stopped, err
@@ -112,7 +113,7 @@
 }
 
 func (p *Proxy) frontLimits() frontLimits {
-	clients, requests, _ := p.cfg.Limits.connections()
+	clients, requests := p.cfg.Limits.connections()
 	return frontLimits{most: clients, connections: clientLimit(clients, p.cfg.Site.Connections),
 		byAddress: p.cfg.Site.Connections.Callers == site.Address, warm: max(1, requests/4),
 		coolDown: p.cfg.Balancer.MaxCoolDown / 4,
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -53,15 +53,17 @@
 func TestBacklog(t *testing.T) {
 	h := newHost(t, says(ok))
 	g := one(t, h, func(p *Proxy) {
-		p.cfg.Limits.Sockets = spareSockets + shedReserve + 2 // one client
+		p.cfg.Site.Connections.Limit = 1
 		p.times.drain = 100 * time.Millisecond
 	})
 	// All places are taken, so that what comes now stays in the backlog.
-	slots := g.p.front.slots
-	held := cap(slots) - 1
-	for range held { // the last is that of the accept that is waiting
-		slots <- struct{}{}
+	f := g.p.front
+	hold := func(n int) {
+		f.mu.Lock()
+		f.open += n
+		f.mu.Unlock()
 	}
+	hold(shedReserve) // the last place is that of the accept that is waiting
 	taken := g.dial()
 	io.WriteString(taken, message("read", ""))
 	hear(t, bufio.NewReader(taken))
@@ -70,9 +72,7 @@
 		io.WriteString(c, message("read", ""))
 	}
 	g.tell()
-	for range held {
-		<-slots
-	}
+	hold(-shedReserve)
 	for n, c := range waiting {
 		if a := hear(t, bufio.NewReader(c)); a.status == 0 {
 			t.Errorf("request %d in the backlog was lost", n)
@@ -128,14 +128,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f, err := newFront(ln, frontLimits{connections: 1}, nil, newPool(), nil, quickTiming(), zap.NewNop())
+	f, err := newFront(ln, frontLimits{connections: 1}, newRoom(Limits{Sockets: 100}), nil, nil, newPool(), nil, quickTiming(), zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer f.stop()
-	for range cap(f.slots) {
-		f.slots <- struct{}{}
-	}
+	f.open = 1 + shedReserve
 	ended := make(watched[bool], 1)
 	go func() {
 		f.accept()
--- a/internal/proxy/timing.go
+++ b/internal/proxy/timing.go
@@ -14,6 +14,7 @@
 	fresh     time.Duration // one that has brought none yet has to bring it whole within this; bytes sent slowly do not renew it
 	head      time.Duration // a further request has to come whole within this after its first byte
 	late      time.Duration // for what has come but was not read when its time was over
+	refuse    time.Duration // a request that is refused unread has to come whole within this
 	answer    time.Duration // a client has to take its answer within this
 	linger    time.Duration // for which a client that sent something malformed may read the answer
 
@@ -33,7 +34,7 @@
 func defaultTiming() timing {
 	return timing{
 		warm: 100 * time.Millisecond, head: 2500 * time.Millisecond,
-		late: 50 * time.Millisecond, answer: 5 * time.Second, linger: 500 * time.Millisecond, settle: time.Millisecond,
+		late: 50 * time.Millisecond, refuse: 250 * time.Millisecond, answer: 5 * time.Second, linger: 500 * time.Millisecond, settle: time.Millisecond,
 		call: 2200 * time.Millisecond, watch: 1500 * time.Millisecond,
 		drain: 550 * time.Millisecond, backlog: 50 * time.Millisecond, last: 250 * time.Millisecond,
 		spare: 600 * time.Millisecond,
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"sync"
@@ -18,6 +19,7 @@
 	// idleShare of the time after which a host closes an idle connection: from then on it is not used again. A request
 	// written to it as it closes would end as a reset, and an unsafe one would be lost.
 	idleShare       = 0.7
+	retireSpread    = 0.2
 	defaultConnIdle = 10.0
 	defaultConnect  = 1.0
 )
@@ -33,7 +35,7 @@
 	settle  time.Duration // for which a message's last byte is held back
 	idle    time.Duration
 	grace   float64 // seconds after word of a drain in which a request may still be written
-	slots   chan struct{}
+	room    *room
 
 	mu  sync.Mutex
 	all map[balancer.HostID]*upstream
@@ -51,14 +53,13 @@
 	idle    []*hostConn // the one used last comes last and is used first
 }
 
-func newHosts(cfg *Config, c clock, bufs *pool, t timing) *hosts {
-	_, _, most := cfg.Limits.connections()
+func newHosts(cfg *Config, c clock, bufs *pool, r *room, t timing) *hosts {
 	return &hosts{
 		bufs: bufs, clock: c, columns: cfg.Settings.Columns(), grace: cfg.Balancer.DrainGrace / 2,
 		connect: seconds(cmp.Or(cfg.Balancer.ConnectTimeout, defaultConnect)),
 		idle:    seconds(idleShare * cmp.Or(cfg.Settings.Limits.ConnIdleS, defaultConnIdle)),
 		settle:  t.settle,
-		slots:   make(chan struct{}, most), all: map[balancer.HostID]*upstream{},
+		room:    r, all: map[balancer.HostID]*upstream{},
 	}
 }
 
@@ -152,7 +153,7 @@
 	dialer := net.Dialer{Timeout: u.hosts.connect, KeepAlive: -1}
 	nc, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		<-u.hosts.slots
+		u.hosts.room.giveHost()
 		return nil, fmt.Errorf("host: %w", err)
 	}
 	c := &hostConn{up: u, addr: addr, conn: nc, meter: meter{r: nc}}
@@ -163,34 +164,54 @@
 
 // reserve takes a place for a connection. If all are taken, an idle connection to some host makes room.
 func (h *hosts) reserve(ctx context.Context) bool {
-	select {
-	case h.slots <- struct{}{}:
+	if h.room.takeHost() {
 		return true
-	default:
 	}
 	if c := h.takeIdle(); c != nil {
 		c.close()
 	}
-	select {
-	case h.slots <- struct{}{}:
-		return true
-	case <-ctx.Done(): // the client's time may be over before a place is free
-		return false
-	case <-time.After(h.connect):
-		return false
+	return h.room.awaitHost(ctx, h.connect)
+}
+
+// retire is how long a connection may be idle: up to a fifth less than the most, so that those of one burst do not all end
+// and come anew together. The one used last is used first, so no more stay than were in use at once in that time.
+func (h *hosts) retire() time.Duration {
+	return h.idle - time.Duration(rand.Float64()*retireSpread*float64(h.idle))
+}
+
+// giveBack closes up to n idle connections.
+func (h *hosts) giveBack(n int) {
+	for range n {
+		c := h.takeIdle()
+		if c == nil {
+			return
+		}
+		c.close()
 	}
 }
 
-// takeIdle takes some idle connection away from its host.
+// takeIdle takes an idle connection away from the host that has most of them: the one used longest ago, which is missed
+// least, as the others carry what comes first.
 func (h *hosts) takeIdle() *hostConn {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	var from *upstream
+	most := 0
 	for _, u := range h.all {
-		if c := u.takeOldest(); c != nil {
-			return c
+		if n := u.idleCount(); n > most {
+			from, most = u, n
 		}
 	}
-	return nil
+	if from == nil {
+		return nil
+	}
+	return from.takeOldest()
+}
+
+func (u *upstream) idleCount() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.idle)
 }
 
 func (u *upstream) takeOldest() *hostConn {
@@ -274,7 +295,7 @@
 	}
 	c.close()
 	c.up.hosts.bufs.putReader(c.br)
-	<-c.up.hosts.slots
+	c.up.hosts.room.giveHost()
 }
 
 // readOne waits for what comes next and says whether the connection goes on.
@@ -315,7 +336,7 @@
 func (c *hostConn) rest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.conn.SetReadDeadline(time.Now().Add(c.up.hosts.idle))
+	c.conn.SetReadDeadline(time.Now().Add(c.up.hosts.retire()))
 	if c.dead || !c.up.keep(c) {
 		c.conn.Close()
 	}
--- a/internal/proxy/upstream_test.go
+++ b/internal/proxy/upstream_test.go
@@ -65,8 +65,7 @@
 	g := one(t, h)
 	hosts := g.p.hosts
 	hosts.connect = patience
-	for range cap(hosts.slots) {
-		hosts.slots <- struct{}{}
+	for hosts.room.takeHost() {
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 	defer cancel()
@@ -75,8 +74,8 @@
 	if took := time.Since(began); result != balancer.ConnectFailed || took > patience/2 {
 		t.Fatalf("%v after %v", result, took)
 	}
-	for range cap(hosts.slots) {
-		<-hosts.slots
+	for hosts.room.hostCount() > 0 {
+		hosts.room.giveHost()
 	}
 }
 
@@ -119,7 +118,7 @@
 	if got := sizes.next(t, "the sizes"); got != [3]int{2, 0, 0} {
 		t.Errorf("hosts, flights and ids left: %v", got)
 	}
-	if n := len(g.p.hosts.slots); n > 1 {
+	if n := g.p.hosts.room.hostCount(); n > 1 {
 		t.Errorf("%d connections to hosts", n)
 	}
 }
