--- a/cmd/beechwing-lab/idle.go
+++ b/cmd/beechwing-lab/idle.go
@@ -148,6 +148,9 @@
 	fmt.Fprintf(e.out, "\nsteady traffic of %.0f requests a second for %v on one core, beside idle connections\n", e.rate, e.span)
 	fmt.Fprintf(e.out, "%10s %10s %9s %9s %9s %9s %12s\n", "beside", "served", "refused", "p50 us", "p99 us", "p99.9 us",
 		"CPU us/req")
+	if err := e.direct(); err != nil {
+		return err
+	}
 	for run := range e.repeats {
 		for _, n := range []int{0, e.beside} {
 			err := e.with(ctx, site, func(p *process.Proxy, _ []*fleet.Node) error {
@@ -184,6 +187,22 @@
 	return nil
 }
 
+// direct measures the same traffic without a proxy.
+func (e *idle) direct() error {
+	node, err := fleet.NewNode("h0", work)
+	if err != nil {
+		return err
+	}
+	defer node.Close()
+	r, err := load.Steady(node.Addr(), e.rate, e.span, 0)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(e.out, "%10s %10d %9d %9d %9d %9d %12s\n", "no-proxy", r.Served, r.Refused, r.Quantile(50).Microseconds(),
+		r.Quantile(99).Microseconds(), r.Quantile(99.9).Microseconds(), "-")
+	return nil
+}
+
 // expiring lets all idle times be over within a few seconds, and then SIGTERM end all idle connections at once, under steady
 // traffic: nothing may go unanswered, and the latencies show whether anything stood still.
 func (e *idle) expiring(ctx context.Context) error {
--- a/internal/places/places_test.go
+++ b/internal/places/places_test.go
@@ -279,6 +279,17 @@
 				}
 			}
 		})
+		bench.Run(name("expire"), func(bench *testing.B) {
+			b, _ := fill(4 * held)
+			now := time.Hour
+			for bench.Loop() { // all are over; one is ended and another comes, over as well by the next look
+				for _, s := range b.Reap(now, 1) {
+					b.Leave(s)
+				}
+				now += time.Hour
+				once(b, now, address(7))
+			}
+		})
 		bench.Run(name("tick"), func(bench *testing.B) {
 			b, _ := fill(4 * held)
 			for bench.Loop() {
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -17,6 +17,13 @@
 	}
 }
 
+// TestShipped: the file in deploy/ says what the defaults are.
+func TestShipped(t *testing.T) {
+	if f, err := Load("../../deploy/site.toml"); err != nil || f != Default() {
+		t.Fatalf("%+v, %v", f, err)
+	}
+}
+
 // TestFaults: each fault is one line with file, line and field, and all of a kind are told at once.
 func TestFaults(t *testing.T) {
 	for _, c := range []struct {
