The collector runs less often where memory allows, and once when a rush is over

Cause: p99 of steady traffic rose by 2 to 4 ms beside 9,000 idle connections: each collection marks them on the one core, every half second. Found with GOGC=300, which took the rise away (5,991 us beside them, 6,471 without). Change: the collector's percentage follows memory, 100 up to 48 MB and 300 from 144 MB on; when traffic has become quiet after a rush, one collection gives memory back (9,000 held: 37.4 MB resident, 53.6 without that).

--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -147,12 +147,14 @@
 }
 
 // apply bends the runtime to the machine: as many threads as cores, and a garbage collector that keeps below the
-// memory limit, over which the process would be killed.
+// memory limit, over which the process would be killed. Where there is room it collects less often: with 9,000 idle
+// connections to mark, a collection each half second added 2 to 4 ms to the p99 of the traffic beside them.
 func (l Limits) apply() {
 	if l.Cores > 0 {
 		runtime.GOMAXPROCS(min(runtime.NumCPU(), int(math.Ceil(l.Cores))))
 	}
 	debug.SetMemoryLimit(int64(softMemory * float64(l.MemoryMB) * (1 << 20)))
+	debug.SetGCPercent(min(300, max(100, 100*l.MemoryMB/48)))
 }
 
 // shares says how many connections there may be in all, and how many of them are always clients' and always hosts'. Clients
--- a/internal/proxy/config_test.go
+++ b/internal/proxy/config_test.go
@@ -117,6 +117,7 @@
 	defer func() {
 		runtime.GOMAXPROCS(procs)
 		debug.SetMemoryLimit(memory)
+		debug.SetGCPercent(100)
 	}()
 	Limits{Cores: 1, MemoryMB: 100}.apply()
 	if n := runtime.GOMAXPROCS(0); n != 1 {
--- a/internal/proxy/idle.go
+++ b/internal/proxy/idle.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"runtime/debug"
 	"time"
 
 	"go.uber.org/zap"
@@ -120,6 +121,7 @@
 	timer := time.NewTimer(keepEvery)
 	defer timer.Stop()
 	report := reporter{front: f, due: time.Now().Add(reportEvery)}
+	collect := collector{due: time.Now().Add(quietSpan)}
 	for {
 		select {
 		case <-f.ended:
@@ -133,11 +135,40 @@
 		}
 		f.takeBack()
 		f.endNamed()
-		report.look(time.Now(), false)
+		now := time.Now()
+		report.look(now, false)
+		collect.look(now, f)
 		timer.Reset(f.turns())
 	}
 }
 
+// collector gives memory back once traffic has become quiet: what the rush of before has left would stay until the
+// runtime's own collection, minutes later.
+type collector struct {
+	due          time.Time
+	seen, tidied uint64 // requests at the last look, and at the last collection
+}
+
+const (
+	quietSpan = 5 * time.Second
+	quietMost = 50   // requests in that
+	rushLeast = 1000 // requests since the last collection
+)
+
+func (c *collector) look(now time.Time, f *front) {
+	if now.Before(c.due) {
+		return
+	}
+	c.due = now.Add(quietSpan)
+	g := f.figures().Places
+	n := g.Entered + g.Reused
+	if n-c.seen < quietMost && n-c.tidied > rushLeast {
+		c.tidied = n
+		go debug.FreeOSMemory() // which returns when it is done; the keeper has others to see to
+	}
+	c.seen = n
+}
+
 // turns gives turns to those that wait, and says when to look again.
 func (f *front) turns() time.Duration {
 	next := keepEvery
