Clean-up after a last reading: one way to deliver an answer, one count of places, dead accessors gone

Three places ended a request in the same four lines (a host's answer, a refusal of the front's own, the health answer): deliver serves all. Book.End, Seat.Since, Seat.Cause and the cause kept for it were called by nobody but a test; Count and held were one thing. The figures of book and desk were copied for each connection and each turn to find nothing to log; they no longer are. Behaviour is as it was; the tests keep their assertions, but for the step of the property test that called End.

--- a/internal/places/places.go
+++ b/internal/places/places.go
@@ -77,7 +77,6 @@
 	holder any
 	all    link[Seat] // among all of its kind, in the order in which they came to it
 	own    link[Seat] // among its caller's
-	cause  Cause
 }
 
 // Kind says what the connection is at.
@@ -86,12 +85,6 @@
 // Holder is what the connection was entered with.
 func (s *Seat) Holder() any { return s.holder }
 
-// Since is when the connection came to that.
-func (s *Seat) Since() time.Duration { return s.since }
-
-// Cause says why it was told to end; it has a meaning for Ending only.
-func (s *Seat) Cause() Cause { return s.cause }
-
 // caller is who opens connections. It is forgotten with its last one.
 type caller struct {
 	from     netip.Addr
@@ -154,14 +147,11 @@
 // SetMost changes the limit of connections alone.
 func (b *Book) SetMost(n int) { b.cfg.Most = n }
 
-// Count is how many connections hold places and were not told to end.
-func (b *Book) Count() int { return b.held() }
-
 // Enter gives a connection that was accepted a place. If the limit is reached another makes room, which is named by Reap;
 // if none can, the connection is Over. holder is whatever the connection is to its holder.
 func (b *Book) Enter(now time.Duration, from netip.Addr, s *Seat, holder any) {
 	*s = Seat{kind: Gone, since: now, holder: holder}
-	if b.held() >= b.cfg.Most && !b.makeRoom(now) {
+	if b.Count() >= b.cfg.Most && !b.makeRoom(now) {
 		b.figures.Refused++
 		b.move(now, s, Over)
 		return
@@ -316,13 +306,6 @@
 	}
 }
 
-// End marks a connection that was told to end for a reason of its holder's.
-func (b *Book) End(now time.Duration, s *Seat) {
-	if s.kind < Ending {
-		b.move(now, s, Ending)
-	}
-}
-
 // Leave takes a connection that has ended out of the book.
 func (b *Book) Leave(s *Seat) {
 	if s.kind == Gone {
@@ -374,7 +357,6 @@
 // name tells a connection to end. From then on its place counts as free.
 func (b *Book) name(now time.Duration, s *Seat, why Cause) {
 	b.figures.Ended[why]++
-	s.cause = why
 	b.move(now, s, Ending)
 	b.named = append(b.named, s)
 }
@@ -382,7 +364,7 @@
 // Reap names up to n connections that are to end now. One that was named gets no further request, but for one that is
 // whole in its socket already.
 func (b *Book) Reap(now time.Duration, n int) []*Seat {
-	for b.held() > b.cfg.Most && len(b.named) < n && b.makeRoom(now) {
+	for b.Count() > b.cfg.Most && len(b.named) < n && b.makeRoom(now) {
 	}
 	for _, k := range []Kind{Lingering, Silent, Trial, Once, Often} {
 		within := b.stay(k)
@@ -404,12 +386,12 @@
 	return out
 }
 
-// held is the number of connections that count against the limit and were not told to end.
-func (b *Book) held() int { return b.open - b.seats[Ending].length }
+// Count is how many connections hold places and were not told to end.
+func (b *Book) Count() int { return b.open - b.seats[Ending].length }
 
 // press says how short places are: 0 up to half of them, 1 with all taken.
 func (b *Book) press() float64 {
-	return min(1, max(0, 2*float64(b.held())/float64(max(1, b.cfg.Most))-1))
+	return min(1, max(0, 2*float64(b.Count())/float64(max(1, b.cfg.Most))-1))
 }
 
 // stay is how long a connection may be of a kind. As in Envoy's overload manager ("scaled timeouts") idle ones stay for
--- a/internal/places/places_test.go
+++ b/internal/places/places_test.go
@@ -56,7 +56,7 @@
 	}
 	for _, s := range w.b.Reap(w.now, n) {
 		if before[s] == Active || before[s] >= Over || w.told[s] && before[s] != Ending {
-			w.t.Fatalf("%v named from %v", s.cause, before[s])
+			w.t.Fatalf("named from %v", before[s])
 		}
 		w.told[s] = true
 	}
@@ -71,7 +71,7 @@
 func (w *world) enter(from netip.Addr) {
 	yields := w.pick(Lingering, Silent, Trial, Once, Often) != nil
 	s := new(Seat)
-	held := w.b.held()
+	held := w.b.Count()
 	w.b.Enter(w.now, from, s, nil)
 	w.seats = append(w.seats, s)
 	if s.kind == Over && (yields || held < w.b.cfg.Most) {
@@ -80,10 +80,10 @@
 }
 
 func (w *world) check() {
-	if w.b.held() > w.b.cfg.Most && w.pick(Lingering, Silent, Trial, Once, Often) != nil {
+	if w.b.Count() > w.b.cfg.Most && w.pick(Lingering, Silent, Trial, Once, Often) != nil {
 		w.reap(1 << 20)
-		if w.b.held() > w.b.cfg.Most && w.pick(Lingering, Silent, Trial, Once, Often) != nil {
-			w.t.Fatalf("%d held, %d allowed, and some could give way", w.b.held(), w.b.cfg.Most)
+		if w.b.Count() > w.b.cfg.Most && w.pick(Lingering, Silent, Trial, Once, Often) != nil {
+			w.t.Fatalf("%d held, %d allowed, and some could give way", w.b.Count(), w.b.cfg.Most)
 		}
 	}
 	var held [kinds]int
@@ -130,7 +130,6 @@
 			"work":  on(w.b.Work, Partial, Active, Over),
 			"first": on(w.b.Work, Silent),
 			"rest":  on(w.b.Rest, Active, Ending),
-			"end":   on(w.b.End, Active),
 			"stop":  on(w.b.Linger, Active, Partial),
 			"leave": on(func(_ time.Duration, s *Seat) { w.leave(s) }, Ending, Lingering, Once, Often, Silent, Over, Active),
 			"reap":  func(t *rapid.T) { w.reap(rapid.IntRange(1, 100).Draw(t, "at most")) },
@@ -172,7 +171,7 @@
 		once(b, now, address(1))
 		reap(b, now)
 	}
-	if n := b.held(); n > 30 {
+	if n := b.Count(); n > 30 {
 		t.Errorf("%d connections that nobody uses again are held", n)
 	}
 	if f := b.Figures(); f.Ended[Full] > 0 {
@@ -223,7 +222,7 @@
 	}
 	for n, s := range desks {
 		if !s.kind.Idle() {
-			t.Fatalf("desk %d: %v, %v", n, s.kind, s.cause)
+			t.Fatalf("desk %d: %v", n, s.kind)
 		}
 	}
 }
--- a/internal/proxy/accept.go
+++ b/internal/proxy/accept.go
@@ -61,9 +61,10 @@
 	coolDown    float64 // seconds that a refusal of the front's own names; 0: settings allow none
 }
 
-func newFront(ln net.Listener, l frontLimits, r *room, giveBack func(int), o *owner, bufs *pool, n *names, t timing, log *zap.Logger) (*front, error) {
-	f := &front{ln: ln, log: log, room: r, giveBack: giveBack, owner: o, bufs: bufs, names: n, times: t, limits: l, since: time.Now(),
-		space: make(chan struct{}, 1), kick: make(chan struct{}, 1),
+func newFront(ln net.Listener, l frontLimits, r *room, giveBack func(int), o *owner, bufs *pool, n *names, t timing,
+	log *zap.Logger) (*front, error) {
+	f := &front{ln: ln, log: log, room: r, giveBack: giveBack, owner: o, bufs: bufs, names: n, times: t, limits: l,
+		since: time.Now(), space: make(chan struct{}, 1), kick: make(chan struct{}, 1),
 		closed: make(chan struct{}), ended: make(chan struct{}), desk: places.NewDesk(l.desk),
 		book: places.New(bookConfig(l, t))}
 	var err error
@@ -141,13 +142,15 @@
 	cl := &client{front: f, conn: c, accepted: time.Now()}
 	cl.meter.r = cl
 	f.wg.Add(1)
+	over := false
 	f.seat(func(now time.Duration) {
 		f.open++
 		f.makeLimit(1)
 		f.book.Enter(now, origin(c), &cl.seat, cl)
 		f.noteLimit(&cl.seat)
+		over = cl.seat.Kind() == places.Over
 	})
-	if over := cl.over(); over || !f.park(cl) {
+	if over || !f.park(cl) {
 		c.SetReadDeadline(cl.accepted.Add(f.times.fresh))
 		go cl.serve(places.Serve, 0)
 	}
@@ -167,6 +170,9 @@
 // noteLimit logs when the limit of connections begins to bind, and when it has ceased to. mu is held.
 func (f *front) noteLimit(s *places.Seat) {
 	over := s.Kind() == places.Over
+	if !over && !f.binding {
+		return
+	}
 	switch figures := f.book.Figures(); {
 	case over && !f.binding:
 		f.binding = true
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -34,8 +34,14 @@
 		c.finish(&a)
 		return false
 	}
+	return c.deliver(&a, last)
+}
+
+// deliver writes the answer to a whole request. last says that the client wants no further one; the result, whether the
+// connection goes on.
+func (c *client) deliver(a *answer, last bool) bool {
 	a.last = last || c.last()
-	if c.write(&a) != nil {
+	if c.write(a) != nil {
 		return false
 	}
 	c.setIdle()
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -225,11 +225,7 @@
 	c.front.bufs.freeRequest(q)
 	c.setTaken()
 	a := answer{status: http.StatusServiceUnavailable, text: "busy\n", coolDown: c.front.limits.coolDown}
-	if a.last = last || c.last(); c.write(&a) != nil {
-		return false
-	}
-	c.setIdle()
-	return !a.last
+	return c.deliver(&a, last)
 }
 
 // health answers the client's question whether it may begin.
@@ -239,12 +235,7 @@
 		a.status = http.StatusInternalServerError // not 503, which would be a refusal
 	}
 	c.setTaken()
-	a.last = r.Close || c.last()
-	if err := c.write(&a); err != nil {
-		return false
-	}
-	c.setIdle()
-	return !a.last
+	return c.deliver(&a, r.Close)
 }
 
 // reject answers what is not a request with a plain error and ends the connection.
--- a/internal/proxy/idle.go
+++ b/internal/proxy/idle.go
@@ -66,6 +66,9 @@
 
 // noteDesk logs when requests begin to be refused unread, and when none waits any more. mu is held.
 func (f *front) noteDesk(v places.Verdict) {
+	if v != places.Refuse && !f.refusing {
+		return
+	}
 	switch d := f.desk.Figures(); {
 	case v == places.Refuse && !f.refusing:
 		f.refusing = true
