Parked client connections wait with a goroutine each where memory allows

Checked: a probe in park.Lot.Run printed neither a report nor an error in any of 80 proxies, so the runtime accepted the lot's epoll instance but never heard of it: one epoll nested in another is not reported there. Ruled out: the listener (connections were accepted), the owner (its timers and lists ran), the look into sockets (MSG_PEEK answered at the 2.5 s mark).

Change (internal/park/park.go, Run and Arm): a lot may also wait with a goroutine a connection, through the runtime's own poller, without buffer or timer. It is used where the stacks of all connections that may be held fit into an eighth of the memory limit; beyond that the epoll instance stays. A blocking epoll_wait on a thread was ruled out: with one core the scheduler takes up to 10 ms to have its processor back.

--- a/internal/park/park.go
+++ b/internal/park/park.go
@@ -1,11 +1,16 @@
 //go:build linux
 
-// Package park lets connections wait for their next bytes without a goroutine, a buffer or a timer each: one epoll
-// instance watches all of them. It knows neither what the connections carry nor how long they may wait.
+// Package park lets connections wait for their next bytes without a buffer or a timer each. It knows neither what the
+// connections carry nor how long they may wait. There are two ways to wait.
 //
-// The connections stay those of package net, which has them in the runtime's own epoll instance as well; one descriptor
-// may be in several, and each reports to its own (epoll(7)). Here they are armed for one report only, EPOLLONESHOT, so that
-// between a report and the next Arm whoever reads has the connection to itself.
+// Many wait in one epoll instance, without a goroutine each. The connections stay those of package net, which has them in
+// the runtime's own epoll instance as well; one descriptor may be in several, and each reports to its own (epoll(7)). Here
+// they are armed for one report only, EPOLLONESHOT, so that between a report and the next Arm whoever reads has the
+// connection to itself. The runtime waits for the instance itself, one epoll in another, which not every system that stands
+// in for a kernel reports.
+//
+// A few have a goroutine each, which the runtime wakes as it wakes any reader. That costs a stack, and nothing else has to
+// work for it.
 package park
 
 import (
@@ -16,6 +21,7 @@
 	"os"
 	"sync"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -28,9 +34,12 @@
 	id  uint64 // 0: not known to the lot
 }
 
+// WatcherStack is the memory that a waiting goroutine takes, in bytes.
+const WatcherStack = 4 << 10
+
 // Lot watches parked connections.
 type Lot struct {
-	epoll *os.File
+	epoll *os.File // nil: a goroutine watches each connection
 	raw   syscall.RawConn
 	wake  func(any)
 
@@ -40,7 +49,11 @@
 	most    int // that holders has held; a map keeps the room for them
 }
 
-// New makes a lot. Run calls wake with the holder of each connection that has something to read, has ended, or has failed.
+// NewWatchers makes a lot in which a goroutine waits for each connection. It calls wake with the holder of each that has
+// something to read, has ended, or has failed.
+func NewWatchers(wake func(holder any)) *Lot { return &Lot{wake: wake, holders: map[uint64]any{}} }
+
+// New makes a lot with an epoll instance, of which Run reports as NewWatchers describes.
 func New(wake func(holder any)) (*Lot, error) {
 	fd, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
 	if err != nil {
@@ -59,11 +72,18 @@
 	return l, nil
 }
 
-// Close ends Run. Nothing may be parked after it.
-func (l *Lot) Close() { l.epoll.Close() }
+// Close ends Run. Nothing may be parked after it. A goroutine that watches ends with its connection.
+func (l *Lot) Close() {
+	if l.epoll != nil {
+		l.epoll.Close()
+	}
+}
 
-// Run reports until Close.
+// Run reports until Close, where there is an epoll instance.
 func (l *Lot) Run() {
+	if l.epoll == nil {
+		return
+	}
 	var events [batch]unix.EpollEvent
 	for {
 		n := 0
@@ -76,25 +96,37 @@
 			return
 		}
 		for _, e := range events[:n] {
-			if holder := l.find(e); holder != nil {
-				l.wake(holder)
-			}
+			l.report(uint64(uint32(e.Fd)) | uint64(uint32(e.Pad))<<32)
 		}
 	}
 }
 
-// find is who parked the connection of a report; nil where it has left since.
-func (l *Lot) find(e unix.EpollEvent) any {
+// report wakes who parked a connection, unless it has left since.
+func (l *Lot) report(id uint64) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.holders[uint64(uint32(e.Fd))|uint64(uint32(e.Pad))<<32]
+	holder := l.holders[id]
+	l.mu.Unlock()
+	if holder != nil {
+		l.wake(holder)
+	}
+}
+
+// watch waits for a connection to have something to read. It looks itself before it waits: the runtime tells of what comes,
+// not of what is there.
+func (l *Lot) watch(raw syscall.RawConn, id uint64) {
+	var b [1]byte
+	raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return err != syscall.EAGAIN && err != syscall.EINTR
+	})
+	l.report(id)
 }
 
 // Arm parks a connection until its next report. What has come already is reported at once. Where c has no descriptor, or
 // the kernel refuses to watch it, the error says so and the connection is not parked.
 func (l *Lot) Arm(s *Spot, c net.Conn, holder any) error {
 	op := unix.EPOLL_CTL_MOD
-	if s.id == 0 {
+	if s.raw == nil {
 		sc, ok := c.(syscall.Conn)
 		if !ok {
 			return errors.New("park: connection without a descriptor")
@@ -104,6 +136,17 @@
 			return fmt.Errorf("park: %w", err)
 		}
 		s.raw, op = raw, unix.EPOLL_CTL_ADD
+	}
+	if l.epoll == nil {
+		if err := c.SetReadDeadline(time.Time{}); err != nil { // the last read's may be over
+			return fmt.Errorf("park: %w", err)
+		}
+		l.Leave(s) // a goroutine that still has to report the time before reports to nobody
+		l.enter(s, holder)
+		go l.watch(s.raw, s.id)
+		return nil
+	}
+	if s.id == 0 {
 		l.enter(s, holder)
 	}
 	e := unix.EpollEvent{Events: unix.EPOLLIN | unix.EPOLLRDHUP | unix.EPOLLONESHOT, Fd: int32(s.id), Pad: int32(s.id >> 32)}
--- a/internal/park/park_test.go
+++ b/internal/park/park_test.go
@@ -26,10 +26,20 @@
 	return near, far
 }
 
-func newLot(t *testing.T) (*Lot, net.Listener, chan any) {
+// both runs a test with either way to wait.
+func both(t *testing.T, test func(*testing.T, bool)) {
+	t.Run("epoll", func(t *testing.T) { test(t, false) })
+	t.Run("watchers", func(t *testing.T) { test(t, true) })
+}
+
+func newLot(t *testing.T, watchers bool) (*Lot, net.Listener, chan any) {
 	t.Helper()
 	woken := make(chan any, 4096)
-	l, err := New(func(holder any) { woken <- holder })
+	wake := func(holder any) { woken <- holder }
+	l, err := NewWatchers(wake), error(nil)
+	if !watchers {
+		l, err = New(wake)
+	}
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -59,8 +69,10 @@
 }
 
 // TestReports: bytes, an end, a half-close and a reset are each reported, once for each Arm, also where they came first.
-func TestReports(t *testing.T) {
-	l, ln, woken := newLot(t)
+func TestReports(t *testing.T) { both(t, testReports) }
+
+func testReports(t *testing.T, watchers bool) {
+	l, ln, woken := newLot(t, watchers)
 	for name, act := range map[string]func(net.Conn){
 		"bytes":      func(c net.Conn) { c.Write([]byte("x")) },
 		"end":        func(c net.Conn) { c.Close() },
@@ -89,9 +101,11 @@
 }
 
 // TestWave: a thousand connections that wake together are each reported once, and once they have left nothing is kept.
-func TestWave(t *testing.T) {
+func TestWave(t *testing.T) { both(t, testWave) }
+
+func testWave(t *testing.T, watchers bool) {
 	const many = 1000
-	l, ln, woken := newLot(t)
+	l, ln, woken := newLot(t, watchers)
 	near, far, spots := make([]net.Conn, many), make([]net.Conn, many), make([]Spot, many)
 	for i := range many {
 		near[i], far[i] = pair(t, ln)
@@ -120,8 +134,10 @@
 }
 
 // TestClosed: a connection that is closed cannot be parked, and what has no descriptor cannot either.
-func TestClosed(t *testing.T) {
-	l, ln, _ := newLot(t)
+func TestClosed(t *testing.T) { both(t, testClosed) }
+
+func testClosed(t *testing.T, watchers bool) {
+	l, ln, _ := newLot(t, watchers)
 	near, _ := pair(t, ln)
 	near.Close()
 	pipe, other := net.Pipe()
--- a/internal/proxy/accept.go
+++ b/internal/proxy/accept.go
@@ -57,6 +57,7 @@
 	connections int // that the operator allows
 	byAddress   bool
 	desk        places.DeskConfig
+	watchers    bool    // a goroutine for each connection that waits
 	warm        int     // connections that may wait unparked for a moment after a request
 	coolDown    float64 // seconds that a refusal of the front's own names; 0: settings allow none
 }
@@ -67,9 +68,14 @@
 		since: time.Now(), space: make(chan struct{}, 1), kick: make(chan struct{}, 1),
 		closed: make(chan struct{}), ended: make(chan struct{}), desk: places.NewDesk(l.desk),
 		book: places.New(bookConfig(l, t))}
-	var err error
 	r.owing = func() { ask(f.kick) }
-	f.lot, err = park.New(func(holder any) { f.wake(holder.(*client)) })
+	wake := func(holder any) { f.wake(holder.(*client)) }
+	if l.watchers {
+		f.lot = park.NewWatchers(wake)
+		return f, nil
+	}
+	var err error
+	f.lot, err = park.New(wake)
 	return f, err
 }
 
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"beechwing/balancer"
+	"beechwing/internal/park"
 	"beechwing/internal/settings"
 	"beechwing/internal/site"
 )
@@ -48,6 +49,7 @@
 	memoryPerClient = 2 * (maxBody + 2*bufferSize)
 	memoryPerParked = 2 << 10 // of a connection that brings nothing
 	parkedShare     = 0.25    // of the soft limit, for them all
+	watcherShare    = 0.125   // of the memory limit, for goroutines that watch what is parked
 	shedReserve     = 32      // connections beyond the bound that still get an answer before they are closed
 )
 
@@ -174,3 +176,8 @@
 	clients = max(1, min(total-hosts, int(parkedShare*memory/memoryPerParked)))
 	return clients, max(1, min(clients, int(memory/memoryPerClient)))
 }
+
+// watchers says whether each of so many connections may have a goroutine that waits for it.
+func (l Limits) watchers(clients int) bool {
+	return float64(clients*park.WatcherStack) <= watcherShare*float64(l.MemoryMB)*(1<<20)
+}
--- a/internal/proxy/idle_test.go
+++ b/internal/proxy/idle_test.go
@@ -60,10 +60,23 @@
 	}
 }
 
-// TestParkedCost: an idle connection has neither a goroutine nor a buffer, and is served like any other when it wakes.
+// TestWatchers: few connections wait as any reader does, many without a goroutine each.
+func TestWatchers(t *testing.T) {
+	for l, want := range map[Limits]bool{
+		{MemoryMB: 64, Sockets: 384}: true, {MemoryMB: 32, Sockets: 1024}: true, {MemoryMB: 192, Sockets: 12000}: false,
+		{MemoryMB: 16, Sockets: 1024}: false,
+	} {
+		clients, _ := l.connections()
+		if got := l.watchers(clients); got != want {
+			t.Errorf("%+v, %d clients: %t", l, clients, got)
+		}
+	}
+}
+
+// TestParkedCost: of many an idle connection has neither a goroutine nor a buffer, and is served like any other when it wakes.
 func TestParkedCost(t *testing.T) {
 	h := newHost(t, says(ok))
-	g := one(t, h, desks)
+	g := one(t, h, desks, func(p *Proxy) { p.cfg.Limits.MemoryMB = 16 }) // too little for a goroutine each
 	g.crowd(1)
 	goroutines, buffers := runtime.NumGoroutine(), g.p.bufs.live.Load()
 	conns := g.crowd(200)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -116,7 +116,7 @@
 	clients, requests := p.cfg.Limits.connections()
 	return frontLimits{most: clients, connections: clientLimit(clients, p.cfg.Site.Connections),
 		byAddress: p.cfg.Site.Connections.Callers == site.Address, warm: max(1, requests/4),
-		coolDown: p.cfg.Balancer.MaxCoolDown / 4,
+		coolDown: p.cfg.Balancer.MaxCoolDown / 4, watchers: p.cfg.Limits.watchers(clients),
 		desk: places.DeskConfig{Most: requests, Refusing: shedReserve, Patience: patienceFor(p.cfg.Balancer.Classes),
 			Pace: paceOf(p.cfg.Limits.Cores), Burst: min(requests, turnBurst)}}
 }
