One failure puts a host in doubt where a proxy meets it seldom, doubled in a row

A proxy meets a host every three seconds, so two failures in a row and an ejection of 2.4 s mean five bad requests a host and proxy, and half of them cannot be sent again.

Lines at fault: judge (two in a row, a fixed ejection), weigh (a late answer counted as a good one). Ruled out: panic (never entered), zone outages (45 connections), shedding (none).

Change (judge, doubted, best): a thin proxy lets a host that failed yield to the next, for an ejection's time, doubled with each failure in a row; what may not be sent again waits twice as long. With a quarter of the hosts in doubt it is ignored.

A fleet of 80 balancers and 60 hosts in virtual time, with harness, fails without the change.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -53,6 +53,11 @@
 	zoneOutAfter, zoneOutAims = 4, 1.0 // out for so many longest aims
 	ejectAims                 = 4.0    // an ejection, in longest aims; the failure share outlasts it
 
+	// A thin proxy meets a host too seldom to wait for a share: one failure puts the host in doubt for as long as
+	// an ejection, each further one in a row doubles that, up to doubtMost times. sureBad is the weight of a
+	// failure that counts. With more than doubtShare of the counted in doubt it is not the hosts, as in panic.
+	doubtMost, sureBad, doubtShare = 16.0, 0.5, 0.25
+
 	markShare = 0.45 // of the aim: an attempt still out by then counts as late
 
 	// windowStart is the first limit of requests in flight to a host of mean size. Answers under growBelow
@@ -113,6 +118,7 @@
 	admitAt, admitTold float64 // when it last moved, and what peers were told
 	window             float64 // limit of requests in flight from here
 	cutAt              float64 // clock of the last cut
+	doubt, doubtFor    float64 // in doubt until then; how long the last doubt was, 0 since a good answer
 }
 
 // zone is what this balancer knows of a zone as a whole.
@@ -162,6 +168,7 @@
 	longest      float64    // longest aim
 	mean         float64    // in flight from here to a host of mean size
 	thin         bool       // too little in flight for limits to tell of load
+	doubts       bool       // hosts in doubt yield
 	roam, roamAt float64    // chance that a request ignores zones, and when it last moved
 	load         [2]float64 // mean reported load of this zone and of others
 	admit        float64    // mean share admitted by hosts that can be reached
@@ -272,7 +279,7 @@
 		b.index[e.ID] = h
 		b.hosts = append(b.hosts, h)
 	} else if e.Status == Ready && e.Started != 0 && e.Started != h.Started {
-		h.heard, h.fail, h.until = false, [2]float64{}, b.now
+		h.heard, h.fail, h.until, h.doubtFor = false, [2]float64{}, b.now, 0
 	}
 	h.Host = e
 	if b.zones[h.Zone] == nil {
@@ -556,7 +563,8 @@
 		loaded := float64(h.inflight) >= max(passOverFloor, passOverMean*b.mean*h.weight+1)
 		crowded := b.thin && b.admit*unit(mix(o.luck^uint64(h.ID))) >= h.admit
 		heavy := !b.thin && o.Work*h.took > (o.aimAt-b.now)*h.did // it would miss the aim
-		if loaded || crowded || heavy {
+		doubted := b.doubts && h.doubted(b.now, o.class.Effect)
+		if loaded || crowded || heavy || doubted {
 			r.score = lastRank * float64(h.inflight+1) / h.weight
 		}
 		if r.score < lowest {
@@ -566,10 +574,16 @@
 	return best
 }
 
+// doubted says whether requests yield from a host that has failed. Once the doubt is over, what may be sent again
+// finds out; what may not waits for that as long again.
+func (h *host) doubted(now float64, e Effect) bool {
+	return h.doubtFor > 0 && (now < h.doubt || e == Unsafe && now < h.doubt+h.doubtFor)
+}
+
 // split decides between the healthy set and panic, and sums up what the pick needs of all hosts. A zone that
 // is out shares no load, which is what panic counts on: it is left out of everything.
 func (b *Balancer) split() (panicking bool) {
-	healthy, counted, inflight := 0, 0, 0
+	healthy, counted, doubted, inflight := 0, 0, 0, 0
 	weight, admit, cold := 0.0, 0.0, 0.0
 	b.warmWeight = 0
 	for _, h := range b.hosts {
@@ -587,11 +601,15 @@
 			if h.until <= b.now {
 				healthy++
 			}
+			if h.doubted(b.now, Safe) {
+				doubted++
+			}
 		}
 	}
 	b.earnCold(cold)
 	b.admit, b.mean = admit/max(weight, 1), float64(inflight)/max(weight, 1)
 	b.thin = b.mean < thinBelow
+	b.doubts = b.thin && float64(doubted) <= doubtShare*float64(counted)
 	panicking = float64(healthy) < panicThreshold*float64(counted)
 	if panicking {
 		b.say("panic: %d healthy of %d counted", healthy, counted)
@@ -608,6 +626,11 @@
 	}
 	if z.refused >= zoneOutAfter && z.until <= b.now && b.othersReached(z) {
 		z.until = b.now + zoneOutAims*b.longest
+		for _, other := range b.hosts {
+			if other.zone == z { // the zone failed, not they
+				other.doubtFor = 0
+			}
+		}
 		b.say("zone %d out until %.1f", h.Zone, z.until)
 	}
 }
@@ -779,7 +802,9 @@
 		}
 		h.answered, h.newest = b.now, max(h.newest, a.at)
 		b.sense(h, r.Took/(markShare*max(leastAim, o.class.Aim)), r.Report)
-		b.judge(h, failed, 0)
+		if !a.late || !b.doubts { // slowness is no sign of health
+			b.judge(h, failed, 0)
+		}
 		b.judge(h, broken, 0)
 	case TurnedAway: // proves load, not sickness
 		h.heard = true
@@ -819,11 +844,19 @@
 // judge is outlier ejection: bad is 1 for a failure of a kind, 0 for a good answer.
 func (b *Balancer) judge(h *host, kind int, bad float64) {
 	h.heard = true
+	eject := ejectAims * b.longest
+	switch {
+	case kind == failed && bad == 0:
+		h.doubtFor = 0
+	case kind == failed && bad >= sureBad:
+		h.doubtFor = min(max(eject, 2*h.doubtFor), doubtMost*eject)
+		h.doubt = b.now + h.doubtFor
+	}
 	if bad > h.fail[kind] || bad == 0 {
 		h.fail[kind] += judgeStep[kind] * (bad - h.fail[kind])
 	}
 	if bad > 0 && h.fail[kind] >= ejectAt && h.until <= b.now {
-		h.until = b.now + ejectAims*b.longest
+		h.until = b.now + eject
 		b.say("ejected %x until %.1f, failure shares %.2f", h.ID, h.until, h.fail)
 	}
 }
--- /dev/null
+++ b/balancer/fleet_test.go
@@ -0,0 +1,185 @@
+package balancer
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"beechwing/internal/lab/virtual"
+)
+
+// crowd is a fleet in virtual time: many balancers that share nothing, and stand-in hosts that count.
+type crowd struct {
+	virtual.Clock
+	t       *testing.T
+	cfg     Config
+	rng     *rand.Rand
+	proxies []*proxy
+	hosts   map[HostID]*standIn
+	serve   func(c *crowd, h *standIn) (Result, time.Duration) // what a host makes of an attempt, and when
+
+	asked, lost int // requests, and those of them with no good answer
+}
+
+// standIn is a host.
+type standIn struct {
+	Host
+	bad      bool
+	attempts int
+}
+
+// proxy is the host program of one balancer.
+type proxy struct {
+	c   *crowd
+	b   *Balancer
+	out map[RequestID]int // attempts of the requests without an answer
+	ids RequestID
+}
+
+func newCrowd(t *testing.T, proxies int, cfg Config, hosts []Host) *crowd {
+	c := &crowd{t: t, cfg: cfg, rng: rand.New(rand.NewPCG(1, 2)), hosts: map[HostID]*standIn{}}
+	for _, h := range hosts {
+		c.hosts[h.ID] = &standIn{Host: h}
+	}
+	for i := range proxies {
+		cfg.Seed, cfg.Me, cfg.Zone = uint64(i), i, i%2
+		p := &proxy{c: c, out: map[RequestID]int{}}
+		p.b = New(c.clock(), cfg, p)
+		p.b.Members(c.clock(), ListFull, hosts)
+		c.proxies = append(c.proxies, p)
+	}
+	return c
+}
+
+// clock is the time that the balancers are told, in seconds.
+func (c *crowd) clock() float64 { return 100 + c.Now().Seconds() }
+
+// load lets every proxy ask so many times a second, at random moments, of the first two classes in turn.
+func (c *crowd) load(rate float64) {
+	for _, p := range c.proxies {
+		var next func()
+		next = func() {
+			p.ask()
+			c.After(time.Duration(c.rng.ExpFloat64()/rate*float64(time.Second)), next)
+		}
+		c.After(time.Duration(c.rng.ExpFloat64()/rate*float64(time.Second)), next)
+	}
+}
+
+func (p *proxy) ask() {
+	p.ids++
+	p.c.asked++
+	p.out[p.ids] = 0
+	class := int(p.ids % 2)
+	p.b.Request(p.c.clock(), Request{ID: p.ids, Class: class, Key: p.c.rng.Uint64(), Budget: p.c.cfg.Classes[class].Deadline})
+}
+
+func (p *proxy) Send(id RequestID, host HostID, timeout float64) {
+	c, n := p.c, p.out[id]
+	p.out[id]++
+	h := c.hosts[host]
+	h.attempts++
+	result, took := c.serve(c, h)
+	if limit := time.Duration(p.b.ops[id].deadline*float64(time.Second)) - 100*time.Second - c.Now(); took > limit {
+		result, took = TimedOut, limit
+	}
+	sent := c.Now()
+	c.After(took, func() {
+		final := result == OK
+		if final {
+			delete(p.out, id)
+		}
+		p.b.Outcome(c.clock(), Outcome{ID: id, Attempt: n, Host: host, Result: result, Took: (c.Now() - sent).Seconds(), Final: final})
+	})
+}
+
+func (p *proxy) lose(id RequestID) {
+	if _, open := p.out[id]; open {
+		delete(p.out, id)
+		p.c.lost++
+	}
+}
+
+func (p *proxy) Refuse(id RequestID, _ float64) { p.lose(id) }
+func (p *proxy) Fail(id RequestID)              { p.lose(id) }
+func (p *proxy) Cancel(RequestID, int)          {}
+func (p *proxy) Probe(HostID)                   {}
+func (p *proxy) Timer(after float64, token uint64) {
+	p.c.After(time.Duration(after*float64(time.Second)), func() { p.b.Timer(p.c.clock(), token) })
+}
+func (p *proxy) Watch()      {}
+func (p *proxy) Fetch()      {}
+func (p *proxy) Tell([]byte) {}
+func (p *proxy) Log(string)  {}
+
+func crowdConfig() Config {
+	cfg := testConfig()
+	cfg.Classes = cfg.Classes[:2]
+	for i := range cfg.Classes {
+		cfg.Classes[i].Aim, cfg.Classes[i].Deadline = 0.5, 1.5
+	}
+	cfg.Balancers = 80
+	return cfg
+}
+
+// TestBadHostsOfALargeFleet: each of 80 proxies meets each of 60 hosts about every fourth second. One in ten fails at once,
+// or takes several times the aim. What all proxies together lose to them by finding out is bounded, also as they find out
+// whether it is over.
+func TestBadHostsOfALargeFleet(t *testing.T) {
+	for name, c := range map[string]struct {
+		serve        func(c *crowd, h *standIn) (Result, time.Duration)
+		most, lost   float64 // attempts on a bad host from each proxy, in 20 s; share of requests lost
+		recoversTill float64 // share of its usual attempts that a host has again, 20 s after it has become well
+	}{
+		"failing": {func(c *crowd, h *standIn) (Result, time.Duration) {
+			if h.bad {
+				return Errored, 5 * time.Millisecond
+			}
+			return OK, time.Duration((0.05 + 0.05*c.rng.ExpFloat64()) * float64(time.Second))
+		}, 2.9, 0.028, 0.5},
+		"slow": {func(c *crowd, h *standIn) (Result, time.Duration) {
+			took := time.Duration((0.05 + 0.05*c.rng.ExpFloat64()) * float64(time.Second))
+			if h.bad {
+				took = 15 * took
+			}
+			return OK, took
+		}, 2.8, 0.021, 0.5},
+	} {
+		w := newCrowd(t, 80, crowdConfig(), fleet(60))
+		w.serve = c.serve
+		w.load(15)
+		w.Run(10 * time.Second)
+		bad := 0
+		for id, h := range w.hosts {
+			h.attempts = 0
+			if id%10 == 0 {
+				h.bad = true
+				bad++
+			}
+		}
+		w.asked, w.lost = 0, 0
+		w.Run(30 * time.Second)
+		met := 0
+		for _, h := range w.hosts {
+			if h.bad {
+				met += h.attempts
+			}
+		}
+		if each, lost := float64(met)/80/float64(bad), float64(w.lost)/float64(w.asked); each > c.most || lost > c.lost {
+			t.Errorf("%s: %.2f attempts on each bad host from each proxy, %.4f of all requests lost", name, each, lost)
+		}
+		for _, h := range w.hosts {
+			h.bad, h.attempts = false, 0
+		}
+		w.Run(50 * time.Second)
+		back, all := 0, 0
+		for id, h := range w.hosts {
+			if all += h.attempts; id%10 == 0 {
+				back += h.attempts
+			}
+		}
+		if share := float64(back) / float64(all) * 60 / float64(bad); share < c.recoversTill {
+			t.Errorf("%s: hosts that are well again get %.2f of their share", name, share)
+		}
+	}
+}
--- a/internal/budget/questions_test.go
+++ b/internal/budget/questions_test.go
@@ -1,16 +1,15 @@
 package budget
 
 import (
-	"container/heap"
 	"testing"
 	"time"
+
+	"beechwing/internal/lab/virtual"
 )
 
 // town is a discovery in virtual time that works through calls in turn, and the proxies that ask it.
 type town struct {
-	now    time.Duration
-	events eventHeap
-	order  int
+	virtual.Clock
 
 	service, patience time.Duration // of a call; after which one that waits for its turn fails
 	free              time.Duration // when it is done with what waits
@@ -20,39 +19,6 @@
 	ok, fails int
 }
 
-type event struct {
-	at    time.Duration
-	order int
-	do    func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].order < h[j].order
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
-}
-
-func (w *town) after(d time.Duration, do func()) {
-	w.order++
-	heap.Push(&w.events, event{w.now + d, w.order, do})
-}
-
-func (w *town) run(until time.Duration) {
-	for len(w.events) > 0 && w.events[0].at < until {
-		e := heap.Pop(&w.events).(event)
-		w.now = e.at
-		e.do()
-	}
-}
-
 // asker is one proxy: its list, and when it got it.
 type asker struct {
 	*Questions
@@ -65,15 +31,15 @@
 const poll = 100 * time.Millisecond // at which a held watch looks for news; stands for being told at once
 
 func (a *asker) ask() {
-	w, began := a.w, a.w.now
-	w.asked[w.now/time.Second]++
-	turn := max(w.now, w.free) + w.service
+	w, began := a.w, a.w.Now()
+	w.asked[w.Now()/time.Second]++
+	turn := max(w.Now(), w.free) + w.service
 	w.free = turn
 	if turn-began > w.patience {
-		w.after(w.patience, func() {
+		w.After(w.patience, func() {
 			w.fails++
 			a.Failed()
-			w.after(time.Second+a.Pause(), a.ask)
+			w.After(time.Second+a.Pause(), a.ask)
 		})
 		return
 	}
@@ -81,20 +47,20 @@
 	var answer func()
 	answer = func() {
 		if watches && a.version == w.version {
-			w.after(poll, answer)
+			w.After(poll, answer)
 			return
 		}
 		w.ok++
 		a.version = w.version
-		a.oldest, a.told = max(a.oldest, w.now-a.told), w.now
+		a.oldest, a.told = max(a.oldest, w.Now()-a.told), w.Now()
 		if watches {
 			a.Waited()
 		} else {
-			a.Answered(w.now - began)
+			a.Answered(w.Now() - began)
 		}
-		w.after(a.Pause(), a.ask)
+		w.After(a.Pause(), a.ask)
 	}
-	w.after(turn-w.now, answer)
+	w.After(turn-w.Now(), answer)
 }
 
 const settled = 10 * time.Second // by then proxies have found out how crowded it is
@@ -103,17 +69,17 @@
 func fleet(proxies, told int, service time.Duration) (*town, []*asker) {
 	w := &town{service: service, patience: 2 * time.Second, asked: map[time.Duration]int{}}
 	var change func()
-	change = func() { w.version++; w.after(250*time.Millisecond, change) }
+	change = func() { w.version++; w.After(250*time.Millisecond, change) }
 	change()
 	all := make([]*asker, proxies)
 	for i := range all {
 		a := &asker{Questions: NewQuestions(told, 10*time.Second, uint64(i)), w: w}
 		all[i] = a
-		w.after(a.First(), a.ask)
+		w.After(a.First(), a.ask)
 	}
-	w.run(settled)
+	w.Run(settled)
 	w.ok, w.fails = 0, 0
-	w.run(3 * settled)
+	w.Run(3 * settled)
 	return w, all
 }
 
@@ -125,7 +91,7 @@
 		w, all := fleet(80, told, 60*time.Millisecond)
 		oldest, worst := time.Duration(0), 0
 		for _, a := range all {
-			oldest = max(oldest, a.oldest, w.now-a.told)
+			oldest = max(oldest, a.oldest, w.Now()-a.told)
 		}
 		for _, n := range w.asked {
 			worst = max(worst, n)
