--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -53,9 +53,10 @@
 	zoneOutAfter, zoneOutAims = 4, 1.0 // out for so many longest aims
 	ejectAims                 = 4.0    // an ejection, in longest aims; the failure share outlasts it
 
-	// A thin proxy meets a host too seldom to wait for a share: one failure puts the host in doubt for as long as
-	// an ejection, each further one in a row doubles that, up to doubtMost times. sureBad is the weight of a
-	// failure that counts. With more than doubtShare of the counted in doubt it is not the hosts, as in panic.
+	// A thin proxy meets a host too seldom to wait for a share: one failure puts the host in doubt for as
+	// long as an ejection, each further one in a row doubles that, up to doubtMost times. sureBad is the
+	// weight of a failure that counts. With more than doubtShare of the counted in doubt it is not they, as
+	// in panic.
 	doubtMost, sureBad, doubtShare = 16.0, 0.5, 0.25
 
 	markShare = 0.45 // of the aim: an attempt still out by then counts as late
@@ -574,8 +575,8 @@
 	return best
 }
 
-// doubted says whether requests yield from a host that has failed. Once the doubt is over, what may be sent again
-// finds out; what may not waits for that as long again.
+// doubted says whether requests yield from a host that has failed. Once the doubt is over, what may be sent
+// again finds out; what may not waits for that as long again.
 func (h *host) doubted(now float64, e Effect) bool {
 	return h.doubtFor > 0 && (now < h.doubt || e == Unsafe && now < h.doubt+h.doubtFor)
 }
