beechwing-lab tally counts by second what the logs of a fleet tell

What 80 proxies do together shows in no log of one. The command reads a folder of debug logs and prints attempts, answers, calls for the list, ejections and work on bad hosts by second, so that before and after are counted alike.

--- /dev/null
+++ b/cmd/beechwing-lab/tally.go
@@ -0,0 +1,26 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"beechwing/internal/lab/tally"
+)
+
+func tallyCommand() *cobra.Command {
+	return &cobra.Command{Use: "tally FOLDER", Args: cobra.ExactArgs(1),
+		Short: "Counts by second what the debug logs of a whole fleet tell",
+		Long: "Reads all files of a folder that end in .log, one of each proxy, written with BEECHWING_LOG=debug, and prints one row\n" +
+			"a second, counted over all proxies.",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			t, err := tally.Folder(args[0])
+			if err != nil {
+				return err
+			}
+			if t.Skipped > 0 {
+				fmt.Fprintf(cmd.ErrOrStderr(), "%d lines are no log lines\n", t.Skipped)
+			}
+			return t.Write(cmd.OutOrStdout())
+		}}
+}
--- /dev/null
+++ b/internal/lab/tally/tally.go
@@ -0,0 +1,210 @@
+// Package tally counts, second by second, what the logs of a whole fleet tell: what no proxy sees alone. It reads what
+// beechwing writes at level debug, and believes nothing else.
+package tally
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"text/tabwriter"
+	"time"
+)
+
+const (
+	longestLine = 1 << 20
+	// A host counts as bad in a second in which badShare of badLeast or more attempts on it failed or were late.
+	badShare, badLeast = 0.5, 4
+)
+
+// Second is what all proxies together did in one second.
+type Second struct {
+	Attempts, Again      int            // sent, and those of them that were not a request's first
+	Results              map[string]int // of attempts, by the log's word
+	Served, Refused      int            // answers
+	Failed               int
+	ListOK, ListFailed   int // calls for the list
+	Ejections, ZonesOut  int
+	Panics, Starts       int
+	BadHosts, OnBadHosts int // hosts that were bad in it, and the attempts on them
+	hosts                map[string]*record
+}
+
+// record is what came back from one host.
+type record struct{ all, bad int }
+
+// Table holds the seconds by their number.
+type Table struct {
+	Seconds map[int]*Second
+	Skipped int       // lines that are no log lines
+	zero    time.Time // of lines that carry no time but their own
+}
+
+// line is a log line; fields that it lacks stay empty.
+type line struct {
+	TS      string `json:"ts"`
+	Msg     string `json:"msg"`
+	Result  string `json:"result"`
+	Host    string `json:"host"`
+	Attempt int    `json:"attempt"`
+	Status  int    `json:"status"`
+	Error   string `json:"error"`
+}
+
+// Folder counts all files that end in .log. A line may begin with seconds since the start of the day; else its own time
+// counts, from the first one that is read.
+func Folder(dir string) (*Table, error) {
+	names, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	if err == nil && len(names) == 0 {
+		err = fmt.Errorf("%s: no file ends in .log", dir)
+	}
+	if err != nil {
+		return nil, err
+	}
+	slices.Sort(names)
+	t := &Table{Seconds: map[int]*Second{}}
+	for _, name := range names {
+		if err := t.file(name); err != nil {
+			return nil, err
+		}
+	}
+	t.findBad()
+	return t, nil
+}
+
+func (t *Table) file(name string) error {
+	f, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	lines := bufio.NewScanner(f)
+	lines.Buffer(nil, longestLine)
+	for lines.Scan() {
+		t.read(lines.Bytes())
+	}
+	if err := lines.Err(); err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	return nil
+}
+
+// read counts one line.
+func (t *Table) read(text []byte) {
+	at := bytes.IndexByte(text, '{')
+	var l line
+	if at < 0 || json.Unmarshal(text[at:], &l) != nil || l.Msg == "" {
+		t.Skipped++
+		return
+	}
+	s, known := t.second(string(bytes.TrimSpace(text[:at])), l.TS)
+	if !known {
+		t.Skipped++
+		return
+	}
+	s.count(l)
+}
+
+func (t *Table) second(prefix, stamp string) (*Second, bool) {
+	at, err := strconv.ParseFloat(prefix, 64)
+	if err != nil {
+		when, err := time.Parse("2006-01-02T15:04:05.000Z0700", stamp)
+		if err != nil {
+			return nil, false
+		}
+		if t.zero.IsZero() {
+			t.zero = when
+		}
+		at = when.Sub(t.zero).Seconds()
+	}
+	n := int(at)
+	if t.Seconds[n] == nil {
+		t.Seconds[n] = &Second{Results: map[string]int{}, hosts: map[string]*record{}}
+	}
+	return t.Seconds[n], true
+}
+
+func (s *Second) count(l line) {
+	switch l.Msg {
+	case "attempt":
+		s.attempt(l)
+	case "answered":
+		switch l.Status {
+		case 200:
+			s.Served++
+		case 429, 503:
+			s.Refused++
+		default:
+			s.Failed++
+		}
+	case "list call":
+		if l.Error == "" {
+			s.ListOK++
+		} else {
+			s.ListFailed++
+		}
+	case "listening":
+		s.Starts++
+	default:
+		for word, n := range map[string]*int{"ejected ": &s.Ejections, "zone ": &s.ZonesOut, "panic: ": &s.Panics} {
+			if len(l.Msg) > len(word) && l.Msg[:len(word)] == word {
+				*n++
+			}
+		}
+	}
+}
+
+func (s *Second) attempt(l line) {
+	s.Attempts++
+	if l.Attempt > 0 {
+		s.Again++
+	}
+	s.Results[l.Result]++
+	h := s.hosts[l.Host]
+	if h == nil {
+		h = &record{}
+		s.hosts[l.Host] = h
+	}
+	h.all++
+	if l.Result == "error" || l.Result == "timed out" {
+		h.bad++
+	}
+}
+
+func (t *Table) findBad() {
+	for _, s := range t.Seconds {
+		for _, h := range s.hosts {
+			if h.all >= badLeast && float64(h.bad) >= badShare*float64(h.all) {
+				s.BadHosts++
+				s.OnBadHosts += h.all
+			}
+		}
+	}
+}
+
+// Write prints the table.
+func (t *Table) Write(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "s\tstarts\tserved\trefused\tfailed\tattempts\tagain\terror\ttimed out\tturned away\tnot connected\treset\t"+
+		"bad hosts\ton them\tejected\tzone out\tpanic\tlist ok\tlist failed\t")
+	seconds := make([]int, 0, len(t.Seconds))
+	for n := range t.Seconds {
+		seconds = append(seconds, n)
+	}
+	slices.Sort(seconds)
+	for _, n := range seconds {
+		s := t.Seconds[n]
+		for _, v := range []int{n, s.Starts, s.Served, s.Refused, s.Failed, s.Attempts, s.Again, s.Results["error"],
+			s.Results["timed out"], s.Results["turned away"], s.Results["not connected"], s.Results["reset"],
+			s.BadHosts, s.OnBadHosts, s.Ejections, s.ZonesOut, s.Panics, s.ListOK, s.ListFailed} {
+			fmt.Fprintf(w, "%d\t", v)
+		}
+		fmt.Fprintln(w)
+	}
+	return w.Flush()
+}
