The budget of cold hosts grows as they warm up

Lines at fault: coldSafety in earnCold. A cold host got a fifth of FallMultiple x its capacity, 0.6 of a warm host's share, until the moment at which it counts as warm. Ruled out: bad hosts (few errors by then), discovery (calls were answered), panic (none).

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -71,7 +71,10 @@
 
 	mostTries = 2 // of a request, failed connections aside
 
-	coldSafety = 0.2 // of cold hosts' budget is used: the rest covers chance, and warm keys, which they lack
+	// coldSafety of a cold host's budget is used: the rest covers chance, and warm keys, which it lacks. As
+	// it warms up that grows to coldMost, or to what makes its share a warm host's: at a fifth until the
+	// end, hosts nearly warm idle while a few others carry a fleet of which most is new.
+	coldSafety, coldMost = 0.2, 1.0 / 3
 
 	memoryAims = 8.0   // memory of rates, in longest aims
 	leastAim   = 0.01  // seconds; guards against settings without an aim
@@ -595,7 +598,7 @@
 		if warm := b.warmth(h); warm >= 1 {
 			b.warmWeight += h.weight
 		} else {
-			cold += warm * h.weight
+			cold += b.coldBudget(warm) * h.weight
 		}
 		if h.heard {
 			counted++
@@ -680,11 +683,17 @@
 	return b.cfg.ColdFrom + (1-b.cfg.ColdFrom)*max(0, age)/b.cfg.ColdFor
 }
 
+// coldBudget is the part of what pushes a host over, relative to its size, that may be sent to it.
+func (b *Balancer) coldBudget(warmth float64) float64 {
+	grows := max(0, min(coldMost, 1/max(1, b.cfg.FallMultiple))-coldSafety)
+	return (coldSafety + grows*warmth*warmth) * b.cfg.FallMultiple * warmth
+}
+
 // earnCold adds to the work that may go to freshly started hosts, which must not be pushed over: part of what
 // this balancer's share of their present capacity allows, told from what warm hosts answer from here. Summed
 // over proxies that stays under the limit however unequal they are. No more than FallAfter's worth is saved.
-func (b *Balancer) earnCold(capacity float64) {
-	rate := coldSafety * b.cfg.FallMultiple * capacity * b.warmFlow / max(b.span, b.longest)
+func (b *Balancer) earnCold(budget float64) {
+	rate := budget * b.warmFlow / max(b.span, b.longest)
 	b.cold = min(rate*b.cfg.FallAfter, b.cold+rate*(b.now-b.coldAt))
 	b.coldAt = b.now
 }
--- a/balancer/fleet_test.go
+++ b/balancer/fleet_test.go
@@ -26,6 +26,8 @@
 	Host
 	bad      bool
 	attempts int
+	free     time.Duration // when it is done with what waits
+	pushed   float64       // work sent while it was cold, in seconds of its capacity at that time
 }
 
 // proxy is the host program of one balancer.
@@ -183,3 +185,52 @@
 		}
 	}
 }
+
+// queue makes a host work through attempts in turn, each for as long as its present capacity makes it, and counts what is
+// sent to it against that.
+func queue(work time.Duration) func(c *crowd, h *standIn) (Result, time.Duration) {
+	return func(c *crowd, h *standIn) (Result, time.Duration) {
+		capacity := 1.0
+		if age := c.clock() - h.Started; h.Started > 0 && age < c.cfg.ColdFor {
+			capacity = c.cfg.ColdFrom + (1-c.cfg.ColdFrom)*age/c.cfg.ColdFor
+			h.pushed += work.Seconds() / capacity
+		}
+		took := time.Duration(float64(work) / capacity)
+		h.free = max(h.free, c.Now()) + took
+		return OK, h.free - c.Now()
+	}
+}
+
+// replace puts a new host in the place of one.
+func (c *crowd) replace(old, id HostID) {
+	gone, fresh := c.hosts[old].Host, c.hosts[old].Host
+	gone.Status, fresh.ID, fresh.Started = Gone, id, c.clock()
+	c.hosts[id] = &standIn{Host: fresh}
+	for _, p := range c.proxies {
+		p.b.Members(c.clock(), ListChanges, []Host{gone, fresh})
+	}
+}
+
+// TestMostHostsReplaced: six hosts in ten are replaced within 7 s under load. The new ones are not pushed over by all
+// proxies together, and once they are half warm they carry what the old ones cannot.
+func TestMostHostsReplaced(t *testing.T) {
+	cfg := crowdConfig()
+	w := newCrowd(t, 80, cfg, fleet(60))
+	w.serve = queue(20 * time.Millisecond)
+	w.load(19) // the old ones alone can take four fifths of it
+	w.Run(10 * time.Second)
+	for i := range 36 {
+		w.After(time.Duration(i)*7*time.Second/36, func() { w.replace(HostID(100+i), HostID(500+i)) })
+	}
+	worst, before := 0.0, map[HostID]float64{}
+	for w.Now() < 25*time.Second {
+		w.Run(w.Now() + time.Duration(cfg.FallAfter*float64(time.Second)))
+		for id, h := range w.hosts {
+			worst = max(worst, (h.pushed-before[id])/cfg.FallAfter/cfg.FallMultiple)
+			before[id] = h.pushed
+		}
+	}
+	if lost := float64(w.lost) / float64(w.asked); worst > 0.6 || lost > 0.019 {
+		t.Errorf("a cold host got %.2f of what pushes it over, %.3f of all requests lost", worst, lost)
+	}
+}
