A watch is left on a new connection where discovery closes the last one

Found in a last reading: in a large fleet that pauses between calls, stepOut made its call on the connection of the answer before, also where discovery had closed it with that answer. The call failed, the list counted as lost, and the gap doubled each time, with a discovery that was well.

A dial that fails is told as such. The toy list of the tests closes its connection where it says so.

Measured: the new test fails without the change (the list is lost after the first answer) and passes with it; all tests under the race detector pass.

--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -147,17 +147,14 @@
 	}
 	d.asked = true
 	for err == nil {
-		if pause > 0 || conn != nil && conn.spent {
+		if pause > 0 {
 			conn.close()
 			conn = nil
 		}
 		if err = d.pause(ctx, pause); err != nil {
 			break
 		}
-		if conn == nil {
-			conn, err = d.dial(ctx)
-		}
-		if err == nil {
+		if conn, err = d.ready(ctx, conn); err == nil {
 			err = d.next(conn, wait)
 		}
 		silent := errors.Is(err, os.ErrDeadlineExceeded) && wait == d.wait
@@ -165,7 +162,7 @@
 		if pause > 0 {
 			wait = shortWait // which shows how long the call waits for its turn
 			if err == nil {
-				err = d.stepOut(conn)
+				conn, err = d.stepOut(ctx, conn)
 			}
 		}
 		if silent {
@@ -199,18 +196,30 @@
 
 // stepOut ends a watch ahead of a pause. What changes within 200 ms of an answer counts as told, as if the next call had
 // come; so that call is made, and given up unanswered once that time is over.
-func (d *discovery) stepOut(conn *listConn) error {
+func (d *discovery) stepOut(ctx context.Context, conn *listConn) (*listConn, error) {
 	for {
-		err := d.call(conn, false, d.wait, d.times.stepOut)
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			return nil
+		var err error
+		if conn, err = d.ready(ctx, conn); err != nil {
+			return nil, err
 		}
-		if err != nil || conn.spent {
-			return err
+		switch err = d.call(conn, false, d.wait, d.times.stepOut); {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return conn, nil
+		case err != nil:
+			return conn, err
 		}
 	}
 }
 
+// ready gives a connection that can take a call: conn, unless there is none or discovery closes it.
+func (d *discovery) ready(ctx context.Context, conn *listConn) (*listConn, error) {
+	if conn != nil && !conn.spent {
+		return conn, nil
+	}
+	conn.close()
+	return d.dial(ctx)
+}
+
 // pause waits. Whoever wants the whole list meanwhile waits no longer.
 func (d *discovery) pause(ctx context.Context, long time.Duration) error {
 	if long <= 0 {
--- a/internal/proxy/discovery_test.go
+++ b/internal/proxy/discovery_test.go
@@ -182,6 +182,27 @@
 	}
 }
 
+// TestSpentInALargeFleet: one of many proxies pauses between its calls once one has failed. A discovery that closes the
+// connection with its answer is no failing one, and the call that leaves the watch goes out on a new connection.
+func TestSpentInALargeFleet(t *testing.T) {
+	h := newHost(t, says(ok))
+	l := newList(t, entry("h1", h.addr()))
+	l.raw = []string{"HTTP/1.1 503 S\r\nContent-Length: 0\r\n\r\n",
+		strings.Replace(httpOK(listText(1, true, entry("h1", h.addr()))), "\r\n", "\r\nConnection: close\r\n", 1)}
+	s := newScript()
+	g := start(t, l.addr(), "null", s.decides, func(p *Proxy) { p.cfg.Balancer.Balancers, p.cfg.Balancer.AskWithin = 80, 1 })
+	s.lists.next(t, "the cached list")
+	if e := s.lists.next(t, "word of the failure"); e.kind != balancer.ListFailed {
+		t.Fatalf("event %+v", e)
+	}
+	g.p.owner.post(inside(func(o *owner) { o.Watch() }))
+	for _, want := range []balancer.ListKind{balancer.ListFull, balancer.ListChanges} {
+		if e := s.lists.next(t, "an answer"); e.kind != want {
+			t.Fatalf("event %+v, not of kind %d", e, want)
+		}
+	}
+}
+
 // TestModuleAsksAgain: with the module in charge a failed call is followed by another without anybody's help.
 func TestModuleAsksAgain(t *testing.T) {
 	h := newHost(t, says(ok))
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -245,7 +245,7 @@
 			if text == "" {
 				return
 			}
-			if _, err := io.WriteString(c, text); err != nil {
+			if _, err := io.WriteString(c, text); err != nil || strings.Contains(text, "Connection: close") {
 				return
 			}
 		}
