Operators' door, figures, hosts taken out by hand, and the listening socket by descriptor

The program listened by itself where the platform holds the socket, and crashed as the second process of an upgrade (address in use); nobody served the operators' address.

Change: internal/handover makes a listener of PROXY_FD and keeps state files whole; a process accepts once it can serve, and at SIGTERM leaves the socket to the other and answers what still comes on its connections, each answer the last. internal/ops is the door, internal/cordon the set of hosts out by hand merged with the list; the module sees them drain. The module gives a read-only count of hosts it avoids (Avoided). The figures are counted where an answer has been written.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -198,6 +198,10 @@
 	Timer(now float64, token uint64)
 	Peer(now float64, from int, data []byte)
 	Gone(now float64, id RequestID) // the client left
+
+	// Avoided counts the hosts that take requests by the list and get none from here, by this balancer's choice. It
+	// changes nothing.
+	Avoided(now float64) int
 }
 
 var _ Handler = (*Balancer)(nil)
--- a/internal/places/places.go
+++ b/internal/places/places.go
@@ -119,6 +119,7 @@
 	callers map[netip.Addr]*caller
 	open    int // that have places
 	drains  bool
+	parts   bool
 	drained time.Duration // Drain was called last
 	once    reuse
 	often   reuse
@@ -285,6 +286,9 @@
 // rest. It may be called again for those that have come since.
 func (b *Book) Drain(now time.Duration) { b.drains, b.drained = true, now }
 
+// Part makes every request the last of its connection, and lets idle connections wait for theirs until Drain.
+func (b *Book) Part() { b.parts = true }
+
 // Shed names the connection that is missed least, where something else than the limit is short.
 func (b *Book) Shed(now time.Duration) { b.makeRoom(now) }
 
@@ -405,7 +409,7 @@
 }
 
 // Last says whether the connection ends with the request at hand.
-func (b *Book) Last(s *Seat) bool { return b.drains || s.kind >= Ending }
+func (b *Book) Last(s *Seat) bool { return b.drains || b.parts || s.kind >= Ending }
 
 // move puts a seat into the chains of its next kind.
 func (b *Book) move(now time.Duration, s *Seat, k Kind) {
--- a/internal/proxy/accept.go
+++ b/internal/proxy/accept.go
@@ -236,6 +236,9 @@
 	return len(named) < n
 }
 
+// part makes every answer from now on the last of its connection, and leaves idle connections as they are.
+func (f *front) part() { f.seat(func(time.Duration) { f.book.Part() }) }
+
 // drain makes every answer from now on the last of its connection, and ends those that are idle. It is called again
 // when nothing new can come any more.
 func (f *front) drain() { f.seat(f.book.Drain) }
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -22,8 +22,10 @@
 
 // respond waits for the owner's answer and writes it. It says whether the connection may go on.
 func (c *client) respond(q *request, last bool) bool {
+	class := q.Class // the owner may forget the request once it is answered
 	a := <-q.answer
 	defer c.front.bufs.freeBody(&a.body)
+	defer func() { c.front.owner.tally.end(class, a.status) }()
 	for _, at := range a.stopped { // nothing may be sent for a request once it is answered
 		at.quiet()
 	}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -22,6 +22,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
+	tally   *tally
 	writing sync.Mutex // held while bytes go out
 }
 
@@ -68,7 +69,11 @@
 	if err := settle(); err != nil {
 		return err
 	}
-	return a.put(c, net.Buffers{last})
+	if err := a.put(c, net.Buffers{last}); err != nil {
+		return err
+	}
+	a.tally.tries.Add(1)
+	return nil
 }
 
 // put writes, unless the attempt has been called off.
--- a/internal/proxy/catalog.go
+++ b/internal/proxy/catalog.go
@@ -16,6 +16,7 @@
 	full    bool
 	hosts   []balancer.Host
 	addrs   []string // of hosts, in the same order
+	names   []string // the same
 }
 
 var statuses = map[string]balancer.Status{
@@ -38,14 +39,18 @@
 	}
 	c := catalog{version: *f.Version, full: f.Full}
 	for _, raw := range f.Servers {
-		if h, addr, ok := parseEntry(raw, zones); ok {
-			c.hosts, c.addrs = append(c.hosts, h), append(c.addrs, addr)
+		if name, h, addr, ok := parseEntry(raw, zones); ok {
+			c.add(name, h, addr)
 		}
 	}
 	return c, nil
 }
 
-func parseEntry(raw []byte, zones []string) (h balancer.Host, addr string, ok bool) {
+func (c *catalog) add(name string, h balancer.Host, addr string) {
+	c.names, c.hosts, c.addrs = append(c.names, name), append(c.hosts, h), append(c.addrs, addr)
+}
+
+func parseEntry(raw []byte, zones []string) (name string, h balancer.Host, addr string, ok bool) {
 	var e struct {
 		ID, Addr, Zone, State string
 		Cell                  int
@@ -53,17 +58,17 @@
 		StartedMS             float64 `json:"started_ms"`
 	}
 	if json.Unmarshal(raw, &e) != nil || e.ID == "" {
-		return h, "", false
+		return "", h, "", false
 	}
 	status, known := statuses[e.State]
 	if _, _, err := net.SplitHostPort(e.Addr); !known || status != balancer.Gone && err != nil {
-		return h, "", false
+		return "", h, "", false
 	}
 	zone := slices.Index(zones, e.Zone)
 	if zone < 0 { // a zone nobody told of is still not this proxy's own
 		zone = len(zones)
 	}
-	return balancer.Host{
+	return e.ID, balancer.Host{
 		ID: hostID(e.ID), Weight: e.Weight, Zone: zone, Cell: e.Cell, Status: status,
 		Started: math.Max(0, e.StartedMS) / 1000,
 	}, e.Addr, true
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -169,6 +169,8 @@
 	if bad == nil && c.over() {
 		c.front.bufs.freeRequest(q)
 		bad = &badRequest{http.StatusInternalServerError, "too many connections"}
+		c.front.owner.tally.begin()
+		defer c.front.owner.tally.end(q.Class, bad.status)
 	}
 	if bad != nil {
 		c.reject(bad)
@@ -200,6 +202,7 @@
 func (c *client) handOver(q *request, last bool) bool {
 	written := make(chan bool, 1)
 	c.setTaken()
+	c.front.owner.tally.begin()
 	go func() { written <- c.respond(q, last) }()
 	c.front.owner.post(arrival{q})
 	c.meter.allow(maxHead)
@@ -224,6 +227,8 @@
 func (c *client) turnDown(q *request, last bool) bool {
 	c.front.bufs.freeRequest(q)
 	c.setTaken()
+	c.front.owner.tally.begin()
+	defer c.front.owner.tally.end(q.Class, http.StatusServiceUnavailable)
 	a := answer{status: http.StatusServiceUnavailable, text: "busy\n", coolDown: c.front.limits.coolDown}
 	return c.deliver(&a, last)
 }
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -23,6 +23,9 @@
 // Config is what a client proxy is told at its start.
 type Config struct {
 	Name, Listen, Discovery string
+	Ops                     string // the operators' address; "": there is no door
+	ListenFD                string // the descriptor of the clients' listening socket; "": it listens by itself
+	StateDir                string // for what one process leaves to the next
 	Seed                    uint64
 	Limits                  Limits
 	Known                   catalog // the list as last held before a restart; it may be old
@@ -58,6 +61,7 @@
 	Name      string          `json:"name"`
 	Listen    string          `json:"listen"`
 	Discovery string          `json:"discovery"`
+	Ops       string          `json:"ops"`
 	Seed      string          `json:"seed"`
 	Limits    Limits          `json:"limits"`
 	Known     json.RawMessage `json:"known"`
@@ -99,7 +103,14 @@
 	c.Name = cmp.Or(getenv("PROXY_NAME"), f.Name)
 	c.Listen = cmp.Or(getenv("PROXY_LISTEN"), f.Listen)
 	c.Discovery = cmp.Or(getenv("PROXY_DISCOVERY"), f.Discovery)
-	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+	c.Ops = cmp.Or(getenv("PROXY_OPS"), f.Ops)
+	c.ListenFD = getenv("PROXY_FD")
+	c.StateDir = cmp.Or(getenv("TMPDIR"), os.TempDir())
+	addresses := map[string]string{"listen": c.Listen, "discovery": c.Discovery}
+	if c.Ops != "" {
+		addresses["ops"] = c.Ops
+	}
+	for name, addr := range addresses {
 		if _, _, err := net.SplitHostPort(addr); err != nil {
 			return nil, fmt.Errorf("%s address: %w", name, err)
 		}
--- /dev/null
+++ b/internal/proxy/operators.go
@@ -0,0 +1,236 @@
+package proxy
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"beechwing/balancer"
+	"beechwing/internal/cordon"
+	"beechwing/internal/handover"
+	"beechwing/internal/ops"
+)
+
+const (
+	outEvery  = 100 * time.Millisecond // at which the other process's word on hosts is looked for
+	lookEvery = 0.25                   // seconds at which the module is asked whom it avoids
+)
+
+// operators is what the operators' door asks of the proxy.
+type operators struct {
+	p *Proxy
+
+	mu   sync.Mutex // one call on hosts at a time; guards what follows
+	file *handover.File[cordon.Set]
+	set  cordon.Set // as the owner has it
+}
+
+// outFile names the file with the hosts that are out. Proxies that share a folder for want of a TMPDIR have each its own.
+func outFile(dir, name string) string {
+	return filepath.Join(dir, "beechwing-out-"+hex.EncodeToString([]byte(name))+".json")
+}
+
+func newOperators(p *Proxy) *operators {
+	check := func(s cordon.Set) error {
+		if len(s) > cordon.Most {
+			return cordon.ErrFull
+		}
+		return nil
+	}
+	return &operators{p: p, file: handover.NewFile(outFile(p.cfg.StateDir, p.cfg.Name), check)}
+}
+
+// load reads which hosts are out, ahead of the owner's start.
+func (s *operators) load() cordon.Set {
+	set, err := s.file.Read()
+	if err != nil {
+		s.p.log.Error("who is out by hand cannot be read, nobody is", zap.Error(err))
+	}
+	s.set = set
+	return set
+}
+
+// follow takes over what the other process of an upgrade writes, until ctx ends.
+func (s *operators) follow(ctx context.Context) {
+	tick := time.NewTicker(outEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if err := s.adopt(ctx); err != nil && ctx.Err() == nil {
+			s.p.log.Error("word on hosts that are out was not taken over", zap.Error(err))
+		}
+	}
+}
+
+func (s *operators) adopt(ctx context.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.file.Changed() {
+		return nil
+	}
+	set, err := s.file.Read()
+	if err != nil {
+		return err
+	}
+	return s.inForce(ctx, set)
+}
+
+// Ready says whether this process serves.
+func (s *operators) Ready() error {
+	if s.p.able.Load() {
+		return nil
+	}
+	return errors.New("not serving")
+}
+
+// Figures words the figures.
+func (s *operators) Figures() []byte { return s.p.owner.tally.text() }
+
+// TakeOut leaves a host out until it is put back. Once it returns without an error that is in force, and outlasts the
+// process.
+func (s *operators) TakeOut(ctx context.Context, id string) (string, error) {
+	return s.change(ctx, id, func(set cordon.Set, now float64) (cordon.Set, string, error) {
+		if set.Out(id) {
+			return set, "it was out already", nil
+		}
+		next, err := set.Take(id, now)
+		return next, "out", err
+	})
+}
+
+// PutBack lets a host serve again.
+func (s *operators) PutBack(ctx context.Context, id string) (string, error) {
+	return s.change(ctx, id, func(set cordon.Set, now float64) (cordon.Set, string, error) {
+		if !set.Out(id) {
+			return set, "it was not out", nil
+		}
+		return set.PutBack(id, now), "back", nil
+	})
+}
+
+// change carries out a call on a host that is known: first the file, so that no yes is forgotten, then the owner.
+func (s *operators) change(ctx context.Context, id string,
+	how func(cordon.Set, float64) (cordon.Set, string, error)) (string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.askKnown(ctx, id); err != nil {
+		return "", err
+	}
+	unlock, err := s.file.Lock(ctx)
+	if err != nil {
+		return "", err
+	}
+	defer unlock()
+	was, err := s.file.Read() // the other process may have written it since
+	if err != nil && !errors.Is(err, handover.ErrTorn) {
+		return "", err
+	}
+	now := s.p.owner.clock.now()
+	next, said, err := how(was, now)
+	if err != nil {
+		return "", err
+	}
+	if next = next.Tidy(now, s.p.cfg.Balancer.ColdFor); len(cordon.Changed(was, next)) > 0 {
+		if err := s.file.Write(next); err != nil {
+			return "", err
+		}
+	}
+	return said, s.inForce(ctx, next)
+}
+
+// inForce waits until the owner has taken over who is out. mu is held.
+func (s *operators) inForce(ctx context.Context, set cordon.Set) error {
+	done := make(chan struct{})
+	if err := s.p.owner.offer(ctx, cordoned{set, done}, done); err != nil {
+		return fmt.Errorf("not in force yet: %w", err)
+	}
+	s.set = set
+	return nil
+}
+
+func (s *operators) askKnown(ctx context.Context, id string) error {
+	q := asked{id, make(chan struct{}), new(bool)}
+	if err := s.p.owner.offer(ctx, q, q.done); err != nil {
+		return err
+	}
+	if !*q.known && !s.set.Out(id) {
+		return fmt.Errorf("%w: %.64q is not in the list", ops.ErrUnknown, id)
+	}
+	return nil
+}
+
+// offer queues an event and waits until it has been played, no longer than ctx.
+func (o *owner) offer(ctx context.Context, e event, played chan struct{}) error {
+	select {
+	case o.queue <- e:
+	case <-o.done:
+		return errors.New("the proxy has ended")
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-played:
+		return nil
+	case <-o.done:
+		return errors.New("the proxy has ended")
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// cordoned is word on who is out by hand.
+type cordoned struct {
+	set  cordon.Set
+	done chan struct{}
+}
+
+func (e cordoned) apply(o *owner) {
+	if changes := o.roll.cordon(e.set); len(changes.hosts) > 0 {
+		now := o.clock.now()
+		o.hosts.update(balancer.ListChanges, changes, now)
+		o.bal.Members(now, balancer.ListChanges, changes.hosts)
+		o.look(now)
+	}
+	close(e.done)
+}
+
+// asked is the question whether a host is known.
+type asked struct {
+	id    string
+	done  chan struct{}
+	known *bool
+}
+
+func (e asked) apply(o *owner) {
+	*e.known = o.roll.known(e.id)
+	close(e.done)
+}
+
+// look copies what operators may read of the module.
+func (o *owner) look(now float64) {
+	o.lookedAt = now
+	if !o.ops {
+		return
+	}
+	o.tally.listed.Store(int64(len(o.roll.listed)))
+	o.tally.left.Store(int64(o.bal.Avoided(now) + o.roll.outNow()))
+}
+
+// lookAgain does so if it is time to, and says when it will be.
+func (o *owner) lookAgain() time.Duration {
+	now := o.clock.now()
+	if now >= o.lookedAt+lookEvery {
+		o.look(now)
+	}
+	return seconds(o.lookedAt + lookEvery - now)
+}
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -35,6 +35,13 @@
 	log      *zap.Logger
 	ctx      context.Context // of attempts and probes
 	ready    atomic.Bool     // hosts are known
+	known    chan struct{}   // closed when they are
+	fresh    chan struct{}   // closed once discovery has told of them
+	roll     *roll           // the list, and who is out by hand
+	tally    *tally
+	ops      bool    // somebody may ask for figures
+	lookedAt float64 // when the module was last asked whom it avoids
+	endBy    float64 // when the process ends, on its clock; 0: not soon
 	stopping bool
 	done     chan struct{} // closed when the owner has ended
 }
@@ -88,7 +95,8 @@
 	o := &owner{
 		clock: c, cfg: cfg.Balancer, queue: make(chan event, queueLength),
 		flights: map[balancer.RequestID]*flight{}, open: map[string]bool{}, hosts: h, bufs: bufs, log: log, ctx: ctx,
-		done: make(chan struct{}),
+		done: make(chan struct{}), known: make(chan struct{}), fresh: make(chan struct{}),
+		roll: newRoll(), tally: newTally(cfg.Settings),
 	}
 	o.list = newDiscovery(cfg, bufs, t, log, o.post)
 	return o
@@ -112,6 +120,9 @@
 	for {
 		o.settleLocal()
 		wait := o.fire()
+		if o.ops {
+			wait = min(wait, o.lookAgain())
+		}
 		if len(o.local) > 0 {
 			continue
 		}
@@ -149,6 +160,9 @@
 	q.ID = o.lastID
 	now := o.clock.now()
 	q.Budget = max(0, q.Budget-time.Since(q.taken).Seconds()) // it may have waited in the queue
+	if o.endBy > 0 {
+		q.Budget = max(0, min(q.Budget, o.endBy-now))
+	}
 	o.flights[q.ID] = &flight{request: q, deadline: now + q.Budget}
 	o.bal.Request(now, q.Request)
 }
@@ -197,17 +211,39 @@
 
 func (e members) apply(o *owner) {
 	now := o.clock.now()
+	list := e.list
 	if e.kind != balancer.ListFailed {
-		o.hosts.update(e.kind, e.list, now)
+		list = o.roll.take(e.kind, e.list)
+		o.hosts.update(e.kind, list, now)
+	}
+	o.bal.Members(now, e.kind, list.hosts)
+	o.look(now)
+	if len(list.hosts) > 0 && !o.ready.Swap(true) {
+		close(o.known)
 	}
-	o.bal.Members(now, e.kind, e.list.hosts)
-	if len(e.list.hosts) > 0 {
-		o.ready.Store(true)
+	if e.kind == balancer.ListFull || e.kind == balancer.ListChanges {
+		o.told()
+	}
+}
+
+// told notes that discovery has told of the list.
+func (o *owner) told() {
+	select {
+	case <-o.fresh:
+	default:
+		if o.ready.Load() {
+			close(o.fresh)
+		}
 	}
 }
 
 func (stop) apply(o *owner) { o.stopping = true }
 
+// ending is word that the process ends at a time: what it still takes has to be answered by then.
+type ending struct{ by float64 }
+
+func (e ending) apply(o *owner) { o.endBy = e.by }
+
 // conclude gives a request its one answer. Nothing may be sent for it from then on, so what is out is called off.
 func (o *owner) conclude(f *flight, a answer) {
 	if f.answered {
@@ -248,7 +284,7 @@
 	if timeout != 0 {
 		until = min(until, now+timeout)
 	}
-	a := &attempt{request: f.request, number: len(f.attempts), host: host, sent: now}
+	a := &attempt{request: f.request, number: len(f.attempts), host: host, sent: now, tally: o.tally}
 	f.attempts = append(f.attempts, a)
 	f.out++
 	up := o.hosts.find(host)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -12,11 +12,14 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"beechwing/balancer"
+	"beechwing/internal/handover"
+	"beechwing/internal/ops"
 	"beechwing/internal/places"
 	"beechwing/internal/site"
 )
@@ -29,12 +32,13 @@
 	Starting  Phase = iota // takes the address it serves on and starts its parts
 	Serving                // takes requests
 	Draining               // told to end: still takes what comes, every answer closes its connection
+	Parting                // told to end, with another process at the same socket: the same, but for new connections
 	Finishing              // takes nothing new, finishes what is out
 	Stopped
 )
 
 func (p Phase) String() string {
-	return [...]string{"starting", "serving", "draining", "finishing", "stopped"}[p]
+	return [...]string{"starting", "serving", "draining", "parting", "finishing", "stopped"}[p]
 }
 
 // Proxy is one client proxy.
@@ -47,9 +51,12 @@
 	phase  Phase
 	steps  map[Phase]func(context.Context) (Phase, error)
 
-	reloads chan struct{} // asks for the configuration to be read again
+	reloads  chan struct{} // asks for the configuration to be read again
+	prepared chan struct{} // closed when it can serve
 
-	told  time.Time // when it was told to end
+	told  time.Time   // when it was told to end
+	able  atomic.Bool // it serves
+	door  *ops.Door   // nil: there is none
 	bufs  *pool
 	hosts *hosts
 	owner *owner
@@ -61,13 +68,13 @@
 // New makes a client proxy; Run runs it.
 func New(cfg *Config, log *zap.Logger) *Proxy {
 	p := &Proxy{cfg: cfg, log: log, times: defaultTiming(), listen: net.Listen,
-		reloads: make(chan struct{}, 1)}
+		reloads: make(chan struct{}, 1), prepared: make(chan struct{})}
 	p.times.set(cfg.Site.Connections)
 	p.decide = func(now float64, cfg balancer.Config, act balancer.Actions) balancer.Handler {
 		return balancer.New(now, cfg, act)
 	}
 	p.steps = map[Phase]func(context.Context) (Phase, error){
-		Starting: p.start, Serving: p.serve, Draining: p.drain, Finishing: p.finish,
+		Starting: p.start, Serving: p.serve, Draining: p.drain, Parting: p.part, Finishing: p.finish,
 	}
 	return p
 }
@@ -87,7 +94,11 @@
 
 func (p *Proxy) start(context.Context) (Phase, error) {
 	p.cfg.Limits.apply()
-	ln, err := p.listen("tcp", p.cfg.Listen)
+	ln, err := p.takeAddress()
+	if err != nil {
+		return Stopped, err
+	}
+	desk, err := p.takeDoor()
 	if err != nil {
 		return Stopped, err
 	}
@@ -103,11 +114,15 @@
 	if err != nil {
 		return Stopped, err
 	}
+	if desk != nil {
+		p.openDoor(run, desk)
+	}
 	p.parts.Go(p.front.keep)
 	p.parts.Go(p.front.lot.Run)
 	p.parts.Go(func() { p.owner.run(p.decide, p.cfg.Known) })
 	p.parts.Go(func() { p.owner.list.run(run) })
 	p.parts.Go(func() { p.reload(run) })
+	p.parts.Go(func() { p.prepare(run) })
 	p.log.Info("listening", zap.String("name", p.cfg.Name), zap.Stringer("addr", ln.Addr()))
 	return Serving, nil
 }
@@ -151,7 +166,66 @@
 	return most
 }
 
+// takeAddress takes the address that clients connect to, or the socket there that the platform holds.
+func (p *Proxy) takeAddress() (net.Listener, error) {
+	if p.cfg.ListenFD != "" {
+		ln, err := handover.Listener(p.cfg.ListenFD, p.cfg.Listen)
+		if err != nil {
+			return nil, fmt.Errorf("PROXY_FD: %w", err)
+		}
+		return ln, nil
+	}
+	return p.listen("tcp", p.cfg.Listen)
+}
+
+// takeDoor takes the operators' address, if there is one.
+func (p *Proxy) takeDoor() (net.Listener, error) {
+	if p.cfg.Ops == "" {
+		return nil, nil
+	}
+	ln, err := net.Listen("tcp", p.cfg.Ops)
+	if err != nil {
+		return nil, fmt.Errorf("ops: %w", err)
+	}
+	return ln, nil
+}
+
+func (p *Proxy) openDoor(ctx context.Context, ln net.Listener) {
+	s := newOperators(p)
+	p.owner.ops = true
+	p.owner.roll.out = s.load()
+	p.door = ops.New(ln, s, p.log)
+	p.parts.Go(p.door.Run)
+	p.parts.Go(func() { s.follow(ctx) })
+}
+
+// prepare waits until this process can serve: it has a list, from discovery if that answers in time.
+func (p *Proxy) prepare(ctx context.Context) {
+	late := time.NewTimer(p.times.firstList)
+	defer late.Stop()
+	select {
+	case <-ctx.Done():
+		return
+	case <-p.owner.fresh:
+	case <-late.C:
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.owner.known:
+		}
+	}
+	p.able.Store(true)
+	close(p.prepared)
+}
+
 func (p *Proxy) serve(ctx context.Context) (Phase, error) {
+	if p.cfg.ListenFD != "" { // what connects meanwhile waits in the backlog, or is another process's
+		select {
+		case <-ctx.Done():
+			return p.end(), nil
+		case <-p.prepared:
+		}
+	}
 	accepted := make(chan struct{})
 	p.parts.Go(func() {
 		p.front.accept()
@@ -159,13 +233,49 @@
 	})
 	select {
 	case <-ctx.Done():
-		p.told = time.Now()
-		return Draining, nil
+		return p.end(), nil
 	case <-accepted:
 		return Stopped, fmt.Errorf("the listener has closed")
 	}
 }
 
+// end begins the end: operators are told that this process serves no longer.
+func (p *Proxy) end() Phase {
+	p.told = time.Now()
+	p.able.Store(false)
+	if p.cfg.ListenFD != "" {
+		return Parting
+	}
+	return Draining
+}
+
+// part leaves new connections to the process that takes over. What clients still send on those that they have is
+// answered, each time as the last on its connection: closing an idle one now could cross a request.
+func (p *Proxy) part(context.Context) (Phase, error) {
+	p.front.close()
+	end := p.told.Add(seconds(p.longest()))
+	p.owner.post(ending{p.owner.clock.now() + time.Until(end.Add(p.times.spare-p.times.wind)).Seconds()})
+	p.front.part()
+	left := make(chan struct{})
+	go func() {
+		p.front.wg.Wait()
+		close(left)
+	}()
+	select {
+	case <-left:
+	case <-time.After(time.Until(end)):
+	}
+	return Finishing, nil
+}
+
+// longest is the longest deadline, in seconds.
+func (p *Proxy) longest() (longest float64) {
+	for _, c := range p.cfg.Balancer.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	return longest
+}
+
 // drain goes on accepting: clients learn of the end only from the answers, and closing the listener resets what waits
 // in its backlog.
 func (p *Proxy) drain(context.Context) (Phase, error) {
@@ -178,13 +288,11 @@
 
 // finish waits for what is out, no longer than any client waits for it.
 func (p *Proxy) finish(context.Context) (Phase, error) {
-	p.front.close()
-	time.Sleep(p.times.last)
-	p.front.drain()
-	longest := 0.0
-	for _, c := range p.cfg.Balancer.Classes {
-		longest = max(longest, c.Deadline)
+	if p.cfg.ListenFD == "" {
+		p.front.close()
+		time.Sleep(p.times.last)
 	}
+	p.front.drain()
 	answered := make(chan struct{})
 	go func() {
 		p.front.wg.Wait()
@@ -192,11 +300,14 @@
 	}()
 	select {
 	case <-answered:
-	case <-time.After(time.Until(p.told.Add(seconds(longest) + p.times.spare))):
+	case <-time.After(time.Until(p.told.Add(seconds(p.longest()) + p.times.spare))):
 		p.log.Warn("requests left unanswered at the end")
 	}
 	p.front.stop()
 	p.halt()
+	if p.door != nil {
+		p.door.Close()
+	}
 	p.owner.post(stop{})
 	p.hosts.update(balancer.ListFull, catalog{}, p.owner.clock.now()) // no host is left: closes what is idle
 	p.parts.Wait()
--- /dev/null
+++ b/internal/proxy/tally.go
@@ -0,0 +1,73 @@
+package proxy
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+
+	"beechwing/internal/settings"
+)
+
+// tally counts what operators are told. All of it may be read at any time without waiting for anybody. Each request that
+// begins ends once, so taken = ok + shed + errors + active, but for those whose clients went.
+type tally struct {
+	names        []string // of the classes, as they stand in a figure
+	classes      []classTally
+	tries        atomic.Int64 // attempts written whole to hosts
+	active       atomic.Int64 // requests taken and not ended
+	listed, left atomic.Int64 // hosts in the list, and those of them that the proxy avoids
+}
+
+// classTally counts the ends of a class's requests.
+type classTally struct{ ok, shed, errors atomic.Int64 }
+
+func newTally(s *settings.Settings) *tally {
+	t := &tally{classes: make([]classTally, len(s.Classes))}
+	for _, c := range s.Classes {
+		t.names = append(t.names, figureName(c.Name))
+	}
+	return t
+}
+
+// figureName makes a class's name fit into a line of figures: what would end the name or the line is written as "_".
+func figureName(name string) string {
+	return strings.Map(func(r rune) rune {
+		if r <= ' ' || r == '=' || r == 0x7f || r == '\u0085' || r == '\u2028' || r == '\u2029' {
+			return '_'
+		}
+		return r
+	}, name)
+}
+
+// begin counts a request that has been taken.
+func (t *tally) begin() { t.active.Add(1) }
+
+// end counts the end of one, by the status that its client got; 0: the client had gone.
+func (t *tally) end(class, status int) {
+	t.active.Add(-1)
+	c := &t.classes[class]
+	switch status {
+	case 0:
+	case http.StatusOK:
+		c.ok.Add(1)
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		c.shed.Add(1)
+	default:
+		c.errors.Add(1)
+	}
+}
+
+// text words the figures, one a line.
+func (t *tally) text() []byte {
+	var b bytes.Buffer
+	for i, name := range t.names {
+		c := &t.classes[i]
+		fmt.Fprintf(&b, "proxy.ok.%s=%d\nproxy.shed.%s=%d\nproxy.errors.%s=%d\n",
+			name, c.ok.Load(), name, c.shed.Load(), name, c.errors.Load())
+	}
+	fmt.Fprintf(&b, "proxy.tries=%d\nproxy.active=%d\nproxy.pool_size=%d\nproxy.pool_ejected=%d\n",
+		t.tries.Load(), t.active.Load(), t.listed.Load(), t.left.Load())
+	return b.Bytes()
+}
--- a/internal/proxy/timing.go
+++ b/internal/proxy/timing.go
@@ -25,10 +25,13 @@
 	stepOut time.Duration // for which a watch is held after its last answer; a later call counts as a new watch after 200 ms
 	watch   time.Duration // by which a watch may take longer than its wait; what it should tell counts as told 2 s after
 
+	firstList time.Duration // that discovery may take before a process serves with the list that it was given
+
 	// New connections go on coming for up to 0.4 s after SIGTERM; the rest covers a machine that is slow just then.
 	drain   time.Duration
 	backlog time.Duration // for what then still waits in the listener's backlog
 	last    time.Duration // in which a connection accepted last may yet bring its request
+	wind    time.Duration // of spare, in which answers given last are written
 	spare   time.Duration // after the longest deadline; SIGKILL may come 0.7 s after it
 }
 
@@ -38,7 +41,7 @@
 		late: 50 * time.Millisecond, refuse: 250 * time.Millisecond, answer: 5 * time.Second, linger: 500 * time.Millisecond, settle: time.Millisecond,
 		call: 2200 * time.Millisecond, watch: 1500 * time.Millisecond, stepOut: 250 * time.Millisecond,
 		drain: 550 * time.Millisecond, backlog: 50 * time.Millisecond, last: 250 * time.Millisecond,
-		spare: 600 * time.Millisecond,
+		spare: 600 * time.Millisecond, wind: 150 * time.Millisecond, firstList: 1500 * time.Millisecond,
 	}
 }
 
