--- a/balancer/api.go
+++ b/balancer/api.go
@@ -153,6 +153,7 @@
 	Work   float64 // expected seconds on a standard core; 0: unknown
 	Budget float64 // seconds until the client gives this try up
 	Repeat bool    // the client marked it as a repeat
+	Coming bool    // its body is still coming: hosts begin, and its time counts, with Whole
 }
 
 // Outcome is the end of one attempt. Final means that the request has its answer, by this outcome or earlier.
@@ -192,6 +193,7 @@
 type Handler interface {
 	Members(now float64, kind ListKind, hosts []Host)
 	Request(now float64, r Request)
+	Whole(now float64, id RequestID)              // the last byte of one that was coming
 	Begun(now float64, id RequestID, attempt int) // a streamed answer has started
 	Outcome(now float64, o Outcome)
 	Probed(now float64, p ProbeResult)
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -362,14 +362,38 @@
 	if o.work <= 0 {
 		o.work = b.classWork[r.Class]
 	}
-	o.deadline = b.now + r.Budget
-	o.aimAt = min(o.deadline, b.now+o.class.Aim+o.class.AimStretch*o.work)
+	b.setTimes(o)
 	o.density = b.density(r.Class)
 	o.roams, o.luck = b.random() < b.roam && b.thin, mix(b.rng)
 	b.ops[r.ID] = o
 	return o
 }
 
+// setTimes counts a request's time from now.
+func (b *Balancer) setTimes(o *op) {
+	o.deadline = b.now + o.Budget
+	o.aimAt = min(o.deadline, b.now+o.class.Aim+o.class.AimStretch*o.work)
+}
+
+// Whole takes word that a body has come. Until then its host only reads: the attempt holds no place in the
+// host's limit, and cannot be late.
+func (b *Balancer) Whole(now float64, id RequestID) {
+	b.now = now
+	o := b.ops[id]
+	if o == nil || !o.Coming {
+		return
+	}
+	o.Coming = false
+	b.setTimes(o)
+	for n := range o.attempts {
+		if a := &o.attempts[n]; a.out {
+			a.at, a.place = now, 1
+			a.h.inflight++
+			b.timeMark(o, n)
+		}
+	}
+}
+
 // givesWay refuses cheaper work at once, by chance, while dearer work finds no room: without it the dearer
 // would only get what is free at its moment.
 func (b *Balancer) givesWay(o *op) bool {
@@ -716,18 +740,28 @@
 // send starts an attempt. An answer that would come too late to be worth anything is not waited for.
 func (b *Balancer) send(o *op, h *host) {
 	timeout := 0.0
-	if o.class.LateWorth <= 0 && o.aimAt < o.deadline {
+	if o.class.LateWorth <= 0 && o.aimAt < o.deadline { // for what is coming, counted from its last byte
 		timeout = max(o.aimAt-b.now, 0.001)
 	}
 	if len(o.attempts) == 0 {
 		drift(&b.strain[o.Class], 0)
 	}
-	o.attempts = append(o.attempts, attempt{h: h, at: b.now, out: true, place: 1})
+	a := attempt{h: h, at: b.now, out: true, place: 1}
+	if o.Coming {
+		a.place = 0
+	}
+	o.attempts = append(o.attempts, a)
 	o.out++
-	h.inflight++
+	h.inflight += a.place
 	b.act.Send(o.ID, h.ID, timeout)
-	n := uint64(len(o.attempts) - 1)
-	b.act.Timer(markShare*o.class.Aim, timerMark<<tokenKind|n<<tokenAttempt|uint64(o.ID))
+	if !o.Coming {
+		b.timeMark(o, len(o.attempts)-1)
+	}
+}
+
+// timeMark asks for word when an attempt counts as late.
+func (b *Balancer) timeMark(o *op, n int) {
+	b.act.Timer(markShare*o.class.Aim, timerMark<<tokenKind|uint64(n)<<tokenAttempt|uint64(o.ID))
 }
 
 // ---- what comes back
@@ -740,8 +774,14 @@
 		return
 	}
 	o.begun = true
-	o.attempts[n].h.heard = true
+	a := &o.attempts[n]
+	a.h.heard = true
+	if a.out { // its work is done: the peers' pace bounds the rest
+		a.h.inflight, a.place = a.h.inflight-a.place, 0
+		a.h.answered, a.h.newest = now, max(a.h.newest, a.at)
+	}
 	b.callOff(o, n)
+	b.release()
 }
 
 // Outcome takes the end of an attempt.
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -11,8 +11,11 @@
 // answer is the final word on a request. A status of zero means that nobody is there to hear one.
 type answer struct {
 	status   int
-	kind     string // content type of a served body
-	body     body   // of a host's answer
+	kind     string  // content type of a served body
+	body     body    // of a host's answer
+	long     *stream // a long one, in body's place
+	length   int64
+	old      bool   // its client knows no chunks
 	text     string // of an answer of our own
 	coolDown float64
 	last     bool       // the connection ends after it
@@ -26,6 +29,9 @@
 	a := <-q.answer
 	defer c.front.bufs.freeBody(&a.body)
 	defer func() { c.front.owner.tally.end(class, a.status) }()
+	if a.long != nil {
+		defer a.long.leave()
+	}
 	for _, at := range a.stopped { // nothing may be sent for a request once it is answered
 		at.quiet()
 	}
@@ -36,6 +42,7 @@
 		c.finish(&a)
 		return false
 	}
+	a.old = q.old
 	return c.deliver(&a, last)
 }
 
@@ -43,7 +50,12 @@
 // connection goes on.
 func (c *client) deliver(a *answer, last bool) bool {
 	a.last = last || c.last()
-	if c.write(a) != nil {
+	a.last = a.last || a.long != nil && a.old && a.length < 0 // only the end of the connection ends it
+	if err := c.write(a); err != nil {
+		return false
+	}
+	if err := c.pass(a); err != nil {
+		a.status = http.StatusBadGateway // what was passed on is not whole, and its client can tell
 		return false
 	}
 	c.setIdle()
@@ -55,8 +67,7 @@
 	buf := c.front.bufs.buffer()
 	defer c.front.bufs.putBuffer(buf)
 	w := &fixedWriter{buf: buf[:0]}
-	fmt.Fprintf(w, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n", a.status, http.StatusText(a.status),
-		a.body.size+len(a.text))
+	fmt.Fprintf(w, "HTTP/1.1 %d %s\r\n%s", a.status, http.StatusText(a.status), a.framing())
 	if a.kind != "" {
 		fmt.Fprintf(w, "Content-Type: %s\r\n", a.kind)
 	}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -20,16 +20,24 @@
 	over    bool    // its outcome has come; the owner's
 
 	ctx    context.Context
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
+	until  time.Time     // it ends by then; for a long body, that is set with its last byte
+	within time.Duration // the module's limit for a long body's attempt; 0: none
+	limit  *time.Timer   // ends it
 
+	begunAt float64 // when its answer began to go on to the client; 0: not yet. The owner's, as is
+	long    *stream // that answer
+
+	post    func(event)
 	tally   *tally
 	writing sync.Mutex // held while bytes go out
 }
 
 // run sends the request and waits for what comes back. It makes exactly one outcome, and never sends twice.
 func (a *attempt) run(up *upstream) outcome {
-	defer a.cancel()
-	r, result := up.exchange(a.ctx, a.write)
+	defer a.cancel(nil)
+	defer a.unlimit()
+	r, result := up.exchange(a.ctx, a)
 	return outcome{attempt: a, result: result, reply: r}
 }
 
@@ -38,7 +46,30 @@
 	if a.over || a.cancel == nil { // it has ended, or never went out
 		return false
 	}
-	a.cancel()
+	a.cancel(nil)
+	return true
+}
+
+// expire ends the attempt as timed out at a time.
+func (a *attempt) expire(until time.Time) {
+	a.until = until
+	a.limit = time.AfterFunc(time.Until(until), func() { a.cancel(context.DeadlineExceeded) })
+}
+
+// unlimit takes that back, and says whether it came in time.
+func (a *attempt) unlimit() bool { return a.limit == nil || a.limit.Stop() }
+
+// calledOff says whether what a context stands for was given up, and not out of time.
+func calledOff(ctx context.Context) bool {
+	return ctx.Err() != nil && !errors.Is(context.Cause(ctx), context.DeadlineExceeded)
+}
+
+// begun takes the begin of a long answer. From here on its peers' progress bounds the attempt, and no time does.
+func (a *attempt) begun(r reply) bool {
+	if !a.unlimit() {
+		return false
+	}
+	a.post(begun{a, r})
 	return true
 }
 
@@ -51,25 +82,27 @@
 // write puts the request on a connection, all but its last byte first: a host begins with that one. A connection that
 // was dead already, or is reset as the request comes, has told so once settle returns, and nothing has run yet; with
 // the last byte out nobody could tell. Without an error all bytes have gone out.
-func (a *attempt) write(c net.Conn, settle func() error) error {
-	until, _ := a.ctx.Deadline()
-	left := time.Until(until)
+func (a *attempt) write(l line) error {
+	q := a.request
+	if q.up != nil {
+		return a.writeLong(l)
+	}
+	left := time.Until(a.until)
 	if left <= 0 {
 		return context.DeadlineExceeded
 	}
-	q := a.request
 	tail := fmt.Appendf(nil, "%s: %du\r\n\r\n", headerRemaining, left.Microseconds())
 	parts := q.body.parts(net.Buffers{q.head[:q.headed], tail})
 	end := len(parts) - 1
 	most, last := parts[end][:len(parts[end])-1], parts[end][len(parts[end])-1:]
 	parts[end] = most
-	if err := a.put(c, parts); err != nil {
+	if err := a.put(l, parts); err != nil {
 		return err
 	}
-	if err := settle(); err != nil {
+	if err := l.settle(); err != nil {
 		return err
 	}
-	if err := a.put(c, net.Buffers{last}); err != nil {
+	if err := a.put(l, net.Buffers{last}); err != nil {
 		return err
 	}
 	a.tally.tries.Add(1)
@@ -87,19 +120,29 @@
 	return err
 }
 
-// sender writes a message to a connection. One that must not run twice calls settle ahead of its last byte, and stops if
-// that fails.
-type sender func(c net.Conn, settle func() error) error
+// line is a connection to a host as one message uses it. One that must not run twice calls settle ahead of its last
+// byte, and stops if that fails. A long one asks between its pieces whether the connection stands: a host may have
+// answered already.
+type line struct {
+	net.Conn
+	settle, stands func() error
+}
+
+// exchanged is a message to a host. begun is told of a long answer that begins, and says whether it is wanted.
+type exchanged interface {
+	write(l line) error
+	begun(r reply) bool
+}
 
 // exchange writes a message to a host and reads the answer to it. The result is what the protocol's table makes of it.
 //
 // Only a connection kept from before that breaks ahead of the message's last byte is replaced, by a new one; whatever
 // else breaks is an outcome, and the module decides what follows.
-func (u *upstream) exchange(ctx context.Context, write sender) (reply, balancer.Result) {
+func (u *upstream) exchange(ctx context.Context, x exchanged) (reply, balancer.Result) {
 	for fresh := false; ; {
 		c, err := u.connect(ctx, fresh)
 		if err != nil {
-			if errors.Is(ctx.Err(), context.Canceled) {
+			if calledOff(ctx) {
 				return reply{}, balancer.Cancelled
 			}
 			return reply{}, balancer.ConnectFailed
@@ -108,7 +151,7 @@
 		if !c.begin(call) {
 			continue // the host closed it while it was idle
 		}
-		r, result, again := c.transact(ctx, call, write)
+		r, result, again := c.transact(ctx, call, x)
 		if !again {
 			return r, result
 		}
@@ -138,7 +181,7 @@
 }
 
 // transact uses a connection for one call. again says that it is to be tried on another, as nothing has begun.
-func (c *hostConn) transact(ctx context.Context, call *call, write sender) (
+func (c *hostConn) transact(ctx context.Context, call *call, x exchanged) (
 	r reply, result balancer.Result, again bool) {
 	stop := context.AfterFunc(ctx, c.close)
 	defer func() {
@@ -150,23 +193,31 @@
 	}()
 	until, _ := ctx.Deadline()
 	c.conn.SetWriteDeadline(until) // for every call: that of the call before may be over
-	err := write(c.conn, func() error { return c.settle(ctx, call) })
+	err := x.write(line{c.conn, func() error { return c.settle(ctx, call) }, call.stands})
 	if err != nil { // the last byte has not gone out, so the host has not begun it
 		c.close()
 		if r = <-call.done; r.err == nil && r.result == balancer.TurnedAway {
 			return r, r.result, false
 		}
 		c.up.hosts.bufs.freeBody(&r.body)
-		if errors.Is(ctx.Err(), context.Canceled) {
+		if calledOff(ctx) {
 			return reply{}, balancer.Cancelled, false
 		}
 		return reply{}, balancer.ConnectFailed, ctx.Err() == nil && c.reused
 	}
-	r = <-call.done // comes at once when ctx ends, as that closes the connection
+	select {
+	case r = <-call.done: // comes at once when ctx ends, as that closes the connection
+	case b := <-call.begun:
+		if !x.begun(b) {
+			b.long.leave()
+			c.close()
+		}
+		r = <-call.done
+	}
 	switch {
 	case r.err == nil:
 		return r, r.result, false
-	case errors.Is(ctx.Err(), context.Canceled):
+	case calledOff(ctx), errors.Is(r.err, errLeft):
 		return r, balancer.Cancelled, false
 	case ctx.Err() != nil:
 		return r, balancer.TimedOut, false
--- a/internal/proxy/attempt_test.go
+++ b/internal/proxy/attempt_test.go
@@ -37,7 +37,8 @@
 		{"cut in the head", "HTTP/1.1 200 OK\r\nContent-", balancer.Reset, false},
 		{"cut in the body", "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nabc", balancer.Reset, false},
 		{"broken chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", balancer.Spoilt, false},
-		{"body over the limit", httpOK(strings.Repeat("x", maxBody+1)), balancer.Spoilt, false},
+		{"body over the limit", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nabc", balancer.Spoilt, false},
+		{"ended by the close, as announced", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok", balancer.OK, false},
 		{"head over the limit", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 2*maxHead), balancer.Spoilt, false},
 		{"endless interim answers", strings.Repeat("HTTP/1.1 103 E\r\n\r\n", maxHead/4), balancer.Spoilt, false},
 		{"many interim answers", strings.Repeat("HTTP/1.1 103 E\r\n\r\n", 20) + ok, balancer.OK, true},
@@ -264,16 +265,22 @@
 	g.waitReady()
 	up := g.p.hosts.find(hostID("h1"))
 	// A request larger than both sockets hold together, so that writing it cannot end before the host breaks off.
-	_, result := up.exchange(t.Context(), func(c net.Conn, _ func() error) error {
-		c.(*net.TCPConn).SetWriteBuffer(2048)
-		_, err := c.Write(make([]byte, 16<<20))
-		return err
-	})
+	_, result := up.exchange(t.Context(), flood{})
 	if result != balancer.ConnectFailed || !result.NeverRan() {
 		t.Fatalf("result %v", result)
 	}
 }
 
+// flood is a message of 16 MB.
+type flood struct{}
+
+func (flood) begun(reply) bool { return false }
+func (flood) write(l line) error {
+	l.Conn.(*net.TCPConn).SetWriteBuffer(2048)
+	_, err := l.Write(make([]byte, 16<<20))
+	return err
+}
+
 // TestRefusedConnection: nothing listens, so nothing has run; the request goes elsewhere or is refused.
 func TestRefusedConnection(t *testing.T) {
 	h := newHost(t, says(ok))
--- a/internal/proxy/buffer.go
+++ b/internal/proxy/buffer.go
@@ -8,13 +8,15 @@
 	"net"
 	"sync"
 	"sync/atomic"
+
+	bodies "beechwing/internal/body"
 )
 
 const (
 	// bufferSize is the one size of all buffers: a message's head fits into one, a body takes as many as it needs.
 	bufferSize = 16 << 10
 	maxHead    = 12 << 10 // of a client's request, so that the head made of it for a host fits into a buffer
-	maxBody    = 64 << 10
+	maxBody    = bodies.Kept
 )
 
 var errTooLarge = errors.New("message is too large")
@@ -62,30 +64,28 @@
 	size int
 }
 
-// readBody takes all of a message's body, at most maxBody bytes. On an error nothing stays taken from the pool.
-func (p *pool) readBody(r io.Reader) (body, error) {
-	var b body
+// readBody takes all of a message's body, at most maxBody bytes. more says that it may not be all. On an error nothing
+// stays taken from the pool.
+func (p *pool) readBody(r io.Reader) (b body, more bool, err error) {
 	r = wholeBody{r}
-	for {
+	for b.size < maxBody {
 		buf := p.buffer()
 		b.bufs = append(b.bufs, buf)
 		n, err := io.ReadFull(r, buf[:])
 		b.size += n
 		switch {
-		case b.size > maxBody:
-			p.freeBody(&b)
-			return body{}, errTooLarge
 		case err == io.EOF || err == io.ErrUnexpectedEOF: // the end, as ReadFull words it
 			if n == 0 {
 				p.putBuffer(buf)
 				b.bufs = b.bufs[:len(b.bufs)-1]
 			}
-			return b, nil
+			return b, false, nil
 		case err != nil:
 			p.freeBody(&b)
-			return body{}, fmt.Errorf("body: %w", err)
+			return body{}, false, fmt.Errorf("body: %w", err)
 		}
 	}
+	return b, true, nil
 }
 
 var errCut = errors.New("cut short")
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -205,6 +205,9 @@
 	c.front.owner.tally.begin()
 	go func() { written <- c.respond(q, last) }()
 	c.front.owner.post(arrival{q})
+	if q.up != nil && !c.pump(q) {
+		return <-written && false
+	}
 	c.meter.allow(maxHead)
 	_, err := c.br.Peek(1)
 	var goesOn bool
--- a/internal/proxy/fuzz_test.go
+++ b/internal/proxy/fuzz_test.go
@@ -65,9 +65,25 @@
 	}
 	f.Fuzz(func(t *testing.T, in []byte) {
 		bufs := newPool()
-		c := &hostConn{up: &upstream{hosts: &hosts{bufs: bufs, columns: []string{"cpu"}}}, meter: meter{r: bytes.NewReader(in)}}
+		near, far := net.Pipe()
+		defer far.Close()
+		defer near.Close()
+		c := &hostConn{up: &upstream{hosts: &hosts{bufs: bufs, columns: []string{"cpu"}}}, conn: near,
+			meter: meter{r: bytes.NewReader(in)}}
 		c.br = bufio.NewReaderSize(&c.meter, bufferSize)
-		r := c.readReply()
+		call := newCall()
+		read, over := make(chan struct{}), make(chan struct{})
+		go func() { // takes nothing of a long one
+			defer close(over)
+			select {
+			case b := <-call.begun:
+				b.long.leave()
+			case <-read:
+			}
+		}()
+		r := c.readReply(call)
+		close(read)
+		<-over
 		if r.err == nil && r.result.NeverRan() && !bytes.Contains(bytes.ToLower(in), []byte("x-turned-away")) {
 			t.Fatalf("%v without the host's word", r.result)
 		}
--- a/internal/proxy/head.go
+++ b/internal/proxy/head.go
@@ -89,6 +89,19 @@
 	return nil
 }
 
+// announcesClose says whether a host tells that its answer ends with the connection. Where it does not, an answer without a
+// length is rather one whose head was spoilt. (The library's Close is also set for want of a length, and it drops the
+// header.)
+func announcesClose(head []byte) bool {
+	for line := range bytes.Lines(head) {
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		if bytes.EqualFold(name, []byte("Connection")) && bytes.EqualFold(bytes.TrimSpace(value), []byte("close")) {
+			return true
+		}
+	}
+	return false
+}
+
 // checkText refuses control characters in a client's head: its other headers go on to hosts as they are.
 func checkText(head []byte) error {
 	for i, b := range head {
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"container/heap"
 	"context"
 	"fmt"
@@ -169,7 +170,11 @@
 
 func (e departure) apply(o *owner) {
 	f := o.flights[e.request.ID]
-	if f == nil || f.answered {
+	if f == nil {
+		return
+	}
+	if f.answered {
+		f.leave()
 		return
 	}
 	o.conclude(f, e.answer)
@@ -199,7 +204,7 @@
 	o.bufs.freeBody(&e.reply.body)
 	now := o.clock.now()
 	o.bal.Outcome(now, balancer.Outcome{ID: a.request.ID, Attempt: a.number, Host: a.host, Result: e.result,
-		Took: now - a.sent, Final: f.answered, Report: e.reply.report})
+		Took: cmp.Or(a.begunAt, now) - a.sent, Final: f.answered, Report: e.reply.report})
 	o.drop(f)
 }
 
@@ -254,8 +259,11 @@
 		line.Write(zap.String("id", f.request.name), zap.Int("class", f.request.Class), zap.Int("status", a.status),
 			zap.Int("attempts", len(f.attempts)), zap.Float64("left", f.deadline-o.clock.now()))
 	}
+	if f.request.up != nil {
+		f.request.up.leave()
+	}
 	for _, at := range f.attempts {
-		if at.callOff() {
+		if at.begunAt == 0 && at.callOff() {
 			a.stopped = append(a.stopped, at)
 		}
 	}
@@ -284,17 +292,21 @@
 	if timeout != 0 {
 		until = min(until, now+timeout)
 	}
-	a := &attempt{request: f.request, number: len(f.attempts), host: host, sent: now, tally: o.tally}
+	a := &attempt{request: f.request, number: len(f.attempts), host: host, sent: now, tally: o.tally, post: o.post,
+		within: seconds(timeout)}
 	f.attempts = append(f.attempts, a)
 	f.out++
 	up := o.hosts.find(host)
 	switch {
-	case f.answered, until <= now, o.cfg.MaxAttempts > 0 && a.number >= o.cfg.MaxAttempts:
+	case f.answered, f.bound(), until <= now && f.request.up == nil, o.cfg.MaxAttempts > 0 && a.number >= o.cfg.MaxAttempts:
 		o.local = append(o.local, outcome{attempt: a, result: balancer.Moot})
 	case up == nil:
 		o.local = append(o.local, outcome{attempt: a, result: balancer.ConnectFailed})
 	default:
-		a.ctx, a.cancel = context.WithDeadline(o.ctx, o.clock.at(until))
+		a.ctx, a.cancel = context.WithCancelCause(o.ctx)
+		if f.request.up == nil {
+			a.expire(o.clock.at(until))
+		}
 		go func() { o.post(a.run(up)) }()
 	}
 }
--- a/internal/proxy/parse.go
+++ b/internal/proxy/parse.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"beechwing/balancer"
+	bodies "beechwing/internal/body"
 	"beechwing/internal/settings"
 )
 
@@ -41,6 +42,8 @@
 	head   *[bufferSize]byte // as it goes to a host, but for the time remaining and the empty line
 	headed int
 	body   body
+	up     *upload     // the rest of a long body; nil: body is all of it
+	old    bool        // its client knows no chunks
 	taken  time.Time   // when it had come whole: its client's time runs since then
 	answer chan answer // gets exactly one
 }
@@ -114,13 +117,13 @@
 		return nil, bad
 	}
 	q := &request{Request: in, name: r.Header.Get(headerID), answer: make(chan answer, 1)}
-	if bad := c.takeBody(r, &q.body); bad != nil {
+	if bad := c.takeBody(r, q); bad != nil {
 		return nil, bad
 	}
 	switch {
 	case r.Method == http.MethodGet && q.body.size > 0:
 		bad = &badRequest{http.StatusBadRequest, "GET with a body"}
-	case c.br.Buffered() > 0:
+	case q.up == nil && c.br.Buffered() > 0:
 		bad = errBehind
 	}
 	if bad != nil {
@@ -138,8 +141,9 @@
 
 // takeBody reads the body. A status of zero closes the connection without a word: the body never came whole, so no
 // request was taken.
-func (c *client) takeBody(r *http.Request, b *body) *badRequest {
-	if r.ContentLength > maxBody {
+func (c *client) takeBody(r *http.Request, q *request) *badRequest {
+	q.old = !r.ProtoAtLeast(1, 1)
+	if bodies.Of(r.ContentLength) == bodies.Refusing {
 		return &badRequest{http.StatusRequestEntityTooLarge, "body is too large"}
 	}
 	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
@@ -148,8 +152,9 @@
 			return &badRequest{}
 		}
 	}
-	c.meter.allow(maxBody + bufferSize) // and the framing of chunks
-	got, err := c.front.bufs.readBody(r.Body)
+	c.meter.allow(2 * bodies.Longest) // with the framing of chunks
+	src := &paced{client: c, r: r.Body, began: time.Now()}
+	got, more, err := c.front.bufs.readBody(src)
 	var ne net.Error
 	switch {
 	case errors.Is(err, errTooLarge):
@@ -159,7 +164,11 @@
 	case err != nil:
 		return &badRequest{http.StatusBadRequest, "malformed body"}
 	}
-	*b = got
+	q.body = got
+	if more && int64(got.size) != r.ContentLength {
+		q.Coming = true
+		q.up = &upload{stream: newStream(c.front.bufs), from: src, length: r.ContentLength}
+	}
 	return nil
 }
 
@@ -231,7 +240,7 @@
 	}
 	r.Header.WriteSubset(w, hopHeaders)
 	if r.Method != http.MethodGet {
-		fmt.Fprintf(w, "Content-Length: %d\r\n", q.body.size)
+		fmt.Fprint(w, q.framing())
 	}
 	if w.full {
 		return errTooLarge
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
@@ -16,6 +15,17 @@
 	reportPath = "/_load" // the same, with the load report as its body
 )
 
+// question is a call for a path. One that runs twice does no harm.
+type question string
+
+func (q question) write(l line) error {
+	_, err := fmt.Fprintf(l, "GET %s HTTP/1.1\r\nHost: api.internal\r\n\r\n", string(q))
+	return err
+}
+
+// begun wants no answer that is longer than any report.
+func (question) begun(reply) bool { return false }
+
 // run asks a host how it is and makes exactly one result.
 func (p probed) run(ctx context.Context, up *upstream) probed {
 	ctx, cancel := context.WithTimeout(ctx, probeTime)
@@ -24,10 +34,7 @@
 	if len(up.hosts.columns) > 0 {
 		path = reportPath
 	}
-	r, result := up.exchange(ctx, func(c net.Conn, _ func() error) error { // one that runs twice does no harm
-		_, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: api.internal\r\n\r\n", path)
-		return err
-	})
+	r, result := up.exchange(ctx, question(path))
 	if p.result = result; result == balancer.Errored && r.status == http.StatusServiceUnavailable {
 		p.result = balancer.TurnedAway
 	}
--- a/internal/proxy/reply.go
+++ b/internal/proxy/reply.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"beechwing/balancer"
+	bodies "beechwing/internal/body"
 )
 
 // reply is what a host answered, or why it did not.
@@ -19,19 +20,21 @@
 	body     body
 	report   []float32
 	reusable bool
+	long     *stream // of an answer that begins to go on; body is empty then
+	length   int64   // of that; negative: nobody knows
 }
 
 var errLength = errors.New("an answer without a length may be cut short anywhere")
 
 // readReply reads one answer whole. Interim answers (1xx) ahead of it are passed over, as many as the bytes allowed for
 // heads hold.
-func (c *hostConn) readReply() reply {
-	r := c.readOneReply()
+func (c *hostConn) readReply(call *call) reply {
+	r := c.readOneReply(call)
 	r.spoilt = r.err != nil && (c.meter.err == nil || errors.Is(c.meter.err, errTooLarge))
 	return r
 }
 
-func (c *hostConn) readOneReply() reply {
+func (c *hostConn) readOneReply(call *call) reply {
 	c.meter.allow(maxHead)
 	for {
 		head, err := peekHead(c.br)
@@ -41,31 +44,38 @@
 		if err != nil {
 			return reply{err: err}
 		}
+		closes := announcesClose(head)
 		r, err := http.ReadResponse(c.br, nil)
 		if err != nil {
 			return reply{err: err}
 		}
 		if r.StatusCode >= 200 || r.StatusCode == http.StatusSwitchingProtocols {
-			return c.takeReply(r)
+			return c.takeReply(r, closes, call)
 		}
 	}
 }
 
-func (c *hostConn) takeReply(r *http.Response) reply {
+func (c *hostConn) takeReply(r *http.Response, closes bool, call *call) reply {
+	way := bodies.Of(r.ContentLength)
 	switch {
-	case r.ContentLength > maxBody:
+	case way == bodies.Refusing:
 		return reply{err: errTooLarge}
-	case r.ContentLength < 0 && len(r.TransferEncoding) == 0:
+	case r.ContentLength < 0 && len(r.TransferEncoding) == 0 && !closes:
 		return reply{err: errLength}
 	}
-	c.meter.allow(maxBody + bufferSize)
-	b, err := c.up.hosts.bufs.readBody(r.Body)
-	if err != nil {
-		return reply{err: err}
-	}
+	c.meter.allow(2 * bodies.Longest) // with the framing of chunks
 	columns := c.up.hosts.columns
-	out := reply{status: r.StatusCode, result: resultOf(r), kind: r.Header.Get("Content-Type"), body: b,
-		report: parseReport(r.Header.Get(headerReport), columns)}
+	out := reply{status: r.StatusCode, result: resultOf(r), kind: r.Header.Get("Content-Type"),
+		report: parseReport(r.Header.Get(headerReport), columns), length: r.ContentLength}
+	if way == bodies.Whole || out.result != balancer.OK {
+		var more bool
+		if out.body, more, out.err = c.up.hosts.bufs.readBody(r.Body); out.err != nil {
+			return reply{err: out.err}
+		}
+		r.Close = r.Close || more && int64(out.body.size) != r.ContentLength // of a failure, no more is wanted
+	} else if out = c.takeLong(r, out, call, way == bodies.Pieces); out.err != nil {
+		return out
+	}
 	// Bytes beyond the answer belong to nothing; who sends them cannot be trusted with a further request.
 	out.reusable = !r.Close && c.br.Buffered() == 0 && r.StatusCode != http.StatusSwitchingProtocols
 	return out
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -264,9 +264,20 @@
 }
 
 // call is one message to a host and the answer to it. done gets exactly one reply.
-type call struct{ done chan reply }
+type call struct {
+	done  chan reply
+	begun chan reply // the begin of a long answer, ahead of done
+}
+
+func newCall() *call { return &call{done: make(chan reply, 1), begun: make(chan reply, 1)} }
 
-func newCall() *call { return &call{done: make(chan reply, 1)} }
+// stands fails once the host has answered or its connection has broken.
+func (c *call) stands() error {
+	if len(c.done) > 0 {
+		return errBroken
+	}
+	return nil
+}
 
 // begin readies the connection for a call. It fails if the host has closed it meanwhile, or said something unasked.
 func (c *hostConn) begin(call *call) bool {
@@ -313,7 +324,7 @@
 		call.done <- reply{err: err}
 		return false
 	}
-	r := c.readReply()
+	r := c.readReply(call)
 	c.mu.Lock()
 	c.call = nil
 	c.mu.Unlock()
--- a/internal/proxy/upstream_test.go
+++ b/internal/proxy/upstream_test.go
@@ -70,7 +70,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 	defer cancel()
 	began := time.Now()
-	_, result := hosts.find(hostID("h1")).exchange(ctx, func(net.Conn, func() error) error { return nil })
+	_, result := hosts.find(hostID("h1")).exchange(ctx, question("/"))
 	if took := time.Since(began); result != balancer.ConnectFailed || took > patience/2 {
 		t.Fatalf("%v after %v", result, took)
 	}
