A client whose answer breaks midway is closed at once, not when it leaves

Found by the time that TestLongAnswerBreaks took: the connection of an answer that could not be written whole stayed open until its client left, as its reader waits for that. A slow reader that took too long held its place in the same way.

Ruled out: the host's side; its reset is seen at once.

Measured: the three breaks take 10 s each without the change (the test's own patience) and 0.07 s with it.

--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -51,11 +51,13 @@
 func (c *client) deliver(a *answer, last bool) bool {
 	a.last = last || c.last()
 	a.last = a.last || a.long != nil && a.old && a.length < 0 // only the end of the connection ends it
-	if err := c.write(a); err != nil {
-		return false
+	err := c.write(a)
+	if err == nil {
+		err = c.pass(a)
 	}
-	if err := c.pass(a); err != nil {
-		a.status = http.StatusBadGateway // what was passed on is not whole, and its client can tell
+	if err != nil { // what the client got is not whole, and it can tell; its reader waits for nothing more
+		a.status = http.StatusBadGateway
+		c.conn.Close()
 		return false
 	}
 	c.setIdle()
