--- /dev/null
+++ b/cmd/beechwing/upgrade_test.go
@@ -0,0 +1,170 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// successor starts the program at the platform's socket, with an operators' address of its own, and waits for its yes.
+func successor(t *testing.T, socket *os.File, addr, host, tmp string) (*exec.Cmd, *bytes.Buffer, string) {
+	t.Helper()
+	door := vacant(t)
+	cmd, log := program(t, "PROXY_CONFIG="+configFile(t, addr, host), "PROXY_FD=3", "PROXY_OPS="+door, "TMPDIR="+tmp)
+	cmd.ExtraFiles = []*os.File{socket}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
+		if status, _ := operate(door, "/admin/health", ""); status == http.StatusOK {
+			return cmd, log, door
+		}
+		if time.Now().After(end) {
+			t.Fatalf("no yes; the program said %s", log)
+		}
+	}
+}
+
+func operate(door, path, body string) (int, string) {
+	c, err := net.Dial("tcp", door)
+	if err != nil {
+		return 0, ""
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	method := "POST"
+	if body == "" {
+		method = "GET"
+	}
+	fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", method, path, len(body), body)
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, ""
+	}
+	text, _ := io.ReadAll(r.Body)
+	return r.StatusCode, string(text)
+}
+
+// TestUpgrade: through several upgrades under load no request is lost and none runs twice, though some clients keep their
+// connections and others are ever new; and a host taken out in the middle stays out.
+func TestUpgrade(t *testing.T) {
+	var mu sync.Mutex
+	ran := map[string]int{}
+	host := serve(t, func(c net.Conn, _ *bufio.Reader, r *http.Request) bool {
+		mu.Lock()
+		ran[r.Header.Get("X-Txn")]++
+		mu.Unlock()
+		time.Sleep(2 * time.Millisecond)
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		return err == nil
+	})
+	ln := listen(t)
+	socket, err := ln.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	addr, tmp := ln.Addr().String(), t.TempDir()
+	old, oldLog, _ := successor(t, socket, addr, host, tmp)
+
+	var served, refused, last atomic.Int64
+	var stop atomic.Bool
+	var clients sync.WaitGroup
+	for n := range 8 {
+		clients.Go(func() {
+			var c net.Conn
+			var br *bufio.Reader
+			for !stop.Load() {
+				if c == nil {
+					var err error
+					if c, err = net.Dial("tcp", addr); err != nil {
+						t.Errorf("not let in: %v", err)
+						return
+					}
+					c.SetDeadline(time.Now().Add(patience))
+					br = bufio.NewReader(c)
+				}
+				id := fmt.Sprint("id", last.Add(1))
+				fmt.Fprintf(c, "POST /api HTTP/1.1\r\nHost: x\r\nX-Txn: %s\r\nX-Lane: write\r\nX-Remaining: 8000m\r\nContent-Length: 1\r\n\r\nx", id)
+				r, err := http.ReadResponse(br, nil)
+				if err != nil {
+					t.Errorf("%s is lost: %v", id, err)
+					return
+				}
+				io.Copy(io.Discard, r.Body)
+				switch mu.Lock(); {
+				case r.StatusCode == http.StatusOK && ran[id] == 1:
+					served.Add(1)
+				case r.StatusCode == http.StatusServiceUnavailable && ran[id] == 0:
+					refused.Add(1)
+				default:
+					t.Errorf("%s ran %d times, answered %d", id, ran[id], r.StatusCode)
+				}
+				mu.Unlock()
+				if r.Close || n%2 == 0 {
+					c.Close()
+					c = nil
+				}
+			}
+			if c != nil {
+				c.Close()
+			}
+		})
+	}
+	door := ""
+	for n := range 3 {
+		next, log, at := successor(t, socket, addr, host, tmp)
+		before := served.Load()
+		if err := old.Process.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		if err := old.Wait(); err != nil {
+			t.Fatalf("the old process ended with %v: %s", err, oldLog)
+		}
+		if n == 1 && served.Load() == before {
+			t.Error("nothing was served meanwhile")
+		}
+		old, oldLog, door = next, log, at
+	}
+	stop.Store(true)
+	clients.Wait()
+	if served.Load() < 100 || refused.Load() > served.Load()/4 {
+		t.Errorf("%d served, %d refused", served.Load(), refused.Load())
+	}
+
+	if status, text := operate(door, "/admin/cordon", `{"who":"h"}`); status != http.StatusOK {
+		t.Fatalf("%d %s", status, text)
+	}
+	next, log, door := successor(t, socket, addr, host, tmp)
+	old.Process.Signal(syscall.SIGTERM)
+	if err := old.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(c, "POST /api HTTP/1.1\r\nHost: x\r\nX-Txn: out\r\nX-Lane: write\r\nX-Remaining: 8000m\r\nContent-Length: 1\r\n\r\nx")
+	if r, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || r.StatusCode != http.StatusServiceUnavailable {
+		t.Fatalf("with its only host out, over an upgrade: %+v, %v; %s", r, err, log)
+	}
+	c.Close()
+	if _, text := operate(door, "/admin/stats", ""); !strings.Contains(text, "proxy.shed.write=1\n") {
+		t.Errorf("figures: %s", text)
+	}
+	next.Process.Signal(syscall.SIGTERM)
+	if err := next.Wait(); err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/ops/ops_test.go
@@ -0,0 +1,191 @@
+package ops
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+)
+
+const patience = 10 * time.Second
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fake answers for a proxy that knows the host h1. Its calls on hosts can be held up.
+type fake struct {
+	ready atomic.Bool
+	held  chan struct{}
+}
+
+func (f *fake) Ready() error {
+	if f.ready.Load() {
+		return nil
+	}
+	return errors.New("not serving")
+}
+
+func (f *fake) Figures() []byte { return []byte("proxy.active=1\n") }
+
+func (f *fake) TakeOut(ctx context.Context, id string) (string, error) {
+	if id != "h1" {
+		return "", fmt.Errorf("%w: %s", ErrUnknown, id)
+	}
+	if f.held != nil {
+		select {
+		case <-f.held:
+		case <-ctx.Done():
+			return "", ctx.Err()
+		}
+	}
+	return "out", nil
+}
+
+func (f *fake) PutBack(_ context.Context, id string) (string, error) { return "back", nil }
+
+func open(t *testing.T, f *fake) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := New(ln, f, zap.NewNop())
+	ended := make(chan struct{})
+	go func() {
+		d.Run()
+		close(ended)
+	}()
+	t.Cleanup(func() {
+		d.Close()
+		<-ended
+	})
+	return ln.Addr().String()
+}
+
+func dial(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.SetDeadline(time.Now().Add(patience))
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// call sends raw bytes and gives the answer, which has to be the last word on its connection.
+func call(t *testing.T, addr, raw string) (int, http.Header, string) {
+	t.Helper()
+	c := dial(t, addr)
+	io.WriteString(c, raw)
+	br := bufio.NewReader(c)
+	r, err := http.ReadResponse(br, nil)
+	if err != nil {
+		return 0, nil, ""
+	}
+	text, _ := io.ReadAll(r.Body)
+	if _, err := br.ReadByte(); err == nil {
+		t.Fatal("more came than one answer")
+	}
+	return r.StatusCode, r.Header, string(text)
+}
+
+func post(path, body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
+}
+
+// TestCalls: each call and each way to get it wrong has one clear answer.
+func TestCalls(t *testing.T) {
+	f := &fake{}
+	addr := open(t, f)
+	get := func(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n" }
+	for _, c := range []struct {
+		raw    string
+		status int
+		say    string
+	}{
+		{get("/admin/health"), 503, "not serving"},
+		{get("/admin/stats"), 200, "proxy.active=1\n"},
+		{get("/admin/stats?x=1"), 200, "proxy.active=1\n"},
+		{post("/admin/cordon", `{"who":"h1"}`), 200, "out"},
+		{post("/admin/cordon", ` { "who" : "h1" } `), 200, "out"},
+		{post("/admin/uncordon", `{"who":"h1"}`), 200, "back"},
+		{post("/admin/cordon", `{"who":"h2"}`), 404, "unknown host: h2"},
+		{post("/admin/cordon", `{"who":"h1","who":"h2"}`), 400, "twice"},
+		{post("/admin/cordon", `{"Who":"h1"}`), 400, "unknown field"},
+		{post("/admin/cordon", `{"who":"h1","why":1}`), 400, "unknown field"},
+		{post("/admin/cordon", `{"who":7}`), 400, "text"},
+		{post("/admin/cordon", `{"who":""}`), 400, "missing"},
+		{post("/admin/cordon", `{}`), 400, "missing"},
+		{post("/admin/cordon", `{"who":"h1"} {}`), 400, "one JSON object"},
+		{post("/admin/cordon", `["h1"]`), 400, "one JSON object"},
+		{post("/admin/cordon", ``), 400, "one JSON object"},
+		{post("/admin/cordon", `{"who":"`+strings.Repeat("x", 300)+`"}`), 400, "too long"},
+		{post("/admin/cordon", strings.Repeat(" ", mostBody+1)), 413, "too large"},
+		{"POST /admin/cordon HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nc\r\n{\"who\":\"h1\"}\r\n0\r\n\r\n", 200, "out"},
+		{"POST /admin/cordon HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n2000\r\n" + strings.Repeat(" ", 0x2000), 413, "too large"},
+		{get("/admin/cordon"), 405, "POST"},
+		{post("/admin/health", ""), 405, "GET"},
+		{get("/api"), 404, "no such call"},
+		{get("/_health"), 404, "no such call"},
+		{"nonsense\r\n\r\n", 400, "malformed"},
+		{"GET / HTTP/1.1\r\nX: " + strings.Repeat("x", 2*mostHead) + "\r\n\r\n", 431, "too large"},
+	} {
+		status, head, text := call(t, addr, c.raw)
+		if status != c.status || !strings.Contains(text, c.say) || strings.Count(text, "\n") != 1 {
+			t.Errorf("%.60q: %d %q, want %d %q", c.raw, status, text, c.status, c.say)
+		}
+		if (status == 405) != (head.Get("Allow") != "") {
+			t.Errorf("%.60q: Allow %q", c.raw, head.Get("Allow"))
+		}
+	}
+	f.ready.Store(true)
+	if status, _, _ := call(t, addr, get("/admin/health")); status != 200 {
+		t.Errorf("health of one that serves: %d", status)
+	}
+}
+
+// TestSilentCallers: a flood of callers that hold connections with no whole call, and one that takes no answer, does not
+// keep others from being answered in time.
+func TestSilentCallers(t *testing.T) {
+	f := &fake{held: make(chan struct{})}
+	addr := open(t, f)
+	for n := range 10 * Most {
+		c := dial(t, addr)
+		if n%2 == 0 {
+			io.WriteString(c, "POST /admin/cordon HTTP/1.1\r\nContent-Length: 12\r\n\r\n{\"who\"")
+		}
+	}
+	for range Most / 2 { // calls that wait for the proxy hold places too
+		io.WriteString(dial(t, addr), post("/admin/cordon", `{"who":"h1"}`))
+	}
+	for range 20 {
+		began := time.Now()
+		status, _, _ := call(t, addr, "GET /admin/stats HTTP/1.1\r\nHost: x\r\n\r\n")
+		if took := time.Since(began); status != 200 || took > time.Second {
+			t.Fatalf("%d after %v", status, took)
+		}
+	}
+}
+
+// FuzzWho: what is taken for an id stands in the body, is the only one there and is of a length that can be one.
+func FuzzWho(f *testing.F) {
+	for _, text := range []string{`{"who":"h1"}`, `{"who":"h1","who":"h2"}`, `{"who":{"who":"x"}}`, `{`, `{"who":"\u0041"}`} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		if id, err := parseWho(body); err == nil && (id == "" || len(id) > mostID || strings.Count(string(body), `"who"`) > 1 &&
+			!strings.Contains(id, "who")) {
+			t.Fatalf("%q of %q", id, body)
+		}
+	})
+}
