--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -589,7 +589,7 @@
 			continue
 		}
 		loaded := float64(h.inflight) >= max(passOverFloor, passOverMean*b.mean*h.weight+1)
-		crowded := b.thin && b.admit*unit(mix(o.luck^uint64(h.ID))) >= h.admit
+		crowded := b.thin && !b.keepsKeys() && b.admit*unit(mix(o.luck^uint64(h.ID))) >= h.admit
 		heavy := !b.thin && o.Work*h.took > (o.aimAt-b.now)*h.did // it would miss the aim
 		doubted := b.doubts && h.doubted(b.now, o.class.Effect)
 		if loaded || crowded || heavy || doubted {
@@ -645,6 +645,11 @@
 	return panicking
 }
 
+// keepsKeys says whether requests stay with their keys' hosts though answers from there come near to being
+// late. Where a key is warm it costs less work, and moved it makes more of what is late already. A host's
+// own word on its load outweighs that. Does harm where few hosts are slow and the rest have room.
+func (b *Balancer) keepsKeys() bool { return b.cfg.WarmKeys && b.utilAt < 0 }
+
 // connected takes whether a connection was made, as evidence on the host's zone. Guards a lost or cut-off
 // zone. When its time is over, one request finds out whether the outage goes on.
 func (b *Balancer) connected(h *host, ok bool) {
@@ -812,8 +817,10 @@
 
 // worthAnother says whether a further attempt could still earn anything. What never reached a host costs
 // nothing to send again; other failures are followed by one attempt, so that they cannot multiply the load.
+// While most attempts are late, what a full host turned away would only be cold work for the next.
 func (b *Balancer) worthAnother(o *op, r Result) bool {
-	worthless := r == TimedOut || r == Moot || b.now >= o.aimAt && o.class.LateWorth <= 0
+	worthless := r == TimedOut || r == Moot || b.now >= o.aimAt && o.class.LateWorth <= 0 ||
+		r == TurnedAway && b.cfg.WarmKeys && b.lateWeight() <= 0
 	return !worthless && (r == ConnectFailed || len(o.attempts) < mostTries)
 }
 
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -487,6 +487,47 @@
 	}
 }
 
+// TestKeysStay guards against warm keys being scattered over hosts that have to do their work anew, just when answers are
+// late for want of room: nearness to the aim does not move a key, and what a full host turned away is refused while
+// most attempts are late.
+func TestKeysStay(t *testing.T) {
+	for _, warm := range []bool{false, true} {
+		cfg := testConfig()
+		cfg.WarmKeys = warm
+		b, r := start(cfg, fleet(10))
+		h, key := b.hosts[4], uint64(1)
+		for b.ask0(key) != h {
+			key++
+		}
+		for range 40 {
+			b.now += 0.2
+			b.sense(h, 1, nil)
+			b.sense(b.hosts[5], 0.1, nil)
+		}
+		stayed := 0
+		for i := range RequestID(200) {
+			if b.pick(b.newOp(Request{ID: 1000 + i, Key: key, Budget: 8}), nil) == h {
+				stayed++
+			}
+		}
+		if (stayed == 200) != warm {
+			t.Errorf("warm keys %v: %d of 200 requests stay", warm, stayed)
+		}
+		for i, late := range []float64{0, 0.5} {
+			r.now, b.late, b.load[0] = b.now, late, 0
+			id := RequestID(1 + i)
+			r.end(b, id, 0, r.ask(b, id, 0, key), TurnedAway)
+			want, kind := 2, "send"
+			if warm && late > 0 {
+				want, kind = 1, "refuse"
+			}
+			if r.tries[id] != want || r.last().kind != kind {
+				t.Errorf("warm keys %v, %.1f late: %d attempts, then %s", warm, late, r.tries[id], r.last().kind)
+			}
+		}
+	}
+}
+
 // ask0 is where a request with the key would go, without any effect.
 func (b *Balancer) ask0(key uint64) *host {
 	h := b.pick(b.newOp(Request{ID: 1 << 40, Key: key, Budget: 8}), nil)
