A host dropped by the list without draining is the last resort where only draining binds

Change: settings and module take it; with nobody listed left to pick, a request goes to a host that the list has lost, kept for as long as the longest doubt (bounded, and never one that drained). Absent, nothing changes. It guards against a list that loses its hosts; a host that is down fails to connect, which proves that nothing ran.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -122,6 +122,8 @@
 	admitAt, admitTold float64 // when it last moved, and what peers were told
 	window             float64 // limit of requests in flight from here
 	cutAt              float64 // clock of the last cut
+	drained            bool    // was listed as draining since it was last ready
+	goneAt             float64 // when the list ceased to name it
 	doubt, doubtFor    float64 // in doubt until then; how long the last doubt was, 0 since a good answer
 }
 
@@ -264,7 +266,10 @@
 		b.learn(e)
 	}
 	b.hosts = slices.DeleteFunc(b.hosts, func(h *host) bool {
-		if h.Status == Gone && h.inflight == 0 {
+		if h.Status != Gone {
+			h.goneAt = now
+		}
+		if h.Status == Gone && h.inflight == 0 && !b.mayBeUp(h) {
 			delete(b.index, h.ID)
 			return true
 		}
@@ -286,6 +291,7 @@
 		h.heard, h.fail, h.until, h.doubtFor = false, [2]float64{}, b.now, 0
 	}
 	h.Host = e
+	h.drained = e.Status == Draining || h.drained && e.Status == Gone
 	if b.zones[h.Zone] == nil {
 		b.zones[h.Zone] = &zone{until: b.now}
 	}
@@ -576,6 +582,31 @@
 	if best != nil && b.warmth(best) < 1 && !b.spendCold(o) {
 		best = b.best(o, home, true)
 	}
+	if best == nil && len(b.set) == 0 {
+		best = b.unlisted(o, anchor)
+	}
+	return best
+}
+
+// mayBeUp says whether a host that the list ceased to name may still be sent to, where that is allowed. It is
+// kept for as long as the longest doubt.
+func (b *Balancer) mayBeUp(h *host) bool {
+	return b.cfg.GoneIsAdvice && h.Status == Gone && !h.drained && b.now < h.goneAt+doubtMost*ejectAims*b.longest
+}
+
+// unlisted is the last resort where nobody listed is left to pick: a list that has lost its hosts proves
+// nothing. One that is down fails to connect, which costs little.
+func (b *Balancer) unlisted(o *op, anchor *host) (best *host) {
+	lowest := math.Inf(1)
+	for _, h := range b.hosts {
+		if !b.mayBeUp(h) || h.until > b.now || o.tried(h) || !inGroup(o.class.Group, anchor, h) ||
+			float64(h.inflight) >= h.window || b.warmth(h) < 1 {
+			continue
+		}
+		if score := rendezvous(o.Key, h.ID) / h.weight; score < lowest {
+			best, lowest = h, score
+		}
+	}
 	return best
 }
 
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -528,6 +528,39 @@
 	}
 }
 
+// TestGoneIsAdvice: where only draining binds, hosts that a list has lost are the last resort, and those that drained or
+// have been unlisted for long are none.
+func TestGoneIsAdvice(t *testing.T) {
+	for _, advice := range []bool{false, true} {
+		cfg := testConfig()
+		cfg.GoneIsAdvice = advice
+		hosts := fleet(3)
+		b, r := start(cfg, hosts)
+		drains := hosts[0]
+		drains.Status = Draining
+		b.Members(r.now, ListChanges, []Host{drains})
+		b.Members(r.now, ListFull, hosts[2:])
+		if h := r.ask(b, 1, 0, 7); h != hosts[2].ID {
+			t.Fatalf("advice %v: request at %d with a listed host at hand", advice, h)
+		}
+		r.end(b, 1, 0, hosts[2].ID, OK)
+		b.Members(r.now, ListFull, nil)
+		got := map[HostID]bool{}
+		for id := range RequestID(40) {
+			got[r.ask(b, 10+id, 0, uint64(id))] = true
+			r.end(b, 10+id, 0, r.last().host, OK)
+		}
+		if got[hosts[0].ID] || got[hosts[1].ID] != advice || got[hosts[2].ID] != advice {
+			t.Fatalf("advice %v: with an empty list requests at %v", advice, got)
+		}
+		r.now += 10 * doubtMost * ejectAims * b.longest
+		b.Members(r.now, ListFull, nil)
+		if h := r.ask(b, 100, 0, 7); h != 0 || len(b.hosts) > 0 {
+			t.Fatalf("advice %v: much later request at %d, %d hosts kept", advice, h, len(b.hosts))
+		}
+	}
+}
+
 // ask0 is where a request with the key would go, without any effect.
 func (b *Balancer) ask0(key uint64) *host {
 	h := b.pick(b.newOp(Request{ID: 1 << 40, Key: key, Budget: 8}), nil)
