--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -401,7 +401,9 @@
 }
 
 // givesWay refuses cheaper work at once, by chance, while dearer work finds no room: without it the dearer
-// would only get what is free at its moment.
+// would only get what is free at its moment. Where keys stay with their hosts, all work gives way as the share
+// of late attempts grows beyond what single hosts explain. Guards against overload that keeps itself up,
+// whatever began it; it does harm while lateness is no want of room, as with one class that waits elsewhere.
 func (b *Balancer) givesWay(o *op) bool {
 	chance, dearest := 0.0, o.density
 	for c, share := range b.strain {
@@ -412,6 +414,9 @@
 	if b.thin && b.load[0] > roamAbove { // else only some hosts are crowded
 		chance = max(chance, max(1-b.admit, b.late)*(1-o.density/dearest))
 	}
+	if b.keepsKeys() { // nobody else has room: what is late anyway would make the rest late too
+		chance = max(chance, 1-(1-b.late)/(1-1/lateDoubt))
+	}
 	return b.random() < chance
 }
 
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -561,6 +561,27 @@
 	}
 }
 
+// TestLateSheds guards against overload that keeps itself up where keys stay with their hosts: the more attempts are
+// late, beyond what single hosts explain, the more requests are refused at once, and none once that has passed.
+func TestLateSheds(t *testing.T) {
+	cfg := testConfig()
+	cfg.WarmKeys = true
+	for _, c := range []struct {
+		late        float64
+		least, most int
+	}{{0, 0, 0}, {0.3, 0, 0}, {0.7, 80, 140}, {1, 200, 200}} {
+		b, r := start(cfg, fleet(10))
+		for id := range RequestID(200) {
+			b.late = c.late
+			b.load[0] = 0
+			r.end(b, id, 0, r.ask(b, id, 1, uint64(id)+1), OK)
+		}
+		if n := r.count("refuse"); n < c.least || n > c.most {
+			t.Errorf("%.1f late: %d of 200 refused, want %d to %d", c.late, n, c.least, c.most)
+		}
+	}
+}
+
 // ask0 is where a request with the key would go, without any effect.
 func (b *Balancer) ask0(key uint64) *host {
 	h := b.pick(b.newOp(Request{ID: 1 << 40, Key: key, Budget: 8}), nil)
