--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -401,9 +401,9 @@
 }
 
 // givesWay refuses cheaper work at once, by chance, while dearer work finds no room: without it the dearer
-// would only get what is free at its moment. Where keys stay with their hosts, all work gives way as the share
-// of late attempts grows beyond what single hosts explain. Guards against overload that keeps itself up,
-// whatever began it; it does harm while lateness is no want of room, as with one class that waits elsewhere.
+// would only get what is free at its moment. Where keys stay with their hosts, all work gives way as the
+// share of late attempts grows beyond what single hosts explain. Guards against overload that keeps itself
+// up, whatever began it; does harm while lateness is no want of room, as with a class that waits elsewhere.
 func (b *Balancer) givesWay(o *op) bool {
 	chance, dearest := 0.0, o.density
 	for c, share := range b.strain {
@@ -596,7 +596,8 @@
 // mayBeUp says whether a host that the list ceased to name may still be sent to, where that is allowed. It is
 // kept for as long as the longest doubt.
 func (b *Balancer) mayBeUp(h *host) bool {
-	return b.cfg.GoneIsAdvice && h.Status == Gone && !h.drained && b.now < h.goneAt+doubtMost*ejectAims*b.longest
+	kept := doubtMost * ejectAims * b.longest
+	return b.cfg.GoneIsAdvice && h.Status == Gone && !h.drained && b.now < h.goneAt+kept
 }
 
 // unlisted is the last resort where nobody listed is left to pick: a list that has lost its hosts proves
