The spare descriptors name the operators' door among them

Found in a last reading: the door's 16 connections and its listener come out of the 48 spare descriptors, of which at most 15 are used otherwise, and the constant did not say so.

--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -47,7 +47,7 @@
 const (
 	defaultSockets  = 1024
 	defaultMemoryMB = 192
-	spareSockets    = 48   // of the descriptors: listener, discovery, poller, standard streams, and some to spare
+	spareSockets    = 48   // of the descriptors: listener, discovery, poller, standard streams, the operators' door (17), and some to spare
 	softMemory      = 0.75 // of the memory limit: from there on the garbage collector works harder
 	memoryPerClient = 2 * (maxBody + 2*bufferSize)
 	memoryPerParked = 2 << 10 // of a connection that brings nothing
