A long answer's begin is told ahead of its end, and none counts ahead of the last byte

And a long answer that came ahead of the request's last byte was taken for one (the older check saw whole answers only), or left the attempt waiting for room that nobody made once its connection was given up.

Change: call.wait is the one place that joins the two, and tells the begin first; settle and stands see a begin too; drop gives up an answer that nobody wants.

Ruled out: a length told over 64 KiB cannot end before its begin is taken, as the stream holds no more.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -170,6 +170,9 @@
 	case r := <-call.done:
 		call.done <- r // it has room for the one
 		return errBroken
+	case b := <-call.begun:
+		call.begun <- b
+		return errBroken
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-wait.C:
@@ -196,7 +199,7 @@
 	err := x.write(line{c.conn, func() error { return c.settle(ctx, call) }, call.stands})
 	if err != nil { // the last byte has not gone out, so the host has not begun it
 		c.close()
-		if r = <-call.done; r.err == nil && r.result == balancer.TurnedAway {
+		if r = call.drop(); r.err == nil && r.result == balancer.TurnedAway {
 			return r, r.result, false
 		}
 		c.up.hosts.bufs.freeBody(&r.body)
@@ -205,15 +208,12 @@
 		}
 		return reply{}, balancer.ConnectFailed, ctx.Err() == nil && c.reused
 	}
-	select {
-	case r = <-call.done: // comes at once when ctx ends, as that closes the connection
-	case b := <-call.begun:
+	r = call.wait(func(b reply) { // comes at once when ctx ends, as that closes the connection
 		if !x.begun(b) {
 			b.long.leave()
 			c.close()
 		}
-		r = <-call.done
-	}
+	})
 	switch {
 	case r.err == nil:
 		return r, r.result, false
--- a/internal/proxy/long.go
+++ b/internal/proxy/long.go
@@ -247,6 +247,7 @@
 	c.conn.SetReadDeadline(time.Time{})
 	if out.err = err; !claimed.CompareAndSwap(false, true) {
 		s.end(err)
+		out.long = s
 		return out
 	}
 	if err != nil {
--- a/internal/proxy/long_test.go
+++ b/internal/proxy/long_test.go
@@ -266,3 +266,32 @@
 	c.Close()
 	h.ended.next(t, "the end of the host's connection")
 }
+
+// TestBeginAndEndTogether: an answer that has begun and ended by the time somebody looks is still told as begun, first; taken
+// for one that was held whole it would be served empty.
+func TestBeginAndEndTogether(t *testing.T) {
+	for range 100 {
+		c, s := newCall(), newStream(newPool())
+		c.begun <- reply{long: s}
+		c.done <- reply{long: s}
+		told := 0
+		c.wait(func(reply) { told++ })
+		if told != 1 {
+			t.Fatalf("told %d times", told)
+		}
+	}
+}
+
+// TestLongAnswerAhead: a long answer that comes ahead of a request's last byte is no answer to it; nothing has run, and
+// the request is not left hanging.
+func TestLongAnswerAhead(t *testing.T) {
+	h := newToy(t, func(c net.Conn, br *bufio.Reader) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", bulk)
+		io.Copy(c, noise(2, bulk))
+	})
+	g := start(t, newList(t, entry("h1", h.addr())).addr(), "null", func(p *Proxy) { p.times.settle = 50 * time.Millisecond })
+	g.waitReady()
+	if a := g.raw(message("write", "x")); a.status != http.StatusServiceUnavailable {
+		t.Fatalf("answered %d, want a refusal", a.status)
+	}
+}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -271,9 +271,26 @@
 
 func newCall() *call { return &call{done: make(chan reply, 1), begun: make(chan reply, 1)} }
 
+// wait gives the reply, and tells begun first if its answer is a long one: the two may have come together.
+func (c *call) wait(begun func(reply)) reply {
+	select {
+	case b := <-c.begun:
+		begun(b)
+		return <-c.done
+	case r := <-c.done:
+		if r.long != nil { // its begin is on the way, or there
+			begun(<-c.begun)
+		}
+		return r
+	}
+}
+
+// drop waits for a reply that nobody wants.
+func (c *call) drop() reply { return c.wait(func(b reply) { b.long.leave() }) }
+
 // stands fails once the host has answered or its connection has broken.
 func (c *call) stands() error {
-	if len(c.done) > 0 {
+	if len(c.done) > 0 || len(c.begun) > 0 {
 		return errBroken
 	}
 	return nil
