--- a/internal/proxy/long.go
+++ b/internal/proxy/long.go
@@ -207,7 +207,7 @@
 
 func (w *longWriter) write(b []byte) error {
 	if w.chunked {
-		return w.put(net.Buffers{fmt.Appendf(nil, "%x\r\n", len(b)), b, []byte("\r\n")})
+		return w.put(chunk(b))
 	}
 	parts := net.Buffers{b[:len(b)-1]}
 	if w.holds {
@@ -219,7 +219,7 @@
 
 func (w *longWriter) end() error {
 	if w.chunked {
-		return w.put(net.Buffers{[]byte("0\r\n\r\n")})
+		return w.put(chunk(nil))
 	}
 	return w.put(net.Buffers{w.held[:]})
 }
@@ -340,11 +340,16 @@
 	return nil
 }
 
+// chunk frames a piece of a message without a length; an empty one ends it.
+func chunk(b []byte) net.Buffers {
+	return net.Buffers{fmt.Appendf(nil, "%x\r\n", len(b)), b, []byte("\r\n")}
+}
+
 // putLong writes a piece; as a chunk, an empty one is the last.
 func (c *client) putLong(b []byte, chunked bool) error {
 	parts := net.Buffers{b}
 	if chunked {
-		parts = net.Buffers{fmt.Appendf(nil, "%x\r\n", len(b)), b, []byte("\r\n")}
+		parts = chunk(b)
 	}
 	c.conn.SetWriteDeadline(time.Now().Add(stall))
 	_, err := parts.WriteTo(c.conn)
