--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -626,7 +626,7 @@
 			continue
 		}
 		loaded := float64(h.inflight) >= max(passOverFloor, passOverMean*b.mean*h.weight+1)
-		crowded := b.thin && !b.keepsKeys() && b.admit*unit(mix(o.luck^uint64(h.ID))) >= h.admit
+		crowded := b.thin && b.admit*unit(mix(o.luck^uint64(h.ID))) >= h.admit
 		heavy := !b.thin && o.Work*h.took > (o.aimAt-b.now)*h.did // it would miss the aim
 		doubted := b.doubts && h.doubted(b.now, o.class.Effect)
 		if loaded || crowded || heavy || doubted {
