--- a/balancer/api.go
+++ b/balancer/api.go
@@ -127,7 +127,6 @@
 	MaxCoolDown    float64 // longest wait a client honours after a refusal, seconds; 0: none is passed on
 	ConnectTimeout float64 // seconds
 	AskWithin      float64 // seconds after which an unasked list counts as known
-	GoneIsAdvice   bool    // a host listed as gone, or dropped, without having drained may still be sent to
 	DrainGrace     float64 // seconds within which sends to a draining or gone host must stop
 	ColdFrom       float64 // share of its capacity with which a host starts
 	ColdFor        float64 // seconds until a started host is warm
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -28,12 +28,12 @@
 	localityPrice     = 0.06
 	farRank, lastRank = 1e-6, 1e12 // of other zones at that price; behind every rendezvous score
 
-	thinBelow = 0.2 // in flight to a mean host, limits hardly ever bind: reports and peers tell of load
-	// roamGain is how fast, in shares a second for each unit of load that this zone's hosts report above
-	// roamAbove, requests come to ignore zones. loadStep is the weight of one report.
+	thinBelow = 0.2 // in flight to a mean host, limits hardly ever bind: near-late answers and peers tell of load
+	// roamGain is how fast, in shares a second for each unit of load that this zone's hosts show above
+	// roamAbove, requests come to ignore zones. loadStep is the weight of one answer.
 	roamGain, roamAbove, loadStep = 2.0, 0.7, 0.2
 
-	// A host's admitted share falls by admitGain a second for each unit that its reported load is above what
+	// A host's admitted share falls by admitGain a second for each unit that the load it shows is above what
 	// is wanted: admitOver more than the mean, and between roamAbove and mostLoad. Peers are told of a change
 	// of tellStep in its logarithm, as far as tellShare of a full message for each request goes.
 	admitGain              = 1.4
@@ -41,7 +41,7 @@
 	admitOver              = 0.15
 	mostLoad               = 0.95
 	tellStep               = 0.2
-	tellShare              = 1.0
+	tellShare              = 0.3
 	tellSaved, fullMessage = 100.0, 256.0 // messages saved up at the most, bytes in one
 
 	wholeShare = 223                        // the word for a whole admitted share; above it stand classes
@@ -130,8 +130,6 @@
 	admitAt, admitTold float64   // when it last moved, and what peers were told
 	window             float64   // limit of requests in flight from here
 	cutAt              float64   // clock of the last cut
-	drained            bool      // was listed as draining since it was last ready
-	goneAt             float64   // when the list ceased to name it
 	doubt, doubtFor    float64   // in doubt until then; how long the last doubt was, 0 since a good answer
 	lost               []float64 // attempts lost here lately, by class, as told by peers too
 	lostAt             float64   // when that last faded
@@ -190,7 +188,6 @@
 	admit        float64    // mean share admitted by hosts that can be reached
 	tells        float64    // full messages that may be sent
 	told         [4]byte    // the message at hand
-	utilAt       int        // where reports hold the load; -1: nowhere
 
 	subbed  bool
 	watchAt float64            // when to ask for the list next, while not subscribed
@@ -221,7 +218,6 @@
 		b.longest = max(b.longest, c.Aim)
 		b.classWork = append(b.classWork, firstWork*c.Aim)
 	}
-	b.utilAt = slices.Index(cfg.Report, LoadUtil)
 	b.strain = make([]float64, len(b.cfg.Classes))
 	if cfg.AskForList {
 		b.watch()
@@ -276,10 +272,7 @@
 		b.learn(e)
 	}
 	b.hosts = slices.DeleteFunc(b.hosts, func(h *host) bool {
-		if h.Status != Gone {
-			h.goneAt = now
-		}
-		if h.Status == Gone && h.inflight == 0 && !b.mayBeUp(h) {
+		if h.Status == Gone && h.inflight == 0 {
 			delete(b.index, h.ID)
 			return true
 		}
@@ -303,7 +296,6 @@
 		clear(h.lost)
 	}
 	h.Host = e
-	h.drained = e.Status == Draining || h.drained && e.Status == Gone
 	if b.zones[h.Zone] == nil {
 		b.zones[h.Zone] = &zone{until: b.now}
 	}
@@ -359,7 +351,9 @@
 		return
 	}
 	o := b.newOp(r)
-	b.tells = min(tellSaved, b.tells+tellShare)
+	if !r.Repeat {
+		b.tells = min(tellSaved, b.tells+tellShare)
+	}
 	if b.givesWay(o) {
 		b.settle(o)
 		return
@@ -413,9 +407,7 @@
 }
 
 // givesWay refuses cheaper work at once, by chance, while dearer work finds no room: without it the dearer
-// would only get what is free at its moment. Where keys stay with their hosts, all work gives way as the
-// share of late attempts grows beyond what single hosts explain. Guards against overload that keeps itself
-// up, whatever began it; does harm while lateness is no want of room, as with a class that waits elsewhere.
+// would only get what is free at its moment.
 func (b *Balancer) givesWay(o *op) bool {
 	chance, dearest := 0.0, o.density
 	for c, share := range b.strain {
@@ -426,9 +418,6 @@
 	if b.thin && b.load[0] > roamAbove { // else only some hosts are crowded
 		chance = max(chance, max(1-b.admit, b.late)*(1-o.density/dearest))
 	}
-	if b.keepsKeys() { // nobody else has room: what is late anyway would make the rest late too
-		chance = max(chance, 1-(1-b.late)/(1-1/lateDoubt))
-	}
 	if o.Repeat && o.class.LateWorth <= 0 { // its time began with an earlier try, and may be over
 		chance = max(chance, repeatsGiveWay*b.late)
 	}
@@ -602,32 +591,6 @@
 	if best != nil && b.warmth(best) < 1 && !b.spendCold(o) {
 		best = b.best(o, home, true)
 	}
-	if best == nil && len(b.set) == 0 {
-		best = b.unlisted(o, anchor)
-	}
-	return best
-}
-
-// mayBeUp says whether a host that the list ceased to name may still be sent to, where that is allowed. It is
-// kept for as long as the longest doubt.
-func (b *Balancer) mayBeUp(h *host) bool {
-	kept := doubtMost * ejectAims * b.longest
-	return b.cfg.GoneIsAdvice && h.Status == Gone && !h.drained && b.now < h.goneAt+kept
-}
-
-// unlisted is the last resort where nobody listed is left to pick: a list that has lost its hosts proves
-// nothing. One that is down fails to connect, which costs little.
-func (b *Balancer) unlisted(o *op, anchor *host) (best *host) {
-	lowest := math.Inf(1)
-	for _, h := range b.hosts {
-		if !b.mayBeUp(h) || h.until > b.now || o.tried(h) || !inGroup(o.class.Group, anchor, h) ||
-			float64(h.inflight) >= h.window || b.warmth(h) < 1 {
-			continue
-		}
-		if score := rendezvous(o.Key, h.ID) / h.weight; score < lowest {
-			best, lowest = h, score
-		}
-	}
 	return best
 }
 
@@ -697,11 +660,6 @@
 	return panicking
 }
 
-// keepsKeys says whether requests stay with their keys' hosts though answers from there come near to being
-// late. Where a key is warm it costs less work, and moved it makes more of what is late already. A host's
-// own word on its load outweighs that. Does harm where few hosts are slow and the rest have room.
-func (b *Balancer) keepsKeys() bool { return b.cfg.WarmKeys && b.utilAt < 0 }
-
 // connected takes whether a connection was made, as evidence on the host's zone. Guards a lost or cut-off
 // zone. When its time is over, one request finds out whether the outage goes on.
 func (b *Balancer) connected(h *host, ok bool) {
@@ -905,21 +863,15 @@
 
 // worthAnother says whether a further attempt could still earn anything. What never reached a host costs
 // nothing to send again; other failures are followed by one attempt, so that they cannot multiply the load.
-// While most attempts are late, what a full host turned away would only be cold work for the next.
 func (b *Balancer) worthAnother(o *op, r Result) bool {
-	worthless := r == TimedOut || r == Moot || b.now >= o.aimAt && o.class.LateWorth <= 0 ||
-		r == TurnedAway && b.cfg.WarmKeys && b.lateWeight() <= 0
+	worthless := r == TimedOut || r == Moot || b.now >= o.aimAt && o.class.LateWorth <= 0
 	return !worthless && (r == ConnectFailed || len(o.attempts) < mostTries)
 }
 
-// sense takes a host's load as it reports it, or else by how near its answer came to being late. Traffic and
-// hosts may be spread unevenly over zones; no proxy sees enough of one host to tell, but all answers here do.
-func (b *Balancer) sense(h *host, near float64, report []float32) {
-	util := near
-	if b.utilAt >= 0 && b.utilAt < len(report) && report[b.utilAt] >= 0 { // not a number says nothing
-		util = float64(report[b.utilAt])
-	}
-	util = min(1, util)
+// sense takes a host's load by how near its answer came to being late. Traffic and hosts may be spread
+// unevenly over zones; no proxy sees enough of one host to tell, but all answers here do.
+func (b *Balancer) sense(h *host, near float64) {
+	util := min(1, near)
 	b.load[h.side] += loadStep * (util - b.load[h.side])
 	b.roam += roamGain * min(b.now-b.roamAt, b.longest) * (b.load[0] - roamAbove)
 	b.roam, b.roamAt = min(1, max(0, b.roam)), b.now
@@ -946,7 +898,7 @@
 			drift(&h.did, o.Work)
 		}
 		h.answered, h.newest = b.now, max(h.newest, a.at)
-		b.sense(h, r.Took/(markShare*max(leastAim, o.class.Aim)), r.Report)
+		b.sense(h, r.Took/(markShare*max(leastAim, o.class.Aim)))
 		if !a.late || !b.doubts { // slowness is no sign of health
 			b.judge(h, failed, 0)
 		}
@@ -955,10 +907,6 @@
 	case TurnedAway: // proves load, not sickness
 		h.heard = true
 		b.feel(h, 1)
-	case Cancelled:
-		if a.late && !o.done {
-			b.lose(h, o.Class)
-		}
 	case TimedOut:
 		b.lose(h, o.Class)
 		b.feel(h, b.lateWeight())
@@ -990,6 +938,7 @@
 		b.judge(a.h, failed, b.lateWeight())
 	}
 	drift(&b.late, 1)
+	b.feel(a.h, b.lateWeight())
 }
 
 // leaves says whether a request had better go elsewhere than wait on past its mark: it may, and its time for
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -29,8 +29,6 @@
 		How     string
 	}
 	Rules struct {
-		GoneIsAdvice bool // only a host listed as draining is bound by the rule on drains
-
 		AskWithinS, ColdFrom, ColdS, FallMultiple, StopSendingWithinS, TipAfterS float64
 	}
 	Tenants             []Tenant
@@ -84,7 +82,7 @@
 		Cancelling: s.Limits.Cancelling, Probes: s.Limits.Probes, PeerMessages: s.Limits.Peers,
 		ConnectTimeout: s.Limits.ConnectTimeoutS, AskWithin: s.Rules.AskWithinS,
 		DrainGrace: s.Rules.StopSendingWithinS, ColdFrom: s.Rules.ColdFrom, ColdFor: s.Rules.ColdS,
-		GoneIsAdvice: s.Rules.GoneIsAdvice, FallMultiple: s.Rules.FallMultiple, FallAfter: s.Rules.TipAfterS,
+		FallMultiple: s.Rules.FallMultiple, FallAfter: s.Rules.TipAfterS,
 	}
 	if s.Limits.RetryAfter {
 		c.MaxCoolDown = s.Limits.MaxRetryAfterS
