--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -36,7 +36,7 @@
 	// A host's admitted share falls by admitGain a second for each unit that the load it shows is above what
 	// is wanted: admitOver more than the mean, and between roamAbove and mostLoad. Peers are told of a change
 	// of tellStep in its logarithm, as far as tellShare of a full message for each request goes.
-	admitGain              = 1.4
+	admitGain              = 0.7
 	admitLeast             = 0.05
 	admitAims              = 128.0 // until a share has faded back to one, in longest aims
 	admitOver              = 0.15
@@ -605,7 +605,7 @@
 			continue
 		}
 		loaded := float64(h.inflight) >= max(passOverFloor, passOverMean*b.mean*h.weight+1)
-		crowded := b.thin && b.admit*unit(mix(o.luck^uint64(h.ID))) >= h.admit
+		crowded := b.admit*unit(mix(o.luck^uint64(h.ID))) >= h.admit
 		heavy := !b.thin && o.Work*h.took > (o.aimAt-b.now)*h.did // it would miss the aim
 		doubted := b.doubts && h.doubted(b.now, o.class.Effect)
 		if loaded || crowded || heavy || doubted {
@@ -730,7 +730,11 @@
 // feel moves the share of requests that a host gets, by how much its load is above what is wanted. A thin
 // proxy meets a host too seldom to find out alone, so peers are told of large changes.
 func (b *Balancer) feel(h *host, over float64) {
-	h.admit *= math.Exp(-admitGain * min(b.now-h.admitAt, b.longest) * over)
+	gain := admitGain
+	if b.cfg.PeerMessages { // peers agree, so keys move together and what one finds out serves all
+		gain *= 2
+	}
+	h.admit *= math.Exp(-gain * min(b.now-h.admitAt, b.longest) * over)
 	h.admit, h.admitAt = min(1, max(admitLeast, h.admit)), b.now
 	if math.Abs(math.Log(h.admit/h.admitTold)) > tellStep && b.tell(h, byte(h.admit*wholeShare)) {
 		h.admitTold = h.admit
