--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -2,7 +2,7 @@
 
 // The interface (settings, events, actions) is in api.go; every decision is in this file.
 //
-// A request's path: Request -> givesWay (load shedding) -> dispatch -> pick -> send, or hold, or refuse ->
+// A request's path: Request -> givesWay (load shedding) -> dispatch -> pick -> send, or refuse ->
 // Outcome or the late mark (Timer) -> weigh, judge the host -> permit -> dispatch again, or settle.
 
 import (
@@ -76,7 +76,6 @@
 
 	giveWay        = 5.0 // times the share of dearer work without room: the chance to give way
 	repeatsGiveWay = 6.0 // times the share of late attempts: the chance of a repeat to give way
-	holdShare      = 0.2 // of the aim a request may wait here for room, if that seems long enough
 
 	mostTries = 2 // of a request, failed connections aside
 
@@ -107,7 +106,6 @@
 	timerMark uint64 = iota
 	timerTick
 	timerWatch
-	timerHold
 	tokenKind    = 60
 	tokenAttempt = 52
 	mostAttempts = 1 << (tokenKind - tokenAttempt)
@@ -127,7 +125,6 @@
 	newest             float64 // when the newest of the attempts that it answered went out
 	zone               *zone
 	admit              float64   // share of requests that may come here, by load seen here and by peers
-	took, did          float64   // mean time of answers to work with a hint, and mean of that work
 	admitAt, admitTold float64   // when it last moved, and what peers were told
 	window             float64   // limit of requests in flight from here
 	cutAt              float64   // clock of the last cut
@@ -194,10 +191,9 @@
 	watchAt float64            // when to ask for the list next, while not subscribed
 	quiet   map[string]float64 // no line of a kind, told by its format, before then
 
-	held         []*op     // waiting for room, worth most first
 	strain       []float64 // recent share of each class that found no room in time
 	late         float64   // recent share of attempts that passed their mark
-	flow, span   float64   // decayed sum of work answered, and seconds over which such sums reach
+	span         float64   // seconds over which decayed sums reach
 	cold, coldAt float64   // work that may go to cold hosts, and when it was last added to
 
 	classWork []float64 // mean seconds that a class takes, from answers
@@ -433,47 +429,13 @@
 	return b.cfg.Classes[c].Worth / b.classWork[c]
 }
 
-// hold keeps a request until a host has room, if what is held before it should be gone by then, judged by
-// the work lately answered. Otherwise it is refused at once (load shedding); worth least goes first.
-func (b *Balancer) hold(o *op) {
-	patience := min(holdShare*o.class.Aim, o.deadline-b.now)
-	before, at := 0.0, 0
-	for at < len(b.held) && b.held[at].density >= o.density {
-		before += b.held[at].work
-		at++
-	}
-	if b.span > 0 && before+o.work > b.flow/b.span*patience {
-		b.shed(o)
-		return
-	}
-	b.held = slices.Insert(b.held, at, o)
-	b.act.Timer(patience, timerHold<<tokenKind|uint64(o.ID))
-}
-
 // shed refuses a request that found no room.
 func (b *Balancer) shed(o *op) {
 	drift(&b.strain[o.Class], 1)
-	b.say("shedding, %d held, without room by class %.2f", len(b.held), b.strain)
+	b.say("shedding, without room by class %.2f", b.strain)
 	b.settle(o)
 }
 
-// release sends held requests that have room somewhere. They are kept by worth, so the dearest goes first.
-func (b *Balancer) release() {
-	for i := 0; i < len(b.held); {
-		o := b.held[i]
-		if h := b.pick(o, nil); h != nil {
-			b.unhold(o)
-			b.send(o, h)
-		} else {
-			i++
-		}
-	}
-}
-
-func (b *Balancer) unhold(o *op) {
-	b.held = slices.DeleteFunc(b.held, func(other *op) bool { return other == o })
-}
-
 // permit is the one place that says whether a request may be sent again, where, and whether it may be
 // refused. anchor is a host of the group inside which a keyed request has to stay; nil: anywhere.
 func (b *Balancer) permit(o *op) (send bool, anchor *host, refuse bool) {
@@ -515,10 +477,10 @@
 	switch h := b.pick(o, anchor); {
 	case h != nil:
 		b.send(o, h)
-	case len(o.attempts) > 0: // no untried host has room; held, it would stand in the way of others
+	case len(o.attempts) > 0: // no untried host has room
 		b.settle(o)
 	default:
-		b.hold(o)
+		b.shed(o)
 	}
 }
 
@@ -538,7 +500,6 @@
 // finish drops a request that has its answer and calls off what is still out.
 func (b *Balancer) finish(o *op) {
 	o.done = true
-	b.unhold(o)
 	if !o.begun {
 		b.callOff(o, -1)
 	}
@@ -606,9 +567,8 @@
 		}
 		loaded := float64(h.inflight) >= max(passOverFloor, passOverMean*b.mean*h.weight+1)
 		crowded := b.admit*unit(mix(o.luck^uint64(h.ID))) >= h.admit
-		heavy := !b.thin && o.Work*h.took > (o.aimAt-b.now)*h.did // it would miss the aim
 		doubted := b.doubts && h.doubted(b.now, o.class.Effect)
-		if loaded || crowded || heavy || doubted {
+		if loaded || crowded || doubted {
 			r.score = lastRank * float64(h.inflight+1) / h.weight
 		}
 		if r.score < lowest {
@@ -837,7 +797,6 @@
 		a.h.answered, a.h.newest = now, max(a.h.newest, a.at)
 	}
 	b.callOff(o, n)
-	b.release()
 }
 
 // Outcome takes the end of an attempt.
@@ -863,7 +822,6 @@
 	default:
 		b.settle(o)
 	}
-	b.release()
 }
 
 // worthAnother says whether a further attempt could still earn anything. What never reached a host costs
@@ -890,7 +848,6 @@
 	switch r.Result {
 	case OK:
 		drift(&b.classWork[o.Class], r.Took)
-		b.flow += o.work
 		b.warmFlow += o.work / max(b.warmWeight, h.weight)
 		if !a.late {
 			drift(&b.late, 0)
@@ -898,10 +855,6 @@
 		if float64(h.inflight+2) > h.window && r.Took < growBelow*o.class.Aim {
 			h.window += r.Took / o.class.Aim / growBelow / h.window
 		}
-		if o.Work > 0 {
-			drift(&h.took, r.Took)
-			drift(&h.did, o.Work)
-		}
 		h.answered, h.newest = b.now, max(h.newest, a.at)
 		b.sense(h, r.Took/(markShare*max(leastAim, o.class.Aim)))
 		if !a.late || !b.doubts { // slowness is no sign of health
@@ -986,20 +939,15 @@
 				b.act.Cancel(o.ID, n)
 			}
 		}
-	case timerHold:
-		if o != nil && slices.Contains(b.held, o) {
-			b.shed(o)
-		}
 	case timerTick:
 		const keep = 1 - tickAims/memoryAims
 		for c := range b.strain { // in time too: with thin traffic a past overload would last
 			b.strain[c] *= keep
 		}
-		b.warmFlow, b.flow, b.span = b.warmFlow*keep, b.flow*keep, b.span*keep+b.tick()
+		b.warmFlow, b.span = b.warmFlow*keep, b.span*keep+b.tick()
 		for _, h := range b.hosts { // what nobody finds out anew is forgotten
 			h.admit += tickAims / admitAims * (1 - h.admit)
 		}
-		b.release()
 		b.act.Timer(b.tick(), token)
 	case timerWatch:
 		if !b.subbed && b.now >= b.watchAt {
@@ -1046,25 +994,3 @@
 		b.finish(o)
 	}
 }
-
-// Avoided is for operators: hosts ejected, unless in panic, and those of zones that are out.
-func (b *Balancer) Avoided(now float64) (avoided int) {
-	healthy, counted, ejected := 0, 0, 0
-	for _, h := range b.hosts {
-		switch {
-		case h.Status != Ready:
-		case h.zone.until > now:
-			avoided++
-		case h.until > now:
-			ejected++
-			counted++
-		case h.heard:
-			healthy++
-			counted++
-		}
-	}
-	if float64(healthy) >= panicThreshold*float64(counted) {
-		avoided += ejected
-	}
-	return avoided
-}
