--- a/balancer/api.go
+++ b/balancer/api.go
@@ -119,6 +119,8 @@
 	AskForList     bool // the list comes only when asked for
 	Report         []Load
 	Prices         Prices
+	Punctual       float64 // weight of the worth that counts in full only while few miss their aim; 0: none
+	MissAllowed    float64 // share of a class's requests that may miss their aim for that
 	MaxAttempts    int
 	SecondCopies   bool
 	Cancelling     bool
@@ -201,6 +203,9 @@
 	Peer(now float64, from int, data []byte)
 	Gone(now float64, id RequestID) // the client left
 
+	// Configure takes over other settings; kept names, for each class, what it was until now, -1: none.
+	Configure(now float64, cfg Config, kept []int)
+
 	// Avoided counts the hosts that take requests by the list and get none from here, by this balancer's choice. It
 	// changes nothing.
 	Avoided(now float64) int
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -2,13 +2,12 @@
 
 // The interface (settings, events, actions) is in api.go; every decision is in this file.
 //
-// A request's path: Request -> givesWay (load shedding) -> dispatch -> pick -> send, or refuse ->
+// A request's path: Request -> givesWay (load shedding) -> dispatch -> pick -> send, or hold, or refuse ->
 // Outcome or the late mark (Timer) -> weigh, judge the host -> permit -> dispatch again, or settle.
 
 import (
 	"cmp"
 	"encoding/binary"
-	"fmt"
 	"math"
 	"math/bits"
 	"slices"
@@ -29,12 +28,11 @@
 	farRank, lastRank = 1e-6, 1e12 // of other zones at that price; behind every rendezvous score
 
 	thinBelow = 0.2 // in flight to a mean host, limits hardly ever bind: near-late answers and peers tell of load
-	// roamGain is how fast, in shares a second for each unit of load that this zone's hosts show above
-	// roamAbove, requests come to ignore zones. loadStep is the weight of one answer.
-	roamGain, roamAbove, loadStep = 2.0, 0.7, 0.2
+	// loadedAbove is the load, by how near answers are to being late, above which a zone is short of room.
+	loadedAbove, loadStep = 0.7, 0.2 // loadStep: the weight of one answer
 
 	// A host's admitted share falls by admitGain a second for each unit that the load it shows is above what
-	// is wanted: admitOver more than the mean, and between roamAbove and mostLoad. Peers are told of a change
+	// is wanted: admitOver more than the mean, and between loadedAbove and mostLoad. Peers are told of a change
 	// of tellStep in its logarithm, as far as tellShare of a full message for each request goes.
 	admitGain              = 0.7
 	admitLeast             = 0.05
@@ -76,6 +74,7 @@
 
 	giveWay        = 5.0 // times the share of dearer work without room: the chance to give way
 	repeatsGiveWay = 6.0 // times the share of late attempts: the chance of a repeat to give way
+	holdShare      = 0.2 // of the aim a request may wait here for room, if that seems long enough
 
 	mostTries = 2 // of a request, failed connections aside
 
@@ -106,6 +105,7 @@
 	timerMark uint64 = iota
 	timerTick
 	timerWatch
+	timerHold
 	tokenKind    = 60
 	tokenAttempt = 52
 	mostAttempts = 1 << (tokenKind - tokenAttempt)
@@ -159,33 +159,32 @@
 	deadline, aimAt float64
 	attempts        []attempt
 	out             int
+	most            int  // attempts that it may have; 0: any number
 	done, begun     bool // done: answered; attempts may still be out
 	work            float64
 	density         float64 // worth of a unit of its work
-	roams           bool    // ignores zones
 	luck            uint64  // drawn once, so that trying again does not help
 }
 
 // Balancer decides for one client process. Make one with New.
 type Balancer struct {
-	cfg          Config
-	act          Actions
-	rng          uint64
-	now          float64
-	hosts        []*host // by id: listed, or gone with something still out
-	index        map[HostID]*host
-	zones        map[int]*zone
-	set          []ranked // of the pick at hand
-	ops          map[RequestID]*op
-	longest      float64    // longest aim
-	mean         float64    // in flight from here to a host of mean size
-	thin         bool       // too little in flight for limits to tell of load
-	doubts       bool       // hosts in doubt yield
-	roam, roamAt float64    // chance that a request ignores zones, and when it last moved
-	load         [2]float64 // mean reported load of this zone and of others
-	admit        float64    // mean share admitted by hosts that can be reached
-	tells        float64    // full messages that may be sent
-	told         [4]byte    // the message at hand
+	cfg     Config
+	act     Actions
+	rng     uint64
+	now     float64
+	hosts   []*host // by id: listed, or gone with something still out
+	index   map[HostID]*host
+	zones   map[int]*zone
+	set     []ranked // of the pick at hand
+	ops     map[RequestID]*op
+	longest float64    // longest aim
+	mean    float64    // in flight from here to a host of mean size
+	thin    bool       // too little in flight for limits to tell of load
+	doubts  bool       // hosts in doubt yield
+	load    [2]float64 // mean reported load of this zone and of others
+	admit   float64    // mean share admitted by hosts that can be reached
+	tells   float64    // full messages that may be sent
+	told    [4]byte    // the message at hand
 
 	subbed  bool
 	watchAt float64            // when to ask for the list next, while not subscribed
@@ -193,7 +192,8 @@
 
 	strain       []float64 // recent share of each class that found no room in time
 	late         float64   // recent share of attempts that passed their mark
-	span         float64   // seconds over which decayed sums reach
+	flow, span   float64   // decayed sum of work answered, and seconds over which such sums reach
+	held         []*op     // waiting for room, worth most first
 	cold, coldAt float64   // work that may go to cold hosts, and when it was last added to
 
 	classWork []float64 // mean seconds that a class takes, from answers
@@ -205,17 +205,9 @@
 
 // New starts a balancer at time now. It subscribes to the list at once where that must be asked for.
 func New(now float64, cfg Config, act Actions) *Balancer {
-	b := &Balancer{cfg: cfg, act: act, now: now, rng: cfg.Seed, index: map[HostID]*host{},
-		zones: map[int]*zone{}, ops: map[RequestID]*op{}, quiet: map[string]float64{}, roamAt: now,
-		coldAt: now, admit: 1, longest: leastAim}
-	if len(b.cfg.Classes) == 0 {
-		b.cfg.Classes = []Class{{Aim: 1, Deadline: 1, Worth: 1}}
-	}
-	for _, c := range b.cfg.Classes {
-		b.longest = max(b.longest, c.Aim)
-		b.classWork = append(b.classWork, firstWork*c.Aim)
-	}
-	b.strain = make([]float64, len(b.cfg.Classes))
+	b := &Balancer{act: act, now: now, rng: cfg.Seed, index: map[HostID]*host{}, zones: map[int]*zone{},
+		ops: map[RequestID]*op{}, quiet: map[string]float64{}, coldAt: now, admit: 1}
+	b.adopt(cfg)
 	if cfg.AskForList {
 		b.watch()
 	}
@@ -228,21 +220,6 @@
 
 func (b *Balancer) tick() float64 { return tickAims * b.longest }
 
-// random returns a number in [0, 1) from the instance's own sequence (splitmix64).
-func (b *Balancer) random() float64 {
-	b.rng += 0x9e3779b97f4a7c15
-	return unit(mix(b.rng))
-}
-
-// unit maps random bits to [0, 1).
-func unit(x uint64) float64 { return float64(x>>11) / (1 << 53) }
-
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // ---- the server list
 
 // Members takes a list, changes to it, or word that a call for it failed.
@@ -285,7 +262,7 @@
 	if h == nil {
 		h = &host{window: -1, until: b.now, cutAt: b.now, answered: math.Inf(-1), newest: math.Inf(-1),
 			admit: 1, admitTold: 1, admitAt: b.now,
-			lost: make([]float64, len(b.cfg.Classes)), lostAt: b.now}
+			lost: make([]float64, len(b.strain)), lostAt: b.now}
 		b.index[e.ID] = h
 		b.hosts = append(b.hosts, h)
 	} else if e.Status == Ready && e.Started != 0 && e.Started != h.Started {
@@ -366,14 +343,15 @@
 		b.random()
 		r.Key = mix(b.rng)
 	}
-	o := &op{Request: r, class: &b.cfg.Classes[r.Class]}
+	o := &op{Request: r, class: &b.cfg.Classes[r.Class], most: b.cfg.MaxAttempts}
 	o.work = r.Work
 	if o.work <= 0 {
 		o.work = b.classWork[r.Class]
 	}
 	b.setTimes(o)
 	o.density = b.density(r.Class)
-	o.roams, o.luck = b.random() < b.roam && b.thin, mix(b.rng)
+	b.random() // moves on what luck is drawn from
+	o.luck = mix(b.rng)
 	b.ops[r.ID] = o
 	return o
 }
@@ -407,12 +385,12 @@
 // would only get what is free at its moment.
 func (b *Balancer) givesWay(o *op) bool {
 	chance, dearest := 0.0, o.density
-	for c, share := range b.strain {
+	for c := range b.cfg.Classes {
 		if d := b.density(c); d > o.density {
-			chance, dearest = max(chance, giveWay*share), max(dearest, d)
+			chance, dearest = max(chance, giveWay*b.strain[c]), max(dearest, d)
 		}
 	}
-	if b.thin && b.load[0] > roamAbove { // else only some hosts are crowded
+	if b.thin && b.load[0] > loadedAbove { // else only some hosts are crowded
 		chance = max(chance, max(1-b.admit, b.late)*(1-o.density/dearest))
 	}
 	if o.Repeat && o.class.LateWorth <= 0 { // its time began with an earlier try, and may be over
@@ -429,10 +407,40 @@
 	return b.cfg.Classes[c].Worth / b.classWork[c]
 }
 
+// hold keeps a request until a host has room, if what is held before it should be gone by then, judged by
+// the work lately answered. Otherwise it is refused at once (load shedding); worth least goes first.
+func (b *Balancer) hold(o *op) {
+	patience := min(holdShare*o.class.Aim, o.deadline-b.now)
+	before, at := 0.0, 0
+	for ; at < len(b.held) && b.held[at].density >= o.density; at++ {
+		before += b.held[at].work
+	}
+	if b.span > 0 && before+o.work > b.flow/b.span*patience {
+		b.shed(o)
+		return
+	}
+	b.held = slices.Insert(b.held, at, o)
+	b.act.Timer(patience, timerHold<<tokenKind|uint64(o.ID))
+}
+
+// release sends held requests that have room somewhere, the dearest first.
+func (b *Balancer) release() {
+	for _, o := range slices.Clone(b.held) {
+		if h := b.pick(o, nil); h != nil {
+			b.unhold(o)
+			b.send(o, h)
+		}
+	}
+}
+
+func (b *Balancer) unhold(o *op) {
+	b.held = slices.DeleteFunc(b.held, func(other *op) bool { return other == o })
+}
+
 // shed refuses a request that found no room.
 func (b *Balancer) shed(o *op) {
 	drift(&b.strain[o.Class], 1)
-	b.say("shedding, without room by class %.2f", b.strain)
+	b.say("shedding, %d held, without room by class %.2f", len(b.held), b.strain)
 	b.settle(o)
 }
 
@@ -440,7 +448,7 @@
 // refused. anchor is a host of the group inside which a keyed request has to stay; nil: anywhere.
 func (b *Balancer) permit(o *op) (send bool, anchor *host, refuse bool) {
 	n := len(o.attempts)
-	spent := n >= mostAttempts || b.cfg.MaxAttempts > 0 && n >= b.cfg.MaxAttempts
+	spent := n >= mostAttempts || o.most > 0 && n >= o.most
 	send = !spent && !o.done && !o.begun && b.now < o.deadline && (o.out == 0 || b.cfg.SecondCopies)
 	refuse = true
 	for i := range o.attempts {
@@ -477,10 +485,10 @@
 	switch h := b.pick(o, anchor); {
 	case h != nil:
 		b.send(o, h)
-	case len(o.attempts) > 0: // no untried host has room
+	case len(o.attempts) > 0: // no untried host has room; held, it would stand in the way of others
 		b.settle(o)
 	default:
-		b.shed(o)
+		b.hold(o)
 	}
 }
 
@@ -500,6 +508,7 @@
 // finish drops a request that has its answer and calls off what is still out.
 func (b *Balancer) finish(o *op) {
 	o.done = true
+	b.unhold(o)
 	if !o.begun {
 		b.callOff(o, -1)
 	}
@@ -539,11 +548,7 @@
 		if cold { // a popular key alone would push it over
 			key = o.luck
 		}
-		rank := h.zoneRank
-		if o.roams {
-			rank = h.weight
-		}
-		score := rendezvous(key, h.ID) / rank
+		score := rendezvous(key, h.ID) / h.zoneRank
 		b.set = append(b.set, ranked{h, score})
 		if !cold {
 			home[h.side] = min(home[h.side], score)
@@ -797,6 +802,7 @@
 		a.h.answered, a.h.newest = now, max(a.h.newest, a.at)
 	}
 	b.callOff(o, n)
+	b.release()
 }
 
 // Outcome takes the end of an attempt.
@@ -822,6 +828,7 @@
 	default:
 		b.settle(o)
 	}
+	b.release()
 }
 
 // worthAnother says whether a further attempt could still earn anything. What never reached a host costs
@@ -836,9 +843,7 @@
 func (b *Balancer) sense(h *host, near float64) {
 	util := min(1, near)
 	b.load[h.side] += loadStep * (util - b.load[h.side])
-	b.roam += roamGain * min(b.now-b.roamAt, b.longest) * (b.load[0] - roamAbove)
-	b.roam, b.roamAt = min(1, max(0, b.roam)), b.now
-	b.feel(h, util/min(mostLoad, max(roamAbove, b.load[h.side]+admitOver))-1)
+	b.feel(h, util/min(mostLoad, max(loadedAbove, b.load[h.side]+admitOver))-1)
 }
 
 // weigh takes an outcome as evidence on the host and on the load.
@@ -848,6 +853,7 @@
 	switch r.Result {
 	case OK:
 		drift(&b.classWork[o.Class], r.Took)
+		b.flow += o.work
 		b.warmFlow += o.work / max(b.warmWeight, h.weight)
 		if !a.late {
 			drift(&b.late, 0)
@@ -939,15 +945,20 @@
 				b.act.Cancel(o.ID, n)
 			}
 		}
+	case timerHold:
+		if o != nil && slices.Contains(b.held, o) {
+			b.shed(o)
+		}
 	case timerTick:
 		const keep = 1 - tickAims/memoryAims
 		for c := range b.strain { // in time too: with thin traffic a past overload would last
 			b.strain[c] *= keep
 		}
-		b.warmFlow, b.span = b.warmFlow*keep, b.span*keep+b.tick()
+		b.warmFlow, b.flow, b.span = b.warmFlow*keep, b.flow*keep, b.span*keep+b.tick()
 		for _, h := range b.hosts { // what nobody finds out anew is forgotten
 			h.admit += tickAims / admitAims * (1 - h.admit)
 		}
+		b.release()
 		b.act.Timer(b.tick(), token)
 	case timerWatch:
 		if !b.subbed && b.now >= b.watchAt {
@@ -956,14 +967,6 @@
 	}
 }
 
-// say logs a line, at most one of a kind each quarter aim.
-func (b *Balancer) say(format string, args ...any) {
-	if until, known := b.quiet[format]; !known || b.now >= until {
-		b.quiet[format] = b.now + b.tick()
-		b.act.Log(fmt.Sprintf(format, args...))
-	}
-}
-
 // Probed takes a probe's result. None is asked for: with many proxies they cost more than they tell.
 func (b *Balancer) Probed(now float64, p ProbeResult) { b.now = now }
 
--- a/balancer/figures.go
+++ b/balancer/figures.go
@@ -1,5 +1,7 @@
 package balancer
 
+import "fmt"
+
 // What operators are told; it decides nothing.
 
 // Avoided is for operators: hosts ejected, unless in panic, and those of zones that are out.
@@ -23,3 +25,11 @@
 	}
 	return avoided
 }
+
+// say logs a line, at most one of a kind each quarter aim.
+func (b *Balancer) say(format string, args ...any) {
+	if until, known := b.quiet[format]; !known || b.now >= until {
+		b.quiet[format] = b.now + b.tick()
+		b.act.Log(fmt.Sprintf(format, args...))
+	}
+}
--- a/internal/places/desk.go
+++ b/internal/places/desk.go
@@ -46,6 +46,9 @@
 // NewDesk makes a desk at which nobody is.
 func NewDesk(cfg DeskConfig) *Desk { return &Desk{cfg: cfg, tokens: float64(cfg.Burst)} }
 
+// Patient sets for how long a connection waits from now on.
+func (d *Desk) Patient(patience time.Duration) { d.cfg.Patience = patience }
+
 // free says whether a turn can be given now.
 func (d *Desk) free(now time.Duration) bool {
 	d.tokens = min(float64(d.cfg.Burst), d.tokens+d.cfg.Pace*(now-d.filled).Seconds())
--- a/internal/proxy/accept.go
+++ b/internal/proxy/accept.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,7 +29,7 @@
 	log    *zap.Logger
 	owner  *owner
 	bufs   *pool
-	names  *names
+	names  atomic.Pointer[names]
 	times  timing
 	limits frontLimits
 	room   *room
@@ -57,17 +58,17 @@
 	connections int // that the operator allows
 	byAddress   bool
 	desk        places.DeskConfig
-	watchers    bool    // a goroutine for each connection that waits
-	warm        int     // connections that may wait unparked for a moment after a request
-	coolDown    float64 // seconds that a refusal of the front's own names; 0: settings allow none
+	watchers    bool // a goroutine for each connection that waits
+	warm        int  // connections that may wait unparked for a moment after a request
 }
 
 func newFront(ln net.Listener, l frontLimits, r *room, giveBack func(int), o *owner, bufs *pool, n *names, t timing,
 	log *zap.Logger) (*front, error) {
-	f := &front{ln: ln, log: log, room: r, giveBack: giveBack, owner: o, bufs: bufs, names: n, times: t, limits: l,
+	f := &front{ln: ln, log: log, room: r, giveBack: giveBack, owner: o, bufs: bufs, times: t, limits: l,
 		since: time.Now(), space: make(chan struct{}, 1), kick: make(chan struct{}, 1),
 		closed: make(chan struct{}), ended: make(chan struct{}), desk: places.NewDesk(l.desk),
 		book: places.New(bookConfig(l, t))}
+	f.names.Store(n)
 	r.owing = func() { ask(f.kick) }
 	wake := func(holder any) { f.wake(holder.(*client)) }
 	if l.watchers {
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -24,8 +24,7 @@
 }
 
 // respond waits for the owner's answer and writes it. It says whether the connection may go on.
-func (c *client) respond(q *request, last bool) bool {
-	class := q.Class // the owner may forget the request once it is answered
+func (c *client) respond(q *request, class *classTally, last bool) bool {
 	a := <-q.answer
 	defer c.front.bufs.freeBody(&a.body)
 	defer func() { c.front.owner.tally.end(class, a.status) }()
--- a/internal/proxy/catalog.go
+++ b/internal/proxy/catalog.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math"
 	"net"
-	"slices"
 
 	"beechwing/balancer"
 )
@@ -25,7 +24,7 @@
 
 // parseCatalog reads an answer of discovery. An entry that makes no sense is skipped, so that it does not take the
 // others with it.
-func parseCatalog(text []byte, zones []string) (catalog, error) {
+func parseCatalog(text []byte, z *zones) (catalog, error) {
 	var f struct {
 		Version *uint64           `json:"version"`
 		Full    bool              `json:"full"`
@@ -39,7 +38,7 @@
 	}
 	c := catalog{version: *f.Version, full: f.Full}
 	for _, raw := range f.Servers {
-		if name, h, addr, ok := parseEntry(raw, zones); ok {
+		if name, h, addr, ok := parseEntry(raw, z); ok {
 			c.add(name, h, addr)
 		}
 	}
@@ -50,7 +49,7 @@
 	c.names, c.hosts, c.addrs = append(c.names, name), append(c.hosts, h), append(c.addrs, addr)
 }
 
-func parseEntry(raw []byte, zones []string) (name string, h balancer.Host, addr string, ok bool) {
+func parseEntry(raw []byte, z *zones) (name string, h balancer.Host, addr string, ok bool) {
 	var e struct {
 		ID, Addr, Zone, State string
 		Cell                  int
@@ -64,12 +63,8 @@
 	if _, _, err := net.SplitHostPort(e.Addr); !known || status != balancer.Gone && err != nil {
 		return "", h, "", false
 	}
-	zone := slices.Index(zones, e.Zone)
-	if zone < 0 { // a zone nobody told of is still not this proxy's own
-		zone = len(zones)
-	}
 	return e.ID, balancer.Host{
-		ID: hostID(e.ID), Weight: e.Weight, Zone: zone, Cell: e.Cell, Status: status,
+		ID: hostID(e.ID), Weight: e.Weight, Zone: z.number(e.Zone), Cell: e.Cell, Status: status,
 		Started: math.Max(0, e.StartedMS) / 1000,
 	}, e.Addr, true
 }
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -170,7 +170,7 @@
 		c.front.bufs.freeRequest(q)
 		bad = &badRequest{http.StatusInternalServerError, "too many connections"}
 		c.front.owner.tally.begin()
-		defer c.front.owner.tally.end(q.Class, bad.status)
+		defer c.front.owner.tally.end(q.names.tally[q.Class], bad.status)
 	}
 	if bad != nil {
 		c.reject(bad)
@@ -203,7 +203,8 @@
 	written := make(chan bool, 1)
 	c.setTaken()
 	c.front.owner.tally.begin()
-	go func() { written <- c.respond(q, last) }()
+	class := q.names.tally[q.Class] // from now on the owner may number it anew
+	go func() { written <- c.respond(q, class, last) }()
 	c.front.owner.post(arrival{q})
 	if q.up != nil && !c.pump(q) {
 		return <-written && false
@@ -231,8 +232,8 @@
 	c.front.bufs.freeRequest(q)
 	c.setTaken()
 	c.front.owner.tally.begin()
-	defer c.front.owner.tally.end(q.Class, http.StatusServiceUnavailable)
-	a := answer{status: http.StatusServiceUnavailable, text: "busy\n", coolDown: c.front.limits.coolDown}
+	defer c.front.owner.tally.end(q.names.tally[q.Class], http.StatusServiceUnavailable)
+	a := answer{status: http.StatusServiceUnavailable, text: "busy\n", coolDown: q.names.coolDown}
 	return c.deliver(&a, last)
 }
 
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -31,6 +31,7 @@
 	Known                   catalog // the list as last held before a restart; it may be old
 	Settings                *settings.Settings
 	Balancer                balancer.Config
+	zones                   *zones
 	Site                    site.File // what the operator sets
 
 	file   configFile // as it was read
@@ -127,8 +128,11 @@
 		return nil, err
 	}
 	c.Balancer.PeerMessages = false // the protocol has none
+	c.Balancer.AskForList = true    // and no list that comes unasked
+	c.zones = newZones(c.Settings.Dcs...)
+	c.zones.place(&c.Balancer, c.Settings)
 	if f.Known != nil && string(f.Known) != "null" {
-		if c.Known, err = parseCatalog(f.Known, c.Settings.Dcs); err != nil {
+		if c.Known, err = parseCatalog(f.Known, c.zones); err != nil {
 			return nil, fmt.Errorf("known: %w", err)
 		}
 	}
--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -33,10 +33,11 @@
 type discovery struct {
 	mu    sync.Mutex
 	addr  string
+	by    *balancer.Config   // settings to call by from the next opening on; nil: as before
 	leave context.CancelFunc // ends the calls to addr; nil: none have begun
 
 	bufs    *pool
-	zones   []string
+	zones   *zones
 	times   timing
 	wait    time.Duration
 	budget  *budget.Questions // the goroutine of run has it
@@ -51,16 +52,35 @@
 }
 
 func newDiscovery(cfg *Config, bufs *pool, t timing, log *zap.Logger, post func(event)) *discovery {
-	wait := seconds(cfg.Balancer.AskWithin / 2) // a silent discovery is to be found out while the list still holds
+	d := &discovery{
+		addr: cfg.Discovery, bufs: bufs, times: t, zones: cfg.zones, log: log, post: post,
+		watch: make(chan struct{}, 1), fetch: make(chan struct{}, 1),
+		version: cfg.Known.version, held: len(cfg.Known.hosts) > 0,
+	}
+	d.callBy(&cfg.Balancer)
+	return d
+}
+
+// callBy takes over what the settings say of calls.
+func (d *discovery) callBy(c *balancer.Config) {
+	wait := seconds(c.AskWithin / 2) // a silent discovery is to be found out while the list still holds
 	if wait <= 0 {
 		wait = mostWait
 	}
-	return &discovery{
-		addr: cfg.Discovery, bufs: bufs, times: t, zones: cfg.Settings.Dcs, log: log, post: post,
-		wait:   min(max(wait, leastWait), mostWait),
-		budget: budget.NewQuestions(cfg.Balancer.Balancers, seconds(cfg.Balancer.AskWithin), cfg.Seed),
-		watch:  make(chan struct{}, 1), fetch: make(chan struct{}, 1),
-		version: cfg.Known.version, held: len(cfg.Known.hosts) > 0,
+	d.wait = min(max(wait, leastWait), mostWait)
+	d.budget = budget.NewQuestions(c.Balancers, seconds(c.AskWithin), c.Seed)
+}
+
+// configure has other settings followed where they change how calls are made. Like a move it is no failure.
+func (d *discovery) configure(was, is *balancer.Config) {
+	if was.AskWithin == is.AskWithin && was.Balancers == is.Balancers {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.by = is
+	if d.leave != nil {
+		d.leave()
 	}
 }
 
@@ -99,6 +119,10 @@
 	if d.leave != nil {
 		d.leave()
 	}
+	if d.by != nil {
+		d.callBy(d.by)
+		d.by = nil
+	}
 	ctx, d.leave = context.WithCancel(ctx)
 	return ctx
 }
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -517,11 +517,12 @@
 
 func (s *script) Gone(_ float64, id balancer.RequestID) { s.gone <- id }
 
-func (s *script) Avoided(float64) int                    { return 0 }
-func (s *script) Whole(float64, balancer.RequestID)      {}
-func (s *script) Begun(float64, balancer.RequestID, int) {}
-func (s *script) Timer(float64, uint64)                  {}
-func (s *script) Peer(float64, int, []byte)              {}
+func (s *script) Avoided(float64) int                       { return 0 }
+func (s *script) Whole(float64, balancer.RequestID)         {}
+func (s *script) Begun(float64, balancer.RequestID, int)    {}
+func (s *script) Timer(float64, uint64)                     {}
+func (s *script) Configure(float64, balancer.Config, []int) {}
+func (s *script) Peer(float64, int, []byte)                 {}
 
 // sends makes the script send every request once to a host.
 func sends(host string) func(*script, balancer.Request) {
--- a/internal/proxy/operators.go
+++ b/internal/proxy/operators.go
@@ -140,7 +140,7 @@
 	if err != nil {
 		return "", err
 	}
-	if next = next.Tidy(now, s.p.cfg.Balancer.ColdFor); len(cordon.Changed(was, next)) > 0 {
+	if next = next.Tidy(now, s.p.live.Load().ColdFor); len(cordon.Changed(was, next)) > 0 {
 		if err := s.file.Write(next); err != nil {
 			return "", err
 		}
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -40,6 +40,7 @@
 	fresh    chan struct{}   // closed once discovery has told of them
 	roll     *roll           // the list, and who is out by hand
 	tally    *tally
+	names    *names  // by which requests are read now
 	ops      bool    // somebody may ask for figures
 	lookedAt float64 // when the module was last asked whom it avoids
 	endBy    float64 // when the process ends, on its clock; 0: not soon
@@ -51,6 +52,7 @@
 type flight struct {
 	request  *request
 	deadline float64
+	most     int // attempts; 0: any number
 	attempts []*attempt
 	out      int
 	answered bool
@@ -97,8 +99,9 @@
 		clock: c, cfg: cfg.Balancer, queue: make(chan event, queueLength),
 		flights: map[balancer.RequestID]*flight{}, open: map[string]bool{}, hosts: h, bufs: bufs, log: log, ctx: ctx,
 		done: make(chan struct{}), known: make(chan struct{}), fresh: make(chan struct{}),
-		roll: newRoll(), tally: newTally(cfg.Settings),
+		roll: newRoll(), tally: newTally(),
 	}
+	o.names = newNames(cfg.Settings, &cfg.Balancer, o.tally)
 	o.list = newDiscovery(cfg, bufs, t, log, o.post)
 	return o
 }
@@ -156,6 +159,13 @@
 		o.bufs.freeRequest(q)
 		return
 	}
+	if q.names != o.names { // other settings came between
+		if bad := o.names.adopt(q); bad != nil {
+			q.answer <- bad.answer()
+			o.bufs.freeRequest(q)
+			return
+		}
+	}
 	o.open[q.name] = true
 	o.lastID++
 	q.ID = o.lastID
@@ -164,7 +174,7 @@
 	if o.endBy > 0 {
 		q.Budget = max(0, min(q.Budget, o.endBy-now))
 	}
-	o.flights[q.ID] = &flight{request: q, deadline: now + q.Budget}
+	o.flights[q.ID] = &flight{request: q, deadline: now + q.Budget, most: o.cfg.MaxAttempts}
 	o.bal.Request(now, q.Request)
 }
 
@@ -244,6 +254,19 @@
 
 func (stop) apply(o *owner) { o.stopping = true }
 
+// configured is word of other settings. Requests that are open keep the deadline, effect and attempts that they came with.
+type configured struct {
+	cfg     balancer.Config
+	names   *names
+	applied chan struct{}
+}
+
+func (e configured) apply(o *owner) {
+	o.bal.Configure(o.clock.now(), e.cfg, e.names.kept(o.names))
+	o.cfg, o.names = e.cfg, e.names
+	close(e.applied)
+}
+
 // ending is word that the process ends at a time: what it still takes has to be answered by then.
 type ending struct{ by float64 }
 
@@ -298,7 +321,7 @@
 	f.out++
 	up := o.hosts.find(host)
 	switch {
-	case f.answered, f.bound(), until <= now && f.request.up == nil, o.cfg.MaxAttempts > 0 && a.number >= o.cfg.MaxAttempts:
+	case f.answered, f.bound(), until <= now && f.request.up == nil, f.most > 0 && a.number >= f.most:
 		o.local = append(o.local, outcome{attempt: a, result: balancer.Moot})
 	case up == nil:
 		o.local = append(o.local, outcome{attempt: a, result: balancer.ConnectFailed})
--- a/internal/proxy/parse.go
+++ b/internal/proxy/parse.go
@@ -46,6 +46,8 @@
 	old    bool        // its client knows no chunks
 	taken  time.Time   // when it had come whole: its client's time runs since then
 	answer chan answer // gets exactly one
+	names  *names      // by which it was read
+	method string
 }
 
 func (p *pool) freeRequest(q *request) {
@@ -86,23 +88,67 @@
 
 // names turns the names that requests carry into the module's numbers.
 type names struct {
-	classes map[string]int
-	tenants map[string]int
-	effects []balancer.Effect
+	classes  map[string]int
+	tenants  map[string]int
+	words    []string // of the classes
+	clients  []string // of the tenants
+	effects  []balancer.Effect
+	tally    []*classTally // of the classes
+	coolDown float64       // seconds that a refusal of the front's own names; 0: settings allow none
 }
 
-func newNames(s *settings.Settings, c balancer.Config) *names {
-	n := &names{classes: map[string]int{}, tenants: map[string]int{}}
+func newNames(s *settings.Settings, c *balancer.Config, t *tally) *names {
+	n := &names{classes: map[string]int{}, tenants: map[string]int{}, coolDown: c.MaxCoolDown / 4}
 	for i, k := range s.Classes {
 		n.classes[k.Name] = i
+		n.words = append(n.words, k.Name)
 		n.effects = append(n.effects, c.Classes[i].Effect)
+		n.tally = append(n.tally, t.of(k.Name))
 	}
 	for i, t := range s.Tenants {
 		n.tenants[t.Name] = i
+		n.clients = append(n.clients, t.Name)
 	}
 	return n
 }
 
+// kept says of each class which one of was it is; -1: none.
+func (n *names) kept(was *names) []int {
+	kept := make([]int, len(n.words))
+	for i, word := range n.words {
+		kept[i] = -1
+		if from, known := was.classes[word]; known {
+			kept[i] = from
+		}
+	}
+	return kept
+}
+
+// adopt words a request anew that was read by other names and has not been taken yet.
+func (n *names) adopt(q *request) *badRequest {
+	class, tenant := q.names.words[q.Class], ""
+	if q.Tenant < len(q.names.clients) {
+		tenant = q.names.clients[q.Tenant]
+	}
+	q.names = n
+	return n.number(&q.Request, class, q.method, tenant)
+}
+
+// number gives a request the module's numbers of its class and tenant.
+func (n *names) number(q *balancer.Request, class, method, tenant string) *badRequest {
+	var known bool
+	if q.Class, known = n.classes[class]; !known {
+		return &badRequest{http.StatusBadRequest, "unknown class"}
+	}
+	if !slices.Contains(methods[n.effects[q.Class]], method) {
+		return &badRequest{http.StatusMethodNotAllowed, "the method does not fit the class"}
+	}
+	if q.Tenant, known = n.tenants[tenant]; !known && len(n.tenants) > 0 {
+		return &badRequest{http.StatusBadRequest, "unknown tenant"}
+	}
+	return nil
+}
+
 // methods are those that fit a class by what a second execution would do.
 var methods = map[balancer.Effect][]string{
 	balancer.Safe:   {http.MethodGet},
@@ -112,11 +158,12 @@
 
 // parse takes the rest of a request off the connection. On an error nothing stays taken from the pool.
 func (c *client) parse(r *http.Request) (*request, *badRequest) {
-	in, bad := c.front.names.translate(r)
+	n := c.front.names.Load()
+	in, bad := n.translate(r)
 	if bad != nil {
 		return nil, bad
 	}
-	q := &request{Request: in, name: r.Header.Get(headerID), answer: make(chan answer, 1)}
+	q := &request{Request: in, name: r.Header.Get(headerID), answer: make(chan answer, 1), names: n, method: r.Method}
 	if bad := c.takeBody(r, q); bad != nil {
 		return nil, bad
 	}
@@ -180,15 +227,8 @@
 	if id := r.Header.Get(headerID); id == "" || len(id) > mostIDLength || strings.ContainsAny(id, " \t,;") {
 		return reject("%s is missing, too long or none", headerID)
 	}
-	var known bool
-	if q.Class, known = n.classes[r.Header.Get(headerClass)]; !known {
-		return reject("unknown class")
-	}
-	if !slices.Contains(methods[n.effects[q.Class]], r.Method) {
-		return q, &badRequest{http.StatusMethodNotAllowed, "the method does not fit the class"}
-	}
-	if q.Tenant, known = n.tenants[r.Header.Get(headerTenant)]; !known && len(n.tenants) > 0 {
-		return reject("unknown tenant")
+	if bad := n.number(&q, r.Header.Get(headerClass), r.Method, r.Header.Get(headerTenant)); bad != nil {
+		return q, bad
 	}
 	var err error
 	if q.Budget, err = parseSpan(r.Header.Get(headerRemaining)); err != nil || q.Budget > mostRemaining {
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -31,7 +31,7 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTime)
 	defer cancel()
 	path := probePath
-	if len(up.hosts.columns) > 0 {
+	if len(up.hosts.by.Load().columns) > 0 {
 		path = reportPath
 	}
 	r, result := up.exchange(ctx, question(path))
@@ -39,7 +39,7 @@
 		p.result = balancer.TurnedAway
 	}
 	if p.report = r.report; p.report == nil && r.body.size <= bufferSize && len(r.body.bufs) > 0 {
-		p.report = parseReport(string(r.body.bufs[0][:r.body.size]), up.hosts.columns)
+		p.report = parseReport(string(r.body.bufs[0][:r.body.size]), up.hosts.by.Load().columns)
 	}
 	up.hosts.bufs.freeBody(&r.body)
 	return p
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -44,6 +44,8 @@
 // Proxy is one client proxy.
 type Proxy struct {
 	cfg    *Config
+	live   atomic.Pointer[balancer.Config] // the settings in force
+	ending atomic.Int64                    // longest deadline in force since the start, in nanoseconds
 	log    *zap.Logger
 	times  timing
 	listen func(network, addr string) (net.Listener, error)
@@ -70,6 +72,7 @@
 	p := &Proxy{cfg: cfg, log: log, times: defaultTiming(), listen: net.Listen,
 		reloads: make(chan struct{}, 1), prepared: make(chan struct{})}
 	p.times.set(cfg.Site.Connections)
+	p.inForce(&cfg.Balancer)
 	p.decide = func(now float64, cfg balancer.Config, act balancer.Actions) balancer.Handler {
 		return balancer.New(now, cfg, act)
 	}
@@ -109,7 +112,7 @@
 	room := newRoom(p.cfg.Limits)
 	p.hosts = newHosts(p.cfg, c, p.bufs, room, p.times)
 	p.owner = newOwner(run, p.cfg, c, p.hosts, p.bufs, p.times, p.log)
-	p.front, err = newFront(ln, p.frontLimits(), room, p.hosts.giveBack, p.owner, p.bufs, newNames(p.cfg.Settings, p.cfg.Balancer), p.times,
+	p.front, err = newFront(ln, p.frontLimits(), room, p.hosts.giveBack, p.owner, p.bufs, p.owner.names, p.times,
 		p.log)
 	if err != nil {
 		return Stopped, err
@@ -131,7 +134,7 @@
 	clients, requests := p.cfg.Limits.connections()
 	return frontLimits{most: clients, connections: clientLimit(clients, p.cfg.Site.Connections),
 		byAddress: p.cfg.Site.Connections.Callers == site.Address, warm: max(1, requests/4),
-		coolDown: p.cfg.Balancer.MaxCoolDown / 4, watchers: p.cfg.Limits.watchers(clients),
+		watchers: p.cfg.Limits.watchers(clients),
 		desk: places.DeskConfig{Most: requests, Refusing: shedReserve, Patience: patienceFor(p.cfg.Balancer.Classes),
 			Pace: paceOf(p.cfg.Limits.Cores), Burst: min(requests, turnBurst)}}
 }
@@ -268,12 +271,15 @@
 	return Finishing, nil
 }
 
-// longest is the longest deadline, in seconds.
-func (p *Proxy) longest() (longest float64) {
-	for _, c := range p.cfg.Balancer.Classes {
-		longest = max(longest, c.Deadline)
+// longest is the longest deadline, in seconds; one that other settings have shortened holds for what was taken under it.
+func (p *Proxy) longest() float64 { return time.Duration(p.ending.Load()).Seconds() }
+
+// inForce notes the settings that hold from now on.
+func (p *Proxy) inForce(c *balancer.Config) {
+	p.live.Store(c)
+	for _, k := range c.Classes {
+		p.ending.Store(max(p.ending.Load(), int64(seconds(k.Deadline))))
 	}
-	return longest
 }
 
 // drain goes on accepting: clients learn of the end only from the answers, and closing the listener resets what waits
--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"net"
+	"time"
 
 	"go.uber.org/zap"
 )
@@ -28,8 +29,8 @@
 	}
 }
 
-// adopt takes over what a new configuration may change in a running proxy: the address of discovery, and the operator's
-// limits of connections. PROXY_DISCOVERY is
+// adopt takes over what a new configuration may change in a running proxy: the settings, the address of discovery, and the
+// operator's limits of connections. PROXY_DISCOVERY is
 // still that of the start, so what has changed in the file goes before it; what has not changed there changes nothing.
 func (p *Proxy) adopt() error {
 	if p.cfg.reread == nil {
@@ -51,12 +52,14 @@
 	}
 	for name, same := range map[string]bool{
 		"name": is.Name == was.Name, "listen": is.Listen == was.Listen, "limits": is.Limits == was.Limits,
-		"settings": sameJSON(is.Settings, was.Settings),
 	} {
 		if !same {
 			p.log.Warn("a change that waits for the next start", zap.String("of", name))
 		}
 	}
+	if !sameJSON(is.Settings, was.Settings) {
+		p.reconfigure(c)
+	}
 	p.cfg.file = is
 	if p.cfg.Site != c.Site {
 		p.log.Info("operator's file read again, limits of connections taken over")
@@ -69,6 +72,27 @@
 	return nil
 }
 
+// reconfigure takes over other settings. The module comes first: a request read by the names of before is worded anew when
+// it gets there, one read by the new names finds them in force.
+func (p *Proxy) reconfigure(c *Config) {
+	was, is := p.live.Load(), &c.Balancer
+	p.cfg.zones.place(is, c.Settings)
+	is.Seed = was.Seed
+	p.inForce(is)
+	p.hosts.by.Store(newHostSettings(c.Settings, is))
+	e := configured{cfg: *is, names: newNames(c.Settings, is, p.owner.tally), applied: make(chan struct{})}
+	p.owner.post(e)
+	select {
+	case <-e.applied:
+	case <-p.owner.done:
+		return
+	}
+	p.front.names.Store(e.names)
+	p.front.seat(func(time.Duration) { p.front.desk.Patient(patienceFor(is.Classes)) })
+	p.owner.list.configure(was, is)
+	p.log.Info("settings in force", zap.Strings("classes", e.names.words), zap.Int("proxies", is.Balancers))
+}
+
 // sameJSON compares two texts that have been read as JSON, but for white space.
 func sameJSON(a, b []byte) bool {
 	var x, y bytes.Buffer
--- a/internal/proxy/reply.go
+++ b/internal/proxy/reply.go
@@ -64,7 +64,7 @@
 		return reply{err: errLength}
 	}
 	c.meter.allow(2 * bodies.Longest) // with the framing of chunks
-	columns := c.up.hosts.columns
+	columns := c.up.hosts.by.Load().columns
 	out := reply{status: r.StatusCode, result: resultOf(r), kind: r.Header.Get("Content-Type"),
 		report: parseReport(r.Header.Get(headerReport), columns), length: r.ContentLength}
 	if way == bodies.Whole || out.result != balancer.OK {
--- /dev/null
+++ b/internal/proxy/switch_test.go
@@ -0,0 +1,178 @@
+package proxy
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"beechwing/internal/settings"
+)
+
+// poolSettings are those of a deployment of another shape: one location, other classes in another order, no probes, no
+// second copies, no reports, a pool of proxies.
+const poolSettings = `{"Balancers": 16, "Me": 3, "Zone": 0, "Dcs": ["c"], "Discovery": "push",
+ "Classes": [
+ {"Name": "pay", "Effect": "once", "AimS": 0.8, "DeadlineS": 2.5, "Credit": 8.0, "LateWorth": 0.3},
+ {"Name": "write", "Effect": "once", "AimS": 0.2, "DeadlineS": 1.0, "Credit": 5.0}],
+ "Tenants": [{"Name": "other", "Share": 0.4}, {"Name": "acme", "Share": 0.6}],
+ "Limits": {"Cancelling": true, "MaxAttempts": 6, "ConnectTimeoutS": 0.2, "ConnIdleS": 30.0},
+ "Goal": {"Punctual": 0.4, "MissAllowed": 0.02}, "Report": {"How": "none"}, "WeightKind": "rough",
+ "Rules": {"AskWithinS": 5.0, "StopSendingWithinS": 1.0, "ColdFrom": 0.12, "ColdS": 23.0, "FallMultiple": 3.0,
+  "TipAfterS": 2.0}}`
+
+// to is a configuration with other settings, read as the file is.
+func to(text string) func(*Config) error {
+	return func(c *Config) (err error) {
+		if c.Settings, err = settings.Parse([]byte(text)); err != nil {
+			return err
+		}
+		if c.Balancer, err = c.Settings.Config(c.Seed); err != nil {
+			return err
+		}
+		c.Balancer.AskForList = true
+		c.file.Settings = []byte(text)
+		return nil
+	}
+}
+
+// switchTo has the proxy read a configuration again, and waits until that is done.
+func (r *rereads) switchTo(t testing.TB, g *rig, text, log string) {
+	t.Helper()
+	r.set(to(text))
+	g.p.Reload()
+	for got := ""; got != log; {
+		got = r.done.next(t, log)
+	}
+}
+
+// TestSwitchUnderLoad: settings of another shape come into force and go again, many times, while clients ask. Each request
+// has one answer, each unsafe one reaches hosts once at the most, and what one of the two does not know is told at once.
+func TestSwitchUnderLoad(t *testing.T) {
+	var mu sync.Mutex
+	runs := map[string]int{}
+	serve := func(c net.Conn, r seenRequest) bool {
+		mu.Lock()
+		runs[r.Header.Get(headerID)]++
+		mu.Unlock()
+		_, err := io.WriteString(c, ok)
+		return err == nil
+	}
+	a, b := newHost(t, serve), newHost(t, serve)
+	l := newList(t, entry("h1", a.addr()), entry("h2", b.addr()))
+	l.set(entry("h1", a.addr()), entry("h2", b.addr()))
+	file, f := reloads()
+	g := start(t, l.addr(), "null", f)
+	g.waitReady()
+	stop := make(chan struct{})
+	counts := make([]map[int]int, 6)
+	var clients sync.WaitGroup
+	for i := range counts {
+		counts[i] = map[int]int{}
+		class, text := []string{"write", "read", "pay"}[i%3], []string{"x", "", "x"}[i%3]
+		clients.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				c := g.dial()
+				io.WriteString(c, message(class, text))
+				r, err := http.ReadResponse(bufio.NewReader(c), nil)
+				if err != nil {
+					t.Errorf("%s without an answer: %v", class, err)
+					c.Close()
+					return
+				}
+				counts[i][r.StatusCode]++
+				c.Close()
+			}
+		})
+	}
+	for range 6 {
+		file.switchTo(t, g, poolSettings, "settings in force")
+		if a := g.raw(message("pay", "")); a.status == http.StatusBadRequest {
+			t.Error("the new settings' class is unknown")
+		}
+		if a := g.raw(message("read", "")); a.status != http.StatusBadRequest {
+			t.Errorf("a class that went: %d", a.status)
+		}
+		file.switchTo(t, g, testSettings, "settings in force")
+		if a := g.raw(message("pay", "")); a.status != http.StatusBadRequest {
+			t.Errorf("back again, the other's class: %d", a.status)
+		}
+	}
+	close(stop)
+	clients.Wait()
+	for i, count := range counts {
+		if count[http.StatusOK] == 0 || i%3 == 0 && (count[http.StatusBadRequest] > 0 || count[http.StatusBadGateway] > 0) {
+			t.Errorf("client %d: answers %v", i, count)
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	for id, n := range runs {
+		if n > 1 {
+			t.Errorf("%s ran %d times", id, n)
+		}
+	}
+	if figures := string(g.p.owner.tally.text()); strings.Count(figures, "proxy.ok.write=") != 1 ||
+		!strings.Contains(figures, "proxy.ok.pay=") || !strings.Contains(figures, "proxy.active=0") {
+		t.Errorf("figures %s", figures)
+	}
+}
+
+// TestClassGoesWhileOpen: what was taken under the old settings ends under them: its class may be gone, its deadline may be
+// longer than any now.
+func TestClassGoesWhileOpen(t *testing.T) {
+	release := newGate()
+	defer release.open()
+	h := newHost(t, func(c net.Conn, _ seenRequest) bool {
+		<-release.opened
+		_, err := io.WriteString(c, ok)
+		return err == nil
+	})
+	l := newList(t, entry("h1", h.addr()), entry("h2", h.addr()), entry("h3", h.addr())) // three: limits start low
+	file, f := reloads()
+	g := start(t, l.addr(), "null", f)
+	g.waitReady()
+	open := map[string]net.Conn{}
+	for _, class := range []string{"read", "write", "log"} {
+		c := g.dial()
+		defer c.Close()
+		io.WriteString(c, message(class, ""))
+		h.seen.next(t, class)
+		open[class] = c
+	}
+	file.switchTo(t, g, poolSettings, "settings in force")
+	release.open()
+	for class, c := range open {
+		if a := hear(t, bufio.NewReader(c)); a.status != http.StatusOK {
+			t.Errorf("%s: %d", class, a.status)
+		}
+	}
+	if len(h.seen) > 0 {
+		t.Errorf("%d attempts more", len(h.seen))
+	}
+}
+
+// TestBadSettingsChangeNothing: one field that makes no sense, and the old settings serve on as a whole.
+func TestBadSettingsChangeNothing(t *testing.T) {
+	h := newHost(t, says(ok))
+	l := newList(t, entry("h1", h.addr()))
+	file, f := reloads()
+	g := start(t, l.addr(), "null", f)
+	g.waitReady()
+	bad := strings.Replace(poolSettings, `"MissAllowed": 0.02`, `"MissAllowed": 2`, 1)
+	file.switchTo(t, g, bad, "configuration not read again, the old one stays")
+	if a := g.raw(message("read", "")); a.status != http.StatusOK {
+		t.Errorf("a class of the old settings: %d", a.status)
+	}
+	if a := g.raw(message("pay", "")); a.status != http.StatusBadRequest {
+		t.Errorf("a class of the refused settings: %d", a.status)
+	}
+}
--- a/internal/proxy/tally.go
+++ b/internal/proxy/tally.go
@@ -5,16 +5,16 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
-
-	"beechwing/internal/settings"
 )
 
 // tally counts what operators are told. All of it may be read at any time without waiting for anybody. Each request that
 // begins ends once, so taken = ok + shed + errors + active, but for those whose clients went.
 type tally struct {
-	names        []string // of the classes, as they stand in a figure
-	classes      []classTally
+	mu           sync.Mutex
+	names        []string // of all classes since the start, as they stand in a figure
+	classes      map[string]*classTally
 	tries        atomic.Int64 // attempts written whole to hosts
 	active       atomic.Int64 // requests taken and not ended
 	listed, left atomic.Int64 // hosts in the list, and those of them that the proxy avoids
@@ -23,12 +23,18 @@
 // classTally counts the ends of a class's requests.
 type classTally struct{ ok, shed, errors atomic.Int64 }
 
-func newTally(s *settings.Settings) *tally {
-	t := &tally{classes: make([]classTally, len(s.Classes))}
-	for _, c := range s.Classes {
-		t.names = append(t.names, figureName(c.Name))
+func newTally() *tally { return &tally{classes: map[string]*classTally{}} }
+
+// of is the tally of a class, told by its name: other settings may number it anew.
+func (t *tally) of(class string) *classTally {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	name := figureName(class)
+	if t.classes[name] == nil {
+		t.classes[name] = &classTally{}
+		t.names = append(t.names, name)
 	}
-	return t
+	return t.classes[name]
 }
 
 // figureName makes a class's name fit into a line of figures: what would end the name or the line is written as "_".
@@ -45,9 +51,8 @@
 func (t *tally) begin() { t.active.Add(1) }
 
 // end counts the end of one, by the status that its client got; 0: the client had gone.
-func (t *tally) end(class, status int) {
+func (t *tally) end(c *classTally, status int) {
 	t.active.Add(-1)
-	c := &t.classes[class]
 	switch status {
 	case 0:
 	case http.StatusOK:
@@ -62,8 +67,10 @@
 // text words the figures, one a line.
 func (t *tally) text() []byte {
 	var b bytes.Buffer
-	for i, name := range t.names {
-		c := &t.classes[i]
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, name := range t.names {
+		c := t.classes[name]
 		fmt.Fprintf(&b, "proxy.ok.%s=%d\nproxy.shed.%s=%d\nproxy.errors.%s=%d\n",
 			name, c.ok.Load(), name, c.shed.Load(), name, c.errors.Load())
 	}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -10,9 +10,11 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"beechwing/balancer"
+	"beechwing/internal/settings"
 )
 
 const (
@@ -28,19 +30,29 @@
 
 // hosts holds what is kept for the hosts of the list: addresses and connections. Only the owner adds and removes.
 type hosts struct {
-	bufs    *pool
-	clock   clock
-	columns []string
-	connect time.Duration
-	settle  time.Duration // for which a message's last byte is held back
-	idle    time.Duration
-	grace   float64 // seconds after word of a drain in which a request may still be written
-	room    *room
+	bufs   *pool
+	clock  clock
+	settle time.Duration // for which a message's last byte is held back
+	room   *room
+	by     atomic.Pointer[hostSettings]
 
 	mu  sync.Mutex
 	all map[balancer.HostID]*upstream
 }
 
+// hostSettings is what the settings say of connections to hosts.
+type hostSettings struct {
+	columns       []string
+	connect, idle time.Duration
+	grace         float64 // seconds after word of a drain in which a request may still be written
+}
+
+func newHostSettings(s *settings.Settings, c *balancer.Config) *hostSettings {
+	return &hostSettings{columns: s.Columns(), grace: c.DrainGrace / 2,
+		connect: seconds(cmp.Or(c.ConnectTimeout, defaultConnect)),
+		idle:    seconds(idleShare * cmp.Or(s.Limits.ConnIdleS, defaultConnIdle))}
+}
+
 // upstream is one host as the sockets see it.
 type upstream struct {
 	hosts  *hosts
@@ -54,13 +66,9 @@
 }
 
 func newHosts(cfg *Config, c clock, bufs *pool, r *room, t timing) *hosts {
-	return &hosts{
-		bufs: bufs, clock: c, columns: cfg.Settings.Columns(), grace: cfg.Balancer.DrainGrace / 2,
-		connect: seconds(cmp.Or(cfg.Balancer.ConnectTimeout, defaultConnect)),
-		idle:    seconds(idleShare * cmp.Or(cfg.Settings.Limits.ConnIdleS, defaultConnIdle)),
-		settle:  t.settle,
-		room:    r, all: map[balancer.HostID]*upstream{},
-	}
+	h := &hosts{bufs: bufs, clock: c, settle: t.settle, room: r, all: map[balancer.HostID]*upstream{}}
+	h.by.Store(newHostSettings(cfg.Settings, &cfg.Balancer))
+	return h
 }
 
 func (h *hosts) find(id balancer.HostID) *upstream {
@@ -133,7 +141,7 @@
 		c, u.idle = u.idle[n-1], u.idle[:n-1]
 	}
 	u.mu.Unlock()
-	if drained > 0 && u.hosts.clock.now() > drained+u.hosts.grace {
+	if drained > 0 && u.hosts.clock.now() > drained+u.hosts.by.Load().grace {
 		if c != nil {
 			c.close()
 		}
@@ -150,7 +158,7 @@
 	if !u.hosts.reserve(ctx) {
 		return nil, errNoRoom
 	}
-	dialer := net.Dialer{Timeout: u.hosts.connect, KeepAlive: -1}
+	dialer := net.Dialer{Timeout: u.hosts.by.Load().connect, KeepAlive: -1}
 	nc, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		u.hosts.room.giveHost()
@@ -170,13 +178,14 @@
 	if c := h.takeIdle(); c != nil {
 		c.close()
 	}
-	return h.room.awaitHost(ctx, h.connect)
+	return h.room.awaitHost(ctx, h.by.Load().connect)
 }
 
 // retire is how long a connection may be idle: up to a fifth less than the most, so that those of one burst do not all end
 // and come anew together. The one used last is used first, so no more stay than were in use at once in that time.
 func (h *hosts) retire() time.Duration {
-	return h.idle - time.Duration(rand.Float64()*retireSpread*float64(h.idle))
+	idle := h.by.Load().idle
+	return idle - time.Duration(rand.Float64()*retireSpread*float64(idle))
 }
 
 // giveBack closes up to n idle connections.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,6 +16,7 @@
 	Dcs        []string
 	Discovery  string
 	FamilyInfo struct{ WarmKeys bool }
+	Goal       struct{ Punctual, MissAllowed float64 }
 	Limits     struct {
 		Cancelling, Peers, Probes, RetryAfter, SecondCopies bool
 		ConnIdleS, ConnectTimeoutS, MaxRetryAfterS          float64
@@ -71,6 +72,43 @@
 	return s, nil
 }
 
+// number is a setting, and whether it is a share.
+type number struct {
+	field string
+	value float64
+	share bool
+}
+
+// check finds the first number that makes no sense: one that is negative, or a share above one.
+func (s *Settings) check() error {
+	l, r := &s.Limits, &s.Rules
+	all := []number{
+		{"Balancers", float64(s.Balancers), false}, {"Zone", float64(s.Zone), false}, {"Me", float64(s.Me), false},
+		{"Goal.Punctual", s.Goal.Punctual, false}, {"Goal.MissAllowed", s.Goal.MissAllowed, true},
+		{"Limits.MaxAttempts", float64(l.MaxAttempts), false}, {"Limits.ConnIdleS", l.ConnIdleS, false},
+		{"Limits.ConnectTimeoutS", l.ConnectTimeoutS, false}, {"Limits.MaxRetryAfterS", l.MaxRetryAfterS, false},
+		{"Rules.AskWithinS", r.AskWithinS, false}, {"Rules.ColdFrom", r.ColdFrom, true}, {"Rules.ColdS", r.ColdS, false},
+		{"Rules.FallMultiple", r.FallMultiple, false}, {"Rules.StopSendingWithinS", r.StopSendingWithinS, false},
+		{"Rules.TipAfterS", r.TipAfterS, false}, {"OverShareWorth", s.OverShareWorth, false},
+		{"Prices.CrossZone", s.Prices.CrossZone, false},
+	}
+	for i, k := range s.Classes {
+		at := fmt.Sprintf("class %d: ", i)
+		all = append(all, number{at + "AimS", k.AimS, false}, number{at + "AimStretch", k.AimStretch, false},
+			number{at + "DeadlineS", k.DeadlineS, false}, number{at + "Credit", k.Credit, false},
+			number{at + "LateWorth", k.LateWorth, true}, number{at + "DedupWindowS", k.DedupWindowS, false})
+	}
+	for _, n := range all {
+		if n.value < 0 || n.share && n.value > 1 {
+			return fmt.Errorf("%s is %v, out of range", n.field, n.value)
+		}
+	}
+	if len(s.Dcs) > 0 && s.Zone >= len(s.Dcs) {
+		return fmt.Errorf("Zone is %d, of %d in Dcs", s.Zone, len(s.Dcs))
+	}
+	return nil
+}
+
 // Config translates the settings into what a Balancer is told at start.
 func (s *Settings) Config(seed uint64) (balancer.Config, error) {
 	c := balancer.Config{
@@ -78,12 +116,16 @@
 		OverShareWorth: s.OverShareWorth, WorthByWork: s.WorthBy == "work",
 		Weighted: s.WeightKind == "nominal" || s.WeightKind == "rough",
 		WarmKeys: s.FamilyInfo.WarmKeys, AskForList: s.Discovery == "ask", Prices: s.Prices,
+		Punctual: s.Goal.Punctual, MissAllowed: s.Goal.MissAllowed,
 		MaxAttempts: s.Limits.MaxAttempts, SecondCopies: s.Limits.SecondCopies,
 		Cancelling: s.Limits.Cancelling, Probes: s.Limits.Probes, PeerMessages: s.Limits.Peers,
 		ConnectTimeout: s.Limits.ConnectTimeoutS, AskWithin: s.Rules.AskWithinS,
 		DrainGrace: s.Rules.StopSendingWithinS, ColdFrom: s.Rules.ColdFrom, ColdFor: s.Rules.ColdS,
 		FallMultiple: s.Rules.FallMultiple, FallAfter: s.Rules.TipAfterS,
 	}
+	if err := s.check(); err != nil {
+		return c, fmt.Errorf("settings: %w", err)
+	}
 	if s.Limits.RetryAfter {
 		c.MaxCoolDown = s.Limits.MaxRetryAfterS
 	}
