--- a/balancer/hardening_test.go
+++ b/balancer/hardening_test.go
@@ -150,3 +150,51 @@
 		}
 	}
 }
+
+// TestConfigure: other settings leave what is open under the class and attempts with which it was taken, and what was
+// learned in its place, by the class's name; there and back, also while the class of an open request is gone.
+func TestConfigure(t *testing.T) {
+	old := testConfig()
+	pool := testConfig()
+	pool.Classes = []Class{{Aim: 0.2, Deadline: 1, Worth: 5, Effect: Unsafe}, old.Classes[0]}
+	pool.MaxAttempts, pool.ColdFor = 1, 23
+	b, r := start(old, fleet(8))
+	h := r.ask(b, 1, 0, 7) // may be repeated, whatever comes
+	unsafe := r.ask(b, 2, 1, 9)
+	log := r.ask(b, 3, 3, 11)
+	b.classWork[0], b.strain[0], b.cold, b.warmFlow = 0.7, 0.3, 2, 5
+	b.index[h].until = b.now + 9
+	b.index[h].lost[0] = 4
+	b.Configure(r.now, pool, []int{-1, 0})
+	if b.classWork[1] != 0.7 || b.strain[1] != 0.3 || b.index[h].lost[1] != 4 || b.classWork[0] == 0.7 || b.index[h].lost[0] != 0 {
+		t.Errorf("learned of classes: work %v, strain %v, lost %v", b.classWork, b.strain, b.index[h].lost)
+	}
+	if b.cold != 2 || b.warmFlow != 5 || b.index[h].until <= b.now || b.longest != 2 {
+		t.Errorf("learned of hosts is gone: cold %v, flow %v, longest %v", b.cold, b.warmFlow, b.longest)
+	}
+	r.end(b, 2, 0, unsafe, Errored)
+	if got := r.last(); got.kind != "fail" || got.id != 2 {
+		t.Errorf("unsafe, its class gone: %+v", got)
+	}
+	r.end(b, 1, 0, h, Errored) // one attempt is what new ones have
+	if got := r.last(); got.kind != "send" || got.id != 1 {
+		t.Errorf("an open request lost its attempts: %+v", got)
+	}
+	if h := r.ask(b, 4, 1, 5); h == 0 {
+		t.Error("nothing is sent under the new settings")
+	} else if r.end(b, 4, 0, h, Errored); r.tries[4] != 1 {
+		t.Errorf("%d attempts where the settings allow one", r.tries[4])
+	}
+	b.Configure(r.now, old, []int{1, -1, -1, -1})
+	if b.index[h].lost[0] != 4 {
+		t.Errorf("back again: lost %v", b.index[h].lost)
+	}
+	r.end(b, 3, 0, log, OK)
+	if _, open := b.ops[3]; open {
+		t.Error("a request whose class went and came is still open")
+	}
+	r.advance(b, r.now+30)
+	if len(b.ops) > 1 {
+		t.Errorf("%d requests open", len(b.ops))
+	}
+}
