A host that is out for a class is asked again four times more seldom

Seen: while 57% of the hosts leave a class unanswered, 6 to 12% of that class went on being lost to finding out whether it is over.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -34,21 +34,19 @@
 	// A host's admitted share falls by admitGain a second for each unit that the load it shows is above what
 	// is wanted: admitOver more than the mean, and between loadedAbove and mostLoad. Peers are told of a change
 	// of tellStep in its logarithm, as far as tellShare of a full message for each request goes.
-	admitGain              = 0.7
-	admitLeast             = 0.05
-	admitAims              = 128.0 // until a share has faded back to one, in longest aims
-	admitOver              = 0.15
-	mostLoad               = 0.95
-	tellStep               = 0.2
-	tellShare              = 0.3
-	tellSaved, fullMessage = 100.0, 256.0 // messages saved up at the most, bytes in one
+	admitGain                       = 0.7
+	admitAims                       = 128.0 // until a share has faded back to one, in longest aims
+	admitLeast, admitOver, mostLoad = 0.05, 0.15, 0.95
+	tellStep                        = 0.2
+	tellShare                       = 0.3
+	tellSaved, fullMessage          = 100.0, 256.0 // messages saved up at the most, bytes in one
 
 	wholeShare = 223                        // the word for a whole admitted share; above it stand classes
 	classWords = math.MaxUint8 - wholeShare // classes of which peers are told
 
-	// A host is out for a class of which it lost at least lostSure attempts lately, faded over lostAims longest
-	// aims, and more than lostMost halves of all that it lost.
-	lostAims, lostSure, lostMost = 32.0, 8.0, 1.5
+	// A host is out for a class of which it lost lostSure attempts lately, and more than lostMost halves of all
+	// that it lost. Losses fade over lostAims longest aims, from lostSure on lostSlower as slowly.
+	lostAims, lostSure, lostMost, lostKept, lostSlower = 32.0, 8.0, 1.5, 16.0, 4.0
 
 	ejectAt = 0.4 // share of failures
 
@@ -663,9 +661,13 @@
 
 // fade lets losses of a host be forgotten in time.
 func (b *Balancer) fade(h *host) {
-	keep := math.Exp((h.lostAt - b.now) / (lostAims * b.longest))
-	for c := range h.lost {
-		h.lost[c] *= keep
+	ago := (b.now - h.lostAt) / (lostAims * b.longest)
+	for c, lost := range h.lost {
+		slower := 1.0
+		if lost >= lostSure { // who is out for a class is seldom asked again
+			slower = lostSlower
+		}
+		h.lost[c] = min(lost, lostKept) * math.Exp(-ago/slower)
 	}
 	h.lostAt = b.now
 }
