--- a/internal/proxy/switch_test.go
+++ b/internal/proxy/switch_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"beechwing/internal/settings"
 )
@@ -176,3 +178,50 @@
 		t.Errorf("a class of the refused settings: %d", a.status)
 	}
 }
+
+// TestSwitchWhileEnding: settings that come while the proxy is told to end, or one after another without a pause, lose nothing:
+// what is open is answered, the last ones are in force, and the proxy ends.
+func TestSwitchWhileEnding(t *testing.T) {
+	release, ending := newGate(), newGate()
+	defer release.open()
+	defer ending.open()
+	h := newHost(t, func(c net.Conn, _ seenRequest) bool {
+		<-release.opened
+		_, err := io.WriteString(c, ok)
+		return err == nil
+	})
+	l := newList(t, entry("h1", h.addr()))
+	file, f := reloads()
+	g := start(t, l.addr(), "null", f, func(p *Proxy) {
+		step := p.steps[Draining]
+		p.steps[Draining] = func(ctx context.Context) (Phase, error) {
+			<-ending.opened
+			return step(ctx)
+		}
+	})
+	g.waitReady()
+	c := g.dial()
+	defer c.Close()
+	io.WriteString(c, message("write", ""))
+	h.seen.next(t, "the request")
+	for range 20 {
+		file.set(to(testSettings))
+		g.p.Reload()
+		file.set(to(poolSettings))
+		g.p.Reload()
+	}
+	g.tell()
+	for end := time.Now().Add(patience); len(g.p.front.names.Load().words) != 2; {
+		if time.Now().After(end) {
+			t.Fatal("the last settings are not in force")
+		}
+		g.p.Reload()
+		file.done.next(t, "a reading")
+	}
+	release.open()
+	if a := hear(t, bufio.NewReader(c)); a.status != http.StatusOK {
+		t.Errorf("what was open: %d", a.status)
+	}
+	ending.open()
+	g.stop()
+}
