--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -27,12 +27,12 @@
 	localityPrice     = 0.06
 	farRank, lastRank = 1e-6, 1e12 // of other zones at that price; behind every rendezvous score
 
-	thinBelow = 0.2 // in flight to a mean host, limits hardly ever bind: near-late answers and peers tell of load
+	thinBelow = 0.2 // in flight to a mean host, limits hardly ever bind: answers and peers tell of load
 	// loadedAbove is the load, by how near answers are to being late, above which a zone is short of room.
 	loadedAbove, loadStep = 0.7, 0.2 // loadStep: the weight of one answer
 
 	// A host's admitted share falls by admitGain a second for each unit that the load it shows is above what
-	// is wanted: admitOver more than the mean, and between loadedAbove and mostLoad. Peers are told of a change
+	// is wanted: admitOver over the mean, and between loadedAbove and mostLoad. Peers are told of a change
 	// of tellStep in its logarithm, as far as tellShare of a full message for each request goes.
 	admitGain                       = 0.7
 	admitAims                       = 128.0 // until a share has faded back to one, in longest aims
@@ -44,7 +44,7 @@
 	wholeShare = 223                        // the word for a whole admitted share; above it stand classes
 	classWords = math.MaxUint8 - wholeShare // classes of which peers are told
 
-	// A host is out for a class of which it lost lostSure attempts lately, and more than lostMost halves of all
+	// A host is out for a class of which it lost lostSure attempts lately, and over lostMost halves of all
 	// that it lost. Losses fade over lostAims longest aims, from lostSure on lostSlower as slowly.
 	lostAims, lostSure, lostMost, lostKept, lostSlower = 32.0, 8.0, 1.5, 16.0, 4.0
 
