--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -179,7 +179,7 @@
 	mean    float64    // in flight from here to a host of mean size
 	thin    bool       // too little in flight for limits to tell of load
 	doubts  bool       // hosts in doubt yield
-	load    [2]float64 // mean reported load of this zone and of others
+	load    [2]float64 // mean load that hosts of this zone and of others show
 	admit   float64    // mean share admitted by hosts that can be reached
 	tells   float64    // full messages that may be sent
 	told    [4]byte    // the message at hand
--- a/internal/proxy/client_test.go
+++ b/internal/proxy/client_test.go
@@ -204,10 +204,7 @@
 func TestOpenID(t *testing.T) {
 	release := newGate()
 	defer release.open()
-	h := newHost(t, func(c net.Conn, r seenRequest) bool {
-		<-release.opened
-		return says(ok)(c, r)
-	})
+	h := newHost(t, release.says(ok))
 	g := one(t, h)
 	first := g.dial()
 	io.WriteString(first, message("read", "", "X-Txn: a"))
@@ -348,10 +345,7 @@
 func TestTooManyClients(t *testing.T) {
 	release := newGate()
 	defer release.open()
-	h := newHost(t, func(c net.Conn, r seenRequest) bool {
-		<-release.opened
-		return says(ok)(c, r)
-	})
+	h := newHost(t, release.says(ok))
 	g := one(t, h, func(p *Proxy) { p.cfg.Site.Connections.Limit = 2 })
 	idle := g.dial()
 	busy := []net.Conn{g.dial(), g.dial()}
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -177,6 +177,14 @@
 	once   sync.Once
 }
 
+// says answers as the function of that name does, once the gate is open.
+func (g *gate) says(raw string) func(net.Conn, seenRequest) bool {
+	return func(c net.Conn, r seenRequest) bool {
+		<-g.opened
+		return says(raw)(c, r)
+	}
+}
+
 func newGate() *gate { return &gate{opened: make(chan struct{})} }
 
 func (g *gate) open() { g.once.Do(func() { close(g.opened) }) }
--- a/internal/proxy/switch_test.go
+++ b/internal/proxy/switch_test.go
@@ -60,8 +60,7 @@
 		mu.Lock()
 		runs[r.Header.Get(headerID)]++
 		mu.Unlock()
-		_, err := io.WriteString(c, ok)
-		return err == nil
+		return says(ok)(c, r)
 	}
 	a, b := newHost(t, serve), newHost(t, serve)
 	l := newList(t, entry("h1", a.addr()), entry("h2", b.addr()))
@@ -133,11 +132,7 @@
 func TestClassGoesWhileOpen(t *testing.T) {
 	release := newGate()
 	defer release.open()
-	h := newHost(t, func(c net.Conn, _ seenRequest) bool {
-		<-release.opened
-		_, err := io.WriteString(c, ok)
-		return err == nil
-	})
+	h := newHost(t, release.says(ok))
 	l := newList(t, entry("h1", h.addr()), entry("h2", h.addr()), entry("h3", h.addr())) // three: limits start low
 	file, f := reloads()
 	g := start(t, l.addr(), "null", f)
@@ -185,11 +180,7 @@
 	release, ending := newGate(), newGate()
 	defer release.open()
 	defer ending.open()
-	h := newHost(t, func(c net.Conn, _ seenRequest) bool {
-		<-release.opened
-		_, err := io.WriteString(c, ok)
-		return err == nil
-	})
+	h := newHost(t, release.says(ok))
 	l := newList(t, entry("h1", h.addr()))
 	file, f := reloads()
 	g := start(t, l.addr(), "null", f, func(p *Proxy) {
