--- a/cmd/beechwing-lab/tally.go
+++ b/cmd/beechwing-lab/tally.go
@@ -9,7 +9,8 @@
 )
 
 func tallyCommand() *cobra.Command {
-	return &cobra.Command{Use: "tally FOLDER", Args: cobra.ExactArgs(1),
+	var hosts bool
+	c := &cobra.Command{Use: "tally FOLDER", Args: cobra.ExactArgs(1),
 		Short: "Counts by second what the debug logs of a whole fleet tell",
 		Long: "Reads all files of a folder that end in .log, one of each proxy, written with BEECHWING_LOG=debug, and prints one row\n" +
 			"a second, counted over all proxies.",
@@ -21,6 +22,11 @@
 			if t.Skipped > 0 {
 				fmt.Fprintf(cmd.ErrOrStderr(), "%d lines are no log lines\n", t.Skipped)
 			}
+			if hosts {
+				return t.WriteHosts(cmd.OutOrStdout())
+			}
 			return t.Write(cmd.OutOrStdout())
 		}}
+	c.Flags().BoolVar(&hosts, "hosts", false, "attempts, timeouts and median time by host and second instead")
+	return c
 }
--- a/internal/lab/tally/tally.go
+++ b/internal/lab/tally/tally.go
@@ -8,16 +8,20 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
 	"strconv"
 	"text/tabwriter"
 	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
 const (
-	longestLine = 1 << 20
+	longestLine    = 1 << 20
+	longestAttempt = 600_000 // milliseconds; what took longer counts as that
 	// A host counts as bad in a second in which badShare of badLeast or more attempts on it failed or were late.
 	badShare, badLeast = 0.5, 4
 )
@@ -32,12 +36,19 @@
 	ListLeft             int // those that were given up to leave a watch
 	Ejections, ZonesOut  int
 	Panics, Starts       int
+	Accepted, Ended      int // connections of clients, health calls among them
+	Read                 int // requests, health calls not among them
 	BadHosts, OnBadHosts int // hosts that were bad in it, and the attempts on them
 	hosts                map[string]*record
 }
 
 // record is what came back from one host.
-type record struct{ all, bad int }
+type record struct {
+	all, bad, timedOut int
+	took               *hdrhistogram.Histogram // of attempts however they ended, in milliseconds
+}
+
+func newRecord() *record { return &record{took: hdrhistogram.New(1, longestAttempt, 2)} }
 
 // Table holds the seconds by their number.
 type Table struct {
@@ -48,14 +59,15 @@
 
 // line is a log line; fields that it lacks stay empty.
 type line struct {
-	TS      string `json:"ts"`
-	Msg     string `json:"msg"`
-	Result  string `json:"result"`
-	Host    string `json:"host"`
-	Attempt int    `json:"attempt"`
-	Status  int    `json:"status"`
-	Error   string `json:"error"`
-	Left    bool   `json:"left"`
+	TS      string  `json:"ts"`
+	Msg     string  `json:"msg"`
+	Result  string  `json:"result"`
+	Host    string  `json:"host"`
+	Attempt int     `json:"attempt"`
+	Took    float64 `json:"took"` // seconds
+	Status  int     `json:"status"`
+	Error   string  `json:"error"`
+	Left    bool    `json:"left"`
 }
 
 // Folder counts all files that end in .log. A line may begin with seconds since the start of the day; else its own time
@@ -155,6 +167,12 @@
 		}
 	case "listening":
 		s.Starts++
+	case "accepted":
+		s.Accepted++
+	case "connection ended":
+		s.Ended++
+	case "request read":
+		s.Read++
 	default:
 		for word, n := range map[string]*int{"ejected ": &s.Ejections, "zone ": &s.ZonesOut, "panic: ": &s.Panics} {
 			if len(l.Msg) > len(word) && l.Msg[:len(word)] == word {
@@ -172,10 +190,14 @@
 	s.Results[l.Result]++
 	h := s.hosts[l.Host]
 	if h == nil {
-		h = &record{}
+		h = newRecord()
 		s.hosts[l.Host] = h
 	}
 	h.all++
+	h.took.RecordValue(min(longestAttempt, max(1, int64(l.Took*1000))))
+	if l.Result == "timed out" {
+		h.timedOut++
+	}
 	if l.Result == "error" || l.Result == "timed out" {
 		h.bad++
 	}
@@ -195,16 +217,11 @@
 // Write prints the table.
 func (t *Table) Write(out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "s\tstarts\tserved\trefused\tfailed\tattempts\tagain\terror\ttimed out\tturned away\tnot connected\treset\t"+
+	fmt.Fprintln(w, "s\tstarts\taccepted\tended\tread\tserved\trefused\tfailed\tattempts\tagain\terror\ttimed out\tturned away\tnot connected\treset\t"+
 		"bad hosts\ton them\tejected\tzone out\tpanic\tlist ok\tlist failed\tlist left\t")
-	seconds := make([]int, 0, len(t.Seconds))
-	for n := range t.Seconds {
-		seconds = append(seconds, n)
-	}
-	slices.Sort(seconds)
-	for _, n := range seconds {
+	for _, n := range slices.Sorted(maps.Keys(t.Seconds)) {
 		s := t.Seconds[n]
-		for _, v := range []int{n, s.Starts, s.Served, s.Refused, s.Failed, s.Attempts, s.Again, s.Results["error"],
+		for _, v := range []int{n, s.Starts, s.Accepted, s.Ended, s.Read, s.Served, s.Refused, s.Failed, s.Attempts, s.Again, s.Results["error"],
 			s.Results["timed out"], s.Results["turned away"], s.Results["not connected"], s.Results["reset"],
 			s.BadHosts, s.OnBadHosts, s.Ejections, s.ZonesOut, s.Panics, s.ListOK, s.ListFailed, s.ListLeft} {
 			fmt.Fprintf(w, "%d\t", v)
@@ -213,3 +230,17 @@
 	}
 	return w.Flush()
 }
+
+// WriteHosts prints a row for each host and second: which crowd while others idle shows in no sum over all of them.
+func (t *Table) WriteHosts(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "s\thost\tattempts\ttimed out\tmedian ms\t")
+	for _, n := range slices.Sorted(maps.Keys(t.Seconds)) {
+		hosts := t.Seconds[n].hosts
+		for _, name := range slices.Sorted(maps.Keys(hosts)) {
+			h := hosts[name]
+			fmt.Fprintf(w, "%d\t%s\t%d\t%d\t%d\t\n", n, name, h.all, h.timedOut, h.took.ValueAtQuantile(50))
+		}
+	}
+	return w.Flush()
+}
--- a/internal/lab/tally/tally_test.go
+++ b/internal/lab/tally/tally_test.go
@@ -13,8 +13,12 @@
 	dir := t.TempDir()
 	for name, text := range map[string]string{
 		"a.log": `0.010 {"msg":"listening"}
+1.1 {"msg":"accepted","from":"127.0.0.1:9"}
+1.1 {"msg":"accepted","from":"127.0.0.1:10"}
+1.1 {"msg":"request read","id":"x"}
+1.9 {"msg":"connection ended","from":"127.0.0.1:9"}
 1.2 {"msg":"attempt","host":"h1","attempt":0,"result":"error"}
-1.3 {"msg":"attempt","host":"h1","attempt":1,"result":"timed out"}
+1.3 {"msg":"attempt","host":"h1","attempt":1,"took":0.25,"result":"timed out"}
 1.4 {"msg":"attempt","host":"h1","attempt":0,"result":"ok"}
 1.5 {"msg":"answered","status":503}
 1.6 {"msg":"list call","error":"answered 503"}
@@ -44,6 +48,13 @@
 		s.ListOK != 1 || s.ListFailed != 1 || s.ListLeft != 1 || s.Ejections != 1 {
 		t.Errorf("second 1: %+v", s)
 	}
+	if s.Accepted != 2 || s.Read != 1 || s.Ended != 1 {
+		t.Errorf("connections of second 1: %+v", s)
+	}
+	var byHost strings.Builder
+	if err := table.WriteHosts(&byHost); err != nil || !strings.Contains(byHost.String(), "h1         4          1") {
+		t.Errorf("%v\n%s", err, byHost.String())
+	}
 	var out strings.Builder
 	if err := table.Write(&out); err != nil || strings.Count(out.String(), "\n") != 3 {
 		t.Errorf("%v\n%s", err, out.String())
--- a/internal/proxy/accept.go
+++ b/internal/proxy/accept.go
@@ -149,6 +149,9 @@
 	cl := &client{front: f, conn: c, accepted: time.Now()}
 	cl.meter.r = cl
 	f.wg.Add(1)
+	if line := f.log.Check(zap.DebugLevel, "accepted"); line != nil {
+		line.Write(zap.Stringer("from", c.RemoteAddr()))
+	}
 	over := false
 	f.seat(func(now time.Duration) {
 		f.open++
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -166,6 +166,9 @@
 		return c.health(r)
 	}
 	q, bad := c.parse(r)
+	if line := c.front.log.Check(zap.DebugLevel, "request read"); line != nil && bad == nil {
+		line.Write(zap.String("id", q.name), zap.Stringer("from", c.conn.RemoteAddr()))
+	}
 	if bad == nil && c.over() {
 		c.front.bufs.freeRequest(q)
 		bad = &badRequest{http.StatusInternalServerError, "too many connections"}
--- a/internal/proxy/idle.go
+++ b/internal/proxy/idle.go
@@ -107,6 +107,9 @@
 
 // end closes a connection and forgets it. Nothing else has it any more.
 func (f *front) end(c *client) {
+	if line := f.log.Check(zap.DebugLevel, "connection ended"); line != nil {
+		line.Write(zap.Stringer("from", c.conn.RemoteAddr()), zap.Bool("served", c.served))
+	}
 	c.conn.Close()
 	f.mu.Lock()
 	f.open--
