--- a/cmd/beechwing-lab/idle_test.go
+++ b/cmd/beechwing-lab/idle_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"os/exec"
-	"path/filepath"
 	"regexp"
 	"strconv"
 	"strings"
@@ -14,12 +12,8 @@
 // TestIdle plays the experiment in small on the proxy as it is built: what is gathered stands, is served beside steady
 // traffic and when all wake, ends when its time is over, and nothing is left unanswered or runs twice.
 func TestIdle(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "beechwing")
-	if out, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "beechwing/cmd/beechwing").CombinedOutput(); err != nil {
-		t.Fatalf("%v\n%s", err, out)
-	}
 	var out bytes.Buffer
-	e := &idle{binary: binary, held: []int{40}, beside: 60, nodes: 2, rate: 100, span: 500 * time.Millisecond, repeats: 1,
+	e := &idle{binary: build(t), held: []int{40}, beside: 60, nodes: 2, rate: 100, span: 500 * time.Millisecond, repeats: 1,
 		memoryMB: 64, wave: 100 * time.Millisecond, settle: 50 * time.Millisecond, expire: 2 * time.Second, out: &out}
 	if err := e.run(t.Context()); err != nil {
 		t.Fatalf("%v\n%s", err, &out)
--- /dev/null
+++ b/cmd/beechwing-lab/play.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/spf13/cobra"
+
+	"beechwing/internal/lab/judge"
+	"beechwing/internal/lab/plan"
+	"beechwing/internal/lab/record"
+	"beechwing/internal/lab/report"
+	"beechwing/internal/lab/rig"
+)
+
+var errFailed = errors.New("not passed")
+
+// play is one experiment with one seed.
+type play struct {
+	binary, out, log string
+	seed             uint64
+}
+
+func playCommand() *cobra.Command {
+	p := &play{}
+	c := &cobra.Command{Use: "play EXPERIMENT...", Args: cobra.MinimumNArgs(1),
+		Short: "Plays experiments of many processes with faults between them, and judges them by records",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			failed := false
+			for _, path := range args {
+				ok, err := p.run(cmd.Context(), cmd.OutOrStdout(), path)
+				if err != nil {
+					return err
+				}
+				failed = failed || !ok
+			}
+			if failed {
+				return errFailed
+			}
+			return nil
+		}}
+	c.Flags().StringVar(&p.binary, "binary", besideMe("beechwing"), "the program under test")
+	c.Flags().StringVar(&p.out, "out", "", "folder for the report and the processes' logs")
+	c.Flags().StringVar(&p.log, "log", "", "level of the processes' logs")
+	c.Flags().Uint64Var(&p.seed, "seed", 0, "in place of the experiment's")
+	return c
+}
+
+// besideMe is a program in this one's folder.
+func besideMe(name string) string {
+	me, err := os.Executable()
+	if err != nil {
+		return name
+	}
+	return filepath.Join(filepath.Dir(me), name)
+}
+
+func (p *play) run(ctx context.Context, out io.Writer, path string) (ok bool, err error) {
+	f, err := plan.Load(path)
+	if err != nil {
+		return false, err
+	}
+	seed := p.seed
+	if seed == 0 {
+		seed = f.Seed
+	}
+	s := f.Draw(seed)
+	o := rig.Options{Binary: p.binary, Seed: seed, Log: p.log}
+	if p.out != "" {
+		o.Dir = filepath.Join(p.out, "processes")
+	}
+	book, err := rig.Play(ctx, s, o)
+	if err != nil {
+		return false, err
+	}
+	v := judge.Judge(s, book)
+	if p.out != "" {
+		if err := writeFile(filepath.Join(p.out, "seconds.jsonl"), func(w io.Writer) error { return report.Lines(w, s, book) }); err != nil {
+			return false, err
+		}
+	}
+	return v.OK(), printRun(out, s, book, v)
+}
+
+func printRun(w io.Writer, s *plan.Schedule, b *record.Book, v *judge.Verdict) error {
+	err := report.Summary(w, s, b, v)
+	fmt.Fprintln(w)
+	return err
+}
+
+func writeFile(path string, write func(io.Writer) error) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(write(f), f.Close())
+}
--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -3,6 +3,7 @@
 package process
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -12,20 +13,30 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
 
-// Config is how a proxy is to be started.
+// Config is how a proxy is to be started. What is left empty has a default that suits a single one.
 type Config struct {
 	Binary    string
+	Args      []string
+	Name      string
+	Listen    string // address; its port may be 0, and is then chosen at the first start
 	Discovery string
+	Seed      uint64
 	Cores     float64
 	MemoryMB  int
 	Sockets   int
-	Site      string // text of an operator's file; empty: none
+	Settings  string          // the platform's JSON object
+	Known     json.RawMessage // the list of hosts as the proxy had it last
+	Site      string          // text of an operator's file; empty: none
+	Dir       string          // folder for its files, which stays; empty: one that goes with it
+	Env       []string        // beside those of this process
 }
 
 // settings are those of a small deployment with one class that is safe to repeat.
@@ -36,77 +47,173 @@
  "Rules": {"AskWithinS": 10.0, "StopSendingWithinS": 1.0, "ColdFrom": 0.3, "ColdS": 9.0, "FallMultiple": 3.0,
   "TipAfterS": 2.0}}`
 
-// Proxy is a running one.
+// Proxy is one process, which may be started again once it has ended.
 type Proxy struct {
 	Addr string
+	c    Config
 	cmd  *exec.Cmd
 	dir  string
+	own  bool // dir goes with it
 	log  *os.File
+	done chan struct{} // closed when the process has ended
 }
 
 const startWithin = 10 * time.Second
 
 // Start runs a proxy and waits until it says that it is ready.
 func Start(ctx context.Context, c Config) (*Proxy, error) {
-	dir, err := os.MkdirTemp("", "beechwing-lab")
+	p, err := New(c)
+	if err == nil {
+		err = p.Launch()
+	}
+	if err == nil {
+		err = p.AwaitReady(ctx, startWithin)
+	}
 	if err != nil {
-		return nil, fmt.Errorf("process: %w", err)
+		if p != nil {
+			p.Stop()
+		}
+		return nil, fmt.Errorf("process %s: %w", c.Binary, err)
 	}
-	p := &Proxy{dir: dir}
-	if err := p.start(ctx, c); err != nil {
+	return p, nil
+}
+
+// New prepares a proxy's files and address, and starts nothing.
+func New(c Config) (*Proxy, error) {
+	p := &Proxy{c: c, dir: c.Dir}
+	if err := p.prepare(); err != nil {
 		p.Stop()
-		return nil, fmt.Errorf("process %s: %w", c.Binary, err)
+		return nil, fmt.Errorf("process: %w", err)
 	}
 	return p, nil
 }
 
-func (p *Proxy) start(ctx context.Context, c Config) error {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return err
+func (p *Proxy) prepare() (err error) {
+	if p.dir == "" {
+		p.own = true
+		if p.dir, err = os.MkdirTemp("", "beechwing-lab"); err != nil {
+			return err
+		}
 	}
-	p.Addr = ln.Addr().String()
-	ln.Close()
-	config, err := json.Marshal(map[string]any{"name": "lab", "listen": p.Addr, "discovery": c.Discovery, "seed": "1",
-		"limits": map[string]any{"cores": c.Cores, "memory_mb": c.MemoryMB, "sockets": c.Sockets}, "known": nil,
-		"settings": json.RawMessage(settings)})
-	if err != nil {
+	if err := os.MkdirAll(filepath.Join(p.dir, "state"), 0o700); err != nil {
 		return err
 	}
-	if err := os.WriteFile(filepath.Join(p.dir, "config.json"), config, 0o600); err != nil {
+	if p.Addr, err = free(cmp.Or(p.c.Listen, "127.0.0.1:0")); err != nil {
 		return err
 	}
-	p.cmd = exec.CommandContext(ctx, c.Binary)
-	p.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+filepath.Join(p.dir, "config.json"))
-	if c.Site != "" {
-		site := filepath.Join(p.dir, "site.toml")
-		if err := os.WriteFile(site, []byte(c.Site), 0o600); err != nil {
-			return err
-		}
-		p.cmd.Env = append(p.cmd.Env, "PROXY_SITE="+site)
-	}
 	if p.log, err = os.Create(filepath.Join(p.dir, "log")); err != nil {
 		return err
 	}
-	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
-	if err := p.cmd.Start(); err != nil {
-		return err
+	if p.c.Site == "" {
+		return nil
+	}
+	return os.WriteFile(p.file("site.toml"), []byte(p.c.Site), 0o600)
+}
+
+// free finds a port that nobody has, where the address leaves it open.
+func free(addr string) (string, error) {
+	if !strings.HasSuffix(addr, ":0") {
+		return addr, nil
+	}
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+func (p *Proxy) file(name string) string { return filepath.Join(p.dir, name) }
+
+// Know sets the list that the next start begins with.
+func (p *Proxy) Know(list json.RawMessage) { p.c.Known = list }
+
+// Launch starts the process and does not wait for it to be ready.
+func (p *Proxy) Launch() error {
+	config, err := json.Marshal(map[string]any{"name": cmp.Or(p.c.Name, "lab"), "listen": p.Addr, "discovery": p.c.Discovery,
+		"seed":   strconv.FormatUint(max(1, p.c.Seed), 16),
+		"limits": map[string]any{"cores": p.c.Cores, "memory_mb": p.c.MemoryMB, "sockets": p.c.Sockets},
+		"known":  p.c.Known, "settings": json.RawMessage(cmp.Or(p.c.Settings, settings))})
+	if err != nil {
+		return fmt.Errorf("process: %w", err)
+	}
+	if err := os.WriteFile(p.file("config.json"), config, 0o600); err != nil {
+		return fmt.Errorf("process: %w", err)
+	}
+	cmd := exec.Command(p.c.Binary, p.c.Args...)
+	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+p.file("config.json"), "TMPDIR="+p.file("state"))
+	if p.c.Site != "" {
+		cmd.Env = append(cmd.Env, "PROXY_SITE="+p.file("site.toml"))
 	}
-	for end := time.Now().Add(startWithin); ; time.Sleep(10 * time.Millisecond) {
-		if r, err := http.Get("http://" + p.Addr + "/_health"); err == nil {
-			r.Body.Close()
-			if r.StatusCode == http.StatusOK {
-				http.DefaultClient.CloseIdleConnections()
-				return nil
-			}
+	cmd.Env = append(cmd.Env, p.c.Env...)
+	cmd.Stdout, cmd.Stderr = p.log, p.log
+	if err := start(cmd); err != nil {
+		return fmt.Errorf("process: %w", err)
+	}
+	done := make(chan struct{})
+	p.cmd, p.done = cmd, done
+	go func() {
+		cmd.Wait()
+		close(done)
+	}()
+	return nil
+}
+
+// starter starts all processes from one thread that never ends: the kernel kills them when the thread that started them is
+// gone, so none outlives this process however that ends (prctl(2), PR_SET_PDEATHSIG).
+var starter = sync.OnceValue(func() chan func() {
+	work := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for f := range work {
+			f()
 		}
-		if time.Now().After(end) {
-			text, _ := os.ReadFile(p.log.Name())
-			return fmt.Errorf("not ready within %v: %s", startWithin, text)
+	}()
+	return work
+})
+
+func start(cmd *exec.Cmd) error {
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error, 1)
+	starter() <- func() { started <- cmd.Start() }
+	return <-started
+}
+
+// Ready asks the proxy whether it is.
+func (p *Proxy) Ready() bool {
+	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	r, err := c.Get("http://" + p.Addr + "/_health")
+	if err != nil {
+		return false
+	}
+	r.Body.Close()
+	return r.StatusCode == http.StatusOK
+}
+
+// AwaitReady waits until the proxy says that it is ready.
+func (p *Proxy) AwaitReady(ctx context.Context, within time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	for !p.Ready() {
+		select {
+		case <-ctx.Done():
+			text, _ := p.Log()
+			return fmt.Errorf("not ready within %v: %s", within, text)
+		case <-p.done:
+			text, _ := p.Log()
+			return fmt.Errorf("ended: %v: %s", p.cmd.ProcessState, text)
+		case <-time.After(10 * time.Millisecond):
 		}
 	}
+	return nil
 }
 
+// Done is closed when the process has ended; Exit then tells how.
+func (p *Proxy) Done() <-chan struct{} { return p.done }
+
+// Exit is how the process ended.
+func (p *Proxy) Exit() *os.ProcessState { return p.cmd.ProcessState }
+
 // Usage is what a process has used.
 type Usage struct {
 	RSS, Peak   int64 // bytes resident now, and at the most so far
@@ -161,27 +268,25 @@
 	return string(text), err
 }
 
-// Stop ends the process and waits for its end; the time is how long that took.
+// Stop ends the process, if it runs, and waits for its end; the time is how long that took.
 func (p *Proxy) Stop() time.Duration {
 	start := time.Now()
-	if p.cmd != nil && p.cmd.Process != nil {
-		p.cmd.Process.Signal(syscall.SIGTERM)
-		ended := make(chan struct{})
-		go func() {
-			p.cmd.Wait()
-			close(ended)
-		}()
+	if p.done != nil {
+		p.Signal(syscall.SIGTERM)
+		p.Signal(syscall.SIGCONT) // one that is stopped would not hear of it
 		select {
-		case <-ended:
+		case <-p.done:
 		case <-time.After(startWithin):
 			p.cmd.Process.Kill()
-			<-ended
+			<-p.done
 		}
 	}
 	took := time.Since(start)
 	if p.log != nil {
 		p.log.Close()
 	}
-	os.RemoveAll(p.dir)
+	if p.own {
+		os.RemoveAll(p.dir)
+	}
 	return took
 }
--- /dev/null
+++ b/internal/lab/report/report.go
@@ -0,0 +1,133 @@
+// Package report writes what a run has shown: a summary for people, and a JSON line for each second and party for tools. It
+// reads the records and the verdict and decides nothing.
+package report
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"beechwing/internal/lab/judge"
+	"beechwing/internal/lab/plan"
+	"beechwing/internal/lab/record"
+)
+
+const breaksShown = 5 // of each rule
+
+// Summary prints the verdict and the shares of a run, by zone and in all.
+func Summary(w io.Writer, s *plan.Schedule, b *record.Book, v *judge.Verdict) error {
+	fmt.Fprintf(w, "%s: %d proxies, %d hosts, %d zones, %v\n", s.Name, len(s.Proxies), len(s.Hosts), len(s.Zones), s.Span.D())
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "callers of\tasked\tserved\tlate\trefused\tfailed\tlost\tnot taken\ttries/r\tcrossed\tabroad\tp50 ms\tp99 ms\t")
+	row := func(name string, c judge.Shares) {
+		fmt.Fprintf(t, "%s\t%d\t%.4f\t%.4f\t%.4f\t%.4f\t%d\t%d\t%.3f\t%.4f\t%.4f\t%.1f\t%.1f\t\n", name, c.Asked, c.Part(c.Served),
+			c.Part(c.Late), c.Part(c.Refused), c.Part(c.Failed), c.Lost, c.Unsent, c.Part(c.Attempts), share(c.Crossed, c.Attempts),
+			share(c.CrossedRegions, c.Attempts), ms(c.P50), ms(c.P99))
+	}
+	for z, zone := range s.Zones {
+		row(zone.Name, judge.Count(s, b, &judge.Filter{Zone: z, To: 1<<63 - 1}))
+	}
+	all := v.Totals
+	row("all", all)
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	rss, cpu, descriptors := held(b)
+	fmt.Fprintf(w, "list: %d calls, %d failed; hosts: %d connections, %d at most on one, %d new a second at most, %d pushed over\n",
+		all.Calls, all.CallsFailed, all.Connections, all.MostOpen, all.PerSecond, all.Fell)
+	fmt.Fprintf(w, "a process: %.1f MB resident, %d descriptors at most, %.1f%% of a core in the mean; machine %.0f%% busy, the rig %.0f%%; "+
+		"timers late by %v (p99), %v (most)\n", float64(rss)/(1<<20), descriptors, 100*cpu, 100*b.Machine.Busy, 100*b.Machine.RigBusy,
+		b.Machine.LateP99, b.Machine.LateMost)
+	return verdict(w, v)
+}
+
+func verdict(w io.Writer, v *judge.Verdict) error {
+	shown := map[string]int{}
+	for _, k := range v.Breaks {
+		if shown[k.Rule]++; shown[k.Rule] <= breaksShown {
+			fmt.Fprintf(w, "BROKEN at %.3f s: %s: %s\n", k.At.Seconds(), k.Rule, k.Text)
+		}
+	}
+	for rule, n := range shown {
+		if n > breaksShown {
+			fmt.Fprintf(w, "BROKEN: %s: %d times in all\n", rule, n)
+		}
+	}
+	for _, u := range v.Unmet {
+		fmt.Fprintf(w, "UNMET: %s\n", u)
+	}
+	word := "passed"
+	switch {
+	case v.Void != "":
+		word = "void: " + v.Void
+	case !v.OK():
+		word = "failed"
+	}
+	_, err := fmt.Fprintf(w, "verdict: %s\n", word)
+	return err
+}
+
+// held is the most that any process held, and the mean CPU that they used as a share of a core.
+func held(b *record.Book) (rss int64, cpu float64, descriptors int) {
+	last := map[int]record.Sample{}
+	for _, s := range b.Samples {
+		rss, descriptors = max(rss, s.RSS), max(descriptors, s.Descriptors)
+		last[s.Proxy] = s
+	}
+	for _, s := range last {
+		cpu += s.CPU.Seconds() / s.At.Seconds() / float64(len(last))
+	}
+	return rss, cpu, descriptors
+}
+
+func share(n, of int) float64 { return float64(n) / float64(max(1, of)) }
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// Second is a line of the report for tools: one second of the callers of a zone.
+type Second struct {
+	Second  int     `json:"second"`
+	Zone    string  `json:"zone"`
+	Asked   int     `json:"asked"`
+	Served  int     `json:"served"`
+	Late    int     `json:"late"`
+	Refused int     `json:"refused"`
+	Failed  int     `json:"failed"`
+	Lost    int     `json:"lost"`
+	Tries   int     `json:"tries"`
+	Crossed int     `json:"crossed"`
+	Calls   int     `json:"calls"`
+	Conns   int     `json:"connections"`
+	P99     float64 `json:"p99_ms"`
+}
+
+// Seconds counts a run by second and zone of the callers.
+func Seconds(s *plan.Schedule, b *record.Book) (all []Second) {
+	for at := time.Duration(0); at < s.Span.D(); at += time.Second {
+		for z, zone := range s.Zones {
+			c := judge.Count(s, b, &judge.Filter{Zone: z, From: at, To: at + time.Second})
+			all = append(all, Second{Second: int(at / time.Second), Zone: zone.Name, Asked: c.Asked, Served: c.Served, Late: c.Late,
+				Refused: c.Refused, Failed: c.Failed, Lost: c.Lost, Tries: c.Attempts, Crossed: c.Crossed, Calls: c.Calls,
+				Conns: c.Connections, P99: ms(c.P99)})
+		}
+	}
+	return all
+}
+
+// Lines writes one JSON line for each second and zone, then one for each event.
+func Lines(w io.Writer, s *plan.Schedule, b *record.Book) error {
+	enc := json.NewEncoder(w)
+	for _, line := range Seconds(s, b) {
+		if err := enc.Encode(line); err != nil {
+			return err
+		}
+	}
+	for _, e := range b.Events {
+		if err := enc.Encode(map[string]any{"at": e.At.Seconds(), "event": e.Kind, "proxy": e.Proxy, "host": e.Host, "text": e.Text}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -3,15 +3,11 @@
 package site
 
 import (
-	"bytes"
-	"errors"
 	"fmt"
 	"os"
-	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-	"github.com/pelletier/go-toml/v2/unstable"
+	"beechwing/internal/strict"
 )
 
 // File is an operator's file with defaults in place.
@@ -68,42 +64,16 @@
 // Parse reads a file's text. name stands for the file in errors, which are joined, one a line.
 func Parse(name string, text []byte) (File, error) {
 	f := Default()
-	d := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
-	err := d.Decode(&f)
-	var unknown *toml.StrictMissingError
-	var faulty *toml.DecodeError
-	switch {
-	case errors.As(err, &unknown):
-		var all []error
-		for _, e := range unknown.Errors {
-			line, _ := e.Position()
-			all = append(all, fmt.Errorf("%s:%d: %s: no such field", name, line, strings.Join(e.Key(), ".")))
-		}
-		return File{}, errors.Join(all...)
-	case errors.As(err, &faulty):
-		line, _ := faulty.Position()
-		return File{}, fmt.Errorf("%s:%d: %s: %w", name, line, strings.Join(faulty.Key(), "."), err)
-	case err != nil:
-		return File{}, fmt.Errorf("%s: %w", name, err)
-	}
-	if faults := f.check(); len(faults) > 0 {
-		lines := linesOf(text)
-		var all []error
-		for _, fault := range faults {
-			all = append(all, fmt.Errorf("%s:%d: %s: %s", name, lines[fault.field], fault.field, fault.why))
-		}
-		return File{}, errors.Join(all...)
+	if err := strict.Decode(name, text, &f, func() []strict.Fault { return f.check() }); err != nil {
+		return File{}, err
 	}
 	return f, nil
 }
 
-// fault is a value that makes no sense, and what would.
-type fault struct{ field, why string }
-
-func (f File) check() (faults []fault) {
+func (f File) check() (faults []strict.Fault) {
 	add := func(bad bool, field, why string) {
 		if bad {
-			faults = append(faults, fault{"connections." + field, why})
+			faults = append(faults, strict.Fault{Field: "connections." + field, Why: why})
 		}
 	}
 	c := f.Connections
@@ -115,27 +85,3 @@
 	add(c.First <= 0 || c.First > Duration(time.Minute), "first", "is not above 0 and at most 1m")
 	return faults
 }
-
-// linesOf finds the line of each field in a text that has been decoded without a fault.
-func linesOf(text []byte) map[string]int {
-	lines := map[string]int{}
-	var p unstable.Parser
-	p.Reset(text)
-	table := ""
-	for p.NextExpression() {
-		e := p.Expression()
-		var key []string
-		offset := 0
-		for it := e.Key(); it.Next(); {
-			key = append(key, string(it.Node().Data))
-			offset = int(it.Node().Raw.Offset)
-		}
-		name := strings.Join(key, ".")
-		if e.Kind == unstable.Table || e.Kind == unstable.ArrayTable {
-			table = name + "."
-			continue
-		}
-		lines[table+name] = 1 + bytes.Count(text[:offset], []byte("\n"))
-	}
-	return lines
-}
