Alone, shares of hosts move by answers against the class's mean; one in flight yields

Lines at fault: feel() moved a share by admitGain times the time since, a sixth for one late answer and a third for a timeout, where a thin proxy meets a host once in seconds; sense() wanted nothing less until answers came near to late (loadedAbove); best() let a second request of a thin proxy join the first.

Timeouts in full and a smaller least share gave nothing.

TestCrowdedHostsSpreadOut (100 thin proxies in virtual time) has 7 % of slow hosts' answers late without the change, under 2 % with it.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -37,9 +37,12 @@
 	admitGain                       = 0.7
 	admitAims                       = 128.0 // until a share has faded back to one, in longest aims
 	admitLeast, admitOver, mostLoad = 0.05, 0.15, 0.95
-	tellStep                        = 0.2
-	tellShare                       = 0.3
-	tellSaved, fullMessage          = 100.0, 256.0 // messages saved up at the most, bytes in one
+	// Alone, a proxy hears of a host one answer in seconds, and each moves its share by aloneStep. Wanted is then
+	// the mean time that answers of the class take: shares move long before hosts are late.
+	aloneStep              = 4.2
+	tellStep               = 0.2
+	tellShare              = 0.3
+	tellSaved, fullMessage = 100.0, 256.0 // messages saved up at the most, bytes in one
 
 	wholeShare = 223                        // the word for a whole admitted share; above it stand classes
 	classWords = math.MaxUint8 - wholeShare // classes of which peers are told
@@ -201,18 +204,6 @@
 	warmWeight float64
 }
 
-// New starts a balancer at time now. It subscribes to the list at once where that must be asked for.
-func New(now float64, cfg Config, act Actions) *Balancer {
-	b := &Balancer{act: act, now: now, rng: cfg.Seed, index: map[HostID]*host{}, zones: map[int]*zone{},
-		ops: map[RequestID]*op{}, quiet: map[string]float64{}, coldAt: now, admit: 1}
-	b.adopt(cfg)
-	if cfg.AskForList {
-		b.watch()
-	}
-	act.Timer(b.tick(), timerTick<<tokenKind)
-	return b
-}
-
 // drift moves a running mean towards x by one answer's weight.
 func drift(mean *float64, x float64) { *mean += meanStep * (x - *mean) }
 
@@ -568,7 +559,8 @@
 		if far || float64(h.inflight) >= h.window || warmOnly && b.warmth(h) < 1 {
 			continue
 		}
-		loaded := float64(h.inflight) >= max(passOverFloor, passOverMean*b.mean*h.weight+1)
+		loaded := float64(h.inflight) >= max(passOverFloor, passOverMean*b.mean*h.weight+1) ||
+			b.thin && h.inflight > 0 // its part of any host's room is far under one
 		crowded := b.admit*unit(mix(o.luck^uint64(h.ID))) >= h.admit
 		doubted := b.doubts && h.doubted(b.now, o.class.Effect)
 		if loaded || crowded || doubted {
@@ -698,11 +690,14 @@
 // feel moves the share of requests that a host gets, by how much its load is above what is wanted. A thin
 // proxy meets a host too seldom to find out alone, so peers are told of large changes.
 func (b *Balancer) feel(h *host, over float64) {
-	gain := admitGain
-	if b.cfg.PeerMessages { // peers agree, so keys move together and what one finds out serves all
-		gain *= 2
+	step := admitGain * min(b.now-h.admitAt, b.longest)
+	switch {
+	case b.cfg.PeerMessages: // peers agree, so keys move together and what one finds out serves all
+		step *= 2
+	case b.thin:
+		step = aloneStep
 	}
-	h.admit *= math.Exp(-gain * min(b.now-h.admitAt, b.longest) * over)
+	h.admit *= math.Exp(-step * over)
 	h.admit, h.admitAt = min(1, max(admitLeast, h.admit)), b.now
 	if math.Abs(math.Log(h.admit/h.admitTold)) > tellStep && b.tell(h, byte(h.admit*wholeShare)) {
 		h.admitTold = h.admit
@@ -843,10 +838,14 @@
 
 // sense takes a host's load by how near its answer came to being late. Traffic and hosts may be spread
 // unevenly over zones; no proxy sees enough of one host to tell, but all answers here do.
-func (b *Balancer) sense(h *host, near float64) {
-	util := min(1, near)
+func (b *Balancer) sense(h *host, o *op, took float64) {
+	util := min(1, took/(markShare*max(leastAim, o.class.Aim)))
 	b.load[h.side] += loadStep * (util - b.load[h.side])
-	b.feel(h, util/min(mostLoad, max(loadedAbove, b.load[h.side]+admitOver))-1)
+	over := util/min(mostLoad, max(loadedAbove, b.load[h.side]+admitOver)) - 1
+	if b.thin && !b.cfg.PeerMessages { // the mean over hosts is known far better than any host
+		over = min(1, took/b.classWork[o.Class]-1)
+	}
+	b.feel(h, over)
 }
 
 // weigh takes an outcome as evidence on the host and on the load.
@@ -865,7 +864,7 @@
 			h.window += r.Took / o.class.Aim / growBelow / h.window
 		}
 		h.answered, h.newest = b.now, max(h.newest, a.at)
-		b.sense(h, r.Took/(markShare*max(leastAim, o.class.Aim)))
+		b.sense(h, o, r.Took)
 		if !a.late || !b.doubts { // slowness is no sign of health
 			b.judge(h, failed, 0)
 		}
@@ -970,9 +969,6 @@
 	}
 }
 
-// Probed takes a probe's result. None is asked for: with many proxies they cost more than they tell.
-func (b *Balancer) Probed(now float64, p ProbeResult) { b.now = now }
-
 // Peer takes another balancer's word on the share that a host admits.
 func (b *Balancer) Peer(now float64, from int, data []byte) {
 	b.now = now
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -456,11 +456,13 @@
 	if n := got(1000); n != 200 {
 		t.Fatalf("%d of 200 requests at their first host", n)
 	}
+	o := &op{class: &b.cfg.Classes[0]}
+	near := func(x float64) float64 { return x * markShare * o.class.Aim }
 	b.tells = 10
 	for range 40 {
 		b.now += 0.2
-		b.sense(h, 1)
-		b.sense(b.hosts[5], 0.3)
+		b.sense(h, o, near(1))
+		b.sense(b.hosts[5], o, near(0.3))
 	}
 	if n := got(2000); n > 180 || n == 0 {
 		t.Fatalf("%d of 200 requests at a crowded host", n)
@@ -479,7 +481,7 @@
 	}
 	for range 200 {
 		b.now += 0.2
-		b.sense(h, 0.2)
+		b.sense(h, o, near(0.2))
 	}
 	if n := got(3000); n != 200 {
 		t.Fatalf("%d of 200 requests at a host that is no longer crowded", n)
--- a/balancer/configure.go
+++ b/balancer/configure.go
@@ -2,6 +2,21 @@
 
 import "slices"
 
+// New starts a balancer at time now. It subscribes to the list at once where that must be asked for.
+func New(now float64, cfg Config, act Actions) *Balancer {
+	b := &Balancer{act: act, now: now, rng: cfg.Seed, index: map[HostID]*host{}, zones: map[int]*zone{},
+		ops: map[RequestID]*op{}, quiet: map[string]float64{}, coldAt: now, admit: 1}
+	b.adopt(cfg)
+	if cfg.AskForList {
+		b.watch()
+	}
+	act.Timer(b.tick(), timerTick<<tokenKind)
+	return b
+}
+
+// Probed takes a probe's result. None is asked for: with many proxies they cost more than they tell.
+func (b *Balancer) Probed(now float64, p ProbeResult) { b.now = now }
+
 // Configure takes over other settings. kept names, for each class of cfg, the class that it was until now; -1: none. It
 // decides nothing: what is open ends under the class and the number of attempts with which it was taken, and what was
 // learned stays where it still means something, cold budgets among it.
--- a/balancer/fleet_test.go
+++ b/balancer/fleet_test.go
@@ -201,6 +201,48 @@
 	}
 }
 
+// TestCrowdedHostsSpreadOut: 100 thin proxies that tell each other nothing, and hosts of which every third is three times
+// slower: at an even share those crowd beside others that idle. What each proxy hears, an answer of a host in seconds, has to
+// be enough that after a burst the slow ones do not stay crowded.
+func TestCrowdedHostsSpreadOut(t *testing.T) {
+	w := newCrowd(t, 100, crowdConfig(), fleet(60))
+	late := map[bool]int{} // answers over the aim, by whether the host is slow
+	w.serve = func(c *crowd, h *standIn) (Result, time.Duration) {
+		slow := h.ID%3 == 0
+		work := time.Duration((0.5 + c.rng.ExpFloat64()) * float64(15*time.Millisecond))
+		if slow {
+			work *= 3
+		}
+		h.free = max(h.free, c.Now()) + work
+		if took := h.free - c.Now(); took > 500*time.Millisecond {
+			late[slow]++
+		}
+		return OK, h.free - c.Now()
+	}
+	w.load(9) // at an even share a slow host would be at work for all of the time, the others for a third
+	w.Run(10 * time.Second)
+	for _, p := range w.proxies { // the burst: half as much again, for five seconds
+		for range 22 {
+			w.After(time.Duration(w.rng.Int64N(int64(5*time.Second))), p.ask)
+		}
+	}
+	w.Run(16 * time.Second)
+	for _, h := range w.hosts {
+		h.attempts = 0
+	}
+	w.asked, w.lost = 0, 0
+	clear(late)
+	w.Run(26 * time.Second)
+	each := map[bool]float64{}
+	for id, h := range w.hosts {
+		each[id%3 == 0] += float64(h.attempts)
+	}
+	lost, tardy := float64(w.lost)/float64(w.asked), float64(late[true])/each[true]
+	if ratio := each[true] / (each[false] / 2); lost > 0.002 || tardy > 0.02 || ratio > 0.7 || ratio < 0.2 {
+		t.Errorf("after a burst: slow hosts get %.2f of what others do, %.3f of it late; %.4f of all requests lost", ratio, tardy, lost)
+	}
+}
+
 // replace puts a new host in the place of one.
 func (c *crowd) replace(old, id HostID) {
 	gone, fresh := c.hosts[old].Host, c.hosts[old].Host
--- a/cmd/beechwing-lab/fleet_test.go
+++ b/cmd/beechwing-lab/fleet_test.go
@@ -55,7 +55,7 @@
 			continue
 		}
 		s := f.Draw(f.Seed)
-		if len(s.Proxies) > 8 {
+		if len(s.Proxies) > 12 {
 			continue
 		}
 		t.Run(f.Name, func(t *testing.T) {
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -237,10 +237,10 @@
 	}
 	listed := map[int]word{} // by host: when the list changed, and when it was ready again
 	for _, e := range j.b.Events {
-		switch {
-		case e.Kind == record.Fault && e.Host >= 0 && e.Text == "draining":
+		switch e.Kind {
+		case record.Withdrawn:
 			listed[e.Host] = word{at: e.At, until: 1<<63 - 1}
-		case e.Kind == record.Heal && e.Host >= 0 && e.Text == "ready":
+		case record.Listed:
 			w := listed[e.Host]
 			w.until = e.At
 			listed[e.Host] = w
--- a/internal/lab/judge/shares.go
+++ b/internal/lab/judge/shares.go
@@ -20,8 +20,11 @@
 	Calls, CallsFailed               int
 	Connections, MostOpen, PerSecond int // to hosts: all, the most at once on one, the most new ones a second on one
 	Fell                             int
+	BadSeconds                       int // in which under goodShare of what was asked was served in time
 }
 
+const goodShare = 0.95
+
 // Part is a share of what was asked.
 func (s *Shares) Part(n int) float64 { return float64(n) / float64(max(1, s.Asked)) }
 
@@ -42,12 +45,15 @@
 func Count(s *plan.Schedule, b *record.Book, f *Filter) (c Shares) {
 	var times []time.Duration
 	tries := map[string]int{}
+	asked, good := map[time.Duration]int{}, map[time.Duration]int{} // by second
 	for i := range b.Asks {
 		a := &b.Asks[i]
 		if !f.takes(s, a.Proxy, a.Due) {
 			continue
 		}
 		c.Asked++
+		second := a.Due / time.Second
+		asked[second]++
 		switch {
 		case a.End == record.Lost:
 			c.Lost++
@@ -58,6 +64,8 @@
 			times = append(times, a.Done-a.Due)
 			if a.Done-a.Due > s.Classes[a.Class].Aim.D() {
 				c.Late++
+			} else {
+				good[second]++
 			}
 		case a.Status == 429 || a.Status == 503:
 			c.Refused++
@@ -65,6 +73,11 @@
 			c.Failed++
 		}
 	}
+	for second, n := range asked {
+		if float64(good[second]) < goodShare*float64(n) {
+			c.BadSeconds++
+		}
+	}
 	for i := range b.Executions {
 		e := &b.Executions[i]
 		if !f.takes(s, e.Proxy, e.Arrived) {
@@ -137,6 +150,7 @@
 		"served": c.Part(c.Served), "refused": c.Part(c.Refused), "failed": c.Part(c.Failed), "late": c.Part(c.Late),
 		"lost": float64(c.Lost), "crossings": float64(c.Crossed) / runs, "regions_crossed": float64(c.CrossedRegions) / runs,
 		"calls": float64(c.Calls), "fell": float64(c.Fell), "connections": float64(c.Connections),
+		"bad_seconds": float64(c.BadSeconds),
 	}[what]
 }
 
--- a/internal/lab/plan/file.go
+++ b/internal/lab/plan/file.go
@@ -6,9 +6,12 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
 	"slices"
 	"time"
 
+	"github.com/pelletier/go-toml/v2"
+
 	"beechwing/internal/strict"
 )
 
@@ -27,6 +30,7 @@
 
 // File is an experiment as it is written.
 type File struct {
+	Base   string   `toml:"base"`
 	Name   string   `toml:"name"`
 	Seed   uint64   `toml:"seed"`
 	Span   Duration `toml:"span"`
@@ -161,14 +165,15 @@
 	"silent": {"links", ""}, "silent_to": {"links", ""}, "silent_back": {"links", ""}, "refused": {"links", ""},
 	"reset": {"links", ""}, "latency": {"links", "delay"}, "cut": {"links", "bytes"}, "bandwidth": {"links", "bytes"},
 	"crash": {"hosts", ""}, "slow": {"hosts", "factor"}, "errors": {"hosts", "share"}, "drain": {"hosts", ""},
-	"kill": {"proxies", ""}, "term": {"proxies", ""}, "stop": {"proxies", "for"}, "hup": {"proxies", ""},
+	"remove": {"hosts", ""},
+	"kill":   {"proxies", ""}, "term": {"proxies", ""}, "stop": {"proxies", "for"}, "hup": {"proxies", ""},
 	"list_down": {"list", ""}, "list_late": {"list", "delay"}, "list_stale": {"list", ""}, "list_back": {"list", ""},
 	"list_torn": {"list", ""}, "load": {"", "factor"},
 }
 
 // What an expectation may be of.
 var Measures = []string{"served", "refused", "failed", "late", "lost", "crossings", "calls", "fell", "regions_crossed",
-	"connections"}
+	"connections", "bad_seconds"}
 
 func defaults() File {
 	return File{Seed: 1, Span: Duration(10 * time.Second), Settle: Duration(time.Second),
@@ -183,22 +188,29 @@
 		Link:    Link{Jitter: 0.2}}
 }
 
-// Load reads an experiment's file.
+// Load reads an experiment's file. Where it names a base, a whole experiment of its own beside it, that stands for what the
+// file leaves out, but for faults and expectations.
 func Load(path string) (*File, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("experiment: %w", err)
 	}
-	return Parse(path, text)
+	var head struct{ Base string }
+	if err := toml.Unmarshal(text, &head); err != nil || head.Base == "" {
+		return Parse(path, text)
+	}
+	f, err := Load(filepath.Join(filepath.Dir(path), head.Base))
+	if err != nil {
+		return nil, err
+	}
+	f.Faults, f.Expect = nil, nil
+	return f, strict.Decode(path, text, f, f.check)
 }
 
 // Parse reads an experiment's text; name stands for the file in errors.
 func Parse(name string, text []byte) (*File, error) {
 	f := defaults()
-	if err := strict.Decode(name, text, &f, f.check); err != nil {
-		return nil, err
-	}
-	return &f, nil
+	return &f, strict.Decode(name, text, &f, f.check)
 }
 
 // checker collects faults of a file.
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -112,6 +112,9 @@
 	Heal    = "heal"
 	Fell    = "fell" // a cold host was pushed over
 	Ready   = "ready"
+
+	Withdrawn = "withdrawn" // the list says from now on that a host drains or is gone
+	Listed    = "listed"    // and that it is ready
 )
 
 // Event is something that the run did or saw happen.
--- a/internal/lab/rig/faults.go
+++ b/internal/lab/rig/faults.go
@@ -28,16 +28,13 @@
 	if s.End {
 		kind = record.Heal
 	}
-	if len(s.Hosts) != 1 || f.Kind != "drain" {
-		r.book.Add(record.Event{At: r.book.Now(), Kind: kind, Proxy: -1, Host: -1,
-			Text: fmt.Sprintf("%s %s %s", f.Kind, f.From, f.To)})
-	}
+	r.book.Add(record.Event{At: r.book.Now(), Kind: kind, Proxy: -1, Host: -1, Text: fmt.Sprintf("%s %s %s", f.Kind, f.From, f.To)})
 	switch f.Kind {
 	case "kill", "term", "stop", "hup":
 		for _, p := range s.Proxies {
 			r.bg.Go(func() { r.disturb(f, p, s.End) })
 		}
-	case "crash", "slow", "errors", "drain":
+	case "crash", "slow", "errors", "drain", "remove":
 		for _, h := range s.Hosts {
 			r.hurt(f, h, s.End)
 		}
@@ -114,16 +111,28 @@
 		n.Change(func(m *node.Model) { m.Slow = map[bool]float64{true: 1, false: f.Factor}[heal] })
 	case "errors":
 		n.Change(func(m *node.Model) { m.Errors = errorShares(r.s, f, heal) })
-	case "drain":
-		e := r.list.Entry(h)
-		e.State = map[bool]string{true: list.Ready, false: list.Draining}[heal]
-		n.Change(func(m *node.Model) { m.Draining = !heal })
-		r.book.Add(record.Event{At: r.book.Now(), Kind: map[bool]string{true: record.Heal, false: record.Fault}[heal],
-			Proxy: -1, Host: h, Text: e.State})
-		r.list.Set(h, e)
+	case "drain", "remove":
+		r.withdraw(f, h, heal)
 	}
 }
 
+// withdraw lets the list say of a host that it drains or is gone, or that it is ready again.
+func (r *rig) withdraw(f *plan.Fault, h int, heal bool) {
+	e := r.list.Entry(h)
+	kind := record.Withdrawn
+	switch {
+	case heal:
+		kind, e.State = record.Listed, list.Ready
+	case f.Kind == "drain":
+		e.State = list.Draining
+	default:
+		e.State = list.Gone
+	}
+	r.nodes[h].Change(func(m *node.Model) { m.Draining = !heal })
+	r.book.Add(record.Event{At: r.book.Now(), Kind: kind, Proxy: -1, Host: h, Text: e.State})
+	r.list.Set(h, e)
+}
+
 func errorShares(s *plan.Schedule, f *plan.Fault, heal bool) []float64 {
 	shares := make([]float64, len(s.Classes))
 	for i, k := range s.Classes {
