Alone, shares of hosts move by answers against the class's mean; one in flight yields

Lines at fault: feel() moved a share by admitGain times the time since, a sixth for one late answer and a third for a timeout, where a thin proxy meets a host once in seconds; sense() wanted nothing less until answers came near to late (loadedAbove); best() let a second request of a thin proxy join the first.

Timeouts in full and a smaller least share gave nothing.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -37,8 +37,10 @@
 	admitGain                       = 0.7
 	admitAims                       = 128.0 // until a share has faded back to one, in longest aims
 	admitLeast, admitOver, mostLoad = 0.05, 0.15, 0.95
-	// Alone, a proxy hears of a host one answer in seconds, and each moves its share by aloneStep. Wanted is then
-	// the mean time that answers of the class take: shares move long before hosts are late.
+	// Alone, a proxy hears of a host one answer in seconds, and each moves its share by aloneStep. Wanted is
+	// then the mean time that answers of the class take: shares move long before hosts are late. With more
+	// than aloneMost proxies to a host they would all move together, and shares move by time.
+	aloneMost              = 4
 	aloneStep              = 4.2
 	tellStep               = 0.2
 	tellShare              = 0.3
@@ -181,6 +183,7 @@
 	longest float64    // longest aim
 	mean    float64    // in flight from here to a host of mean size
 	thin    bool       // too little in flight for limits to tell of load
+	alone   bool       // thin, and neither peers nor many answers tell of a host
 	doubts  bool       // hosts in doubt yield
 	load    [2]float64 // mean load that hosts of this zone and of others show
 	admit   float64    // mean share admitted by hosts that can be reached
@@ -560,7 +563,7 @@
 			continue
 		}
 		loaded := float64(h.inflight) >= max(passOverFloor, passOverMean*b.mean*h.weight+1) ||
-			b.thin && h.inflight > 0 // its part of any host's room is far under one
+			b.alone && h.inflight > 0 // its part of any host's room is far under one
 		crowded := b.admit*unit(mix(o.luck^uint64(h.ID))) >= h.admit
 		doubted := b.doubts && h.doubted(b.now, o.class.Effect)
 		if loaded || crowded || doubted {
@@ -608,6 +611,7 @@
 	b.earnCold(cold)
 	b.admit, b.mean = admit/max(weight, 1), float64(inflight)/max(weight, 1)
 	b.thin = b.mean < thinBelow
+	b.alone = b.thin && !b.cfg.PeerMessages && b.cfg.Balancers <= aloneMost*len(b.hosts)
 	b.doubts = b.thin && float64(doubted) <= doubtShare*float64(counted)
 	panicking = float64(healthy) < panicThreshold*float64(counted)
 	if panicking {
@@ -694,7 +698,7 @@
 	switch {
 	case b.cfg.PeerMessages: // peers agree, so keys move together and what one finds out serves all
 		step *= 2
-	case b.thin:
+	case b.alone && b.load[h.side] <= loadedAbove: // else it is not the host
 		step = aloneStep
 	}
 	h.admit *= math.Exp(-step * over)
@@ -704,9 +708,6 @@
 	}
 }
 
-// tag is a host's short name in messages, above the byte that holds its share.
-func tag(id HostID) uint32 { return uint32(mix(uint64(id))) &^ math.MaxUint8 }
-
 // rendezvous is an exponential variate fixed by key and host: divided by a weight, the lowest wins in
 // proportion to the weights, and a host that leaves moves only its own keys.
 func rendezvous(key uint64, id HostID) float64 {
@@ -842,7 +843,7 @@
 	util := min(1, took/(markShare*max(leastAim, o.class.Aim)))
 	b.load[h.side] += loadStep * (util - b.load[h.side])
 	over := util/min(mostLoad, max(loadedAbove, b.load[h.side]+admitOver)) - 1
-	if b.thin && !b.cfg.PeerMessages { // the mean over hosts is known far better than any host
+	if b.alone { // the mean over hosts is known far better than any host
 		over = min(1, took/b.classWork[o.Class]-1)
 	}
 	b.feel(h, over)
--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -229,21 +229,23 @@
 	return t.failure
 }
 
-// Close ends all targets and waits for what they serve.
+// Close ends all targets and waits for what they serve. What broken links still hold arrives nowhere.
 func (t *Table) Close() {
+	t.mu.Lock()
+	targets := t.targets
+	t.mu.Unlock()
+	for _, g := range targets {
+		g.Down()
+	}
 	t.mu.Lock()
 	for k, h := range t.holes {
 		h.close()
 		delete(t.holes, k)
 	}
-	targets := t.targets
 	t.states = map[pair]State{}
 	close(t.changed)
 	t.changed = make(chan struct{})
 	t.mu.Unlock()
-	for _, g := range targets {
-		g.Down()
-	}
 	for _, g := range targets {
 		g.wg.Wait()
 	}
--- a/internal/lab/node/node_test.go
+++ b/internal/lab/node/node_test.go
@@ -14,8 +14,8 @@
 )
 
 // ask sends a request and does not wait for its answer.
-func ask(t *testing.T, n *Node, id string) net.Conn {
-	c, err := net.Dial("tcp", n.Addr(0))
+func ask(t *testing.T, n *Node, proxy int, id string) net.Conn {
+	c, err := net.Dial("tcp", n.Addr(proxy))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -48,16 +48,15 @@
 			n.Change(func(m *Model) { ok = m.running+m.waiting == want })
 		}
 	}
-	ask(t, n, "runs")
+	ask(t, n, 1, "runs")
 	waiting(1)
-	left := ask(t, n, "leaves")
+	table.Set([]int{1}, []int{0}, func(s *link.State) { s.SilentBack = true })
+	left := ask(t, n, 0, "leaves")
 	waiting(2)
-	if s := status(t, ask(t, n, "full")); s != http.StatusServiceUnavailable {
+	if s := status(t, ask(t, n, 0, "full")); s != http.StatusServiceUnavailable {
 		t.Errorf("status %d with a full queue", s)
 	}
 	left.Close()
-	waiting(1)
-	table.Set([]int{0}, []int{0}, func(s *link.State) { s.SilentBack = true })
 	waiting(0)
 	table.Close()
 	how := map[string]string{}
