--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -382,7 +382,7 @@
 			chance, dearest = max(chance, giveWay*b.strain[c]), max(dearest, d)
 		}
 	}
-	if b.thin && b.load[0] > loadedAbove { // else only some hosts are crowded
+	if b.thin && !b.alone && b.load[0] > loadedAbove { // else only some hosts are crowded
 		chance = max(chance, max(1-b.admit, b.late)*(1-o.density/dearest))
 	}
 	if o.Repeat && o.class.LateWorth <= 0 { // its time began with an earlier try, and may be over
