--- a/cmd/beechwing/main_test.go
+++ b/cmd/beechwing/main_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -28,13 +29,41 @@
 	os.Exit(m.Run())
 }
 
-func program(t *testing.T, env ...string) (*exec.Cmd, *bytes.Buffer) {
+func program(t *testing.T, env ...string) (*exec.Cmd, *logText) {
 	t.Helper()
 	cmd := exec.CommandContext(t.Context(), os.Args[0])
 	cmd.Env = append([]string{"BEECHWING_TEST_MAIN=1"}, env...)
-	var log bytes.Buffer
-	cmd.Stderr = &log
-	return cmd, &log
+	log := &logText{}
+	cmd.Stderr = log
+	return cmd, log
+}
+
+// logText is what the program has logged; it may be read while the program runs.
+type logText struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *logText) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(b)
+}
+
+func (l *logText) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+// await waits until the program has logged a text.
+func (l *logText) await(t *testing.T, text string) {
+	t.Helper()
+	for end := time.Now().Add(patience); !strings.Contains(l.String(), text); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%q is not in the log: %s", text, l)
+		}
+	}
 }
 
 // listen takes an address on loopback.
@@ -161,7 +190,8 @@
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
-	_, after := send("b") // new connections are taken for a while yet
+	log.await(t, `"from":"serving"`) // else both may be answered before the program has heard of its end
+	_, after := send("b")            // new connections are taken for a while yet
 	<-got
 	close(release)
 	for name, br := range map[string]*bufio.Reader{"before": before, "after": after} {
--- a/cmd/beechwing/upgrade_test.go
+++ b/cmd/beechwing/upgrade_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -18,7 +17,7 @@
 )
 
 // successor starts the program at the platform's socket, with an operators' address of its own, and waits for its yes.
-func successor(t *testing.T, socket *os.File, addr, host, tmp string) (*exec.Cmd, *bytes.Buffer, string) {
+func successor(t *testing.T, socket *os.File, addr, host, tmp string) (*exec.Cmd, *logText, string) {
 	t.Helper()
 	door := vacant(t)
 	cmd, log := program(t, "PROXY_CONFIG="+configFile(t, addr, host), "PROXY_FD=3", "PROXY_OPS="+door, "TMPDIR="+tmp)
--- a/internal/lab/list/list.go
+++ b/internal/lab/list/list.go
@@ -4,7 +4,6 @@
 package list
 
 import (
-	"bufio"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -120,28 +119,7 @@
 }
 
 func (s *Service) serve(c *link.Conn) {
-	br := bufio.NewReaderSize(c, 2<<10)
-	for {
-		r, err := http.ReadRequest(br)
-		if err != nil {
-			return
-		}
-		gone, watched := make(chan struct{}), make(chan struct{})
-		go func() {
-			defer close(watched)
-			if _, err := br.Peek(1); err != nil {
-				close(gone)
-			}
-		}()
-		goesOn := s.call(c, r, gone)
-		if !goesOn {
-			c.Close()
-		}
-		<-watched
-		if !goesOn {
-			return
-		}
-	}
+	c.Requests(func(r *http.Request, gone chan struct{}) bool { return s.call(c, r, gone) })
 }
 
 // call works on one call and says whether its connection goes on.
--- a/internal/lab/node/node.go
+++ b/internal/lab/node/node.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"bufio"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -87,38 +86,15 @@
 		rec.Closed = n.book.Now()
 		n.book.Add(rec)
 	}()
-	br := bufio.NewReaderSize(c, 4<<10)
-	for {
-		r, err := http.ReadRequest(br)
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
-			return
-		}
+	c.Requests(func(r *http.Request, gone chan struct{}) bool {
 		rec.Asked++
 		e := record.Execution{ID: r.Header.Get("X-Txn"), Host: n.Index, Proxy: c.Proxy, Arrived: n.book.Now(), Sent: n.book.Since(c.Left())}
 		if rec.TurnedAway {
 			n.turnAway(c, e)
-			return
-		}
-		// While it is worked on, the connection's end is watched for: what its sender has left need not begin.
-		gone, watched := make(chan struct{}), make(chan struct{})
-		go func() {
-			defer close(watched)
-			if _, err := br.Peek(1); err != nil {
-				close(gone)
-			}
-		}()
-		goesOn := n.handle(c, r, e, rec.Asked == 1, gone)
-		if !goesOn {
-			c.Close()
+			return false
 		}
-		<-watched
-		if !goesOn {
-			return
-		}
-	}
+		return n.handle(c, r, e, rec.Asked == 1, gone)
+	})
 }
 
 func (n *Node) turnAway(c *link.Conn, e record.Execution) bool {
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"beechwing/internal/lab/caller"
@@ -161,12 +162,16 @@
 	return nil
 }
 
-// proxyAddr is an address of the proxy's own, on which callers come to it. Its last part is this process's, as far as that
-// goes: a port that was free when the proxy was prepared may be another rig's by the time it starts.
+// proxyAddr is an address of the proxy's own, on which callers come to it. A port that the system finds free now may be a
+// target's by the time the proxy starts, in this rig or another: these lie below those that it gives out (ip(7),
+// ip_local_port_range), and the address's last part is this process's, as far as that goes.
 func proxyAddr(p int) string {
-	return fmt.Sprintf("127.%d.%d.%d:0", 32+p>>8, p&255, 1+os.Getpid()%250)
+	return fmt.Sprintf("127.%d.%d.%d:%d", 32+p>>8, p&255, 1+os.Getpid()%250, 20_000+ports.Add(1)%10_000)
 }
 
+// ports counts the addresses given to proxies of all rigs in this process.
+var ports atomic.Int64
+
 const readyWithin = 60 * time.Second
 
 func (r *rig) play() error {
--- a/internal/lab/standin/standin.go
+++ b/internal/lab/standin/standin.go
@@ -30,7 +30,7 @@
 	Nobody     = "nobody"      // answers are made up
 	AfterDrain = "after-drain" // a host that drains gets requests as before
 	PushCold   = "push-cold"   // a host that has just started gets everything
-	Lose       = "lose"        // connections are closed in place of an answer
+	Lose       = "lose"        // connections are closed in the middle of an answer
 	Leak       = "leak"        // descriptors are never given back
 	RefuseRan  = "refuse-ran"  // what may have run is refused
 	SendAfter  = "send-after"  // requests are sent again after their answer
@@ -188,6 +188,7 @@
 	is := func(defect string) bool { return defective && p.defect == defect }
 	switch {
 	case is(Lose):
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Le")
 		return false
 	case is(Leak):
 		if f, err := os.Open(os.DevNull); err == nil {
