The lab: one word for a refusal, one case for drawn parties, an unused field out

Which statuses refuse stood in the caller and twice in the judge, now as record.Ask.Refused; two cases that drew targets in the same way are one; report.Run.Machine was read by nothing, and a comment spoke of a ratio that no table prints. make check passes.

--- a/cmd/beechwing-lab/compare.go
+++ b/cmd/beechwing-lab/compare.go
@@ -66,8 +66,7 @@
 					fmt.Fprintf(c.notes, "%s, %s, seed %d:\n", f.Name, name, c.seed+uint64(n))
 					report.Verdict(c.notes, v)
 				}
-				runs[i] = append(runs[i], report.Run{Build: name, Verdict: v, Seconds: report.Seconds(s, book),
-					Machine: book.Machine})
+				runs[i] = append(runs[i], report.Run{Build: name, Verdict: v, Seconds: report.Seconds(s, book)})
 			}
 		}
 		if err := table.Add(f.Name, runs); err != nil {
--- a/internal/lab/caller/caller.go
+++ b/internal/lab/caller/caller.go
@@ -218,7 +218,7 @@
 	if host, echo, ok := strings.Cut(strings.TrimSuffix(string(answer), "\n"), " "); ok && a.Status == http.StatusOK {
 		a.Host, a.Echo = host, echo
 	}
-	if s, err := strconv.ParseFloat(r.Header.Get("Retry-After"), 64); err == nil && refused(a.Status) {
+	if s, err := strconv.ParseFloat(r.Header.Get("Retry-After"), 64); err == nil && a.Refused() {
 		a.RetryIn = time.Duration(s * float64(time.Second))
 	}
 	if one.last = a.ID; r.Close {
@@ -234,7 +234,3 @@
 	}
 	return nil
 }
-
-func refused(status int) bool {
-	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
-}
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -183,14 +183,13 @@
 	if class.Effect == "repeatable" || ran == 0 {
 		return
 	}
-	refused := a.End == record.Answered && (a.Status == 429 || a.Status == 503)
 	switch {
 	case class.Effect == "once" && ran > 1:
 		j.broken(RanTwice, runs[len(runs)-1].Arrived, "%s ran %d times, %s", a.ID, ran, places(runs))
 	case class.Effect == "by_key" && ran > 1 && !j.inGroup(class, runs):
 		j.broken(LeftGroup, runs[len(runs)-1].Arrived, "%s: %s", a.ID, places(runs))
 	}
-	if refused && (class.Effect == "once" || class.Group == "zone") {
+	if a.Refused() && (class.Effect == "once" || class.Group == "zone") {
 		j.broken(RefusedAndRan, a.Done, "%s: %s", a.ID, places(runs))
 	}
 }
--- a/internal/lab/judge/shares.go
+++ b/internal/lab/judge/shares.go
@@ -67,7 +67,7 @@
 			} else {
 				good[second]++
 			}
-		case a.Status == 429 || a.Status == 503:
+		case a.Refused():
 			c.Refused++
 		default:
 			c.Failed++
--- a/internal/lab/plan/schedule.go
+++ b/internal/lab/plan/schedule.go
@@ -70,10 +70,7 @@
 		to, _ := parseSelector(f.To)
 		step.Proxies = from.pick(s, random)
 		step.Hosts, step.List = to.pick(s, random), to.kind == "list"
-	case "hosts":
-		to, _ := parseSelector(f.To)
-		targets = to.pick(s, random)
-	case "proxies":
+	case "hosts", "proxies":
 		to, _ := parseSelector(f.To)
 		targets = to.pick(s, random)
 	}
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +35,11 @@
 	RetryIn  time.Duration
 }
 
+// Refused says whether the answer promises that trying again is harmless.
+func (a *Ask) Refused() bool {
+	return a.End == Answered && (a.Status == http.StatusTooManyRequests || a.Status == http.StatusServiceUnavailable)
+}
+
 // Extra is bytes that came after a request's answer and before the next request.
 type Extra struct {
 	ID    string
--- a/internal/lab/report/table.go
+++ b/internal/lab/report/table.go
@@ -7,7 +7,6 @@
 	"strings"
 
 	"beechwing/internal/lab/judge"
-	"beechwing/internal/lab/record"
 )
 
 // Run is one play of an experiment.
@@ -15,7 +14,6 @@
 	Build   string
 	Verdict *judge.Verdict
 	Seconds []Second
-	Machine record.Machine
 }
 
 // column is a figure of a run.
@@ -56,7 +54,7 @@
 	return &Table{out: out}
 }
 
-// Add prints a row for each build's runs of an experiment; below the first, the others' ratio to it in what was served.
+// Add prints a row for each build's runs of an experiment.
 func (t *Table) Add(experiment string, builds [][]Run) error {
 	for _, runs := range builds {
 		cells := []string{experiment, runs[0].Build}
