--- a/balancer/api.go
+++ b/balancer/api.go
@@ -65,6 +65,13 @@
 	Draining
 )
 
+// Route is what a plan made for the whole fleet says of a zone: its part of this balancer's requests. With 0 it takes what
+// finds no room elsewhere.
+type Route struct {
+	Zone  int
+	Share float64
+}
+
 // ListKind says what a list event holds.
 type ListKind uint8
 
@@ -206,6 +213,10 @@
 	// Configure takes over other settings; kept names, for each class, what it was until now, -1: none.
 	Configure(now float64, cfg Config, kept []int)
 
+	// Plan takes over the zones that count, and with which share. Zones that it does not name are out; what the shares
+	// lack of 1 is refused at once. Empty: there is no plan, and the balancer finds out alone.
+	Plan(now float64, routes []Route)
+
 	// Avoided counts the hosts that take requests by the list and get none from here, by this balancer's choice. It
 	// changes nothing.
 	Avoided(now float64) int
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -9,7 +9,6 @@
 	"cmp"
 	"encoding/binary"
 	"math"
-	"math/bits"
 	"slices"
 )
 
@@ -39,8 +38,8 @@
 	admitLeast, admitOver, mostLoad = 0.05, 0.15, 0.95
 	// Alone, a proxy hears of a host one answer in seconds, and each moves its share by aloneStep. Wanted is
 	// then the mean time that answers of the class take: shares move long before hosts are late. With more
-	// than aloneMost proxies to a host they would all move together, and shares move by time.
-	aloneMost              = 4
+	// than aloneMost proxies to a host, or aloneBelow in flight to a mean one, shares by time do better.
+	aloneMost, aloneBelow  = 4, 0.02
 	aloneStep              = 4.2
 	tellStep               = 0.2
 	tellShare              = 0.3
@@ -127,7 +126,7 @@
 	answered           float64 // clock of its last answer
 	newest             float64 // when the newest of the attempts that it answered went out
 	zone               *zone
-	admit              float64   // share of requests that may come here, by load seen here and by peers
+	admit, part        float64   // share of requests that may come here: by load, and alone by answers
 	admitAt, admitTold float64   // when it last moved, and what peers were told
 	window             float64   // limit of requests in flight from here
 	cutAt              float64   // clock of the last cut
@@ -140,8 +139,11 @@
 type zone struct {
 	refused int     // failed connections in a row
 	until   float64 // out until then
+	shut    bool    // out by the plan
 }
 
+func (z *zone) out(now float64) bool { return z.shut || z.until > now }
+
 // ranked is a host with its rendezvous score for the key at hand; the lowest comes first.
 type ranked struct {
 	h     *host
@@ -179,6 +181,8 @@
 	index   map[HostID]*host
 	zones   map[int]*zone
 	set     []ranked // of the pick at hand
+	routes  []Route  // of the plan; none: there is no plan
+	refused float64  // share of all requests that it refuses
 	ops     map[RequestID]*op
 	longest float64    // longest aim
 	mean    float64    // in flight from here to a host of mean size
@@ -207,9 +211,6 @@
 	warmWeight float64
 }
 
-// drift moves a running mean towards x by one answer's weight.
-func drift(mean *float64, x float64) { *mean += meanStep * (x - *mean) }
-
 func (b *Balancer) tick() float64 { return tickAims * b.longest }
 
 // ---- the server list
@@ -253,7 +254,7 @@
 	h := b.index[e.ID]
 	if h == nil {
 		h = &host{window: -1, until: b.now, cutAt: b.now, answered: math.Inf(-1), newest: math.Inf(-1),
-			admit: 1, admitTold: 1, admitAt: b.now,
+			admit: 1, admitTold: 1, part: 1, admitAt: b.now,
 			lost: make([]float64, len(b.strain)), lostAt: b.now}
 		b.index[e.ID] = h
 		b.hosts = append(b.hosts, h)
@@ -263,7 +264,7 @@
 	}
 	h.Host = e
 	if b.zones[h.Zone] == nil {
-		b.zones[h.Zone] = &zone{until: b.now}
+		b.zones[h.Zone] = &zone{until: b.now, shut: b.planShuts(h.Zone)}
 	}
 	h.zone = b.zones[h.Zone]
 }
@@ -376,7 +377,7 @@
 // givesWay refuses cheaper work at once, by chance, while dearer work finds no room: without it the dearer
 // would only get what is free at its moment.
 func (b *Balancer) givesWay(o *op) bool {
-	chance, dearest := 0.0, o.density
+	chance, dearest := b.refused, o.density
 	for c := range b.cfg.Classes {
 		if d := b.density(c); d > o.density {
 			chance, dearest = max(chance, giveWay*b.strain[c]), max(dearest, d)
@@ -391,14 +392,6 @@
 	return b.random() < chance
 }
 
-// density is the worth of a unit of a class's work.
-func (b *Balancer) density(c int) float64 {
-	if b.cfg.WorthByWork {
-		return b.cfg.Classes[c].Worth
-	}
-	return b.cfg.Classes[c].Worth / b.classWork[c]
-}
-
 // hold keeps a request until a host has room, if what is held before it should be gone by then, judged by
 // the work lately answered. Otherwise it is refused at once (load shedding); worth least goes first.
 func (b *Balancer) hold(o *op) {
@@ -528,11 +521,11 @@
 // pick is the mechanism: healthy / counted against the threshold chooses the set, rendezvous hashing ranks
 // it by the key, and a loaded host yields to the next.
 func (b *Balancer) pick(o *op, anchor *host) *host {
-	panicking := b.split(o.Class)
+	panicking, near := b.split(o.Class), b.route(o)
 	b.set = b.set[:0]
 	home := [2]float64{math.Inf(1), math.Inf(1)} // the best score in this zone and in others
 	for _, h := range b.hosts {
-		out := !panicking && (h.until > b.now || b.mute(h, o.Class)) || h.zone.until > b.now
+		out := !panicking && (h.until > b.now || b.mute(h, o.Class)) || h.zone.out(b.now)
 		if h.Status != Ready || out || o.tried(h) || !inGroup(o.class.Group, anchor, h) {
 			continue
 		}
@@ -540,7 +533,7 @@
 		if cold { // a popular key alone would push it over
 			key = o.luck
 		}
-		score := rendezvous(key, h.ID) / h.zoneRank
+		score := rendezvous(key, h.ID) / h.rank(near)
 		b.set = append(b.set, ranked{h, score})
 		if !cold {
 			home[h.side] = min(home[h.side], score)
@@ -553,6 +546,29 @@
 	return best
 }
 
+// route is the zone that the plan names for a request, by its key: as shares move a little, few keys do. A
+// further attempt goes by distance, as all do without a plan.
+func (b *Balancer) route(o *op) *zone {
+	x := unit(mix(o.Key)) * (1 - b.refused)
+	for _, r := range b.routes {
+		if x -= r.Share; x < 0 && len(o.attempts) == 0 {
+			return b.zones[r.Zone]
+		}
+	}
+	return nil
+}
+
+// rank is a host's rendezvous weight for a request that the plan sends to a zone; nil: to none.
+func (h *host) rank(near *zone) float64 {
+	switch near {
+	case nil:
+		return h.zoneRank
+	case h.zone:
+		return h.weight
+	}
+	return h.weight * farRank
+}
+
 // best is the first of the set that does not yield, or the least loaded if all do.
 func (b *Balancer) best(o *op, home [2]float64, warmOnly bool) (best *host) {
 	lowest := math.Inf(1)
@@ -564,7 +580,7 @@
 		}
 		loaded := float64(h.inflight) >= max(passOverFloor, passOverMean*b.mean*h.weight+1) ||
 			b.alone && h.inflight > 0 // its part of any host's room is far under one
-		crowded := b.admit*unit(mix(o.luck^uint64(h.ID))) >= h.admit
+		crowded := b.admit*unit(mix(o.luck^uint64(h.ID))) >= b.share(h)
 		doubted := b.doubts && h.doubted(b.now, o.class.Effect)
 		if loaded || crowded || doubted {
 			r.score = lastRank * float64(h.inflight+1) / h.weight
@@ -589,10 +605,10 @@
 	weight, admit, cold := 0.0, 0.0, 0.0
 	b.warmWeight = 0
 	for _, h := range b.hosts {
-		if h.Status != Ready || h.zone.until > b.now {
+		if h.Status != Ready || h.zone.out(b.now) {
 			continue
 		}
-		inflight, weight, admit = inflight+h.inflight, weight+h.weight, admit+h.admit*h.weight
+		inflight, weight, admit = inflight+h.inflight, weight+h.weight, admit+b.share(h)*h.weight
 		if warm := b.warmth(h); warm >= 1 {
 			b.warmWeight += h.weight
 		} else {
@@ -611,7 +627,8 @@
 	b.earnCold(cold)
 	b.admit, b.mean = admit/max(weight, 1), float64(inflight)/max(weight, 1)
 	b.thin = b.mean < thinBelow
-	b.alone = b.thin && !b.cfg.PeerMessages && b.cfg.Balancers <= aloneMost*len(b.hosts)
+	b.alone = b.mean < aloneBelow && !b.cfg.PeerMessages && b.cfg.Balancers <= aloneMost*len(b.hosts) &&
+		max(b.load[0], b.load[1]) <= loadedAbove // in overload it is not single hosts
 	b.doubts = b.thin && float64(doubted) <= doubtShare*float64(counted)
 	panicking = float64(healthy) < panicThreshold*float64(counted)
 	if panicking {
@@ -641,7 +658,7 @@
 // othersReached: with every zone out nothing would be left, as hosts may refuse connections for want of room.
 func (b *Balancer) othersReached(z *zone) (reached bool) {
 	for _, other := range b.zones {
-		reached = reached || other != z && other.until <= b.now
+		reached = reached || other != z && !other.out(b.now)
 	}
 	return reached
 }
@@ -691,16 +708,15 @@
 	return true
 }
 
-// feel moves the share of requests that a host gets, by how much its load is above what is wanted. A thin
-// proxy meets a host too seldom to find out alone, so peers are told of large changes.
-func (b *Balancer) feel(h *host, over float64) {
+// feel moves the share of requests that a host gets: by how much its load is above what is wanted, of which
+// peers are told, and by how far an answer was apart from the mean. In overload the first holds: it makes
+// cheap work give way, and keys stay where they are.
+func (b *Balancer) feel(h *host, over, apart float64) {
 	step := admitGain * min(b.now-h.admitAt, b.longest)
-	switch {
-	case b.cfg.PeerMessages: // peers agree, so keys move together and what one finds out serves all
+	if b.cfg.PeerMessages { // peers agree, so keys move together and what one finds out serves all
 		step *= 2
-	case b.alone && b.load[h.side] <= loadedAbove: // else it is not the host
-		step = aloneStep
 	}
+	h.part = min(1, max(admitLeast, h.part*math.Exp(-aloneStep*apart)))
 	h.admit *= math.Exp(-step * over)
 	h.admit, h.admitAt = min(1, max(admitLeast, h.admit)), b.now
 	if math.Abs(math.Log(h.admit/h.admitTold)) > tellStep && b.tell(h, byte(h.admit*wholeShare)) {
@@ -708,25 +724,6 @@
 	}
 }
 
-// rendezvous is an exponential variate fixed by key and host: divided by a weight, the lowest wins in
-// proportion to the weights, and a host that leaves moves only its own keys.
-func rendezvous(key uint64, id HostID) float64 {
-	return -math.Log(unit(mix(key^bits.RotateLeft64(mix(uint64(id)+0x9e3779b97f4a7c15), 23))) + 0x1p-54)
-}
-
-func (o *op) tried(h *host) bool {
-	return slices.ContainsFunc(o.attempts, func(a attempt) bool { return a.h == h })
-}
-
-// warmth is the share of its capacity that a host surely has by now.
-func (b *Balancer) warmth(h *host) float64 {
-	age := b.now - h.Started
-	if h.Started == 0 || b.cfg.ColdFor <= 0 || age >= b.cfg.ColdFor {
-		return 1
-	}
-	return b.cfg.ColdFrom + (1-b.cfg.ColdFrom)*max(0, age)/b.cfg.ColdFor
-}
-
 // coldBudget is the part of what pushes a host over, relative to its size, that may be sent to it.
 func (b *Balancer) coldBudget(warmth float64) float64 {
 	grows := max(0, min(coldMost, 1/max(1, b.cfg.FallMultiple))-coldSafety)
@@ -843,10 +840,7 @@
 	util := min(1, took/(markShare*max(leastAim, o.class.Aim)))
 	b.load[h.side] += loadStep * (util - b.load[h.side])
 	over := util/min(mostLoad, max(loadedAbove, b.load[h.side]+admitOver)) - 1
-	if b.alone { // the mean over hosts is known far better than any host
-		over = min(1, took/b.classWork[o.Class]-1)
-	}
-	b.feel(h, over)
+	b.feel(h, over, min(1, took/b.classWork[o.Class]-1))
 }
 
 // weigh takes an outcome as evidence on the host and on the load.
@@ -873,10 +867,10 @@
 		h.lost[o.Class] *= 1 - judgeStep[failed]
 	case TurnedAway: // proves load, not sickness
 		h.heard = true
-		b.feel(h, 1)
+		b.feel(h, 1, 1)
 	case TimedOut:
 		b.lose(h, o.Class)
-		b.feel(h, b.lateWeight())
+		b.feel(h, b.lateWeight(), b.lateWeight())
 		if !a.late {
 			b.markLate(a)
 		}
@@ -905,7 +899,7 @@
 		b.judge(a.h, failed, b.lateWeight())
 	}
 	drift(&b.late, 1)
-	b.feel(a.h, b.lateWeight())
+	b.feel(a.h, b.lateWeight(), b.lateWeight())
 }
 
 // leaves says whether a request had better go elsewhere than wait on past its mark: it may, and its time for
@@ -960,6 +954,7 @@
 		b.warmFlow, b.flow, b.span = b.warmFlow*keep, b.flow*keep, b.span*keep+b.tick()
 		for _, h := range b.hosts { // what nobody finds out anew is forgotten
 			h.admit += tickAims / admitAims * (1 - h.admit)
+			h.part += tickAims / admitAims * (1 - h.part)
 		}
 		b.release()
 		b.act.Timer(b.tick(), token)
--- a/balancer/configure.go
+++ b/balancer/configure.go
@@ -51,6 +51,32 @@
 	}
 }
 
+// Plan takes over which zones count. It decides nothing: pick and givesWay act on it.
+func (b *Balancer) Plan(now float64, routes []Route) {
+	b.now, b.routes, b.refused = now, slices.Clone(routes), 0
+	if len(routes) > 0 {
+		b.refused = 1
+	}
+	for _, r := range routes {
+		b.refused = max(0, b.refused-r.Share)
+	}
+	if b.refused < leastRefused {
+		b.refused = 0
+	}
+	for n, z := range b.zones {
+		z.shut = b.planShuts(n)
+	}
+	b.release()
+}
+
+// leastRefused is what a plan's shares may lack by rounding.
+const leastRefused = 1e-6
+
+// planShuts says whether the plan leaves a zone out.
+func (b *Balancer) planShuts(n int) bool {
+	return len(b.routes) > 0 && !slices.ContainsFunc(b.routes, func(r Route) bool { return r.Zone == n })
+}
+
 // adopt makes room for what is learned of each class, and of those that went away while requests of theirs were open.
 func (b *Balancer) adopt(cfg Config) {
 	if len(cfg.Classes) == 0 {
--- a/balancer/figures.go
+++ b/balancer/figures.go
@@ -10,7 +10,7 @@
 	for _, h := range b.hosts {
 		switch {
 		case h.Status != Ready:
-		case h.zone.until > now:
+		case h.zone.out(now):
 			avoided++
 		case h.until > now:
 			ejected++
--- /dev/null
+++ b/balancer/known.go
@@ -0,0 +1,34 @@
+package balancer
+
+import "slices"
+
+// What follows from what is known, without a choice.
+
+// density is the worth of a unit of a class's work.
+func (b *Balancer) density(c int) float64 {
+	if b.cfg.WorthByWork {
+		return b.cfg.Classes[c].Worth
+	}
+	return b.cfg.Classes[c].Worth / b.classWork[c]
+}
+
+func (o *op) tried(h *host) bool {
+	return slices.ContainsFunc(o.attempts, func(a attempt) bool { return a.h == h })
+}
+
+// warmth is the share of its capacity that a host surely has by now.
+func (b *Balancer) warmth(h *host) float64 {
+	age := b.now - h.Started
+	if h.Started == 0 || b.cfg.ColdFor <= 0 || age >= b.cfg.ColdFor {
+		return 1
+	}
+	return b.cfg.ColdFrom + (1-b.cfg.ColdFrom)*max(0, age)/b.cfg.ColdFor
+}
+
+// share is the part of the requests that a host may get.
+func (b *Balancer) share(h *host) float64 {
+	if b.alone {
+		return h.part
+	}
+	return h.admit
+}
--- a/balancer/random.go
+++ b/balancer/random.go
@@ -1,6 +1,9 @@
 package balancer
 
-import "math"
+import (
+	"math"
+	"math/bits"
+)
 
 // random returns a number in [0, 1) from the instance's own sequence (splitmix64).
 func (b *Balancer) random() float64 {
@@ -19,3 +22,12 @@
 
 // tag is a host's short name in messages, above the byte that holds its share.
 func tag(id HostID) uint32 { return uint32(mix(uint64(id))) &^ math.MaxUint8 }
+
+// rendezvous is an exponential variate fixed by key and host: divided by a weight, the lowest wins in
+// proportion to the weights, and a host that leaves moves only its own keys.
+func rendezvous(key uint64, id HostID) float64 {
+	return -math.Log(unit(mix(key^bits.RotateLeft64(mix(uint64(id)+0x9e3779b97f4a7c15), 23))) + 0x1p-54)
+}
+
+// drift moves a running mean towards x by one answer's weight.
+func drift(mean *float64, x float64) { *mean += meanStep * (x - *mean) }
--- a/cmd/beechwing-lab/compare.go
+++ b/cmd/beechwing-lab/compare.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 
 	"github.com/spf13/cobra"
@@ -18,6 +20,7 @@
 // compare plays experiments with several builds, alternating on the same seeds.
 type compare struct {
 	builds  []string // name=path
+	sites   []string // name=path of an operator's file
 	repeats int
 	seed    uint64
 	out     io.Writer // the table
@@ -36,6 +39,7 @@
 			return c.run(cmd.Context(), args)
 		}}
 	cmd.Flags().StringArrayVar(&c.builds, "build", []string{"now=" + besideMe("beechwing")}, "a build, as NAME=PATH; may be given again")
+	cmd.Flags().StringArrayVar(&c.sites, "site", nil, "an operator's file for the build of that name, as NAME=PATH; may be given again")
 	cmd.Flags().IntVar(&c.repeats, "repeats", 3, "seeds played")
 	cmd.Flags().Uint64Var(&c.seed, "seed", 1, "the first of them")
 	cmd.Flags().StringVar(&c.plots, "plots", "", "folder for a plot of each experiment, by second")
@@ -43,21 +47,22 @@
 }
 
 func (c *compare) run(ctx context.Context, paths []string) error {
+	builds, err := c.parse()
+	if err != nil {
+		return err
+	}
 	table := report.NewTable(c.out)
 	for _, path := range paths {
 		f, err := plan.Load(path)
 		if err != nil {
 			return err
 		}
-		runs := make([][]report.Run, len(c.builds))
+		runs := make([][]report.Run, len(builds))
 		for n := range c.repeats {
 			s := f.Draw(c.seed + uint64(n))
-			for i, build := range c.builds {
-				name, binary, ok := strings.Cut(build, "=")
-				if !ok {
-					return fmt.Errorf("build %q is not NAME=PATH", build)
-				}
-				book, err := rig.Play(ctx, s, rig.Options{Binary: binary, Seed: c.seed + uint64(n)})
+			for i, b := range builds {
+				name := b.name
+				book, err := rig.Play(ctx, s, rig.Options{Binary: b.binary, Site: b.site, Seed: c.seed + uint64(n)})
 				if err != nil {
 					return fmt.Errorf("%s with %s: %w", path, name, err)
 				}
@@ -81,3 +86,30 @@
 	}
 	return nil
 }
+
+// variant is a program with an operator's file for it.
+type variant struct{ name, binary, site string }
+
+func (c *compare) parse() ([]variant, error) {
+	var builds []variant
+	for _, text := range c.builds {
+		name, binary, ok := strings.Cut(text, "=")
+		if !ok {
+			return nil, fmt.Errorf("build %q is not NAME=PATH", text)
+		}
+		builds = append(builds, variant{name: name, binary: binary})
+	}
+	for _, text := range c.sites {
+		name, path, _ := strings.Cut(text, "=")
+		i := slices.IndexFunc(builds, func(b variant) bool { return b.name == name })
+		if i < 0 {
+			return nil, fmt.Errorf("site %q is not NAME=PATH with the NAME of a build", text)
+		}
+		site, err := os.ReadFile(path)
+		if err != nil {
+			return nil, fmt.Errorf("site: %w", err)
+		}
+		builds[i].site = string(site)
+	}
+	return builds, nil
+}
--- a/cmd/beechwing-lab/play.go
+++ b/cmd/beechwing-lab/play.go
@@ -21,8 +21,8 @@
 
 // play is one experiment with one seed.
 type play struct {
-	binary, out, log string
-	seed             uint64
+	binary, site, out, log string
+	seed                   uint64
 }
 
 func playCommand() *cobra.Command {
@@ -44,6 +44,7 @@
 			return nil
 		}}
 	c.Flags().StringVar(&p.binary, "binary", besideMe("beechwing"), "the program under test")
+	c.Flags().StringVar(&p.site, "site", "", "an operator's file, in place of the experiment's")
 	c.Flags().StringVar(&p.out, "out", "", "folder for the report and the processes' logs")
 	c.Flags().StringVar(&p.log, "log", "", "level of the processes' logs")
 	c.Flags().Uint64Var(&p.seed, "seed", 0, "in place of the experiment's")
@@ -70,6 +71,13 @@
 	}
 	s := f.Draw(seed)
 	o := rig.Options{Binary: p.binary, Seed: seed, Log: p.log}
+	if p.site != "" {
+		site, err := os.ReadFile(p.site)
+		if err != nil {
+			return nil, fmt.Errorf("site: %w", err)
+		}
+		o.Site = string(site)
+	}
 	if p.out != "" {
 		o.Dir = filepath.Join(p.out, "processes")
 	}
--- a/internal/lab/plan/file.go
+++ b/internal/lab/plan/file.go
@@ -159,7 +159,7 @@
 
 // The kinds of fault: what they break, and what they need.
 var kinds = map[string]struct {
-	to    string // "hosts", "proxies", "list", "links" (hosts or list, from proxies), "" nothing
+	to    string // "hosts", "proxies", "list", "links" (hosts or list, from proxies), "peers" (words between proxies), "" nothing
 	needs string
 }{
 	"silent": {"links", ""}, "silent_to": {"links", ""}, "silent_back": {"links", ""}, "refused": {"links", ""},
@@ -169,6 +169,7 @@
 	"kill":   {"proxies", ""}, "term": {"proxies", ""}, "stop": {"proxies", "for"}, "hup": {"proxies", ""},
 	"list_down": {"list", ""}, "list_late": {"list", "delay"}, "list_stale": {"list", ""}, "list_back": {"list", ""},
 	"list_torn": {"list", ""}, "load": {"", "factor"},
+	"peers_silent": {"peers", ""}, "peers_loss": {"peers", "share"}, "peers_late": {"peers", "delay"},
 }
 
 // What an expectation may be of.
@@ -325,12 +326,15 @@
 		if b.From != "" {
 			party("from", b.From, "proxies")
 		}
+	case "peers":
+		party("to", b.To, "proxies")
+		party("from", b.From, "proxies")
 	case "hosts", "proxies":
 		party("to", b.To, kind.to)
 	default:
 		c.add(b.To != "", at+"to", "has no meaning here")
 	}
-	c.add(b.From != "" && kind.to != "links", at+"from", "has no meaning here")
+	c.add(b.From != "" && kind.to != "links" && kind.to != "peers", at+"from", "has no meaning here")
 }
 
 func (f *File) zone(name string) int {
--- a/internal/lab/plan/schedule.go
+++ b/internal/lab/plan/schedule.go
@@ -32,6 +32,7 @@
 	End     bool // it heals
 	Proxies []int
 	Hosts   []int // of links too
+	Peers   []int // the other ends of links between proxies
 	List    bool
 }
 
@@ -70,6 +71,10 @@
 		to, _ := parseSelector(f.To)
 		step.Proxies = from.pick(s, random)
 		step.Hosts, step.List = to.pick(s, random), to.kind == "list"
+	case "peers":
+		from, _ := parseSelector(f.From)
+		to, _ := parseSelector(f.To)
+		step.Proxies, step.Peers = from.pick(s, random), to.pick(s, random)
 	case "hosts", "proxies":
 		to, _ := parseSelector(f.To)
 		targets = to.pick(s, random)
--- a/internal/lab/rig/faults.go
+++ b/internal/lab/rig/faults.go
@@ -41,6 +41,8 @@
 	case "list_down", "list_late", "list_stale", "list_back", "list_torn":
 		r.list.Change(func(l *list.Faults) { setList(l, f, !s.End) })
 	case "load": // the arrivals have it
+	case "peers_silent", "peers_loss", "peers_late":
+		r.breakPeers(f, s)
 	default:
 		r.breakLinks(f, s)
 	}
@@ -97,6 +99,22 @@
 	})
 }
 
+// breakPeers breaks or heals what lies between processes, in both directions.
+func (r *rig) breakPeers(f *plan.Fault, s *plan.Step) {
+	change := func(l *link.PeerState) {
+		switch f.Kind {
+		case "peers_silent":
+			l.Silent = !s.End
+		case "peers_loss":
+			l.Loss = map[bool]float64{false: f.Share}[s.End]
+		case "peers_late":
+			l.Delay = map[bool]time.Duration{false: f.Delay.D()}[s.End]
+		}
+	}
+	r.peers.Set(s.Proxies, s.Peers, change)
+	r.peers.Set(s.Peers, s.Proxies, change)
+}
+
 // hurt breaks or heals one host.
 func (r *rig) hurt(f *plan.Fault, h int, heal bool) {
 	n := r.nodes[h]
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -4,11 +4,14 @@
 package rig
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +30,7 @@
 type Options struct {
 	Binary string
 	Args   []string // of the program
+	Site   string   // text of an operator's file; empty: the experiment's
 	Dir    string   // for the processes' files and logs; empty: one that goes with the run
 	Seed   uint64
 	Log    string // level of the processes' logs; empty: the program's default
@@ -38,6 +42,7 @@
 	s       *plan.Schedule
 	book    *record.Book
 	net     *link.Table
+	peers   *link.Peers
 	nodes   []*node.Node
 	list    *list.Service
 	members []*member
@@ -71,6 +76,7 @@
 		defer os.RemoveAll(dir)
 		r.Dir = dir
 	}
+	r.peers = r.net.NewPeers()
 	err := r.setUp()
 	if err == nil {
 		err = r.play()
@@ -110,8 +116,12 @@
 		return err
 	}
 	r.spread()
+	sites, err := r.sites()
+	if err != nil {
+		return err
+	}
 	for p := range r.s.Proxies {
-		if err := r.addMember(p); err != nil {
+		if err := r.addMember(p, sites[p]); err != nil {
 			return err
 		}
 	}
@@ -139,10 +149,10 @@
 	}
 }
 
-func (r *rig) addMember(p int) error {
+func (r *rig) addMember(p int, site string) error {
 	c := process.Config{Binary: r.Binary, Args: r.Args, Name: fmt.Sprintf("p%03d", p), Listen: proxyAddr(p), Discovery: r.list.Addr(p),
 		Seed: r.Seed + uint64(p), Cores: r.s.Proxy.Cores, MemoryMB: r.s.Proxy.MemoryMB, Sockets: r.s.Proxy.Sockets,
-		Settings: settings(r.s, p), Site: r.s.Proxy.Site, Dir: filepath.Join(r.Dir, fmt.Sprintf("p%03d", p))}
+		Settings: settings(r.s, p), Site: site, Dir: filepath.Join(r.Dir, fmt.Sprintf("p%03d", p))}
 	if r.s.Proxy.Knows {
 		c.Known = r.list.Known(p)
 	}
@@ -162,6 +172,35 @@
 	return nil
 }
 
+// sites words each process's operator's file. In the text "@own@" and "@advertised@" stand for the process's addresses among
+// its peers, and "@seeds@" for those of three others.
+func (r *rig) sites() ([]string, error) {
+	text := cmp.Or(r.Site, r.s.Proxy.Site)
+	sites := make([]string, len(r.s.Proxies))
+	if !strings.Contains(text, "@own@") {
+		for p := range sites {
+			sites[p] = text
+		}
+		return sites, nil
+	}
+	var own, advertised []string
+	for p := range sites {
+		o, a, err := r.peers.Add(p)
+		if err != nil {
+			return nil, err
+		}
+		own, advertised = append(own, o), append(advertised, a)
+	}
+	for p := range sites {
+		var seeds []string
+		for k := range 3 {
+			seeds = append(seeds, strconv.Quote(advertised[(p+1+k*len(sites)/3)%len(sites)]))
+		}
+		sites[p] = strings.NewReplacer("@own@", own[p], "@advertised@", advertised[p], "@seeds@", strings.Join(seeds, ", ")).Replace(text)
+	}
+	return sites, nil
+}
+
 // proxyAddr is an address of the proxy's own, on which callers come to it. A port that the system finds free now may be a
 // target's by the time the proxy starts, in this rig or another: these lie below those that it gives out (ip(7),
 // ip_local_port_range), and the address's last part is this process's, as far as that goes.
@@ -296,6 +335,7 @@
 	for _, c := range r.callers {
 		c.Kill()
 	}
+	r.peers.Close()
 	r.net.Close()
 	r.bg.Wait()
 }
--- /dev/null
+++ b/internal/member/member.go
@@ -0,0 +1,372 @@
+// Package member knows which proxies of a fleet are there, and carries their words to each other: SWIM with Lifeguard's
+// suspicion over UDP and TCP (hashicorp/memberlist). Who has another fleet's name or none of the keys stays out; what such
+// send is dropped, counted, and logged once a minute at most. Words may be lost, come twice or late.
+package member
+
+import (
+	"bytes"
+	"cmp"
+	"errors"
+	"fmt"
+	"log"
+	"maps"
+	"net"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-msgpack/v2/codec"
+	"github.com/hashicorp/memberlist"
+	"go.uber.org/zap"
+)
+
+// Config is what a member is told.
+type Config struct {
+	Name      string
+	Fleet     string   // members of other fleets are strangers
+	Listen    string   // address for UDP and TCP alike
+	Advertise string   // by which others reach it; "": Listen
+	Seeds     []string // some of which are there when it starts
+	Keys      [][]byte // the first encrypts, all are understood; none: words are in clear
+}
+
+const (
+	rejoinEvery = 3 * time.Second  // at which lost members are called again
+	lostFor     = 15 * time.Minute // after which they are given up
+	mostLost    = 64               // remembered
+	callMost    = 3                // of them at a time, besides a seed
+	logEvery    = time.Minute
+	inbox       = 1024 // words that wait
+	mostWord    = 1200 // bytes that fit into a packet
+	leaveWithin = 200 * time.Millisecond
+)
+
+// Members is this process's place among the members.
+type Members struct {
+	cfg     Config
+	list    *memberlist.Memberlist
+	ring    *memberlist.Keyring
+	words   chan []byte
+	log     *zap.Logger
+	noise   *noise
+	end     chan struct{}
+	stopped sync.WaitGroup
+
+	mu      sync.Mutex
+	lost    map[string]lost // by name
+	dropped int             // words that found no place in the inbox
+}
+
+type lost struct {
+	addr string
+	at   time.Time
+}
+
+// Join starts to be a member. It returns at once: seeds that are not there yet are called again.
+func Join(cfg Config, logger *zap.Logger) (*Members, error) {
+	m := &Members{cfg: cfg, words: make(chan []byte, inbox), log: logger, end: make(chan struct{}), lost: map[string]lost{}}
+	m.noise = &noise{log: logger}
+	listen, err := netip.ParseAddrPort(cfg.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("members: listen: %w", err)
+	}
+	advertise, err := netip.ParseAddrPort(cmp.Or(cfg.Advertise, cfg.Listen))
+	if err != nil {
+		return nil, fmt.Errorf("members: advertise: %w", err)
+	}
+	c := m.settings(listen, advertise)
+	if len(cfg.Keys) > 0 {
+		if m.ring, err = memberlist.NewKeyring(cfg.Keys, cfg.Keys[0]); err != nil {
+			return nil, fmt.Errorf("members: keys: %w", err)
+		}
+		c.Keyring = m.ring
+	}
+	if c.Transport, err = newTransport(listen, c.Logger); err != nil {
+		return nil, fmt.Errorf("members: %w", err)
+	}
+	if m.list, err = memberlist.Create(c); err != nil {
+		return nil, fmt.Errorf("members: %w", err)
+	}
+	m.stopped.Go(m.rejoin)
+	return m, nil
+}
+
+func (m *Members) settings(listen, advertise netip.AddrPort) *memberlist.Config {
+	c := memberlist.DefaultLANConfig()
+	c.Name, c.Label = m.cfg.Name, m.cfg.Fleet
+	c.BindAddr, c.BindPort = listen.Addr().String(), int(listen.Port())
+	c.AdvertiseAddr, c.AdvertisePort = advertise.Addr().String(), int(advertise.Port())
+	c.Delegate, c.Events, c.Conflict = m, m, m
+	c.Logger = log.New(m.noise, "", 0)
+	c.TCPTimeout = 2 * time.Second
+	c.EnableCompression = false              // words are short
+	c.DeadNodeReclaimTime = time.Millisecond // a name that comes back elsewhere goes before its ghost as soon as that is dead
+	c.GossipToTheDeadTime = time.Minute      // so that those who were cut off learn that they are missed
+	c.GossipInterval = time.Second / 2       // membership changes seldom; words go straight to whom they are for
+	c.PushPullInterval = 60 * time.Second    // whole states, over TCP
+	c.SuspicionMult, c.SuspicionMaxTimeoutMult = 3, 3
+	c.HandoffQueueDepth = inbox
+	return c
+}
+
+// Alive names all members that are there, this one too.
+func (m *Members) Alive() []string {
+	var names []string
+	for _, n := range m.list.Members() {
+		names = append(names, n.Name)
+	}
+	return names
+}
+
+// Words is where other members' words come.
+func (m *Members) Words() <-chan []byte { return m.words }
+
+// Send sends a word, which may be lost. Long ones go over TCP, in a goroutine of their own.
+func (m *Members) Send(to string, word []byte) error {
+	for _, n := range m.list.Members() {
+		if n.Name != to {
+			continue
+		}
+		if len(word) <= mostWord {
+			return m.list.SendBestEffort(n, word)
+		}
+		m.stopped.Go(func() { m.list.SendReliable(n, word) })
+		return nil
+	}
+	return fmt.Errorf("members: %q is not there", to)
+}
+
+// Rekey changes the keys. As long as all members understand a key that is in use, none is lost by that: add the new one behind
+// the old everywhere, then put it first everywhere, then take the old one away.
+func (m *Members) Rekey(keys [][]byte) error {
+	if m.ring == nil || len(keys) == 0 {
+		return errors.New("members: keys cannot come or go while running")
+	}
+	for _, k := range keys {
+		if err := m.ring.AddKey(k); err != nil {
+			return fmt.Errorf("members: %w", err)
+		}
+	}
+	if err := m.ring.UseKey(keys[0]); err != nil {
+		return fmt.Errorf("members: %w", err)
+	}
+	for _, k := range m.ring.GetKeys() {
+		if !slices.ContainsFunc(keys, func(x []byte) bool { return bytes.Equal(x, k) }) {
+			if err := m.ring.RemoveKey(k); err != nil {
+				return fmt.Errorf("members: %w", err)
+			}
+		}
+	}
+	return nil
+}
+
+// Dropped counts what strangers sent, and words that came faster than they were taken.
+func (m *Members) Dropped() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.dropped + m.noise.total()
+}
+
+// Leave tells the others, and ends.
+func (m *Members) Leave() {
+	close(m.end)
+	m.list.Leave(leaveWithin)
+	m.list.Shutdown()
+	m.stopped.Wait()
+}
+
+// rejoin calls those that were lost, and seeds, until it ends: after a cut in the network neither side would call the other.
+func (m *Members) rejoin() {
+	wait := 10 * time.Millisecond
+	for {
+		select {
+		case <-m.end:
+			return
+		case <-time.After(wait):
+		}
+		wait = rejoinEvery
+		if addrs := m.missing(); len(addrs) > 0 {
+			m.list.Join(addrs)
+		}
+	}
+}
+
+// missing are addresses worth calling: some of the lost, and a seed while this one is alone.
+func (m *Members) missing() (addrs []string) {
+	alive := m.list.NumMembers()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	maps.DeleteFunc(m.lost, func(_ string, l lost) bool { return time.Since(l.at) > lostFor })
+	for _, l := range m.lost { // in no order, which spreads the calls
+		if len(addrs) < callMost {
+			addrs = append(addrs, l.addr)
+		}
+	}
+	if alive <= 1 {
+		for _, s := range m.cfg.Seeds {
+			if s != m.cfg.Advertise && s != m.cfg.Listen {
+				addrs = append(addrs, s)
+			}
+		}
+	}
+	return addrs
+}
+
+// ---- memberlist's delegates
+
+// NodeMeta says nothing beyond the name.
+func (m *Members) NodeMeta(int) []byte { return nil }
+
+// NotifyMsg takes a word; it must not wait.
+func (m *Members) NotifyMsg(b []byte) {
+	select {
+	case m.words <- bytes.Clone(b):
+	default:
+		m.mu.Lock()
+		m.dropped++
+		m.mu.Unlock()
+	}
+}
+
+// GetBroadcasts has none: words go straight to whom they are for.
+func (m *Members) GetBroadcasts(int, int) [][]byte { return nil }
+
+// LocalState adds nothing to what members know of each other.
+func (m *Members) LocalState(bool) []byte { return nil }
+
+// MergeRemoteState takes nothing.
+func (m *Members) MergeRemoteState([]byte, bool) {}
+
+// NotifyJoin notes a member.
+func (m *Members) NotifyJoin(n *memberlist.Node) {
+	m.mu.Lock()
+	delete(m.lost, n.Name)
+	m.mu.Unlock()
+}
+
+// NotifyLeave notes one that is lost or has left.
+func (m *Members) NotifyLeave(n *memberlist.Node) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if n.State == memberlist.StateDead && len(m.lost) < mostLost {
+		m.lost[n.Name] = lost{n.Address(), time.Now()}
+	}
+}
+
+// NotifyUpdate takes nothing: there is no more than the name.
+func (m *Members) NotifyUpdate(*memberlist.Node) {}
+
+// NotifyConflict tells of two processes with one name.
+func (m *Members) NotifyConflict(old, other *memberlist.Node) {
+	m.noise.note(fmt.Sprintf("two members are named %s, at %s and %s", old.Name, old.Address(), other.Address()))
+}
+
+// ---- words
+
+var handle = func() *codec.MsgpackHandle {
+	h := &codec.MsgpackHandle{}
+	h.WriteExt = true
+	return h
+}()
+
+// Encode words a value for the wire (MessagePack).
+func Encode(v any) ([]byte, error) {
+	var b []byte
+	if err := codec.NewEncoderBytes(&b, handle).Encode(v); err != nil {
+		return nil, fmt.Errorf("members: %w", err)
+	}
+	return b, nil
+}
+
+// Decode reads a word. Garbage is an error.
+func Decode(b []byte, v any) (err error) {
+	if err := codec.NewDecoderBytes(b, handle).Decode(v); err != nil {
+		return fmt.Errorf("members: %w", err)
+	}
+	return nil
+}
+
+// noise counts what memberlist complains of, and logs once a minute of each kind.
+type noise struct {
+	log *zap.Logger
+
+	mu    sync.Mutex
+	kinds map[string]*kind
+	all   int
+}
+
+type kind struct {
+	since int
+	at    time.Time
+}
+
+// Write takes a line of memberlist's log. Its debug lines are dropped.
+func (n *noise) Write(line []byte) (int, error) {
+	if !bytes.Contains(line, []byte("[DEBUG]")) {
+		n.note(strings.TrimSpace(string(line)))
+	}
+	return len(line), nil
+}
+
+const kindLength, mostKinds = 40, 32
+
+func (n *noise) note(line string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.all++
+	if n.kinds == nil {
+		n.kinds = map[string]*kind{}
+	}
+	name := line[:min(len(line), kindLength)]
+	k := n.kinds[name]
+	if k == nil {
+		if len(n.kinds) >= mostKinds {
+			return
+		}
+		k = &kind{}
+		n.kinds[name] = k
+	}
+	k.since++
+	if time.Since(k.at) >= logEvery {
+		n.log.Info("members", zap.String("said", line), zap.Int("times", k.since))
+		k.since, k.at = 0, time.Now()
+	}
+}
+
+func (n *noise) total() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.all
+}
+
+// transport is memberlist's, with calls from the member's own address: who listens to one address is known by it, on a machine
+// with several.
+type transport struct {
+	*memberlist.NetTransport
+	from net.IP
+}
+
+func newTransport(listen netip.AddrPort, logger *log.Logger) (*transport, error) {
+	t, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{listen.Addr().String()},
+		BindPort: int(listen.Port()), Logger: logger})
+	if err != nil {
+		return nil, err
+	}
+	return &transport{t, net.IP(listen.Addr().AsSlice())}, nil
+}
+
+// DialTimeout connects to a member.
+func (t *transport) DialTimeout(addr string, within time.Duration) (net.Conn, error) {
+	d := net.Dialer{Timeout: within}
+	if !t.from.IsUnspecified() {
+		d.LocalAddr = &net.TCPAddr{IP: t.from}
+	}
+	return d.Dial("tcp", addr)
+}
+
+// DialAddressTimeout connects to a member.
+func (t *transport) DialAddressTimeout(a memberlist.Address, within time.Duration) (net.Conn, error) {
+	return t.DialTimeout(a.Addr, within)
+}
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -21,12 +21,19 @@
 type Calls interface {
 	Ready() error    // nil: this process serves; else why not
 	Figures() []byte // never waits
+	Plan() []byte    // which zones count; nil: there is no such plan. Never waits
+	Zone(ctx context.Context, o ZoneOrder) (said string, err error)
 	TakeOut(ctx context.Context, id string) (said string, err error)
 	PutBack(ctx context.Context, id string) (said string, err error)
 }
 
-// ErrUnknown is a call's answer to a host that nobody knows.
-var ErrUnknown = errors.New("unknown host")
+// ErrUnknown is a call's answer to a host that nobody knows; ErrForce to one that would leave too little without its second
+// word; ErrNone to one that this proxy does not have.
+var (
+	ErrUnknown = errors.New("unknown host")
+	ErrForce   = errors.New("needs force")
+	ErrNone    = errors.New("no such call")
+)
 
 const (
 	// Most is how many connections the door holds at once, one descriptor each.
@@ -253,6 +260,17 @@
 		call = d.health
 	case "/admin/stats":
 		call = func([]byte) *reply { return &reply{status: http.StatusOK, text: string(d.calls.Figures())} }
+	case "/admin/plan":
+		text := d.calls.Plan()
+		if text == nil {
+			return refuse(http.StatusNotFound, "no such call")
+		}
+		call = func([]byte) *reply { return &reply{status: http.StatusOK, text: string(text)} }
+	case "/admin/zone":
+		if d.calls.Plan() == nil {
+			return refuse(http.StatusNotFound, ErrNone.Error())
+		}
+		method, call = http.MethodPost, d.zone
 	case "/admin/cordon":
 		method, call = http.MethodPost, d.change(d.calls.TakeOut)
 	case "/admin/uncordon":
@@ -273,6 +291,27 @@
 	return &reply{status: http.StatusOK, text: "serving"}
 }
 
+// zone carries out a call on a zone or region.
+func (d *Door) zone(body []byte) *reply {
+	o, err := parseZone(body)
+	if err != nil {
+		return refuse(http.StatusBadRequest, err.Error())
+	}
+	ctx, cancel := context.WithTimeout(d.ctx, workTime)
+	defer cancel()
+	said, err := d.calls.Zone(ctx, o)
+	switch {
+	case errors.Is(err, ErrUnknown):
+		return refuse(http.StatusNotFound, err.Error())
+	case errors.Is(err, ErrForce):
+		return refuse(http.StatusConflict, err.Error())
+	case err != nil:
+		return refuse(http.StatusServiceUnavailable, err.Error())
+	}
+	d.log.Info("operators' call", zap.Any("order", o), zap.String("said", said))
+	return &reply{status: http.StatusOK, text: said}
+}
+
 // change carries out a call on a host.
 func (d *Door) change(what func(context.Context, string) (string, error)) func([]byte) *reply {
 	return func(body []byte) *reply {
--- a/internal/ops/ops_test.go
+++ b/internal/ops/ops_test.go
@@ -25,6 +25,10 @@
 type fake struct {
 	ready atomic.Bool
 	held  chan struct{}
+
+	plan    []byte
+	order   ZoneOrder
+	zoneErr error
 }
 
 func (f *fake) Ready() error {
@@ -34,6 +38,13 @@
 	return errors.New("not serving")
 }
 
+func (f *fake) Plan() []byte { return f.plan }
+
+func (f *fake) Zone(_ context.Context, o ZoneOrder) (string, error) {
+	f.order = o
+	return "done", f.zoneErr
+}
+
 func (f *fake) Figures() []byte { return []byte("proxy.active=1\n") }
 
 func (f *fake) TakeOut(ctx context.Context, id string) (string, error) {
@@ -189,3 +200,44 @@
 		}
 	})
 }
+
+// TestZoneCalls: a call on a zone names one zone or region and says which way; where no plan says which zones count there is no
+// such call.
+func TestZoneCalls(t *testing.T) {
+	f := &fake{plan: []byte("plan=x\n")}
+	addr := open(t, f)
+	for _, c := range []struct {
+		body   string
+		err    error
+		status int
+		say    string
+	}{
+		{`{"zone":"b","out":true}`, nil, 200, "done"},
+		{`{"region":"north","out":false,"dry":true}`, nil, 200, "done"},
+		{`{"zone":"b"}`, nil, 400, `"out" is missing`},
+		{`{"out":true}`, nil, 400, "named"},
+		{`{"zone":"b","region":"north","out":true}`, nil, 400, "named"},
+		{`{"zone":"b","out":true,"why":1}`, nil, 400, "unknown field"},
+		{`{"zone":"b","out":true} {}`, nil, 400, "one JSON object"},
+		{`{"zone":"x","out":true}`, ErrUnknown, 404, "unknown"},
+		{`{"zone":"b","out":true}`, fmt.Errorf("%w: a third is left", ErrForce), 409, "a third is left"},
+		{`{"zone":"b","out":true}`, io.ErrUnexpectedEOF, 503, "EOF"},
+	} {
+		f.zoneErr = c.err
+		status, _, text := call(t, addr, post("/admin/zone", c.body))
+		if status != c.status || !strings.Contains(text, c.say) {
+			t.Errorf("%s: %d %q, want %d with %q", c.body, status, text, c.status, c.say)
+		}
+	}
+	f.zoneErr = nil
+	call(t, addr, post("/admin/zone", `{"region":"north","out":true,"force":true}`))
+	if f.order.Region != "north" || !*f.order.Out || !f.order.Force {
+		t.Errorf("came as %+v", f.order)
+	}
+	addr = open(t, &fake{})
+	for _, raw := range []string{post("/admin/zone", `{"zone":"b","out":true}`), "GET /admin/plan HTTP/1.1\r\nHost: x\r\n\r\n"} {
+		if status, _, text := call(t, addr, raw); status != 404 || !strings.Contains(text, "no such call") {
+			t.Errorf("without a plan: %d %q", status, text)
+		}
+	}
+}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -16,6 +16,7 @@
 	request *request
 	number  int
 	host    balancer.HostID
+	zone    string  // of the host, where somebody asks; the owner's
 	sent    float64 // on the owner's clock
 	over    bool    // its outcome has come; the owner's
 
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"beechwing/balancer"
+	"beechwing/internal/member"
 	"beechwing/internal/park"
 	"beechwing/internal/settings"
 	"beechwing/internal/site"
@@ -34,6 +35,7 @@
 	zones                   *zones
 	Site                    site.File // what the operator sets
 
+	keys   [][]byte   // of the fleet's words
 	file   configFile // as it was read
 	reread func() (*Config, error)
 }
@@ -87,6 +89,11 @@
 		if c.Site, err = site.Load(path); err != nil {
 			return nil, err
 		}
+		if file := c.Site.Members.KeyFile; c.Site.Failover.Mode == site.Common && file != "" {
+			if c.keys, err = member.LoadKeys(file); err != nil {
+				return nil, err
+			}
+		}
 	}
 	c.reread = func() (*Config, error) { return LoadConfig(getenv) }
 	return c, nil
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -526,6 +526,7 @@
 func (s *script) Gone(_ float64, id balancer.RequestID) { s.gone <- id }
 
 func (s *script) Avoided(float64) int                       { return 0 }
+func (s *script) Plan(float64, []balancer.Route)            {}
 func (s *script) Whole(float64, balancer.RequestID)         {}
 func (s *script) Begun(float64, balancer.RequestID, int)    {}
 func (s *script) Timer(float64, uint64)                     {}
--- a/internal/proxy/operators.go
+++ b/internal/proxy/operators.go
@@ -96,6 +96,22 @@
 // Figures words the figures.
 func (s *operators) Figures() []byte { return s.p.owner.tally.text() }
 
+// Plan words which zones count, and why.
+func (s *operators) Plan() []byte {
+	if s.p.steering == nil {
+		return nil
+	}
+	return s.p.steering.text()
+}
+
+// Zone takes a zone or region out for the whole fleet, or back.
+func (s *operators) Zone(ctx context.Context, o ops.ZoneOrder) (string, error) {
+	if s.p.steering == nil {
+		return "", ops.ErrNone
+	}
+	return s.p.steering.order(ctx, o)
+}
+
 // TakeOut leaves a host out until it is put back. Once it returns without an error that is in force, and outlasts the
 // process.
 func (s *operators) TakeOut(ctx context.Context, id string) (string, error) {
@@ -198,6 +214,7 @@
 	if changes := o.roll.cordon(e.set); len(changes.hosts) > 0 {
 		now := o.clock.now()
 		o.hosts.update(balancer.ListChanges, changes, now)
+		o.sight.listed(balancer.ListChanges, changes)
 		o.bal.Members(now, balancer.ListChanges, changes.hosts)
 		o.look(now)
 	}
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"beechwing/balancer"
+	"beechwing/internal/site"
 )
 
 // queueLength bounds what waits for the owner. Socket code that finds the queue full waits in turn.
@@ -39,6 +40,7 @@
 	known    chan struct{}   // closed when they are
 	fresh    chan struct{}   // closed once discovery has told of them
 	roll     *roll           // the list, and who is out by hand
+	sight    *sight          // what is seen of zones; nil: nobody asks
 	tally    *tally
 	names    *names  // by which requests are read now
 	ops      bool    // somebody may ask for figures
@@ -102,6 +104,9 @@
 		roll: newRoll(), tally: newTally(),
 	}
 	o.names = newNames(cfg.Settings, &cfg.Balancer, o.tally)
+	if cfg.Site.Failover.Mode != site.Off {
+		o.sight = newSight(cfg, c.now())
+	}
 	o.list = newDiscovery(cfg, bufs, t, log, o.post)
 	return o
 }
@@ -175,6 +180,7 @@
 		q.Budget = max(0, min(q.Budget, o.endBy-now))
 	}
 	o.flights[q.ID] = &flight{request: q, deadline: now + q.Budget, most: o.cfg.MaxAttempts}
+	o.sight.took(now)
 	o.bal.Request(now, q.Request)
 }
 
@@ -213,6 +219,7 @@
 	}
 	o.bufs.freeBody(&e.reply.body)
 	now := o.clock.now()
+	o.sight.ended(now, a, e.result, o.cfg.Classes)
 	o.bal.Outcome(now, balancer.Outcome{ID: a.request.ID, Attempt: a.number, Host: a.host, Result: e.result,
 		Took: cmp.Or(a.begunAt, now) - a.sent, Final: f.answered, Report: e.reply.report})
 	o.drop(f)
@@ -230,6 +237,7 @@
 	if e.kind != balancer.ListFailed {
 		list = o.roll.take(e.kind, e.list)
 		o.hosts.update(e.kind, list, now)
+		o.sight.listed(e.kind, list)
 	}
 	o.bal.Members(now, e.kind, list.hosts)
 	o.look(now)
@@ -316,7 +324,7 @@
 		until = min(until, now+timeout)
 	}
 	a := &attempt{request: f.request, number: len(f.attempts), host: host, sent: now, tally: o.tally, post: o.post,
-		within: seconds(timeout)}
+		within: seconds(timeout), zone: o.sight.zoneOf(host)}
 	f.attempts = append(f.attempts, a)
 	f.out++
 	up := o.hosts.find(host)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -56,9 +56,12 @@
 	reloads  chan struct{} // asks for the configuration to be read again
 	prepared chan struct{} // closed when it can serve
 
-	told  time.Time   // when it was told to end
-	able  atomic.Bool // it serves
-	door  *ops.Door   // nil: there is none
+	told time.Time   // when it was told to end
+	able atomic.Bool // it serves
+	door *ops.Door   // nil: there is none
+
+	steering *steering // nil: no plan says which zones count
+
 	bufs  *pool
 	hosts *hosts
 	owner *owner
@@ -125,6 +128,10 @@
 	p.parts.Go(func() { p.owner.run(p.decide, p.cfg.Known) })
 	p.parts.Go(func() { p.owner.list.run(run) })
 	p.parts.Go(func() { p.reload(run) })
+	if p.owner.sight != nil {
+		p.steering = newSteering(p)
+		p.parts.Go(func() { p.steering.run(run) })
+	}
 	p.parts.Go(func() { p.prepare(run) })
 	p.log.Info("listening", zap.String("name", p.cfg.Name), zap.Stringer("addr", ln.Addr()))
 	return Serving, nil
--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"net"
+	"reflect"
 	"time"
 
 	"go.uber.org/zap"
@@ -61,7 +62,14 @@
 		p.reconfigure(c)
 	}
 	p.cfg.file = is
-	if p.cfg.Site != c.Site {
+	if p.cfg.Site.Failover != c.Site.Failover || !reflect.DeepEqual(p.cfg.Site.Regions, c.Site.Regions) ||
+		!reflect.DeepEqual(p.cfg.Site.Members, c.Site.Members) {
+		p.log.Warn("a change that waits for the next start", zap.String("of", "failover, members, regions"))
+	}
+	if p.steering != nil && len(c.keys) > 0 {
+		p.steering.rekey(c.keys)
+	}
+	if p.cfg.Site.Connections != c.Site.Connections {
 		p.log.Info("operator's file read again, limits of connections taken over")
 		if p.cfg.Site.Connections.Callers != c.Site.Connections.Callers {
 			p.log.Warn("a change that waits for the next start", zap.String("of", "connections.callers"))
--- /dev/null
+++ b/internal/proxy/sight.go
@@ -0,0 +1,98 @@
+package proxy
+
+import (
+	"beechwing/balancer"
+	"beechwing/internal/failover"
+	"beechwing/internal/site"
+)
+
+// sight is what this proxy sees of the zones, for the decision which of them count. The owner has it; nil sees nothing.
+type sight struct {
+	name, zone string
+	zones      *zones
+	site       site.File
+	window     *failover.Window
+	hosts      map[balancer.HostID]balancer.Host // that take requests
+}
+
+func newSight(cfg *Config, now float64) *sight {
+	return &sight{name: cfg.Name, zone: cfg.zones.name(cfg.Balancer.Zone), zones: cfg.zones, site: cfg.Site,
+		window: failover.NewWindow(now), hosts: map[balancer.HostID]balancer.Host{}}
+}
+
+func (s *sight) took(now float64) {
+	if s != nil {
+		s.window.Took(now)
+	}
+}
+
+// listed takes the list as the module gets it.
+func (s *sight) listed(kind balancer.ListKind, list catalog) {
+	if s == nil {
+		return
+	}
+	if kind != balancer.ListChanges {
+		clear(s.hosts)
+	}
+	for _, h := range list.hosts {
+		if h.Status == balancer.Ready {
+			s.hosts[h.ID] = h
+		} else {
+			delete(s.hosts, h.ID)
+		}
+	}
+}
+
+func (s *sight) zoneOf(host balancer.HostID) string {
+	if s == nil {
+		return ""
+	}
+	return s.zones.name(s.hosts[host].Zone)
+}
+
+// lateShare of its aim is when an answer counts as late here: what is over by then can still be sent again.
+const lateShare = 0.45
+
+// ended takes the end of an attempt.
+func (s *sight) ended(now float64, a *attempt, r balancer.Result, classes []balancer.Class) {
+	if s == nil || a.zone == "" || a.request.Class >= len(classes) {
+		return
+	}
+	took := now - a.sent
+	if a.begunAt > 0 {
+		took = a.begunAt - a.sent
+	}
+	load := took / max(1e-3, lateShare*classes[a.request.Class].Aim)
+	switch r {
+	case balancer.OK:
+		s.window.Answered(now, a.zone, load)
+	case balancer.TurnedAway:
+		s.window.TurnedAway(now, a.zone)
+	case balancer.ConnectFailed, balancer.Reset, balancer.Spoilt, balancer.Errored:
+		s.window.Lost(now, a.zone, false)
+	case balancer.TimedOut, balancer.Cancelled:
+		if load >= 0.99 { // else its client left
+			s.window.Lost(now, a.zone, true)
+		}
+	}
+}
+
+// places are the zones as targets.
+func (s *sight) places(now float64, cfg *balancer.Config) []failover.Zone {
+	warm := map[string]float64{s.zone: 0}
+	for _, h := range s.hosts {
+		weight := 1.0
+		if cfg.Weighted && h.Weight > 0 {
+			weight = h.Weight
+		}
+		if age := now - h.Started; h.Started > 0 && cfg.ColdFor > 0 && age < cfg.ColdFor {
+			weight *= cfg.ColdFrom + (1-cfg.ColdFrom)*max(0, age)/cfg.ColdFor
+		}
+		warm[s.zones.name(h.Zone)] += weight
+	}
+	var all []failover.Zone
+	for name, w := range warm {
+		all = append(all, failover.Zone{Name: name, Region: s.site.Region(name), Warm: w})
+	}
+	return all
+}
--- a/internal/proxy/zones.go
+++ b/internal/proxy/zones.go
@@ -15,6 +15,7 @@
 type zones struct {
 	mu      sync.Mutex
 	numbers map[string]int
+	names   []string // by number
 }
 
 func newZones(names ...string) *zones {
@@ -34,10 +35,21 @@
 			return mostZones
 		}
 		z.numbers[name] = n
+		z.names = append(z.names, name)
 	}
 	return n
 }
 
+// name is the name of a number; "": those beyond the bound.
+func (z *zones) name(n int) string {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if n < 0 || n >= len(z.names) {
+		return ""
+	}
+	return z.names[n]
+}
+
 // place turns what the settings say of the proxy's zone into the table's number.
 func (z *zones) place(c *balancer.Config, s *settings.Settings) {
 	if s.Zone < len(s.Dcs) {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -4,7 +4,9 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"os"
+	"slices"
 	"time"
 
 	"beechwing/internal/strict"
@@ -13,8 +15,45 @@
 // File is an operator's file with defaults in place.
 type File struct {
 	Connections Connections `toml:"connections"`
+	Failover    Failover    `toml:"failover"`
+	Members     Members     `toml:"members"`
+	Regions     []Region    `toml:"region"`
 }
 
+// Failover is the table of moving traffic between zones.
+type Failover struct {
+	// Mode is who decides it: "off" (each pick by itself, as on the platform), "alone" (this proxy, from what it sees), or
+	// "common" (all members of its fleet).
+	Mode string `toml:"mode"`
+}
+
+// Members is the table of the fleet that a proxy belongs to, for decisions in common.
+type Members struct {
+	// Fleet is its name; proxies of another one are strangers.
+	Fleet string `toml:"fleet"`
+	// Listen is this proxy's address for words between members, UDP and TCP.
+	Listen string `toml:"listen"`
+	// Advertise is the address by which others reach it; empty: Listen.
+	Advertise string `toml:"advertise"`
+	// Seeds are addresses of members, some of which are there when it starts.
+	Seeds []string `toml:"seeds"`
+	// KeyFile holds keys, one a line in base64, the one in use first. Only its owner may read it. Empty: words are in clear.
+	KeyFile string `toml:"key_file"`
+}
+
+// Region is zones that lie near each other.
+type Region struct {
+	Name  string   `toml:"name"`
+	Zones []string `toml:"zones"`
+}
+
+// The values of Failover.Mode.
+const (
+	Off    = "off"
+	Alone  = "alone"
+	Common = "common"
+)
+
 // Connections is the table of callers' connections.
 type Connections struct {
 	// Callers is what counts as one caller: "application" (all connections are one application's, as on the platform) or
@@ -48,7 +87,7 @@
 
 // Default is what holds without a file.
 func Default() File {
-	return File{Connections: Connections{Callers: Application, Idle: Duration(30 * time.Second),
+	return File{Failover: Failover{Mode: Off}, Connections: Connections{Callers: Application, Idle: Duration(30 * time.Second),
 		IdleFull: Duration(2 * time.Second), First: Duration(2500 * time.Millisecond)}}
 }
 
@@ -70,13 +109,62 @@
 	return f, nil
 }
 
-func (f File) check() (faults []strict.Fault) {
+// Region is the name of a zone's region; zones that no region names share one.
+func (f File) Region(zone string) string {
+	for _, r := range f.Regions {
+		if slices.Contains(r.Zones, zone) {
+			return r.Name
+		}
+	}
+	return ""
+}
+
+func (f File) check() []strict.Fault { return append(f.Connections.check(), f.checkZones()...) }
+
+func (f File) checkZones() (faults []strict.Fault) {
+	add := func(bad bool, field, format string, args ...any) {
+		if bad {
+			faults = append(faults, strict.Fault{Field: field, Why: fmt.Sprintf(format, args...)})
+		}
+	}
+	modes := []string{Off, Alone, Common}
+	add(!slices.Contains(modes, f.Failover.Mode), "failover.mode", "%q is none of %q", f.Failover.Mode, modes)
+	if m := f.Members; f.Failover.Mode == Common {
+		add(m.Fleet == "" || len(m.Fleet) > 255, "members.fleet", "is missing or longer than 255 bytes, and failover.mode is %q", Common)
+		add(!address(m.Listen), "members.listen", "%q is no address with a port", m.Listen)
+		add(m.Advertise != "" && !address(m.Advertise), "members.advertise", "%q is no address with a port", m.Advertise)
+		for _, seed := range m.Seeds {
+			add(!address(seed), "members.seeds", "%q is no address with a port", seed)
+		}
+	}
+	region := map[string]string{}
+	names := map[string]bool{}
+	for i, r := range f.Regions {
+		at := fmt.Sprintf("region.%d.", i)
+		add(r.Name == "", at+"name", "is missing")
+		add(r.Name != "" && names[r.Name], at+"name", "%q is there already", r.Name)
+		add(len(r.Zones) == 0, at+"zones", "names none")
+		names[r.Name] = true
+		for _, z := range r.Zones {
+			add(region[z] != "", at+"zones", "%q is in region %q already", z, region[z])
+			region[z] = r.Name
+		}
+	}
+	return faults
+}
+
+// address says whether a text is an IP address with a port.
+func address(text string) bool {
+	a, err := netip.ParseAddrPort(text)
+	return err == nil && a.Port() != 0
+}
+
+func (c Connections) check() (faults []strict.Fault) {
 	add := func(bad bool, field, why string) {
 		if bad {
 			faults = append(faults, strict.Fault{Field: "connections." + field, Why: why})
 		}
 	}
-	c := f.Connections
 	add(c.Callers != Application && c.Callers != Address, "callers",
 		fmt.Sprintf("%q is neither %q nor %q", c.Callers, Application, Address))
 	add(c.Limit < 0, "limit", "is below 0; leave it out for as many as the machine allows")
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -12,14 +13,14 @@
 		f.Connections.Idle != Duration(8*time.Hour) || f.Connections.IdleFull != Default().Connections.IdleFull {
 		t.Fatalf("%+v, %v", f, err)
 	}
-	if f, err := Parse("site.toml", nil); err != nil || f != Default() {
+	if f, err := Parse("site.toml", nil); err != nil || !reflect.DeepEqual(f, Default()) {
 		t.Fatalf("an empty file: %+v, %v", f, err)
 	}
 }
 
 // TestShipped: the file in deploy/ says what the defaults are.
 func TestShipped(t *testing.T) {
-	if f, err := Load("../../deploy/site.toml"); err != nil || f != Default() {
+	if f, err := Load("../../deploy/site.toml"); err != nil || !reflect.DeepEqual(f, Default()) {
 		t.Fatalf("%+v, %v", f, err)
 	}
 }
@@ -63,3 +64,17 @@
 	f.Add("connections.limit = -1\nconnections.callers = 'x'")
 	f.Fuzz(func(t *testing.T, text string) { Parse("site.toml", []byte(text)) })
 }
+
+// TestRegions: zones that no region names share one, and a zone is in one region at most.
+func TestRegions(t *testing.T) {
+	f, err := Parse("site.toml", []byte("[failover]\nmode = \"alone\"\n[[region]]\nname = \"north\"\nzones = [\"a\", \"b\"]\n"))
+	if err != nil || f.Region("b") != "north" || f.Region("c") != f.Region("d") || f.Failover.Mode != Alone {
+		t.Fatalf("%+v, %v", f, err)
+	}
+	_, err = Parse("site.toml", []byte("[failover]\nmode = \"both\"\n[[region]]\nname = \"north\"\nzones = [\"a\"]\n[[region]]\nname = \"north\"\nzones = [\"a\"]\n"))
+	for _, want := range []string{"failover.mode", "region.1.name", "region.1.zones"} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v does not name %s", err, want)
+		}
+	}
+}
