A zone out by hand holds through restarts of the author; orders are judged in the lab

Seen in the lab: the author of the plans was killed and came back under its name before others missed it, began again to hold the zone back by steps, and let it in for half a second.

--- a/internal/failover/agent.go
+++ b/internal/failover/agent.go
@@ -130,7 +130,7 @@
 	}
 	a.forget(now)
 	a.alone.Hear(now, own)
-	zones = a.hold(zones)
+	zones = a.hold(now, zones)
 	a.mine = a.alone.Decide(now, zones, 1)
 	if len(a.members) > 1 {
 		a.others = now
--- a/internal/failover/agent_test.go
+++ b/internal/failover/agent_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -330,3 +331,58 @@
 		t.Error("a plan of the past went before a later one")
 	}
 }
+
+// TestOrders: an operator's order reaches all whatever the network loses, holds over restarts of any of them and over evidence,
+// and a process that starts again with nothing known does not let a zone in that has long been out. Hard case 11.
+func TestOrders(t *testing.T) {
+	n := newNetwork(t, 6, 120)
+	n.loss, n.late = 0.2, 0.2
+	n.play(10)
+	asked := n.agents["d03"]
+	text, left := asked.WhatIf(n.zones, []string{"b"}, true)
+	if math.Abs(left-0.75) > 1e-9 || !strings.Contains(text, "0 % refused") {
+		t.Errorf("it would leave %.2f:\n%s", left, text)
+	}
+	asked.Order(n.now, []string{"b"}, true)
+	n.flush(asked)
+	n.play(1)
+	if have, others := asked.Confirmed(); have < 2 || others != 23 {
+		t.Errorf("known to %d of %d others after a second", have, others)
+	}
+	n.set(n.proxies[21], false) // d03, and soon the author
+	n.play(6)
+	inB := func() (served float64) {
+		n.reset()
+		was := n.dead
+		n.dead = func(_, to string) bool { return to == "b" }
+		n.play(3)
+		n.dead = was
+		return n.lost / n.offered
+	}
+	if x := inB(); x > 0 {
+		t.Errorf("%.3f went to a zone that is out", x)
+	}
+	author := n.agents["a00"].plan.Author
+	for _, p := range n.proxies {
+		if p.name == author || p.zone == "c" {
+			n.start(p)
+		}
+	}
+	n.play(1) // until they hear of it
+	if x := inB(); x > 0 {
+		t.Errorf("%.3f went to a zone that is out, after restarts", x)
+	}
+	n.loss = 0
+	back := n.agents["a01"]
+	back.Order(n.now, []string{"b"}, false)
+	n.flush(back)
+	n.play(10)
+	n.reset()
+	n.play(3)
+	n.want("back", 0.99, 0, 0.1)
+	for name, a := range n.agents {
+		if n.up[name] && a.Digest() != back.Digest() {
+			t.Errorf("%s knows other orders: %+v", name, a.Orders())
+		}
+	}
+}
--- a/internal/failover/orders.go
+++ b/internal/failover/orders.go
@@ -13,6 +13,7 @@
 
 const (
 	mostOrders = 256
+	tickTime   = 0.25  // seconds between two ticks
 	handStep   = 0.125 // part of a zone's room that an order takes or gives back with each tick: 2 s for all of it
 )
 
@@ -98,15 +99,16 @@
 }
 
 // hold takes what orders hold back off the zones, by steps.
-func (a *Agent) hold(zones []Zone) []Zone {
+func (a *Agent) hold(now float64, zones []Zone) []Zone {
 	held := slices.Clone(zones)
 	for i := range held {
 		z := &held[i]
-		level := a.held[z.Name]
-		if a.orders[z.Name].Out {
-			level = min(1, level+handStep)
+		order, level := a.orders[z.Name], a.held[z.Name]
+		done := min(1, max(0, now-order.At)*handStep/tickTime) // by now, for one who hears of an old order
+		if order.Out {
+			level = min(1, max(level+handStep, done))
 		} else {
-			level = max(0, level-handStep)
+			level = max(0, min(level-handStep, 1-done))
 		}
 		if a.held[z.Name] = level; level == 0 {
 			delete(a.held, z.Name)
--- a/internal/lab/plan/file.go
+++ b/internal/lab/plan/file.go
@@ -145,6 +145,7 @@
 	Share  float64  `toml:"share"`
 	Class  string   `toml:"class"`
 	Step   Duration `toml:"step"` // between one target and the next
+	Zone   string   `toml:"zone"` // of an operators' order
 }
 
 // Expect is what has to hold, of all or of a zone's callers, for requests due in a time.
@@ -169,6 +170,7 @@
 	"kill":   {"proxies", ""}, "term": {"proxies", ""}, "stop": {"proxies", "for"}, "hup": {"proxies", ""},
 	"list_down": {"list", ""}, "list_late": {"list", "delay"}, "list_stale": {"list", ""}, "list_back": {"list", ""},
 	"list_torn": {"list", ""}, "load": {"", "factor"},
+	"zone_out": {"proxies", "zone"}, "zone_back": {"proxies", "zone"},
 	"peers_silent": {"peers", ""}, "peers_loss": {"peers", "share"}, "peers_late": {"peers", "delay"},
 }
 
@@ -309,7 +311,7 @@
 		return
 	}
 	missing := map[string]bool{"delay": b.Delay <= 0, "bytes": b.Bytes <= 0, "factor": b.Factor <= 0,
-		"share": b.Share <= 0 || b.Share > 1, "for": b.For <= 0}
+		"share": b.Share <= 0 || b.Share > 1, "for": b.For <= 0, "zone": f.zone(b.Zone) < 0}
 	c.add(kind.needs != "" && missing[kind.needs], at+kind.needs, "is missing or makes no sense")
 	c.add(b.Class != "" && f.class(b.Class) < 0, at+"class", "%q is no class", b.Class)
 	party := func(field, text string, allowed ...string) {
--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -36,6 +36,7 @@
 	Known     json.RawMessage // the list of hosts as the proxy had it last
 	Site      string          // text of an operator's file; empty: none
 	Dir       string          // folder for its files, which stays; empty: one that goes with it
+	Ops       string          // address of the operators' door; empty: none
 	Env       []string        // beside those of this process
 }
 
@@ -125,6 +126,9 @@
 
 func (p *Proxy) file(name string) string { return filepath.Join(p.dir, name) }
 
+// Ops is the address of the operators' door; empty: there is none.
+func (p *Proxy) Ops() string { return p.c.Ops }
+
 // Know sets the list that the next start begins with.
 func (p *Proxy) Know(list json.RawMessage) { p.c.Known = list }
 
@@ -145,6 +149,9 @@
 	if p.c.Site != "" {
 		cmd.Env = append(cmd.Env, "PROXY_SITE="+p.file("site.toml"))
 	}
+	if p.c.Ops != "" {
+		cmd.Env = append(cmd.Env, "PROXY_OPS="+p.c.Ops)
+	}
 	cmd.Env = append(cmd.Env, p.c.Env...)
 	cmd.Stdout, cmd.Stderr = p.log, p.log
 	if err := start(cmd); err != nil {
--- a/internal/lab/rig/faults.go
+++ b/internal/lab/rig/faults.go
@@ -1,7 +1,11 @@
 package rig
 
 import (
+	"context"
 	"fmt"
+	"io"
+	"net/http"
+	"strings"
 	"syscall"
 	"time"
 
@@ -41,6 +45,12 @@
 	case "list_down", "list_late", "list_stale", "list_back", "list_torn":
 		r.list.Change(func(l *list.Faults) { setList(l, f, !s.End) })
 	case "load": // the arrivals have it
+	case "zone_out", "zone_back":
+		if !s.End {
+			for _, p := range s.Proxies {
+				r.bg.Go(func() { r.fail(r.order(p, f.Zone, f.Kind == "zone_out")) })
+			}
+		}
 	case "peers_silent", "peers_loss", "peers_late":
 		r.breakPeers(f, s)
 	default:
@@ -99,6 +109,32 @@
 	})
 }
 
+// order asks a process's door to take a zone out for the whole fleet, or back. Anything but a yes fails the run.
+func (r *rig) order(p int, zone string, out bool) error {
+	ctx, cancel := context.WithTimeout(r.ctx, orderWithin)
+	defer cancel()
+	body := fmt.Sprintf(`{"zone":%q,"out":%v}`, zone, out)
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.members[p].Ops()+"/admin/zone", strings.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("rig: %w", err)
+	}
+	a, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return fmt.Errorf("rig: order: %w", err)
+	}
+	defer a.Body.Close()
+	text, err := io.ReadAll(a.Body)
+	if err == nil && a.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%s: %s", a.Status, text)
+	}
+	if err != nil {
+		return fmt.Errorf("rig: order to process %d: %w", p, err)
+	}
+	return nil
+}
+
+const orderWithin = 2 * time.Second
+
 // breakPeers breaks or heals what lies between processes, in both directions.
 func (r *rig) breakPeers(f *plan.Fault, s *plan.Step) {
 	change := func(l *link.PeerState) {
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -152,7 +152,7 @@
 func (r *rig) addMember(p int, site string) error {
 	c := process.Config{Binary: r.Binary, Args: r.Args, Name: fmt.Sprintf("p%03d", p), Listen: proxyAddr(p), Discovery: r.list.Addr(p),
 		Seed: r.Seed + uint64(p), Cores: r.s.Proxy.Cores, MemoryMB: r.s.Proxy.MemoryMB, Sockets: r.s.Proxy.Sockets,
-		Settings: settings(r.s, p), Site: site, Dir: filepath.Join(r.Dir, fmt.Sprintf("p%03d", p))}
+		Settings: settings(r.s, p), Site: site, Ops: proxyAddr(p), Dir: filepath.Join(r.Dir, fmt.Sprintf("p%03d", p))}
 	if r.s.Proxy.Knows {
 		c.Known = r.list.Known(p)
 	}
