--- a/internal/failover/fill.go
+++ b/internal/failover/fill.go
@@ -1,7 +1,5 @@
 package failover
 
-import "slices"
-
 // table is what a plan is filled in: rates by source zone and target zone, in the order of the zones.
 type table struct {
 	demand []float64   // of each source
@@ -166,8 +164,3 @@
 
 // open says whether a source has any way to a target.
 func (t *table) open(s, d int) bool { return t.most[d] > 0 && t.limit[s][d] > 0 }
-
-// reaches says whether a source has any way at all.
-func (t *table) reaches(s int) bool {
-	return slices.ContainsFunc(t.limit[s], func(x float64) bool { return x > 0 })
-}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"log"
 	"maps"
-	"net"
 	"net/netip"
 	"slices"
 	"strings"
@@ -83,7 +82,7 @@
 		}
 		c.Keyring = m.ring
 	}
-	if c.Transport, err = newTransport(listen, c.Logger); err != nil {
+	if c.Transport, err = listenAt(listen); err != nil {
 		return nil, fmt.Errorf("members: %w", err)
 	}
 	if m.list, err = memberlist.Create(c); err != nil {
@@ -342,33 +341,3 @@
 	defer n.mu.Unlock()
 	return n.all
 }
-
-// transport is memberlist's, with calls from the member's own address: who listens to one address is known by it, on a machine
-// with several.
-type transport struct {
-	*memberlist.NetTransport
-	from net.IP
-}
-
-func newTransport(listen netip.AddrPort, logger *log.Logger) (*transport, error) {
-	t, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{listen.Addr().String()},
-		BindPort: int(listen.Port()), Logger: logger})
-	if err != nil {
-		return nil, err
-	}
-	return &transport{t, net.IP(listen.Addr().AsSlice())}, nil
-}
-
-// DialTimeout connects to a member.
-func (t *transport) DialTimeout(addr string, within time.Duration) (net.Conn, error) {
-	d := net.Dialer{Timeout: within}
-	if !t.from.IsUnspecified() {
-		d.LocalAddr = &net.TCPAddr{IP: t.from}
-	}
-	return d.Dial("tcp", addr)
-}
-
-// DialAddressTimeout connects to a member.
-func (t *transport) DialAddressTimeout(a memberlist.Address, within time.Duration) (net.Conn, error) {
-	return t.DialTimeout(a.Addr, within)
-}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -87,8 +87,11 @@
 
 // Default is what holds without a file.
 func Default() File {
-	return File{Failover: Failover{Mode: Off}, Connections: Connections{Callers: Application, Idle: Duration(30 * time.Second),
-		IdleFull: Duration(2 * time.Second), First: Duration(2500 * time.Millisecond)}}
+	return File{
+		Connections: Connections{Callers: Application, Idle: Duration(30 * time.Second), IdleFull: Duration(2 * time.Second),
+			First: Duration(2500 * time.Millisecond)},
+		Failover: Failover{Mode: Off}, Members: Members{Seeds: []string{}},
+	}
 }
 
 // Load reads the file at path.
