--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -297,9 +297,25 @@
 	if err != nil {
 		return refuse(http.StatusBadRequest, err.Error())
 	}
+	return d.carry(zap.Any("order", o), func(ctx context.Context) (string, error) { return d.calls.Zone(ctx, o) })
+}
+
+// change carries out a call on a host.
+func (d *Door) change(what func(context.Context, string) (string, error)) func([]byte) *reply {
+	return func(body []byte) *reply {
+		id, err := parseWho(body)
+		if err != nil {
+			return refuse(http.StatusBadRequest, err.Error())
+		}
+		return d.carry(zap.String("host", id), func(ctx context.Context) (string, error) { return what(ctx, id) })
+	}
+}
+
+// carry has a call carried out in its time, and words what came of it.
+func (d *Door) carry(on zap.Field, what func(context.Context) (string, error)) *reply {
 	ctx, cancel := context.WithTimeout(d.ctx, workTime)
 	defer cancel()
-	said, err := d.calls.Zone(ctx, o)
+	said, err := what(ctx)
 	switch {
 	case errors.Is(err, ErrUnknown):
 		return refuse(http.StatusNotFound, err.Error())
@@ -308,27 +324,6 @@
 	case err != nil:
 		return refuse(http.StatusServiceUnavailable, err.Error())
 	}
-	d.log.Info("operators' call", zap.Any("order", o), zap.String("said", said))
+	d.log.Info("operators' call", on, zap.String("said", said))
 	return &reply{status: http.StatusOK, text: said}
 }
-
-// change carries out a call on a host.
-func (d *Door) change(what func(context.Context, string) (string, error)) func([]byte) *reply {
-	return func(body []byte) *reply {
-		id, err := parseWho(body)
-		if err != nil {
-			return refuse(http.StatusBadRequest, err.Error())
-		}
-		ctx, cancel := context.WithTimeout(d.ctx, workTime)
-		defer cancel()
-		said, err := what(ctx, id)
-		switch {
-		case errors.Is(err, ErrUnknown):
-			return refuse(http.StatusNotFound, err.Error())
-		case err != nil:
-			return refuse(http.StatusServiceUnavailable, err.Error())
-		}
-		d.log.Info("operators' call", zap.String("host", id), zap.String("said", said))
-		return &reply{status: http.StatusOK, text: said}
-	}
-}
