--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -39,7 +39,7 @@
 	// Alone, a proxy hears of a host one answer in seconds, and each moves its share by aloneStep. Wanted is
 	// then the mean time that answers of the class take: shares move long before hosts are late. With more
 	// than aloneMost proxies to a host, or aloneBelow in flight to a mean one, shares by time do better.
-	aloneMost, aloneBelow  = 4, 0.02
+	aloneMost, aloneBelow  = 4, 0.03
 	aloneStep              = 4.2
 	tellStep               = 0.2
 	tellShare              = 0.3
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -155,6 +155,9 @@
 		return // it was never taken, or its proxy was killed under it
 	}
 	if a.End == record.Lost {
+		if within(j.stopped[a.Proxy], a.Sent, a.Done) {
+			return // its caller had to leave while the run kept its proxy from answering
+		}
 		j.broken(LostRequest, a.Done, "%s at proxy %d, sent at %v", a.ID, a.Proxy, a.Sent)
 		return
 	}
