--- a/internal/lab/plan/file.go
+++ b/internal/lab/plan/file.go
@@ -145,6 +145,7 @@
 	Share  float64  `toml:"share"`
 	Class  string   `toml:"class"`
 	Step   Duration `toml:"step"` // between one target and the next
+	Zone   string   `toml:"zone"` // of an operators' order
 }
 
 // Expect is what has to hold, of all or of a zone's callers, for requests due in a time.
@@ -159,7 +160,7 @@
 
 // The kinds of fault: what they break, and what they need.
 var kinds = map[string]struct {
-	to    string // "hosts", "proxies", "list", "links" (hosts or list, from proxies), "" nothing
+	to    string // "hosts", "proxies", "list", "links" (hosts or list, from proxies), "peers" (words between proxies), "" nothing
 	needs string
 }{
 	"silent": {"links", ""}, "silent_to": {"links", ""}, "silent_back": {"links", ""}, "refused": {"links", ""},
@@ -169,6 +170,8 @@
 	"kill":   {"proxies", ""}, "term": {"proxies", ""}, "stop": {"proxies", "for"}, "hup": {"proxies", ""},
 	"list_down": {"list", ""}, "list_late": {"list", "delay"}, "list_stale": {"list", ""}, "list_back": {"list", ""},
 	"list_torn": {"list", ""}, "load": {"", "factor"},
+	"zone_out": {"proxies", "zone"}, "zone_back": {"proxies", "zone"},
+	"peers_silent": {"peers", ""}, "peers_loss": {"peers", "share"}, "peers_late": {"peers", "delay"},
 }
 
 // What an expectation may be of.
@@ -308,7 +311,7 @@
 		return
 	}
 	missing := map[string]bool{"delay": b.Delay <= 0, "bytes": b.Bytes <= 0, "factor": b.Factor <= 0,
-		"share": b.Share <= 0 || b.Share > 1, "for": b.For <= 0}
+		"share": b.Share <= 0 || b.Share > 1, "for": b.For <= 0, "zone": f.zone(b.Zone) < 0}
 	c.add(kind.needs != "" && missing[kind.needs], at+kind.needs, "is missing or makes no sense")
 	c.add(b.Class != "" && f.class(b.Class) < 0, at+"class", "%q is no class", b.Class)
 	party := func(field, text string, allowed ...string) {
@@ -325,12 +328,15 @@
 		if b.From != "" {
 			party("from", b.From, "proxies")
 		}
+	case "peers":
+		party("to", b.To, "proxies")
+		party("from", b.From, "proxies")
 	case "hosts", "proxies":
 		party("to", b.To, kind.to)
 	default:
 		c.add(b.To != "", at+"to", "has no meaning here")
 	}
-	c.add(b.From != "" && kind.to != "links", at+"from", "has no meaning here")
+	c.add(b.From != "" && kind.to != "links" && kind.to != "peers", at+"from", "has no meaning here")
 }
 
 func (f *File) zone(name string) int {
