Members: a name that comes back elsewhere calls a seed again, as its ghost hears in its place

Cause: TestComesBack failed in 5 of 16 runs side by side. A member that holds the old process for alive ignores the new one's address; when it gives the old one up, it tells that to the old address, and the new process hears of it by luck or with the next whole exchange, 15 s apart. Ruled out: the reclaim time, which is a millisecond.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -33,6 +33,7 @@
 
 const (
 	rejoinEvery = 3 * time.Second  // at which lost members are called again
+	youngFor    = 30 * time.Second // within which a new one makes sure that it is known where it is
 	lostFor     = 15 * time.Minute // after which they are given up
 	mostLost    = 64               // remembered
 	callMost    = 3                // of them at a time, besides a seed
@@ -48,7 +49,6 @@
 	list    *memberlist.Memberlist
 	ring    *memberlist.Keyring
 	words   chan []byte
-	log     *zap.Logger
 	noise   *noise
 	end     chan struct{}
 	stopped sync.WaitGroup
@@ -65,7 +65,7 @@
 
 // Join starts to be a member. It returns at once: seeds that are not there yet are called again.
 func Join(cfg Config, logger *zap.Logger) (*Members, error) {
-	m := &Members{cfg: cfg, words: make(chan []byte, inbox), log: logger, end: make(chan struct{}), lost: map[string]lost{}}
+	m := &Members{cfg: cfg, words: make(chan []byte, inbox), end: make(chan struct{}), lost: map[string]lost{}}
 	m.noise = &noise{log: logger}
 	listen, err := netip.ParseAddrPort(cfg.Listen)
 	if err != nil {
@@ -177,8 +177,10 @@
 }
 
 // rejoin calls those that were lost, and seeds, until it ends: after a cut in the network neither side would call the other.
+// A process that has just come up may be held for its ghost at another address, which hears in its place that it is dead: it
+// calls a seed again a few times, though that one is there.
 func (m *Members) rejoin() {
-	wait := 10 * time.Millisecond
+	wait, again, born := 10*time.Millisecond, rejoinEvery, time.Now()
 	for {
 		select {
 		case <-m.end:
@@ -186,7 +188,12 @@
 		case <-time.After(wait):
 		}
 		wait = rejoinEvery
-		if addrs := m.missing(); len(addrs) > 0 {
+		addrs := m.missing()
+		if age := time.Since(born); age >= again && again < youngFor {
+			again *= 2
+			addrs = append(addrs, m.cfg.Seeds[:min(1, len(m.cfg.Seeds))]...)
+		}
+		if len(addrs) > 0 {
 			m.list.Join(addrs)
 		}
 	}
@@ -282,7 +289,7 @@
 }
 
 // Decode reads a word. Garbage is an error.
-func Decode(b []byte, v any) (err error) {
+func Decode(b []byte, v any) error {
 	if err := codec.NewDecoderBytes(b, handle).Decode(v); err != nil {
 		return fmt.Errorf("members: %w", err)
 	}
