Reread: one checker of files, one warmth, one name of state files; no race at the start of the plan

The steering was set after the door and reloads had begun, which read it: it is made ahead of them now. Written twice and now once: the collector of faults in files (plan, site: strict.Checker), a host's warmth (module, sight: Config.Warmth), a state file's name, an attempt's time, the start of an author, the door's word for calls that it does not have. Done again and again and now once: reports were sorted for every way at each decision, witnesses counted by a walk for each; the search of a level asked in each step what does not change. A way was left out by setting its limit to 0 and back; it is named now. Taken out: a guard that the door makes needless, unused fields of tests, a reproduction that a property test had left behind. No behaviour changes; the tests' assertions stand as they were.

--- a/balancer/known.go
+++ b/balancer/known.go
@@ -18,11 +18,16 @@
 
 // warmth is the share of its capacity that a host surely has by now.
 func (b *Balancer) warmth(h *host) float64 {
-	age := b.now - h.Started
-	if h.Started == 0 || b.cfg.ColdFor <= 0 || age >= b.cfg.ColdFor {
+	return b.cfg.Warmth(b.now, h.Started)
+}
+
+// Warmth is the share of its capacity that a host has by now which started at a time; 0: long ago.
+func (c *Config) Warmth(now, started float64) float64 {
+	age := now - started
+	if started == 0 || c.ColdFor <= 0 || age >= c.ColdFor {
 		return 1
 	}
-	return b.cfg.ColdFrom + (1-b.cfg.ColdFrom)*max(0, age)/b.cfg.ColdFor
+	return c.ColdFrom + (1-c.ColdFrom)*max(0, age)/c.ColdFor
 }
 
 // share is the part of the requests that a host may get.
--- a/internal/failover/agent.go
+++ b/internal/failover/agent.go
@@ -186,10 +186,7 @@
 	}
 	a.asked = 0
 	if a.lead == nil {
-		a.lead, a.leadAt = NewDecider(), now
-		if a.plan != nil {
-			a.lead.GoOn(now, a.plan)
-		}
+		a.begin(now)
 	}
 	a.lead.Hear(now, own)
 	for name := range a.lead.heard {
@@ -281,15 +278,19 @@
 	if len(a.orphans) < min(len(a.members)-1, Witnesses(len(a.members))) {
 		return
 	}
-	a.lead, a.leadAt, a.asked = NewDecider(), now, 0
-	p := &Plan{Reason: "the author before gives no answer"}
-	if a.plan != nil {
-		a.lead.GoOn(now, a.plan)
-		p.Rows, p.Well, p.Most = a.plan.Rows, a.plan.Well, a.plan.Most
-	}
+	a.asked = 0
+	a.begin(now)
 	a.lead.Hear(now, own)
+	if p := a.plan; p != nil {
+		a.publish(now, &Plan{Reason: "the author before gives no answer", Rows: p.Rows, Well: p.Well, Most: p.Most})
+	}
+}
+
+// begin makes this the author, who goes on from the last plan.
+func (a *Agent) begin(now float64) {
+	a.lead, a.leadAt = NewDecider(), now
 	if a.plan != nil {
-		a.publish(now, p)
+		a.lead.GoOn(now, a.plan)
 	}
 }
 
--- a/internal/failover/agent_test.go
+++ b/internal/failover/agent_test.go
@@ -11,7 +11,7 @@
 	"beechwing/internal/lab/virtual"
 )
 
-// net is the members' network of a model, in virtual time: words are lost, doubled and late as the test says.
+// network is the members' network of a model, in virtual time: words are lost, doubled and late as the test says.
 type network struct {
 	*model
 	clock  virtual.Clock
@@ -22,8 +22,7 @@
 	double float64
 	late   float64 // seconds at most
 	born   int
-	words  int
-	bytes  int
+	ghost  string // still held to be there when it is not
 }
 
 func newNetwork(t *testing.T, perZone int, rate float64) *network {
@@ -47,10 +46,10 @@
 // set says whether a process runs; one that does not takes no requests either.
 func (n *network) set(p *stand, up bool) { n.up[p.name], p.off = up, !up }
 
-// alive is what membership says to one: who is up, and not cut off from it.
+// alive is what membership says to one: who is up, or held to be, and not cut off from it.
 func (n *network) alive(of string) (names []string) {
 	for _, p := range n.proxies {
-		if n.up[p.name] && !n.cut(of, p.name) {
+		if (n.up[p.name] || p.name == n.ghost) && !n.cut(of, p.name) {
 			names = append(names, p.name)
 		}
 	}
@@ -58,7 +57,6 @@
 }
 
 func (n *network) deliver(o Outgoing) {
-	n.words++
 	if !n.up[o.To] || n.cut(o.From, o.To) || n.rng.Float64() < n.loss {
 		return
 	}
@@ -196,26 +194,9 @@
 			n.set(p, false)
 		}
 	}
-	members := func() (names []string) {
-		for _, p := range n.proxies {
-			names = append(names, p.name)
-		}
-		return names
-	}()
+	n.ghost = author
 	n.allDead("b")
-	n.reset()
-	for range 16 {
-		n.tick()
-		n.clock.Run(time.Duration((n.now - 100) * float64(time.Second)))
-		for _, p := range n.proxies {
-			if a := n.agents[p.name]; n.up[p.name] {
-				if a.Tick(n.now, p.window.Report(n.now, p.name, p.zone), n.zones, members) {
-					p.row = a.Row()
-				}
-				n.flush(a)
-			}
-		}
-	}
+	n.play(4)
 	n.reset()
 	n.play(2)
 	n.want("without the author", 0.95, 0.05, 0.35)
@@ -244,7 +225,6 @@
 		if row := n.agents[p.name].plan.Row(p.zone); !north(p.name) && len(row.Out) > 0 {
 			t.Errorf("%s sees nothing wrong and gives up ways: %+v", p.name, row)
 		}
-
 	}
 	n.cut = func(string, string) bool { return false }
 	n.allWell()
--- a/internal/failover/decide.go
+++ b/internal/failover/decide.go
@@ -21,6 +21,7 @@
 // Decider makes plans from reports.
 type Decider struct {
 	heard    map[string]*heard // by member
+	list     []*heard          // the same in order, for the decision at hand
 	rooms    map[string]*room  // by zone
 	fleet    bearing           // all zones together
 	refusing bool
@@ -69,6 +70,7 @@
 	}
 	d.at = now
 	var why []string
+	d.list = d.reports()
 	demand := d.demand(zones, members)
 	d.measure(zones, demand, members)
 	if d.covered(members) {
--- a/internal/failover/fill.go
+++ b/internal/failover/fill.go
@@ -54,7 +54,7 @@
 	t.spill(t.level(), func(int, int) bool { return true })
 	stranded = make([]float64, n)
 	for s := range n {
-		if left := t.left(s); left > slack*t.demand[s] && !t.force(s, left) {
+		if left := t.left(s); left > slack*t.demand[s] && !t.force(s, left, none) {
 			stranded[s] = left / t.demand[s]
 		}
 	}
@@ -69,18 +69,19 @@
 	for s := range t.demand {
 		left += t.left(s)
 	}
-	rooms := make([]float64, len(t.demand))
+	rooms, used, most := make([]float64, len(t.demand)), make([]float64, len(t.demand)), make([]float64, len(t.demand))
+	for d := range rooms {
+		if used[d] = t.used(d); t.wanted(d) {
+			most[d] = t.most[d]
+		}
+	}
 	low, high := 0.0, 1e6
 	for range 60 {
 		mid := (low + high) / 2
 		takes := 0.0
 		for d := range rooms {
-			rooms[d] = 0
-			if !t.wanted(d) {
-				continue
-			}
-			rooms[d] = mid * t.most[d]
-			takes += max(0, rooms[d]-t.used(d))
+			rooms[d] = mid * most[d]
+			takes += max(0, rooms[d]-used[d])
 		}
 		if takes < left {
 			low = mid
@@ -143,33 +144,33 @@
 	return asks
 }
 
-// force places what is left of a source on its open ways whatever that fills, as in panic. false: it has none.
-func (t *table) force(s int, left float64) bool {
-	sum := 0.0
-	for d := range t.most {
-		sum += t.most[d] * t.limit[s][d]
+// force places what is left of a source on its open ways but one whatever that fills, as in panic. false: it has none.
+func (t *table) force(s int, left float64, but int) bool {
+	parts, sum := make([]float64, len(t.most)), 0.0
+	for d := range parts {
+		if d != but {
+			parts[d] = t.most[d] * t.limit[s][d]
+			sum += parts[d]
+		}
 	}
 	if sum <= 0 {
 		return false
 	}
-	for d := range t.most {
-		t.sent[s][d] += left * t.most[d] * t.limit[s][d] / sum
+	for d, part := range parts {
+		t.sent[s][d] += left * part / sum
 	}
 	return true
 }
 
+const none = -1 // of the zones
+
 // scatter keeps at home what has room there and sends the rest over all other open ways alike: one proxy alone does not know
 // what others send there.
 func (t *table) scatter() (stranded []float64) {
 	stranded = make([]float64, len(t.demand))
 	for s := range t.demand {
 		t.sent[s][s] = min(t.demand[s], t.most[s], t.limit[s][s])
-		left := t.left(s)
-		home := t.limit[s][s]
-		t.limit[s][s] = 0
-		away := left <= 0 || t.force(s, left)
-		t.limit[s][s] = home
-		if !away && !t.force(s, left) {
+		if left := t.left(s); left > 0 && !t.force(s, left, s) && !t.force(s, left, none) {
 			stranded[s] = left / t.demand[s]
 		}
 	}
--- a/internal/failover/learn.go
+++ b/internal/failover/learn.go
@@ -74,7 +74,7 @@
 		r.sums = sums{}
 	}
 	bound := d.mostTaken()
-	for _, h := range d.reports() {
+	for _, h := range d.list {
 		for _, f := range h.Flows {
 			r := d.rooms[f.Zone]
 			if r == nil {
@@ -121,7 +121,7 @@
 // zones' hosts have as much to do for their own zones.
 func (d *Decider) demand(zones []Zone, members int) map[string]float64 {
 	demand, bound := map[string]float64{}, d.mostTaken()
-	for _, h := range d.reports() {
+	for _, h := range d.list {
 		demand[h.Zone] += min(bound, h.Taken)
 	}
 	for zone, x := range demand {
--- a/internal/failover/ways.go
+++ b/internal/failover/ways.go
@@ -42,16 +42,24 @@
 // word is what members say of a way.
 type word struct{ against, asked, proven, lost int }
 
-// ask counts the witnesses of a way, all of its source: what they say moves their own requests alone.
-func (d *Decider) ask(now float64, w way, need int) (said word) {
-	for _, h := range d.reports() {
+// hear counts the witnesses of all ways, each those of its source: what they say moves their own requests alone.
+func (d *Decider) hear(now float64, members int) (said map[way]word, need map[string]int) {
+	said, need = map[way]word{}, map[string]int{}
+	for _, h := range d.list {
+		need[h.Zone]++
+	}
+	for zone, n := range need { // a small zone's few decide for what they send
+		need[zone] = min(n, Witnesses(members))
+	}
+	for _, h := range d.list {
 		for _, f := range h.Flows {
-			if f.Zone == w.to && h.Zone == w.from {
-				said.add(&f, now-h.at, need)
-			}
+			w := way{h.Zone, f.Zone}
+			x := said[w]
+			x.add(&f, now-h.at, need[h.Zone])
+			said[w] = x
 		}
 	}
-	return said
+	return said, need
 }
 
 func (w *word) add(f *Flow, age float64, need int) {
@@ -76,16 +84,12 @@
 // judge gives ways up and tries them again. Of ways that the plan does not use few can tell, so that a few liars could shut
 // them all: they stay as they are until they are used.
 func (d *Decider) judge(now float64, zones []Zone, members int) (why []string) {
+	heard, need := d.hear(now, members)
 	for _, from := range zones {
-		need := Witnesses(members)
-		if n := d.heardOf(from.Name); n > 0 { // a small zone's few decide for what they send
-			need = min(need, n)
-		}
 		for _, to := range zones {
 			w := way{from.Name, to.Name}
-			said := d.ask(now, w, need)
-			p := d.ways[w]
-			dead := said.against >= need && 2*said.against > said.asked && (d.used[w] || w.from == w.to)
+			said, p := heard[w], d.ways[w]
+			dead := said.against >= max(1, need[from.Name]) && 2*said.against > said.asked && (d.used[w] || w.from == w.to)
 			switch {
 			case dead && (p == nil || !p.out) && d.othersOpen(w, zones):
 				d.ways[w] = giveUp(now, p)
--- a/internal/lab/link/peers.go
+++ b/internal/lab/link/peers.go
@@ -27,8 +27,8 @@
 	bytes  map[int]int64 // sent, by process
 }
 
-// PeerIP is the address that a process calls its peers from, and listens on.
-func PeerIP(proxy int) netip.Addr {
+// peerIP is the address that a process calls its peers from, and listens on.
+func peerIP(proxy int) netip.Addr {
 	return netip.AddrFrom4([4]byte{127, byte(96 + proxy>>8), byte(proxy), 1})
 }
 
@@ -75,7 +75,7 @@
 	if err != nil {
 		return "", "", errors.Join(fmt.Errorf("link: %w", err), r.ln.Close())
 	}
-	r.own = netip.AddrPortFrom(PeerIP(proxy), r.at.Port())
+	r.own = netip.AddrPortFrom(peerIP(proxy), r.at.Port())
 	r.wg.Go(r.accept)
 	r.wg.Go(r.packets)
 	p.mu.Lock()
--- a/internal/lab/plan/file.go
+++ b/internal/lab/plan/file.go
@@ -216,22 +216,13 @@
 	return &f, strict.Decode(name, text, &f, f.check)
 }
 
-// checker collects faults of a file.
-type checker struct{ faults []strict.Fault }
-
-func (c *checker) add(bad bool, field, format string, args ...any) {
-	if bad {
-		c.faults = append(c.faults, strict.Fault{Field: field, Why: fmt.Sprintf(format, args...)})
-	}
-}
-
 const mostProxies, mostHosts = 400, 250
 
 func (f *File) check() []strict.Fault {
-	c := &checker{}
-	c.add(f.Name == "", "name", "is missing")
-	c.add(f.Span < Duration(time.Second) || f.Span > Duration(time.Hour), "span", "is not from 1s to 1h")
-	c.add(f.Settle < 0, "settle", "is below 0")
+	c := &strict.Checker{}
+	c.Add(f.Name == "", "name", "is missing")
+	c.Add(f.Span < Duration(time.Second) || f.Span > Duration(time.Hour), "span", "is not from 1s to 1h")
+	c.Add(f.Settle < 0, "settle", "is below 0")
 	f.checkParties(c)
 	f.checkTraffic(c)
 	for i := range f.Faults {
@@ -239,88 +230,88 @@
 	}
 	for i, e := range f.Expect {
 		at := fmt.Sprintf("expect.%d.", i)
-		c.add(!slices.Contains(Measures, e.What), at+"what", "%q is none of %v", e.What, Measures)
-		c.add(e.Least == nil && e.Most == nil, at+"least", "is missing, and so is most")
-		c.add(e.From < 0 || e.From > f.Span, at+"from", "is not within the span")
-		c.add(e.To != 0 && e.To <= e.From, at+"to", "is not after from")
-		c.add(e.Zone != "" && f.zone(e.Zone) < 0, at+"zone", "%q is no zone", e.Zone)
+		c.Add(!slices.Contains(Measures, e.What), at+"what", "%q is none of %v", e.What, Measures)
+		c.Add(e.Least == nil && e.Most == nil, at+"least", "is missing, and so is most")
+		c.Add(e.From < 0 || e.From > f.Span, at+"from", "is not within the span")
+		c.Add(e.To != 0 && e.To <= e.From, at+"to", "is not after from")
+		c.Add(e.Zone != "" && f.zone(e.Zone) < 0, at+"zone", "%q is no zone", e.Zone)
 	}
-	return c.faults
+	return c.Faults
 }
 
-func (f *File) checkParties(c *checker) {
+func (f *File) checkParties(c *strict.Checker) {
 	proxies, hosts := 0, 0
 	for i, z := range f.Zones {
 		at := fmt.Sprintf("zone.%d.", i)
-		c.add(z.Name == "", at+"name", "is missing")
-		c.add(f.zone(z.Name) != i && z.Name != "", at+"name", "%q is there already", z.Name)
-		c.add(z.Proxies < 0, at+"proxies", "is below 0")
-		c.add(z.Hosts < 0, at+"hosts", "is below 0")
-		c.add(z.Traffic < 0, at+"traffic", "is below 0")
+		c.Add(z.Name == "", at+"name", "is missing")
+		c.Add(f.zone(z.Name) != i && z.Name != "", at+"name", "%q is there already", z.Name)
+		c.Add(z.Proxies < 0, at+"proxies", "is below 0")
+		c.Add(z.Hosts < 0, at+"hosts", "is below 0")
+		c.Add(z.Traffic < 0, at+"traffic", "is below 0")
 		proxies, hosts = proxies+max(0, z.Proxies), hosts+max(0, z.Hosts)
 	}
-	c.add(len(f.Zones) == 0, "zone", "there is none")
-	c.add(proxies == 0 || proxies > mostProxies, "zone", "%d proxies in all, not from 1 to %d", proxies, mostProxies)
-	c.add(hosts == 0 || hosts > mostHosts, "zone", "%d hosts in all, not from 1 to %d", hosts, mostHosts)
+	c.Add(len(f.Zones) == 0, "zone", "there is none")
+	c.Add(proxies == 0 || proxies > mostProxies, "zone", "%d proxies in all, not from 1 to %d", proxies, mostProxies)
+	c.Add(hosts == 0 || hosts > mostHosts, "zone", "%d hosts in all, not from 1 to %d", hosts, mostHosts)
 	p, h := f.Proxy, f.Host
-	c.add(p.Start != "before" && p.Start != "with", "proxy.start", `%q is neither "before" nor "with"`, p.Start)
-	c.add(p.MemoryMB < 16, "proxy.memory_mb", "is under 16")
-	c.add(p.Sockets < 64, "proxy.sockets", "is under 64")
-	c.add(p.AskWithin <= 0, "proxy.ask_within", "is not above 0")
-	c.add(p.Grace <= 0, "proxy.grace", "is not above 0")
-	c.add(h.Cores < 1, "host.cores", "is under 1")
-	c.add(h.Work <= 0, "host.work", "is not above 0")
-	c.add(h.CV < 0, "host.cv", "is below 0")
-	c.add(h.Queue < 0, "host.queue", "is below 0")
-	c.add(h.Conns < 1, "host.conns", "is under 1")
-	c.add(h.ColdFrom <= 0 || h.ColdFrom > 1, "host.cold_from", "is not above 0 and at most 1")
-	c.add(h.WarmKeys > 0 && (h.WarmShare <= 0 || h.WarmShare > 1), "host.warm_share", "is not above 0 and at most 1")
-	c.add(f.List.Rate <= 0, "list.rate", "is not above 0")
-	c.add(f.List.Queue < 1, "list.queue", "is under 1")
-	c.add(f.Link.Jitter < 0 || f.Link.Jitter > 1, "link.jitter", "is not from 0 to 1")
+	c.Add(p.Start != "before" && p.Start != "with", "proxy.start", `%q is neither "before" nor "with"`, p.Start)
+	c.Add(p.MemoryMB < 16, "proxy.memory_mb", "is under 16")
+	c.Add(p.Sockets < 64, "proxy.sockets", "is under 64")
+	c.Add(p.AskWithin <= 0, "proxy.ask_within", "is not above 0")
+	c.Add(p.Grace <= 0, "proxy.grace", "is not above 0")
+	c.Add(h.Cores < 1, "host.cores", "is under 1")
+	c.Add(h.Work <= 0, "host.work", "is not above 0")
+	c.Add(h.CV < 0, "host.cv", "is below 0")
+	c.Add(h.Queue < 0, "host.queue", "is below 0")
+	c.Add(h.Conns < 1, "host.conns", "is under 1")
+	c.Add(h.ColdFrom <= 0 || h.ColdFrom > 1, "host.cold_from", "is not above 0 and at most 1")
+	c.Add(h.WarmKeys > 0 && (h.WarmShare <= 0 || h.WarmShare > 1), "host.warm_share", "is not above 0 and at most 1")
+	c.Add(f.List.Rate <= 0, "list.rate", "is not above 0")
+	c.Add(f.List.Queue < 1, "list.queue", "is under 1")
+	c.Add(f.Link.Jitter < 0 || f.Link.Jitter > 1, "link.jitter", "is not from 0 to 1")
 }
 
-func (f *File) checkTraffic(c *checker) {
+func (f *File) checkTraffic(c *strict.Checker) {
 	t := f.Traffic
-	c.add(t.RPS <= 0, "traffic.rps", "is not above 0")
-	c.add(t.RPS*f.Span.D().Seconds() > 2e6, "traffic.rps", "makes over 2 million requests in the span")
-	c.add(t.Keys < 0, "traffic.keys", "is below 0")
-	c.add(t.Skew < 0, "traffic.skew", "is below 0")
-	c.add(t.Uneven < 0 || t.Uneven > 2, "traffic.uneven", "is not from 0 to 2")
-	c.add(len(f.Classes) == 0, "class", "there is none")
+	c.Add(t.RPS <= 0, "traffic.rps", "is not above 0")
+	c.Add(t.RPS*f.Span.D().Seconds() > 2e6, "traffic.rps", "makes over 2 million requests in the span")
+	c.Add(t.Keys < 0, "traffic.keys", "is below 0")
+	c.Add(t.Skew < 0, "traffic.skew", "is below 0")
+	c.Add(t.Uneven < 0 || t.Uneven > 2, "traffic.uneven", "is not from 0 to 2")
+	c.Add(len(f.Classes) == 0, "class", "there is none")
 	for i, k := range f.Classes {
 		at := fmt.Sprintf("class.%d.", i)
-		c.add(k.Name == "", at+"name", "is missing")
-		c.add(!slices.Contains([]string{"repeatable", "by_key", "once"}, k.Effect), at+"effect",
+		c.Add(k.Name == "", at+"name", "is missing")
+		c.Add(!slices.Contains([]string{"repeatable", "by_key", "once"}, k.Effect), at+"effect",
 			`%q is none of "repeatable", "by_key", "once"`, k.Effect)
-		c.add(!slices.Contains([]string{"", "all", "zone"}, k.Group), at+"group", `%q is neither "all" nor "zone"`, k.Group)
-		c.add(k.Effect == "by_key" && k.Window <= 0, at+"window", "is not above 0")
-		c.add(k.Aim <= 0, at+"aim", "is not above 0")
-		c.add(k.Deadline < k.Aim, at+"deadline", "is under aim")
-		c.add(k.Share <= 0, at+"share", "is not above 0")
+		c.Add(!slices.Contains([]string{"", "all", "zone"}, k.Group), at+"group", `%q is neither "all" nor "zone"`, k.Group)
+		c.Add(k.Effect == "by_key" && k.Window <= 0, at+"window", "is not above 0")
+		c.Add(k.Aim <= 0, at+"aim", "is not above 0")
+		c.Add(k.Deadline < k.Aim, at+"deadline", "is under aim")
+		c.Add(k.Share <= 0, at+"share", "is not above 0")
 	}
 }
 
-func (f *File) checkFault(c *checker, at string, b *Fault) {
+func (f *File) checkFault(c *strict.Checker, at string, b *Fault) {
 	kind, known := kinds[b.Kind]
-	c.add(!known, at+"kind", "%q is no kind of fault", b.Kind)
-	c.add(b.At < 0 || b.At >= f.Span, at+"at", "is not within the span")
-	c.add(b.For < 0, at+"for", "is below 0")
-	c.add(b.Every != 0 && (b.For <= 0 || b.Every <= b.For), at+"every", "is not longer than for")
+	c.Add(!known, at+"kind", "%q is no kind of fault", b.Kind)
+	c.Add(b.At < 0 || b.At >= f.Span, at+"at", "is not within the span")
+	c.Add(b.For < 0, at+"for", "is below 0")
+	c.Add(b.Every != 0 && (b.For <= 0 || b.Every <= b.For), at+"every", "is not longer than for")
 	if !known {
 		return
 	}
 	missing := map[string]bool{"delay": b.Delay <= 0, "bytes": b.Bytes <= 0, "factor": b.Factor <= 0,
 		"share": b.Share <= 0 || b.Share > 1, "for": b.For <= 0, "zone": f.zone(b.Zone) < 0}
-	c.add(kind.needs != "" && missing[kind.needs], at+kind.needs, "is missing or makes no sense")
-	c.add(b.Class != "" && f.class(b.Class) < 0, at+"class", "%q is no class", b.Class)
+	c.Add(kind.needs != "" && missing[kind.needs], at+kind.needs, "is missing or makes no sense")
+	c.Add(b.Class != "" && f.class(b.Class) < 0, at+"class", "%q is no class", b.Class)
 	party := func(field, text string, allowed ...string) {
 		s, err := parseSelector(text)
 		if err == nil {
 			err = s.check(f)
 		}
-		c.add(err != nil, at+field, "%v", err)
-		c.add(err == nil && !slices.Contains(allowed, s.kind), at+field, "%q cannot break so; %v can", text, allowed)
+		c.Add(err != nil, at+field, "%v", err)
+		c.Add(err == nil && !slices.Contains(allowed, s.kind), at+field, "%q cannot break so; %v can", text, allowed)
 	}
 	switch kind.to {
 	case "links":
@@ -334,9 +325,9 @@
 	case "hosts", "proxies":
 		party("to", b.To, kind.to)
 	default:
-		c.add(b.To != "", at+"to", "has no meaning here")
+		c.Add(b.To != "", at+"to", "has no meaning here")
 	}
-	c.add(b.From != "" && kind.to != "links" && kind.to != "peers", at+"from", "has no meaning here")
+	c.Add(b.From != "" && kind.to != "links" && kind.to != "peers", at+"from", "has no meaning here")
 }
 
 func (f *File) zone(name string) int {
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -19,20 +19,19 @@
 
 // Calls is what the door asks of the proxy. All of it may be called from many goroutines at once.
 type Calls interface {
-	Ready() error    // nil: this process serves; else why not
-	Figures() []byte // never waits
-	Plan() []byte    // which zones count; nil: there is no such plan. Never waits
-	Zone(ctx context.Context, o ZoneOrder) (said string, err error)
+	Ready() error                                                   // nil: this process serves; else why not
+	Figures() []byte                                                // never waits
+	Plan() []byte                                                   // which zones count; nil: there is no such plan. Never waits
+	Zone(ctx context.Context, o ZoneOrder) (said string, err error) // where there is a plan
 	TakeOut(ctx context.Context, id string) (said string, err error)
 	PutBack(ctx context.Context, id string) (said string, err error)
 }
 
 // ErrUnknown is a call's answer to a host that nobody knows; ErrForce to one that would leave too little without its second
-// word; ErrNone to one that this proxy does not have.
+// word.
 var (
 	ErrUnknown = errors.New("unknown host")
 	ErrForce   = errors.New("needs force")
-	ErrNone    = errors.New("no such call")
 )
 
 const (
@@ -261,21 +260,19 @@
 	case "/admin/stats":
 		call = func([]byte) *reply { return &reply{status: http.StatusOK, text: string(d.calls.Figures())} }
 	case "/admin/plan":
-		text := d.calls.Plan()
-		if text == nil {
-			return refuse(http.StatusNotFound, "no such call")
+		if text := d.calls.Plan(); text != nil {
+			call = func([]byte) *reply { return &reply{status: http.StatusOK, text: string(text)} }
 		}
-		call = func([]byte) *reply { return &reply{status: http.StatusOK, text: string(text)} }
 	case "/admin/zone":
-		if d.calls.Plan() == nil {
-			return refuse(http.StatusNotFound, ErrNone.Error())
+		if d.calls.Plan() != nil {
+			method, call = http.MethodPost, d.zone
 		}
-		method, call = http.MethodPost, d.zone
 	case "/admin/cordon":
 		method, call = http.MethodPost, d.change(d.calls.TakeOut)
 	case "/admin/uncordon":
 		method, call = http.MethodPost, d.change(d.calls.PutBack)
-	default:
+	}
+	if call == nil {
 		return refuse(http.StatusNotFound, "no such call")
 	}
 	if r.Method != method {
--- a/internal/proxy/operators.go
+++ b/internal/proxy/operators.go
@@ -31,11 +31,14 @@
 	set  cordon.Set // as the owner has it
 }
 
-// outFile names the file with the hosts that are out. Proxies that share a folder for want of a TMPDIR have each its own.
-func outFile(dir, name string) string {
-	return filepath.Join(dir, "beechwing-out-"+hex.EncodeToString([]byte(name))+".json")
+// stateFile names a proxy's file of a kind. Proxies that share a folder for want of a TMPDIR have each its own.
+func stateFile(dir, kind, name string) string {
+	return filepath.Join(dir, "beechwing-"+kind+"-"+hex.EncodeToString([]byte(name))+".json")
 }
 
+// outFile names the file with the hosts that are out.
+func outFile(dir, name string) string { return stateFile(dir, "out", name) }
+
 func newOperators(p *Proxy) *operators {
 	check := func(s cordon.Set) error {
 		if len(s) > cordon.Most {
@@ -104,11 +107,8 @@
 	return s.p.steering.text()
 }
 
-// Zone takes a zone or region out for the whole fleet, or back.
+// Zone takes a zone or region out for the whole fleet, or back. The door asks for it only where there is a plan.
 func (s *operators) Zone(ctx context.Context, o ops.ZoneOrder) (string, error) {
-	if s.p.steering == nil {
-		return "", ops.ErrNone
-	}
 	return s.p.steering.order(ctx, o)
 }
 
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -219,9 +219,10 @@
 	}
 	o.bufs.freeBody(&e.reply.body)
 	now := o.clock.now()
-	o.sight.ended(now, a, e.result, o.cfg.Classes)
+	took := cmp.Or(a.begunAt, now) - a.sent
+	o.sight.ended(now, took, a, e.result, o.cfg.Classes)
 	o.bal.Outcome(now, balancer.Outcome{ID: a.request.ID, Attempt: a.number, Host: a.host, Result: e.result,
-		Took: cmp.Or(a.begunAt, now) - a.sent, Final: f.answered, Report: e.reply.report})
+		Took: took, Final: f.answered, Report: e.reply.report})
 	o.drop(f)
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -120,6 +120,9 @@
 	if err != nil {
 		return Stopped, err
 	}
+	if p.owner.sight != nil { // ahead of the door and of reloads, which ask for it
+		p.steering = newSteering(p)
+	}
 	if desk != nil {
 		p.openDoor(run, desk)
 	}
@@ -128,8 +131,7 @@
 	p.parts.Go(func() { p.owner.run(p.decide, p.cfg.Known) })
 	p.parts.Go(func() { p.owner.list.run(run) })
 	p.parts.Go(func() { p.reload(run) })
-	if p.owner.sight != nil {
-		p.steering = newSteering(p)
+	if p.steering != nil {
 		p.parts.Go(func() { p.steering.run(run) })
 	}
 	p.parts.Go(func() { p.prepare(run) })
--- a/internal/proxy/sight.go
+++ b/internal/proxy/sight.go
@@ -53,15 +53,11 @@
 // lateShare of its aim is when an answer counts as late here: what is over by then can still be sent again.
 const lateShare = 0.45
 
-// ended takes the end of an attempt.
-func (s *sight) ended(now float64, a *attempt, r balancer.Result, classes []balancer.Class) {
+// ended takes the end of an attempt and how long that took.
+func (s *sight) ended(now, took float64, a *attempt, r balancer.Result, classes []balancer.Class) {
 	if s == nil || a.zone == "" || a.request.Class >= len(classes) {
 		return
 	}
-	took := now - a.sent
-	if a.begunAt > 0 {
-		took = a.begunAt - a.sent
-	}
 	load := took / max(1e-3, lateShare*classes[a.request.Class].Aim)
 	switch r {
 	case balancer.OK:
@@ -85,10 +81,7 @@
 		if cfg.Weighted && h.Weight > 0 {
 			weight = h.Weight
 		}
-		if age := now - h.Started; h.Started > 0 && cfg.ColdFor > 0 && age < cfg.ColdFor {
-			weight *= cfg.ColdFrom + (1-cfg.ColdFrom)*max(0, age)/cfg.ColdFor
-		}
-		warm[s.zones.name(h.Zone)] += weight
+		warm[s.zones.name(h.Zone)] += weight * cfg.Warmth(now, h.Started)
 	}
 	var all []failover.Zone
 	for name, w := range warm {
--- a/internal/proxy/zoneorder.go
+++ b/internal/proxy/zoneorder.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/hex"
 	"errors"
 	"fmt"
-	"path/filepath"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,8 +29,7 @@
 
 // openOrders takes over what was ordered before this process started.
 func (s *steering) openOrders() {
-	path := filepath.Join(s.p.cfg.StateDir, "beechwing-zones-"+hex.EncodeToString([]byte(s.p.cfg.Name))+".json")
-	s.file = handover.NewFile(path, func([]failover.Order) error { return nil })
+	s.file = handover.NewFile(stateFile(s.p.cfg.StateDir, "zones", s.p.cfg.Name), func([]failover.Order) error { return nil })
 	list, err := s.file.Read()
 	if err != nil {
 		s.p.log.Error("which zones are out by hand cannot be read, others may tell", zap.Error(err))
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -122,38 +122,37 @@
 	return ""
 }
 
-func (f File) check() []strict.Fault { return append(f.Connections.check(), f.checkZones()...) }
+func (f File) check() []strict.Fault {
+	c := &strict.Checker{}
+	f.Connections.check(c)
+	f.checkZones(c)
+	return c.Faults
+}
 
-func (f File) checkZones() (faults []strict.Fault) {
-	add := func(bad bool, field, format string, args ...any) {
-		if bad {
-			faults = append(faults, strict.Fault{Field: field, Why: fmt.Sprintf(format, args...)})
-		}
-	}
+func (f File) checkZones(c *strict.Checker) {
 	modes := []string{Off, Alone, Common}
-	add(!slices.Contains(modes, f.Failover.Mode), "failover.mode", "%q is none of %q", f.Failover.Mode, modes)
+	c.Add(!slices.Contains(modes, f.Failover.Mode), "failover.mode", "%q is none of %q", f.Failover.Mode, modes)
 	if m := f.Members; f.Failover.Mode == Common {
-		add(m.Fleet == "" || len(m.Fleet) > 255, "members.fleet", "is missing or longer than 255 bytes, and failover.mode is %q", Common)
-		add(!address(m.Listen), "members.listen", "%q is no address with a port", m.Listen)
-		add(m.Advertise != "" && !address(m.Advertise), "members.advertise", "%q is no address with a port", m.Advertise)
+		c.Add(m.Fleet == "" || len(m.Fleet) > 255, "members.fleet", "is missing or longer than 255 bytes, and failover.mode is %q", Common)
+		c.Add(!address(m.Listen), "members.listen", "%q is no address with a port", m.Listen)
+		c.Add(m.Advertise != "" && !address(m.Advertise), "members.advertise", "%q is no address with a port", m.Advertise)
 		for _, seed := range m.Seeds {
-			add(!address(seed), "members.seeds", "%q is no address with a port", seed)
+			c.Add(!address(seed), "members.seeds", "%q is no address with a port", seed)
 		}
 	}
 	region := map[string]string{}
 	names := map[string]bool{}
 	for i, r := range f.Regions {
 		at := fmt.Sprintf("region.%d.", i)
-		add(r.Name == "", at+"name", "is missing")
-		add(r.Name != "" && names[r.Name], at+"name", "%q is there already", r.Name)
-		add(len(r.Zones) == 0, at+"zones", "names none")
+		c.Add(r.Name == "", at+"name", "is missing")
+		c.Add(r.Name != "" && names[r.Name], at+"name", "%q is there already", r.Name)
+		c.Add(len(r.Zones) == 0, at+"zones", "names none")
 		names[r.Name] = true
 		for _, z := range r.Zones {
-			add(region[z] != "", at+"zones", "%q is in region %q already", z, region[z])
+			c.Add(region[z] != "", at+"zones", "%q is in region %q already", z, region[z])
 			region[z] = r.Name
 		}
 	}
-	return faults
 }
 
 // address says whether a text is an IP address with a port.
@@ -162,17 +161,11 @@
 	return err == nil && a.Port() != 0
 }
 
-func (c Connections) check() (faults []strict.Fault) {
-	add := func(bad bool, field, why string) {
-		if bad {
-			faults = append(faults, strict.Fault{Field: "connections." + field, Why: why})
-		}
-	}
-	add(c.Callers != Application && c.Callers != Address, "callers",
-		fmt.Sprintf("%q is neither %q nor %q", c.Callers, Application, Address))
-	add(c.Limit < 0, "limit", "is below 0; leave it out for as many as the machine allows")
-	add(c.Idle < Duration(2*time.Second), "idle", "is under 2s; callers would lose connections that they are about to use")
-	add(c.IdleFull <= 0 || c.IdleFull > c.Idle, "idle_full", "is not above 0 and at most idle")
-	add(c.First <= 0 || c.First > Duration(time.Minute), "first", "is not above 0 and at most 1m")
-	return faults
+func (c Connections) check(k *strict.Checker) {
+	k.Add(c.Callers != Application && c.Callers != Address, "connections.callers",
+		"%q is neither %q nor %q", c.Callers, Application, Address)
+	k.Add(c.Limit < 0, "connections.limit", "is below 0; leave it out for as many as the machine allows")
+	k.Add(c.Idle < Duration(2*time.Second), "connections.idle", "is under 2s; callers would lose connections that they are about to use")
+	k.Add(c.IdleFull <= 0 || c.IdleFull > c.Idle, "connections.idle_full", "is not above 0 and at most idle")
+	k.Add(c.First <= 0 || c.First > Duration(time.Minute), "connections.first", "is not above 0 and at most 1m")
 }
--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -47,6 +47,16 @@
 	return errors.Join(all...)
 }
 
+// Checker collects faults.
+type Checker struct{ Faults []Fault }
+
+// Add notes a fault if there is one.
+func (c *Checker) Add(bad bool, field, format string, args ...any) {
+	if bad {
+		c.Faults = append(c.Faults, Fault{Field: field, Why: fmt.Sprintf(format, args...)})
+	}
+}
+
 // lineOf is the line of a field, or of the table that lacks it.
 func lineOf(lines map[string]int, field string) int {
 	for field != "" {
