--- /dev/null
+++ b/internal/market/cart/net.go
@@ -0,0 +1,374 @@
+// Package cart carries parcels between the processes of the mesh: protobuf in frames over TCP, one connection to a peer.
+// (The field's term: transport.) It decides nothing: what a lost parcel means is for the state machines to say.
+package cart
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+	"google.golang.org/protobuf/proto"
+)
+
+// Bounds of the connections. Each names the failure that it guards against.
+const (
+	MaxFrame     = 72 << 20               // bytes: a peer that speaks something else, or a length that was spoilt
+	mostQueued   = 24 << 20               // bytes that wait for one peer: one that does not read
+	dialWithin   = 700 * time.Millisecond // a peer behind a cut says nothing
+	writeWithin  = 3 * time.Second        // a peer that does not read
+	silentWithin = 1500 * time.Millisecond
+	probeAfter   = time.Second // idle connections to a machine without power
+	probeEvery   = 500 * time.Millisecond
+	probes       = 2
+	frameHead    = 4
+)
+
+// Send is a parcel on its way to a peer.
+type Send struct {
+	To     string
+	Parcel *Parcel
+}
+
+// Event is what a Net tells: Came or Broke.
+type Event interface{ event() }
+
+// Came is a parcel that has come.
+type Came struct {
+	From   string
+	Parcel *Parcel
+}
+
+// Broke tells that a connection to a peer is no more. Unsent are the ids of parcels of which no byte went out; what else went
+// by connections up to Link may have arrived.
+type Broke struct {
+	Peer   string
+	Link   uint64
+	Unsent []uint64
+}
+
+func (Came) event()  {}
+func (Broke) event() {}
+
+// Net is one process's connections to the others.
+type Net struct {
+	self string
+	tell func(Event)
+	ln   net.Listener
+
+	mu     sync.Mutex
+	links  map[string]*link
+	all    map[net.Conn]bool
+	last   uint64
+	closed bool
+}
+
+// link is one connection, or one that is being made.
+type link struct {
+	net    *Net
+	peer   string
+	number uint64
+	wake   chan struct{}
+
+	mu     sync.Mutex
+	queue  []*Parcel
+	queued int
+	dead   bool
+}
+
+// Listen takes the address at which this process is known to the others and tells what comes. tell must not wait.
+func Listen(self string, tell func(Event)) (*Net, error) {
+	ln, err := net.Listen("tcp", self)
+	if err != nil {
+		return nil, errors.Wrap(err, "inner address")
+	}
+	n := &Net{self: self, tell: tell, ln: ln, links: map[string]*link{}, all: map[net.Conn]bool{}}
+	go n.accept()
+	return n, nil
+}
+
+// Close ends all connections.
+func (n *Net) Close() {
+	n.ln.Close()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.closed = true
+	for c := range n.all {
+		c.Close()
+	}
+}
+
+// Send queues a parcel and gives the number of the connection that it goes by. It never waits: one that cannot go is told of
+// by Broke.
+func (n *Net) Send(to string, p *Parcel) uint64 {
+	n.mu.Lock()
+	l := n.links[to]
+	if l == nil {
+		l = n.newLink(to)
+		n.links[to] = l
+		go l.dial()
+	}
+	n.mu.Unlock()
+	if !l.put(p) {
+		go n.tell(Broke{Peer: to, Unsent: []uint64{p.Id}})
+	}
+	return l.number
+}
+
+// newLink makes a link. n.mu is held.
+func (n *Net) newLink(peer string) *link {
+	n.last++
+	return &link{net: n, peer: peer, number: n.last, wake: make(chan struct{}, 1)}
+}
+
+func (l *link) put(p *Parcel) bool {
+	size := proto.Size(p)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.dead || l.queued+size > mostQueued {
+		return false
+	}
+	l.queue = append(l.queue, p)
+	l.queued += size
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+func (l *link) take() []*Parcel {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	q := l.queue
+	l.queue, l.queued = nil, 0
+	return q
+}
+
+// end takes the link out of use and tells of it. unsent never went out.
+func (l *link) end(unsent []*Parcel) {
+	l.net.mu.Lock()
+	if l.net.links[l.peer] == l {
+		delete(l.net.links, l.peer)
+	}
+	closed := l.net.closed
+	l.net.mu.Unlock()
+	l.mu.Lock()
+	was := l.dead
+	l.dead = true
+	unsent = append(unsent, l.queue...)
+	l.queue = nil
+	l.mu.Unlock()
+	if was && len(unsent) == 0 || closed {
+		return
+	}
+	b := Broke{Peer: l.peer, Link: l.number}
+	for _, p := range unsent {
+		b.Unsent = append(b.Unsent, p.Id)
+	}
+	l.net.tell(b)
+}
+
+func (l *link) dial() {
+	d := net.Dialer{Timeout: dialWithin}
+	c, err := d.Dial("tcp", l.peer)
+	if err != nil {
+		l.end(nil)
+		return
+	}
+	hello, _ := frame(nil, &Parcel{Hello: &Hello{From: l.net.self}})
+	c.SetWriteDeadline(time.Now().Add(writeWithin))
+	if _, err := c.Write(hello); err != nil {
+		c.Close()
+		l.end(nil)
+		return
+	}
+	l.run(c, bufio.NewReaderSize(c, 8<<10))
+}
+
+// run serves a connection until it ends.
+func (l *link) run(c net.Conn, br *bufio.Reader) {
+	if !l.net.hold(c) {
+		l.end(nil)
+		return
+	}
+	defer l.net.release(c)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.write(c)
+	}()
+	for {
+		p, err := Read(br)
+		if err != nil {
+			break
+		}
+		l.net.tell(Came{l.peer, p})
+	}
+	c.Close()
+	l.mu.Lock()
+	l.dead = true
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+	<-done
+}
+
+// write sends what is queued, all that waits in one write.
+func (l *link) write(c net.Conn) {
+	var buf []byte
+	for range l.wake {
+		l.mu.Lock()
+		dead := l.dead
+		l.mu.Unlock()
+		if dead {
+			break
+		}
+		batch := l.take()
+		if len(batch) == 0 {
+			continue
+		}
+		buf = buf[:0]
+		for i, p := range batch {
+			var err error
+			if buf, err = frame(buf, p); err != nil { // too large: as if it had broken the connection
+				c.Close()
+				l.end(batch[i:])
+				return
+			}
+		}
+		c.SetWriteDeadline(time.Now().Add(writeWithin))
+		if _, err := c.Write(buf); err != nil {
+			c.Close()
+			break
+		}
+		if cap(buf) > 1<<20 {
+			buf = nil
+		}
+	}
+	l.mu.Lock()
+	l.dead = false // so that the end is told
+	l.mu.Unlock()
+	l.end(nil)
+}
+
+func (n *Net) hold(c net.Conn) bool {
+	tune(c)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		c.Close()
+		return false
+	}
+	n.all[c] = true
+	return true
+}
+
+func (n *Net) release(c net.Conn) {
+	c.Close()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.all, c)
+}
+
+func (n *Net) accept() {
+	for {
+		c, err := n.ln.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			time.Sleep(20 * time.Millisecond) // out of descriptors: they come back
+			continue
+		}
+		go n.greet(c)
+	}
+}
+
+// greet learns who has connected. A connection that says something else first is none of ours.
+func (n *Net) greet(c net.Conn) {
+	c.SetReadDeadline(time.Now().Add(writeWithin))
+	br := bufio.NewReaderSize(c, 8<<10)
+	p, err := Read(br)
+	if err != nil || p.Hello == nil || p.Hello.From == "" {
+		c.Close()
+		return
+	}
+	c.SetReadDeadline(time.Time{})
+	n.mu.Lock()
+	l := n.newLink(p.Hello.From)
+	if n.links[l.peer] == nil {
+		n.links[l.peer] = l
+	}
+	n.mu.Unlock()
+	l.run(c, br)
+}
+
+// tune makes a connection tell within silentWithin that its peer has gone silent.
+func tune(c net.Conn) {
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeEvery, Count: probes})
+	if raw, err := t.SyscallConn(); err == nil {
+		raw.Control(func(fd uintptr) {
+			unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentWithin.Milliseconds()))
+		})
+	}
+}
+
+// frame appends a parcel's frame: its length in four bytes, then the parcel.
+func frame(buf []byte, p *Parcel) ([]byte, error) {
+	at := len(buf)
+	buf = append(buf, 0, 0, 0, 0)
+	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, p)
+	if err != nil {
+		return buf, errors.Wrap(err, "parcel")
+	}
+	size := len(buf) - at - frameHead
+	if size > MaxFrame {
+		return buf, errors.Newf("parcel of %d bytes", size)
+	}
+	binary.BigEndian.PutUint32(buf[at:], uint32(size))
+	return buf, nil
+}
+
+// Read takes one frame.
+func Read(br *bufio.Reader) (*Parcel, error) {
+	var head [frameHead]byte
+	if _, err := io.ReadFull(br, head[:]); err != nil {
+		return nil, err
+	}
+	size := int(binary.BigEndian.Uint32(head[:]))
+	if size > MaxFrame {
+		return nil, errors.Newf("frame of %d bytes", size)
+	}
+	var b []byte
+	if size <= br.Size() { // decoded where it lies: what is kept of it is copied
+		var err error
+		if b, err = br.Peek(size); err != nil {
+			return nil, err
+		}
+		defer br.Discard(size)
+	} else {
+		var err error
+		if b, err = io.ReadAll(io.LimitReader(br, int64(size))); err != nil {
+			return nil, err
+		}
+		if len(b) < size {
+			return nil, io.ErrUnexpectedEOF
+		}
+	}
+	p := &Parcel{}
+	if err := proto.Unmarshal(b, p); err != nil {
+		return nil, errors.Wrap(err, "frame")
+	}
+	return p, nil
+}
--- a/internal/proxy/accept.go
+++ b/internal/proxy/accept.go
@@ -147,7 +147,7 @@
 // its first request.
 func (f *front) admit(c net.Conn) {
 	cl := &client{front: f, conn: c, accepted: time.Now()}
-	cl.meter.r = cl
+	cl.meter.R = cl
 	f.wg.Add(1)
 	if line := f.log.Check(zap.DebugLevel, "accepted"); line != nil {
 		line.Write(zap.Stringer("from", c.RemoteAddr()))
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"beechwing/internal/wire"
 )
 
 // answer is the final word on a request. A status of zero means that nobody is there to hear one.
@@ -80,7 +82,7 @@
 	}
 	fmt.Fprintf(w, "\r\n%s", a.text)
 	if w.full { // only a host's content type can be that long
-		return errTooLarge
+		return wire.ErrTooLarge
 	}
 	c.conn.SetWriteDeadline(time.Now().Add(c.front.times.answer))
 	parts := a.body.parts(net.Buffers{w.buf})
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"beechwing/balancer"
+	"beechwing/internal/wire"
 )
 
 // attempt is one sending of a request to a host.
@@ -178,7 +179,7 @@
 		return ctx.Err()
 	case <-wait.C:
 	}
-	if _, ended := arrived(c.conn); ended { // its reader may not have come to it yet
+	if _, ended := wire.Arrived(c.conn); ended { // its reader may not have come to it yet
 		return errBroken
 	}
 	return nil
--- a/internal/proxy/buffer.go
+++ b/internal/proxy/buffer.go
@@ -19,8 +19,6 @@
 	maxBody    = bodies.Kept
 )
 
-var errTooLarge = errors.New("message is too large")
-
 // pool hands out buffers and bufio.Readers of bufferSize and takes them back. live counts what is out: a number
 // that does not come back to zero when all connections are closed is a leak.
 type pool struct {
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -12,6 +12,7 @@
 
 	"beechwing/internal/park"
 	"beechwing/internal/places"
+	"beechwing/internal/wire"
 )
 
 const lingerMost = 256 << 10 // bytes of a malformed request's rest that are taken and thrown away
@@ -22,7 +23,7 @@
 	front    *front
 	conn     net.Conn
 	accepted time.Time
-	meter    meter
+	meter    wire.Meter
 	br       *bufio.Reader  // nil while it is parked
 	served   bool           // it has brought a whole request
 	graced   bool           // the request at hand was read past its time
@@ -48,7 +49,7 @@
 	if n > 0 || c.graced || !errors.Is(err, os.ErrDeadlineExceeded) {
 		return n, err
 	}
-	if bytes, _ := arrived(c.conn); !bytes {
+	if bytes, _ := wire.Arrived(c.conn); !bytes {
 		return n, err
 	}
 	c.graced = true
@@ -145,12 +146,12 @@
 	c.front.mu.Lock()
 	c.cool()
 	c.front.mu.Unlock()
-	c.settle(goesOn && c.meter.err != nil && errors.Is(c.meter.err, os.ErrDeadlineExceeded))
+	c.settle(goesOn && c.meter.Err != nil && errors.Is(c.meter.Err, os.ErrDeadlineExceeded))
 }
 
 // await waits for the first byte of a request.
 func (c *client) await() bool {
-	c.meter.allow(maxHead)
+	c.meter.Allow(maxHead)
 	_, err := c.br.Peek(1)
 	return err == nil
 }
@@ -187,13 +188,13 @@
 
 // readHead reads a request up to its body.
 func (c *client) readHead() (*http.Request, error) {
-	c.meter.allow(maxHead)
-	head, err := peekHead(c.br)
+	c.meter.Allow(maxHead)
+	head, err := wire.PeekHead(c.br, maxHead)
 	if err == nil {
-		err = checkHead(head, singleInRequests)
+		err = wire.CheckHead(head, singleInRequests)
 	}
 	if err == nil {
-		err = checkText(head)
+		err = wire.CheckText(head)
 	}
 	if err != nil {
 		return nil, err
@@ -212,7 +213,7 @@
 	if q.up != nil && !c.pump(q) {
 		return <-written && false
 	}
-	c.meter.allow(maxHead)
+	c.meter.Allow(maxHead)
 	_, err := c.br.Peek(1)
 	var goesOn bool
 	select {
@@ -277,7 +278,7 @@
 // answer.
 func (c *client) linger() {
 	c.mark(c.front.book.Linger, c.front.times.linger)
-	c.meter.allow(lingerMost)
+	c.meter.Allow(lingerMost)
 	for {
 		if _, err := c.br.Discard(bufferSize); err != nil {
 			return
--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -16,6 +16,7 @@
 
 	"beechwing/balancer"
 	"beechwing/internal/budget"
+	"beechwing/internal/wire"
 )
 
 const (
@@ -323,7 +324,7 @@
 // listConn is a connection to discovery.
 type listConn struct {
 	net.Conn
-	meter
+	wire.Meter
 	bufs  *pool
 	br    *bufio.Reader
 	stop  func() bool
@@ -336,8 +337,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
-	c := &listConn{Conn: nc, meter: meter{r: nc}, bufs: d.bufs}
-	c.br = c.bufs.reader(&c.meter)
+	c := &listConn{Conn: nc, Meter: wire.Meter{R: nc}, bufs: d.bufs}
+	c.br = c.bufs.reader(&c.Meter)
 	c.stop = context.AfterFunc(ctx, func() { nc.Close() })
 	return c, nil
 }
@@ -355,7 +356,7 @@
 // get reads one answer whole, within the time given.
 func (c *listConn) get(addr, path string, within time.Duration) ([]byte, error) {
 	c.SetDeadline(time.Now().Add(within))
-	c.allow(maxList)
+	c.Allow(maxList)
 	if _, err := fmt.Fprintf(c.Conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, addr); err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
--- a/internal/proxy/fuzz_test.go
+++ b/internal/proxy/fuzz_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"beechwing/balancer"
+	"beechwing/internal/wire"
 )
 
 // mute is a connection whose other side takes everything and says nothing.
@@ -29,10 +30,10 @@
 		effects: []balancer.Effect{balancer.Safe, balancer.Unsafe, balancer.Keyed}}
 	f.Fuzz(func(t *testing.T, in []byte) {
 		bufs := newPool()
-		c := &client{front: &front{bufs: bufs, times: quickTiming()}, conn: mute{}, meter: meter{r: bytes.NewReader(in)}}
+		c := &client{front: &front{bufs: bufs, times: quickTiming()}, conn: mute{}, meter: wire.Meter{R: bytes.NewReader(in)}}
 		c.front.names.Store(n)
 		c.br = bufio.NewReaderSize(&c.meter, bufferSize)
-		c.meter.allow(maxHead)
+		c.meter.Allow(maxHead)
 		r, err := http.ReadRequest(c.br)
 		var q *request
 		bad := c.errorFor(err)
@@ -72,7 +73,7 @@
 		of := &hosts{bufs: bufs}
 		of.by.Store(&hostSettings{columns: []string{"cpu"}})
 		c := &hostConn{up: &upstream{hosts: of}, conn: near,
-			meter: meter{r: bytes.NewReader(in)}}
+			meter: wire.Meter{R: bytes.NewReader(in)}}
 		c.br = bufio.NewReaderSize(&c.meter, bufferSize)
 		call := newCall()
 		read, over := make(chan struct{}), make(chan struct{})
--- a/internal/proxy/idle.go
+++ b/internal/proxy/idle.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"beechwing/internal/places"
+	"beechwing/internal/wire"
 )
 
 const (
@@ -96,7 +97,7 @@
 
 // endParked ends a connection whose place is wanted. A request that has come meanwhile is served first.
 func (f *front) endParked(c *client) {
-	if bytes, _ := arrived(c.conn); bytes {
+	if bytes, _ := wire.Arrived(c.conn); bytes {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.comeToDesk(f.now(), c)
--- a/internal/proxy/idle_test.go
+++ b/internal/proxy/idle_test.go
@@ -18,6 +18,7 @@
 
 	"beechwing/internal/places"
 	"beechwing/internal/site"
+	"beechwing/internal/wire"
 )
 
 // desks lets every address be a caller, as on a site with desk tools, so that none is judged by the others.
@@ -182,7 +183,7 @@
 	held := f.book.Held(places.Once)
 	io.WriteString(c, message("write", "x"))
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		if bytes, _ := arrived(held.Holder().(*client).conn); bytes {
+		if bytes, _ := wire.Arrived(held.Holder().(*client).conn); bytes {
 			break
 		}
 	}
--- a/internal/proxy/long.go
+++ b/internal/proxy/long.go
@@ -12,6 +12,7 @@
 
 	bodies "beechwing/internal/body"
 	"beechwing/internal/places"
+	"beechwing/internal/wire"
 )
 
 const (
@@ -106,9 +107,9 @@
 	q.up.end(err)
 	early := departure{request: q}
 	switch {
-	case errors.Is(err, errTooLarge):
+	case errors.Is(err, wire.ErrTooLarge):
 		early.answer = badRequest{http.StatusRequestEntityTooLarge, "body is too large"}.answer()
-	case !errors.Is(err, errCut) && c.meter.err == nil:
+	case !errors.Is(err, errCut) && c.meter.Err == nil:
 		early.answer = badRequest{http.StatusBadRequest, "malformed body"}.answer()
 	}
 	c.front.owner.post(early)
--- a/internal/proxy/parse.go
+++ b/internal/proxy/parse.go
@@ -15,6 +15,7 @@
 	"beechwing/balancer"
 	bodies "beechwing/internal/body"
 	"beechwing/internal/settings"
+	"beechwing/internal/wire"
 )
 
 // Headers of the platform's protocol.
@@ -35,6 +36,13 @@
 	mostIDLength  = 256
 )
 
+// The headers that may stand in a message once only, as wire.CheckHead wants them.
+var (
+	singleInRequests = []string{"Content-Length", "Transfer-Encoding", "Host", headerID, headerClass, headerTenant,
+		headerKey, headerRemaining, headerRepeat, headerWork}
+	singleInReplies = []string{"Content-Length", "Transfer-Encoding", headerTurned}
+)
+
 // request is one that a client proxy has taken whole.
 type request struct {
 	balancer.Request
@@ -70,11 +78,11 @@
 // told to the other side, it is nil.
 func (c *client) errorFor(err error) *badRequest {
 	var ne net.Error
-	if c.meter.err != nil {
-		err = c.meter.err
+	if c.meter.Err != nil {
+		err = c.meter.Err
 	}
 	switch {
-	case errors.Is(err, errTooLarge):
+	case errors.Is(err, wire.ErrTooLarge):
 		return &badRequest{http.StatusRequestHeaderFieldsTooLarge, "request header is too large"}
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &ne):
 		return nil
@@ -199,12 +207,12 @@
 			return &badRequest{}
 		}
 	}
-	c.meter.allow(2 * bodies.Longest) // with the framing of chunks
+	c.meter.Allow(2 * bodies.Longest) // with the framing of chunks
 	src := &paced{client: c, r: r.Body, began: time.Now()}
 	got, more, err := c.front.bufs.readBody(src)
 	var ne net.Error
 	switch {
-	case errors.Is(err, errTooLarge):
+	case errors.Is(err, wire.ErrTooLarge):
 		return &badRequest{http.StatusRequestEntityTooLarge, "body is too large"}
 	case errors.Is(err, errCut), errors.As(err, &ne):
 		return &badRequest{}
@@ -283,7 +291,7 @@
 		fmt.Fprint(w, q.framing())
 	}
 	if w.full {
-		return errTooLarge
+		return wire.ErrTooLarge
 	}
 	q.headed = len(w.buf)
 	return nil
--- a/internal/proxy/reply.go
+++ b/internal/proxy/reply.go
@@ -8,6 +8,7 @@
 
 	"beechwing/balancer"
 	bodies "beechwing/internal/body"
+	"beechwing/internal/wire"
 )
 
 // reply is what a host answered, or why it did not.
@@ -30,21 +31,21 @@
 // heads hold.
 func (c *hostConn) readReply(call *call) reply {
 	r := c.readOneReply(call)
-	r.spoilt = r.err != nil && (c.meter.err == nil || errors.Is(c.meter.err, errTooLarge))
+	r.spoilt = r.err != nil && (c.meter.Err == nil || errors.Is(c.meter.Err, wire.ErrTooLarge))
 	return r
 }
 
 func (c *hostConn) readOneReply(call *call) reply {
-	c.meter.allow(maxHead)
+	c.meter.Allow(maxHead)
 	for {
-		head, err := peekHead(c.br)
+		head, err := wire.PeekHead(c.br, maxHead)
 		if err == nil {
-			err = checkHead(head, singleInReplies)
+			err = wire.CheckHead(head, singleInReplies)
 		}
 		if err != nil {
 			return reply{err: err}
 		}
-		closes := announcesClose(head)
+		closes := wire.AnnouncesClose(head)
 		r, err := http.ReadResponse(c.br, nil)
 		if err != nil {
 			return reply{err: err}
@@ -59,11 +60,11 @@
 	way := bodies.Of(r.ContentLength)
 	switch {
 	case way == bodies.Refusing:
-		return reply{err: errTooLarge}
+		return reply{err: wire.ErrTooLarge}
 	case r.ContentLength < 0 && len(r.TransferEncoding) == 0 && !closes:
 		return reply{err: errLength}
 	}
-	c.meter.allow(2 * bodies.Longest) // with the framing of chunks
+	c.meter.Allow(2 * bodies.Longest) // with the framing of chunks
 	columns := c.up.hosts.by.Load().columns
 	out := reply{status: r.StatusCode, result: resultOf(r), kind: r.Header.Get("Content-Type"),
 		report: parseReport(r.Header.Get(headerReport), columns), length: r.ContentLength}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	bodies "beechwing/internal/body"
+	"beechwing/internal/wire"
 )
 
 // streamBuffers is how many buffers of a long message may be here at once.
@@ -61,7 +62,7 @@
 		case err != nil:
 			return err
 		case total > bodies.Longest:
-			return errTooLarge
+			return wire.ErrTooLarge
 		}
 	}
 }
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -15,6 +15,7 @@
 
 	"beechwing/balancer"
 	"beechwing/internal/settings"
+	"beechwing/internal/wire"
 )
 
 const (
@@ -164,7 +165,7 @@
 		u.hosts.room.giveHost()
 		return nil, fmt.Errorf("host: %w", err)
 	}
-	c := &hostConn{up: u, addr: addr, conn: nc, meter: meter{r: nc}}
+	c := &hostConn{up: u, addr: addr, conn: nc, meter: wire.Meter{R: nc}}
 	c.br = u.hosts.bufs.reader(&c.meter)
 	go c.read()
 	return c, nil
@@ -263,7 +264,7 @@
 	up     *upstream
 	addr   string
 	conn   net.Conn
-	meter  meter
+	meter  wire.Meter
 	br     *bufio.Reader
 	reused bool // it carried a call before
 
@@ -309,7 +310,7 @@
 func (c *hostConn) begin(call *call) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if bytes, ended := arrived(c.conn); c.dead || bytes || ended {
+	if bytes, ended := wire.Arrived(c.conn); c.dead || bytes || ended {
 		c.dead = true
 		c.conn.Close()
 		return false
@@ -337,7 +338,7 @@
 
 // readOne waits for what comes next and says whether the connection goes on.
 func (c *hostConn) readOne() bool {
-	c.meter.allow(maxHead)
+	c.meter.Allow(maxHead)
 	_, err := c.br.Peek(1)
 	call := c.atHand()
 	switch {
--- a/internal/proxy/upstream_test.go
+++ b/internal/proxy/upstream_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"beechwing/balancer"
+	"beechwing/internal/wire"
 )
 
 // TestLookBeforeUse: a connection that the host has closed, or said something unasked on, does not take a call, even
@@ -44,7 +45,7 @@
 			}
 			close(ready)
 			for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
-				bytes, ended := arrived(conn)
+				bytes, ended := wire.Arrived(conn)
 				if bytes == c.bytes && ended == c.ended {
 					break
 				}
--- a/internal/proxy/head.go
+++ b/internal/wire/head.go
@@ -1,4 +1,6 @@
-package proxy
+// Package wire holds what both data planes need to read HTTP/1.1 messages off connections: whole heads, what a head may not
+// hold, and how much one message may read. It knows no protocol of the platform's.
+package wire
 
 import (
 	"bufio"
@@ -16,24 +18,19 @@
 	errFraming = errors.New("Content-Length beside Transfer-Encoding")
 )
 
-// The headers that may stand in a message once only. ReadRequest would take the first of several, and the next reader
-// of the same bytes might take another. Each list begins with the two ways to tell a length.
-var (
-	singleInRequests = []string{"Content-Length", "Transfer-Encoding", "Host", headerID, headerClass, headerTenant,
-		headerKey, headerRemaining, headerRepeat, headerWork}
-	singleInReplies = []string{"Content-Length", "Transfer-Encoding", headerTurned}
-)
+// ErrTooLarge tells of a message beyond its bound.
+var ErrTooLarge = errors.New("message is too large")
 
-// peekHead waits until a message's whole head has come. It stays in br, for the library to read.
-func peekHead(br *bufio.Reader) ([]byte, error) {
+// PeekHead waits until a message's whole head has come, of at most so many bytes. It stays in br, for the library to read.
+func PeekHead(br *bufio.Reader, most int) ([]byte, error) {
 	for seen := 0; ; {
 		if _, err := br.Peek(seen + 1); err != nil {
 			return nil, err
 		}
 		b, _ := br.Peek(br.Buffered())
 		switch n := headLength(b); {
-		case n > maxHead, n == 0 && len(b) >= maxHead:
-			return nil, errTooLarge
+		case n > most, n == 0 && len(b) >= most:
+			return nil, ErrTooLarge
 		case n > 0:
 			return b[:n], nil
 		}
@@ -56,9 +53,11 @@
 	}
 }
 
-// checkHead refuses what the library would settle without a word, by dropping one of two lengths or passing on a name
-// that the next reader takes for another: a message may hide a second one behind it.
-func checkHead(head []byte, single []string) error {
+// CheckHead refuses what the library would settle without a word, by dropping one of two lengths or passing on a name
+// that the next reader takes for another: a message may hide a second one behind it. The headers of single may stand there once
+// only: the library would take the first of several, and the next reader of the same bytes might take another. The list begins
+// with the two ways to tell a length.
+func CheckHead(head []byte, single []string) error {
 	seen := make([]bool, len(single))
 	first := true
 	for line := range bytes.Lines(head) {
@@ -89,10 +88,10 @@
 	return nil
 }
 
-// announcesClose says whether a host tells that its answer ends with the connection. Where it does not, an answer without a
+// AnnouncesClose says whether a host tells that its answer ends with the connection. Where it does not, an answer without a
 // length is rather one whose head was spoilt. (The library's Close is also set for want of a length, and it drops the
 // header.)
-func announcesClose(head []byte) bool {
+func AnnouncesClose(head []byte) bool {
 	for line := range bytes.Lines(head) {
 		name, value, _ := bytes.Cut(line, []byte(":"))
 		if bytes.EqualFold(name, []byte("Connection")) && bytes.EqualFold(bytes.TrimSpace(value), []byte("close")) {
@@ -102,8 +101,8 @@
 	return false
 }
 
-// checkText refuses control characters in a client's head: its other headers go on to hosts as they are.
-func checkText(head []byte) error {
+// CheckText refuses control characters in a client's head: its other headers go on to hosts as they are.
+func CheckText(head []byte) error {
 	for i, b := range head {
 		lineEnd := b == '\n' || b == '\r' && i+1 < len(head) && head[i+1] == '\n'
 		if (b < ' ' && b != '\t' || b == 0x7f) && !lineEnd {
--- a/internal/proxy/meter.go
+++ b/internal/wire/meter.go
@@ -1,4 +1,4 @@
-package proxy
+package wire
 
 import (
 	"io"
@@ -6,31 +6,31 @@
 	"syscall"
 )
 
-// meter bounds what one message may read off a connection: neither ReadRequest nor ReadResponse has a limit of its own.
+// Meter bounds what one message may read off a connection: neither ReadRequest nor ReadResponse has a limit of its own.
 // It remembers why reading ended, as a line cut short by that is reported as malformed.
-type meter struct {
-	r    io.Reader
+type Meter struct {
+	R    io.Reader
 	left int
-	err  error
+	Err  error // why reading ended
 }
 
-// allow lets the message at hand read n more bytes.
-func (m *meter) allow(n int) { m.left = n }
+// Allow lets the message at hand read n more bytes.
+func (m *Meter) Allow(n int) { m.left = n }
 
-func (m *meter) Read(b []byte) (int, error) {
+func (m *Meter) Read(b []byte) (int, error) {
 	if m.left <= 0 {
-		m.err = errTooLarge
-		return 0, m.err
+		m.Err = ErrTooLarge
+		return 0, m.Err
 	}
-	n, err := m.r.Read(b[:min(len(b), m.left)])
+	n, err := m.R.Read(b[:min(len(b), m.left)])
 	m.left -= n
-	m.err = err
+	m.Err = err
 	return n, err
 }
 
-// arrived looks whether anything waits to be read off c, without taking it: bytes, or the end of the connection.
+// Arrived looks whether anything waits to be read off c, without taking it: bytes, or the end of the connection.
 // A goroutine that reads c would learn the same, but only once it is scheduled.
-func arrived(c net.Conn) (bytes, ended bool) {
+func Arrived(c net.Conn) (bytes, ended bool) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return false, false
