--- /dev/null
+++ b/cmd/guildhall/run.go
@@ -0,0 +1,240 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"beechwing/internal/market/cart"
+	"beechwing/internal/market/charter/assay"
+	"beechwing/internal/market/counter"
+	"beechwing/internal/market/deed"
+	"beechwing/internal/market/hall"
+	"beechwing/internal/market/shop"
+	"beechwing/internal/market/vault"
+)
+
+const (
+	tickEvery  = 20 * time.Millisecond
+	answerWait = 950 * time.Millisecond // a caller goes elsewhere after a second
+)
+
+// program is the shell round the state machine: it owns sockets, disk and clock.
+type program struct {
+	log   *slog.Logger
+	clock shop.Clock
+	deed  *deed.Deed
+	net   *cart.Net
+
+	mu   sync.Mutex
+	hall *hall.Hall
+
+	disk    chan struct{}
+	pending struct {
+		sync.Mutex
+		puts  []vault.Put
+		after []cart.Send
+	}
+	vault *vault.Vault
+
+	assayMu sync.Mutex
+	assayer *assay.Assayer
+}
+
+func run(ctx context.Context, d *deed.Deed, log *slog.Logger) error {
+	p := &program{log: log, clock: shop.NewClock(), deed: d, disk: make(chan struct{}, 1)}
+	if d.DataDir == "" {
+		return errors.New("settings: dataDir: is missing, and the control plane keeps its promises on disk")
+	}
+	var values map[string][]byte
+	var found bool
+	var err error
+	if p.vault, values, found, err = vault.Open(d.DataDir); err != nil {
+		return err
+	}
+	log.Info("disk read", "found", found, "values", len(values), "first", d.FirstStart)
+	p.hall, err = hall.New(p.clock.Now(), hall.Options{Self: d.Inner(), Seeds: d.Seeds(), First: d.FirstStart && !found,
+		Window: d.Bound("passWindowS", 60), Life: rand.Uint32() | 1, Log: func(e string, args ...any) { log.Info(e, args...) }}, values, found)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	p.mu.Lock()
+	if p.net, err = cart.Listen(d.Inner(), p.event); err != nil {
+		p.mu.Unlock()
+		return err
+	}
+	p.mu.Unlock()
+	go p.write()
+	server, err := shop.Serve(ctx, d.Docking.Control, p.calls(), log)
+	if err != nil {
+		return err
+	}
+	go func() { // checking is set up when the rest runs: it takes longer than that
+		p.assayMu.Lock()
+		defer p.assayMu.Unlock()
+		p.assayer = assay.New()
+	}()
+	log.Info("listening", "name", d.NodeName, "control", d.Docking.Control, "inner", d.Inner())
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			p.with(func(now float64) { p.hall.Tick(now) })
+		case <-ctx.Done():
+			log.Info("ending")
+			end, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			server.Shutdown(end)
+			p.net.Close()
+			return nil
+		}
+	}
+}
+
+// with gives the machine an input and sees to what it wants done.
+func (p *program) with(input func(now float64)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.step(input)
+}
+
+// step is with, while mu is held.
+func (p *program) step(input func(now float64)) {
+	input(p.clock.Now())
+	for {
+		out := p.hall.Take()
+		if len(out.Puts) > 0 || len(out.After) > 0 {
+			p.pending.Lock()
+			p.pending.puts = append(p.pending.puts, out.Puts...)
+			p.pending.after = append(p.pending.after, out.After...)
+			p.pending.Unlock()
+			select {
+			case p.disk <- struct{}{}:
+			default:
+			}
+		}
+		if len(out.Sends) == 0 {
+			return
+		}
+		p.send(out.Sends)
+	}
+}
+
+// send sends parcels; those for this process come back as input. mu is held.
+func (p *program) send(all []cart.Send) {
+	self := p.deed.Inner()
+	for _, s := range all {
+		if s.To == self {
+			p.hall.Heard(p.clock.Now(), self, s.Parcel)
+			continue
+		}
+		p.net.Send(s.To, s.Parcel)
+	}
+}
+
+func (p *program) event(e cart.Event) {
+	if came, ok := e.(cart.Came); ok {
+		p.with(func(now float64) { p.hall.Heard(now, came.From, came.Parcel) })
+	}
+}
+
+// write keeps what has to be kept, all that waits in one batch, and lets go what waited for that.
+func (p *program) write() {
+	for range p.disk {
+		p.pending.Lock()
+		puts, after := p.pending.puts, p.pending.after
+		p.pending.puts, p.pending.after = nil, nil
+		p.pending.Unlock()
+		if len(puts) > 0 {
+			if err := p.vault.Write(puts); err != nil { // what cannot be kept may not be promised, and nothing after it
+				p.log.Error("disk", "error", err)
+				os.Exit(1)
+			}
+		}
+		p.with(func(float64) { p.send(after) })
+	}
+}
+
+// ask gives the machine a question and waits for its answer.
+func ask[T any](p *program, question func(now float64, answer func(T))) (T, bool) {
+	got := make(chan T, 1)
+	p.with(func(now float64) { question(now, func(t T) { got <- t }) })
+	late := time.NewTimer(answerWait)
+	defer late.Stop()
+	select {
+	case t := <-got:
+		return t, true
+	case <-late.C:
+		var none T
+		return none, false
+	}
+}
+
+var errNow = counter.Refusal{Status: http.StatusServiceUnavailable, Why: "no majority of the control processes can be reached from here now"}
+
+func (p *program) calls() http.Handler {
+	mux := http.NewServeMux()
+	counter.Handle(mux, "PUT /-/timetable", counter.LargeBody, func(c counter.Call, _ *counter.Raw) (*counter.Taken, error) {
+		return p.take(c.Body)
+	})
+	counter.Handle(mux, "GET /-/timetable", counter.SmallBody, func(counter.Call, *counter.None) (*counter.Raw, error) {
+		type read struct {
+			text []byte
+			ok   bool
+		}
+		r, ok := ask(p, func(now float64, answer func(read)) {
+			p.hall.Get(now, func(text []byte, ok bool) { answer(read{text, ok}) })
+		})
+		switch {
+		case !ok || !r.ok:
+			return nil, errNow
+		case len(r.text) == 0:
+			return nil, counter.Refusal{Status: http.StatusNotFound, Why: "no configuration has been taken yet"}
+		}
+		raw := counter.Raw(r.text)
+		return &raw, nil
+	})
+	counter.Handle(mux, "PUT /-/stations/{id}", counter.SmallBody, func(c counter.Call, b *counter.Beat) (*counter.None, error) {
+		_, err := b.Station(c.ID)
+		return nil, err
+	})
+	counter.Handle(mux, "DELETE /-/stations/{id}", counter.SmallBody, func(counter.Call, *counter.None) (*counter.None, error) {
+		return nil, nil
+	})
+	counter.Handle(mux, "GET /-/state", counter.SmallBody, func(counter.Call, *counter.None) (s *hall.State, err error) {
+		p.with(func(float64) { now := p.hall.State(); s = &now })
+		return s, nil
+	})
+	return mux
+}
+
+// take checks a configuration and has it kept.
+func (p *program) take(text []byte) (*counter.Taken, error) {
+	p.assayMu.Lock()
+	if p.assayer == nil {
+		p.assayMu.Unlock()
+		return nil, errNow
+	}
+	edition, err := p.assayer.Check(text)
+	p.assayMu.Unlock()
+	if err != nil {
+		p.log.Warn("configuration refused", "error", err)
+		return nil, counter.Refusal{Status: http.StatusBadRequest, Why: err.Error()}
+	}
+	ok, told := ask(p, func(now float64, answer func(bool)) { p.hall.Put(now, edition, text, answer) })
+	if !told || !ok {
+		return nil, errNow
+	}
+	return &counter.Taken{Edition: edition}, nil
+}
--- /dev/null
+++ b/cmd/stall/main.go
@@ -0,0 +1,65 @@
+// Command stall is the data plane of the mesh: the proxy beside a host. What the host and the clients on its machine ask goes
+// to the proxy beside the host that the decision module picks, and from there to that host.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v4"
+	"github.com/peterbourgon/ff/v4/ffhelp"
+
+	"beechwing/internal/market/charter"
+	"beechwing/internal/market/deed"
+	"beechwing/internal/market/shop"
+)
+
+func main() { os.Exit(Main()) }
+
+// Main runs the command line and gives the exit status: 0 well, 1 failed, 2 not understood.
+func Main() int {
+	root := &ff.Command{Name: "stall", Usage: "stall SUBCOMMAND", ShortHelp: "data plane of the mesh"}
+	root.Subcommands = []*ff.Command{
+		{Name: "run", Usage: "stall run", ShortHelp: "serve, by the settings file that " + deed.Variable + " names", Exec: serve},
+		{Name: "check", Usage: "stall check FILE", ShortHelp: "check a settings file (.toml), or whether a configuration can be read (.json)",
+			Exec: check},
+		shop.StateCommand("stall"),
+	}
+	err := root.ParseAndRun(context.Background(), os.Args[1:])
+	switch {
+	case err == nil:
+		return 0
+	case errors.Is(err, ff.ErrHelp):
+		fmt.Fprint(os.Stderr, ffhelp.Command(root.GetSelected()))
+		return 0
+	case errors.Is(err, ff.ErrNoExec):
+		fmt.Fprint(os.Stderr, ffhelp.Command(root))
+		return 2
+	}
+	fmt.Fprintln(os.Stderr, "stall:", err)
+	return 1
+}
+
+func serve(ctx context.Context, _ []string) error {
+	d, err := deed.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	log, err := shop.Logger(os.Stderr, os.Getenv(shop.LogVariable))
+	if err != nil {
+		return err
+	}
+	return run(ctx, d, log)
+}
+
+func check(_ context.Context, args []string) error {
+	return shop.Check(args, func(text []byte) error {
+		t, err := charter.Compile(text)
+		if err == nil {
+			fmt.Printf("configuration r%d: can be read; guildhall check says whether it is valid\n", t.Edition)
+		}
+		return err
+	})
+}
--- /dev/null
+++ b/cmd/stall/run.go
@@ -0,0 +1,258 @@
+package main
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"beechwing/internal/market/cart"
+	"beechwing/internal/market/counter"
+	"beechwing/internal/market/deed"
+	"beechwing/internal/market/pitch"
+	"beechwing/internal/market/porter"
+	"beechwing/internal/market/shop"
+)
+
+const (
+	tickEvery   = 10 * time.Millisecond
+	memoryShare = 4                       // a quarter of what the machine gives may be bodies under way
+	noticeAfter = 2200 * time.Millisecond // the platform asks once a second and believes the second failure
+	lastSpare   = 500 * time.Millisecond  // before the platform ends a process that does not
+	mostBody    = 64 << 20
+)
+
+// program is the shell round the state machine: it owns sockets and the clock.
+type program struct {
+	log    *slog.Logger
+	clock  shop.Clock
+	deed   *deed.Deed
+	net    *cart.Net
+	porter *porter.Porter
+	life   string // the host's, that the porter's connections are to
+
+	mu    sync.Mutex
+	pitch *pitch.Pitch
+}
+
+func run(ctx context.Context, d *deed.Deed, log *slog.Logger) error {
+	if d.Docking.Outbound == "" || d.Docking.Ready == "" || d.AppAddress == "" {
+		return errors.New("settings: docking.outboundDock, docking.readyDock and appAddress: all have to be there")
+	}
+	p := &program{log: log, clock: shop.NewClock(), deed: d, porter: porter.New(d.AppAddress)}
+	o := pitch.Options{Self: d.Inner(), Zone: d.Zone, Sender: d.Carrier, Seeds: d.Seeds(), Beat: float64(d.BeatMs) / 1000,
+		Ratio: d.Bound("retryRatio", 0.2), Slack: d.Bound("retrySlack", 0), Version: uint64(time.Now().UnixMilli()),
+		Seed: rand.Uint64(), Memory: max(16, d.Limits.MemoryMB/memoryShare) << 20,
+		Log: func(e string, args ...any) { log.Info(e, args...) }}
+	if log.Enabled(ctx, slog.LevelDebug) {
+		o.Debug = func(e string, args ...any) { log.Debug(e, args...) }
+	}
+	p.pitch = pitch.New(p.clock.Now(), o)
+	term := make(chan os.Signal, 1)
+	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP)
+	var err error
+	p.mu.Lock()
+	if p.net, err = cart.Listen(d.Inner(), p.event); err != nil {
+		p.mu.Unlock()
+		return err
+	}
+	p.mu.Unlock()
+	ctx, halt := context.WithCancel(ctx)
+	defer halt()
+	for addr, h := range map[string]http.Handler{d.Docking.Ready: http.HandlerFunc(p.ready), d.Docking.Control: p.calls()} {
+		if addr == "" {
+			continue
+		}
+		if _, err := shop.Serve(ctx, addr, h, log); err != nil {
+			return err
+		}
+	}
+	clients, err := shop.Serve(ctx, d.Docking.Outbound, http.HandlerFunc(p.serve), log)
+	if err != nil {
+		return err
+	}
+	go shop.Settings(ctx, os.Getenv(deed.Variable), again, log, func(d *deed.Deed) {
+		p.with(func(now float64) { p.pitch.Seeds(now, d.Seeds()) })
+	})
+	log.Info("listening", "name", d.NodeName, "outbound", d.Docking.Outbound, "inner", d.Inner())
+	go func() {
+		tick := time.NewTicker(tickEvery)
+		defer tick.Stop()
+		for range tick.C {
+			p.with(func(now float64) { p.pitch.Tick(now) })
+		}
+	}()
+	<-term
+	p.end(clients)
+	return nil
+}
+
+// end ends the process: new work is told to go elsewhere at once, what is under way goes on until it is done, or nearly until
+// the platform would end the process.
+func (p *program) end(clients *http.Server) {
+	p.log.Info("ending")
+	told := time.Now()
+	last := told.Add(p.deed.Span("graceS", 6*time.Second) - lastSpare)
+	p.with(func(now float64) { p.pitch.Term(now) })
+	for time.Now().Before(last) {
+		time.Sleep(tickEvery)
+		idle := false
+		p.with(func(float64) { idle = p.pitch.Idle() })
+		if idle && time.Since(told) > noticeAfter {
+			break
+		}
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), last.Add(lastSpare/2))
+	defer cancel()
+	clients.Shutdown(ctx)
+	p.net.Close()
+	p.log.Info("ended", "after", time.Since(told))
+}
+
+// with gives the machine an input and sees to what it wants done.
+func (p *program) with(input func(now float64)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	input(p.clock.Now())
+	for {
+		out := p.pitch.Take()
+		for _, s := range out.Sends {
+			link := p.net.Send(s.To, s.Parcel)
+			if s.Via != nil {
+				*s.Via = link
+			}
+		}
+		for _, do := range out.Dos {
+			switch do := do.(type) {
+			case pitch.Tell:
+				do.Order.Slot.(chan pitch.Reply) <- do.Reply
+			case pitch.Exchange:
+				go p.exchange(do)
+			}
+		}
+		if len(out.Sends) == 0 && len(out.Dos) == 0 {
+			return
+		}
+	}
+}
+
+func (p *program) event(e cart.Event) {
+	p.with(func(now float64) {
+		switch e := e.(type) {
+		case cart.Came:
+			p.pitch.Parcel(now, e.From, e.Parcel)
+		case cart.Broke:
+			p.pitch.Broke(now, e)
+		}
+	})
+}
+
+// exchange has the host run a request.
+func (p *program) exchange(do pitch.Exchange) {
+	c := p.porter.Run(do.Carry, p.clock.At(do.Until))
+	p.with(func(now float64) { p.pitch.Exchanged(now, do.Job, c) })
+}
+
+// ready answers the platform.
+func (p *program) ready(w http.ResponseWriter, r *http.Request) {
+	ready := false
+	p.with(func(float64) { ready = p.pitch.Ready() })
+	if !ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// serve takes a client's request.
+func (p *program) serve(w http.ResponseWriter, r *http.Request) {
+	most := int64(mostBody)
+	p.mu.Lock()
+	if l := p.pitch.Limits(); l != nil && l.BodyBytes > 0 {
+		most = min(most, l.BodyBytes)
+	}
+	p.mu.Unlock()
+	o := &pitch.Order{Method: r.Method, Target: r.RequestURI, Host: r.Host, Fields: porter.Fields(r.Header),
+		ID: r.Header.Get(pitch.HeaderID), Key: r.Header.Get(pitch.HeaderKey)}
+	if r.ContentLength != 0 {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+		if large := (*http.MaxBytesError)(nil); errors.As(err, &large) {
+			http.Error(w, "body is too large", http.StatusRequestEntityTooLarge)
+			return
+		}
+		if err != nil {
+			panic(http.ErrAbortHandler) // it has not come whole: nothing was asked
+		}
+		o.Body = body
+	}
+	o.Framed = r.ContentLength != 0 || r.Header.Get("Content-Length") != ""
+	if ms, err := strconv.ParseFloat(r.Header.Get(pitch.HeaderDeadline), 64); err == nil && ms > 0 {
+		o.Left = ms / 1000
+	}
+	answer := make(chan pitch.Reply, 1)
+	o.Slot = answer
+	p.with(func(now float64) { p.pitch.Ask(now, o) })
+	write(w, o, <-answer)
+}
+
+// write words an answer for the client.
+func write(w http.ResponseWriter, o *pitch.Order, a pitch.Reply) {
+	h := w.Header()
+	h["Date"], h["Content-Type"] = nil, nil
+	for _, f := range a.Fields {
+		if f.Name == pitch.HeaderID {
+			continue
+		}
+		h[f.Name] = append(h[f.Name], f.Value)
+	}
+	if o.ID != "" {
+		h[pitch.HeaderID] = []string{o.ID}
+	}
+	if a.Back > 0 {
+		h["Retry-After"] = []string{strconv.FormatFloat(a.Back, 'f', 3, 64)}
+	}
+	body := a.Body
+	if a.Ours {
+		h["Content-Type"] = []string{"text/plain"}
+		body = append([]byte(a.Why), '\n')
+	}
+	h["Content-Length"] = []string{strconv.Itoa(len(body))}
+	w.WriteHeader(a.Status)
+	w.Write(body)
+}
+
+func (p *program) calls() http.Handler {
+	mux := http.NewServeMux()
+	counter.Handle(mux, "PUT /-/stations/{id}", counter.SmallBody, func(c counter.Call, b *counter.Beat) (*counter.None, error) {
+		s, err := b.Station(c.ID)
+		if err != nil {
+			return nil, err
+		}
+		p.with(func(now float64) { p.pitch.Beat(now, s) })
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.life != s.ID {
+			p.life = s.ID
+			p.porter.Forget()
+		}
+		return nil, nil
+	})
+	counter.Handle(mux, "DELETE /-/stations/{id}", counter.SmallBody, func(c counter.Call, _ *counter.None) (*counter.None, error) {
+		p.with(func(now float64) { p.pitch.Leave(now, c.ID) })
+		return nil, nil
+	})
+	counter.Handle(mux, "GET /-/state", counter.SmallBody, func(counter.Call, *counter.None) (s *pitch.State, err error) {
+		p.with(func(now float64) { known := p.pitch.State(now); s = &known })
+		return s, nil
+	})
+	return mux
+}
--- a/internal/market/cart/net.go
+++ b/internal/market/cart/net.go
@@ -32,6 +32,7 @@
 type Send struct {
 	To     string
 	Parcel *Parcel
+	Via    *uint64 // if not nil it gets the number of the connection that the parcel goes by
 }
 
 // Event is what a Net tells: Came or Broke.
--- a/internal/market/charter/charter.go
+++ b/internal/market/charter/charter.go
@@ -90,6 +90,7 @@
 type Table struct {
 	Edition  uint64
 	Charter  *Charter
+	Text     []byte // as it came
 	services map[string]*Service
 	places   map[string]*Route // by host name and prefix
 }
@@ -104,7 +105,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &Table{Edition: edition, Charter: c, services: map[string]*Service{}, places: map[string]*Route{}}
+	t := &Table{Edition: edition, Charter: c, Text: text, services: map[string]*Service{}, places: map[string]*Route{}}
 	for i := range c.Carriers {
 		t.services[c.Carriers[i].Name] = &c.Carriers[i]
 	}
--- /dev/null
+++ b/internal/market/hall/hall.go
@@ -0,0 +1,648 @@
+// Package hall is the control plane's state machine: which control processes there are, the configuration, the roll of hosts
+// as news, and the registers of keys. (The field's term: control plane.) It takes inputs and returns what to send, to write
+// and to answer; sockets, disk and clock are the program's.
+package hall
+
+import (
+	"bytes"
+	"encoding/binary"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"beechwing/internal/market/cart"
+	"beechwing/internal/market/ledger"
+	"beechwing/internal/market/vault"
+)
+
+// Times, in seconds. Each names what it waits for.
+const (
+	foundAfter    = 1.2  // the founder waits for others to come
+	foundQuiet    = 0.6  // and for nobody to have come for so long
+	joinEvery     = 0.15 // a process without members asks for them
+	digestEvery   = 0.25 // what the others hear from this one, at least
+	wholeEvery    = 3.0  // all that is known, to one of the others
+	silentAfter   = 7.0  // a proxy that nobody has heard of for so long takes no requests
+	forgetAfter   = 30.0 // and is forgotten then
+	holdFor       = 0.7  // a pull that lacks nothing is answered then at the latest
+	writeFor      = 0.9  // a configuration without a majority: its caller goes elsewhere after a second
+	dumpEvery     = 0.3  // what was not answered is asked again
+	forgiveBefore = ledger.GiveUp + 0.4
+	mostParked    = 4096
+	mostSources   = 8192
+)
+
+const (
+	nameMembers = "members"
+	nameCharter = "charter"
+	nameWhole   = "whole" // the registers hold all that this process ever promised
+)
+
+// Options is what a hall is told at its start.
+type Options struct {
+	Self   string
+	Seeds  []string
+	First  bool    // the whole system starts for the first time
+	Window float64 // seconds for which a key's answer is kept
+	Life   uint32  // drawn anew for each start
+	Log    func(event string, args ...any)
+}
+
+// Hall is one control process.
+type Hall struct {
+	o       Options
+	began   float64
+	ledger  *ledger.Ledger
+	members []string
+	joined  map[string]bool // at the founder
+	joinAt  float64         // when the last of them came
+	askAt   float64
+	empty   bool // its disk came back empty: it has to recover
+	dumps   map[string]*dump
+
+	held, sure uint64 // versions of the configuration: on this disk, on a majority
+	text       []byte
+	holds      map[string]uint64 // what the others have on theirs
+	writes     map[uint64]*write
+	lastID     uint64
+
+	records  map[string]*cart.Record
+	heard    map[string]float64 // when a source was last heard of, by anybody
+	direct   map[string]bool    // heard here since the last digest
+	parked   []parked
+	changed  []*cart.Record // since the last digest
+	digestAt float64
+	wholeAt  float64
+	whole    int
+
+	out ledger.Effects
+}
+
+type dump struct {
+	after  string
+	done   bool
+	asked  float64
+	paging bool
+}
+
+// write is a configuration on its way to a majority, or a question for the newest.
+type write struct {
+	began, tried float64
+	edition      uint64 // 0: a question
+	votes        map[string]bool
+	answer       func(edition uint64, text []byte, ok bool)
+}
+
+type parked struct {
+	from  string
+	id    uint64
+	pull  *cart.Pull
+	until float64
+}
+
+// New makes a hall from what its disk held. found says whether there was a store.
+func New(now float64, o Options, values map[string][]byte, found bool) (*Hall, error) {
+	h := &Hall{o: o, began: now, ledger: ledger.New(o.Self, o.Life, o.Window), joined: map[string]bool{}, dumps: map[string]*dump{},
+		holds: map[string]uint64{}, writes: map[uint64]*write{}, records: map[string]*cart.Record{},
+		heard: map[string]float64{}, direct: map[string]bool{}}
+	if o.Log == nil {
+		h.o.Log = func(string, ...any) {}
+	}
+	if text := values[nameCharter]; len(text) > 8 {
+		h.held, h.text = binary.BigEndian.Uint64(text), text[8:]
+	}
+	if err := h.ledger.Restore(now, values); err != nil {
+		return nil, err
+	}
+	whole := len(values[nameWhole]) > 0
+	h.empty = !o.First && !whole
+	if text := values[nameMembers]; len(text) > 0 {
+		h.seat(now, string(text))
+	}
+	return h, nil
+}
+
+// seat takes the members, in the form in which they are kept.
+func (h *Hall) seat(now float64, text string) {
+	h.members = nil
+	for m := range bytes.SplitSeq([]byte(text), []byte(",")) {
+		h.members = append(h.members, string(m))
+	}
+	h.ledger.Seat(h.members)
+	if !h.empty {
+		h.ledger.Vote()
+	}
+	h.o.Log("seated", "members", text, "voting", h.ledger.Voting())
+}
+
+// Take gives what is to be done since the last call.
+func (h *Hall) Take() ledger.Effects {
+	out := h.ledger.Take()
+	out.Sends = append(out.Sends, h.out.Sends...)
+	out.Puts = append(out.Puts, h.out.Puts...)
+	out.After = append(out.After, h.out.After...)
+	h.out = ledger.Effects{}
+	return out
+}
+
+// Ready says whether calls can be served here.
+func (h *Hall) Ready() bool { return h.ledger.Voting() }
+
+// Members are the control processes, once they are known.
+func (h *Hall) Members() []string { return h.members }
+
+func (h *Hall) majority() int { return len(h.members)/2 + 1 }
+
+func (h *Hall) send(to string, p *cart.Parcel) {
+	h.out.Sends = append(h.out.Sends, cart.Send{To: to, Parcel: p})
+}
+
+func (h *Hall) others(p *cart.Parcel) {
+	for _, m := range h.members {
+		if m != h.o.Self {
+			h.send(m, p)
+		}
+	}
+}
+
+// Heard takes a parcel.
+func (h *Hall) Heard(now float64, from string, p *cart.Parcel) {
+	switch {
+	case p.Found != nil:
+		h.heardFound(now, from, p.Found)
+	case p.Pull != nil:
+		h.heardPull(now, from, p.Id, p.Pull)
+	case p.Digest != nil:
+		h.heardDigest(now, from, p.Digest)
+	case p.Store != nil:
+		h.heardStore(now, from, p.Id, p.Store)
+	case p.Stored != nil:
+		h.heardStored(now, from, p.Id, p.Stored)
+	case p.Dump != nil:
+		h.heardDump(from, p.Id, p.Dump)
+	case p.Dumped != nil:
+		h.heardDumped(now, from, p.Dumped)
+	case p.Claim != nil:
+		h.ledger.Claim(now, p.Claim, h.answerer(from, p.Id, p.Claim.Token))
+	case p.Settle != nil:
+		h.ledger.Settle(now, p.Settle.Key, p.Settle.Receipt, h.answerer(from, p.Id, p.Settle.Receipt.GetToken()))
+	case p.Ping != nil:
+		h.send(from, &cart.Parcel{Id: p.Id, Pong: p.Ping})
+	default:
+		h.ledger.Heard(now, from, p)
+	}
+}
+
+func (h *Hall) answerer(from string, id, token uint64) func(uint32, *cart.Receipt) {
+	return func(state uint32, held *cart.Receipt) {
+		c := &cart.Claimed{State: state, Token: token}
+		if state == ledger.Done {
+			c.Receipt = held
+		}
+		h.send(from, &cart.Parcel{Id: id, Claimed: c})
+	}
+}
+
+// Tick does what is due. It is to be called every few hundredths of a second.
+func (h *Hall) Tick(now float64) {
+	if h.members == nil {
+		h.meet(now)
+	} else if h.empty && h.ledgerSeat() {
+		h.recover(now)
+	}
+	h.ledger.Tick(now)
+	h.tickWrites(now)
+	h.tickNews(now)
+}
+
+func (h *Hall) ledgerSeat() bool { return slices.Contains(h.members, h.o.Self) }
+
+// ---- who the members are
+
+// meet finds out, or as the founder decides, who the members are. The founder is the first of the seeds by address: at the
+// first start every process has the same three, and they are up. What it has decided stands for ever: it is on its disk before
+// anybody hears of it.
+func (h *Hall) meet(now float64) {
+	founder := slices.Min(h.o.Seeds)
+	if h.o.First && founder == h.o.Self {
+		if !h.joined[h.o.Self] {
+			h.joined[h.o.Self], h.joinAt = true, now
+		}
+		all := true
+		for _, s := range h.o.Seeds {
+			all = all && h.joined[s]
+		}
+		if all && now > h.began+foundAfter && now > h.joinAt+foundQuiet {
+			h.found(now)
+		}
+		return
+	}
+	if now < h.askAt {
+		return
+	}
+	h.askAt = now + joinEvery
+	for _, s := range h.o.Seeds {
+		if s != h.o.Self {
+			h.send(s, &cart.Parcel{Found: &cart.Found{Join: true, From: h.o.Self}})
+		}
+	}
+}
+
+func (h *Hall) found(now float64) {
+	var members []string
+	for m := range h.joined {
+		members = append(members, m)
+	}
+	slices.Sort(members)
+	h.become(now, members)
+	for _, m := range members {
+		if m != h.o.Self {
+			h.out.After = append(h.out.After, cart.Send{To: m, Parcel: &cart.Parcel{Found: &cart.Found{Members: members}}})
+		}
+	}
+}
+
+// become takes the members for ever.
+func (h *Hall) become(now float64, members []string) {
+	var text []byte
+	for i, m := range members {
+		if i > 0 {
+			text = append(text, ',')
+		}
+		text = append(text, m...)
+	}
+	h.out.Puts = append(h.out.Puts, vault.Put{Name: nameMembers, Value: text})
+	if !h.empty {
+		h.out.Puts = append(h.out.Puts, vault.Put{Name: nameWhole, Value: []byte("1")})
+	}
+	h.seat(now, string(text))
+}
+
+func (h *Hall) heardFound(now float64, from string, f *cart.Found) {
+	switch {
+	case f.Join && h.members != nil:
+		h.send(from, &cart.Parcel{Found: &cart.Found{Members: h.members}})
+	case f.Join && !h.joined[from]:
+		h.joined[from], h.joinAt = true, now
+	case len(f.Members) > 0 && h.members == nil:
+		h.become(now, f.Members)
+	}
+}
+
+// ---- a disk that came back empty
+
+// recover asks the others for all they hold. Enough of them have answered when every majority that this process may have
+// been part of left a copy with one of those.
+func (h *Hall) recover(now float64) {
+	if now < h.began+forgiveBefore { // ballots that it had a part in are given up by then
+		return
+	}
+	done := 0
+	for _, m := range h.members {
+		if m == h.o.Self {
+			continue
+		}
+		d := h.dumps[m]
+		if d == nil {
+			d = &dump{asked: -1}
+			h.dumps[m] = d
+		}
+		if d.done {
+			done++
+		} else if now > d.asked+dumpEvery {
+			d.asked = now
+			h.send(m, &cart.Parcel{Dump: &cart.Dump{After: d.after}})
+		}
+	}
+	if done < len(h.members)-h.majority()+1 {
+		return
+	}
+	h.empty = false
+	h.out.Puts = append(h.out.Puts, vault.Put{Name: nameWhole, Value: []byte("1")})
+	h.ledger.Recovered(now)
+	registers, _ := h.ledger.Size()
+	h.o.Log("recovered", "registers", registers, "edition", h.held, "from", done)
+}
+
+// heardDump gives a page, unless this process lacks something itself.
+func (h *Hall) heardDump(from string, id uint64, d *cart.Dump) {
+	if !h.ledger.Voting() {
+		return
+	}
+	page, last := h.ledger.Dump(d.After)
+	out := &cart.Dumped{Entries: page, Last: last, Voting: true}
+	if last {
+		out.Edition, out.Text = h.held, h.text
+	}
+	h.send(from, &cart.Parcel{Id: id, Dumped: out})
+}
+
+func (h *Hall) heardDumped(now float64, from string, d *cart.Dumped) {
+	w := h.dumps[from]
+	if !h.empty || w == nil || w.done || !d.Voting {
+		return
+	}
+	h.ledger.Recover(now, d.Entries)
+	if len(d.Entries) > 0 {
+		w.after = d.Entries[len(d.Entries)-1].Key
+	}
+	if !d.Last {
+		w.asked = now
+		h.send(from, &cart.Parcel{Dump: &cart.Dump{After: w.after}})
+		return
+	}
+	w.done = true
+	h.store(d.Edition, d.Text)
+}
+
+// ---- the configuration
+
+// store keeps a configuration on this disk if it is newer than what is there. Of two with one number, which two operators may
+// send at one moment, all keep the same.
+func (h *Hall) store(edition uint64, text []byte) {
+	if edition < h.held || edition == h.held && bytes.Compare(text, h.text) <= 0 || edition == 0 {
+		return
+	}
+	h.held, h.text = edition, text
+	h.out.Puts = append(h.out.Puts, vault.Put{Name: nameCharter,
+		Value: append(binary.BigEndian.AppendUint64(nil, edition), text...)})
+}
+
+// Put has a valid configuration kept by a majority. One that is not above what is held changes nothing; it is answered once
+// what is held stands as firmly.
+func (h *Hall) Put(now float64, edition uint64, text []byte, answer func(ok bool)) {
+	if !h.ledger.Voting() {
+		answer(false)
+		return
+	}
+	if edition > h.held {
+		h.store(edition, text)
+	}
+	if h.sure >= h.held {
+		answer(true)
+		return
+	}
+	h.write(now, h.held, func(_ uint64, _ []byte, ok bool) { answer(ok) })
+}
+
+func (h *Hall) write(now float64, edition uint64, answer func(uint64, []byte, bool)) {
+	h.lastID++
+	w := &write{began: now, tried: now, edition: edition, votes: map[string]bool{}, answer: answer}
+	h.writes[h.lastID] = w
+	h.spread(h.lastID, w)
+}
+
+// spread sends a write, or a question, to all. This process counts once its own disk has it.
+func (h *Hall) spread(id uint64, w *write) {
+	s := &cart.Store{Edition: h.held, Text: h.text}
+	if w.edition == 0 {
+		s = &cart.Store{Edition: h.held, Read: true}
+	}
+	h.others(&cart.Parcel{Id: id, Store: s})
+	h.out.After = append(h.out.After, cart.Send{To: h.o.Self, Parcel: &cart.Parcel{Id: id,
+		Stored: &cart.Stored{Edition: h.held, Yes: true}}})
+}
+
+func (h *Hall) heardStore(now float64, from string, id uint64, s *cart.Store) {
+	if !h.ledger.Voting() {
+		return
+	}
+	if !s.Read {
+		h.store(s.Edition, s.Text)
+	}
+	out := &cart.Stored{Edition: h.held, Yes: true}
+	if h.held > s.Edition {
+		out.Text = h.text
+	}
+	h.out.After = append(h.out.After, cart.Send{To: from, Parcel: &cart.Parcel{Id: id, Stored: out}})
+}
+
+func (h *Hall) heardStored(now float64, from string, id uint64, s *cart.Stored) {
+	if s.Edition > h.held && len(s.Text) > 0 {
+		h.store(s.Edition, s.Text) // a newer one: this copy is mended
+	}
+	h.holdsAt(now, from, s.Edition)
+	w := h.writes[id]
+	if w == nil || !s.Yes {
+		return
+	}
+	if s.Edition >= w.edition {
+		w.votes[from] = true
+	}
+	if len(w.votes) < h.majority() {
+		return
+	}
+	if w.edition == 0 && h.sure < h.held { // read: the newest found has to stand as firmly before it is told
+		w.edition, w.votes, w.tried = h.held, map[string]bool{}, now
+		h.spread(id, w)
+		return
+	}
+	delete(h.writes, id)
+	if w.edition > h.sure {
+		h.surely(now, w.edition)
+	}
+	w.answer(h.held, h.text, true)
+}
+
+// holdsAt notes what another has on its disk: what a majority has is in force.
+func (h *Hall) holdsAt(now float64, from string, edition uint64) {
+	h.holds[from] = max(h.holds[from], edition)
+	if from == h.o.Self || h.held <= h.sure {
+		return
+	}
+	n := 0
+	for _, m := range h.members {
+		if h.holds[m] >= h.held {
+			n++
+		}
+	}
+	if n >= h.majority() {
+		h.surely(now, h.held)
+	}
+}
+
+// surely notes that a configuration is in force, and lets the proxies know.
+func (h *Hall) surely(now float64, edition uint64) {
+	if edition <= h.sure {
+		return
+	}
+	h.sure = edition
+	h.o.Log("in force", "edition", edition)
+	h.digestAt = 0
+	h.wake(now)
+}
+
+// Get reads the newest configuration from a majority.
+func (h *Hall) Get(now float64, answer func(text []byte, ok bool)) {
+	if !h.ledger.Voting() {
+		answer(nil, false)
+		return
+	}
+	h.write(now, 0, func(_ uint64, text []byte, ok bool) { answer(text, ok) })
+}
+
+func (h *Hall) tickWrites(now float64) {
+	for _, id := range sorted(h.writes) {
+		w := h.writes[id]
+		switch {
+		case now > w.began+writeFor:
+			delete(h.writes, id)
+			w.answer(0, nil, false)
+		case now > w.tried+writeFor/3:
+			w.tried = now
+			h.spread(id, w)
+		}
+	}
+}
+
+func sorted(m map[uint64]*write) []uint64 {
+	ids := make([]uint64, 0, len(m))
+	for id := range m {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// ---- news
+
+// Beat takes word of a host that calls the control plane itself.
+func (h *Hall) Beat(now float64, r *cart.Record) { h.learn(now, r, true) }
+
+// learn takes a record if it is newer than what is known of its source.
+func (h *Hall) learn(now float64, r *cart.Record, tell bool) {
+	old := h.records[r.Source]
+	if old != nil && old.Version >= r.Version || old == nil && len(h.records) >= mostSources {
+		return
+	}
+	h.records[r.Source] = r
+	if h.heard[r.Source] == 0 {
+		h.heard[r.Source] = now
+	}
+	if tell {
+		h.changed = append(h.changed, r)
+		h.digestAt = 0
+	}
+	h.wake(now)
+}
+
+func (h *Hall) heardPull(now float64, from string, id uint64, p *cart.Pull) {
+	if p.Own != nil {
+		h.heard[p.Own.Source], h.direct[p.Own.Source] = now, true
+		h.learn(now, p.Own, true)
+	}
+	if !h.answerPull(now, from, id, p, !p.Hold) && len(h.parked) < mostParked {
+		h.parked = append(h.parked, parked{from, id, p, now + holdFor})
+	}
+}
+
+// answerPull tells a proxy what it lacks. Where that is nothing it is told so only if it must be.
+func (h *Hall) answerPull(now float64, from string, id uint64, p *cart.Pull, must bool) bool {
+	news := &cart.News{Halls: h.members, FromHall: true}
+	has := make(map[string]uint64, len(p.Seen))
+	for _, s := range p.Seen {
+		has[s.Source] = s.Version
+	}
+	for source, r := range h.records {
+		if v, known := has[source]; !known || v < r.Version {
+			news.Records = append(news.Records, r)
+		}
+	}
+	if h.sure > p.Edition && h.held >= h.sure {
+		news.Edition, news.Text = h.held, h.text
+	}
+	if len(news.Records) == 0 && news.Edition == 0 && !must {
+		return false
+	}
+	slices.SortFunc(news.Records, func(a, b *cart.Record) int { return bytes.Compare([]byte(a.Source), []byte(b.Source)) })
+	for source, at := range h.heard {
+		if now > at+silentAfter {
+			news.Silent = append(news.Silent, source)
+		}
+	}
+	slices.Sort(news.Silent)
+	h.send(from, &cart.Parcel{Id: id, News: news})
+	return true
+}
+
+// wake answers the proxies that lack something by now.
+func (h *Hall) wake(now float64) {
+	h.parked = slices.DeleteFunc(h.parked, func(w parked) bool {
+		return h.answerPull(now, w.from, w.id, w.pull, now > w.until)
+	})
+}
+
+func (h *Hall) heardDigest(now float64, from string, d *cart.Digest) {
+	h.holdsAt(now, from, d.Held)
+	for _, source := range d.Heard {
+		if h.records[source] != nil {
+			h.heard[source] = now
+		}
+	}
+	for _, r := range d.Records {
+		h.learn(now, r, false)
+	}
+	if d.Held > h.held && len(h.writes) < 8 && h.ledger.Voting() { // this copy is old: the sweep mends it
+		h.write(now, 0, func(uint64, []byte, bool) {})
+	}
+	if d.Sure > h.sure && d.Sure == h.held {
+		h.surely(now, d.Sure)
+	}
+}
+
+// tickNews tells the others what is new, and forgets whom nobody has heard of.
+func (h *Hall) tickNews(now float64) {
+	h.wake(now)
+	if h.members == nil || now < h.digestAt {
+		return
+	}
+	h.digestAt = now + digestEvery
+	d := &cart.Digest{Held: h.held, Sure: h.sure, Records: h.changed}
+	for source := range h.direct {
+		d.Heard = append(d.Heard, source)
+	}
+	slices.Sort(d.Heard)
+	clear(h.direct)
+	h.changed = nil
+	h.holds[h.o.Self] = h.held
+	h.others(&cart.Parcel{Digest: d})
+	if now >= h.wholeAt && len(h.members) > 1 {
+		h.wholeAt = now + wholeEvery/float64(len(h.members)-1)
+		h.whole++
+		all := &cart.Digest{Held: h.held, Sure: h.sure}
+		for _, r := range h.records {
+			all.Records = append(all.Records, r)
+		}
+		if to := h.members[h.whole%len(h.members)]; to != h.o.Self && len(all.Records) > 0 {
+			h.send(to, &cart.Parcel{Digest: all})
+		}
+	}
+	for source, at := range h.heard {
+		if now > at+forgetAfter {
+			delete(h.heard, source)
+			delete(h.records, source)
+		}
+	}
+}
+
+// State is what an operator sees of a hall.
+type State struct {
+	Members   []string       `json:"members"`
+	Voting    bool           `json:"voting"`
+	Held      uint64         `json:"held"`
+	InForce   uint64         `json:"inForce"`
+	Registers int            `json:"registers"`
+	Changes   int            `json:"changes"`
+	Roll      []*cart.Record `json:"roll"`
+}
+
+// State tells what is known here.
+func (h *Hall) State() State {
+	s := State{Members: h.members, Voting: h.ledger.Voting(), Held: h.held, InForce: h.sure}
+	s.Registers, s.Changes = h.ledger.Size()
+	for _, r := range h.records {
+		s.Roll = append(s.Roll, proto.Clone(r).(*cart.Record))
+	}
+	slices.SortFunc(s.Roll, func(a, b *cart.Record) int { return bytes.Compare([]byte(a.Source), []byte(b.Source)) })
+	return s
+}
--- /dev/null
+++ b/internal/market/ledger/ledger.go
@@ -0,0 +1,552 @@
+// Package ledger keeps registers: one for each key, on the disks of the control processes. (The field's term: a replicated
+// compare-and-set register, CASPaxos.) There is no log and no leader.
+//
+// A change of a register is a ballot: asked for at a majority, which promises to take nothing older and tells what it holds;
+// then the changed value is accepted by a majority. The first half is left out where it is known beforehand what it would say:
+// every key has a home, named by rendezvous hashing, to which all have promised the first ballot; and who has had a value
+// accepted at a ballot is thereby promised the next one. A home writes to its own disk before it sends, so what its disk holds
+// is the newest that it ever sent, over restarts as well. One whose disk came back empty is no home to anybody for a window.
+//
+// A process that lost its disk has forgotten promises. It neither promises nor accepts until Recover has given it what enough
+// of the others hold, and asks for that only once every ballot that it may have had a part in has been given up.
+package ledger
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"beechwing/internal/market/cart"
+	"beechwing/internal/market/vault"
+)
+
+// The states of a key's register. They go over the wire: only add at the end.
+const (
+	Free    uint32 = iota // nobody has claimed it
+	Claimed               // somebody has; its run may be under way
+	Done                  // it has run, and this is the answer
+	Lost                  // it may have run, and nobody knows how that ended
+	Void                  // claimed and given back without a run: the token of it claims no more
+	Unsure                // no majority could be asked: nothing was claimed
+)
+
+const (
+	tryFor   = 0.25 // seconds until a ballot is begun anew
+	GiveUp   = 0.8  // seconds until a change is given up; no message of it is sent later
+	mostWork = 4096 // changes under way; more are turned away
+	// A claim that nobody has settled for so long has lost its holder: the answer no longer says that it is at work.
+	holderGone = 5.0
+	// Ages are counted from when a process saw a value, and start anew with it, so they err to the side of keeping.
+	slack = 15.0
+)
+
+// Effects are what a machine wants done. Sends go at once; Puts go to the disk, and After when they are synced there.
+type Effects struct {
+	Sends []cart.Send
+	Puts  []vault.Put
+	After []cart.Send
+}
+
+// Ballot orders the changes of a register.
+type Ballot struct{ Round, Node, Life uint32 }
+
+func (b Ballot) compare(o Ballot) int {
+	return cmp.Or(cmp.Compare(b.Round, o.Round), cmp.Compare(b.Node, o.Node), cmp.Compare(b.Life, o.Life))
+}
+
+func (b Ballot) next() Ballot { return Ballot{b.Round + 1, b.Node, b.Life} }
+
+func (b Ballot) wire() *cart.Ballot { return &cart.Ballot{Round: b.Round, Node: b.Node, Life: b.Life} }
+
+func ballot(w *cart.Ballot) Ballot { return Ballot{w.GetRound(), w.GetNode(), w.GetLife()} }
+
+// entry is a register as this process's disk has it.
+type entry struct {
+	promised, accepted Ballot
+	value              *cart.Receipt
+	at                 float64 // when it came here
+}
+
+// change is one under way.
+type change struct {
+	id       uint64
+	key      string
+	began    float64
+	tried    float64
+	asking   bool
+	ballot   Ballot
+	votes    map[string]bool
+	best     Ballot
+	old      *cart.Receipt
+	value    *cart.Receipt
+	work     func(old *cart.Receipt) (value *cart.Receipt, state uint32) // nil: no change
+	answer   func(state uint32, held *cart.Receipt)
+	state    uint32
+	rejected Ballot
+	tries    int
+}
+
+// Ledger is one process's part in all registers. Its methods take the time in seconds on a clock that never jumps.
+type Ledger struct {
+	self    string
+	members []string
+	node    uint32 // this process's place among the members, from 1; 0: none
+	life    uint32
+	window  float64
+	homeOff float64 // until then it is no home
+	voting  bool
+
+	entries map[string]*entry
+	work    map[string]*change
+	byID    map[uint64]*change
+	waiting map[string][]*change
+	lastID  uint64
+	out     Effects
+	sweepAt float64
+}
+
+// New makes a ledger. window is for how long a key's answer is kept, in seconds; life tells this process's lives apart.
+func New(self string, life uint32, window float64) *Ledger {
+	return &Ledger{self: self, life: life, window: window + slack, entries: map[string]*entry{}, work: map[string]*change{},
+		byID: map[uint64]*change{}, waiting: map[string][]*change{}}
+}
+
+// Seat names the members, in an order that all agree on. Without it there are no ballots.
+func (l *Ledger) Seat(members []string) {
+	l.members = slices.Clone(members)
+	l.node = uint32(slices.Index(members, l.self) + 1)
+}
+
+// Vote lets this process take part: its disk holds all that it ever promised.
+func (l *Ledger) Vote() { l.voting = l.node > 0 }
+
+// Voting says whether it takes part.
+func (l *Ledger) Voting() bool { return l.voting }
+
+// Size is the number of registers held, and of changes under way.
+func (l *Ledger) Size() (registers, changes int) { return len(l.entries), len(l.work) }
+
+// Take gives what is to be done since the last call.
+func (l *Ledger) Take() Effects {
+	out := l.out
+	l.out = Effects{}
+	return out
+}
+
+func (l *Ledger) majority() int { return len(l.members)/2 + 1 }
+
+// Home is the member that a key's claims go to first; the others follow in order.
+func Home(key string, members []string) []string {
+	type scored struct {
+		name  string
+		score uint64
+	}
+	all := make([]scored, len(members))
+	for i, m := range members {
+		h := fnv.New64a()
+		h.Write([]byte(key))
+		h.Write([]byte{0})
+		h.Write([]byte(m))
+		x := h.Sum64()
+		x ^= x >> 33
+		x *= 0xff51afd7ed558ccd
+		x ^= x >> 33
+		all[i] = scored{m, x}
+	}
+	slices.SortFunc(all, func(a, b scored) int { return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name)) })
+	order := make([]string, len(all))
+	for i, s := range all {
+		order[i] = s.name
+	}
+	return order
+}
+
+func (l *Ledger) home(key string) uint32 {
+	return uint32(slices.Index(l.members, Home(key, l.members)[0]) + 1)
+}
+
+// promised is what this process has promised for a key.
+func (l *Ledger) promised(key string) Ballot {
+	if e := l.entries[key]; e != nil {
+		return e.promised
+	}
+	return Ballot{Round: 1, Node: l.home(key)}
+}
+
+// ---- what is asked of it
+
+// Claim binds a key to one run. The answer is told once: the state, and what is held. Claimed means that the asker holds it.
+func (l *Ledger) Claim(now float64, c *cart.Claim, answer func(state uint32, held *cart.Receipt)) {
+	if !l.voting || len(l.work) >= mostWork {
+		answer(Unsure, nil)
+		return
+	}
+	if e := l.entries[c.Key]; e != nil && e.value != nil { // what is known here to hold somebody else's needs no ballot
+		if _, state := claim(c, e.value); state != Claimed {
+			answer(l.aged(now, e, state), e.value)
+			return
+		}
+	}
+	if w := l.work[c.Key]; w != nil && w.value != nil && w.value.Token != c.Token {
+		answer(Claimed+busy, nil)
+		return
+	}
+	l.begin(now, &change{key: c.Key, answer: answer,
+		work: func(old *cart.Receipt) (*cart.Receipt, uint32) { return claim(c, old) }})
+}
+
+// busy is added to Claimed where it is somebody else's.
+const busy = 100
+
+// Busy is the state of a key that somebody else has claimed.
+const Busy = Claimed + busy
+
+func claim(c *cart.Claim, old *cart.Receipt) (*cart.Receipt, uint32) {
+	mine := &cart.Receipt{Token: c.Token, State: Claimed, Attempt: c.Attempt}
+	switch {
+	case old == nil || old.State == Free:
+		return mine, Claimed
+	case old.State == Void:
+		if old.Token == c.Token {
+			return nil, Void
+		}
+		return mine, Claimed
+	case old.State == Claimed && old.Token == c.Token && old.Attempt < c.Attempt: // the attempt before it has not run
+		return mine, Claimed
+	case old.State == Claimed && old.Token == c.Token && old.Attempt == c.Attempt: // asked twice
+		return old, Claimed
+	case old.State == Claimed:
+		return nil, Busy
+	}
+	return nil, old.State
+}
+
+// aged says that a claim's holder is gone where that is so.
+func (l *Ledger) aged(now float64, e *entry, state uint32) uint32 {
+	if state == Busy && now > e.at+holderGone {
+		return Lost
+	}
+	return state
+}
+
+// Settle records how a claimed run ended. A receipt that is void gives the key back, and keeps late claims of its token out.
+func (l *Ledger) Settle(now float64, key string, r *cart.Receipt, answer func(state uint32, held *cart.Receipt)) {
+	if !l.voting || len(l.work) >= mostWork {
+		answer(Unsure, nil)
+		return
+	}
+	l.begin(now, &change{key: key, answer: answer, work: func(old *cart.Receipt) (*cart.Receipt, uint32) {
+		switch {
+		case old == nil || old.State == Free, old.Token == r.Token && old.State == Claimed,
+			old.Token == r.Token && old.State == Lost && r.State == Done:
+			return r, r.State
+		}
+		return nil, old.State
+	}})
+}
+
+func (l *Ledger) begin(now float64, c *change) {
+	if l.work[c.key] != nil {
+		l.waiting[c.key] = append(l.waiting[c.key], c)
+		c.began = now
+		return
+	}
+	l.lastID++
+	c.id, c.began = l.lastID, now
+	l.work[c.key], l.byID[c.id] = c, c
+	e := l.entries[c.key]
+	switch {
+	case e == nil && now >= l.homeOff && l.home(c.key) == l.node:
+		c.ballot = Ballot{1, l.node, l.life}
+		l.propose(now, c, nil)
+	case e != nil && now >= l.homeOff && e.promised.Node == l.node && e.promised == e.accepted.next():
+		c.ballot = e.promised
+		l.propose(now, c, e.value)
+	default:
+		l.ask(now, c)
+	}
+}
+
+func (l *Ledger) ask(now float64, c *change) {
+	round := max(l.promised(c.key).Round, c.ballot.Round, c.rejected.Round, 1) + 1
+	c.ballot, c.asking, c.tried = Ballot{round, l.node, l.life}, true, now
+	c.votes, c.best, c.old = map[string]bool{}, Ballot{}, nil
+	c.tries++
+	l.toAll(&l.out.Sends, &cart.Parcel{Id: c.id, Ask: &cart.Ask{Key: c.key, Ballot: c.ballot.wire()}})
+}
+
+// propose has a changed value accepted, or ends the change where nothing changes.
+func (l *Ledger) propose(now float64, c *change, old *cart.Receipt) {
+	value, state := c.work(old)
+	if value == nil {
+		if e := l.entries[c.key]; e != nil {
+			state = l.aged(now, e, state)
+		}
+		l.end(now, c, state, old)
+		return
+	}
+	c.value, c.state, c.asking, c.tried = value, state, false, now
+	c.votes = map[string]bool{}
+	p := &cart.Parcel{Id: c.id, Accept: &cart.Accept{Key: c.key, Ballot: c.ballot.wire(), Value: value}}
+	if l.accept(now, p.Accept) { // this disk first
+		l.toOthers(&l.out.After, p)
+		l.out.After = append(l.out.After, cart.Send{To: l.self, Parcel: &cart.Parcel{Id: c.id,
+			Accepted: &cart.Accepted{Yes: true, Promised: c.ballot.wire()}}})
+		return
+	}
+	c.rejected = l.promised(c.key)
+	l.ask(now, c)
+}
+
+func (l *Ledger) toAll(list *[]cart.Send, p *cart.Parcel) {
+	for _, m := range l.members {
+		*list = append(*list, cart.Send{To: m, Parcel: p})
+	}
+}
+
+func (l *Ledger) toOthers(list *[]cart.Send, p *cart.Parcel) {
+	for _, m := range l.members {
+		if m != l.self {
+			*list = append(*list, cart.Send{To: m, Parcel: p})
+		}
+	}
+}
+
+func (l *Ledger) end(now float64, c *change, state uint32, held *cart.Receipt) {
+	delete(l.work, c.key)
+	delete(l.byID, c.id)
+	c.answer(state, held)
+	if next := l.waiting[c.key]; len(next) > 0 {
+		if l.waiting[c.key] = next[1:]; len(next) == 1 {
+			delete(l.waiting, c.key)
+		}
+		began := next[0].began
+		l.begin(now, next[0])
+		next[0].began = began
+	}
+}
+
+// ---- what comes from the others
+
+// Heard takes a parcel of another process's, or of this one's.
+func (l *Ledger) Heard(now float64, from string, p *cart.Parcel) {
+	switch {
+	case p.Ask != nil && l.voting:
+		l.heardAsk(now, from, p.Id, p.Ask)
+	case p.Accept != nil && l.voting:
+		yes := l.accept(now, p.Accept)
+		answer := &cart.Parcel{Id: p.Id, Accepted: &cart.Accepted{Yes: yes, Promised: p.Accept.Ballot}}
+		if !yes {
+			answer.Accepted.Promised = l.promised(p.Accept.Key).wire()
+		}
+		l.out.After = append(l.out.After, cart.Send{To: from, Parcel: answer})
+	case p.Promise != nil:
+		l.heardPromise(now, from, l.byID[p.Id], p.Promise)
+	case p.Accepted != nil:
+		l.heardAccepted(now, from, l.byID[p.Id], p.Accepted)
+	}
+}
+
+func (l *Ledger) heardAsk(now float64, from string, id uint64, a *cart.Ask) {
+	b := ballot(a.Ballot)
+	if b.compare(l.promised(a.Key)) <= 0 {
+		l.out.Sends = append(l.out.Sends, cart.Send{To: from, Parcel: &cart.Parcel{Id: id,
+			Promise: &cart.Promise{Promised: l.promised(a.Key).wire()}}})
+		return
+	}
+	e := l.entries[a.Key]
+	if e == nil {
+		e = &entry{at: now}
+		l.entries[a.Key] = e
+	}
+	e.promised = b
+	l.keep(a.Key, e)
+	l.out.After = append(l.out.After, cart.Send{To: from, Parcel: &cart.Parcel{Id: id, Promise: &cart.Promise{Yes: true,
+		Promised: a.Ballot, Accepted: e.accepted.wire(), Value: e.value}}})
+}
+
+// accept takes a value where nothing newer was promised.
+func (l *Ledger) accept(now float64, a *cart.Accept) bool {
+	b := ballot(a.Ballot)
+	if b.compare(l.promised(a.Key)) < 0 {
+		return false
+	}
+	e := l.entries[a.Key]
+	if e == nil {
+		e = &entry{}
+		l.entries[a.Key] = e
+	}
+	e.promised, e.accepted, e.value, e.at = b.next(), b, a.Value, now
+	l.keep(a.Key, e)
+	return true
+}
+
+func (l *Ledger) keep(key string, e *entry) {
+	text, err := proto.Marshal(&cart.Entry{Key: key, Promised: e.promised.wire(), Accepted: e.accepted.wire(), Value: e.value})
+	if err != nil {
+		return // a value that came over the wire can be written again
+	}
+	l.out.Puts = append(l.out.Puts, vault.Put{Name: prefix + key, Value: text})
+}
+
+// prefix of the names under which registers lie in the vault.
+const prefix = "k."
+
+func (l *Ledger) heardPromise(now float64, from string, c *change, p *cart.Promise) {
+	if c == nil || !c.asking {
+		return
+	}
+	if !p.Yes {
+		if b := ballot(p.Promised); b.compare(c.ballot) >= 0 && b.compare(c.rejected) > 0 {
+			c.rejected = b
+		}
+		return
+	}
+	if ballot(p.Promised) != c.ballot || c.votes[from] {
+		return
+	}
+	c.votes[from] = true
+	if b := ballot(p.Accepted); b.compare(c.best) > 0 {
+		c.best, c.old = b, p.Value
+	}
+	if len(c.votes) >= l.majority() {
+		l.propose(now, c, c.old)
+	}
+}
+
+func (l *Ledger) heardAccepted(now float64, from string, c *change, a *cart.Accepted) {
+	if c == nil || c.asking {
+		return
+	}
+	if !a.Yes {
+		if b := ballot(a.Promised); b.compare(c.rejected) > 0 {
+			c.rejected = b
+		}
+		if c.votes["!"+from] = true; l.refused(c) && c.tries < 2 { // somebody else's ballot is newer; the second try waits
+			l.ask(now, c)
+		}
+		return
+	}
+	if ballot(a.Promised) != c.ballot {
+		return
+	}
+	c.votes[from] = true
+	yes := 0
+	for name := range c.votes {
+		if name[0] != '!' {
+			yes++
+		}
+	}
+	if yes >= l.majority() {
+		l.end(now, c, c.state, c.value)
+	}
+}
+
+// refused says whether a majority can no longer come together.
+func (l *Ledger) refused(c *change) bool {
+	no := 0
+	for name := range c.votes {
+		if name[0] == '!' {
+			no++
+		}
+	}
+	return no > len(l.members)-l.majority()
+}
+
+// Tick begins anew what got no majority, gives up what took too long, and forgets what is older than the window.
+func (l *Ledger) Tick(now float64) {
+	for _, c := range l.ordered() {
+		switch {
+		case now > c.began+GiveUp:
+			l.end(now, c, Unsure, nil)
+		case now > c.tried+tryFor || c.asking && c.rejected.compare(c.ballot) >= 0 && now > c.tried+tryFor/4:
+			l.ask(now, c)
+		}
+	}
+	if now < l.sweepAt {
+		return
+	}
+	l.sweepAt = now + 1
+	for key, e := range l.entries {
+		if now > e.at+l.window && l.work[key] == nil {
+			delete(l.entries, key)
+			l.out.Puts = append(l.out.Puts, vault.Put{Name: prefix + key})
+		}
+	}
+}
+
+func (l *Ledger) ordered() []*change {
+	all := make([]*change, 0, len(l.work))
+	for _, c := range l.byID {
+		all = append(all, c)
+	}
+	slices.SortFunc(all, func(a, b *change) int { return cmp.Compare(a.id, b.id) })
+	return all
+}
+
+// ---- over restarts and lost disks
+
+// Restore takes what the vault held. Ages begin anew.
+func (l *Ledger) Restore(now float64, values map[string][]byte) error {
+	for name, text := range values {
+		if len(name) <= len(prefix) || name[:len(prefix)] != prefix {
+			continue
+		}
+		w := &cart.Entry{}
+		if err := proto.Unmarshal(text, w); err != nil {
+			return err
+		}
+		l.entries[w.Key] = &entry{promised: ballot(w.Promised), accepted: ballot(w.Accepted), value: w.Value, at: now}
+	}
+	return nil
+}
+
+// pageBytes bounds one page of a dump.
+const pageBytes = 256 << 10
+
+// Dump gives a page of what is held, for a process that lost its disk.
+func (l *Ledger) Dump(after string) (page []*cart.Entry, last bool) {
+	keys := make([]string, 0, len(l.entries))
+	for key := range l.entries {
+		if key > after {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	size := 0
+	for _, key := range keys {
+		e := l.entries[key]
+		w := &cart.Entry{Key: key, Promised: e.promised.wire(), Accepted: e.accepted.wire(), Value: e.value}
+		page = append(page, w)
+		if size += proto.Size(w); size > pageBytes {
+			return page, false
+		}
+	}
+	return page, true
+}
+
+// Recover takes a page of another's into an empty ledger. The newest accepted value holds, and the newest promise.
+func (l *Ledger) Recover(now float64, page []*cart.Entry) {
+	for _, w := range page {
+		e := l.entries[w.Key]
+		if e == nil {
+			e = &entry{at: now}
+			l.entries[w.Key] = e
+		}
+		if b := ballot(w.Promised); b.compare(e.promised) > 0 {
+			e.promised = b
+		}
+		if b := ballot(w.Accepted); b.compare(e.accepted) > 0 {
+			e.accepted, e.value = b, w.Value
+		}
+		l.keep(w.Key, e)
+	}
+}
+
+// Recovered ends the recovery. What this process once sent as a home is not known, so it is none until that is of no account.
+func (l *Ledger) Recovered(now float64) {
+	l.homeOff = now + l.window
+	l.Vote()
+}
--- /dev/null
+++ b/internal/market/pitch/ask.go
@@ -0,0 +1,611 @@
+package pitch
+
+import (
+	"container/heap"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"slices"
+	"strconv"
+
+	"beechwing/balancer"
+	"beechwing/internal/market/cart"
+	"beechwing/internal/market/charter"
+	"beechwing/internal/market/ledger"
+	"beechwing/internal/market/verdict"
+)
+
+// The headers of the operators' protocol.
+const (
+	HeaderID        = "Beechwing-Consignment-Id"
+	HeaderDeadline  = "Beechwing-Deadline-Ms"
+	HeaderKey       = "Beechwing-Once-Key"
+	HeaderPostmark  = "Beechwing-Postmark"
+	HeaderAddressee = "Beechwing-Addressee"
+	HeaderSender    = "Beechwing-Sender-Carrier"
+	HeaderUnrun     = "Beechwing-Undelivered"
+	HeaderStation   = "Beechwing-Station"
+)
+
+const (
+	defaultLeft   = 30.0 // seconds, for a client that does not say how long it waits
+	mostLeft      = 600.0
+	comeBack      = 0.05 // seconds: the least time after which to come back
+	comeBackMost  = 0.3
+	crossing      = 0.02 // price of going to another zone, for the module
+	lateWorth     = 0.3
+	silentAsk     = 0.12 // seconds without a word from a proxy that has something of ours in hand: it is asked
+	silentOver    = 0.3  // and without a word since: what may be sent again is
+	strayAfter    = 3.0  // after its deadline a try that nobody ended is forgotten
+	noHostsBack   = 0.15
+	afterDeadline = 0.004 // the other end is given the word first
+)
+
+// Order is one request of a client's.
+type Order struct {
+	Method, Target, Host string
+	Fields               []*cart.Field
+	Body                 []byte
+	Framed               bool // it came with a body, of whatever length
+	ID, Key              string
+	Left                 float64 // seconds that the client waits; 0: it did not say
+	Slot                 any     // the program's
+
+	id       uint64
+	taken    float64
+	deadline float64
+	route    *charter.Route
+	service  string
+	token    uint64
+	tries    []*try
+	arrivals int
+	claims   bool // a claim of its key may stand
+	told     bool
+	last     *cart.Carried // a host's answer that is no success
+}
+
+// Reply is the answer to a client.
+type Reply struct {
+	Status int
+	Fields []*cart.Field
+	Body   []byte
+	Back   float64 // seconds until the client may come again; 0: not told
+	Ours   bool    // not a host's
+	Why    string
+}
+
+// try is one sending of an order.
+type try struct {
+	order  *Order
+	id     uint64
+	number int
+	host   balancer.HostID
+	peer   string
+	sent   float64
+	link   uint64 // the connection that it went by
+	spent  bool   // taken off the purse
+	out    bool
+}
+
+// peer is what is known of another proxy that has something of ours in hand.
+type peer struct {
+	out          int
+	heard, asked float64
+	oldest       float64
+}
+
+// shelf is a service as this proxy picks among its hosts: the decision module, and who they are.
+type shelf struct {
+	p       *Pitch
+	name    string
+	bal     *balancer.Balancer
+	classes []class
+	hosts   map[balancer.HostID]*place
+}
+
+type place struct{ source, station string }
+
+// class is what the module tells requests apart by.
+type class struct {
+	effect        balancer.Effect
+	aim, deadline float64
+	precedence    int
+}
+
+func classOf(r *charter.Route) class {
+	c := class{r.Effect(), r.TargetMs / 1000, r.TimeoutMs / 1000, r.Precedence}
+	if c.deadline <= 0 {
+		c.deadline = defaultLeft
+	}
+	if c.aim <= 0 {
+		c.aim = c.deadline / 2
+	}
+	return c
+}
+
+// Ask takes a request. It is answered exactly once, by a Tell.
+func (p *Pitch) Ask(now float64, o *Order) {
+	p.now = now
+	o.taken = now
+	p.ask(o)
+	p.settle()
+}
+
+func (p *Pitch) ask(o *Order) {
+	if p.table == nil {
+		p.tell(o, Reply{Status: 503, Back: comeBackMost, Ours: true, Why: "no configuration yet"})
+		return
+	}
+	if o.route = p.table.Match(o.Host, o.Target); o.route == nil {
+		p.tell(o, Reply{Status: 404, Ours: true, Why: "no route"})
+		return
+	}
+	word := o.Key
+	if word == "" {
+		word = o.ID
+	}
+	o.service = o.route.ServiceFor(word)
+	s := p.shelves[o.service]
+	if s == nil {
+		p.tell(o, Reply{Status: 503, Back: noHostsBack, Ours: true, Why: "no hosts"})
+		return
+	}
+	if o.route.RouteKind == charter.Tracked && o.Key != "" {
+		o.Key = o.Host + "\x00" + o.Key // one of the same tenant's, whom the host name tells apart
+	} else {
+		o.Key = ""
+	}
+	left := min(o.Left, mostLeft)
+	if left <= 0 {
+		left = defaultLeft
+	}
+	if o.route.TimeoutMs > 0 {
+		left = min(left, o.route.TimeoutMs/1000)
+	}
+	o.deadline = o.taken + left
+	if p.inUse+len(o.Body) > p.o.Memory {
+		p.tell(o, Reply{Status: 503, Back: comeBackMost, Ours: true, Why: "no memory for its body"})
+		return
+	}
+	p.inUse += len(o.Body)
+	o.id, o.token = p.id(), p.random()
+	p.orders[o.id] = o
+	p.purse.Earn(o.service)
+	p.at(o.deadline+afterDeadline, func() { p.over(o) })
+	s.bal.Request(p.now, balancer.Request{ID: balancer.RequestID(o.id), Class: s.class(classOf(o.route)),
+		Key: p.random() | 1, Budget: max(0, o.deadline-p.now)})
+}
+
+// over ends an order whose time is over.
+func (p *Pitch) over(o *Order) {
+	if o.told {
+		return
+	}
+	reply := Reply{Status: 504, Ours: true, Why: "its time was over"}
+	if o.last != nil {
+		reply = p.hosts(o, o.last)
+	}
+	p.tell(o, reply)
+	if s := p.shelves[o.service]; s != nil {
+		s.bal.Gone(p.now, balancer.RequestID(o.id))
+	}
+	p.drop(o)
+}
+
+// tell gives an order its answer.
+func (p *Pitch) tell(o *Order, r Reply) {
+	if o.told {
+		return
+	}
+	o.told = true
+	p.out.Dos = append(p.out.Dos, Tell{o, r})
+	if p.o.Debug != nil {
+		p.o.Debug("answered", "id", o.ID, "status", r.Status, "ours", r.Ours, "why", r.Why, "tries", len(o.tries),
+			"service", o.service, "took", p.now-o.taken)
+	}
+}
+
+// drop forgets an order that is answered and has nothing out.
+func (p *Pitch) drop(o *Order) {
+	if !o.told || p.orders[o.id] == nil || slices.ContainsFunc(o.tries, func(t *try) bool { return t.out }) {
+		return
+	}
+	delete(p.orders, o.id)
+	p.inUse -= len(o.Body)
+}
+
+// hosts words a host's answer for the client.
+func (p *Pitch) hosts(o *Order, c *cart.Carried) Reply {
+	r := Reply{Status: int(c.Status), Fields: c.Fields, Body: c.Body}
+	switch r.Status { // a promise that only the host's own word can make, which it did not
+	case 503, 429, 408, 421:
+		r = Reply{Status: 502, Ours: true, Why: "the host's " + strconv.Itoa(r.Status) + " without its word that it has not run"}
+	}
+	return r
+}
+
+// ---- the module's actions
+
+// Send sends a request to the proxy beside the picked host.
+func (s *shelf) Send(id balancer.RequestID, host balancer.HostID, _ float64) {
+	p := s.p
+	o := p.orders[uint64(id)]
+	if o == nil {
+		return
+	}
+	at := s.hosts[host]
+	t := &try{order: o, id: p.id(), number: len(o.tries), host: host, sent: p.now, out: true}
+	o.tries = append(o.tries, t)
+	p.tries[t.id] = t
+	switch {
+	case o.told, p.now >= o.deadline:
+		p.later(func() { p.ended(t, balancer.Moot, nil, "") })
+		return
+	case at == nil:
+		p.later(func() { p.ended(t, balancer.ConnectFailed, nil, "gone from the roll") })
+		return
+	case o.arrivals >= max(1, o.route.Tries):
+		p.later(func() { p.ended(t, balancer.Moot, nil, "no tries left") })
+		return
+	case o.arrivals > 0 && !p.purse.Spend(o.service):
+		p.later(func() { p.ended(t, balancer.Moot, nil, "no budget for a further try") })
+		return
+	}
+	t.spent = o.arrivals > 0
+	t.peer = at.source
+	if w := p.peers[t.peer]; w == nil {
+		p.peers[t.peer] = &peer{out: 1, heard: p.now, oldest: p.now}
+	} else {
+		if w.out++; w.out == 1 {
+			w.oldest, w.heard = p.now, p.now
+		}
+	}
+	c := &cart.Carry{Station: at.station, Method: o.Method, Target: o.Target, Host: o.Host, Fields: o.Fields, Body: o.Body,
+		Framed: o.Framed, LeftUs: uint32(min(math.MaxUint32, max(0, o.deadline-p.now)*1e6)), Sender: p.o.Sender, Key: o.Key,
+		Token: o.token, Precedence: uint32(max(0, o.route.Precedence)), Repeatable: o.route.Repeatable(),
+		Attempt: uint32(t.number)}
+	parcel := &cart.Parcel{Id: t.id, Carry: c}
+	if t.peer == p.o.Self {
+		p.send(t.peer, parcel)
+		return
+	}
+	p.out.Sends = append(p.out.Sends, cart.Send{To: t.peer, Parcel: parcel, Via: &t.link})
+}
+
+// Refuse answers that trying again is harmless.
+func (s *shelf) Refuse(id balancer.RequestID, coolDown float64) {
+	p := s.p
+	o := p.orders[uint64(id)]
+	if o == nil || o.told {
+		return
+	}
+	r := Reply{Status: 503, Ours: true, Back: min(comeBackMost, max(comeBack, coolDown)), Why: "refused"}
+	if n := len(o.tries); n == 0 {
+		r.Why = "no room"
+	}
+	if o.last != nil { // a host has spoken
+		r = p.hosts(o, o.last)
+	}
+	if o.claims && r.Ours { // what is promised not to run gives its key back
+		p.gate.settle(o.Key, &cart.Receipt{Token: o.token, State: ledger.Void})
+	}
+	p.tell(o, r)
+	p.later(func() { p.drop(o) })
+}
+
+// Fail answers that nothing is promised.
+func (s *shelf) Fail(id balancer.RequestID) {
+	p := s.p
+	o := p.orders[uint64(id)]
+	if o == nil || o.told {
+		return
+	}
+	r := Reply{Status: 502, Ours: true, Why: "it may have run"}
+	if o.last != nil {
+		r = p.hosts(o, o.last)
+	}
+	p.tell(o, r)
+	p.later(func() { p.drop(o) })
+}
+
+// Cancel would stop an attempt: a host at work is left to finish, as its answer is worth recording.
+func (s *shelf) Cancel(balancer.RequestID, int) {}
+
+// Probe is not asked for.
+func (s *shelf) Probe(balancer.HostID) {}
+
+// Timer asks for an event.
+func (s *shelf) Timer(after float64, token uint64) {
+	s.p.at(s.p.now+max(0, after), func() {
+		if s.p.shelves[s.name] == s {
+			s.bal.Timer(s.p.now, token)
+		}
+	})
+}
+
+// Watch and Fetch ask for the list, which comes unasked here.
+func (s *shelf) Watch() {}
+func (s *shelf) Fetch() {}
+
+// Tell would send a message to every peer.
+func (s *shelf) Tell([]byte) {}
+
+// Log writes a line of the module's.
+func (s *shelf) Log(text string) {
+	if s.p.o.Debug != nil {
+		s.p.o.Debug("balancer", "service", s.name, "says", text)
+	}
+}
+
+func (p *Pitch) later(f func()) { p.local = append(p.local, f) }
+
+// ---- what comes back
+
+// carried takes the end of a try.
+func (p *Pitch) carried(id uint64, c *cart.Carried) {
+	t := p.tries[id]
+	if t == nil {
+		return
+	}
+	o := t.order
+	v := verdict.Verdict(c.Verdict)
+	if v.Arrived() {
+		o.arrivals++
+	} else if t.spent {
+		p.purse.Back(o.service)
+	}
+	o.claims = o.claims || o.Key != "" && v.NeverRan() && !(v == verdict.Turned && c.BackMs > 0)
+	why := c.Why
+	if why == "" {
+		why = v.String()
+	}
+	switch v {
+	case verdict.Answered:
+		if c.Status >= 500 {
+			p.ended(t, balancer.Errored, c, why)
+		} else {
+			p.ended(t, balancer.OK, c, why)
+		}
+	case verdict.Turned:
+		if c.BackMs > 0 { // it is full
+			p.ended(t, balancer.TurnedAway, nil, why)
+		} else {
+			p.ended(t, balancer.ConnectFailed, nil, why)
+		}
+	case verdict.HostTurned, verdict.Unclaimed:
+		p.ended(t, balancer.TurnedAway, nil, why)
+	case verdict.Expired:
+		p.ended(t, balancer.Moot, nil, why)
+	case verdict.Late:
+		p.ended(t, balancer.TimedOut, nil, why)
+	case verdict.Busy:
+		p.final(t, Reply{Status: 409, Ours: true, Back: comeBack, Why: "its key is at work"})
+	case verdict.Kept:
+		p.final(t, Reply{Status: int(c.Status), Fields: c.Fields, Body: c.Body, Why: "its key's answer"})
+	case verdict.Lost:
+		p.final(t, Reply{Status: 502, Ours: true, Why: "its key's run has no known end"})
+	default:
+		p.ended(t, balancer.Reset, nil, why)
+	}
+}
+
+// leave takes a try off the books.
+func (p *Pitch) leave(t *try) bool {
+	if !t.out {
+		return false
+	}
+	t.out = false
+	delete(p.tries, t.id)
+	if w := p.peers[t.peer]; w != nil {
+		if w.out--; w.out <= 0 {
+			w.out = 0
+		}
+		w.oldest = p.now
+	}
+	return true
+}
+
+// final ends a try, and with it the order, by something that says nothing of the host.
+func (p *Pitch) final(t *try, r Reply) {
+	if !p.leave(t) {
+		return
+	}
+	o := t.order
+	p.tell(o, r)
+	p.outcome(t, balancer.Cancelled, true)
+	p.drop(o)
+}
+
+// ended takes the result of a try to the module, which says what follows.
+func (p *Pitch) ended(t *try, result balancer.Result, c *cart.Carried, why string) {
+	if !p.leave(t) {
+		return
+	}
+	o := t.order
+	if p.o.Debug != nil && result != balancer.OK {
+		p.o.Debug("try ended", "id", o.ID, "try", t.number, "peer", t.peer, "result", result, "why", why, "took", p.now-t.sent)
+	}
+	final := o.told
+	switch {
+	case c == nil:
+	case result == balancer.OK || !o.route.Repeatable():
+		p.tell(o, p.hosts(o, c))
+		final = true
+	default:
+		o.last = c
+	}
+	p.outcome(t, result, final)
+	p.drop(o)
+}
+
+func (p *Pitch) outcome(t *try, result balancer.Result, final bool) {
+	if s := p.shelves[t.order.service]; s != nil {
+		s.bal.Outcome(p.now, balancer.Outcome{ID: balancer.RequestID(t.order.id), Attempt: t.number, Host: t.host, Result: result,
+			Took: p.now - t.sent, Final: final})
+	}
+}
+
+// brokeTries ends the tries that went by a connection that is no more. What had not gone out has not run.
+func (p *Pitch) brokeTries(b cart.Broke) {
+	for _, id := range b.Unsent {
+		if t := p.tries[id]; t != nil && t.peer == b.Peer {
+			if t.spent {
+				p.purse.Back(t.order.service)
+			}
+			p.ended(t, balancer.ConnectFailed, nil, "no connection to the proxy beside the host")
+		}
+	}
+	if b.Link == 0 {
+		return
+	}
+	for _, t := range p.triesAt(b.Peer) {
+		if t.link != b.Link {
+			continue
+		}
+		t.order.arrivals++ // it may have arrived
+		p.ended(t, balancer.Reset, nil, "the connection to the proxy beside the host broke")
+	}
+}
+
+// triesAt are the tries that another proxy has in hand, the oldest first.
+func (p *Pitch) triesAt(source string) (all []*try) {
+	for _, t := range p.tries {
+		if t.peer == source {
+			all = append(all, t)
+		}
+	}
+	slices.SortFunc(all, func(a, b *try) int { return int(a.id) - int(b.id) })
+	return all
+}
+
+// watchPeers finds proxies that have gone silent with something of ours in hand: a machine behind a cut says nothing. What may
+// be sent again is; what may not waits for its end.
+func (p *Pitch) watchPeers() {
+	for source, w := range p.peers {
+		if w.out == 0 || source == p.o.Self {
+			continue
+		}
+		quiet := p.now - max(w.heard, w.oldest)
+		switch {
+		case quiet < silentAsk:
+		case w.asked < w.heard || w.asked < w.oldest:
+			w.asked = p.now
+			p.send(source, &cart.Parcel{Id: p.id(), Ping: &cart.Ping{}})
+		case p.now-w.asked > silentOver:
+			for _, t := range p.triesAt(source) {
+				if t.order.route.Repeatable() && t.sent < w.asked {
+					t.order.arrivals++
+					p.ended(t, balancer.Reset, nil, "the proxy beside the host is silent")
+				}
+			}
+		}
+	}
+}
+
+// ---- the services
+
+// adopt makes shelves of what a configuration says.
+func (p *Pitch) adopt(t *charter.Table) {
+	p.table = t
+	by := map[string][]class{}
+	for i := range t.Charter.Itineraries {
+		r := &t.Charter.Itineraries[i]
+		c := classOf(r)
+		names := []string{r.Carrier}
+		for _, a := range r.Allotment {
+			names = append(names, a.Carrier)
+		}
+		for _, name := range names {
+			if name != "" && !slices.Contains(by[name], c) {
+				by[name] = append(by[name], c)
+			}
+		}
+	}
+	names := make([]string, 0, len(by))
+	for name := range by {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		s := p.shelves[name]
+		if s == nil {
+			s = &shelf{p: p, name: name, classes: by[name], hosts: map[balancer.HostID]*place{}}
+			p.shelves[name] = s
+			s.bal = balancer.New(p.now, s.config(), s)
+			continue
+		}
+		if slices.Equal(s.classes, by[name]) {
+			continue
+		}
+		kept := make([]int, len(by[name]))
+		for i, c := range by[name] {
+			kept[i] = slices.Index(s.classes, c)
+		}
+		s.classes = by[name]
+		s.bal.Configure(p.now, s.config(), kept)
+	}
+	p.news.list()
+}
+
+func (s *shelf) class(c class) int { return max(0, slices.Index(s.classes, c)) }
+
+func (s *shelf) config() balancer.Config {
+	p := s.p
+	cfg := balancer.Config{Seed: p.random(), Zone: p.news.zone(p.o.Zone), Balancers: max(1, len(p.news.records)),
+		Prices: balancer.Prices{CrossZone: crossing}, MaxCoolDown: comeBackMost, ConnectTimeout: 1}
+	for _, c := range s.classes {
+		cfg.Classes = append(cfg.Classes, balancer.Class{Aim: c.aim, Deadline: c.deadline, Worth: 1 / float64(1+max(0, c.precedence)),
+			LateWorth: lateWorth, Effect: c.effect})
+	}
+	return cfg
+}
+
+// hostID is the module's number for a life of a host.
+func hostID(station string) balancer.HostID {
+	h := fnv.New64a()
+	fmt.Fprint(h, station)
+	return balancer.HostID(h.Sum64())
+}
+
+// ---- timers
+
+type timer struct {
+	at  float64
+	seq uint64
+	do  func()
+}
+
+// timers is a heap, the next one due first.
+type timers []timer
+
+func (h timers) Len() int { return len(h) }
+func (h timers) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h timers) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *timers) Push(x any)   { *h = append(*h, x.(timer)) }
+func (h *timers) Pop() any {
+	last := len(*h) - 1
+	t := (*h)[last]
+	(*h)[last] = timer{}
+	*h = (*h)[:last]
+	return t
+}
+
+func (p *Pitch) at(when float64, do func()) { heap.Push(&p.timers, timer{when, p.id(), do}) }
+
+// fire plays the timers that are due.
+func (p *Pitch) fire() {
+	for len(p.timers) > 0 && p.timers[0].at <= p.now {
+		heap.Pop(&p.timers).(timer).do()
+		p.settle()
+	}
+}
+
+// Next is when the next timer is due; infinite: none is set.
+func (p *Pitch) Next() float64 {
+	if len(p.timers) == 0 {
+		return math.Inf(1)
+	}
+	return p.timers[0].at
+}
--- /dev/null
+++ b/internal/market/pitch/gate.go
@@ -0,0 +1,342 @@
+package pitch
+
+import (
+	"cmp"
+	"slices"
+
+	"beechwing/internal/market/cart"
+	"beechwing/internal/market/ledger"
+	"beechwing/internal/market/verdict"
+)
+
+const (
+	spareBerths   = 1     // beyond a host's own, so that none of them waits for the next request
+	defaultBerths = 4     // of a host that has not said
+	mostJobs      = 4096  // here at once
+	workStep      = 0.05  // weight of one request in the mean time that a host takes
+	firstWork     = 0.03  // seconds, until that is known
+	waitShare     = 0.5   // of the time left that a request may wait here for the host
+	leastWait     = 0.004 // seconds: less is no wait
+	claimAsk      = 0.2   // seconds until the next control process is asked for a claim
+	claimMost     = 0.7   // and until it is given up: nothing has been sent then
+	settleAsk     = 0.5   // seconds until the end of a run is told again
+	settleTries   = 6
+	mostSettles   = 4096
+	hostSlack     = 0.15 // seconds beyond its deadline in which a host still gives its own answer
+	drainAfter    = 1.0  // seconds after word of a drain in which what waited here may still go to the host
+)
+
+// gate is the last before the host: all requests to it pass here, so here it is sure which life of a host has the address,
+// that nothing goes to one that leaves, how many requests it has in hand, and what has been sent at all.
+type gate struct {
+	p        *Pitch
+	jobs     map[uint64]*job
+	claims   map[uint64]*job
+	settles  map[uint64]*settling
+	queue    []*job // waiting for a berth
+	running  int
+	work     float64 // mean seconds that the host takes
+	tickedAt float64
+}
+
+// job is a request of another proxy's, or of this one's, for the host here.
+type job struct {
+	id      uint64
+	from    string
+	parcel  uint64
+	carry   *cart.Carry
+	came    float64
+	until   float64
+	claim   uint64 // the parcel in which its key was asked for last
+	halls   []string
+	asked   float64
+	began   float64 // its claim was first asked for
+	running bool    // it has a berth
+	sent    float64 // when it went to the host
+	ended   bool
+}
+
+// settling is word on the end of a run, until a control process has taken it.
+type settling struct {
+	key     string
+	receipt *cart.Receipt
+	halls   []string
+	asked   float64
+	tries   int
+}
+
+func (g *gate) begin(p *Pitch) {
+	g.p, g.work = p, firstWork
+	g.jobs, g.claims, g.settles = map[uint64]*job{}, map[uint64]*job{}, map[uint64]*settling{}
+}
+
+func (g *gate) berths() int {
+	if n := int(g.p.news.own.Berths); n > 0 {
+		return n + spareBerths
+	}
+	return defaultBerths + spareBerths
+}
+
+// carry takes a request for the host.
+func (g *gate) carry(from string, parcel uint64, c *cart.Carry) {
+	p := g.p
+	j := &job{id: p.id(), from: from, parcel: parcel, carry: c, came: p.now, until: p.now + float64(c.LeftUs)/1e6}
+	switch own := p.news.own; {
+	case own.Station == "" || own.Station != c.Station:
+		g.turn(j, "another host is here", 0)
+		return
+	case own.Condition != AtDock:
+		g.turn(j, "the host leaves", 0)
+		return
+	case len(g.jobs) >= mostJobs || p.inUse+len(c.Body) > p.o.Memory:
+		g.turn(j, "too much is under way here", 1)
+		return
+	}
+	if g.running >= g.berths() {
+		if wait := g.wait(j); wait > leastWait && wait > waitShare*(j.until-p.now) {
+			g.turn(j, "no berth in time", uint32(wait*1000)+1)
+			return
+		}
+	}
+	p.inUse += len(c.Body)
+	g.jobs[j.id] = j
+	at, _ := slices.BinarySearchFunc(g.queue, j, order)
+	g.queue = slices.Insert(g.queue, at, j)
+	g.serve()
+}
+
+// order is that of the queue: by rank, then by who has least time.
+func order(a, b *job) int {
+	return cmp.Or(cmp.Compare(a.carry.Precedence, b.carry.Precedence), cmp.Compare(a.until, b.until), cmp.Compare(a.id, b.id))
+}
+
+// wait is how long a request would wait for a berth, from what is before it.
+func (g *gate) wait(j *job) float64 {
+	at, _ := slices.BinarySearchFunc(g.queue, j, order)
+	return float64(at+1) * g.work / float64(g.berths())
+}
+
+// serve gives free berths to those that wait.
+func (g *gate) serve() {
+	for g.running < g.berths() && len(g.queue) > 0 {
+		j := g.queue[0]
+		g.queue = g.queue[1:]
+		own := g.p.news.own
+		switch {
+		case j.until <= g.p.now:
+			g.end(j, &cart.Carried{Verdict: uint32(verdict.Expired)})
+		case own.Station != j.carry.Station || own.Condition == Gone:
+			g.turn(j, "the host has gone", 0)
+		case own.Condition != AtDock && g.p.now > g.p.news.leftAt+drainAfter:
+			g.turn(j, "the host leaves", 0)
+		default:
+			j.running = true
+			g.running++
+			if j.carry.Key != "" {
+				g.claim(j)
+			} else {
+				g.start(j)
+			}
+		}
+	}
+}
+
+func (g *gate) start(j *job) {
+	j.sent = g.p.now
+	c := j.carry
+	c.LeftUs = uint32(max(0, j.until-g.p.now) * 1e6)
+	g.p.out.Dos = append(g.p.out.Dos, Exchange{Job: j.id, Carry: c, Until: j.until + hostSlack})
+}
+
+// turn gives a request back before a byte of it went to the host. backMs is set where the host is full, and not gone.
+func (g *gate) turn(j *job, why string, backMs uint32) {
+	g.end(j, &cart.Carried{Verdict: uint32(verdict.Turned), Why: why, BackMs: backMs})
+}
+
+// end gives the word on a request to the proxy that it came from.
+func (g *gate) end(j *job, c *cart.Carried) {
+	if j.ended {
+		return
+	}
+	j.ended = true
+	if _, here := g.jobs[j.id]; here {
+		delete(g.jobs, j.id)
+		g.p.inUse -= len(j.carry.Body)
+	}
+	delete(g.claims, j.claim)
+	if j.running {
+		j.running = false
+		g.running--
+	}
+	g.p.send(j.from, &cart.Parcel{Id: j.parcel, Carried: c})
+	g.serve()
+}
+
+// Exchanged takes the end of an Exchange.
+func (p *Pitch) Exchanged(now float64, id uint64, c *cart.Carried) {
+	p.now = now
+	p.gate.exchanged(id, c)
+	p.settle()
+}
+
+func (g *gate) exchanged(id uint64, c *cart.Carried) {
+	j := g.jobs[id]
+	if j == nil {
+		return
+	}
+	v := verdict.Verdict(c.Verdict)
+	took := g.p.now - j.sent
+	c.TookUs = uint32(min(took, 1000) * 1e6)
+	if v == verdict.Answered {
+		g.work += workStep * (took - g.work)
+	}
+	if j.carry.Key != "" {
+		switch v {
+		case verdict.Answered:
+			r := &cart.Receipt{Token: j.carry.Token, State: ledger.Done, Attempt: j.carry.Attempt, Status: c.Status,
+				Fields: c.Fields, Body: c.Body}
+			if len(c.Body) > mostKept {
+				r = &cart.Receipt{Token: j.carry.Token, State: ledger.Lost, Attempt: j.carry.Attempt}
+			}
+			g.settle(j.carry.Key, r)
+		case verdict.Broken, verdict.Late:
+			g.settle(j.carry.Key, &cart.Receipt{Token: j.carry.Token, State: ledger.Lost, Attempt: j.carry.Attempt})
+		}
+	}
+	g.end(j, c)
+}
+
+// mostKept bounds the body of an answer that a register keeps.
+const mostKept = 128 << 10
+
+// ---- keys
+
+// claim asks that a request's key be bound to its run here. Until that is granted nothing goes to the host.
+func (g *gate) claim(j *job) {
+	if j.began == 0 {
+		j.began = g.p.now
+	}
+	if len(j.halls) == 0 {
+		j.halls = ledger.Home(j.carry.Key, g.p.news.halls)
+	}
+	if len(j.halls) == 0 || g.p.now > j.began+claimMost || g.p.now >= j.until {
+		g.end(j, &cart.Carried{Verdict: uint32(verdict.Unclaimed)})
+		return
+	}
+	delete(g.claims, j.claim)
+	j.claim, j.asked = g.p.id(), g.p.now
+	g.claims[j.claim] = j
+	to := j.halls[0]
+	j.halls = j.halls[1:]
+	g.p.send(to, &cart.Parcel{Id: j.claim, Claim: &cart.Claim{Key: j.carry.Key, Token: j.carry.Token, Attempt: j.carry.Attempt}})
+}
+
+func (g *gate) claimed(id uint64, c *cart.Claimed) {
+	if s := g.settles[id]; s != nil {
+		if c.State != ledger.Unsure {
+			delete(g.settles, id)
+		}
+		return
+	}
+	j := g.claims[id]
+	if j == nil {
+		return
+	}
+	delete(g.claims, id)
+	switch c.State {
+	case ledger.Claimed:
+		if g.p.now >= j.until {
+			g.end(j, &cart.Carried{Verdict: uint32(verdict.Expired)})
+			return
+		}
+		if own := g.p.news.own; own.Station != j.carry.Station || own.Condition == Gone { // meanwhile
+			g.end(j, &cart.Carried{Verdict: uint32(verdict.Unclaimed), Why: "the host has gone"})
+			return
+		}
+		g.start(j)
+	case ledger.Busy:
+		g.end(j, &cart.Carried{Verdict: uint32(verdict.Busy)})
+	case ledger.Done:
+		g.end(j, &cart.Carried{Verdict: uint32(verdict.Kept), Status: c.Receipt.GetStatus(), Fields: c.Receipt.GetFields(),
+			Body: c.Receipt.GetBody()})
+	case ledger.Lost:
+		g.end(j, &cart.Carried{Verdict: uint32(verdict.Lost)})
+	case ledger.Unsure:
+		g.claim(j)
+	default:
+		g.end(j, &cart.Carried{Verdict: uint32(verdict.Unclaimed), Why: "its claim was given back"})
+	}
+}
+
+// settle tells how a run ended, until a control process has taken it.
+func (g *gate) settle(key string, r *cart.Receipt) {
+	if len(g.settles) >= mostSettles {
+		return // its key stays claimed, and ends as lost
+	}
+	g.tellEnd(&settling{key: key, receipt: r})
+}
+
+func (g *gate) tellEnd(s *settling) {
+	if len(s.halls) == 0 {
+		s.halls = ledger.Home(s.key, g.p.news.halls)
+	}
+	if s.tries++; len(s.halls) == 0 || s.tries > settleTries {
+		return
+	}
+	id := g.p.id()
+	s.asked = g.p.now
+	g.settles[id] = s
+	to := s.halls[0]
+	s.halls = s.halls[1:]
+	g.p.send(to, &cart.Parcel{Id: id, Settle: &cart.Settle{Key: s.key, Receipt: s.receipt}})
+}
+
+// broke goes on to the next control process with what the one that is gone had in hand.
+func (g *gate) broke(b cart.Broke) {
+	for _, id := range b.Unsent {
+		if j := g.claims[id]; j != nil {
+			g.claim(j)
+		}
+		if s := g.settles[id]; s != nil {
+			delete(g.settles, id)
+			g.tellEnd(s)
+		}
+	}
+}
+
+func (g *gate) tick() {
+	if g.p.now < g.tickedAt+0.02 {
+		return
+	}
+	g.tickedAt = g.p.now
+	for _, id := range sortedIDs(g.claims) {
+		if j := g.claims[id]; j != nil && (g.p.now > j.asked+claimAsk || g.p.now >= j.until) {
+			g.claim(j)
+		}
+	}
+	for _, id := range sortedIDs(g.settles) {
+		if s := g.settles[id]; g.p.now > s.asked+settleAsk {
+			delete(g.settles, id)
+			g.tellEnd(s)
+		}
+	}
+	for len(g.queue) > 0 {
+		late := slices.IndexFunc(g.queue, func(j *job) bool { return j.until <= g.p.now })
+		if late < 0 {
+			break
+		}
+		j := g.queue[late]
+		g.queue = slices.Delete(g.queue, late, late+1)
+		g.end(j, &cart.Carried{Verdict: uint32(verdict.Expired)})
+	}
+	g.serve()
+}
+
+func sortedIDs[T any](m map[uint64]T) []uint64 {
+	ids := make([]uint64, 0, len(m))
+	for id := range m {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/internal/market/pitch/news.go
@@ -0,0 +1,347 @@
+package pitch
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+
+	"beechwing/balancer"
+	"beechwing/internal/market/cart"
+	"beechwing/internal/market/charter"
+)
+
+// The conditions of a host, as records tell them.
+const (
+	Unknown   uint32 = iota
+	AtDock           // takes requests
+	Unloading        // leaves, or the proxy beside it does
+	Gone
+)
+
+const (
+	pullAgain   = 1.3 // seconds without an answer until another control process is asked
+	beatsMissed = 3.5 // beats after which a host that said nothing is gone
+	watched     = 3   // other proxies that this one knows and watches
+	watchEvery  = 1.0 // seconds between questions to them, while no control process answers
+	retryAfter  = 0.1 // seconds after a control process that could not be reached
+)
+
+// news is what this proxy knows: the host beside it, which it alone tells the others of; who else there is; and which
+// configuration is in force. It pulls what it lacks by a vector of versions, one for each source.
+type news struct {
+	p        *Pitch
+	own      *cart.Record
+	sequence uint64 // of the host's last beat
+	beatAt   float64
+	leftAt   float64 // when it said that it leaves
+	ending   bool
+
+	records map[string]*cart.Record
+	silent  map[string]bool
+	halls   []string
+	hall    int // whom it pulls from
+	pull    uint64
+	pullAt  float64
+	again   float64 // not before then
+	heardAt float64 // of a control process
+	told    bool    // one has answered in this life
+	watchAt float64
+	zones   []string
+}
+
+func (n *news) begin(p *Pitch) {
+	n.p = p
+	n.own = &cart.Record{Source: p.o.Self, Version: p.o.Version, Carrier: p.o.Sender, Zone: p.o.Zone}
+	n.records = map[string]*cart.Record{p.o.Self: n.own}
+	n.silent = map[string]bool{}
+	n.hall = int(p.random() % 1024)
+	n.heardAt = p.now
+}
+
+// Station is what a host says of itself in a beat.
+type Station struct {
+	ID, Carrier, Address, Zone string
+	Berths                     int
+	Unloading                  bool
+	ColdMs                     int
+	Sequence                   uint64
+}
+
+// Beat takes a host's word. From here on nothing new goes to one that leaves: it may be acknowledged. A late beat is too.
+func (p *Pitch) Beat(now float64, s Station) {
+	p.now = now
+	n := &p.news
+	if s.ID == n.own.Station && (s.Sequence < n.sequence || n.own.Condition == Gone) {
+		return
+	}
+	if s.ID == n.own.Station && n.own.Condition == Unloading && !n.ending && !s.Unloading && s.Sequence <= n.sequence {
+		return
+	}
+	n.beatAt, n.sequence = now, s.Sequence
+	condition := AtDock
+	if s.Unloading {
+		condition = Unloading
+	}
+	n.change(func(r *cart.Record) {
+		r.Station, r.Carrier, r.Zone, r.Berths = s.ID, cmp.Or(s.Carrier, r.Carrier), cmp.Or(s.Zone, r.Zone), uint32(max(0, s.Berths))
+		r.ColdMs, r.Condition = uint32(max(0, s.ColdMs)), condition
+	})
+	p.settle()
+}
+
+// Leave takes a host's sign-off.
+func (p *Pitch) Leave(now float64, id string) {
+	p.now = now
+	if n := &p.news; id == n.own.Station {
+		n.change(func(r *cart.Record) { r.Condition = Gone })
+	}
+	p.settle()
+}
+
+// end tells the others that this proxy ends: its host cannot be reached for a while.
+func (n *news) end() {
+	n.ending = true
+	n.change(func(*cart.Record) {})
+}
+
+// change makes a new record of the host here, if anything changed that others have to know.
+func (n *news) change(f func(*cart.Record)) {
+	old := n.own
+	r := &cart.Record{Source: old.Source, Version: old.Version + 1, Station: old.Station, Carrier: old.Carrier, Zone: old.Zone,
+		Berths: old.Berths, Condition: old.Condition, ColdMs: old.ColdMs, Leaving: n.ending}
+	f(r)
+	if r.Station == old.Station && r.Carrier == old.Carrier && r.Zone == old.Zone && r.Berths == old.Berths &&
+		r.Condition == old.Condition && r.Leaving == old.Leaving {
+		old.ColdMs = r.ColdMs
+		return
+	}
+	if r.Condition != old.Condition {
+		n.leftAt = n.p.now
+	}
+	n.p.o.Log("host", "station", r.Station, "carrier", r.Carrier, "condition", r.Condition, "leaving", r.Leaving)
+	n.own = r
+	n.records[r.Source] = r
+	n.list()
+	n.ask(false)
+	n.p.gate.serve()
+}
+
+// zone numbers a zone, for the module.
+func (n *news) zone(name string) int {
+	at := slices.Index(n.zones, name)
+	if at < 0 {
+		n.zones = append(n.zones, name)
+		at = len(n.zones) - 1
+	}
+	return at
+}
+
+func (n *news) sources() []string {
+	all := make([]string, 0, len(n.records))
+	for source := range n.records {
+		all = append(all, source)
+	}
+	slices.Sort(all)
+	return all
+}
+
+// list gives the module of each service its hosts anew.
+func (n *news) list() {
+	p := n.p
+	by := map[string][]balancer.Host{}
+	for _, s := range p.shelves {
+		clear(s.hosts)
+	}
+	for _, source := range n.sources() {
+		r := n.records[source]
+		s := p.shelves[r.Carrier]
+		if r.Station == "" || r.Condition == Gone || r.Condition == Unknown || n.silent[source] || s == nil {
+			continue
+		}
+		h := balancer.Host{ID: hostID(r.Station), Zone: n.zone(r.Zone), Status: balancer.Ready}
+		if r.Condition == Unloading || r.Leaving {
+			h.Status = balancer.Draining
+		}
+		s.hosts[h.ID] = &place{source, r.Station}
+		by[r.Carrier] = append(by[r.Carrier], h)
+	}
+	for name, s := range p.shelves {
+		s.bal.Members(p.now, balancer.ListFull, by[name])
+	}
+	p.purse.Share(len(n.records))
+}
+
+// ---- pulling
+
+// ask pulls from a control process what is lacking here. hold says that it may wait until there is something.
+func (n *news) ask(hold bool) {
+	halls := n.halls
+	if len(halls) == 0 {
+		halls = n.p.o.Seeds
+	}
+	n.pull, n.pullAt = n.p.id(), n.p.now
+	n.p.send(halls[n.hall%len(halls)], &cart.Parcel{Id: n.pull, Pull: n.vector(hold)})
+}
+
+// vector is what this proxy has, by source.
+func (n *news) vector(hold bool) *cart.Pull {
+	pull := &cart.Pull{Own: n.own, Hold: hold}
+	for _, source := range n.sources() {
+		pull.Seen = append(pull.Seen, &cart.Seen{Source: source, Version: n.records[source].Version})
+	}
+	if n.p.table != nil {
+		pull.Edition = n.p.table.Edition
+	}
+	return pull
+}
+
+// came takes what another process knows. A process never goes back: older versions change nothing.
+func (n *news) came(from string, id uint64, w *cart.News) {
+	p := n.p
+	changed := false
+	for _, r := range w.Records {
+		if r.Source == p.o.Self {
+			if r.Version >= n.own.Version && !(r.Version == n.own.Version && r.Station == n.own.Station) { // of an earlier life
+				n.own.Version = r.Version
+				n.own = &cart.Record{Source: n.own.Source, Version: r.Version + 1, Station: n.own.Station, Carrier: n.own.Carrier,
+					Zone: n.own.Zone, Berths: n.own.Berths, Condition: n.own.Condition, ColdMs: n.own.ColdMs, Leaving: n.own.Leaving}
+				n.records[p.o.Self] = n.own
+				changed = true
+			}
+			continue
+		}
+		if old := n.records[r.Source]; old == nil || old.Version < r.Version {
+			n.records[r.Source] = r
+			changed = true
+		}
+	}
+	if w.FromHall {
+		n.heardAt = p.now
+		if len(w.Halls) > 0 && !slices.Equal(n.halls, w.Halls) {
+			n.halls = w.Halls
+		}
+		silent := map[string]bool{}
+		for _, s := range w.Silent {
+			if s != p.o.Self {
+				silent[s] = true
+			}
+		}
+		if len(silent) != len(n.silent) {
+			changed = true
+		}
+		for s := range silent {
+			changed = changed || !n.silent[s]
+		}
+		n.silent = silent
+		n.told = true
+	}
+	if w.Edition > 0 && (p.table == nil || w.Edition > p.table.Edition) {
+		if t, err := charter.Compile(w.Text); err != nil {
+			p.o.Log("configuration not understood", "edition", w.Edition, "error", err)
+		} else {
+			p.adopt(t)
+			p.o.Log("in force", "edition", t.Edition, "routes", len(t.Charter.Itineraries))
+			changed = false // adopt has listed
+		}
+	}
+	if changed {
+		n.list()
+	}
+	if w.FromHall && id == n.pull {
+		n.ask(true)
+	}
+}
+
+// pulled tells another proxy what it lacks of what is known here: those that watch this one ask while no control process
+// answers them.
+func (n *news) pulled(from string, id uint64, pull *cart.Pull) {
+	p := n.p
+	if pull.Own != nil {
+		if old := n.records[pull.Own.Source]; old == nil || old.Version < pull.Own.Version {
+			n.records[pull.Own.Source] = pull.Own
+			n.list()
+		}
+	}
+	w := &cart.News{}
+	has := make(map[string]uint64, len(pull.Seen))
+	for _, s := range pull.Seen {
+		has[s.Source] = s.Version
+	}
+	for _, source := range n.sources() {
+		if r := n.records[source]; has[source] < r.Version {
+			w.Records = append(w.Records, r)
+		}
+	}
+	if p.table != nil && p.table.Edition > pull.Edition {
+		w.Edition, w.Text = p.table.Edition, p.table.Text
+	}
+	p.send(from, &cart.Parcel{Id: id, News: w})
+}
+
+// broke goes on to the next control process.
+func (n *news) broke(from string) {
+	halls := n.halls
+	if len(halls) == 0 {
+		halls = n.p.o.Seeds
+	}
+	if halls[n.hall%len(halls)] == from {
+		n.hall++
+		n.pull, n.again = 0, n.p.now+retryAfter
+	}
+}
+
+// Seeds takes over other seeds: the settings file has changed.
+func (p *Pitch) Seeds(now float64, seeds []string) {
+	p.now = now
+	p.o.Seeds = seeds
+	p.settle()
+}
+
+func (n *news) tick() {
+	p := n.p
+	if n.pull == 0 && p.now >= n.again {
+		n.ask(false)
+	} else if n.pull != 0 && p.now > n.pullAt+pullAgain {
+		n.hall++
+		n.ask(false)
+	}
+	if n.own.Condition == AtDock && p.o.Beat > 0 && p.now > n.beatAt+beatsMissed*p.o.Beat {
+		n.change(func(r *cart.Record) { r.Condition = Gone })
+	}
+	if p.now > n.heardAt+watchEvery && p.now >= n.watchAt {
+		n.watchAt = p.now + watchEvery
+		for _, source := range n.neighbours() {
+			p.send(source, &cart.Parcel{Id: p.id(), Pull: n.vector(false)})
+		}
+	}
+}
+
+// neighbours are the few other proxies that this one knows and watches, named by rendezvous hashing: all agree on them, and
+// one that leaves changes only the sets that it was in.
+func (n *news) neighbours() []string { return Watched(n.p.o.Self, n.sources(), watched) }
+
+// Watched names the few of all that one watches.
+func Watched(self string, all []string, most int) []string {
+	type scored struct {
+		name  string
+		score uint64
+	}
+	var others []scored
+	for _, name := range all {
+		if name != self {
+			h := fnv.New64a()
+			h.Write([]byte(self))
+			h.Write([]byte{0})
+			h.Write([]byte(name))
+			others = append(others, scored{name, h.Sum64() * 0xff51afd7ed558ccd})
+		}
+	}
+	slices.SortFunc(others, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
+	})
+	names := make([]string, min(most, len(others)))
+	for i := range names {
+		names[i] = others[i].name
+	}
+	return names
+}
--- /dev/null
+++ b/internal/market/pitch/pitch.go
@@ -0,0 +1,241 @@
+// Package pitch is the data plane's state machine: one proxy beside one host. (The field's term: sidecar.) It takes what
+// clients ask, what the host beside it says, what other processes send and the time, and returns what to send and what to do.
+// Sockets and the clock are the program's.
+//
+// Its files: this one joins the parts; ask.go follows a request from a client here to the proxy beside the picked host;
+// gate.go is that other end, the last before the host; news.go knows who there is and what is in force.
+package pitch
+
+import (
+	"time"
+
+	"beechwing/balancer"
+	"beechwing/internal/market/cart"
+	"beechwing/internal/market/charter"
+	"beechwing/internal/market/purse"
+)
+
+// Options is what a proxy is told at its start.
+type Options struct {
+	Self    string // its address for the others
+	Zone    string
+	Sender  string // the service of the host on this machine
+	Seeds   []string
+	Beat    float64 // seconds between a host's beats
+	Ratio   float64 // of the rule on further tries
+	Slack   float64
+	Version uint64 // of its news to begin with: later starts have higher ones, as a rule
+	Seed    uint64
+	Memory  int // bytes that bodies under way may take
+	Log     func(event string, args ...any)
+	Debug   func(event string, args ...any) // nil: nobody listens
+}
+
+// Do is something for the program to carry out: Exchange or Tell.
+type Do interface{ do() }
+
+// Exchange has a request run by the host beside this proxy. The end of it comes back by Exchanged.
+type Exchange struct {
+	Job   uint64
+	Carry *cart.Carry
+	Until float64 // the host has to have answered by then
+}
+
+// Tell gives a client's request its answer.
+type Tell struct {
+	Order *Order
+	Reply Reply
+}
+
+func (Exchange) do() {}
+func (Tell) do()     {}
+
+// Effects are what a machine wants done, in order.
+type Effects struct {
+	Sends []cart.Send
+	Dos   []Do
+}
+
+// Pitch is one proxy. It is single-threaded; every input carries the time in seconds on a clock that never jumps.
+type Pitch struct {
+	o     Options
+	now   float64
+	rng   uint64
+	table *charter.Table
+	out   Effects
+	local []func() // what actions of the module gave rise to; it may not be called from within one
+	inUse int      // bytes of bodies
+
+	// ask.go
+	shelves map[string]*shelf
+	orders  map[uint64]*Order
+	tries   map[uint64]*try
+	lastID  uint64
+	timers  timers
+	purse   *purse.Purse
+	peers   map[string]*peer
+
+	gate gate
+	news news
+}
+
+// New makes a proxy.
+func New(now float64, o Options) *Pitch {
+	if o.Log == nil {
+		o.Log = func(string, ...any) {}
+	}
+	p := &Pitch{o: o, now: now, rng: o.Seed, shelves: map[string]*shelf{}, orders: map[uint64]*Order{}, tries: map[uint64]*try{},
+		purse: purse.New(o.Ratio, o.Slack), peers: map[string]*peer{}}
+	p.gate.begin(p)
+	p.news.begin(p)
+	return p
+}
+
+// Take gives what is to be done since the last call.
+func (p *Pitch) Take() Effects {
+	p.settle()
+	out := p.out
+	p.out = Effects{}
+	return out
+}
+
+// settle plays what actions gave rise to, in order.
+func (p *Pitch) settle() {
+	for len(p.local) > 0 {
+		f := p.local[0]
+		p.local = p.local[1:]
+		f()
+	}
+}
+
+// random gives the next of the numbers that the seed begins.
+func (p *Pitch) random() uint64 {
+	p.rng += 0x9e3779b97f4a7c15
+	x := p.rng
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// id numbers a parcel.
+func (p *Pitch) id() uint64 {
+	p.lastID++
+	return p.lastID
+}
+
+// send has a parcel go out; what is for this process itself comes back at once.
+func (p *Pitch) send(to string, parcel *cart.Parcel) {
+	if to == p.o.Self {
+		p.local = append(p.local, func() { p.parcel(to, parcel) })
+		return
+	}
+	p.out.Sends = append(p.out.Sends, cart.Send{To: to, Parcel: parcel})
+}
+
+// Parcel takes what another process says.
+func (p *Pitch) Parcel(now float64, from string, parcel *cart.Parcel) {
+	p.now = now
+	if w := p.peers[from]; w != nil {
+		w.heard = now
+	}
+	p.parcel(from, parcel)
+	p.settle()
+}
+
+func (p *Pitch) parcel(from string, parcel *cart.Parcel) {
+	switch {
+	case parcel.Carry != nil:
+		p.gate.carry(from, parcel.Id, parcel.Carry)
+	case parcel.Carried != nil:
+		p.carried(parcel.Id, parcel.Carried)
+	case parcel.Claimed != nil:
+		p.gate.claimed(parcel.Id, parcel.Claimed)
+	case parcel.News != nil:
+		p.news.came(from, parcel.Id, parcel.News)
+	case parcel.Pull != nil:
+		p.news.pulled(from, parcel.Id, parcel.Pull)
+	case parcel.Ping != nil:
+		p.send(from, &cart.Parcel{Id: parcel.Id, Pong: parcel.Ping})
+	}
+}
+
+// Broke takes word that a connection is no more.
+func (p *Pitch) Broke(now float64, b cart.Broke) {
+	p.now = now
+	p.brokeTries(b)
+	p.gate.broke(b)
+	p.news.broke(b.Peer)
+	p.settle()
+}
+
+// Tick does what is due. It is to be called every few hundredths of a second, and at Next.
+func (p *Pitch) Tick(now float64) {
+	p.now = now
+	p.fire()
+	p.watchPeers()
+	p.gate.tick()
+	p.news.tick()
+	p.settle()
+}
+
+// Ready says whether clients may come: a configuration is in force here, and the process is not about to end.
+func (p *Pitch) Ready() bool { return p.table != nil && !p.news.ending && p.news.told }
+
+// Term begins the end: others hear that the host here cannot be reached, clients that they had better go elsewhere. What comes
+// nevertheless is served.
+func (p *Pitch) Term(now float64) {
+	p.now = now
+	p.news.end()
+	p.settle()
+}
+
+// Idle says whether nothing is under way here.
+func (p *Pitch) Idle() bool { return len(p.orders) == 0 && len(p.gate.jobs) == 0 }
+
+// Limits are those of the configuration in force; nil: none is.
+func (p *Pitch) Limits() *charter.Limits {
+	if p.table == nil {
+		return nil
+	}
+	return &p.table.Charter.SizeLimits
+}
+
+// State is what an operator sees of a proxy.
+type State struct {
+	Edition uint64           `json:"edition"`
+	Ready   bool             `json:"ready"`
+	Ending  bool             `json:"ending"`
+	Halls   []string         `json:"halls"`
+	Host    *cart.Record     `json:"host"`
+	Roll    []*cart.Record   `json:"roll"`
+	Silent  []string         `json:"silent"`
+	Orders  int              `json:"orders"`
+	Jobs    int              `json:"jobs"`
+	Queued  int              `json:"queued"`
+	Avoided map[string]int   `json:"avoided"`
+	Counts  map[string]int64 `json:"counts"`
+}
+
+// State tells what is known here.
+func (p *Pitch) State(now float64) State {
+	p.now = now
+	s := State{Ready: p.Ready(), Ending: p.news.ending, Halls: p.news.halls, Host: p.news.own, Orders: len(p.orders),
+		Jobs: len(p.gate.jobs), Queued: len(p.gate.queue), Avoided: map[string]int{}}
+	if p.table != nil {
+		s.Edition = p.table.Edition
+	}
+	for _, source := range p.news.sources() {
+		s.Roll = append(s.Roll, p.news.records[source])
+		if p.news.silent[source] {
+			s.Silent = append(s.Silent, source)
+		}
+	}
+	for name, shelf := range p.shelves {
+		s.Avoided[name] = shelf.bal.Avoided(now)
+	}
+	return s
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+var _ balancer.Actions = (*shelf)(nil)
--- /dev/null
+++ b/internal/market/porter/porter.go
@@ -0,0 +1,316 @@
+// Package porter takes a request to the host beside this proxy and brings its answer back, over connections that it keeps.
+// (The field's term: upstream connection pool.) It tells what is known of the run; it never sends a request twice.
+package porter
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"beechwing/internal/market/cart"
+	"beechwing/internal/market/pitch"
+	"beechwing/internal/market/verdict"
+	"beechwing/internal/wire"
+)
+
+const (
+	idleFor    = 5 * time.Second // a host closes idle connections after a time that it need not tell
+	dialWithin = 500 * time.Millisecond
+	mostHead   = 32 << 10
+	mostBody   = 64 << 20
+	mostIdle   = 64
+	mostStale  = 2 // answers of others ahead of the one waited for
+)
+
+// once are the headers that may stand in a host's answer a single time.
+var once = []string{"Content-Length", "Transfer-Encoding", pitch.HeaderUnrun, pitch.HeaderPostmark, pitch.HeaderID}
+
+// Porter is the way to one host.
+type Porter struct {
+	addr string
+
+	mu     sync.Mutex
+	idle   []*conn // the one used last comes last, and is used first
+	opened int64
+}
+
+type conn struct {
+	net.Conn
+	meter wire.Meter
+	br    *bufio.Reader
+	until time.Time // it is not used after that
+}
+
+// New makes a porter for the host at an address.
+func New(addr string) *Porter { return &Porter{addr: addr} }
+
+// Forget closes what is idle: another life of the host has the address.
+func (p *Porter) Forget() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.Close()
+	}
+}
+
+// Opened is how many connections were made.
+func (p *Porter) Opened() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.opened
+}
+
+func (p *Porter) take() *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for n := len(p.idle); n > 0; n = len(p.idle) {
+		c := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		said, ended := wire.Arrived(c.Conn)
+		if !said && !ended && c.br.Buffered() == 0 && time.Now().Before(c.until) {
+			return c
+		}
+		c.Close() // it has ended, or what it has said belongs to nothing
+	}
+	return nil
+}
+
+func (p *Porter) keep(c *conn, most time.Duration) {
+	c.until = time.Now().Add(min(idleFor, most))
+	c.SetDeadline(time.Time{})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) >= mostIdle {
+		c.Close()
+		return
+	}
+	p.idle = append(p.idle, c)
+	for len(p.idle) > 0 && time.Now().After(p.idle[0].until) { // the oldest go as others come
+		p.idle[0].Close()
+		p.idle = p.idle[1:]
+	}
+}
+
+func (p *Porter) dial() (*conn, error) {
+	nc, err := net.DialTimeout("tcp", p.addr, dialWithin)
+	if err != nil {
+		return nil, verdict.Mark(err, verdict.Turned)
+	}
+	p.mu.Lock()
+	p.opened++
+	p.mu.Unlock()
+	c := &conn{Conn: nc, meter: wire.Meter{R: nc}}
+	c.br = bufio.NewReaderSize(&c.meter, mostHead)
+	return c, nil
+}
+
+// Run has a request run by the host, which has to answer by until.
+func (p *Porter) Run(r *cart.Carry, until time.Time) *cart.Carried {
+	answer, err := p.run(r, until)
+	if err != nil {
+		return &cart.Carried{Verdict: uint32(verdict.Of(err)), Why: short(err)}
+	}
+	return answer
+}
+
+func short(err error) string {
+	const most = 200
+	text := err.Error()
+	return text[:min(len(text), most)]
+}
+
+func (p *Porter) run(r *cart.Carry, until time.Time) (*cart.Carried, error) {
+	c := p.take()
+	if c == nil {
+		var err error
+		if c, err = p.dial(); err != nil {
+			return nil, err
+		}
+	}
+	c.SetDeadline(until)
+	if err := c.write(r); err != nil { // some of it may have gone out
+		c.Close()
+		return nil, verdict.Mark(err, verdict.Broken)
+	}
+	a, err := c.read(r)
+	if err != nil {
+		c.Close()
+		if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(c.meter.Err, os.ErrDeadlineExceeded) {
+			return nil, verdict.Newf(verdict.Late, "the host has not answered")
+		}
+		return nil, verdict.Mark(err, verdict.Broken)
+	}
+	if a.keep > 0 {
+		p.keep(c, a.keep)
+	} else {
+		c.Close()
+	}
+	return a.Carried, nil
+}
+
+// write sends a request in one piece: method, target and headers as they came, framing anew.
+func (c *conn) write(r *cart.Carry) error {
+	var b bytes.Buffer
+	b.Grow(512 + len(r.Body))
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
+	for _, f := range r.Fields {
+		b.WriteString(f.Name)
+		b.WriteString(": ")
+		b.WriteString(f.Value)
+		b.WriteString("\r\n")
+	}
+	fmt.Fprintf(&b, "%s: %d\r\n%s: %s\r\n%s: %s\r\n", pitch.HeaderDeadline, max(1, r.LeftUs/1000), pitch.HeaderAddressee, r.Station,
+		pitch.HeaderSender, r.Sender)
+	if r.Framed {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.Body))
+	}
+	b.WriteString("\r\n")
+	b.Write(r.Body)
+	_, err := c.Write(b.Bytes())
+	return err
+}
+
+type answer struct {
+	*cart.Carried
+	keep time.Duration // for how long the connection may be kept; 0: not at all
+}
+
+// read takes the answer to a request. One that belongs to another request is passed over: hosts send some twice.
+func (c *conn) read(r *cart.Carry) (answer, error) {
+	id := ""
+	for _, f := range r.Fields {
+		if f.Name == pitch.HeaderID {
+			id = f.Value
+		}
+	}
+	for stale := 0; ; {
+		a, res, err := c.readOne(r.Method)
+		switch {
+		case err != nil:
+			return answer{}, err
+		case res.StatusCode < 200:
+			continue
+		}
+		if got := res.Header.Get(pitch.HeaderID); id != "" && got != "" && got != id {
+			if stale++; stale > mostStale {
+				return answer{}, errors.New("answers of other requests")
+			}
+			continue
+		}
+		if err := judge(a, res, id); err != nil {
+			return answer{}, err
+		}
+		if stale > 0 || c.br.Buffered() > 0 { // who sends more than was asked cannot be trusted with a further request
+			a.keep = 0
+		}
+		return a, nil
+	}
+}
+
+// judge says what a whole message is worth.
+func judge(a answer, res *http.Response, id string) error {
+	switch {
+	case res.Header.Get(pitch.HeaderUnrun) != "", res.StatusCode == http.StatusMisdirectedRequest:
+		a.Verdict = uint32(verdict.HostTurned)
+		a.Fields, a.Body = nil, nil
+		a.Why = fmt.Sprintf("the host says %d, not run", a.Status)
+	case res.Header.Get("Content-Encoding") != "":
+		return errors.New("an answer in an encoding that nobody asked for")
+	case res.StatusCode < 300 && res.Header.Get(pitch.HeaderPostmark) == "":
+		return errors.New("a success without its postmark")
+	case id != "" && res.Header.Get(pitch.HeaderID) == "" && res.StatusCode < 300:
+		return errors.New("a success that does not say whose it is")
+	}
+	return nil
+}
+
+func (c *conn) readOne(method string) (a answer, res *http.Response, err error) {
+	c.meter.Allow(mostHead)
+	head, err := wire.PeekHead(c.br, mostHead-1)
+	if err == nil {
+		err = wire.CheckHead(head, once)
+	}
+	if err != nil {
+		return a, nil, err
+	}
+	res, err = http.ReadResponse(c.br, &http.Request{Method: method})
+	if err != nil {
+		return a, nil, err
+	}
+	if res.StatusCode < 200 {
+		return a, res, nil
+	}
+	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
+		return a, nil, errors.New("an answer without a length may be cut short anywhere")
+	}
+	c.meter.Allow(2 * mostBody)
+	var body []byte
+	if res.ContentLength > mostBody {
+		return a, nil, wire.ErrTooLarge
+	}
+	if res.ContentLength > 0 && method != http.MethodHead {
+		body = make([]byte, res.ContentLength)
+		_, err = io.ReadFull(res.Body, body)
+	} else {
+		body, err = io.ReadAll(io.LimitReader(res.Body, mostBody))
+	}
+	if err != nil {
+		return a, nil, errors.Wrap(err, "body")
+	}
+	a.Carried = &cart.Carried{Verdict: uint32(verdict.Answered), Status: uint32(res.StatusCode), Body: body,
+		Fields: Fields(res.Header)}
+	if !res.Close {
+		a.keep = keepFor(res.Header)
+	}
+	return a, res, nil
+}
+
+// keepFor is how long the host says that it keeps a connection, with something taken off for the way.
+func keepFor(h http.Header) time.Duration {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		var s int
+		if n, _ := fmt.Sscanf(strings.TrimSpace(part), "timeout=%d", &s); n == 1 {
+			return time.Duration(s)*time.Second - 500*time.Millisecond
+		}
+	}
+	return idleFor
+}
+
+// hop are the headers that concern one connection only, or are set anew for each.
+var hop = map[string]bool{"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Expect": true, "Content-Length": true, "Host": true, "Proxy-Authenticate": true,
+	"Proxy-Authorization": true, pitch.HeaderDeadline: true, pitch.HeaderAddressee: true, pitch.HeaderSender: true}
+
+// stay are those that go on even where a Connection header names them.
+var stay = map[string]bool{pitch.HeaderID: true, pitch.HeaderKey: true, pitch.HeaderPostmark: true}
+
+// Fields are a message's headers that go on.
+func Fields(h http.Header) []*cart.Field {
+	named := map[string]bool{}
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			named[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	fields := make([]*cart.Field, 0, len(h))
+	for name, values := range h {
+		if hop[name] || named[name] && !stay[name] {
+			continue
+		}
+		for _, v := range values {
+			fields = append(fields, &cart.Field{Name: name, Value: v})
+		}
+	}
+	return fields
+}
