A cut-off hall sends its proxies on; SIGHUP no longer ends the control plane

Change: a hall that heard from no majority for 0.7 s says so, and is left at once; the settings file is followed.

--- a/cmd/guildhall/run.go
+++ b/cmd/guildhall/run.go
@@ -84,6 +84,11 @@
 		defer p.assayMu.Unlock()
 		p.assayer = assay.New()
 	}()
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP)
+	go shop.Settings(ctx, os.Getenv(deed.Variable), again, log, func(d *deed.Deed) {
+		p.with(func(float64) { p.hall.Seeds(d.Seeds()) })
+	})
 	log.Info("listening", "name", d.NodeName, "control", d.Docking.Control, "inner", d.Inner())
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
--- a/internal/market/hall/hall.go
+++ b/internal/market/hall/hall.go
@@ -26,6 +26,7 @@
 	forgetAfter   = 30.0 // and is forgotten then
 	holdFor       = 0.7  // a pull that lacks nothing is answered then at the latest
 	writeFor      = 0.9  // a configuration without a majority: its caller goes elsewhere after a second
+	aloneAfter    = 0.7  // without a word from a majority: what is known here may be old
 	dumpEvery     = 0.3  // what was not answered is asked again
 	forgiveBefore = ledger.GiveUp + 0.4
 	mostParked    = 4096
@@ -62,7 +63,8 @@
 
 	held, sure uint64 // versions of the configuration: on this disk, on a majority
 	text       []byte
-	holds      map[string]uint64 // what the others have on theirs
+	holds      map[string]uint64  // what the others have on theirs
+	met        map[string]float64 // when another was heard last
 	writes     map[uint64]*write
 	lastID     uint64
 
@@ -103,7 +105,7 @@
 // New makes a hall from what its disk held. found says whether there was a store.
 func New(now float64, o Options, values map[string][]byte, found bool) (*Hall, error) {
 	h := &Hall{o: o, began: now, ledger: ledger.New(o.Self, o.Life, o.Window), joined: map[string]bool{}, dumps: map[string]*dump{},
-		holds: map[string]uint64{}, writes: map[uint64]*write{}, records: map[string]*cart.Record{},
+		holds: map[string]uint64{}, met: map[string]float64{}, writes: map[uint64]*write{}, records: map[string]*cart.Record{},
 		heard: map[string]float64{}, direct: map[string]bool{}}
 	if o.Log == nil {
 		h.o.Log = func(string, ...any) {}
@@ -145,6 +147,9 @@
 	return out
 }
 
+// Seeds takes over other seeds: the settings file has changed. Who knows the members asks nobody.
+func (h *Hall) Seeds(seeds []string) { h.o.Seeds = seeds }
+
 // Ready says whether calls can be served here.
 func (h *Hall) Ready() bool { return h.ledger.Voting() }
 
@@ -531,14 +536,25 @@
 		h.heard[p.Own.Source], h.direct[p.Own.Source] = now, true
 		h.learn(now, p.Own, true)
 	}
-	if !h.answerPull(now, from, id, p, !p.Hold) && len(h.parked) < mostParked {
+	if !h.answerPull(now, from, id, p, !p.Hold || h.alone(now)) && len(h.parked) < mostParked {
 		h.parked = append(h.parked, parked{from, id, p, now + holdFor})
 	}
 }
 
+// alone says that this process has heard from no majority lately, as behind a cut: it would not know of what is new.
+func (h *Hall) alone(now float64) bool {
+	n := 1
+	for _, m := range h.members {
+		if m != h.o.Self && h.met[m] > 0 && now < h.met[m]+aloneAfter {
+			n++
+		}
+	}
+	return h.members == nil || n < h.majority()
+}
+
 // answerPull tells a proxy what it lacks. Where that is nothing it is told so only if it must be.
 func (h *Hall) answerPull(now float64, from string, id uint64, p *cart.Pull, must bool) bool {
-	news := &cart.News{Halls: h.members, FromHall: true}
+	news := &cart.News{Halls: h.members, FromHall: true, Alone: h.alone(now)}
 	has := make(map[string]uint64, len(p.Seen))
 	for _, s := range p.Seen {
 		has[s.Source] = s.Version
@@ -568,11 +584,12 @@
 // wake answers the proxies that lack something by now.
 func (h *Hall) wake(now float64) {
 	h.parked = slices.DeleteFunc(h.parked, func(w parked) bool {
-		return h.answerPull(now, w.from, w.id, w.pull, now > w.until)
+		return h.answerPull(now, w.from, w.id, w.pull, now > w.until || h.alone(now))
 	})
 }
 
 func (h *Hall) heardDigest(now float64, from string, d *cart.Digest) {
+	h.met[from] = now
 	h.holdsAt(now, from, d.Held)
 	for _, source := range d.Heard {
 		if h.records[source] != nil {
--- a/internal/market/pitch/news.go
+++ b/internal/market/pitch/news.go
@@ -23,6 +23,7 @@
 	beatsMissed = 3.5 // beats after which a host that said nothing is gone
 	watched     = 3   // other proxies that this one knows and watches
 	watchEvery  = 1.0 // seconds between questions to them, while no control process answers
+	aloneAgain  = 0.05
 	retryAfter  = 0.1 // seconds after a control process that could not be reached
 )
 
@@ -247,7 +248,12 @@
 	if changed {
 		n.list()
 	}
-	if w.FromHall && id == n.pull {
+	switch {
+	case !w.FromHall || id != n.pull:
+	case w.Alone: // behind a cut from the others of its kind: what it knows may be old
+		n.hall++
+		n.pull, n.again = 0, p.now+aloneAgain
+	default:
 		n.ask(true)
 	}
 }
