--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 .PHONY: build test lint check run fleet
-MODULE := balancer/balancer.go
+MODULE := $(addprefix balancer/,balancer.go roll.go pick.go attempt.go health.go load.go tuning.go)
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -10,8 +10,8 @@
 lint:
 	@test -z "$$(gofmt -l .)" || { echo "gofmt wanted:"; gofmt -l .; exit 1; }
 	go vet ./...
-	@n=$$(grep -c '[^[:space:]]' $(MODULE)); test $$n -le 910 || { echo "$(MODULE): $$n lines, 910 allowed"; exit 1; }
-	@expand -t 4 $(MODULE) | awk 'length > 110 { print "$(MODULE):" NR ": longer than 110 columns"; bad = 1 } END { exit bad }'
+	@n=$$(cat $(MODULE) | grep -c '[^[:space:]]'); test $$n -le 910 || { echo "$(MODULE): $$n lines, 910 allowed"; exit 1; }
+	@expand -t 4 $(MODULE) | awk 'length > 110 { print "policy: " $$0 ": longer than 110 columns"; bad = 1 } END { exit bad }'
 
 check: lint test
 
--- a/balancer/api.go
+++ b/balancer/api.go
@@ -1,7 +1,7 @@
 // Package balancer decides, for one client process, where each request goes.
 //
-// This file is the whole interface: settings, events and actions. It decides nothing; every decision is in
-// balancer.go. The package keeps no clock, starts no goroutine and does no I/O: time comes in with each event,
+// This file is the whole interface: settings, events and actions. It decides nothing; the decisions are in
+// balancer.go and the files that it names. The package keeps no clock, starts no goroutine and does no I/O: time comes in with each event,
 // in seconds from any starting point, and randomness comes from Config.Seed. A Balancer is single-threaded.
 package balancer
 
@@ -132,6 +132,7 @@
 	SecondCopies   bool
 	Cancelling     bool
 	Probes         bool
+	Gated          bool // a gate beside each host bounds what it has in hand and turns the rest away: no limits from here
 	PeerMessages   bool
 	MaxCoolDown    float64 // longest wait a client honours after a refusal, seconds; 0: none is passed on
 	ConnectTimeout float64 // seconds
--- a/balancer/known.go
+++ b/balancer/known.go
@@ -37,3 +37,16 @@
 	}
 	return h.admit
 }
+
+func (b *Balancer) tick() float64 { return tickAims * b.longest }
+
+func (b *Balancer) unhold(o *op) {
+	b.held = slices.DeleteFunc(b.held, func(other *op) bool { return other == o })
+}
+
+// drop forgets a request once it is answered and nothing of it is out.
+func (b *Balancer) drop(o *op) {
+	if o.done && o.out == 0 {
+		delete(b.ops, o.ID)
+	}
+}
--- a/cmd/guildhall/main.go
+++ b/cmd/guildhall/main.go
@@ -21,8 +21,11 @@
 // Main runs the command line and gives the exit status: 0 well, 1 failed, 2 not understood.
 func Main() int {
 	root := &ff.Command{Name: "guildhall", Usage: "guildhall SUBCOMMAND", ShortHelp: "control plane of the mesh"}
+	flags := ff.NewFlagSet("run")
+	level := flags.StringLong("log", "info", "least level of the log: debug, info, warn, error")
 	root.Subcommands = []*ff.Command{
-		{Name: "run", Usage: "guildhall run", ShortHelp: "serve, by the settings file that " + deed.Variable + " names", Exec: serve},
+		{Name: "run", Usage: "guildhall run [--log LEVEL]", ShortHelp: "serve, by the settings file that " + deed.Variable + " names",
+			Flags: flags, Exec: func(ctx context.Context, _ []string) error { return serve(ctx, *level) }},
 		{Name: "check", Usage: "guildhall check FILE", ShortHelp: "check a settings file (.toml) or a configuration (.json)", Exec: check},
 		shop.StateCommand("guildhall"),
 	}
@@ -41,12 +44,12 @@
 	return 1
 }
 
-func serve(ctx context.Context, _ []string) error {
+func serve(ctx context.Context, level string) error {
 	d, err := deed.Load(os.Getenv)
 	if err != nil {
 		return err
 	}
-	log, err := shop.Logger(os.Stderr, os.Getenv(shop.LogVariable))
+	log, err := shop.Logger(os.Stderr, level)
 	if err != nil {
 		return err
 	}
--- a/internal/market/pitch/ask.go
+++ b/internal/market/pitch/ask.go
@@ -32,7 +32,13 @@
 	mostLeft      = 600.0
 	comeBack      = 0.05 // seconds: the least time after which to come back
 	comeBackMost  = 0.3
-	crossing      = 0.02 // price of going to another zone, for the module
+	crossing      = 0.03 // price of going to another zone, for the module: half the weight
+	crossingLarge = 0.05 // where answers are large: a sixth
+	meanStep      = 0.02 // weight of one answer in the mean time of its class
+	slowStep      = 0.06 // and in that of its host
+	slowMost      = 4.0  // times the mean: one answer counts for no more
+	slowTold      = 0.1  // the module is told of a change of so much
+	weighEvery    = 0.5  // seconds
 	lateWorth     = 0.3
 	silentAsk     = 0.12 // seconds without a word from a proxy that has something of ours in hand: it is asked
 	silentOver    = 0.3  // and without a word since: what may be sent again is
@@ -101,9 +107,16 @@
 	bal     *balancer.Balancer
 	classes []class
 	hosts   map[balancer.HostID]*place
+	took    []float64 // mean seconds that a request of each class takes at a host
+	far     bool      // large answers come from here: near hosts are preferred more
 }
 
-type place struct{ source, station string }
+// place is a host of a shelf: the proxy beside it, and how long requests take there beside the mean of all.
+type place struct {
+	source, station string
+	slow            float64
+	told            float64 // what the module was told of that
+}
 
 // class is what the module tells requests apart by.
 type class struct {
@@ -263,7 +276,7 @@
 	c := &cart.Carry{Station: at.station, Method: o.Method, Target: o.Target, Host: o.Host, Fields: o.Fields, Body: o.Body,
 		Framed: o.Framed, LeftUs: uint32(min(math.MaxUint32, max(0, o.deadline-p.now)*1e6)), Sender: p.o.Sender, Key: o.Key,
 		Token: o.token, Precedence: uint32(max(0, o.route.Precedence)), Repeatable: o.route.Repeatable(),
-		Attempt: uint32(t.number)}
+		Attempt: uint32(t.number), AimUs: uint32(max(0, min(o.deadline, o.taken+classOf(o.route).aim)-p.now) * 1e6)}
 	parcel := &cart.Parcel{Id: t.id, Carry: c}
 	if t.peer == p.o.Self {
 		p.send(t.peer, parcel)
@@ -349,6 +362,9 @@
 	}
 	o := t.order
 	v := verdict.Verdict(c.Verdict)
+	if v == verdict.Answered && c.Status < 500 {
+		p.shelves[o.service].timed(t.host, classOf(o.route), float64(c.TookUs)/1e6)
+	}
 	if v.Arrived() {
 		o.arrivals++
 	} else if t.spent {
@@ -507,7 +523,7 @@
 // adopt makes shelves of what a configuration says.
 func (p *Pitch) adopt(t *charter.Table) {
 	p.table = t
-	by := map[string][]class{}
+	by, far := map[string][]class{}, map[string]bool{}
 	for i := range t.Charter.Itineraries {
 		r := &t.Charter.Itineraries[i]
 		c := classOf(r)
@@ -516,6 +532,7 @@
 			names = append(names, a.Carrier)
 		}
 		for _, name := range names {
+			far[name] = far[name] || r.RouteKind == charter.Download
 			if name != "" && !slices.Contains(by[name], c) {
 				by[name] = append(by[name], c)
 			}
@@ -531,28 +548,62 @@
 		if s == nil {
 			s = &shelf{p: p, name: name, classes: by[name], hosts: map[balancer.HostID]*place{}}
 			p.shelves[name] = s
+			s.took, s.far = make([]float64, len(s.classes)), far[name]
 			s.bal = balancer.New(p.now, s.config(), s)
 			continue
 		}
-		if slices.Equal(s.classes, by[name]) {
+		if slices.Equal(s.classes, by[name]) && s.far == far[name] {
 			continue
 		}
 		kept := make([]int, len(by[name]))
 		for i, c := range by[name] {
 			kept[i] = slices.Index(s.classes, c)
 		}
-		s.classes = by[name]
+		took := make([]float64, len(kept))
+		for i, from := range kept {
+			if from >= 0 {
+				took[i] = s.took[from]
+			}
+		}
+		s.classes, s.took, s.far = by[name], took, far[name]
 		s.bal.Configure(p.now, s.config(), kept)
 	}
 	p.news.list()
 }
 
+// timed takes how long a host had a request. Hosts of a service have different speeds, and the proxy beside each lets only as
+// many requests in as it works on at once, so this is its speed and not the crowd before it.
+func (s *shelf) timed(id balancer.HostID, c class, took float64) {
+	at, n := s.hosts[id], slices.Index(s.classes, c)
+	if at == nil || n < 0 || took <= 0 {
+		return
+	}
+	if s.took[n] == 0 {
+		s.took[n] = took
+	}
+	s.took[n] += meanStep * (took - s.took[n])
+	at.slow += slowStep * (min(slowMost, took/s.took[n]) - at.slow)
+}
+
+// weigh tells the module of speeds that have changed.
+func (s *shelf) weigh() bool {
+	for _, at := range s.hosts {
+		if r := at.slow / at.told; r > 1+slowTold || r < 1/(1+slowTold) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *shelf) class(c class) int { return max(0, slices.Index(s.classes, c)) }
 
 func (s *shelf) config() balancer.Config {
 	p := s.p
 	cfg := balancer.Config{Seed: p.random(), Zone: p.news.zone(p.o.Zone), Balancers: max(1, len(p.news.records)),
-		Prices: balancer.Prices{CrossZone: crossing}, MaxCoolDown: comeBackMost, ConnectTimeout: 1}
+		Prices: balancer.Prices{CrossZone: crossing}, Weighted: true, Gated: true, MaxCoolDown: comeBackMost, ConnectTimeout: 1}
+	if s.far {
+		cfg.Prices.CrossZone = crossingLarge
+	}
 	for _, c := range s.classes {
 		cfg.Classes = append(cfg.Classes, balancer.Class{Aim: c.aim, Deadline: c.deadline, Worth: 1 / float64(1+max(0, c.precedence)),
 			LateWorth: lateWorth, Effect: c.effect})
--- a/internal/market/pitch/gate.go
+++ b/internal/market/pitch/gate.go
@@ -10,16 +10,17 @@
 )
 
 const (
-	spareBerths   = 1     // beyond a host's own, so that none of them waits for the next request
-	defaultBerths = 4     // of a host that has not said
-	mostJobs      = 4096  // here at once
-	workStep      = 0.05  // weight of one request in the mean time that a host takes
-	firstWork     = 0.03  // seconds, until that is known
-	waitShare     = 0.5   // of the time left that a request may wait here for the host
-	leastWait     = 0.004 // seconds: less is no wait
-	claimAsk      = 0.2   // seconds until the next control process is asked for a claim
-	claimMost     = 0.7   // and until it is given up: nothing has been sent then
-	settleAsk     = 0.5   // seconds until the end of a run is told again
+	spareBerths   = 0    // beyond a host's own, so that none of them waits for the next request
+	defaultBerths = 4    // of a host that has not said
+	mostJobs      = 4096 // here at once
+	workStep      = 0.05 // weight of one request in the mean time that a host takes
+	firstWork     = 0.03 // seconds, until that is known
+	waitShare     = 0.5  // of the time left that a request may wait here for the host
+	patience      = 0.1  // seconds that a request may wait, or that part of its time: a run elsewhere may be lost with it
+	firstWait     = 0.3  // of a mean run, that a first try may wait
+	claimAsk      = 0.2  // seconds until the next control process is asked for a claim
+	claimMost     = 0.7  // and until it is given up: nothing has been sent then
+	settleAsk     = 0.5  // seconds until the end of a run is told again
 	settleTries   = 6
 	mostSettles   = 4096
 	hostSlack     = 0.15 // seconds beyond its deadline in which a host still gives its own answer
@@ -47,7 +48,8 @@
 	carry   *cart.Carry
 	came    float64
 	until   float64
-	claim   uint64 // the parcel in which its key was asked for last
+	aim     float64 // by then its answer is worth most
+	claim   uint64  // the parcel in which its key was asked for last
 	halls   []string
 	asked   float64
 	began   float64 // its claim was first asked for
@@ -80,7 +82,8 @@
 // carry takes a request for the host.
 func (g *gate) carry(from string, parcel uint64, c *cart.Carry) {
 	p := g.p
-	j := &job{id: p.id(), from: from, parcel: parcel, carry: c, came: p.now, until: p.now + float64(c.LeftUs)/1e6}
+	j := &job{id: p.id(), from: from, parcel: parcel, carry: c, came: p.now, until: p.now + float64(c.LeftUs)/1e6,
+		aim: p.now + float64(c.AimUs)/1e6}
 	switch own := p.news.own; {
 	case own.Station == "" || own.Station != c.Station:
 		g.turn(j, "another host is here", 0)
@@ -93,21 +96,35 @@
 		return
 	}
 	if g.running >= g.berths() {
-		if wait := g.wait(j); wait > leastWait && wait > waitShare*(j.until-p.now) {
+		most := max(waitShare*(j.aim-p.now), min(patience, waitShare*(j.until-p.now)))
+		if c.Attempt == 0 { // there may be room elsewhere: one that was turned away once may wait
+			most = min(most, firstWait*g.work)
+		}
+		if wait := g.wait(j); wait > most {
 			g.turn(j, "no berth in time", uint32(wait*1000)+1)
 			return
 		}
 	}
 	p.inUse += len(c.Body)
 	g.jobs[j.id] = j
+	if c.Key != "" { // asked for while it waits: no berth is held for that
+		g.claim(j)
+		return
+	}
+	g.enter(j)
+}
+
+// enter queues a request that may go to the host.
+func (g *gate) enter(j *job) {
 	at, _ := slices.BinarySearchFunc(g.queue, j, order)
 	g.queue = slices.Insert(g.queue, at, j)
 	g.serve()
 }
 
-// order is that of the queue: by rank, then by who has least time.
+// order is that of the queue: by whose answer loses worth first. What a run elsewhere waits for, with its berth there, comes
+// before what only a client waits for, as its aim is short.
 func order(a, b *job) int {
-	return cmp.Or(cmp.Compare(a.carry.Precedence, b.carry.Precedence), cmp.Compare(a.until, b.until), cmp.Compare(a.id, b.id))
+	return cmp.Or(cmp.Compare(a.aim, b.aim), cmp.Compare(a.carry.Precedence, b.carry.Precedence), cmp.Compare(a.id, b.id))
 }
 
 // wait is how long a request would wait for a berth, from what is before it.
@@ -132,11 +149,7 @@
 		default:
 			j.running = true
 			g.running++
-			if j.carry.Key != "" {
-				g.claim(j)
-			} else {
-				g.start(j)
-			}
+			g.start(j)
 		}
 	}
 }
@@ -253,7 +266,7 @@
 			g.end(j, &cart.Carried{Verdict: uint32(verdict.Unclaimed), Why: "the host has gone"})
 			return
 		}
-		g.start(j)
+		g.enter(j)
 	case ledger.Busy:
 		g.end(j, &cart.Carried{Verdict: uint32(verdict.Busy)})
 	case ledger.Done:
--- a/internal/market/pitch/news.go
+++ b/internal/market/pitch/news.go
@@ -47,6 +47,7 @@
 	heardAt float64 // of a control process
 	told    bool    // one has answered in this life
 	watchAt float64
+	weighAt float64
 	zones   []string
 }
 
@@ -150,7 +151,11 @@
 func (n *news) list() {
 	p := n.p
 	by := map[string][]balancer.Host{}
+	was := map[string]*place{}
 	for _, s := range p.shelves {
+		for _, at := range s.hosts {
+			was[s.name+" "+at.source] = at
+		}
 		clear(s.hosts)
 	}
 	for _, source := range n.sources() {
@@ -163,7 +168,12 @@
 		if r.Condition == Unloading || r.Leaving {
 			h.Status = balancer.Draining
 		}
-		s.hosts[h.ID] = &place{source, r.Station}
+		at := was[r.Carrier+" "+source] // a new life on the same machine is taken for as fast as the last
+		if at == nil || s.hosts[h.ID] != nil {
+			at = &place{slow: 1}
+		}
+		at.source, at.station, at.told = source, r.Station, at.slow
+		s.hosts[h.ID], h.Weight = at, 1/at.slow
 		by[r.Carrier] = append(by[r.Carrier], h)
 	}
 	for name, s := range p.shelves {
@@ -311,6 +321,15 @@
 		n.hall++
 		n.ask(false)
 	}
+	if p.now >= n.weighAt {
+		n.weighAt = p.now + weighEvery
+		for _, s := range p.shelves {
+			if s.weigh() {
+				n.list()
+				break
+			}
+		}
+	}
 	if n.own.Condition == AtDock && p.o.Beat > 0 && p.now > n.beatAt+beatsMissed*p.o.Beat {
 		n.change(func(r *cart.Record) { r.Condition = Gone })
 	}
--- a/internal/market/shop/shop.go
+++ b/internal/market/shop/shop.go
@@ -29,9 +29,6 @@
 	return c.start.Add(time.Duration((t - 1) * float64(time.Second)))
 }
 
-// LogVariable names the environment variable that holds the least level of the log.
-const LogVariable = "BEECHWING_LOG"
-
 // Logger writes one line of key=value pairs for each event.
 func Logger(w io.Writer, level string) (*slog.Logger, error) {
 	least := slog.LevelInfo
