--- /dev/null
+++ b/internal/market/fairground/checker.go
@@ -0,0 +1,138 @@
+package fairground
+
+import (
+	"fmt"
+	"strings"
+
+	"beechwing/internal/market/cart"
+	"beechwing/internal/market/pitch"
+)
+
+// Checker knows the operators' rules by their names, and judges by what hosts, clients and operators saw.
+type Checker struct {
+	w        *World
+	Broken   []string
+	runs     map[string][]run // by key
+	byID     map[string][]run
+	requests map[string]request
+	promised map[string]bool // ids that were answered by a promise
+	stamps   map[string]run
+	versions map[uint64]bool // ever sent
+	Newest   uint64          // acknowledged
+	ackedAt  map[uint64]float64
+	seen     map[string]uint64 // by a life of a proxy
+	Served   int
+	Asked    int
+	Statuses map[int]int
+}
+
+type run struct {
+	id, key, stamp string
+	at             float64
+}
+
+type request struct {
+	path, key string
+	at        float64
+}
+
+func newChecker(w *World) *Checker {
+	return &Checker{w: w, runs: map[string][]run{}, byID: map[string][]run{}, requests: map[string]request{},
+		promised: map[string]bool{}, stamps: map[string]run{}, versions: map[uint64]bool{}, ackedAt: map[uint64]float64{},
+		seen: map[string]uint64{}, Statuses: map[int]int{}}
+}
+
+func (c *Checker) fail(rule, format string, args ...any) {
+	c.Broken = append(c.Broken, fmt.Sprintf("%s at %.3f: ", rule, c.w.Now)+fmt.Sprintf(format, args...))
+}
+
+func (c *Checker) asked(s *Stall, id, path, key string) {
+	c.Asked++
+	c.requests[id] = request{path, key, c.w.Now}
+}
+
+// ran is a host that begins a request.
+func (c *Checker) ran(s *Stall, st *station, id string, carry *cart.Carry) string {
+	q, known := c.requests[id]
+	if !known {
+		c.fail("UNASKED", "%s runs %s, which nobody asked", st.id, id)
+	}
+	tracked := strings.HasPrefix(q.path, "/pay/")
+	if want := map[bool]string{true: "till", false: "shop"}[tracked]; s.host.Carrier != want {
+		c.fail("ROUTE", "%s of %s runs %s", st.id, s.host.Carrier, q.path)
+	}
+	if st.acked > 0 && c.w.Now > st.acked+2 {
+		c.fail("DRAIN", "%s runs %s %.1f s after its word was acknowledged", st.id, id, c.w.Now-st.acked)
+	}
+	if c.promised[id] && tracked {
+		c.fail("REFUSED", "%s runs after it was promised not to", id)
+	}
+	r := run{id, q.key, fmt.Sprintf("%s.%d", st.id, len(c.stamps)), c.w.Now}
+	if tracked {
+		if before := c.runs[q.key]; len(before) > 0 && c.w.Now < before[0].at+window {
+			c.fail("TWICE", "key %s ran as %s at %.3f and as %s", q.key, before[0].id, before[0].at, id)
+		}
+		c.runs[q.key] = append(c.runs[q.key], r)
+	}
+	c.byID[id] = append(c.byID[id], r)
+	c.stamps[r.stamp] = r
+	return r.stamp
+}
+
+// answered is a client that gets an answer.
+func (c *Checker) answered(id string, r pitch.Reply) {
+	c.Statuses[r.Status]++
+	q := c.requests[id]
+	tracked := strings.HasPrefix(q.path, "/pay/")
+	switch {
+	case r.Status < 300:
+		c.Served++
+		stamp := field(r.Fields, pitch.HeaderPostmark)
+		ran, known := c.stamps[stamp]
+		if !known || string(r.Body) != "body of "+stamp || ran.id != id && (q.key == "" || ran.key != q.key) {
+			c.fail("MIXED", "%s is answered by %q", id, stamp)
+		}
+		if tracked && ran.stamp != c.runs[q.key][0].stamp {
+			c.fail("MIXED", "key %s is answered by another run than its first", q.key)
+		}
+	case r.Status == 503 || r.Status == 429 || r.Status == 408 || r.Status == 421:
+		c.promised[id] = true
+		if tracked && len(c.byID[id]) > 0 {
+			c.fail("REFUSED", "%s is promised not to have run, and has", id)
+		}
+	}
+}
+
+func (c *Checker) sent(version uint64) { c.versions[version] = true }
+
+func (c *Checker) acked(version uint64) {
+	if c.ackedAt[version] == 0 {
+		c.ackedAt[version] = c.w.Now
+	}
+	c.Newest = max(c.Newest, version)
+}
+
+// edition looks which configuration a proxy acts by: it never goes back within a life, and only to what was sent.
+func (c *Checker) edition(s *Stall) {
+	name := fmt.Sprintf("%s/%d", s.addr, s.lives)
+	now := s.pitch.Edition()
+	if was := c.seen[name]; now < was {
+		c.fail("CONFIG", "%s went back from %d to %d", name, was, now)
+	}
+	if now > 0 && !c.versions[now] {
+		c.fail("CONFIG", "%s acts by %d, which nobody sent", name, now)
+	}
+	c.seen[name] = now
+}
+
+// InForce checks that proxies act by the newest acknowledged configuration.
+func (c *Checker) InForce(stalls ...*Stall) {
+	for _, s := range stalls {
+		if s.up && s.pitch.Edition() < c.Newest {
+			c.fail("CONFIG", "%s acts by %d, %d was acknowledged", s.addr, s.pitch.Edition(), c.Newest)
+		}
+	}
+}
+
+// Runs is how often a key ran.
+func (c *Checker) Runs(key string) int { return len(c.runs[key]) }
--- /dev/null
+++ b/internal/market/fairground/fairground_test.go
@@ -0,0 +1,268 @@
+package fairground
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+)
+
+// market is a small cluster: two services in two zones, with a configuration in force.
+func market(t *testing.T, seed uint64, halls int) *World {
+	t.Helper()
+	w := New(seed, halls, Host{"shop", "a"}, Host{"shop", "b"}, Host{"shop", "a"}, Host{"till", "a"}, Host{"till", "b"},
+		Host{"till", "b"})
+	w.Configure(int(seed), 1, nil)
+	w.Run(4)
+	w.Checker.InForce(w.Stalls...)
+	if w.Checker.Newest != 1 {
+		t.Fatalf("seed %d: no configuration after 4 s", seed)
+	}
+	return w
+}
+
+// traffic has clients ask all the time: reads, and operations of which some are sent again from another proxy.
+func traffic(w *World, seconds float64) {
+	const every = 0.01
+	for i := range int(seconds / every) {
+		w.After(float64(i)*every, func() {
+			s := w.Stalls[w.Rand.IntN(len(w.Stalls))]
+			if w.Rand.IntN(2) == 0 {
+				w.Ask(s, "/read/x", "", 3)
+				return
+			}
+			key := fmt.Sprintf("k%d-%d", w.Rand.IntN(1<<30), i)
+			w.Ask(s, "/pay/x", key, 3)
+			if w.Rand.IntN(3) == 0 {
+				other := w.Stalls[w.Rand.IntN(len(w.Stalls))]
+				w.After(0.3*w.Rand.Float64()*w.Rand.Float64(), func() { w.Ask(other, "/pay/x", key, 3) })
+			}
+		})
+	}
+}
+
+func verdictOn(t *testing.T, w *World, name string, served float64) {
+	t.Helper()
+	for i, b := range w.Checker.Broken {
+		if i < 5 {
+			t.Errorf("%s: %s", name, b)
+		}
+	}
+	// A key that is at work has its answer: the client comes again.
+	if got := float64(w.Checker.Served+w.Checker.Statuses[409]) / float64(max(1, w.Checker.Asked)); got < served {
+		t.Errorf("%s: %.3f of %d requests served, want %.3f; answers %v", name, got, w.Checker.Asked, served, w.Checker.Statuses)
+	}
+}
+
+func TestCalmDay(t *testing.T) {
+	for _, halls := range []int{3, 4, 5} {
+		w := market(t, 1, halls)
+		traffic(w, 3)
+		w.Run(7)
+		verdictOn(t, w, fmt.Sprintf("%d halls", halls), 0.97)
+	}
+}
+
+// The newest configuration is read back whatever happens to the machines just as it is acknowledged: all lose power, all are
+// killed, or one loses its disk while the others are dark.
+func TestAcknowledgedConfigurationSurvives(t *testing.T) {
+	for seed := range uint64(60) {
+		w := market(t, seed, 3+int(seed%3))
+		way := []string{"power", "kill", "wipe"}[seed/3%3]
+		struck := false
+		w.Configure(int(seed), 9, func() {
+			struck = true
+			for _, h := range w.Halls {
+				if way == "kill" {
+					h.Kill()
+				} else {
+					h.PowerOff()
+				}
+			}
+			for _, s := range w.Stalls {
+				s.PowerOff()
+			}
+			if way == "wipe" {
+				w.Halls[w.Rand.IntN(len(w.Halls))].Wipe()
+			}
+		})
+		w.Run(1)
+		if !struck {
+			t.Fatalf("seed %d: not acknowledged within a second", seed)
+		}
+		for _, h := range w.Halls {
+			w.After(0.3*w.Rand.Float64(), h.Start)
+		}
+		for _, s := range w.Stalls {
+			w.After(0.3*w.Rand.Float64(), func() { s.Start(); s.StartHost() })
+		}
+		w.Run(5)
+		var read uint64
+		w.ReadBack(int(seed), func(v uint64) { read = v })
+		w.Run(3)
+		w.Checker.InForce(w.Stalls...)
+		if read != 9 {
+			t.Errorf("seed %d, %s: read back %d, acknowledged 9", seed, way, read)
+		}
+		verdictOn(t, w, fmt.Sprintf("seed %d, %s", seed, way), 0)
+	}
+}
+
+// A control process whose disk came back empty takes no part until it has read back what the others hold, and then does.
+func TestWipedDiskDoesNotVote(t *testing.T) {
+	for seed := range uint64(10) {
+		w := market(t, seed, 3)
+		traffic(w, 4)
+		w.Run(1)
+		h := w.Halls[seed%3]
+		h.PowerOff()
+		h.Wipe()
+		w.Run(0.5)
+		h.Start()
+		other := w.Halls[(seed+1)%3]
+		other.PowerOff() // and one of those that it would ask is dark
+		w.Run(2.5)
+		if h.Voting() {
+			t.Errorf("seed %d: it votes though it cannot know what it promised", seed)
+		}
+		other.Start()
+		w.Run(2)
+		if !h.Voting() {
+			t.Errorf("seed %d: it does not vote though all are there again", seed)
+		}
+		verdictOn(t, w, fmt.Sprintf("seed %d", seed), 0.3)
+	}
+}
+
+// A host that says it leaves gets nothing later than the rule allows, and nobody loses a request by it.
+func TestDrainUnderTraffic(t *testing.T) {
+	for seed := range uint64(10) {
+		w := market(t, seed, 3)
+		traffic(w, 6)
+		for i, at := range []int{0, 3} {
+			w.After(1+float64(i), w.Stalls[at].Drain)
+			w.After(3.5+float64(i), w.Stalls[at].StartHost)
+		}
+		w.Run(10)
+		verdictOn(t, w, fmt.Sprintf("seed %d", seed), 0.95)
+	}
+}
+
+// A proxy cut off from the control plane learns of what is new from those that it watches.
+func TestCutOffProxyHearsFromNeighbours(t *testing.T) {
+	w := market(t, 3, 3)
+	cut := w.Stalls[2]
+	for _, h := range w.Halls {
+		w.CutOff(cut.addr, h.addr)
+	}
+	w.Configure(1, 5, nil)
+	w.Run(5)
+	w.Checker.InForce(cut)
+	verdictOn(t, w, "cut off", 0)
+}
+
+// Days of troubles by lot: processes killed, power lost, disks lost within what is to be borne, machines and control processes
+// cut off, both ways or one, hosts that drain, crash and lose answers, configurations from two operators. No rule may break, and
+// afterwards all is served again.
+func TestDaysOfTroubles(t *testing.T) {
+	days := 30
+	if n, err := strconv.Atoi(os.Getenv("FAIRGROUND_DAYS")); err == nil { // more, by hand
+		days = n
+	}
+	for seed := range uint64(days) {
+		w := market(t, seed, 3+int(seed%3))
+		traffic(w, 14)
+		version := uint64(1)
+		lost := 0.0 // until then a control process is counted as lost: only one is at a time
+		for at := 0.5; at < 9; at += 0.3 + 0.7*w.Rand.Float64() {
+			w.After(at, func() { trouble(w, &version, &lost) })
+		}
+		w.Run(12)
+		w.JoinAll()
+		for _, s := range w.Stalls {
+			if s.station != nil {
+				s.LoseAnswers(0)
+			}
+		}
+		w.Run(4)
+		w.Checker.InForce(w.Stalls...)
+		served := w.Checker.Served
+		for i := range 40 {
+			w.After(float64(i)*0.02, func() { w.Ask(w.Stalls[i%len(w.Stalls)], "/pay/x", fmt.Sprintf("after%d", i), 3) })
+		}
+		w.Run(4)
+		if got := w.Checker.Served - served; got < 36 {
+			t.Errorf("seed %d: %d of 40 operations served once all is over; answers %v", seed, got, w.Checker.Statuses)
+		}
+		var read uint64
+		w.ReadBack(0, func(v uint64) { read = v })
+		w.Run(2)
+		if read < w.Checker.Newest {
+			t.Errorf("seed %d: read back %d, acknowledged %d", seed, read, w.Checker.Newest)
+		}
+		verdictOn(t, w, fmt.Sprintf("seed %d", seed), 0.3)
+	}
+}
+
+func trouble(w *World, version *uint64, lost *float64) {
+	h := w.Halls[w.Rand.IntN(len(w.Halls))]
+	s := w.Stalls[w.Rand.IntN(len(w.Stalls))]
+	down := 0.2 + 1.5*w.Rand.Float64()
+	free := w.Now > *lost
+	switch k := w.Rand.IntN(11); {
+	case k < 4 && !free, k >= 7 && k < 9 && !s.up:
+	case k == 0:
+		*lost = w.Now + down + 4
+		h.PowerOff()
+		if w.Rand.IntN(2) == 0 {
+			h.Wipe()
+		}
+		w.After(down, h.Start)
+	case k == 1:
+		*lost = w.Now + down + 4
+		h.Kill()
+		w.After(down, h.Start)
+	case k == 2: // all at once, and their disks are kept
+		*lost = w.Now + 5
+		for _, h := range w.Halls {
+			h.Kill()
+			w.After(0.9*w.Rand.Float64(), h.Start)
+		}
+	case k == 3:
+		*lost = w.Now + down + 4
+		for _, o := range w.Halls {
+			if o != h {
+				w.Cut(h.addr, o.addr)
+				if w.Rand.IntN(2) == 0 {
+					w.Cut(o.addr, h.addr)
+				}
+			}
+		}
+		w.After(down, w.JoinAll)
+	case k == 4:
+		s.Kill()
+		w.After(down, s.Start)
+	case k == 5 && s.up:
+		s.PowerOff()
+		w.After(down, func() { s.Start(); s.StartHost() })
+	case k == 6:
+		for _, o := range w.Halls {
+			w.CutOff(s.addr, o.addr)
+		}
+		w.After(down, w.JoinAll)
+	case k == 7 && s.station != nil:
+		s.Drain()
+		w.After(3+down, s.StartHost)
+	case k == 8 && s.station != nil:
+		s.CrashHost()
+		w.After(down, s.StartHost)
+	case k == 9 && s.station != nil:
+		s.LoseAnswers(0.2)
+	default:
+		*version += 1 + uint64(w.Rand.IntN(3))
+		w.Configure(w.Rand.IntN(9), *version, nil)
+		if w.Rand.IntN(2) == 0 {
+			w.Configure(w.Rand.IntN(9), *version-1, nil)
+		}
+	}
+}
--- /dev/null
+++ b/internal/market/fairground/people.go
@@ -0,0 +1,231 @@
+package fairground
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"beechwing/internal/market/cart"
+	"beechwing/internal/market/charter"
+	"beechwing/internal/market/pitch"
+	"beechwing/internal/market/verdict"
+)
+
+const beat = 1.5
+
+// station is one life of a host.
+type station struct {
+	id      string
+	seq     uint64
+	leaving bool
+	acked   float64 // when its word that it leaves was acknowledged
+	dead    bool
+	Grey    float64 // share of runs whose answer is lost
+}
+
+// StartHost starts a new life of the host beside a proxy.
+func (s *Stall) StartHost() {
+	s.stations++
+	st := &station{id: fmt.Sprintf("i-%s-%d", s.addr, s.stations)}
+	s.station = st
+	var beats func()
+	beats = func() {
+		if s.station != st || st.dead {
+			return
+		}
+		s.beat(st)
+		s.w.After(beat, beats)
+	}
+	s.w.After(0.05+0.1*s.w.Rand.Float64(), beats)
+}
+
+func (s *Stall) beat(st *station) {
+	st.seq++
+	if !s.up {
+		return
+	}
+	word := pitch.Station{ID: st.id, Carrier: s.host.Carrier, Zone: s.host.Zone, Berths: 4, Unloading: st.leaving, Sequence: st.seq}
+	s.input(func() { s.pitch.Beat(s.w.Now, word) })
+	if st.leaving && st.acked == 0 {
+		st.acked = s.w.Now
+	}
+}
+
+// Drain has the host say that it leaves, and end some seconds later.
+func (s *Stall) Drain() {
+	st := s.station
+	st.leaving = true
+	s.beat(st)
+	s.w.After(3, func() {
+		st.dead = true
+		s.input(func() { s.pitch.Leave(s.w.Now, st.id) })
+	})
+}
+
+// CrashHost ends the host without a word. Its proxy lives on.
+func (s *Stall) CrashHost() { s.station.dead = true }
+
+// LoseAnswers has the host lose a share of its answers after it ran.
+func (s *Stall) LoseAnswers(share float64) { s.station.Grey = share }
+
+// exchange is the host running a request.
+func (s *Stall) exchange(do pitch.Exchange) {
+	st, life := s.station, s.lives
+	c := proto.Clone(do.Carry).(*cart.Carry)
+	back := func(after float64, answer *cart.Carried) {
+		s.w.After(after, func() {
+			if s.up && s.lives == life {
+				s.input(func() { s.pitch.Exchanged(s.w.Now, do.Job, answer) })
+			}
+		})
+	}
+	if st == nil || st.dead {
+		back(0.0005, &cart.Carried{Verdict: uint32(verdict.Turned), Why: "refused"})
+		return
+	}
+	if st.id != c.Station { // another host has the address: it says so and does not run it
+		back(0.0005, &cart.Carried{Verdict: uint32(verdict.HostTurned), Why: "421"})
+		return
+	}
+	id := field(c.Fields, pitch.HeaderID)
+	stamp := s.w.Checker.ran(s, st, id, c)
+	work := 0.02 + 0.04*s.w.Rand.Float64()
+	if s.w.Rand.Float64() < st.Grey {
+		back(work, &cart.Carried{Verdict: uint32(verdict.Broken), Why: "reset"})
+		return
+	}
+	back(work, &cart.Carried{Verdict: uint32(verdict.Answered), Status: 200, Body: []byte("body of " + stamp),
+		Fields: []*cart.Field{{Name: pitch.HeaderPostmark, Value: stamp}}})
+}
+
+func field(fields []*cart.Field, name string) string {
+	for _, f := range fields {
+		if f.Name == name {
+			return f.Value
+		}
+	}
+	return ""
+}
+
+// Ask has a client send a request to a proxy, and again where it may: up to so many tries in all, with the same key.
+func (w *World) Ask(s *Stall, path, key string, tries int) {
+	if !s.up {
+		return
+	}
+	w.seq++
+	id := fmt.Sprintf("q%d", w.seq)
+	w.Checker.asked(s, id, path, key)
+	again := func(after float64) {
+		if tries > 1 {
+			w.After(after, func() { w.Ask(s, path, key, tries-1) })
+		}
+	}
+	life, answered := s.lives, false
+	o := &pitch.Order{Method: "POST", Target: path, Host: "shop.example", ID: id, Key: key, Left: 1.5,
+		Fields: []*cart.Field{{Name: pitch.HeaderID, Value: id}, {Name: pitch.HeaderKey, Value: key}}}
+	o.Slot = func(r pitch.Reply) {
+		answered = true
+		w.Checker.answered(id, r)
+		if r.Status >= 300 && r.Status != 404 {
+			again(max(0.02, r.Back))
+		}
+	}
+	w.After(2, func() {
+		if !answered && s.up && s.lives == life {
+			w.Checker.fail("LOST", "%s got no answer from %s though it ran on", id, s.addr)
+		}
+		if !answered {
+			again(0.1)
+		}
+	})
+	s.input(func() { s.pitch.Ask(w.Now, o) })
+}
+
+// Config makes a configuration: a safe and a tracked route that stay, and one route by its version.
+func Config(version uint64) []byte {
+	c := charter.Charter{Edition: fmt.Sprintf("r%d", version),
+		Itineraries: []charter.Route{
+			{Name: "read", Depot: "shop.example", LanePrefix: "/read/", RouteKind: charter.Safe, TimeoutMs: 1200, TargetMs: 200,
+				Carrier: "shop", Tries: 2},
+			{Name: "pay", Depot: "shop.example", LanePrefix: "/pay/", RouteKind: charter.Tracked, TimeoutMs: 1000, TargetMs: 200,
+				Carrier: "till", Tries: 2},
+			{Name: "new", Depot: "shop.example", LanePrefix: fmt.Sprintf("/new%d/", version), RouteKind: charter.Safe, TimeoutMs: 1000,
+				TargetMs: 200, Carrier: "shop", Tries: 2}},
+		Carriers: []charter.Service{{Name: "shop"}, {Name: "till"}}}
+	text, err := json.Marshal(c)
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
+
+// Configure has an operator send a configuration to a control process until it is acknowledged, going to another one after
+// each failure. acked is called then.
+func (w *World) Configure(h int, version uint64, acked func()) {
+	p := w.Halls[h%len(w.Halls)]
+	done, life := false, p.lives
+	next := func() {
+		if !done {
+			done = true
+			w.After(0.1, func() { w.Configure(h+1, version, acked) })
+		}
+	}
+	w.Checker.sent(version)
+	if !p.up {
+		next()
+		return
+	}
+	w.After(1, next)
+	p.input(func() {
+		p.hall.Put(w.Now, version, Config(version), func(ok bool) {
+			if done || !p.up || p.lives != life {
+				return
+			}
+			if !ok {
+				next()
+				return
+			}
+			done = true
+			w.Checker.acked(version)
+			if acked != nil {
+				acked()
+			}
+		})
+	})
+}
+
+// ReadBack has the operator ask a control process for the configuration, and others until one answers.
+func (w *World) ReadBack(h int, got func(version uint64)) {
+	p := w.Halls[h%len(w.Halls)]
+	done := false
+	next := func() {
+		if !done {
+			done = true
+			w.After(0.1, func() { w.ReadBack(h+1, got) })
+		}
+	}
+	if !p.up {
+		next()
+		return
+	}
+	w.After(1, next)
+	p.input(func() {
+		p.hall.Get(w.Now, func(text []byte, ok bool) {
+			if done {
+				return
+			}
+			if !ok {
+				next()
+				return
+			}
+			done = true
+			t, err := charter.Compile(text)
+			if err != nil {
+				got(0)
+				return
+			}
+			got(t.Edition)
+		})
+	})
+}
--- /dev/null
+++ b/internal/market/fairground/world.go
@@ -0,0 +1,426 @@
+// Package fairground is whole clusters in one process: clock, network and disks are simulated, the state machines are the ones
+// that the programs run. (The field's term: deterministic simulation.) A seed replays.
+//
+// This file has the world: time, links, processes and disks. people.go has the hosts, clients and operators as stand-ins;
+// checker.go judges by what those saw, and by nothing else.
+package fairground
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"beechwing/internal/market/cart"
+	"beechwing/internal/market/hall"
+	"beechwing/internal/market/pitch"
+	"beechwing/internal/market/vault"
+)
+
+const (
+	tickEvery   = 0.02
+	syncTakes   = 0.001
+	silentTakes = 1.5 // seconds until a connection to a silent machine is given up
+	window      = 60.0
+)
+
+// World is one cluster.
+type World struct {
+	Now     float64
+	Delay   float64 // one way, between machines
+	Rand    *rand.Rand
+	Checker *Checker
+	Halls   []*Hall
+	Stalls  []*Stall
+
+	events events
+	seq    uint64
+	links  map[[2]string]*link
+	cuts   map[[2]string]bool
+	byAddr map[string]machine
+	first  bool
+}
+
+// machine is one with a process on it.
+type machine interface {
+	address() string
+	alive() bool // its process runs
+	dark() bool  // it has no power
+	life() int
+	heard(from string, p *cart.Parcel)
+	broke(b cart.Broke)
+}
+
+type link struct {
+	number uint64
+	life   int // of the process at the other end
+	last   float64
+	dead   bool
+}
+
+type event struct {
+	at  float64
+	seq uint64
+	do  func()
+}
+
+type events []event
+
+func (h events) Len() int { return len(h) }
+func (h events) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *events) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	(*h)[last] = event{}
+	*h = (*h)[:last]
+	return e
+}
+
+// Host says which service a proxy's host belongs to.
+type Host struct{ Carrier, Zone string }
+
+// New makes a cluster of so many control processes, and a proxy for each host.
+func New(seed uint64, halls int, hosts ...Host) *World {
+	w := &World{Now: 1, Delay: 0.001, Rand: rand.New(rand.NewPCG(seed, 7)), links: map[[2]string]*link{},
+		cuts: map[[2]string]bool{}, byAddr: map[string]machine{}, first: true}
+	w.Checker = newChecker(w)
+	var seeds []string
+	for i := range halls {
+		seeds = append(seeds, fmt.Sprintf("10.0.0.%d:7000", i+1))
+	}
+	for _, addr := range seeds {
+		h := &Hall{w: w, addr: addr, seeds: seeds[:min(3, halls)], disk: &disk{held: map[string][]byte{}}}
+		w.Halls = append(w.Halls, h)
+		w.byAddr[addr] = h
+		h.Start()
+	}
+	for i, host := range hosts {
+		s := &Stall{w: w, addr: fmt.Sprintf("10.0.1.%d:7000", i+1), host: host, seeds: seeds[:min(3, halls)]}
+		w.Stalls = append(w.Stalls, s)
+		w.byAddr[s.addr] = s
+		s.Start()
+		s.StartHost()
+	}
+	return w
+}
+
+// After does something so many seconds from now.
+func (w *World) After(s float64, do func()) {
+	w.seq++
+	heap.Push(&w.events, event{w.Now + s, w.seq, do})
+}
+
+// Run plays the world for so many seconds.
+func (w *World) Run(s float64) {
+	until := w.Now + s
+	for len(w.events) > 0 && w.events[0].at <= until {
+		e := heap.Pop(&w.events).(event)
+		w.Now = e.at
+		e.do()
+	}
+	w.Now = until
+}
+
+// Cut lets nothing pass from one machine to another; Join ends that.
+func (w *World) Cut(from, to string)  { w.cuts[[2]string{from, to}] = true }
+func (w *World) Join(from, to string) { delete(w.cuts, [2]string{from, to}) }
+
+// CutOff cuts a machine off from some others, both ways.
+func (w *World) CutOff(one string, others ...string) {
+	for _, o := range others {
+		if o != one {
+			w.Cut(one, o)
+			w.Cut(o, one)
+		}
+	}
+}
+
+// JoinAll ends all cuts.
+func (w *World) JoinAll() { clear(w.cuts) }
+
+// send carries a parcel, in order on its link. A link to a process that has ended is reset; one to a silent machine is given up
+// after a while, and what was sent by it may have arrived.
+func (w *World) send(from, to string, p *cart.Parcel) uint64 {
+	key := [2]string{from, to}
+	sender, target := w.byAddr[from], w.byAddr[to]
+	if target == nil {
+		return 0
+	}
+	l := w.links[key]
+	if l == nil || l.dead {
+		w.seq++
+		l = &link{number: w.seq, life: target.life()}
+		w.links[key] = l
+	}
+	number, born := l.number, sender.life()
+	parcel := proto.Clone(p).(*cart.Parcel)
+	fail := func(after float64, unsent bool) {
+		w.After(after, func() {
+			if l.dead || !sender.alive() || sender.life() != born {
+				return
+			}
+			l.dead = true
+			b := cart.Broke{Peer: to, Link: number}
+			if unsent {
+				b.Unsent = []uint64{parcel.Id}
+			}
+			sender.broke(b)
+		})
+	}
+	arrive := max(l.last, w.Now+w.Delay*(0.8+0.4*w.Rand.Float64()))
+	l.last = arrive
+	w.After(arrive-w.Now, func() {
+		switch {
+		case l.dead, w.cuts[key] || w.cuts[[2]string{to, from}] || target.dark():
+			fail(silentTakes, false)
+		case !target.alive() || target.life() != l.life:
+			fail(w.Delay, l.life != target.life() || !target.alive())
+		default:
+			target.heard(from, parcel)
+		}
+	})
+	return number
+}
+
+// ---- disks
+
+// disk keeps batches. One is on its way at a time; what has not been synced is lost with power, all of it or some.
+type disk struct {
+	held    map[string][]byte
+	writing []vault.Put
+}
+
+func (d *disk) apply(puts []vault.Put) {
+	for _, p := range puts {
+		if len(p.Value) == 0 {
+			delete(d.held, p.Name)
+		} else {
+			d.held[p.Name] = slices.Clone(p.Value)
+		}
+	}
+}
+
+// ---- control processes
+
+// Hall is a control process.
+type Hall struct {
+	w      *World
+	addr   string
+	seeds  []string
+	disk   *disk
+	hall   *hall.Hall
+	lives  int
+	up     bool
+	unlit  bool
+	puts   []vault.Put
+	after  []cart.Send
+	busy   bool
+	Synced func() // called as a batch is on the disk, before anything is said of it
+}
+
+func (h *Hall) address() string { return h.addr }
+func (h *Hall) alive() bool     { return h.up }
+func (h *Hall) dark() bool      { return h.unlit }
+func (h *Hall) life() int       { return h.lives }
+
+// Start starts the process on what its disk holds.
+func (h *Hall) Start() {
+	h.lives++
+	h.up, h.unlit, h.busy, h.puts, h.after = true, false, false, nil, nil
+	values := map[string][]byte{}
+	for name, v := range h.disk.held {
+		values[name] = slices.Clone(v)
+	}
+	var err error
+	h.hall, err = hall.New(h.w.Now, hall.Options{Self: h.addr, Seeds: h.seeds, First: h.w.first && len(values) == 0, Window: window,
+		Life: h.w.Rand.Uint32() | 1}, values, len(values) > 0)
+	if err != nil {
+		panic(err)
+	}
+	life := h.lives
+	var tick func()
+	tick = func() {
+		if h.up && h.lives == life {
+			h.input(func() { h.hall.Tick(h.w.Now) })
+			h.w.After(tickEvery, tick)
+		}
+	}
+	h.w.After(tickEvery*h.w.Rand.Float64(), tick)
+}
+
+// Kill ends the process: what it had begun to write is on the disk.
+func (h *Hall) Kill() {
+	if h.up {
+		h.up = false
+		h.disk.apply(h.disk.writing)
+		h.disk.writing = nil
+	}
+}
+
+// PowerOff takes the power away: of what was not synced some may be on the disk.
+func (h *Hall) PowerOff() {
+	if n := len(h.disk.writing); h.up && n > 0 && h.w.Rand.IntN(2) == 0 {
+		h.disk.apply(h.disk.writing[:h.w.Rand.IntN(n)])
+	}
+	h.disk.writing = nil
+	h.up, h.unlit = false, true
+}
+
+// Wipe takes the disk's content away. The process has to be down.
+func (h *Hall) Wipe() {
+	h.disk.held, h.disk.writing = map[string][]byte{}, nil
+	h.w.first = false
+}
+
+// Voting says whether the process takes part in ballots.
+func (h *Hall) Voting() bool { return h.up && h.hall.Ready() }
+
+func (h *Hall) heard(from string, p *cart.Parcel) {
+	h.input(func() { h.hall.Heard(h.w.Now, from, p) })
+}
+
+func (h *Hall) broke(cart.Broke) {}
+
+// input gives the machine something, and does what it wants done.
+func (h *Hall) input(f func()) {
+	f()
+	for {
+		out := h.hall.Take()
+		h.puts, h.after = append(h.puts, out.Puts...), append(h.after, out.After...)
+		h.sync()
+		if len(out.Sends) == 0 {
+			return
+		}
+		h.send(out.Sends)
+	}
+}
+
+func (h *Hall) send(all []cart.Send) {
+	for _, s := range all {
+		if s.To == h.addr {
+			h.hall.Heard(h.w.Now, h.addr, s.Parcel)
+			continue
+		}
+		h.w.send(h.addr, s.To, s.Parcel)
+	}
+}
+
+func (h *Hall) sync() {
+	if h.busy || len(h.puts)+len(h.after) == 0 {
+		return
+	}
+	h.busy = true
+	h.disk.writing = h.puts
+	after, life := h.after, h.lives
+	h.puts, h.after = nil, nil
+	h.w.After(syncTakes, func() {
+		if !h.up || h.lives != life {
+			return
+		}
+		h.disk.apply(h.disk.writing)
+		h.disk.writing = nil
+		h.busy = false
+		if h.Synced != nil {
+			h.Synced()
+			if !h.up {
+				return
+			}
+		}
+		h.input(func() { h.send(after) })
+	})
+}
+
+// ---- data plane
+
+// Stall is a proxy with the host beside it.
+type Stall struct {
+	w        *World
+	addr     string
+	host     Host
+	seeds    []string
+	pitch    *pitch.Pitch
+	lives    int
+	up       bool
+	unlit    bool
+	version  uint64
+	station  *station
+	stations int
+}
+
+func (s *Stall) address() string { return s.addr }
+func (s *Stall) alive() bool     { return s.up }
+func (s *Stall) dark() bool      { return s.unlit }
+func (s *Stall) life() int       { return s.lives }
+
+// Start starts the process.
+func (s *Stall) Start() {
+	s.lives++
+	s.up, s.unlit = true, false
+	s.version += uint64(1000 * s.w.Rand.Float64()) // the time of day may have gone back
+	s.pitch = pitch.New(s.w.Now, pitch.Options{Self: s.addr, Zone: s.host.Zone, Sender: s.host.Carrier, Seeds: s.seeds, Beat: beat,
+		Ratio: 0.2, Slack: 60, Version: s.version, Seed: s.w.Rand.Uint64(), Memory: 1 << 24})
+	life := s.lives
+	var tick func()
+	tick = func() {
+		if s.up && s.lives == life {
+			s.input(func() { s.pitch.Tick(s.w.Now) })
+			s.w.Checker.edition(s)
+			s.w.After(tickEvery, tick)
+		}
+	}
+	s.w.After(tickEvery*s.w.Rand.Float64(), tick)
+}
+
+// Kill ends the process. Its clients see their connections closed.
+func (s *Stall) Kill() { s.up = false }
+
+// PowerOff takes the power of proxy and host away.
+func (s *Stall) PowerOff() {
+	s.up, s.unlit = false, true
+	s.station = nil
+}
+
+// Term tells the process to end.
+func (s *Stall) Term() { s.input(func() { s.pitch.Term(s.w.Now) }) }
+
+// State is what the proxy knows.
+func (s *Stall) State() pitch.State { return s.pitch.State(s.w.Now) }
+
+func (s *Stall) heard(from string, p *cart.Parcel) {
+	s.input(func() { s.pitch.Parcel(s.w.Now, from, p) })
+}
+
+func (s *Stall) broke(b cart.Broke) { s.input(func() { s.pitch.Broke(s.w.Now, b) }) }
+
+func (s *Stall) input(f func()) {
+	if !s.up {
+		return
+	}
+	f()
+	for {
+		out := s.pitch.Take()
+		for _, send := range out.Sends {
+			number := s.w.send(s.addr, send.To, send.Parcel)
+			if send.Via != nil {
+				*send.Via = number
+			}
+		}
+		for _, do := range out.Dos {
+			switch do := do.(type) {
+			case pitch.Tell:
+				do.Order.Slot.(func(pitch.Reply))(do.Reply)
+			case pitch.Exchange:
+				s.exchange(do)
+			}
+		}
+		if len(out.Sends) == 0 && len(out.Dos) == 0 {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/market/ledger/ledger_test.go
@@ -0,0 +1,250 @@
+package ledger
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"beechwing/internal/market/cart"
+	"beechwing/internal/market/vault"
+)
+
+// bag is a few control processes whose parcels come in any order, late, twice or not at all. Their disks keep what was synced.
+type bag struct {
+	rng     *rand.Rand
+	now     float64
+	names   []string
+	ledgers map[string]*Ledger
+	disks   map[string]map[string][]byte
+	up      map[string]bool
+	mail    []letter
+	lives   uint32
+}
+
+type letter struct {
+	from, to string
+	parcel   *cart.Parcel
+}
+
+func newBag(seed uint64, n int) *bag {
+	b := &bag{rng: rand.New(rand.NewPCG(seed, 1)), now: 1, ledgers: map[string]*Ledger{}, disks: map[string]map[string][]byte{},
+		up: map[string]bool{}}
+	for i := range n {
+		b.names = append(b.names, fmt.Sprintf("m%d", i))
+	}
+	for _, name := range b.names {
+		b.disks[name] = map[string][]byte{}
+		b.start(name)
+	}
+	return b
+}
+
+func (b *bag) start(name string) {
+	b.lives++
+	l := New(name, b.lives, 60)
+	l.Seat(b.names)
+	if err := l.Restore(b.now, b.disks[name]); err != nil {
+		panic(err)
+	}
+	l.Vote()
+	b.ledgers[name], b.up[name] = l, true
+}
+
+// take does what a ledger wants done. Where synced is false it is killed before its disk has the batch.
+func (b *bag) take(name string, synced bool) {
+	for {
+		out := b.ledgers[name].Take()
+		if len(out.Sends)+len(out.After)+len(out.Puts) == 0 {
+			return
+		}
+		for _, s := range out.Sends {
+			b.post(name, s)
+		}
+		if !synced {
+			return
+		}
+		for _, p := range out.Puts {
+			b.keep(name, p)
+		}
+		for _, s := range out.After {
+			b.post(name, s)
+		}
+	}
+}
+
+func (b *bag) keep(name string, p vault.Put) {
+	if len(p.Value) == 0 {
+		delete(b.disks[name], p.Name)
+		return
+	}
+	b.disks[name][p.Name] = slices.Clone(p.Value)
+}
+
+func (b *bag) post(from string, s cart.Send) {
+	if s.To == from { // a process's own word is not lost
+		b.ledgers[from].Heard(b.now, from, s.Parcel)
+		return
+	}
+	b.mail = append(b.mail, letter{from, s.To, s.Parcel})
+	if b.rng.IntN(10) == 0 {
+		b.mail = append(b.mail, letter{from, s.To, s.Parcel})
+	}
+}
+
+// step delivers one letter, loses one, lets time pass, or kills and starts a process.
+func (b *bag) step(restarts bool) {
+	if n := len(b.mail); n > 0 && b.rng.IntN(10) > 0 {
+		i := b.rng.IntN(n)
+		m := b.mail[i]
+		b.mail = slices.Delete(b.mail, i, i+1)
+		if b.rng.IntN(8) == 0 || !b.up[m.to] {
+			return
+		}
+		b.ledgers[m.to].Heard(b.now, m.from, m.parcel)
+		b.take(m.to, true)
+		return
+	}
+	b.now += 0.03
+	for _, name := range b.names {
+		b.ledgers[name].Tick(b.now)
+		b.take(name, true)
+	}
+	if restarts && b.rng.IntN(25) == 0 {
+		name := b.names[b.rng.IntN(len(b.names))]
+		b.ledgers[name].Tick(b.now)
+		b.take(name, b.rng.IntN(2) == 0)
+		b.start(name)
+	}
+}
+
+// Claims of one key come to any process, at once and later, while parcels are lost, doubled and late and processes die between
+// promise, disk and word. At most one token is ever told that it holds the key, until the one that held it gives it back.
+func TestOneClaimHolds(t *testing.T) {
+	holders := 0
+	for seed := range uint64(6000) {
+		b := newBag(seed, 3+2*int(seed%2))
+		const key = "k"
+		granted := map[uint64]bool{}
+		claim := func(token uint64) {
+			name := b.names[b.rng.IntN(len(b.names))]
+			b.ledgers[name].Claim(b.now, &cart.Claim{Key: key, Token: token}, func(state uint32, held *cart.Receipt) {
+				if state == Claimed {
+					granted[token] = true
+				}
+			})
+			b.take(name, true)
+		}
+		for token := range uint64(3) {
+			claim(token + 1)
+			for range b.rng.IntN(30) {
+				b.step(seed%3 > 0)
+			}
+		}
+		for range 150 {
+			b.step(seed%3 > 0)
+		}
+		claim(9)
+		for range 100 {
+			b.step(false)
+		}
+		if len(granted) > 1 {
+			t.Fatalf("seed %d: %v were each told that they hold the key", seed, granted)
+		}
+		holders += len(granted)
+	}
+	if holders < 3000 {
+		t.Fatalf("a claim was granted in %d of 6000 runs: this shows nothing", holders)
+	}
+}
+
+// A run's answer, once recorded, is what every later claim is told, whoever is asked and whatever was lost on the way.
+func TestRecordedAnswerIsTold(t *testing.T) {
+	told := 0
+	for seed := range uint64(1500) {
+		b := newBag(seed, 3)
+		settled, granted := false, false
+		home := b.ledgers[Home("k", b.names)[seed%3]]
+		name := home.self
+		home.Claim(b.now, &cart.Claim{Key: "k", Token: 1}, func(state uint32, _ *cart.Receipt) { granted = state == Claimed })
+		b.take(name, true)
+		for range 60 {
+			b.step(false)
+		}
+		if !granted {
+			continue
+		}
+		at := b.names[b.rng.IntN(3)]
+		b.ledgers[at].Settle(b.now, "k", &cart.Receipt{Token: 1, State: Done, Status: 201}, func(state uint32, _ *cart.Receipt) {
+			settled = state == Done
+		})
+		b.take(at, true)
+		for range 80 {
+			b.step(true)
+		}
+		if !settled {
+			continue
+		}
+		for _, ask := range b.names {
+			b.ledgers[ask].Claim(b.now, &cart.Claim{Key: "k", Token: 5}, func(state uint32, held *cart.Receipt) {
+				switch {
+				case state == Done && held.Status == 201:
+					told++
+				case state == Claimed:
+					t.Fatalf("seed %d: claimed anew after its answer was recorded", seed)
+				}
+			})
+			b.take(ask, true)
+			for range 60 {
+				b.step(false)
+			}
+		}
+	}
+	if told < 1000 {
+		t.Fatalf("told %d times: this shows nothing", told)
+	}
+}
+
+// A claim given back may be claimed by another, but never again by the same token: its claim may still be on the way.
+func TestVoidKeepsLateClaimsOut(t *testing.T) {
+	b := newBag(1, 3)
+	states := []uint32{}
+	note := func(state uint32, _ *cart.Receipt) { states = append(states, state) }
+	run := func(f func(l *Ledger)) {
+		name := Home("k", b.names)[0]
+		f(b.ledgers[name])
+		b.take(name, true)
+		for len(b.mail) > 0 {
+			m := b.mail[0]
+			b.mail = b.mail[1:]
+			b.ledgers[m.to].Heard(b.now, m.from, m.parcel)
+			b.take(m.to, true)
+		}
+	}
+	run(func(l *Ledger) { l.Settle(b.now, "k", &cart.Receipt{Token: 1, State: Void}, note) })
+	run(func(l *Ledger) { l.Claim(b.now, &cart.Claim{Key: "k", Token: 1}, note) })
+	run(func(l *Ledger) { l.Claim(b.now, &cart.Claim{Key: "k", Token: 2}, note) })
+	run(func(l *Ledger) { l.Claim(b.now, &cart.Claim{Key: "k", Token: 3}, note) })
+	run(func(l *Ledger) { l.Claim(b.now, &cart.Claim{Key: "k", Token: 2, Attempt: 1}, note) })
+	if want := []uint32{Void, Void, Claimed, Busy, Claimed}; !slices.Equal(states, want) {
+		t.Fatalf("%v, want %v", states, want)
+	}
+}
+
+// What is older than the window goes from memory and disk, and not before.
+func TestForgets(t *testing.T) {
+	b := newBag(1, 1)
+	l := b.ledgers["m0"]
+	l.Claim(b.now, &cart.Claim{Key: "k", Token: 1}, func(uint32, *cart.Receipt) {})
+	b.take("m0", true)
+	for _, c := range []struct {
+		at   float64
+		want int
+	}{{60, 1}, {62, 1}, {77, 0}} {
+		l.Tick(c.at)
+		b.take("m0", true)
+		if n, _ := l.Size(); n != c.want || len(b.disks["m0"]) != c.want {
+			t.Fatalf("at %v: %d registers, %d on disk, want %d", c.at, n, len(b.disks["m0"]), c.want)
+		}
+	}
+}
--- a/internal/market/pitch/ask.go
+++ b/internal/market/pitch/ask.go
@@ -497,7 +497,13 @@
 // watchPeers finds proxies that have gone silent with something of ours in hand: a machine behind a cut says nothing. What may
 // be sent again is; what may not waits for its end.
 func (p *Pitch) watchPeers() {
-	for source, w := range p.peers {
+	sources := make([]string, 0, len(p.peers))
+	for source := range p.peers {
+		sources = append(sources, source)
+	}
+	slices.Sort(sources) // a seed replays
+	for _, source := range sources {
+		w := p.peers[source]
 		if w.out == 0 || source == p.o.Self {
 			continue
 		}
--- a/internal/market/pitch/news.go
+++ b/internal/market/pitch/news.go
@@ -176,12 +176,22 @@
 		s.hosts[h.ID], h.Weight = at, 1/at.slow
 		by[r.Carrier] = append(by[r.Carrier], h)
 	}
-	for name, s := range p.shelves {
-		s.bal.Members(p.now, balancer.ListFull, by[name])
+	for _, name := range p.services() {
+		p.shelves[name].bal.Members(p.now, balancer.ListFull, by[name])
 	}
 	p.purse.Share(len(n.records))
 }
 
+// services are the names of the shelves, in order: a seed replays.
+func (p *Pitch) services() []string {
+	names := make([]string, 0, len(p.shelves))
+	for name := range p.shelves {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
 // ---- pulling
 
 // ask pulls from a control process what is lacking here. hold says that it may wait until there is something.
--- a/internal/market/pitch/pitch.go
+++ b/internal/market/pitch/pitch.go
@@ -239,3 +239,11 @@
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 var _ balancer.Actions = (*shelf)(nil)
+
+// Edition is the version of the configuration in force here; 0: none is.
+func (p *Pitch) Edition() uint64 {
+	if p.table == nil {
+		return 0
+	}
+	return p.table.Edition
+}
