--- a/cmd/guildhall/main.go
+++ b/cmd/guildhall/main.go
@@ -23,9 +23,17 @@
 	root := &ff.Command{Name: "guildhall", Usage: "guildhall SUBCOMMAND", ShortHelp: "control plane of the mesh"}
 	flags := ff.NewFlagSet("run")
 	level := flags.StringLong("log", "info", "least level of the log: debug, info, warn, error")
+	profile := flags.StringLong("profile", "", "file for a CPU profile of the whole run")
 	root.Subcommands = []*ff.Command{
 		{Name: "run", Usage: "guildhall run [--log LEVEL]", ShortHelp: "serve, by the settings file that " + deed.Variable + " names",
-			Flags: flags, Exec: func(ctx context.Context, _ []string) error { return serve(ctx, *level) }},
+			Flags: flags, Exec: func(ctx context.Context, _ []string) error {
+				end, err := shop.Profile(*profile)
+				if err != nil {
+					return err
+				}
+				defer end()
+				return serve(ctx, *level)
+			}},
 		{Name: "check", Usage: "guildhall check FILE", ShortHelp: "check a settings file (.toml) or a configuration (.json)", Exec: check},
 		shop.StateCommand("guildhall"),
 	}
--- a/cmd/stall/main.go
+++ b/cmd/stall/main.go
@@ -23,9 +23,17 @@
 	root := &ff.Command{Name: "stall", Usage: "stall SUBCOMMAND", ShortHelp: "data plane of the mesh"}
 	flags := ff.NewFlagSet("run")
 	level := flags.StringLong("log", "info", "least level of the log: debug, info, warn, error")
+	profile := flags.StringLong("profile", "", "file for a CPU profile of the whole run")
 	root.Subcommands = []*ff.Command{
 		{Name: "run", Usage: "stall run [--log LEVEL]", ShortHelp: "serve, by the settings file that " + deed.Variable + " names",
-			Flags: flags, Exec: func(ctx context.Context, _ []string) error { return serve(ctx, *level) }},
+			Flags: flags, Exec: func(ctx context.Context, _ []string) error {
+				end, err := shop.Profile(*profile)
+				if err != nil {
+					return err
+				}
+				defer end()
+				return serve(ctx, *level)
+			}},
 		{Name: "check", Usage: "stall check FILE", ShortHelp: "check a settings file (.toml), or whether a configuration can be read (.json)",
 			Exec: check},
 		shop.StateCommand("stall"),
--- a/internal/market/shop/commands.go
+++ b/internal/market/shop/commands.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"runtime/pprof"
 	"strings"
 	"time"
 
@@ -40,6 +41,24 @@
 	return nil
 }
 
+// Profile writes a CPU profile to a file until end is called. Without a file it does nothing.
+func Profile(path string) (end func(), err error) {
+	if path == "" {
+		return func() {}, nil
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "profile")
+	}
+	if err := pprof.StartCPUProfile(f); err != nil {
+		return nil, errors.Wrap(err, "profile")
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		f.Close()
+	}, nil
+}
+
 // StateCommand asks a running process what it knows.
 func StateCommand(program string) *ff.Command {
 	return &ff.Command{Name: "state", Usage: program + " state ADDRESS",
