A silent proxy's operations are settled by the register; hosts are asked at the start

Cause: requests to machines that lost power waited 0.38 s or to the end; a killed proxy learned of its host only with the next beat (up to 1.5 s). Change: silence counts after 0.2 s; a key whose claim was never granted is voided and the request goes elsewhere (it has not run and never will); a proxy without a host asks it for its health once. Far hosts weigh a quarter, for large answers a twentieth; no keep-alive settings on connections inside a machine.

--- a/cmd/stall/run.go
+++ b/cmd/stall/run.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	tickEvery   = 10 * time.Millisecond
+	tickEvery   = 20 * time.Millisecond
 	memoryShare = 4                       // a quarter of what the machine gives may be bodies under way
 	noticeAfter = 2200 * time.Millisecond // the platform asks once a second and believes the second failure
 	lastSpare   = 500 * time.Millisecond  // before the platform ends a process that does not
@@ -139,6 +139,11 @@
 				do.Order.Slot.(chan pitch.Reply) <- do.Reply
 			case pitch.Exchange:
 				go p.exchange(do)
+			case pitch.Probe:
+				go func() {
+					station, well := p.porter.Probe(do.Path)
+					p.with(func(now float64) { p.pitch.Probed(now, station, well) })
+				}()
 			}
 		}
 		if len(out.Sends) == 0 && len(out.Dos) == 0 {
--- a/internal/market/fairground/people.go
+++ b/internal/market/fairground/people.go
@@ -99,6 +99,18 @@
 		Fields: []*cart.Field{{Name: pitch.HeaderPostmark, Value: stamp}}})
 }
 
+// probe is the host saying which life it is.
+func (s *Stall) probe() {
+	if st := s.station; st != nil && !st.dead {
+		life := s.lives
+		s.w.After(0.002, func() {
+			if s.up && s.lives == life {
+				s.input(func() { s.pitch.Probed(s.w.Now, st.id, !st.leaving) })
+			}
+		})
+	}
+}
+
 func field(fields []*cart.Field, name string) string {
 	for _, f := range fields {
 		if f.Name == name {
@@ -152,7 +164,7 @@
 				Carrier: "till", Tries: 2},
 			{Name: "new", Depot: "shop.example", LanePrefix: fmt.Sprintf("/new%d/", version), RouteKind: charter.Safe, TimeoutMs: 1000,
 				TargetMs: 200, Carrier: "shop", Tries: 2}},
-		Carriers: []charter.Service{{Name: "shop"}, {Name: "till"}}}
+		Carriers: []charter.Service{{Name: "shop", HealthPath: "/health"}, {Name: "till", HealthPath: "/health"}}}
 	text, err := json.Marshal(c)
 	if err != nil {
 		panic(err)
--- a/internal/market/fairground/world.go
+++ b/internal/market/fairground/world.go
@@ -417,6 +417,8 @@
 				do.Order.Slot.(func(pitch.Reply))(do.Reply)
 			case pitch.Exchange:
 				s.exchange(do)
+			case pitch.Probe:
+				s.probe()
 			}
 		}
 		if len(out.Sends) == 0 && len(out.Dos) == 0 {
--- a/internal/market/hall/hall.go
+++ b/internal/market/hall/hall.go
@@ -190,7 +190,7 @@
 	case p.Claim != nil:
 		h.ledger.Claim(now, p.Claim, h.answerer(from, p.Id, p.Claim.Token))
 	case p.Settle != nil:
-		h.ledger.Settle(now, p.Settle.Key, p.Settle.Receipt, h.answerer(from, p.Id, p.Settle.Receipt.GetToken()))
+		h.ledger.Settle(now, p.Settle.Key, p.Settle.Receipt, p.Settle.IfFree, h.answerer(from, p.Id, p.Settle.Receipt.GetToken()))
 	case p.Ping != nil:
 		h.send(from, &cart.Parcel{Id: p.Id, Pong: p.Ping})
 	default:
--- a/internal/market/ledger/ledger.go
+++ b/internal/market/ledger/ledger.go
@@ -232,15 +232,19 @@
 }
 
 // Settle records how a claimed run ended. A receipt that is void gives the key back, and keeps late claims of its token out.
-func (l *Ledger) Settle(now float64, key string, r *cart.Receipt, answer func(state uint32, held *cart.Receipt)) {
+// With ifFree it only does the latter, and only where no claim was granted: so who asked a proxy that has gone silent learns
+// whether the request may still run.
+func (l *Ledger) Settle(now float64, key string, r *cart.Receipt, ifFree bool, answer func(state uint32, held *cart.Receipt)) {
 	if !l.voting || len(l.work) >= mostWork {
 		answer(Unsure, nil)
 		return
 	}
 	l.begin(now, &change{key: key, answer: answer, work: func(old *cart.Receipt) (*cart.Receipt, uint32) {
 		switch {
-		case old == nil || old.State == Free, old.Token == r.Token && old.State == Claimed,
-			old.Token == r.Token && old.State == Lost && r.State == Done:
+		case old == nil || old.State == Free, old.State == Void && ifFree:
+			return r, r.State
+		case ifFree:
+		case old.Token == r.Token && old.State == Claimed, old.Token == r.Token && old.State == Lost && r.State == Done:
 			return r, r.State
 		}
 		return nil, old.State
--- a/internal/market/ledger/ledger_test.go
+++ b/internal/market/ledger/ledger_test.go
@@ -175,7 +175,7 @@
 			continue
 		}
 		at := b.names[b.rng.IntN(3)]
-		b.ledgers[at].Settle(b.now, "k", &cart.Receipt{Token: 1, State: Done, Status: 201}, func(state uint32, _ *cart.Receipt) {
+		b.ledgers[at].Settle(b.now, "k", &cart.Receipt{Token: 1, State: Done, Status: 201}, false, func(state uint32, _ *cart.Receipt) {
 			settled = state == Done
 		})
 		b.take(at, true)
@@ -221,12 +221,16 @@
 			b.take(m.to, true)
 		}
 	}
-	run(func(l *Ledger) { l.Settle(b.now, "k", &cart.Receipt{Token: 1, State: Void}, note) })
+	run(func(l *Ledger) { l.Settle(b.now, "k", &cart.Receipt{Token: 1, State: Void}, false, note) })
 	run(func(l *Ledger) { l.Claim(b.now, &cart.Claim{Key: "k", Token: 1}, note) })
 	run(func(l *Ledger) { l.Claim(b.now, &cart.Claim{Key: "k", Token: 2}, note) })
 	run(func(l *Ledger) { l.Claim(b.now, &cart.Claim{Key: "k", Token: 3}, note) })
 	run(func(l *Ledger) { l.Claim(b.now, &cart.Claim{Key: "k", Token: 2, Attempt: 1}, note) })
-	if want := []uint32{Void, Void, Claimed, Busy, Claimed}; !slices.Equal(states, want) {
+	run(func(l *Ledger) { l.Settle(b.now, "k", &cart.Receipt{Token: 2, State: Void}, true, note) }) // it may run: nothing changes
+	run(func(l *Ledger) { l.Settle(b.now, "k", &cart.Receipt{Token: 2, State: Void}, false, note) })
+	run(func(l *Ledger) { l.Settle(b.now, "k", &cart.Receipt{Token: 4, State: Void}, true, note) })
+	run(func(l *Ledger) { l.Claim(b.now, &cart.Claim{Key: "k", Token: 4}, note) })
+	if want := []uint32{Void, Void, Claimed, Busy, Claimed, Claimed, Void, Void, Void}; !slices.Equal(states, want) {
 		t.Fatalf("%v, want %v", states, want)
 	}
 }
--- a/internal/market/pitch/ask.go
+++ b/internal/market/pitch/ask.go
@@ -32,16 +32,16 @@
 	mostLeft      = 600.0
 	comeBack      = 0.05 // seconds: the least time after which to come back
 	comeBackMost  = 0.3
-	crossing      = 0.03 // price of going to another zone, for the module: half the weight
-	crossingLarge = 0.05 // where answers are large: a sixth
-	meanStep      = 0.02 // weight of one answer in the mean time of its class
-	slowStep      = 0.06 // and in that of its host
-	slowMost      = 4.0  // times the mean: one answer counts for no more
-	slowTold      = 0.1  // the module is told of a change of so much
-	weighEvery    = 0.5  // seconds
+	crossing      = 0.045 // price of going to another zone, for the module: a quarter of the weight
+	crossingLarge = 0.057 // where answers are large: a twentieth
+	meanStep      = 0.02  // weight of one answer in the mean time of its class
+	slowStep      = 0.06  // and in that of its host
+	slowMost      = 4.0   // times the mean: one answer counts for no more
+	slowTold      = 0.1   // the module is told of a change of so much
+	weighEvery    = 0.5   // seconds
 	lateWorth     = 0.3
-	silentAsk     = 0.12 // seconds without a word from a proxy that has something of ours in hand: it is asked
-	silentOver    = 0.3  // and without a word since: what may be sent again is
+	silentAsk     = 0.06 // seconds without a word from a proxy that has something of ours in hand: it is asked
+	silentOver    = 0.15 // and without a word since: it counts as gone
 	strayAfter    = 3.0  // after its deadline a try that nobody ended is forgotten
 	noHostsBack   = 0.15
 	afterDeadline = 0.004 // the other end is given the word first
@@ -90,6 +90,7 @@
 	sent   float64
 	link   uint64 // the connection that it went by
 	spent  bool   // taken off the purse
+	asked  bool   // the register was asked whether it may still run
 	out    bool
 }
 
@@ -478,8 +479,34 @@
 		if t.link != b.Link {
 			continue
 		}
-		t.order.arrivals++ // it may have arrived
-		p.ended(t, balancer.Reset, nil, "the connection to the proxy beside the host broke")
+		p.doubt(t, "the connection to the proxy beside the host broke")
+	}
+}
+
+// doubt ends a try of which nothing will be heard. What may be sent again is. What has a key has not run, and never will, if no
+// claim of its token was granted and none will be: the register says so. Of the rest it is not known.
+func (p *Pitch) doubt(t *try, why string) {
+	o := t.order
+	switch {
+	case o.route.Repeatable():
+		o.arrivals++ // it may have arrived
+		p.ended(t, balancer.ConnectFailed, nil, why)
+	case o.Key == "":
+		o.arrivals++
+		p.ended(t, balancer.Reset, nil, why)
+	case !t.asked:
+		t.asked = true
+		p.gate.voidIfFree(o.Key, o.token, func(state uint32) {
+			if state != ledger.Void {
+				o.arrivals++
+				p.ended(t, balancer.Reset, nil, why+"; its key was claimed")
+				return
+			}
+			if t.out {
+				o.token = p.random()
+			}
+			p.ended(t, balancer.ConnectFailed, nil, why+"; its key was free")
+		})
 	}
 }
 
@@ -515,9 +542,8 @@
 			p.send(source, &cart.Parcel{Id: p.id(), Ping: &cart.Ping{}})
 		case p.now-w.asked > silentOver:
 			for _, t := range p.triesAt(source) {
-				if t.order.route.Repeatable() && t.sent < w.asked {
-					t.order.arrivals++
-					p.ended(t, balancer.Reset, nil, "the proxy beside the host is silent")
+				if t.sent < w.asked {
+					p.doubt(t, "the proxy beside the host is silent")
 				}
 			}
 		}
--- a/internal/market/pitch/gate.go
+++ b/internal/market/pitch/gate.go
@@ -20,7 +20,7 @@
 	firstWait     = 0.3  // of a mean run, that a first try may wait
 	claimAsk      = 0.2  // seconds until the next control process is asked for a claim
 	claimMost     = 0.7  // and until it is given up: nothing has been sent then
-	settleAsk     = 0.5  // seconds until the end of a run is told again
+	settleAsk     = 0.25 // seconds until the end of a run is told again
 	settleTries   = 6
 	mostSettles   = 4096
 	hostSlack     = 0.15 // seconds beyond its deadline in which a host still gives its own answer
@@ -62,6 +62,8 @@
 type settling struct {
 	key     string
 	receipt *cart.Receipt
+	ifFree  bool
+	told    func(state uint32) // nil: nobody waits for it
 	halls   []string
 	asked   float64
 	tries   int
@@ -248,6 +250,9 @@
 	if s := g.settles[id]; s != nil {
 		if c.State != ledger.Unsure {
 			delete(g.settles, id)
+			if s.told != nil {
+				s.told(c.State)
+			}
 		}
 		return
 	}
@@ -289,6 +294,13 @@
 	g.tellEnd(&settling{key: key, receipt: r})
 }
 
+// voidIfFree keeps claims of a token out, and tells whether that was in time.
+func (g *gate) voidIfFree(key string, token uint64, told func(state uint32)) {
+	if len(g.settles) < mostSettles {
+		g.tellEnd(&settling{key: key, receipt: &cart.Receipt{Token: token, State: ledger.Void}, ifFree: true, told: told})
+	}
+}
+
 func (g *gate) tellEnd(s *settling) {
 	if len(s.halls) == 0 {
 		s.halls = ledger.Home(s.key, g.p.news.halls)
@@ -301,7 +313,7 @@
 	g.settles[id] = s
 	to := s.halls[0]
 	s.halls = s.halls[1:]
-	g.p.send(to, &cart.Parcel{Id: id, Settle: &cart.Settle{Key: s.key, Receipt: s.receipt}})
+	g.p.send(to, &cart.Parcel{Id: id, Settle: &cart.Settle{Key: s.key, Receipt: s.receipt, IfFree: s.ifFree}})
 }
 
 // broke goes on to the next control process with what the one that is gone had in hand.
--- a/internal/market/pitch/news.go
+++ b/internal/market/pitch/news.go
@@ -24,6 +24,7 @@
 	watched     = 3   // other proxies that this one knows and watches
 	watchEvery  = 1.0 // seconds between questions to them, while no control process answers
 	aloneAgain  = 0.05
+	probeEvery  = 0.3 // seconds between questions to a host that has not said anything yet
 	retryAfter  = 0.1 // seconds after a control process that could not be reached
 )
 
@@ -48,6 +49,7 @@
 	told    bool    // one has answered in this life
 	watchAt float64
 	weighAt float64
+	probeAt float64
 	zones   []string
 }
 
@@ -91,6 +93,16 @@
 	p.settle()
 }
 
+// Probed takes what the host beside this proxy answered: a proxy that has just started need not wait for its next beat.
+func (p *Pitch) Probed(now float64, station string, well bool) {
+	p.now = now
+	if n := &p.news; station != "" && well && n.own.Station == "" {
+		n.beatAt = now
+		n.change(func(r *cart.Record) { r.Station, r.Condition = station, AtDock })
+	}
+	p.settle()
+}
+
 // Leave takes a host's sign-off.
 func (p *Pitch) Leave(now float64, id string) {
 	p.now = now
@@ -331,6 +343,12 @@
 		n.hall++
 		n.ask(false)
 	}
+	if n.own.Station == "" && !n.ending && p.table != nil && p.now >= n.probeAt { // its next beat may be a while
+		if s := p.table.Service(p.o.Sender); s != nil && s.HealthPath != "" {
+			n.probeAt = p.now + probeEvery
+			p.out.Dos = append(p.out.Dos, Probe{s.HealthPath})
+		}
+	}
 	if p.now >= n.weighAt {
 		n.weighAt = p.now + weighEvery
 		for _, s := range p.shelves {
--- a/internal/market/pitch/pitch.go
+++ b/internal/market/pitch/pitch.go
@@ -31,7 +31,7 @@
 	Debug   func(event string, args ...any) // nil: nobody listens
 }
 
-// Do is something for the program to carry out: Exchange or Tell.
+// Do is something for the program to carry out: Exchange, Tell or Probe.
 type Do interface{ do() }
 
 // Exchange has a request run by the host beside this proxy. The end of it comes back by Exchanged.
@@ -47,6 +47,10 @@
 	Reply Reply
 }
 
+// Probe asks the host beside this proxy which life of it is there and whether it is well. The answer comes back by Probed.
+type Probe struct{ Path string }
+
+func (Probe) do()    {}
 func (Exchange) do() {}
 func (Tell) do()     {}
 
--- a/internal/market/porter/porter.go
+++ b/internal/market/porter/porter.go
@@ -23,12 +23,13 @@
 )
 
 const (
-	idleFor    = 5 * time.Second // a host closes idle connections after a time that it need not tell
-	dialWithin = 500 * time.Millisecond
-	mostHead   = 32 << 10
-	mostBody   = 64 << 20
-	mostIdle   = 64
-	mostStale  = 2 // answers of others ahead of the one waited for
+	idleFor     = 5 * time.Second // a host closes idle connections after a time that it need not tell
+	dialWithin  = 500 * time.Millisecond
+	probeWithin = 300 * time.Millisecond
+	mostHead    = 32 << 10
+	mostBody    = 64 << 20
+	mostIdle    = 64
+	mostStale   = 2 // answers of others ahead of the one waited for
 )
 
 // once are the headers that may stand in a host's answer a single time.
@@ -103,7 +104,8 @@
 }
 
 func (p *Porter) dial() (*conn, error) {
-	nc, err := net.DialTimeout("tcp", p.addr, dialWithin)
+	d := net.Dialer{Timeout: dialWithin, KeepAlive: -1} // on one machine nobody goes silent without the other
+	nc, err := d.Dial("tcp", p.addr)
 	if err != nil {
 		return nil, verdict.Mark(err, verdict.Turned)
 	}
@@ -124,6 +126,24 @@
 	return answer
 }
 
+// Probe asks the host for its health: which life of it answers, and whether it is well.
+func (p *Porter) Probe(path string) (station string, well bool) {
+	c, err := p.dial()
+	if err != nil {
+		return "", false
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(probeWithin))
+	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", path, p.addr); err != nil {
+		return "", false
+	}
+	_, res, err := c.readOne(http.MethodGet)
+	if err != nil {
+		return "", false
+	}
+	return res.Header.Get(pitch.HeaderStation), res.StatusCode == http.StatusOK
+}
+
 func short(err error) string {
 	const most = 200
 	text := err.Error()
--- a/internal/market/shop/shop.go
+++ b/internal/market/shop/shop.go
@@ -42,7 +42,8 @@
 
 // Serve answers HTTP calls at an address until ctx ends.
 func Serve(ctx context.Context, addr string, h http.Handler, log *slog.Logger) (*http.Server, error) {
-	ln, err := net.Listen("tcp", addr)
+	lc := net.ListenConfig{KeepAlive: -1} // callers come and go in moments, and each setting is a call
+	ln, err := lc.Listen(ctx, "tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
