Who would be late is sent back at once; control processes that do not answer are asked last

Change: a gate lets a request wait while it can be answered within its aim, by what its class takes there; a cut-off control process says so at once, and one that does not answer is asked last for 1.5 s.

--- a/internal/market/hall/hall.go
+++ b/internal/market/hall/hall.go
@@ -187,6 +187,8 @@
 		h.heardDump(from, p.Id, p.Dump)
 	case p.Dumped != nil:
 		h.heardDumped(now, from, p.Dumped)
+	case p.Claim != nil && h.alone(now): // nothing can be bound from here: the asker goes elsewhere at once
+		h.answerer(from, p.Id, p.Claim.Token)(ledger.Unsure, nil)
 	case p.Claim != nil:
 		h.ledger.Claim(now, p.Claim, h.answerer(from, p.Id, p.Claim.Token))
 	case p.Settle != nil:
--- a/internal/market/pitch/ask.go
+++ b/internal/market/pitch/ask.go
@@ -137,6 +137,13 @@
 	return c
 }
 
+// number is the same for a class at all proxies.
+func (c class) number() uint32 {
+	h := fnv.New32a()
+	fmt.Fprint(h, c.effect, c.aim, c.deadline, c.precedence)
+	return h.Sum32()
+}
+
 // Ask takes a request. It is answered exactly once, by a Tell.
 func (p *Pitch) Ask(now float64, o *Order) {
 	p.now = now
@@ -277,7 +284,7 @@
 	c := &cart.Carry{Station: at.station, Method: o.Method, Target: o.Target, Host: o.Host, Fields: o.Fields, Body: o.Body,
 		Framed: o.Framed, LeftUs: uint32(min(math.MaxUint32, max(0, o.deadline-p.now)*1e6)), Sender: p.o.Sender, Key: o.Key,
 		Token: o.token, Precedence: uint32(max(0, o.route.Precedence)), Repeatable: o.route.Repeatable(),
-		Attempt: uint32(t.number), AimUs: uint32(max(0, min(o.deadline, o.taken+classOf(o.route).aim)-p.now) * 1e6)}
+		Attempt: uint32(t.number), Class: classOf(o.route).number(), AimUs: uint32(max(0, min(o.deadline, o.taken+classOf(o.route).aim)-p.now) * 1e6)}
 	parcel := &cart.Parcel{Id: t.id, Carry: c}
 	if t.peer == p.o.Self {
 		p.send(t.peer, parcel)
@@ -439,7 +446,7 @@
 		return
 	}
 	o := t.order
-	if p.o.Debug != nil && result != balancer.OK {
+	if p.o.Debug != nil {
 		p.o.Debug("try ended", "id", o.ID, "try", t.number, "peer", t.peer, "result", result, "why", why, "took", p.now-t.sent)
 	}
 	final := o.told
--- a/internal/market/pitch/gate.go
+++ b/internal/market/pitch/gate.go
@@ -10,15 +10,20 @@
 )
 
 const (
-	spareBerths   = 0    // beyond a host's own, so that none of them waits for the next request
-	defaultBerths = 4    // of a host that has not said
-	mostJobs      = 4096 // here at once
-	workStep      = 0.05 // weight of one request in the mean time that a host takes
-	firstWork     = 0.03 // seconds, until that is known
-	waitShare     = 0.5  // of the time left that a request may wait here for the host
-	patience      = 0.1  // seconds that a request may wait, or that part of its time: a run elsewhere may be lost with it
+	spareBerths   = 0     // beyond a host's own, so that none of them waits for the next request
+	defaultBerths = 4     // of a host that has not said
+	mostJobs      = 4096  // here at once
+	workStep      = 0.05  // weight of one request in the mean time that a host takes
+	firstWork     = 0.03  // seconds, until that is known
+	leastWait     = 0.01  // seconds that any request may wait here for the host
+	spread        = 1.25  // times the mean that its class takes: what a run is expected to take
+	onTheWay      = 0.015 // seconds: its answer's way
+	returns       = 0.4   // seconds: with less left a client hardly comes again
+	waitShare     = 0.5   // of the time left that such a request may wait
+	mostClasses   = 256
 	firstWait     = 0.3  // of a mean run, that a first try may wait
-	claimAsk      = 0.2  // seconds until the next control process is asked for a claim
+	muteFor       = 1.5  // seconds for which a control process that did not answer is asked last
+	claimAsk      = 0.12 // seconds until the next control process is asked for a claim
 	claimMost     = 0.7  // and until it is given up: nothing has been sent then
 	settleAsk     = 0.25 // seconds until the end of a run is told again
 	settleTries   = 6
@@ -34,9 +39,11 @@
 	jobs     map[uint64]*job
 	claims   map[uint64]*job
 	settles  map[uint64]*settling
-	queue    []*job // waiting for a berth
+	mute     map[string]float64 // control processes that did not answer, until when they are asked last
+	queue    []*job             // waiting for a berth
 	running  int
-	work     float64 // mean seconds that the host takes
+	work     float64            // mean seconds that the host takes
+	took     map[uint32]float64 // by class
 	tickedAt float64
 }
 
@@ -51,6 +58,7 @@
 	aim     float64 // by then its answer is worth most
 	claim   uint64  // the parcel in which its key was asked for last
 	halls   []string
+	at      string // whom
 	asked   float64
 	began   float64 // its claim was first asked for
 	running bool    // it has a berth
@@ -71,6 +79,7 @@
 
 func (g *gate) begin(p *Pitch) {
 	g.p, g.work = p, firstWork
+	g.took, g.mute = map[uint32]float64{}, map[string]float64{}
 	g.jobs, g.claims, g.settles = map[uint64]*job{}, map[uint64]*job{}, map[uint64]*settling{}
 }
 
@@ -98,7 +107,7 @@
 		return
 	}
 	if g.running >= g.berths() {
-		most := max(waitShare*(j.aim-p.now), min(patience, waitShare*(j.until-p.now)))
+		most := g.patience(j)
 		if c.Attempt == 0 { // there may be room elsewhere: one that was turned away once may wait
 			most = min(most, firstWait*g.work)
 		}
@@ -123,6 +132,17 @@
 	g.serve()
 }
 
+// patience is how long a request may wait here: so long that it can still be answered before its answer loses worth. What has
+// little time, as a call that a run elsewhere waits for, cannot come again, and waits longer.
+func (g *gate) patience(j *job) float64 {
+	left := j.until - g.p.now
+	most := max(leastWait, j.aim-g.p.now-spread*g.took[j.carry.Class]-onTheWay)
+	if left < returns {
+		most = max(most, waitShare*left)
+	}
+	return most
+}
+
 // order is that of the queue: by whose answer loses worth first. What a run elsewhere waits for, with its berth there, comes
 // before what only a client waits for, as its aim is short.
 func order(a, b *job) int {
@@ -204,6 +224,11 @@
 	c.TookUs = uint32(min(took, 1000) * 1e6)
 	if v == verdict.Answered {
 		g.work += workStep * (took - g.work)
+		if was, known := g.took[j.carry.Class]; known {
+			g.took[j.carry.Class] += workStep * (took - was)
+		} else if len(g.took) < mostClasses {
+			g.took[j.carry.Class] = took
+		}
 	}
 	if j.carry.Key != "" {
 		switch v {
@@ -232,7 +257,7 @@
 		j.began = g.p.now
 	}
 	if len(j.halls) == 0 {
-		j.halls = ledger.Home(j.carry.Key, g.p.news.halls)
+		j.halls = g.homes(j.carry.Key)
 	}
 	if len(j.halls) == 0 || g.p.now > j.began+claimMost || g.p.now >= j.until {
 		g.end(j, &cart.Carried{Verdict: uint32(verdict.Unclaimed)})
@@ -242,10 +267,34 @@
 	j.claim, j.asked = g.p.id(), g.p.now
 	g.claims[j.claim] = j
 	to := j.halls[0]
+	j.at = to
 	j.halls = j.halls[1:]
 	g.p.send(to, &cart.Parcel{Id: j.claim, Claim: &cart.Claim{Key: j.carry.Key, Token: j.carry.Token, Attempt: j.carry.Attempt}})
 }
 
+// homes are the control processes in the order in which one asks them for a key. Those that did not answer lately come last.
+func (g *gate) homes(key string) []string {
+	all := ledger.Home(key, g.p.news.halls)
+	slices.SortStableFunc(all, func(a, b string) int {
+		return cmp.Compare(btoi(g.p.now < g.mute[a]), btoi(g.p.now < g.mute[b]))
+	})
+	return all
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// muted notes that a control process did not answer, or could do nothing.
+func (g *gate) muted(hall string) {
+	if slices.Contains(g.p.news.halls, hall) {
+		g.mute[hall] = g.p.now + muteFor
+	}
+}
+
 func (g *gate) claimed(id uint64, c *cart.Claimed) {
 	if s := g.settles[id]; s != nil {
 		if c.State != ledger.Unsure {
@@ -280,6 +329,7 @@
 	case ledger.Lost:
 		g.end(j, &cart.Carried{Verdict: uint32(verdict.Lost)})
 	case ledger.Unsure:
+		g.muted(j.at)
 		g.claim(j)
 	default:
 		g.end(j, &cart.Carried{Verdict: uint32(verdict.Unclaimed), Why: "its claim was given back"})
@@ -303,7 +353,7 @@
 
 func (g *gate) tellEnd(s *settling) {
 	if len(s.halls) == 0 {
-		s.halls = ledger.Home(s.key, g.p.news.halls)
+		s.halls = g.homes(s.key)
 	}
 	if s.tries++; len(s.halls) == 0 || s.tries > settleTries {
 		return
@@ -320,6 +370,7 @@
 func (g *gate) broke(b cart.Broke) {
 	for _, id := range b.Unsent {
 		if j := g.claims[id]; j != nil {
+			g.muted(j.at)
 			g.claim(j)
 		}
 		if s := g.settles[id]; s != nil {
@@ -336,6 +387,7 @@
 	g.tickedAt = g.p.now
 	for _, id := range sortedIDs(g.claims) {
 		if j := g.claims[id]; j != nil && (g.p.now > j.asked+claimAsk || g.p.now >= j.until) {
+			g.muted(j.at)
 			g.claim(j)
 		}
 	}
