--- a/internal/market/pitch/ask.go
+++ b/internal/market/pitch/ask.go
@@ -44,6 +44,7 @@
 	silentOver    = 0.15 // and without a word since: it counts as gone
 	strayAfter    = 3.0  // after its deadline a try that nobody ended is forgotten
 	noHostsBack   = 0.15
+	coreGone      = 1.0   // seconds without a word from any control process
 	afterDeadline = 0.004 // the other end is given the word first
 )
 
@@ -396,8 +397,14 @@
 		} else {
 			p.ended(t, balancer.ConnectFailed, nil, why)
 		}
-	case verdict.HostTurned, verdict.Unclaimed:
+	case verdict.HostTurned:
 		p.ended(t, balancer.TurnedAway, nil, why)
+	case verdict.Unclaimed:
+		if p.now > p.news.heardAt+coreGone || t.number > 0 { // nobody reaches the control plane: nothing to try elsewhere
+			p.ended(t, balancer.Moot, nil, why)
+		} else {
+			p.ended(t, balancer.TurnedAway, nil, why)
+		}
 	case verdict.Expired:
 		p.ended(t, balancer.Moot, nil, why)
 	case verdict.Late:
--- a/internal/market/pitch/gate.go
+++ b/internal/market/pitch/gate.go
@@ -24,7 +24,7 @@
 	firstWait     = 0.3  // of a mean run, that a first try may wait
 	muteFor       = 1.5  // seconds for which a control process that did not answer is asked last
 	claimAsk      = 0.12 // seconds until the next control process is asked for a claim
-	claimMost     = 0.7  // and until it is given up: nothing has been sent then
+	claimMost     = 0.36 // and until it is given up: nothing has been sent then
 	settleAsk     = 0.25 // seconds until the end of a run is told again
 	settleTries   = 6
 	mostSettles   = 4096
@@ -259,7 +259,8 @@
 	if len(j.halls) == 0 {
 		j.halls = g.homes(j.carry.Key)
 	}
-	if len(j.halls) == 0 || g.p.now > j.began+claimMost || g.p.now >= j.until {
+	mute := j.claim != 0 && !slices.ContainsFunc(j.halls, func(h string) bool { return g.p.now >= g.mute[h] })
+	if len(j.halls) == 0 || mute || g.p.now > j.began+claimMost || g.p.now >= j.until {
 		g.end(j, &cart.Carried{Verdict: uint32(verdict.Unclaimed)})
 		return
 	}
