Clients' connections by our own reading: limits of the configuration, one write an answer

Need: sizeLimits say how long heads and idle connections may take, which the library's server fixes at its start, and it reads in the background of each request. Ledger tests draw lives at random; a test of a gate against old news.

--- a/cmd/stall/run.go
+++ b/cmd/stall/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -15,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"beechwing/internal/market/awning"
 	"beechwing/internal/market/cart"
 	"beechwing/internal/market/counter"
 	"beechwing/internal/market/deed"
@@ -27,8 +27,7 @@
 	tickEvery   = 20 * time.Millisecond
 	memoryShare = 4                       // a quarter of what the machine gives may be bodies under way
 	noticeAfter = 2200 * time.Millisecond // the platform asks once a second and believes the second failure
-	lastSpare   = 500 * time.Millisecond  // before the platform ends a process that does not
-	mostBody    = 64 << 20
+	lastSpare   = 900 * time.Millisecond  // before the platform ends a process that does not
 )
 
 // program is the shell round the state machine: it owns sockets and the clock.
@@ -78,10 +77,11 @@
 			return err
 		}
 	}
-	clients, err := shop.Serve(ctx, d.Docking.Outbound, http.HandlerFunc(p.serve), log)
+	ln, err := shop.Listen(ctx, d.Docking.Outbound)
 	if err != nil {
 		return err
 	}
+	clients := awning.Open(ln, p.limits, p.serve)
 	go shop.Settings(ctx, os.Getenv(deed.Variable), again, log, func(d *deed.Deed) {
 		p.with(func(now float64) { p.pitch.Seeds(now, d.Seeds()) })
 	})
@@ -100,11 +100,12 @@
 
 // end ends the process: new work is told to go elsewhere at once, what is under way goes on until it is done, or nearly until
 // the platform would end the process.
-func (p *program) end(clients *http.Server) {
+func (p *program) end(clients *awning.Awning) {
 	p.log.Info("ending")
 	told := time.Now()
 	last := told.Add(p.deed.Span("graceS", 6*time.Second) - lastSpare)
 	p.with(func(now float64) { p.pitch.Term(now) })
+	clients.Last()
 	for time.Now().Before(last) {
 		time.Sleep(tickEvery)
 		idle := false
@@ -113,9 +114,7 @@
 			break
 		}
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), last.Add(lastSpare/2))
-	defer cancel()
-	clients.Shutdown(ctx)
+	clients.Close(time.Until(last.Add(lastSpare / 2)))
 	p.net.Close()
 	p.log.Info("ended", "after", time.Since(told))
 }
@@ -178,61 +177,63 @@
 	}
 }
 
-// serve takes a client's request.
-func (p *program) serve(w http.ResponseWriter, r *http.Request) {
-	most := int64(mostBody)
+// limits are those of the configuration in force.
+func (p *program) limits() awning.Limits {
+	l := awning.Usual
 	p.mu.Lock()
-	if l := p.pitch.Limits(); l != nil && l.BodyBytes > 0 {
-		most = min(most, l.BodyBytes)
+	defer p.mu.Unlock()
+	c := p.pitch.Limits()
+	if c == nil {
+		return l
 	}
-	p.mu.Unlock()
-	o := &pitch.Order{Method: r.Method, Target: r.RequestURI, Host: r.Host, Fields: porter.Fields(r.Header),
-		ID: r.Header.Get(pitch.HeaderID), Key: r.Header.Get(pitch.HeaderKey)}
-	if r.ContentLength != 0 {
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
-		if large := (*http.MaxBytesError)(nil); errors.As(err, &large) {
-			http.Error(w, "body is too large", http.StatusRequestEntityTooLarge)
-			return
-		}
-		if err != nil {
-			panic(http.ErrAbortHandler) // it has not come whole: nothing was asked
+	ms := func(told float64, otherwise time.Duration) time.Duration {
+		if told <= 0 {
+			return otherwise
 		}
-		o.Body = body
+		return time.Duration(told * float64(time.Millisecond))
 	}
-	o.Framed = r.ContentLength != 0 || r.Header.Get("Content-Length") != ""
-	if ms, err := strconv.ParseFloat(r.Header.Get(pitch.HeaderDeadline), 64); err == nil && ms > 0 {
+	l.HeadWithin, l.IdleFor = ms(c.HeaderWaitMs, l.HeadWithin), ms(c.IdleWaitMs, l.IdleFor)
+	if c.HeaderBytes > 0 {
+		l.HeadBytes = c.HeaderBytes
+	}
+	if c.BodyBytes > 0 {
+		l.BodyBytes = min(l.BodyBytes, c.BodyBytes)
+	}
+	return l
+}
+
+// serve has a client's request answered.
+func (p *program) serve(q *awning.Request) awning.Answer {
+	o := &pitch.Order{Method: q.Method, Target: q.Target, Host: q.Host, Fields: porter.Fields(q.Header), Body: q.Body,
+		Framed: q.Framed, ID: q.Header.Get(pitch.HeaderID), Key: q.Header.Get(pitch.HeaderKey)}
+	if ms, err := strconv.ParseFloat(q.Header.Get(pitch.HeaderDeadline), 64); err == nil && ms > 0 {
 		o.Left = ms / 1000
 	}
 	answer := make(chan pitch.Reply, 1)
 	o.Slot = answer
 	p.with(func(now float64) { p.pitch.Ask(now, o) })
-	write(w, o, <-answer)
+	return words(o, <-answer)
 }
 
-// write words an answer for the client.
-func write(w http.ResponseWriter, o *pitch.Order, a pitch.Reply) {
-	h := w.Header()
-	h["Date"], h["Content-Type"] = nil, nil
-	for _, f := range a.Fields {
-		if f.Name == pitch.HeaderID {
-			continue
+// words puts an answer into the protocol's.
+func words(o *pitch.Order, r pitch.Reply) awning.Answer {
+	a := awning.Answer{Status: r.Status, Body: r.Body, Fields: make([]awning.Field, 0, len(r.Fields)+2)}
+	for _, f := range r.Fields {
+		if f.Name != pitch.HeaderID {
+			a.Fields = append(a.Fields, awning.Field{Name: f.Name, Value: f.Value})
 		}
-		h[f.Name] = append(h[f.Name], f.Value)
 	}
 	if o.ID != "" {
-		h[pitch.HeaderID] = []string{o.ID}
+		a.Fields = append(a.Fields, awning.Field{Name: pitch.HeaderID, Value: o.ID})
 	}
-	if a.Back > 0 {
-		h["Retry-After"] = []string{strconv.FormatFloat(a.Back, 'f', 3, 64)}
+	if r.Back > 0 {
+		a.Fields = append(a.Fields, awning.Field{Name: "Retry-After", Value: strconv.FormatFloat(r.Back, 'f', 3, 64)})
 	}
-	body := a.Body
-	if a.Ours {
-		h["Content-Type"] = []string{"text/plain"}
-		body = append([]byte(a.Why), '\n')
+	if r.Ours {
+		a.Fields = append(a.Fields, awning.Field{Name: "Content-Type", Value: "text/plain"})
+		a.Body = append([]byte(r.Why), '\n')
 	}
-	h["Content-Length"] = []string{strconv.Itoa(len(body))}
-	w.WriteHeader(a.Status)
-	w.Write(body)
+	return a
 }
 
 func (p *program) calls() http.Handler {
--- a/internal/market/fairground/fairground_test.go
+++ b/internal/market/fairground/fairground_test.go
@@ -148,6 +148,30 @@
 	}
 }
 
+// A proxy that hears no news goes on sending to a host that leaves. The proxy beside that host lets nothing through.
+func TestGateHoldsAgainstOldNews(t *testing.T) {
+	w := market(t, 5, 3)
+	old, leaves := w.Stalls[2], w.Stalls[0]
+	for _, h := range w.Halls {
+		w.CutOff(old.addr, h.addr)
+	}
+	for _, s := range w.Stalls {
+		if s != leaves {
+			w.CutOff(old.addr, s.addr)
+		}
+	}
+	leaves.Drain()
+	old.CrashHost()
+	for i := range 100 {
+		w.After(float64(i)*0.029, func() { w.Ask(old, "/read/x", "", 1) })
+	}
+	w.Run(6)
+	verdictOn(t, w, "old news", 0)
+	if w.Checker.Statuses[503] < 80 {
+		t.Errorf("answers %v: it was to be turned away", w.Checker.Statuses)
+	}
+}
+
 // A proxy cut off from the control plane learns of what is new from those that it watches.
 func TestCutOffProxyHearsFromNeighbours(t *testing.T) {
 	w := market(t, 3, 3)
--- a/internal/market/ledger/ledger_test.go
+++ b/internal/market/ledger/ledger_test.go
@@ -19,7 +19,6 @@
 	disks   map[string]map[string][]byte
 	up      map[string]bool
 	mail    []letter
-	lives   uint32
 }
 
 type letter struct {
@@ -41,8 +40,7 @@
 }
 
 func (b *bag) start(name string) {
-	b.lives++
-	l := New(name, b.lives, 60)
+	l := New(name, b.rng.Uint32()|1, 60)
 	l.Seat(b.names)
 	if err := l.Restore(b.now, b.disks[name]); err != nil {
 		panic(err)
--- a/internal/market/shop/shop.go
+++ b/internal/market/shop/shop.go
@@ -40,12 +40,18 @@
 	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: least})), nil
 }
 
+// Listen listens at an address. Connections get no keep-alive probes: callers come and go in moments, and each setting is a call.
+func Listen(ctx context.Context, addr string) (net.Listener, error) {
+	lc := net.ListenConfig{KeepAlive: -1}
+	ln, err := lc.Listen(ctx, "tcp", addr)
+	return ln, errors.Wrap(err, "listen")
+}
+
 // Serve answers HTTP calls at an address until ctx ends.
 func Serve(ctx context.Context, addr string, h http.Handler, log *slog.Logger) (*http.Server, error) {
-	lc := net.ListenConfig{KeepAlive: -1} // callers come and go in moments, and each setting is a call
-	ln, err := lc.Listen(ctx, "tcp", addr)
+	ln, err := Listen(ctx, addr)
 	if err != nil {
-		return nil, errors.Wrap(err, "listen")
+		return nil, err
 	}
 	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 64 << 10,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
