What was in force is served at once after a start; ticks of 33 ms

Cause: after all processes were killed, requests got 503 'no configuration yet' for 0.6 s: control processes waited for a majority's word and set up the check of configurations first. Change: the newest configuration known to be in force is kept; control processes call each other every 60 ms until a majority is met; the check is set up 0.7 s later. Processes tick every 33 ms.

--- a/cmd/guildhall/run.go
+++ b/cmd/guildhall/run.go
@@ -23,7 +23,8 @@
 )
 
 const (
-	tickEvery  = 20 * time.Millisecond
+	tickEvery  = 33 * time.Millisecond
+	checkAfter = 700 * time.Millisecond // setting up the check of configurations takes longer than all else at the start
 	answerWait = 950 * time.Millisecond // a caller goes elsewhere after a second
 )
 
@@ -79,11 +80,11 @@
 	if err != nil {
 		return err
 	}
-	go func() { // checking is set up when the rest runs: it takes longer than that
+	time.AfterFunc(checkAfter, func() { // proxies that start as well need the rest first
 		p.assayMu.Lock()
 		defer p.assayMu.Unlock()
 		p.assayer = assay.New()
-	}()
+	})
 	again := make(chan os.Signal, 1)
 	signal.Notify(again, syscall.SIGHUP)
 	go shop.Settings(ctx, os.Getenv(deed.Variable), again, log, func(d *deed.Deed) {
--- a/cmd/stall/run.go
+++ b/cmd/stall/run.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	tickEvery   = 20 * time.Millisecond
+	tickEvery   = 33 * time.Millisecond
 	memoryShare = 4                       // a quarter of what the machine gives may be bodies under way
 	noticeAfter = 2200 * time.Millisecond // the platform asks once a second and believes the second failure
 	lastSpare   = 900 * time.Millisecond  // before the platform ends a process that does not
--- a/internal/market/hall/hall.go
+++ b/internal/market/hall/hall.go
@@ -20,6 +20,7 @@
 	foundAfter    = 1.2  // the founder waits for others to come
 	foundQuiet    = 0.6  // and for nobody to have come for so long
 	joinEvery     = 0.15 // a process without members asks for them
+	digestSoon    = 0.06 // the same, while no majority has been heard
 	digestEvery   = 0.25 // what the others hear from this one, at least
 	wholeEvery    = 3.0  // all that is known, to one of the others
 	silentAfter   = 7.0  // a proxy that nobody has heard of for so long takes no requests
@@ -36,6 +37,7 @@
 const (
 	nameMembers = "members"
 	nameCharter = "charter"
+	nameSure    = "sure"  // the newest configuration known to be in force
 	nameWhole   = "whole" // the registers hold all that this process ever promised
 )
 
@@ -113,6 +115,9 @@
 	if text := values[nameCharter]; len(text) > 8 {
 		h.held, h.text = binary.BigEndian.Uint64(text), text[8:]
 	}
+	if text := values[nameSure]; len(text) == 8 && binary.BigEndian.Uint64(text) == h.held {
+		h.sure = h.held // it was in force, so proxies that start may begin with it
+	}
 	if err := h.ledger.Restore(now, values); err != nil {
 		return nil, err
 	}
@@ -474,6 +479,7 @@
 		return
 	}
 	h.sure = edition
+	h.out.Puts = append(h.out.Puts, vault.Put{Name: nameSure, Value: binary.BigEndian.AppendUint64(nil, edition)})
 	h.o.Log("in force", "edition", edition)
 	h.digestAt = 0
 	h.wake(now)
@@ -591,6 +597,9 @@
 }
 
 func (h *Hall) heardDigest(now float64, from string, d *cart.Digest) {
+	if now > h.met[from]+aloneAfter { // one that comes back, or comes first: it hears from here at once
+		h.digestAt = 0
+	}
 	h.met[from] = now
 	h.holdsAt(now, from, d.Held)
 	for _, source := range d.Heard {
@@ -616,6 +625,9 @@
 		return
 	}
 	h.digestAt = now + digestEvery
+	if h.alone(now) {
+		h.digestAt = now + digestSoon
+	}
 	d := &cart.Digest{Held: h.held, Sure: h.sure, Records: h.changed}
 	for source := range h.direct {
 		d.Heard = append(d.Heard, source)
--- a/internal/market/pitch/news.go
+++ b/internal/market/pitch/news.go
@@ -24,8 +24,8 @@
 	watched     = 3   // other proxies that this one knows and watches
 	watchEvery  = 1.0 // seconds between questions to them, while no control process answers
 	aloneAgain  = 0.05
-	probeEvery  = 0.3 // seconds between questions to a host that has not said anything yet
-	retryAfter  = 0.1 // seconds after a control process that could not be reached
+	probeEvery  = 0.3  // seconds between questions to a host that has not said anything yet
+	retryAfter  = 0.04 // seconds after a control process that could not be reached
 )
 
 // news is what this proxy knows: the host beside it, which it alone tells the others of; who else there is; and which
