--- /dev/null
+++ b/cmd/guildhall/main_test.go
@@ -0,0 +1,12 @@
+package main
+
+import (
+	"os"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func TestMain(m *testing.M) { testscript.Main(m, map[string]func(){"guildhall": func() { os.Exit(Main()) }}) }
+
+func TestCommandLine(t *testing.T) { testscript.Run(t, testscript.Params{Dir: "testdata"}) }
