--- a/internal/market/pitch/gate.go
+++ b/internal/market/pitch/gate.go
@@ -16,9 +16,9 @@
 	workStep      = 0.05  // weight of one request in the mean time that a host takes
 	firstWork     = 0.03  // seconds, until that is known
 	leastWait     = 0.01  // seconds that any request may wait here for the host
-	spread        = 1.25  // times the mean that its class takes: what a run is expected to take
+	spread        = 1.8   // times the mean that its class takes: what a run is expected to take
 	onTheWay      = 0.015 // seconds: its answer's way
-	returns       = 0.4   // seconds: with less left a client hardly comes again
+	returns       = 0.25  // seconds: with less left a client hardly comes again
 	waitShare     = 0.5   // of the time left that such a request may wait
 	mostClasses   = 256
 	firstWait     = 0.3  // of a mean run, that a first try may wait
