Buffers, readers and bodies move to internal/wire; porter and awning use the pool

Need: nothing written twice. Change: buffer.go of internal/proxy becomes internal/wire/pool.go, by name only; the mesh's connections to clients and hosts take their readers from it. Tests of a host in trouble: sixteen answers and what is known by each, extra and late answers.

--- a/cmd/stall/main_test.go
+++ b/cmd/stall/main_test.go
@@ -7,6 +7,8 @@
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
-func TestMain(m *testing.M) { testscript.Main(m, map[string]func(){"stall": func() { os.Exit(Main()) }}) }
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"stall": func() { os.Exit(Main()) }})
+}
 
 func TestCommandLine(t *testing.T) { testscript.Run(t, testscript.Params{Dir: "testdata"}) }
--- a/cmd/stall/run.go
+++ b/cmd/stall/run.go
@@ -21,6 +21,7 @@
 	"beechwing/internal/market/pitch"
 	"beechwing/internal/market/porter"
 	"beechwing/internal/market/shop"
+	"beechwing/internal/wire"
 )
 
 const (
@@ -47,7 +48,8 @@
 	if d.Docking.Outbound == "" || d.Docking.Ready == "" || d.AppAddress == "" {
 		return errors.New("settings: docking.outboundDock, docking.readyDock and appAddress: all have to be there")
 	}
-	p := &program{log: log, clock: shop.NewClock(), deed: d, porter: porter.New(d.AppAddress)}
+	bufs := wire.NewPool()
+	p := &program{log: log, clock: shop.NewClock(), deed: d, porter: porter.New(d.AppAddress, bufs)}
 	o := pitch.Options{Self: d.Inner(), Zone: d.Zone, Sender: d.Carrier, Seeds: d.Seeds(), Beat: float64(d.BeatMs) / 1000,
 		Ratio: d.Bound("retryRatio", 0.2), Slack: d.Bound("retrySlack", 0), Version: uint64(time.Now().UnixMilli()),
 		Seed: rand.Uint64(), Memory: max(16, d.Limits.MemoryMB/memoryShare) << 20,
@@ -81,7 +83,7 @@
 	if err != nil {
 		return err
 	}
-	clients := awning.Open(ln, p.limits, p.serve)
+	clients := awning.Open(ln, bufs, p.limits, p.serve)
 	go shop.Settings(ctx, os.Getenv(deed.Variable), again, log, func(d *deed.Deed) {
 		p.with(func(now float64) { p.pitch.Seeds(now, d.Seeds()) })
 	})
--- a/internal/market/awning/awning.go
+++ b/internal/market/awning/awning.go
@@ -31,7 +31,7 @@
 var Usual = Limits{HeadBytes: 16 << 10, BodyBytes: 64 << 20, HeadWithin: 10 * time.Second, IdleFor: time.Minute}
 
 const (
-	mostHead    = 20 << 10         // whatever the configuration says
+	mostHead    = wire.BufferSize  // whatever the configuration says
 	bodyWithin  = 30 * time.Second // a client that sends a body and stops
 	writeWithin = 10 * time.Second // a client that does not read
 	lingerFor   = 200 * time.Millisecond
@@ -62,6 +62,7 @@
 	ln     net.Listener
 	limits func() Limits
 	serve  func(*Request) Answer
+	bufs   *wire.Pool
 	last   atomic.Bool // every answer closes its connection
 
 	mu    sync.Mutex
@@ -77,11 +78,9 @@
 	busy  bool // a request is being read or served; guarded by Awning.mu
 }
 
-var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, mostHead) }}
-
 // Open begins to take clients at an address. serve is called for each request, by many at once.
-func Open(ln net.Listener, limits func() Limits, serve func(*Request) Answer) *Awning {
-	a := &Awning{ln: ln, limits: limits, serve: serve, conns: map[*conn]bool{}}
+func Open(ln net.Listener, bufs *wire.Pool, limits func() Limits, serve func(*Request) Answer) *Awning {
+	a := &Awning{ln: ln, bufs: bufs, limits: limits, serve: serve, conns: map[*conn]bool{}}
 	go a.accept()
 	return a
 }
@@ -149,12 +148,10 @@
 }
 
 func (a *Awning) run(c *conn) {
-	c.br = readers.Get().(*bufio.Reader)
-	c.br.Reset(&c.meter)
+	c.br = a.bufs.Reader(&c.meter)
 	defer func() {
 		c.Close()
-		c.br.Reset(nil)
-		readers.Put(c.br)
+		a.bufs.PutReader(c.br)
 		a.mu.Lock()
 		delete(a.conns, c)
 		a.mu.Unlock()
--- a/internal/market/awning/awning_test.go
+++ b/internal/market/awning/awning_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"beechwing/internal/wire"
 )
 
 func open(t *testing.T, l Limits) (*Awning, string) {
@@ -17,7 +19,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := Open(ln, func() Limits { return l }, func(q *Request) Answer {
+	a := Open(ln, wire.NewPool(), func() Limits { return l }, func(q *Request) Answer {
 		return Answer{Status: 200, Fields: []Field{{"X-Got", q.Method + " " + q.Host + " " + q.Target}}, Body: q.Body}
 	})
 	t.Cleanup(func() { a.Close(time.Second) })
@@ -104,7 +106,7 @@
 		t.Fatal(err)
 	}
 	began, goOn := make(chan bool), make(chan bool)
-	a := Open(ln, func() Limits { return Usual }, func(*Request) Answer {
+	a := Open(ln, wire.NewPool(), func() Limits { return Usual }, func(*Request) Answer {
 		began <- true
 		<-goOn
 		return Answer{Status: 200}
--- a/internal/market/porter/porter.go
+++ b/internal/market/porter/porter.go
@@ -26,7 +26,7 @@
 	idleFor     = 5 * time.Second // a host closes idle connections after a time that it need not tell
 	dialWithin  = 500 * time.Millisecond
 	probeWithin = 300 * time.Millisecond
-	mostHead    = 32 << 10
+	mostHead    = wire.BufferSize
 	mostBody    = 64 << 20
 	mostIdle    = 64
 	mostStale   = 2 // answers of others ahead of the one waited for
@@ -38,6 +38,7 @@
 // Porter is the way to one host.
 type Porter struct {
 	addr string
+	bufs *wire.Pool
 
 	mu     sync.Mutex
 	idle   []*conn // the one used last comes last, and is used first
@@ -48,11 +49,19 @@
 	net.Conn
 	meter wire.Meter
 	br    *bufio.Reader
+	bufs  *wire.Pool
 	until time.Time // it is not used after that
 }
 
+// Close ends the connection. Whoever has it calls it once.
+func (c *conn) Close() error {
+	c.bufs.PutReader(c.br)
+	c.br = nil
+	return c.Conn.Close()
+}
+
 // New makes a porter for the host at an address.
-func New(addr string) *Porter { return &Porter{addr: addr} }
+func New(addr string, bufs *wire.Pool) *Porter { return &Porter{addr: addr, bufs: bufs} }
 
 // Forget closes what is idle: another life of the host has the address.
 func (p *Porter) Forget() {
@@ -113,7 +122,8 @@
 	p.opened++
 	p.mu.Unlock()
 	c := &conn{Conn: nc, meter: wire.Meter{R: nc}}
-	c.br = bufio.NewReaderSize(&c.meter, mostHead)
+	c.br = p.bufs.Reader(&c.meter)
+	c.bufs = p.bufs
 	return c, nil
 }
 
--- /dev/null
+++ b/internal/market/porter/porter_test.go
@@ -0,0 +1,137 @@
+package porter
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"beechwing/internal/market/cart"
+	"beechwing/internal/market/pitch"
+	"beechwing/internal/market/verdict"
+	"beechwing/internal/wire"
+)
+
+// host answers each request on its connections by say, which gets the id and the number of the request on its connection. An
+// empty answer closes the connection.
+func host(t *testing.T, say func(id string, n int) string) (*Porter, *wire.Pool) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for n := 1; ; n++ {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, r.Body)
+					text := say(r.Header.Get(pitch.HeaderID), n)
+					io.WriteString(c, text)
+					if text == "" || strings.Contains(text, "cut") {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	bufs := wire.NewPool()
+	return New(ln.Addr().String(), bufs), bufs
+}
+
+func good(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: p-%s\r\nContent-Length: %d\r\n\r\n%s", pitch.HeaderID, id, pitch.HeaderPostmark,
+		id, len(body), body)
+}
+
+func ask(p *Porter, id string) *cart.Carried {
+	return p.Run(&cart.Carry{Station: "i-1", Method: "POST", Target: "/x", Host: "h", Body: []byte("b"), Framed: true, LeftUs: 1e6,
+		Fields: []*cart.Field{{Name: pitch.HeaderID, Value: id}}}, time.Now().Add(time.Second))
+}
+
+// What a host in trouble may answer, and what is known of the run by it.
+func TestVerdicts(t *testing.T) {
+	for _, c := range []struct {
+		name, text string
+		want       verdict.Verdict
+	}{
+		{"whole", good("q", "hello"), verdict.Answered},
+		{"its own failure", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", verdict.Answered},
+		{"after 100", "HTTP/1.1 100 Continue\r\n\r\n" + good("q", "hello"), verdict.Answered},
+		{"chunks", "HTTP/1.1 200 OK\r\n" + pitch.HeaderID + ": q\r\n" + pitch.HeaderPostmark + ": p\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", verdict.Answered},
+		{"not run", "HTTP/1.1 503 Full\r\n" + pitch.HeaderUnrun + ": 1\r\nContent-Length: 0\r\n\r\n", verdict.HostTurned},
+		{"another host", "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n", verdict.HostTurned},
+		{"closed", "", verdict.Broken},
+		{"cut in the head", "HTTP/1.1 200 OK\r\ncut", verdict.Broken},
+		{"cut in the body", "HTTP/1.1 200 OK\r\n" + pitch.HeaderID + ": q\r\n" + pitch.HeaderPostmark + ": p\r\nContent-Length: 9\r\n\r\ncut", verdict.Broken},
+		{"no length", "HTTP/1.1 200 OK\r\n" + pitch.HeaderID + ": q\r\n" + pitch.HeaderPostmark + ": p\r\n\r\ncut", verdict.Broken},
+		{"no answer in the protocol", "220 mail ready\r\n\r\ncut", verdict.Broken},
+		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 4\r\n\r\nhello", verdict.Broken},
+		{"no postmark", "HTTP/1.1 200 OK\r\n" + pitch.HeaderID + ": q\r\nContent-Length: 5\r\n\r\nhello", verdict.Broken},
+		{"nobody's", "HTTP/1.1 200 OK\r\n" + pitch.HeaderPostmark + ": p\r\nContent-Length: 5\r\n\r\nhello", verdict.Broken},
+		{"encoded", "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n" + pitch.HeaderID + ": q\r\n" + pitch.HeaderPostmark + ": p\r\nContent-Length: 5\r\n\r\nhello", verdict.Broken},
+		{"silent", "HTTP/1.1 200", verdict.Late},
+	} {
+		p, bufs := host(t, func(string, int) string { return c.text })
+		got := ask(p, "q")
+		if verdict.Verdict(got.Verdict) != c.want {
+			t.Errorf("%s: %v (%s), want %v", c.name, verdict.Verdict(got.Verdict), got.Why, c.want)
+		}
+		if c.want == verdict.Answered && got.Status == 200 && string(got.Body) != "hello" {
+			t.Errorf("%s: body %q", c.name, got.Body)
+		}
+		p.Forget()
+		if bufs.Live() != 0 {
+			t.Errorf("%s: %d readers left", c.name, bufs.Live())
+		}
+	}
+	p := New("127.0.0.1:1", wire.NewPool())
+	if got := ask(p, "q"); verdict.Verdict(got.Verdict) != verdict.Turned {
+		t.Errorf("no connection: %v, nothing was sent", verdict.Verdict(got.Verdict))
+	}
+}
+
+// An extra answer, at once or late, never becomes the answer to another request, and connections are kept where nothing is odd.
+func TestExtraAnswersBelongToNobody(t *testing.T) {
+	p, _ := host(t, func(id string, n int) string {
+		if n == 2 { // the first one's answer again, where the second one's is due
+			return good("q0", "old") + good(id, "new")
+		}
+		return good(id, "body of "+id)
+	})
+	for i, want := range []string{"body of q0", "new", "body of q2"} {
+		if got := ask(p, fmt.Sprintf("q%d", i)); string(got.Body) != want {
+			t.Errorf("q%d: %q, want %q", i, got.Body, want)
+		}
+	}
+	if p.Opened() != 2 { // kept after the first, not after the odd one
+		t.Errorf("%d connections", p.Opened())
+	}
+	p, _ = host(t, func(id string, n int) string { return good(id, "mine") + good(id, "more") })
+	for i := range 5 {
+		id := fmt.Sprintf("q%d", i)
+		got := ask(p, id)
+		if string(got.Body) != "mine" {
+			t.Errorf("%s: %q", id, got.Body)
+		}
+		for _, f := range got.Fields {
+			if f.Name == pitch.HeaderPostmark && f.Value != "p-"+id {
+				t.Errorf("%s has the stamp %s", id, f.Value)
+			}
+		}
+	}
+}
--- a/internal/proxy/accept.go
+++ b/internal/proxy/accept.go
@@ -15,6 +15,7 @@
 	"beechwing/internal/park"
 	"beechwing/internal/places"
 	"beechwing/internal/site"
+	"beechwing/internal/wire"
 )
 
 const (
@@ -28,7 +29,7 @@
 	ln     net.Listener
 	log    *zap.Logger
 	owner  *owner
-	bufs   *pool
+	bufs   *wire.Pool
 	names  atomic.Pointer[names]
 	times  timing
 	limits frontLimits
@@ -62,7 +63,7 @@
 	warm        int  // connections that may wait unparked for a moment after a request
 }
 
-func newFront(ln net.Listener, l frontLimits, r *room, giveBack func(int), o *owner, bufs *pool, n *names, t timing,
+func newFront(ln net.Listener, l frontLimits, r *room, giveBack func(int), o *owner, bufs *wire.Pool, n *names, t timing,
 	log *zap.Logger) (*front, error) {
 	f := &front{ln: ln, log: log, room: r, giveBack: giveBack, owner: o, bufs: bufs, times: t, limits: l,
 		since: time.Now(), space: make(chan struct{}, 1), kick: make(chan struct{}, 1),
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -13,9 +13,9 @@
 // answer is the final word on a request. A status of zero means that nobody is there to hear one.
 type answer struct {
 	status   int
-	kind     string  // content type of a served body
-	body     body    // of a host's answer
-	long     *stream // a long one, in body's place
+	kind     string    // content type of a served body
+	body     wire.Body // of a host's answer
+	long     *stream   // a long one, in body's place
 	length   int64
 	old      bool   // its client knows no chunks
 	text     string // of an answer of our own
@@ -28,7 +28,7 @@
 // respond waits for the owner's answer and writes it. It says whether the connection may go on.
 func (c *client) respond(q *request, class *classTally, last bool) bool {
 	a := <-q.answer
-	defer c.front.bufs.freeBody(&a.body)
+	defer c.front.bufs.FreeBody(&a.body)
 	defer func() { c.front.owner.tally.end(class, a.status) }()
 	if a.long != nil {
 		defer a.long.leave()
@@ -67,9 +67,9 @@
 
 // write sends an answer in one gathered write.
 func (c *client) write(a *answer) error {
-	buf := c.front.bufs.buffer()
-	defer c.front.bufs.putBuffer(buf)
-	w := &fixedWriter{buf: buf[:0]}
+	buf := c.front.bufs.Buffer()
+	defer c.front.bufs.PutBuffer(buf)
+	w := &wire.FixedWriter{Buf: buf[:0]}
 	fmt.Fprintf(w, "HTTP/1.1 %d %s\r\n%s", a.status, http.StatusText(a.status), a.framing())
 	if a.kind != "" {
 		fmt.Fprintf(w, "Content-Type: %s\r\n", a.kind)
@@ -81,11 +81,11 @@
 		fmt.Fprint(w, "Connection: close\r\n")
 	}
 	fmt.Fprintf(w, "\r\n%s", a.text)
-	if w.full { // only a host's content type can be that long
+	if w.Full { // only a host's content type can be that long
 		return wire.ErrTooLarge
 	}
 	c.conn.SetWriteDeadline(time.Now().Add(c.front.times.answer))
-	parts := a.body.parts(net.Buffers{w.buf})
+	parts := a.body.Parts(net.Buffers{w.Buf})
 	_, err := parts.WriteTo(c.conn)
 	return err
 }
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -94,7 +94,7 @@
 		return context.DeadlineExceeded
 	}
 	tail := fmt.Appendf(nil, "%s: %du\r\n\r\n", headerRemaining, left.Microseconds())
-	parts := q.body.parts(net.Buffers{q.head[:q.headed], tail})
+	parts := q.body.Parts(net.Buffers{q.head[:q.headed], tail})
 	end := len(parts) - 1
 	most, last := parts[end][:len(parts[end])-1], parts[end][len(parts[end])-1:]
 	parts[end] = most
@@ -204,7 +204,7 @@
 		if r = call.drop(); r.err == nil && r.result == balancer.TurnedAway {
 			return r, r.result, false
 		}
-		c.up.hosts.bufs.freeBody(&r.body)
+		c.up.hosts.bufs.FreeBody(&r.body)
 		if calledOff(ctx) {
 			return reply{}, balancer.Cancelled, false
 		}
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -134,7 +134,7 @@
 
 // serve reads what has come and goes on until nothing comes for a moment, or the connection ends.
 func (c *client) serve(v places.Verdict, waited time.Duration) {
-	c.br = c.front.bufs.reader(&c.meter)
+	c.br = c.front.bufs.Reader(&c.meter)
 	c.verdict, c.waited = v, waited
 	c.limitRead(c.front.times.fresh) // the last limit may be over; that of a request is set with its first byte
 	goesOn := true
@@ -171,7 +171,7 @@
 		line.Write(zap.String("id", q.name), zap.Stringer("from", c.conn.RemoteAddr()))
 	}
 	if bad == nil && c.over() {
-		c.front.bufs.freeRequest(q)
+		freeRequest(c.front.bufs, q)
 		bad = &badRequest{http.StatusInternalServerError, "too many connections"}
 		c.front.owner.tally.begin()
 		defer c.front.owner.tally.end(q.names.tally[q.Class], bad.status)
@@ -233,7 +233,7 @@
 
 // turnDown refuses a request that has waited for too long to be read. Nothing has been sent for it.
 func (c *client) turnDown(q *request, last bool) bool {
-	c.front.bufs.freeRequest(q)
+	freeRequest(c.front.bufs, q)
 	c.setTaken()
 	c.front.owner.tally.begin()
 	defer c.front.owner.tally.end(q.names.tally[q.Class], http.StatusServiceUnavailable)
@@ -280,7 +280,7 @@
 	c.mark(c.front.book.Linger, c.front.times.linger)
 	c.meter.Allow(lingerMost)
 	for {
-		if _, err := c.br.Discard(bufferSize); err != nil {
+		if _, err := c.br.Discard(wire.BufferSize); err != nil {
 			return
 		}
 	}
--- a/internal/proxy/client_test.go
+++ b/internal/proxy/client_test.go
@@ -12,11 +12,12 @@
 	"time"
 
 	"beechwing/internal/places"
+	"beechwing/internal/wire"
 )
 
 // TestServed: what a client sends reaches the host as the protocol says, and the host's answer comes back unchanged.
 func TestServed(t *testing.T) {
-	big := strings.Repeat("0123456789abcdef", maxBody/16)
+	big := strings.Repeat("0123456789abcdef", wire.MaxBody/16)
 	for _, c := range []struct{ name, class, method, text string }{
 		{"safe", "read", "GET", ""},
 		{"unsafe", "write", "POST", "a=1"},
@@ -381,7 +382,7 @@
 
 // TestSlowReader: a client that does not take its answer is cut off, and the buffers come back (checked at the end).
 func TestSlowReader(t *testing.T) {
-	large := strings.Repeat("x", maxBody)
+	large := strings.Repeat("x", wire.MaxBody)
 	h := newHost(t, says(httpOK(large)))
 	g := one(t, h, func(p *Proxy) {
 		p.times.answer = 100 * time.Millisecond
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -19,6 +19,7 @@
 	"beechwing/internal/park"
 	"beechwing/internal/settings"
 	"beechwing/internal/site"
+	"beechwing/internal/wire"
 )
 
 // Config is what a client proxy is told at its start.
@@ -52,7 +53,7 @@
 	defaultMemoryMB = 192
 	spareSockets    = 48   // of the descriptors: listener, discovery, poller, standard streams, the operators' door (17), and some to spare
 	softMemory      = 0.75 // of the memory limit: from there on the garbage collector works harder
-	memoryPerClient = 2 * (maxBody + 2*bufferSize)
+	memoryPerClient = 2 * (wire.MaxBody + 2*wire.BufferSize)
 	memoryPerParked = 2 << 10 // of a connection that brings nothing
 	parkedShare     = 0.25    // of the soft limit, for them all
 	watcherShare    = 0.125   // of the memory limit, for goroutines that watch what is parked
--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -37,7 +37,7 @@
 	by    *balancer.Config   // settings to call by from the next opening on; nil: as before
 	leave context.CancelFunc // ends the calls to addr; nil: none have begun
 
-	bufs    *pool
+	bufs    *wire.Pool
 	zones   *zones
 	times   timing
 	wait    time.Duration
@@ -52,7 +52,7 @@
 	held    bool          // there was one
 }
 
-func newDiscovery(cfg *Config, bufs *pool, t timing, log *zap.Logger, post func(event)) *discovery {
+func newDiscovery(cfg *Config, bufs *wire.Pool, t timing, log *zap.Logger, post func(event)) *discovery {
 	d := &discovery{
 		addr: cfg.Discovery, bufs: bufs, times: t, zones: cfg.zones, log: log, post: post,
 		watch: make(chan struct{}, 1), fetch: make(chan struct{}, 1),
@@ -325,7 +325,7 @@
 type listConn struct {
 	net.Conn
 	wire.Meter
-	bufs  *pool
+	bufs  *wire.Pool
 	br    *bufio.Reader
 	stop  func() bool
 	spent bool // discovery closes it
@@ -338,7 +338,7 @@
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
 	c := &listConn{Conn: nc, Meter: wire.Meter{R: nc}, bufs: d.bufs}
-	c.br = c.bufs.reader(&c.Meter)
+	c.br = c.bufs.Reader(&c.Meter)
 	c.stop = context.AfterFunc(ctx, func() { nc.Close() })
 	return c, nil
 }
@@ -350,7 +350,7 @@
 	}
 	c.stop()
 	c.Conn.Close()
-	c.bufs.putReader(c.br)
+	c.bufs.PutReader(c.br)
 }
 
 // get reads one answer whole, within the time given.
--- a/internal/proxy/fuzz_test.go
+++ b/internal/proxy/fuzz_test.go
@@ -29,10 +29,10 @@
 	n := &names{classes: map[string]int{"read": 0, "write": 1, "log": 2}, tenants: map[string]int{"acme": 0},
 		effects: []balancer.Effect{balancer.Safe, balancer.Unsafe, balancer.Keyed}}
 	f.Fuzz(func(t *testing.T, in []byte) {
-		bufs := newPool()
+		bufs := wire.NewPool()
 		c := &client{front: &front{bufs: bufs, times: quickTiming()}, conn: mute{}, meter: wire.Meter{R: bytes.NewReader(in)}}
 		c.front.names.Store(n)
-		c.br = bufio.NewReaderSize(&c.meter, bufferSize)
+		c.br = bufio.NewReaderSize(&c.meter, wire.BufferSize)
 		c.meter.Allow(maxHead)
 		r, err := http.ReadRequest(c.br)
 		var q *request
@@ -43,17 +43,17 @@
 			}
 		}
 		if q != nil {
-			if q.Budget < 0 || q.Budget > mostRemaining || q.Work < 0 || q.body.size > maxBody ||
+			if q.Budget < 0 || q.Budget > mostRemaining || q.Work < 0 || q.body.Size > wire.MaxBody ||
 				!bytes.Contains(q.head[:q.headed], []byte("\r\n"+headerID+": ")) {
 				t.Fatalf("request %+v", q.Request)
 			}
-			bufs.freeRequest(q)
+			freeRequest(bufs, q)
 		}
 		if bad != nil && bad.status != 0 && (bad.status < 400 || bad.status > 499 || bad.status == 429) {
 			t.Fatalf("answered %d", bad.status)
 		}
-		if bufs.live.Load() != 0 {
-			t.Fatalf("%d buffers left", bufs.live.Load())
+		if bufs.Live() != 0 {
+			t.Fatalf("%d buffers left", bufs.Live())
 		}
 	})
 }
@@ -66,7 +66,7 @@
 		f.Add([]byte(text))
 	}
 	f.Fuzz(func(t *testing.T, in []byte) {
-		bufs := newPool()
+		bufs := wire.NewPool()
 		near, far := net.Pipe()
 		defer far.Close()
 		defer near.Close()
@@ -74,7 +74,7 @@
 		of.by.Store(&hostSettings{columns: []string{"cpu"}})
 		c := &hostConn{up: &upstream{hosts: of}, conn: near,
 			meter: wire.Meter{R: bytes.NewReader(in)}}
-		c.br = bufio.NewReaderSize(&c.meter, bufferSize)
+		c.br = bufio.NewReaderSize(&c.meter, wire.BufferSize)
 		call := newCall()
 		read, over := make(chan struct{}), make(chan struct{})
 		go func() { // takes nothing of a long one
@@ -91,12 +91,12 @@
 		if r.err == nil && r.result.NeverRan() && !bytes.Contains(bytes.ToLower(in), []byte("x-turned-away")) {
 			t.Fatalf("%v without the host's word", r.result)
 		}
-		if r.err != nil && r.reusable || r.body.size > maxBody {
+		if r.err != nil && r.reusable || r.body.Size > wire.MaxBody {
 			t.Fatalf("reply %+v", r)
 		}
-		bufs.freeBody(&r.body)
-		if bufs.live.Load() != 0 {
-			t.Fatalf("%d buffers left", bufs.live.Load())
+		bufs.FreeBody(&r.body)
+		if bufs.Live() != 0 {
+			t.Fatalf("%d buffers left", bufs.Live())
 		}
 	})
 }
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -363,9 +363,9 @@
 	}
 	g.ended <- nil // for a second stop
 	// Attempts and connections of the last requests end on their own; wait for the pool to be whole again.
-	for end := time.Now().Add(patience); g.p.bufs.live.Load() != 0; time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(patience); g.p.bufs.Live() != 0; time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
-			g.t.Fatalf("%d buffers left", g.p.bufs.live.Load())
+			g.t.Fatalf("%d buffers left", g.p.bufs.Live())
 		}
 	}
 }
--- a/internal/proxy/idle.go
+++ b/internal/proxy/idle.go
@@ -84,7 +84,7 @@
 // settle parks a connection whose goroutine ends, or ends it too.
 func (c *client) settle(goesOn bool) {
 	f := c.front
-	f.bufs.putReader(c.br)
+	f.bufs.PutReader(c.br)
 	c.br = nil
 	f.mu.Lock()
 	f.desk.Leave(&c.turn)
--- a/internal/proxy/idle_test.go
+++ b/internal/proxy/idle_test.go
@@ -79,10 +79,10 @@
 	h := newHost(t, says(ok))
 	g := one(t, h, desks, func(p *Proxy) { p.cfg.Limits.MemoryMB = 16 }) // too little for a goroutine each
 	g.crowd(1)
-	goroutines, buffers := runtime.NumGoroutine(), g.p.bufs.live.Load()
+	goroutines, buffers := runtime.NumGoroutine(), g.p.bufs.Live()
 	conns := g.crowd(200)
 	g.await("the rest has settled", func() bool { return runtime.NumGoroutine() <= goroutines+20 }) // of the host, mostly
-	if n := g.p.bufs.live.Load(); n > buffers+4 {
+	if n := g.p.bufs.Live(); n > buffers+4 {
 		t.Errorf("%d buffers with 200 more idle connections, %d before", n, buffers)
 	}
 	io.WriteString(conns[7], message("write", "x"))
@@ -250,7 +250,7 @@
 	core, logs := observer.New(zap.WarnLevel)
 	l := short{ln, make(chan struct{}), make(watched[bool], 1)}
 	f, err := newFront(l, frontLimits{most: 4, connections: 4, desk: places.DeskConfig{Most: 1, Burst: 1, Pace: 1}},
-		newRoom(Limits{Sockets: 100}), nil, nil, newPool(), nil, quickTiming(), zap.New(core))
+		newRoom(Limits{Sockets: 100}), nil, nil, wire.NewPool(), nil, quickTiming(), zap.New(core))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/proxy/long.go
+++ b/internal/proxy/long.go
@@ -41,7 +41,7 @@
 func (q *request) framing() string {
 	switch {
 	case q.up == nil:
-		return fmt.Sprintf("Content-Length: %d\r\n", q.body.size)
+		return fmt.Sprintf("Content-Length: %d\r\n", q.body.Size)
 	case q.up.length >= 0:
 		return fmt.Sprintf("Content-Length: %d\r\n", q.up.length)
 	}
@@ -86,7 +86,7 @@
 // request has come whole. The owner hears what became of it. What is answered early is read to its end all the same: a
 // client that has not sent all might not read the answer, and closing would reset that away.
 func (c *client) pump(q *request) bool {
-	err := q.up.fill(wholeBody{q.up.from}, func() {})
+	err := q.up.fill(wire.WholeBody{Reader: q.up.from}, func() {})
 	switch {
 	case err == nil && c.br.Buffered() > 0:
 		q.up.end(errLeft)
@@ -109,7 +109,7 @@
 	switch {
 	case errors.Is(err, wire.ErrTooLarge):
 		early.answer = badRequest{http.StatusRequestEntityTooLarge, "body is too large"}.answer()
-	case !errors.Is(err, errCut) && c.meter.Err == nil:
+	case !errors.Is(err, wire.ErrCut) && c.meter.Err == nil:
 		early.answer = badRequest{http.StatusBadRequest, "malformed body"}.answer()
 	}
 	c.front.owner.post(early)
@@ -155,7 +155,7 @@
 	if err := w.put(net.Buffers{q.head[:q.headed], tail}); err != nil {
 		return err
 	}
-	for _, part := range q.body.parts(nil) {
+	for _, part := range q.body.Parts(nil) {
 		if err := w.write(part); err != nil {
 			return err
 		}
@@ -191,7 +191,7 @@
 		if err = l.stands(); err == nil {
 			err = w.write(p.bytes())
 		}
-		up.bufs.putBuffer(p.buf)
+		up.bufs.PutBuffer(p.buf)
 		if err != nil {
 			return err
 		}
@@ -244,7 +244,7 @@
 	} else {
 		defer time.AfterFunc(bodies.Unhurried(), begin).Stop()
 	}
-	err := s.fill(wholeBody{alive{c.conn, r.Body}}, begin)
+	err := s.fill(wire.WholeBody{Reader: alive{c.conn, r.Body}}, begin)
 	c.conn.SetReadDeadline(time.Time{})
 	if out.err = err; !claimed.CompareAndSwap(false, true) {
 		s.end(err)
@@ -304,7 +304,7 @@
 func (a *answer) framing() string {
 	switch {
 	case a.long == nil:
-		return fmt.Sprintf("Content-Length: %d\r\n", a.body.size+len(a.text))
+		return fmt.Sprintf("Content-Length: %d\r\n", a.body.Size+len(a.text))
 	case a.length >= 0:
 		return fmt.Sprintf("Content-Length: %d\r\n", a.length)
 	case a.old:
@@ -326,7 +326,7 @@
 		}
 		if err == nil {
 			err = c.putLong(p.bytes(), chunked)
-			c.front.bufs.putBuffer(p.buf)
+			c.front.bufs.PutBuffer(p.buf)
 		}
 		if err != nil {
 			if tc, ok := c.conn.(*net.TCPConn); ok { // an answer that only the connection ends must not end well
--- a/internal/proxy/long_test.go
+++ b/internal/proxy/long_test.go
@@ -14,6 +14,7 @@
 
 	"beechwing/balancer"
 	bodies "beechwing/internal/body"
+	"beechwing/internal/wire"
 )
 
 // noise is n bytes that are the same for a seed.
@@ -99,14 +100,14 @@
 				t.Fatalf("answer %+v, %v", r, err)
 			}
 			sampled := readerFunc(func(b []byte) (int, error) {
-				most = max(most, g.p.bufs.live.Load())
+				most = max(most, g.p.bufs.Live())
 				return r.Body.Read(b)
 			})
 			if got, want := sum(sampled), sum(noise(2, bulk)); got != want {
 				t.Fatalf("the client got %s, want %s", got, want)
 			}
 			// Readers and heads of both sides, what is kept of the request, and a full stream.
-			if limit := int64(8 + bodies.Kept/bufferSize + streamBuffers + 2); most > limit {
+			if limit := int64(8 + bodies.Kept/wire.BufferSize + streamBuffers + 2); most > limit {
 				t.Fatalf("%d buffers held, at most %d wanted", most, limit)
 			}
 		})
@@ -271,7 +272,7 @@
 // for one that was held whole it would be served empty.
 func TestBeginAndEndTogether(t *testing.T) {
 	for range 100 {
-		c, s := newCall(), newStream(newPool())
+		c, s := newCall(), newStream(wire.NewPool())
 		c.begun <- reply{long: s}
 		c.done <- reply{long: s}
 		told := 0
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -13,6 +13,7 @@
 
 	"beechwing/balancer"
 	"beechwing/internal/site"
+	"beechwing/internal/wire"
 )
 
 // queueLength bounds what waits for the owner. Socket code that finds the queue full waits in turn.
@@ -33,7 +34,7 @@
 	lastID   balancer.RequestID
 	hosts    *hosts
 	list     *discovery
-	bufs     *pool
+	bufs     *wire.Pool
 	log      *zap.Logger
 	ctx      context.Context // of attempts and probes
 	ready    atomic.Bool     // hosts are known
@@ -96,7 +97,7 @@
 // stop ends the owner once nothing is in flight.
 type stop struct{}
 
-func newOwner(ctx context.Context, cfg *Config, c clock, h *hosts, bufs *pool, t timing, log *zap.Logger) *owner {
+func newOwner(ctx context.Context, cfg *Config, c clock, h *hosts, bufs *wire.Pool, t timing, log *zap.Logger) *owner {
 	o := &owner{
 		clock: c, cfg: cfg.Balancer, queue: make(chan event, queueLength),
 		flights: map[balancer.RequestID]*flight{}, open: map[string]bool{}, hosts: h, bufs: bufs, log: log, ctx: ctx,
@@ -161,13 +162,13 @@
 	q := e.request
 	if o.open[q.name] {
 		q.answer <- badRequest{http.StatusConflict, "a request with this id is open"}.answer()
-		o.bufs.freeRequest(q)
+		freeRequest(o.bufs, q)
 		return
 	}
 	if q.names != o.names { // other settings came between
 		if bad := o.names.adopt(q); bad != nil {
 			q.answer <- bad.answer()
-			o.bufs.freeRequest(q)
+			freeRequest(o.bufs, q)
 			return
 		}
 	}
@@ -212,12 +213,12 @@
 	case f.answered:
 	case e.result == balancer.OK:
 		o.conclude(f, answer{status: http.StatusOK, kind: e.reply.kind, body: e.reply.body})
-		e.reply.body = body{}
+		e.reply.body = wire.Body{}
 	case e.result == balancer.Errored && atFault(e.reply.status):
 		o.conclude(f, answer{status: e.reply.status, text: "a host cannot use the request\n"})
 		e.result = balancer.Cancelled // says nothing about the host, and no other would take it
 	}
-	o.bufs.freeBody(&e.reply.body)
+	o.bufs.FreeBody(&e.reply.body)
 	now := o.clock.now()
 	took := cmp.Or(a.begunAt, now) - a.sent
 	o.sight.ended(now, took, a, e.result, o.cfg.Classes)
@@ -307,7 +308,7 @@
 	if f.answered && f.out == 0 && o.flights[f.request.ID] == f {
 		delete(o.flights, f.request.ID)
 		delete(o.open, f.request.name)
-		o.bufs.freeRequest(f.request)
+		freeRequest(o.bufs, f.request)
 	}
 }
 
--- a/internal/proxy/owner_test.go
+++ b/internal/proxy/owner_test.go
@@ -473,7 +473,7 @@
 	}
 	g := one(t, h, s.decides)
 	for _, c := range []struct{ waited, least, most float64 }{{1, 0, 0.4}, {5, 0, 0}} {
-		q := &request{Request: balancer.Request{Budget: 1.4}, head: g.p.bufs.buffer(), answer: make(chan answer, 1),
+		q := &request{Request: balancer.Request{Budget: 1.4}, head: g.p.bufs.Buffer(), answer: make(chan answer, 1),
 			taken: time.Now().Add(-seconds(c.waited))}
 		q.names = g.p.owner.names
 		g.p.owner.post(arrival{q})
--- a/internal/proxy/parse.go
+++ b/internal/proxy/parse.go
@@ -34,6 +34,7 @@
 
 	mostRemaining = 600.0 // seconds: a client that says it waits longer than this has made a mistake
 	mostIDLength  = 256
+	maxHead       = 12 << 10 // of a request, so that the head made of it for a host fits into a buffer
 )
 
 // The headers that may stand in a message once only, as wire.CheckHead wants them.
@@ -46,10 +47,10 @@
 // request is one that a client proxy has taken whole.
 type request struct {
 	balancer.Request
-	name   string            // its id, as the client gave it
-	head   *[bufferSize]byte // as it goes to a host, but for the time remaining and the empty line
+	name   string                 // its id, as the client gave it
+	head   *[wire.BufferSize]byte // as it goes to a host, but for the time remaining and the empty line
 	headed int
-	body   body
+	body   wire.Body
 	up     *upload     // the rest of a long body; nil: body is all of it
 	old    bool        // its client knows no chunks
 	taken  time.Time   // when it had come whole: its client's time runs since then
@@ -58,9 +59,9 @@
 	method string
 }
 
-func (p *pool) freeRequest(q *request) {
-	p.putBuffer(q.head)
-	p.freeBody(&q.body)
+func freeRequest(p *wire.Pool, q *request) {
+	p.PutBuffer(q.head)
+	p.FreeBody(&q.body)
 }
 
 // badRequest is what is answered to something that cannot be taken as a request.
@@ -176,19 +177,19 @@
 		return nil, bad
 	}
 	switch {
-	case r.Method == http.MethodGet && q.body.size > 0:
+	case r.Method == http.MethodGet && q.body.Size > 0:
 		bad = &badRequest{http.StatusBadRequest, "GET with a body"}
 	case q.up == nil && c.br.Buffered() > 0:
 		bad = errBehind
 	}
 	if bad != nil {
-		c.front.bufs.freeBody(&q.body)
+		c.front.bufs.FreeBody(&q.body)
 		return nil, bad
 	}
 	q.taken = time.Now().Add(-c.waited)
-	q.head = c.front.bufs.buffer()
+	q.head = c.front.bufs.Buffer()
 	if err := q.writeHead(r); err != nil {
-		c.front.bufs.freeRequest(q)
+		freeRequest(c.front.bufs, q)
 		return nil, &badRequest{http.StatusRequestHeaderFieldsTooLarge, err.Error()}
 	}
 	return q, nil
@@ -209,18 +210,18 @@
 	}
 	c.meter.Allow(2 * bodies.Longest) // with the framing of chunks
 	src := &paced{client: c, r: r.Body, began: time.Now()}
-	got, more, err := c.front.bufs.readBody(src)
+	got, more, err := c.front.bufs.ReadBody(src)
 	var ne net.Error
 	switch {
 	case errors.Is(err, wire.ErrTooLarge):
 		return &badRequest{http.StatusRequestEntityTooLarge, "body is too large"}
-	case errors.Is(err, errCut), errors.As(err, &ne):
+	case errors.Is(err, wire.ErrCut), errors.As(err, &ne):
 		return &badRequest{}
 	case err != nil:
 		return &badRequest{http.StatusBadRequest, "malformed body"}
 	}
 	q.body = got
-	if more && int64(got.size) != r.ContentLength {
+	if more && int64(got.Size) != r.ContentLength {
 		q.Coming = true
 		q.up = &upload{stream: newStream(c.front.bufs), from: src, length: r.ContentLength}
 	}
@@ -276,7 +277,7 @@
 
 // writeHead words the request for a host: method, path, query and headers as they came, framing anew.
 func (q *request) writeHead(r *http.Request) error {
-	w := &fixedWriter{buf: q.head[:0]}
+	w := &wire.FixedWriter{Buf: q.head[:0]}
 	fmt.Fprintf(w, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.RequestURI, r.Host)
 	for _, field := range r.Header["Connection"] { // names further headers of this connection only
 		for name := range strings.SplitSeq(field, ",") {
@@ -290,9 +291,9 @@
 	if r.Method != http.MethodGet {
 		fmt.Fprint(w, q.framing())
 	}
-	if w.full {
+	if w.Full {
 		return wire.ErrTooLarge
 	}
-	q.headed = len(w.buf)
+	q.headed = len(w.Buf)
 	return nil
 }
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"beechwing/balancer"
+	"beechwing/internal/wire"
 )
 
 const (
@@ -38,9 +39,9 @@
 	if p.result = result; result == balancer.Errored && r.status == http.StatusServiceUnavailable {
 		p.result = balancer.TurnedAway
 	}
-	if p.report = r.report; p.report == nil && r.body.size <= bufferSize && len(r.body.bufs) > 0 {
-		p.report = parseReport(string(r.body.bufs[0][:r.body.size]), up.hosts.by.Load().columns)
+	if p.report = r.report; p.report == nil && r.body.Size <= wire.BufferSize && len(r.body.Bufs) > 0 {
+		p.report = parseReport(string(r.body.Bufs[0][:r.body.Size]), up.hosts.by.Load().columns)
 	}
-	up.hosts.bufs.freeBody(&r.body)
+	up.hosts.bufs.FreeBody(&r.body)
 	return p
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -22,6 +22,7 @@
 	"beechwing/internal/ops"
 	"beechwing/internal/places"
 	"beechwing/internal/site"
+	"beechwing/internal/wire"
 )
 
 // Phase is a stage in the life of a client proxy.
@@ -62,7 +63,7 @@
 
 	steering *steering // nil: no plan says which zones count
 
-	bufs  *pool
+	bufs  *wire.Pool
 	hosts *hosts
 	owner *owner
 	front *front
@@ -110,7 +111,7 @@
 	}
 	run, halt := context.WithCancel(context.Background()) // outlives the signal: what is out is finished
 	p.halt = halt
-	p.bufs = newPool()
+	p.bufs = wire.NewPool()
 	c := newClock(time.Now())
 	room := newRoom(p.cfg.Limits)
 	p.hosts = newHosts(p.cfg, c, p.bufs, room, p.times)
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"beechwing/internal/wire"
+
 	"go.uber.org/zap"
 )
 
@@ -128,7 +130,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f, err := newFront(ln, frontLimits{connections: 1}, newRoom(Limits{Sockets: 100}), nil, nil, newPool(), nil, quickTiming(), zap.NewNop())
+	f, err := newFront(ln, frontLimits{connections: 1}, newRoom(Limits{Sockets: 100}), nil, nil, wire.NewPool(), nil, quickTiming(), zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/proxy/reply.go
+++ b/internal/proxy/reply.go
@@ -18,7 +18,7 @@
 	result   balancer.Result
 	status   int
 	kind     string
-	body     body
+	body     wire.Body
 	report   []float32
 	reusable bool
 	long     *stream // of an answer that begins to go on; body is empty then
@@ -70,10 +70,10 @@
 		report: parseReport(r.Header.Get(headerReport), columns), length: r.ContentLength}
 	if way == bodies.Whole || out.result != balancer.OK {
 		var more bool
-		if out.body, more, out.err = c.up.hosts.bufs.readBody(r.Body); out.err != nil {
+		if out.body, more, out.err = c.up.hosts.bufs.ReadBody(r.Body); out.err != nil {
 			return reply{err: out.err}
 		}
-		r.Close = r.Close || more && int64(out.body.size) != r.ContentLength // of a failure, no more is wanted
+		r.Close = r.Close || more && int64(out.body.Size) != r.ContentLength // of a failure, no more is wanted
 	} else if out = c.takeLong(r, out, call, way == bodies.Pieces); out.err != nil {
 		return out
 	}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -11,14 +11,14 @@
 )
 
 // streamBuffers is how many buffers of a long message may be here at once.
-const streamBuffers = bodies.Kept / bufferSize
+const streamBuffers = bodies.Kept / wire.BufferSize
 
 var errLeft = errors.New("nobody takes it any more")
 
 // stream passes a long message from the goroutine that reads it to the one that writes it. Whoever reads waits while it
 // is full, so that a slow peer slows the other.
 type stream struct {
-	bufs *pool
+	bufs *wire.Pool
 	come chan struct{} // something has come, or the end
 	gone chan struct{} // something has been taken, or nobody will
 
@@ -31,13 +31,13 @@
 
 // piece is a buffer with n bytes.
 type piece struct {
-	buf *[bufferSize]byte
+	buf *[wire.BufferSize]byte
 	n   int
 }
 
 func (p piece) bytes() []byte { return p.buf[:p.n] }
 
-func newStream(bufs *pool) *stream {
+func newStream(bufs *wire.Pool) *stream {
 	return &stream{bufs: bufs, come: make(chan struct{}, 1), gone: make(chan struct{}, 1)}
 }
 
@@ -51,7 +51,7 @@
 		if !s.awaitRoom() {
 			return errLeft
 		}
-		buf := s.bufs.buffer()
+		buf := s.bufs.Buffer()
 		n, err := r.Read(buf[:])
 		if !s.put(piece{buf, n}) {
 			return errLeft
@@ -92,7 +92,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.left || p.n == 0 {
-		s.bufs.putBuffer(p.buf)
+		s.bufs.PutBuffer(p.buf)
 		return !s.left
 	}
 	if k := len(s.queue) - 1; k >= 0 {
@@ -104,7 +104,7 @@
 	if p.n > 0 {
 		s.queue = append(s.queue, p)
 	} else {
-		s.bufs.putBuffer(p.buf)
+		s.bufs.PutBuffer(p.buf)
 	}
 	ask(s.come)
 	return true
@@ -151,18 +151,18 @@
 	defer s.mu.Unlock()
 	s.left = true
 	for _, p := range s.queue {
-		s.bufs.putBuffer(p.buf)
+		s.bufs.PutBuffer(p.buf)
 	}
 	s.queue = nil
 	ask(s.gone)
 }
 
 // whole gives all of a message that has ended, of which nothing has been taken, as a body.
-func (s *stream) whole() (b body) {
+func (s *stream) whole() (b wire.Body) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range s.queue {
-		b.bufs, b.size = append(b.bufs, p.buf), b.size+p.n
+		b.Bufs, b.Size = append(b.Bufs, p.buf), b.Size+p.n
 	}
 	s.queue, s.left = nil, true
 	return b
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -31,7 +31,7 @@
 
 // hosts holds what is kept for the hosts of the list: addresses and connections. Only the owner adds and removes.
 type hosts struct {
-	bufs   *pool
+	bufs   *wire.Pool
 	clock  clock
 	settle time.Duration // for which a message's last byte is held back
 	room   *room
@@ -66,7 +66,7 @@
 	idle    []*hostConn // the one used last comes last and is used first
 }
 
-func newHosts(cfg *Config, c clock, bufs *pool, r *room, t timing) *hosts {
+func newHosts(cfg *Config, c clock, bufs *wire.Pool, r *room, t timing) *hosts {
 	h := &hosts{bufs: bufs, clock: c, settle: t.settle, room: r, all: map[balancer.HostID]*upstream{}}
 	h.by.Store(newHostSettings(cfg.Settings, &cfg.Balancer))
 	return h
@@ -166,7 +166,7 @@
 		return nil, fmt.Errorf("host: %w", err)
 	}
 	c := &hostConn{up: u, addr: addr, conn: nc, meter: wire.Meter{R: nc}}
-	c.br = u.hosts.bufs.reader(&c.meter)
+	c.br = u.hosts.bufs.Reader(&c.meter)
 	go c.read()
 	return c, nil
 }
@@ -332,7 +332,7 @@
 	for c.readOne() {
 	}
 	c.close()
-	c.up.hosts.bufs.putReader(c.br)
+	c.up.hosts.bufs.PutReader(c.br)
 	c.up.hosts.room.giveHost()
 }
 
