A value goes to a majority first, to the rest only if that is slow

Change: as many others as make a majority get it; the rest after 40 ms without one; who did not answer is kept in reserve for 2 s. What is promised is the same: a majority has synced it. Ledger and fairground tests pass.

--- a/internal/market/ledger/ledger.go
+++ b/internal/market/ledger/ledger.go
@@ -33,6 +33,8 @@
 )
 
 const (
+	widenAfter = 0.04 // seconds until the members in reserve are sent a value
+	slowFor    = 2.0  // seconds for which one that did not answer is kept in reserve
 	tryFor     = 0.25 // seconds until a ballot is begun anew
 	GiveUp     = 0.8  // seconds until a change is given up; no message of it is sent later
 	mostVoided = 24   // tokens that a register remembers as voided
@@ -87,6 +89,9 @@
 	state    uint32
 	rejected Ballot
 	tries    int
+	rest     []string // members that were not sent the value yet
+	parcel   *cart.Parcel
+	sent     []string
 }
 
 // Ledger is one process's part in all registers. Its methods take the time in seconds on a clock that never jumps.
@@ -99,19 +104,20 @@
 	homeOff float64 // until then it is no home
 	voting  bool
 
-	entries map[string]*entry
-	work    map[string]*change
-	byID    map[uint64]*change
-	waiting map[string][]*change
-	lastID  uint64
-	out     Effects
-	sweepAt float64
+	entries   map[string]*entry
+	work      map[string]*change
+	byID      map[uint64]*change
+	waiting   map[string][]*change
+	lastID    uint64
+	out       Effects
+	sweepAt   float64
+	slowUntil map[string]float64
 }
 
 // New makes a ledger. window is for how long a key's answer is kept, in seconds; life tells this process's lives apart.
 func New(self string, life uint32, window float64) *Ledger {
 	return &Ledger{self: self, life: life, window: window + slack, entries: map[string]*entry{}, work: map[string]*change{},
-		byID: map[uint64]*change{}, waiting: map[string][]*change{}}
+		byID: map[uint64]*change{}, slowUntil: map[string]float64{}, waiting: map[string][]*change{}}
 }
 
 // Seat names the members, in an order that all agree on. Without it there are no ballots.
@@ -306,7 +312,7 @@
 	c.votes = map[string]bool{}
 	p := &cart.Parcel{Id: c.id, Accept: &cart.Accept{Key: c.key, Ballot: c.ballot.wire(), Value: value}}
 	if l.accept(now, p.Accept) { // this disk first
-		l.toOthers(&l.out.After, p)
+		l.spread(now, c, p)
 		l.out.After = append(l.out.After, cart.Send{To: l.self, Parcel: &cart.Parcel{Id: c.id,
 			Accepted: &cart.Accepted{Yes: true, Promised: c.ballot.wire()}}})
 		return
@@ -321,12 +327,32 @@
 	}
 }
 
-func (l *Ledger) toOthers(list *[]cart.Send, p *cart.Parcel) {
-	for _, m := range l.members {
-		if m != l.self {
-			*list = append(*list, cart.Send{To: m, Parcel: p})
+// spread sends a value to as many others as make a majority with this process, and keeps the rest in reserve: answers have
+// bodies, and every copy is bytes between zones and work on another's disk. Who did not answer lately comes last.
+func (l *Ledger) spread(now float64, c *change, p *cart.Parcel) {
+	order := Home(c.key, l.members)
+	order = slices.DeleteFunc(order, func(m string) bool { return m == l.self })
+	slices.SortStableFunc(order, func(a, b string) int {
+		return cmp.Compare(max(l.slowUntil[a], now), max(l.slowUntil[b], now))
+	})
+	first := l.majority() - 1
+	c.parcel, c.sent, c.rest = p, order[:first], order[first:]
+	for _, m := range c.sent {
+		l.out.After = append(l.out.After, cart.Send{To: m, Parcel: p})
+	}
+}
+
+// widen sends a value to the rest.
+func (l *Ledger) widen(now float64, c *change) {
+	for _, m := range c.sent {
+		if !c.votes[m] {
+			l.slowUntil[m] = now + slowFor
 		}
 	}
+	for _, m := range c.rest {
+		l.out.After = append(l.out.After, cart.Send{To: m, Parcel: c.parcel})
+	}
+	c.rest = nil
 }
 
 func (l *Ledger) end(now float64, c *change, state uint32, held *cart.Receipt) {
@@ -439,6 +465,9 @@
 		if b := ballot(a.Promised); b.compare(c.rejected) > 0 {
 			c.rejected = b
 		}
+		if len(c.rest) > 0 {
+			l.widen(now, c)
+		}
 		if c.votes["!"+from] = true; l.refused(c) && c.tries < 2 { // somebody else's ballot is newer; the second try waits
 			l.ask(now, c)
 		}
@@ -476,6 +505,8 @@
 		switch {
 		case now > c.began+GiveUp:
 			l.end(now, c, Unsure, nil)
+		case !c.asking && len(c.rest) > 0 && now > c.tried+widenAfter:
+			l.widen(now, c)
 		case now > c.tried+tryFor || c.asking && c.rejected.compare(c.ballot) >= 0 && now > c.tried+tryFor/4:
 			l.ask(now, c)
 		}
