--- a/cmd/stall/run.go
+++ b/cmd/stall/run.go
@@ -106,7 +106,7 @@
 	p.log.Info("ending")
 	told := time.Now()
 	last := told.Add(p.deed.Span("graceS", 6*time.Second) - lastSpare)
-	p.with(func(now float64) { p.pitch.Term(now) })
+	p.with(func(now float64) { p.pitch.Term(now, noticeAfter.Seconds()) })
 	clients.Last()
 	for time.Now().Before(last) {
 		time.Sleep(tickEvery)
--- a/internal/market/fairground/checker.go
+++ b/internal/market/fairground/checker.go
@@ -21,6 +21,7 @@
 	Newest   uint64          // acknowledged
 	ackedAt  map[uint64]float64
 	seen     map[string]uint64 // by a life of a proxy
+	at       map[*Stall]int    // runs of the host beside a proxy
 	Served   int
 	Asked    int
 	Statuses map[int]int
@@ -39,7 +40,7 @@
 func newChecker(w *World) *Checker {
 	return &Checker{w: w, runs: map[string][]run{}, byID: map[string][]run{}, requests: map[string]request{},
 		promised: map[string]bool{}, stamps: map[string]run{}, versions: map[uint64]bool{}, ackedAt: map[uint64]float64{},
-		seen: map[string]uint64{}, Statuses: map[int]int{}}
+		seen: map[string]uint64{}, at: map[*Stall]int{}, Statuses: map[int]int{}}
 }
 
 func (c *Checker) fail(rule, format string, args ...any) {
@@ -53,6 +54,7 @@
 
 // ran is a host that begins a request.
 func (c *Checker) ran(s *Stall, st *station, id string, carry *cart.Carry) string {
+	c.at[s]++
 	q, known := c.requests[id]
 	if !known {
 		c.fail("UNASKED", "%s runs %s, which nobody asked", st.id, id)
@@ -136,3 +138,6 @@
 
 // Runs is how often a key ran.
 func (c *Checker) Runs(key string) int { return len(c.runs[key]) }
+
+// RunsAt is how much the host beside a proxy has run.
+func (c *Checker) RunsAt(s *Stall) int { return c.at[s] }
--- a/internal/market/fairground/fairground_test.go
+++ b/internal/market/fairground/fairground_test.go
@@ -148,6 +148,28 @@
 	}
 }
 
+// Proxies are ended and started in turn, as for a new version, while clients go on: nothing is lost, and until shortly before its
+// end a proxy's host is of use to the others.
+func TestProxiesEndInTurn(t *testing.T) {
+	w := market(t, 8, 3)
+	traffic(w, 12)
+	for i, s := range w.Stalls {
+		w.After(0.5+1.5*float64(i), func() {
+			s.Term(func() {
+				w.After(0.4, s.Start)
+			})
+			runs := w.Checker.RunsAt(s)
+			w.After(1.5, func() {
+				if w.Checker.RunsAt(s) < runs+3 {
+					t.Errorf("%s got %d requests in the 1.5 s after its SIGTERM", s.addr, w.Checker.RunsAt(s)-runs)
+				}
+			})
+		})
+	}
+	w.Run(14)
+	verdictOn(t, w, "ended in turn", 0.95)
+}
+
 // A proxy that hears no news goes on sending to a host that leaves. The proxy beside that host lets nothing through.
 func TestGateHoldsAgainstOldNews(t *testing.T) {
 	w := market(t, 5, 3)
--- a/internal/market/fairground/world.go
+++ b/internal/market/fairground/world.go
@@ -390,8 +390,24 @@
 	s.station = nil
 }
 
-// Term tells the process to end.
-func (s *Stall) Term() { s.input(func() { s.pitch.Term(s.w.Now) }) }
+// Term tells the process to end, and ends it once nothing is under way, as its program does. ended is called then.
+func (s *Stall) Term(ended func()) {
+	const notice, grace = 2.2, 5.0
+	began, life := s.w.Now, s.lives
+	s.input(func() { s.pitch.Term(s.w.Now, notice) })
+	var look func()
+	look = func() {
+		switch {
+		case !s.up || s.lives != life:
+		case s.w.Now > began+notice && s.pitch.Idle(), s.w.Now > began+grace:
+			s.up = false
+			ended()
+		default:
+			s.w.After(tickEvery, look)
+		}
+	}
+	s.w.After(notice, look)
+}
 
 // State is what the proxy knows.
 func (s *Stall) State() pitch.State { return s.pitch.State(s.w.Now) }
--- a/internal/market/pitch/news.go
+++ b/internal/market/pitch/news.go
@@ -24,6 +24,7 @@
 	watched     = 3   // other proxies that this one knows and watches
 	watchEvery  = 1.0 // seconds between questions to them, while no control process answers
 	aloneAgain  = 0.05
+	leaveAhead  = 0.5  // seconds before its end in which the others send a proxy nothing
 	probeEvery  = 0.3  // seconds between questions to a host that has not said anything yet
 	retryAfter  = 0.04 // seconds after a control process that could not be reached
 )
@@ -37,6 +38,8 @@
 	beatAt   float64
 	leftAt   float64 // when it said that it leaves
 	ending   bool
+	leaveAt  float64 // when the others hear of that
+	leaving  bool    // they have
 
 	records map[string]*cart.Record
 	silent  map[string]bool
@@ -112,17 +115,11 @@
 	p.settle()
 }
 
-// end tells the others that this proxy ends: its host cannot be reached for a while.
-func (n *news) end() {
-	n.ending = true
-	n.change(func(*cart.Record) {})
-}
-
 // change makes a new record of the host here, if anything changed that others have to know.
 func (n *news) change(f func(*cart.Record)) {
 	old := n.own
 	r := &cart.Record{Source: old.Source, Version: old.Version + 1, Station: old.Station, Carrier: old.Carrier, Zone: old.Zone,
-		Berths: old.Berths, Condition: old.Condition, ColdMs: old.ColdMs, Leaving: n.ending}
+		Berths: old.Berths, Condition: old.Condition, ColdMs: old.ColdMs, Leaving: n.leaving}
 	f(r)
 	if r.Station == old.Station && r.Carrier == old.Carrier && r.Zone == old.Zone && r.Berths == old.Berths &&
 		r.Condition == old.Condition && r.Leaving == old.Leaving {
@@ -337,6 +334,10 @@
 
 func (n *news) tick() {
 	p := n.p
+	if n.ending && !n.leaving && p.now >= n.leaveAt { // the host cannot be reached for a while
+		n.leaving = true
+		n.change(func(*cart.Record) {})
+	}
 	if n.pull == 0 && p.now >= n.again {
 		n.ask(false)
 	} else if n.pull != 0 && p.now > n.pullAt+pullAgain {
--- a/internal/market/pitch/pitch.go
+++ b/internal/market/pitch/pitch.go
@@ -185,11 +185,13 @@
 // Ready says whether clients may come: a configuration is in force here, and the process is not about to end.
 func (p *Pitch) Ready() bool { return p.table != nil && !p.news.ending && p.news.told }
 
-// Term begins the end: others hear that the host here cannot be reached, clients that they had better go elsewhere. What comes
+// Term begins the end: clients hear that they had better go elsewhere, and once they have had time to, after so many seconds,
+// nothing may be under way. The others hear of it shortly before that: until then the host here is of use to them. What comes
 // nevertheless is served.
-func (p *Pitch) Term(now float64) {
+func (p *Pitch) Term(now, notice float64) {
 	p.now = now
-	p.news.end()
+	p.news.ending = true
+	p.news.leaveAt = now + max(0, notice-leaveAhead)
 	p.settle()
 }
 
