One command line for both programs, one rendezvous hash; regression of what is in service

Need: the reread found twins. Change: shop.Main and aisle in their place; maps are walked in order by the library's way.

--- /dev/null
+++ b/internal/market/aisle/aisle_test.go
@@ -0,0 +1,51 @@
+package aisle
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+func names(n int) (all []string) {
+	for i := range n {
+		all = append(all, fmt.Sprintf("10.0.0.%d:7000", i))
+	}
+	return all
+}
+
+// Names that differ at their ends only share the words about evenly, whoever lists them in whatever order.
+func TestOrderIsEvenAndAgreed(t *testing.T) {
+	all := names(5)
+	turned := slices.Clone(all)
+	slices.Reverse(turned)
+	first := map[string]int{}
+	for i := range 5000 {
+		word := fmt.Sprintf("k-%d", i)
+		order := Order(word, all)
+		if !slices.Equal(order, Order(word, turned)) {
+			t.Fatal("the order of the list matters")
+		}
+		first[order[0]]++
+	}
+	for name, n := range first {
+		if n < 850 || n > 1150 {
+			t.Errorf("%s is first for %d of 5000", name, n)
+		}
+	}
+}
+
+// One that goes changes only the sets that it was in.
+func TestWatchedChangesLittle(t *testing.T) {
+	all := names(40)
+	gone := all[7]
+	left := slices.DeleteFunc(slices.Clone(all), func(n string) bool { return n == gone })
+	for _, self := range left {
+		before, after := Watched(self, all, 3), Watched(self, left, 3)
+		if len(before) != 3 || slices.Contains(before, self) {
+			t.Fatalf("%s watches %v", self, before)
+		}
+		if !slices.Contains(before, gone) && !slices.Equal(before, after) {
+			t.Errorf("%s: %v to %v, though %s was none of them", self, before, after, gone)
+		}
+	}
+}
--- a/internal/market/hall/hall.go
+++ b/internal/market/hall/hall.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"maps"
 	"slices"
 
 	"google.golang.org/protobuf/proto"
@@ -495,7 +496,7 @@
 }
 
 func (h *Hall) tickWrites(now float64) {
-	for _, id := range sorted(h.writes) {
+	for _, id := range slices.Sorted(maps.Keys(h.writes)) {
 		w := h.writes[id]
 		switch {
 		case now > w.began+writeFor:
@@ -508,15 +509,6 @@
 	}
 }
 
-func sorted(m map[uint64]*write) []uint64 {
-	ids := make([]uint64, 0, len(m))
-	for id := range m {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
-
 // ---- news
 
 // Beat takes word of a host that calls the control plane itself.
--- a/internal/market/ledger/ledger.go
+++ b/internal/market/ledger/ledger.go
@@ -13,11 +13,11 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
 
 	"google.golang.org/protobuf/proto"
 
+	"beechwing/internal/market/aisle"
 	"beechwing/internal/market/cart"
 	"beechwing/internal/market/vault"
 )
@@ -145,30 +145,7 @@
 func (l *Ledger) majority() int { return len(l.members)/2 + 1 }
 
 // Home is the member that a key's claims go to first; the others follow in order.
-func Home(key string, members []string) []string {
-	type scored struct {
-		name  string
-		score uint64
-	}
-	all := make([]scored, len(members))
-	for i, m := range members {
-		h := fnv.New64a()
-		h.Write([]byte(key))
-		h.Write([]byte{0})
-		h.Write([]byte(m))
-		x := h.Sum64()
-		x ^= x >> 33
-		x *= 0xff51afd7ed558ccd
-		x ^= x >> 33
-		all[i] = scored{m, x}
-	}
-	slices.SortFunc(all, func(a, b scored) int { return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name)) })
-	order := make([]string, len(all))
-	for i, s := range all {
-		order[i] = s.name
-	}
-	return order
-}
+func Home(key string, members []string) []string { return aisle.Order(key, members) }
 
 func (l *Ledger) home(key string) uint32 {
 	return uint32(slices.Index(l.members, Home(key, l.members)[0]) + 1)
--- a/internal/market/pitch/ask.go
+++ b/internal/market/pitch/ask.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -538,12 +539,7 @@
 // watchPeers finds proxies that have gone silent with something of ours in hand: a machine behind a cut says nothing. What may
 // be sent again is; what may not waits for its end.
 func (p *Pitch) watchPeers() {
-	sources := make([]string, 0, len(p.peers))
-	for source := range p.peers {
-		sources = append(sources, source)
-	}
-	slices.Sort(sources) // a seed replays
-	for _, source := range sources {
+	for _, source := range slices.Sorted(maps.Keys(p.peers)) { // in order: a seed replays
 		w := p.peers[source]
 		if w.out == 0 || source == p.o.Self {
 			continue
@@ -584,12 +580,7 @@
 			}
 		}
 	}
-	names := make([]string, 0, len(by))
-	for name := range by {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(by)) {
 		s := p.shelves[name]
 		if s == nil {
 			s = &shelf{p: p, name: name, classes: by[name], hosts: map[balancer.HostID]*place{}}
--- a/internal/market/pitch/gate.go
+++ b/internal/market/pitch/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"beechwing/internal/market/cart"
@@ -386,13 +387,13 @@
 		return
 	}
 	g.tickedAt = g.p.now
-	for _, id := range sortedIDs(g.claims) {
+	for _, id := range slices.Sorted(maps.Keys(g.claims)) {
 		if j := g.claims[id]; j != nil && (g.p.now > j.asked+claimAsk || g.p.now >= j.until) {
 			g.muted(j.at)
 			g.claim(j)
 		}
 	}
-	for _, id := range sortedIDs(g.settles) {
+	for _, id := range slices.Sorted(maps.Keys(g.settles)) {
 		if s := g.settles[id]; g.p.now > s.asked+settleAsk {
 			delete(g.settles, id)
 			g.tellEnd(s)
@@ -409,12 +410,3 @@
 	}
 	g.serve()
 }
-
-func sortedIDs[T any](m map[uint64]T) []uint64 {
-	ids := make([]uint64, 0, len(m))
-	for id := range m {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
--- a/internal/market/pitch/news.go
+++ b/internal/market/pitch/news.go
@@ -2,10 +2,11 @@
 
 import (
 	"cmp"
-	"hash/fnv"
+	"maps"
 	"slices"
 
 	"beechwing/balancer"
+	"beechwing/internal/market/aisle"
 	"beechwing/internal/market/cart"
 	"beechwing/internal/market/charter"
 )
@@ -147,14 +148,7 @@
 	return at
 }
 
-func (n *news) sources() []string {
-	all := make([]string, 0, len(n.records))
-	for source := range n.records {
-		all = append(all, source)
-	}
-	slices.Sort(all)
-	return all
-}
+func (n *news) sources() []string { return slices.Sorted(maps.Keys(n.records)) }
 
 // list gives the module of each service its hosts anew.
 func (n *news) list() {
@@ -192,14 +186,7 @@
 }
 
 // services are the names of the shelves, in order: a seed replays.
-func (p *Pitch) services() []string {
-	names := make([]string, 0, len(p.shelves))
-	for name := range p.shelves {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
+func (p *Pitch) services() []string { return slices.Sorted(maps.Keys(p.shelves)) }
 
 // ---- pulling
 
@@ -370,32 +357,5 @@
 	}
 }
 
-// neighbours are the few other proxies that this one knows and watches, named by rendezvous hashing: all agree on them, and
-// one that leaves changes only the sets that it was in.
-func (n *news) neighbours() []string { return Watched(n.p.o.Self, n.sources(), watched) }
-
-// Watched names the few of all that one watches.
-func Watched(self string, all []string, most int) []string {
-	type scored struct {
-		name  string
-		score uint64
-	}
-	var others []scored
-	for _, name := range all {
-		if name != self {
-			h := fnv.New64a()
-			h.Write([]byte(self))
-			h.Write([]byte{0})
-			h.Write([]byte(name))
-			others = append(others, scored{name, h.Sum64() * 0xff51afd7ed558ccd})
-		}
-	}
-	slices.SortFunc(others, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
-	})
-	names := make([]string, min(most, len(others)))
-	for i := range names {
-		names[i] = others[i].name
-	}
-	return names
-}
+// neighbours are the few other proxies that this one knows and watches.
+func (n *news) neighbours() []string { return aisle.Watched(n.p.o.Self, n.sources(), watched) }
--- a/internal/market/shop/commands.go
+++ b/internal/market/shop/commands.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"os"
 	"runtime/pprof"
@@ -12,12 +13,67 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v4"
+	"github.com/peterbourgon/ff/v4/ffhelp"
 
 	"beechwing/internal/market/deed"
 )
 
-// Check checks the files that are named: settings, or what configuration says of the others.
-func Check(args []string, configuration func(text []byte) error) error {
+// Program is one of the two, as its command line knows it.
+type Program struct {
+	Name, Short string
+	Run         func(ctx context.Context, d *deed.Deed, log *slog.Logger) error
+	Check       func(configuration []byte) (verdict string, err error)
+}
+
+// Main runs a program's command line and gives the exit status: 0 well, 1 failed, 2 not understood.
+func Main(p Program) int {
+	root := &ff.Command{Name: p.Name, Usage: p.Name + " SUBCOMMAND", ShortHelp: p.Short}
+	flags := ff.NewFlagSet("run")
+	level := flags.StringLong("log", "info", "least level of the log: debug, info, warn, error")
+	profile := flags.StringLong("profile", "", "file for a CPU profile of the whole run")
+	root.Subcommands = []*ff.Command{
+		{Name: "run", Usage: p.Name + " run [--log LEVEL] [--profile FILE]", Flags: flags,
+			ShortHelp: "serve, by the settings file that " + deed.Variable + " names",
+			Exec:      func(ctx context.Context, _ []string) error { return p.serve(ctx, *level, *profile) }},
+		{Name: "check", Usage: p.Name + " check FILE ...", ShortHelp: "check settings (.toml) and configurations (.json)",
+			Exec: func(_ context.Context, args []string) error { return p.check(args) }},
+		{Name: "state", Usage: p.Name + " state ADDRESS", ShortHelp: "what a running process knows, as JSON, from its control address",
+			Exec: state},
+	}
+	err := root.ParseAndRun(context.Background(), os.Args[1:])
+	switch {
+	case err == nil:
+		return 0
+	case errors.Is(err, ff.ErrHelp):
+		fmt.Fprint(os.Stderr, ffhelp.Command(root.GetSelected()))
+		return 0
+	case errors.Is(err, ff.ErrNoExec):
+		fmt.Fprint(os.Stderr, ffhelp.Command(root))
+		return 2
+	}
+	fmt.Fprintf(os.Stderr, "%s: %v\n", p.Name, err)
+	return 1
+}
+
+func (p Program) serve(ctx context.Context, level, profile string) error {
+	d, err := deed.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	log, err := Logger(os.Stderr, level)
+	if err != nil {
+		return err
+	}
+	end, err := Profile(profile)
+	if err != nil {
+		return err
+	}
+	defer end()
+	return p.Run(ctx, d, log)
+}
+
+// check checks the files that are named.
+func (p Program) check(args []string) error {
 	if len(args) == 0 {
 		return errors.New("check: which file?")
 	}
@@ -34,9 +90,11 @@
 		if err != nil {
 			return errors.Wrap(err, "check")
 		}
-		if err := configuration(text); err != nil {
+		verdict, err := p.Check(text)
+		if err != nil {
 			return errors.Wrap(err, path)
 		}
+		fmt.Println("configuration", verdict)
 	}
 	return nil
 }
@@ -59,26 +117,22 @@
 	}, nil
 }
 
-// StateCommand asks a running process what it knows.
-func StateCommand(program string) *ff.Command {
-	return &ff.Command{Name: "state", Usage: program + " state ADDRESS",
-		ShortHelp: "what a running process knows, as JSON, from its control address",
-		Exec: func(ctx context.Context, args []string) error {
-			if len(args) != 1 {
-				return errors.New("state: which address?")
-			}
-			ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
-			defer cancel()
-			req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+args[0]+"/-/state", nil)
-			if err != nil {
-				return errors.Wrap(err, "state")
-			}
-			res, err := http.DefaultClient.Do(req)
-			if err != nil {
-				return errors.Wrap(err, "state")
-			}
-			defer res.Body.Close()
-			_, err = io.Copy(os.Stdout, res.Body)
-			return err
-		}}
+// state asks a running process what it knows.
+func state(ctx context.Context, args []string) error {
+	if len(args) != 1 {
+		return errors.New("state: which address?")
+	}
+	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+args[0]+"/-/state", nil)
+	if err != nil {
+		return errors.Wrap(err, "state")
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "state")
+	}
+	defer res.Body.Close()
+	_, err = io.Copy(os.Stdout, res.Body)
+	return err
 }
