--- a/internal/market/pitch/gate.go
+++ b/internal/market/pitch/gate.go
@@ -22,7 +22,7 @@
 	returns       = 0.25  // seconds: with less left a client hardly comes again
 	waitShare     = 0.5   // of the time left that such a request may wait
 	mostClasses   = 256
-	firstWait     = 0.3  // of a mean run, that a first try may wait
+	firstWait     = 0.8  // of a mean run, that a first try may wait
 	muteFor       = 1.5  // seconds for which a control process that did not answer is asked last
 	claimAsk      = 0.12 // seconds until the next control process is asked for a claim
 	claimMost     = 0.36 // and until it is given up: nothing has been sent then
