--- a/cmd/guildhall/run.go
+++ b/cmd/guildhall/run.go
@@ -211,13 +211,13 @@
 		raw := counter.Raw(r.text)
 		return &raw, nil
 	})
-	counter.Handle(mux, "PUT /-/stations/{id}", counter.SmallBody, func(c counter.Call, b *counter.Beat) (*counter.None, error) {
-		_, err := b.Station(c.ID)
-		return nil, err
-	})
-	counter.Handle(mux, "DELETE /-/stations/{id}", counter.SmallBody, func(counter.Call, *counter.None) (*counter.None, error) {
-		return nil, nil
-	})
+	// Only the proxy beside a host can close the way to it, so nothing that a host says may be acknowledged here.
+	elsewhere := counter.Refusal{Status: http.StatusServiceUnavailable, Why: "beats go to the proxy beside the host"}
+	for _, call := range []string{"PUT", "DELETE"} {
+		counter.Handle(mux, call+" /-/stations/{id}", counter.SmallBody, func(counter.Call, *counter.None) (*counter.None, error) {
+			return nil, elsewhere
+		})
+	}
 	counter.Handle(mux, "GET /-/state", counter.SmallBody, func(counter.Call, *counter.None) (s *hall.State, err error) {
 		p.with(func(float64) { now := p.hall.State(); s = &now })
 		return s, nil
--- /dev/null
+++ b/internal/market/charter/charter_test.go
@@ -0,0 +1,61 @@
+package charter
+
+import "testing"
+
+const text = `{"edition":"r12","itineraries":[
+{"name":"a","depot":"Shop.example","lanePrefix":"/","routeKind":"safe","carrier":"s1","tries":1},
+{"name":"b","depot":"shop.example","lanePrefix":"/x/","routeKind":"tracked","carrier":"s2","tries":1},
+{"name":"c","depot":"shop.example","lanePrefix":"/x/y/","routeKind":"unsafe","allotment":[{"carrier":"s1","share":90},{"carrier":"s2","share":10}],"tries":1},
+{"name":"d","depot":"other.example","lanePrefix":"/x/","routeKind":"download","carrier":"s1","tries":1}],
+"carriers":[{"name":"s1"},{"name":"s2","dedupSelf":true}]}`
+
+// Of a host's routes the longest prefix that ends at a slash counts; host names have no case and may carry a port.
+func TestMatch(t *testing.T) {
+	table, err := Compile([]byte(text))
+	if err != nil || table.Edition != 12 {
+		t.Fatal(table, err)
+	}
+	for _, c := range []struct{ host, path, want string }{
+		{"shop.example", "/x/y/z", "c"}, {"shop.example", "/x/y/", "c"}, {"shop.example", "/x/yz", "b"}, {"shop.example", "/x", "a"},
+		{"SHOP.example:8080", "/q/x/y/", "a"}, {"shop.example", "/x/?a=/y/", "b"}, {"other.example", "/x/1", "d"},
+		{"other.example", "/y", ""}, {"third.example", "/x/", ""}, {"shop.example", "*", ""},
+	} {
+		got := ""
+		if r := table.Match(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		if got != c.want {
+			t.Errorf("%s%s: route %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
+
+// Shares are kept, and one word always draws the same service.
+func TestServiceFor(t *testing.T) {
+	table, err := Compile([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, n := table.Match("shop.example", "/x/y/"), 0
+	for i := range 10000 {
+		word := string(rune('a'+i%26)) + string(rune('a'+i/26%26)) + string(rune('a'+i/676))
+		if r.ServiceFor(word) == "s2" {
+			n++
+		}
+		if r.ServiceFor(word) != r.ServiceFor(word) {
+			t.Fatal("drawn anew")
+		}
+	}
+	if n < 850 || n > 1150 {
+		t.Fatalf("%d of 10000 for a tenth", n)
+	}
+}
+
+func TestEdition(t *testing.T) {
+	for word, want := range map[string]uint64{"r1": 1, "r12": 12, "12": 0, "r": 0, "r-1": 0, "R3": 0} {
+		got, err := Edition(word)
+		if got != want || (err == nil) != (want > 0) {
+			t.Errorf("%q: %d, %v", word, got, err)
+		}
+	}
+}
--- a/internal/market/hall/hall.go
+++ b/internal/market/hall/hall.go
@@ -511,9 +511,6 @@
 
 // ---- news
 
-// Beat takes word of a host that calls the control plane itself.
-func (h *Hall) Beat(now float64, r *cart.Record) { h.learn(now, r, true) }
-
 // learn takes a record if it is newer than what is known of its source.
 func (h *Hall) learn(now float64, r *cart.Record, tell bool) {
 	old := h.records[r.Source]
--- a/internal/market/pitch/pitch.go
+++ b/internal/market/pitch/pitch.go
@@ -7,8 +7,6 @@
 package pitch
 
 import (
-	"time"
-
 	"beechwing/balancer"
 	"beechwing/internal/market/cart"
 	"beechwing/internal/market/charter"
@@ -208,18 +206,17 @@
 
 // State is what an operator sees of a proxy.
 type State struct {
-	Edition uint64           `json:"edition"`
-	Ready   bool             `json:"ready"`
-	Ending  bool             `json:"ending"`
-	Halls   []string         `json:"halls"`
-	Host    *cart.Record     `json:"host"`
-	Roll    []*cart.Record   `json:"roll"`
-	Silent  []string         `json:"silent"`
-	Orders  int              `json:"orders"`
-	Jobs    int              `json:"jobs"`
-	Queued  int              `json:"queued"`
-	Avoided map[string]int   `json:"avoided"`
-	Counts  map[string]int64 `json:"counts"`
+	Edition uint64         `json:"edition"`
+	Ready   bool           `json:"ready"`
+	Ending  bool           `json:"ending"`
+	Halls   []string       `json:"halls"`
+	Host    *cart.Record   `json:"host"`
+	Roll    []*cart.Record `json:"roll"`
+	Silent  []string       `json:"silent"`
+	Orders  int            `json:"orders"`
+	Jobs    int            `json:"jobs"`
+	Queued  int            `json:"queued"`
+	Avoided map[string]int `json:"avoided"`
 }
 
 // State tells what is known here.
@@ -242,8 +239,6 @@
 	return s
 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
 var _ balancer.Actions = (*shelf)(nil)
 
 // Edition is the version of the configuration in force here; 0: none is.
