Reread: one place that makes the next record of a host; dead fields out

Cause: the record told to the others was put together field by field in two places, so a field added to it could be forgotten in one. Change: news.next clones it; an unread field of hall's dumps and an unused count of the checker are gone. Behaviour as before: fairground and command-line tests pass with their assertions as they were.

--- a/internal/market/fairground/checker.go
+++ b/internal/market/fairground/checker.go
@@ -136,8 +136,5 @@
 	}
 }
 
-// Runs is how often a key ran.
-func (c *Checker) Runs(key string) int { return len(c.runs[key]) }
-
 // RunsAt is how much the host beside a proxy has run.
 func (c *Checker) RunsAt(s *Stall) int { return c.at[s] }
--- a/internal/market/hall/hall.go
+++ b/internal/market/hall/hall.go
@@ -84,10 +84,9 @@
 }
 
 type dump struct {
-	after  string
-	done   bool
-	asked  float64
-	paging bool
+	after string
+	done  bool
+	asked float64
 }
 
 // write is a configuration on its way to a majority, or a question for the newest.
--- a/internal/market/pitch/news.go
+++ b/internal/market/pitch/news.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 
+	"google.golang.org/protobuf/proto"
+
 	"beechwing/balancer"
 	"beechwing/internal/market/aisle"
 	"beechwing/internal/market/cart"
@@ -116,11 +118,17 @@
 	p.settle()
 }
 
+// next is the record of the host here under another version, for others may have this one.
+func (n *news) next(version uint64) *cart.Record {
+	r := proto.Clone(n.own).(*cart.Record)
+	r.Version, r.Leaving = version, n.leaving
+	return r
+}
+
 // change makes a new record of the host here, if anything changed that others have to know.
 func (n *news) change(f func(*cart.Record)) {
 	old := n.own
-	r := &cart.Record{Source: old.Source, Version: old.Version + 1, Station: old.Station, Carrier: old.Carrier, Zone: old.Zone,
-		Berths: old.Berths, Condition: old.Condition, ColdMs: old.ColdMs, Leaving: n.leaving}
+	r := n.next(old.Version + 1)
 	f(r)
 	if r.Station == old.Station && r.Carrier == old.Carrier && r.Zone == old.Zone && r.Berths == old.Berths &&
 		r.Condition == old.Condition && r.Leaving == old.Leaving {
@@ -219,9 +227,7 @@
 	for _, r := range w.Records {
 		if r.Source == p.o.Self {
 			if r.Version >= n.own.Version && !(r.Version == n.own.Version && r.Station == n.own.Station) { // of an earlier life
-				n.own.Version = r.Version
-				n.own = &cart.Record{Source: n.own.Source, Version: r.Version + 1, Station: n.own.Station, Carrier: n.own.Carrier,
-					Zone: n.own.Zone, Berths: n.own.Berths, Condition: n.own.Condition, ColdMs: n.own.ColdMs, Leaving: n.own.Leaving}
+				n.own = n.next(r.Version + 1)
 				n.records[p.o.Self] = n.own
 				changed = true
 			}
