Ports of lab targets and proxies stay held while they are down: selftest's address in use

The same could happen to a proxy between choosing a free port and its start, or between two starts.

Change: internal/lab/port holds a port by a bound socket that does not listen; the kernel gives it to nobody, and the party listens beside it. link and process use it.

--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -22,6 +22,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"beechwing/internal/lab/port"
 )
 
 // State is what a pair's link does.
@@ -70,7 +72,7 @@
 type Target struct {
 	table  *Table
 	number int
-	port   int
+	held   *port.Held // also while it is down: it comes back at the same port
 	serve  func(*Conn)
 	mu     sync.Mutex
 	ln     net.Listener
@@ -84,14 +86,20 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	g := &Target{table: t, number: len(t.targets), serve: serve, conns: map[*Conn]struct{}{}}
-	if err := g.open(0); err != nil {
+	var err error
+	if g.held, err = port.Hold(netip.AddrPortFrom(netip.IPv4Unspecified(), 0)); err != nil {
+		return nil, fmt.Errorf("link: %w", err)
+	}
+	if err := g.Up(); err != nil {
+		g.held.Free()
 		return nil, err
 	}
 	t.targets = append(t.targets, g)
 	return g, nil
 }
 
-func (g *Target) open(port int) error {
+// Up has it listen, at the first time and again after Down, at the same addresses.
+func (g *Target) Up() error {
 	lc := net.ListenConfig{Control: func(_, _ string, rc syscall.RawConn) error {
 		var device, share error
 		err := rc.Control(func(fd uintptr) {
@@ -100,12 +108,12 @@
 		})
 		return errors.Join(err, device, share)
 	}}
-	ln, err := lc.Listen(context.Background(), "tcp4", fmt.Sprintf("0.0.0.0:%d", port))
+	ln, err := lc.Listen(context.Background(), "tcp4", g.held.Addr().String())
 	if err != nil {
 		return fmt.Errorf("link: %w", err)
 	}
 	g.mu.Lock()
-	g.ln, g.port, g.closed = ln, ln.Addr().(*net.TCPAddr).Port, false
+	g.ln, g.closed = ln, false
 	g.mu.Unlock()
 	g.wg.Go(func() { g.accept(ln) })
 	return nil
@@ -116,7 +124,7 @@
 
 // Addr is where a proxy reaches it.
 func (g *Target) Addr(proxy int) string {
-	return netip.AddrPortFrom(IP(proxy), uint16(g.port)).String()
+	return netip.AddrPortFrom(IP(proxy), g.held.Addr().Port()).String()
 }
 
 func (g *Target) accept(ln net.Listener) {
@@ -166,9 +174,6 @@
 	g.mu.Unlock()
 }
 
-// Up brings it back at the same addresses.
-func (g *Target) Up() error { return g.open(g.port) }
-
 // Set changes the state of pairs of proxies and targets, all at one moment. Where silence begins, connections in progress
 // are held; where it ends, they go on.
 func (t *Table) Set(proxies, targets []int, change func(*State)) {
@@ -192,7 +197,7 @@
 	h := t.holes[k]
 	switch {
 	case wanted && h == nil:
-		made, err := newHole(netip.AddrPortFrom(IP(k.proxy), uint16(t.targets[k.target].port)))
+		made, err := newHole(netip.AddrPortFrom(IP(k.proxy), t.targets[k.target].held.Addr().Port()))
 		if err != nil {
 			t.failure = errors.Join(t.failure, err)
 			return
@@ -248,6 +253,7 @@
 	t.mu.Unlock()
 	for _, g := range targets {
 		g.wg.Wait()
+		g.held.Free()
 	}
 }
 
--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -8,8 +8,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -19,6 +19,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"beechwing/internal/lab/port"
 )
 
 // Config is how a proxy is to be started. What is left empty has a default that suits a single one.
@@ -56,6 +58,7 @@
 	dir  string
 	own  bool // dir goes with it
 	log  *os.File
+	held *port.Held    // of a port that was left open, between its starts as well
 	done chan struct{} // closed when the process has ended
 }
 
@@ -99,8 +102,15 @@
 	if err := os.MkdirAll(filepath.Join(p.dir, "state"), 0o700); err != nil {
 		return err
 	}
-	if p.Addr, err = free(cmp.Or(p.c.Listen, "127.0.0.1:0")); err != nil {
-		return err
+	if p.Addr = cmp.Or(p.c.Listen, "127.0.0.1:0"); strings.HasSuffix(p.Addr, ":0") {
+		at, err := netip.ParseAddrPort(p.Addr)
+		if err != nil {
+			return err
+		}
+		if p.held, err = port.Hold(at); err != nil {
+			return err
+		}
+		p.Addr = p.held.Addr().String()
 	}
 	if p.log, err = os.Create(filepath.Join(p.dir, "log")); err != nil {
 		return err
@@ -111,19 +121,6 @@
 	return os.WriteFile(p.file("site.toml"), []byte(p.c.Site), 0o600)
 }
 
-// free finds a port that nobody has, where the address leaves it open.
-func free(addr string) (string, error) {
-	if !strings.HasSuffix(addr, ":0") {
-		return addr, nil
-	}
-	ln, err := net.Listen("tcp", addr)
-	if err != nil {
-		return "", err
-	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
-}
-
 func (p *Proxy) file(name string) string { return filepath.Join(p.dir, name) }
 
 // Ops is the address of the operators' door; empty: there is none.
@@ -292,6 +289,9 @@
 	if p.log != nil {
 		p.log.Close()
 	}
+	if p.held != nil {
+		p.held.Free()
+	}
 	if p.own {
 		os.RemoveAll(p.dir)
 	}
