--- a/internal/market/awning/awning.go
+++ b/internal/market/awning/awning.go
@@ -122,6 +122,7 @@
 			time.Sleep(refusePause)
 			continue
 		}
+		nc = wire.Quicken(nc)
 		c := &conn{Conn: nc, meter: wire.Meter{R: nc}}
 		a.mu.Lock()
 		if a.ended {
--- a/internal/market/cart/net.go
+++ b/internal/market/cart/net.go
@@ -13,6 +13,8 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 	"google.golang.org/protobuf/proto"
+
+	"beechwing/internal/wire"
 )
 
 // Bounds of the connections. Each names the failure that it guards against.
@@ -181,6 +183,8 @@
 		l.end(nil)
 		return
 	}
+	tune(c)
+	c = wire.Quicken(c)
 	hello, _ := frame(nil, &Parcel{Hello: &Hello{From: l.net.self}})
 	c.SetWriteDeadline(time.Now().Add(writeWithin))
 	if _, err := c.Write(hello); err != nil {
@@ -260,7 +264,6 @@
 }
 
 func (n *Net) hold(c net.Conn) bool {
-	tune(c)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.closed {
@@ -294,6 +297,8 @@
 
 // greet learns who has connected. A connection that says something else first is none of ours.
 func (n *Net) greet(c net.Conn) {
+	tune(c)
+	c = wire.Quicken(c)
 	c.SetReadDeadline(time.Now().Add(writeWithin))
 	br := bufio.NewReaderSize(c, 8<<10)
 	p, err := Read(br)
--- a/internal/market/porter/porter.go
+++ b/internal/market/porter/porter.go
@@ -121,6 +121,7 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
+	nc = wire.Quicken(nc)
 	c := &conn{Conn: nc, meter: wire.Meter{R: nc}}
 	c.br = p.bufs.Reader(&c.meter)
 	c.bufs = p.bufs
--- a/internal/wire/meter.go
+++ b/internal/wire/meter.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"syscall"
+	"unsafe"
 )
 
 // Meter bounds what one message may read off a connection: neither ReadRequest nor ReadResponse has a limit of its own.
@@ -41,17 +42,23 @@
 	}
 	var b [1]byte
 	var n int
-	var got error
+	var got syscall.Errno
 	err = raw.Control(func(fd uintptr) {
-		n, _, got = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, got = peek(fd, &b)
 	})
 	switch {
 	case err != nil:
 		return false, true
 	case got == syscall.EAGAIN || got == syscall.EINTR:
 		return false, false
-	case got != nil || n <= 0:
+	case got != 0 || n <= 0:
 		return false, true
 	}
 	return true, false
 }
+
+// peek looks at what has come without waiting, so it need not go through the scheduler.
+func peek(fd uintptr, b *[1]byte) (int, syscall.Errno) {
+	n, _, e := syscall.RawSyscall6(syscall.SYS_RECVFROM, fd, uintptr(unsafe.Pointer(b)), 1, syscall.MSG_PEEK|syscall.MSG_DONTWAIT, 0, 0)
+	return int(n), e
+}
