--- a/internal/market/cart/net.go
+++ b/internal/market/cart/net.go
@@ -21,7 +21,7 @@
 const (
 	MaxFrame     = 72 << 20               // bytes: a peer that speaks something else, or a length that was spoilt
 	mostQueued   = 24 << 20               // bytes that wait for one peer: one that does not read
-	dialWithin   = 700 * time.Millisecond // a peer behind a cut says nothing
+	dialWithin   = 300 * time.Millisecond // a peer behind a cut says nothing, and an opening packet is sent again only after a second
 	writeWithin  = 3 * time.Second        // a peer that does not read
 	silentWithin = 1500 * time.Millisecond
 	probeAfter   = time.Second // idle connections to a machine without power
@@ -309,9 +309,7 @@
 	c.SetReadDeadline(time.Time{})
 	n.mu.Lock()
 	l := n.newLink(p.Hello.From)
-	if n.links[l.peer] == nil {
-		n.links[l.peer] = l
-	}
+	n.links[l.peer] = l // whatever went by before: a peer that connects anew may have lost power, and its old connection with it
 	n.mu.Unlock()
 	l.run(c, br)
 }
--- a/internal/market/fairground/fairground_test.go
+++ b/internal/market/fairground/fairground_test.go
@@ -319,3 +319,31 @@
 		}
 	}
 }
+
+// After a loss of power on all machines one control process stays dark, within what is to be borne. No proxy waits for it: those that
+// asked it first have the configuration as soon as the others.
+func TestStartBesideADarkHall(t *testing.T) {
+	for seed := range uint64(12) {
+		w := market(t, seed, 3)
+		for _, h := range w.Halls {
+			h.PowerOff()
+		}
+		for _, s := range w.Stalls {
+			s.PowerOff()
+		}
+		w.Run(0.5)
+		for i, h := range w.Halls {
+			if i != int(seed%3) {
+				h.Start()
+			}
+		}
+		w.Run(0.3)
+		for _, s := range w.Stalls {
+			s.Start()
+			s.StartHost()
+		}
+		w.Run(0.6)
+		w.Checker.InForce(w.Stalls...)
+		verdictOn(t, w, fmt.Sprintf("seed %d", seed), 0)
+	}
+}
--- a/internal/market/fairground/world.go
+++ b/internal/market/fairground/world.go
@@ -56,7 +56,8 @@
 
 type link struct {
 	number uint64
-	life   int // of the process at the other end
+	born   int // life of the process at this end
+	life   int // and of the one at the other
 	last   float64
 	dead   bool
 }
@@ -157,10 +158,14 @@
 		return 0
 	}
 	l := w.links[key]
-	if l == nil || l.dead {
+	if l == nil || l.dead || l.born != sender.life() {
 		w.seq++
-		l = &link{number: w.seq, life: target.life()}
+		l = &link{number: w.seq, born: sender.life(), life: target.life()}
 		w.links[key] = l
+		back := [2]string{to, from} // answers go by the connection that the question came by, and not by one to an earlier life
+		if r := w.links[back]; r != nil && r.life != sender.life() {
+			delete(w.links, back)
+		}
 	}
 	number, born := l.number, sender.life()
 	parcel := proto.Clone(p).(*cart.Parcel)
--- a/internal/market/pitch/ask.go
+++ b/internal/market/pitch/ask.go
@@ -380,7 +380,7 @@
 	} else if t.spent {
 		p.purse.Back(o.service)
 	}
-	o.claims = o.claims || o.Key != "" && v.NeverRan() && !(v == verdict.Turned && c.BackMs > 0)
+	o.claims = o.claims || v.NeverRan() && c.Claimed
 	why := c.Why
 	if why == "" {
 		why = v.String()
--- a/internal/market/pitch/gate.go
+++ b/internal/market/pitch/gate.go
@@ -22,6 +22,8 @@
 	returns       = 0.25  // seconds: with less left a client hardly comes again
 	waitShare     = 0.5   // of the time left that such a request may wait
 	mostClasses   = 256
+	lateShare     = 0.5  // of the berths: so many may wait that are late, until it is known how many get their turn
+	lateMost      = 0.5  // of the berths that are in use, beyond which those that are late get none
 	firstWait     = 0.8  // of a mean run, that a first try may wait
 	muteFor       = 1.5  // seconds for which a control process that did not answer is asked last
 	claimAsk      = 0.12 // seconds until the next control process is asked for a claim
@@ -41,8 +43,10 @@
 	claims   map[uint64]*job
 	settles  map[uint64]*settling
 	mute     map[string]float64 // control processes that did not answer, until when they are asked last
-	queue    []*job             // waiting for a berth
+	queue    []*job             // waiting for a berth, each still in time for its aim
+	late     lane               // the others: they go when nobody else waits
 	running  int
+	serving  bool
 	work     float64            // mean seconds that the host takes
 	took     map[uint32]float64 // by class
 	tickedAt float64
@@ -63,6 +67,7 @@
 	asked   float64
 	began   float64 // its claim was first asked for
 	running bool    // it has a berth
+	late    bool    // it can no longer be answered within its aim
 	sent    float64 // when it went to the host
 	ended   bool
 }
@@ -113,8 +118,11 @@
 			most = min(most, firstWait*g.work)
 		}
 		if wait := g.wait(j); wait > most {
-			g.turn(j, "no berth in time", uint32(wait*1000)+1)
-			return
+			if c.Attempt == 0 || !g.admitLate(j) {
+				g.turn(j, "no berth in time", uint32(wait*1000)+1)
+				return
+			}
+			j.late = true
 		}
 	}
 	p.inUse += len(c.Body)
@@ -128,6 +136,11 @@
 
 // enter queues a request that may go to the host.
 func (g *gate) enter(j *job) {
+	if j.late {
+		g.late.add(j)
+		g.serve()
+		return
+	}
 	at, _ := slices.BinarySearchFunc(g.queue, j, order)
 	g.queue = slices.Insert(g.queue, at, j)
 	g.serve()
@@ -158,9 +171,16 @@
 
 // serve gives free berths to those that wait.
 func (g *gate) serve() {
-	for g.running < g.berths() && len(g.queue) > 0 {
-		j := g.queue[0]
-		g.queue = g.queue[1:]
+	if g.serving { // what is turned away in here leads back here
+		return
+	}
+	g.serving = true
+	defer func() { g.serving = false }()
+	for g.running < g.berths() {
+		j := g.next()
+		if j == nil {
+			return
+		}
 		own := g.p.news.own
 		switch {
 		case j.until <= g.p.now:
@@ -169,6 +189,8 @@
 			g.turn(j, "the host has gone", 0)
 		case own.Condition != AtDock && g.p.now > g.p.news.leftAt+drainAfter:
 			g.turn(j, "the host leaves", 0)
+		case j.late && !g.canFinish(j):
+			g.turn(j, "no berth before its deadline", 1)
 		default:
 			j.running = true
 			g.running++
@@ -177,6 +199,52 @@
 	}
 }
 
+// next takes the one out of the queues that is to have the next berth.
+func (g *gate) next() *job {
+	for len(g.queue) > 0 {
+		j := g.queue[0]
+		g.queue = g.queue[1:]
+		if !g.demoted(j) {
+			return j
+		}
+	}
+	if float64(g.running) >= float64(g.berths())*lateMost { // what comes next may have hurry
+		return nil
+	}
+	j := g.late.take()
+	if j != nil {
+		g.late.served(g.p.now)
+	}
+	return j
+}
+
+// demoted lets one that has waited past its aim go on waiting behind all that are in time, or turns it away. What has little time,
+// as a call that a run elsewhere waits for, keeps its place.
+func (g *gate) demoted(j *job) bool {
+	if g.p.now+g.took[j.carry.Class] <= j.aim || j.until-g.p.now < returns || j.until <= g.p.now {
+		return false
+	}
+	j.late = true
+	if g.admitLate(j) {
+		g.late.add(j)
+	} else {
+		g.turn(j, "no berth in time", 1)
+	}
+	return true
+}
+
+// canFinish says whether a run that begins now is expected to end before its client's time does.
+func (g *gate) canFinish(j *job) bool {
+	return g.p.now+spread*g.took[j.carry.Class]+onTheWay < j.until
+}
+
+// admitLate says whether one that is too late for its aim may wait on here: as many may as have lately been served so in the time
+// that this one has, and a few where that is not known.
+func (g *gate) admitLate(j *job) bool {
+	room := j.until - g.p.now - spread*g.took[j.carry.Class] - onTheWay
+	return room > 0 && float64(len(g.late.jobs)) < max(float64(g.berths())*lateShare, g.late.rate(g.p.now)*room)
+}
+
 func (g *gate) start(j *job) {
 	j.sent = g.p.now
 	c := j.carry
@@ -204,6 +272,7 @@
 		j.running = false
 		g.running--
 	}
+	c.Claimed = j.began > 0
 	g.p.send(j.from, &cart.Parcel{Id: j.parcel, Carried: c})
 	g.serve()
 }
@@ -408,5 +477,8 @@
 		g.queue = slices.Delete(g.queue, late, late+1)
 		g.end(j, &cart.Carried{Verdict: uint32(verdict.Expired)})
 	}
+	for _, j := range g.late.drop(func(j *job) bool { return !g.canFinish(j) }) { // nothing is held for what cannot come
+		g.turn(j, "no berth before its deadline", 1)
+	}
 	g.serve()
 }
--- /dev/null
+++ b/internal/market/pitch/gate_test.go
@@ -0,0 +1,146 @@
+package pitch
+
+import (
+	"testing"
+
+	"beechwing/internal/market/cart"
+	"beechwing/internal/market/verdict"
+)
+
+// door is a proxy with a host of four berths beside it, as another proxy meets it.
+type door struct {
+	t    *testing.T
+	p    *Pitch
+	now  float64
+	next uint64
+	runs []uint64            // what went to the host, by the parcels' numbers
+	jobs map[uint64]Exchange // by the same
+	told map[uint64]*cart.Carried
+}
+
+func openDoor(t *testing.T) *door {
+	d := &door{t: t, now: 1, jobs: map[uint64]Exchange{}, told: map[uint64]*cart.Carried{}}
+	d.p = New(d.now, Options{Self: "here", Seeds: []string{"hall"}, Beat: 1.5, Memory: 1 << 20})
+	d.p.Beat(d.now, Station{ID: "i-1", Carrier: "shop", Berths: 4, Sequence: 1})
+	d.take()
+	return d
+}
+
+func (d *door) take() {
+	out := d.p.Take()
+	for _, s := range out.Sends {
+		if s.Parcel.Carried != nil {
+			d.told[s.Parcel.Id] = s.Parcel.Carried
+		}
+	}
+	for _, do := range out.Dos {
+		if x, ok := do.(Exchange); ok {
+			n := uint64(x.Carry.Token)
+			d.runs = append(d.runs, n)
+			d.jobs[n] = x
+		}
+	}
+}
+
+// carry brings a request that has been turned away elsewhere, with so many seconds to its aim and its end.
+func (d *door) carry(aim, left float64) uint64 {
+	d.next++
+	d.p.Parcel(d.now, "there", &cart.Parcel{Id: d.next, Carry: &cart.Carry{Station: "i-1", Token: d.next, Attempt: 1,
+		AimUs: uint32(aim * 1e6), LeftUs: uint32(left * 1e6), Repeatable: true}})
+	d.take()
+	return d.next
+}
+
+// answer has the host answer a request.
+func (d *door) answer(n uint64) {
+	d.p.Exchanged(d.now, d.jobs[n].Job, &cart.Carried{Verdict: uint32(verdict.Answered), Status: 200})
+	d.take()
+}
+
+func (d *door) pass(s float64) {
+	for end := d.now + s; d.now < end; {
+		d.now += 0.02
+		d.p.Tick(d.now)
+		d.take()
+	}
+}
+
+// At a full host what cannot be in time waits behind all that can, takes no more than its part of the berths, and goes while
+// its client still waits.
+func TestLateOnesWaitBehindThoseInTime(t *testing.T) {
+	d := openDoor(t)
+	first := []uint64{d.carry(1, 2), d.carry(1, 2), d.carry(1, 2), d.carry(1, 2)}
+	late := d.carry(0, 2)
+	prompt := d.carry(1, 2)
+	if len(d.runs) != 4 || d.told[late] != nil {
+		t.Fatalf("ran %v, told %v", d.runs, d.told)
+	}
+	d.pass(0.1)
+	d.answer(first[0])
+	if n := d.runs[len(d.runs)-1]; n != prompt {
+		t.Fatalf("%d got the free berth, %d was in time", n, prompt)
+	}
+	d.answer(first[1])
+	d.answer(first[2])
+	if n := d.runs[len(d.runs)-1]; n != prompt {
+		t.Fatalf("%d runs with half of the berths in use: nothing is left for what has hurry", n)
+	}
+	d.answer(first[3])
+	if n := d.runs[len(d.runs)-1]; n != late {
+		t.Fatalf("%d is the last that ran, %d waits beside free berths", n, late)
+	}
+}
+
+// No more wait late than may be served so: the others are told at once, and one that waits is told as soon as it is too late for it.
+func TestLateOnesAreFewAndToldInTime(t *testing.T) {
+	d := openDoor(t)
+	for range 4 {
+		d.carry(1, 3)
+	}
+	var waiting []uint64
+	for range 5 {
+		n := d.carry(0, 1)
+		if d.told[n] == nil {
+			waiting = append(waiting, n)
+		} else if verdict.Verdict(d.told[n].Verdict) != verdict.Turned || d.told[n].BackMs == 0 {
+			t.Errorf("told %v", d.told[n])
+		}
+	}
+	if len(waiting) != 2 {
+		t.Fatalf("%d of 5 wait where nobody knows whether any gets its turn, want 2", len(waiting))
+	}
+	d.pass(0.9)
+	for _, n := range waiting {
+		if d.told[n] != nil {
+			t.Errorf("%d was given up with time left", n)
+		}
+	}
+	d.pass(0.1)
+	for _, n := range waiting {
+		if c := d.told[n]; c == nil || verdict.Verdict(c.Verdict) != verdict.Turned {
+			t.Errorf("%d is held to its end: %v", n, c)
+		}
+	}
+}
+
+// One that waits in time and then is not goes behind the others.
+func TestWaitingPastTheAimLosesThePlace(t *testing.T) {
+	d := openDoor(t)
+	var first []uint64
+	for range 4 {
+		first = append(first, d.carry(3, 4))
+	}
+	slow := d.carry(0.2, 2)
+	d.pass(0.3)
+	prompt := d.carry(1, 2)
+	d.answer(first[0])
+	if n := d.runs[len(d.runs)-1]; n != prompt {
+		t.Errorf("%d got the berth, %d is past its aim and %d is not", n, slow, prompt)
+	}
+	for _, n := range first[1:] {
+		d.answer(n)
+	}
+	if n := d.runs[len(d.runs)-1]; n != slow {
+		t.Errorf("%d ran last, want %d", n, slow)
+	}
+}
--- a/internal/market/pitch/news.go
+++ b/internal/market/pitch/news.go
@@ -22,7 +22,8 @@
 )
 
 const (
-	pullAgain   = 1.3 // seconds without an answer until another control process is asked
+	pullAgain   = 1.3 // seconds without an answer until another control process is asked, where it may wait for news
+	pullAtOnce  = 0.2 // the same where it has to answer at once: its machine may have no power
 	beatsMissed = 3.5 // beats after which a host that said nothing is gone
 	watched     = 3   // other proxies that this one knows and watches
 	watchEvery  = 1.0 // seconds between questions to them, while no control process answers
@@ -50,6 +51,7 @@
 	hall    int // whom it pulls from
 	pull    uint64
 	pullAt  float64
+	held    bool    // it may be held until there is something
 	again   float64 // not before then
 	heardAt float64 // of a control process
 	told    bool    // one has answered in this life
@@ -204,10 +206,18 @@
 	if len(halls) == 0 {
 		halls = n.p.o.Seeds
 	}
-	n.pull, n.pullAt = n.p.id(), n.p.now
+	n.pull, n.pullAt, n.held = n.p.id(), n.p.now, hold
 	n.p.send(halls[n.hall%len(halls)], &cart.Parcel{Id: n.pull, Pull: n.vector(hold)})
 }
 
+// patience is how long the control process that was asked may say nothing.
+func (n *news) patience() float64 {
+	if n.held {
+		return pullAgain
+	}
+	return pullAtOnce
+}
+
 // vector is what this proxy has, by source.
 func (n *news) vector(hold bool) *cart.Pull {
 	pull := &cart.Pull{Own: n.own, Hold: hold}
@@ -333,7 +343,7 @@
 	}
 	if n.pull == 0 && p.now >= n.again {
 		n.ask(false)
-	} else if n.pull != 0 && p.now > n.pullAt+pullAgain {
+	} else if n.pull != 0 && p.now > n.pullAt+n.patience() {
 		n.hall++
 		n.ask(false)
 	}
