--- a/internal/market/pitch/gate.go
+++ b/internal/market/pitch/gate.go
@@ -117,7 +117,7 @@
 		if c.Attempt == 0 { // there may be room elsewhere: one that was turned away once may wait
 			most = min(most, firstWait*g.work)
 		}
-		if wait := g.wait(j); wait > most {
+		if wait := g.wait(j); wait > most || g.pastAim(j) {
 			if c.Attempt == 0 || !g.admitLate(j) {
 				g.turn(j, "no berth in time", uint32(wait*1000)+1)
 				return
@@ -221,7 +221,7 @@
 // demoted lets one that has waited past its aim go on waiting behind all that are in time, or turns it away. What has little time,
 // as a call that a run elsewhere waits for, keeps its place.
 func (g *gate) demoted(j *job) bool {
-	if g.p.now+g.took[j.carry.Class] <= j.aim || j.until-g.p.now < returns || j.until <= g.p.now {
+	if !g.pastAim(j) {
 		return false
 	}
 	j.late = true
@@ -233,6 +233,11 @@
 	return true
 }
 
+// pastAim says that a run which begins now would not end within its aim, and that there is time beyond that.
+func (g *gate) pastAim(j *job) bool {
+	return g.p.now+g.took[j.carry.Class] >= j.aim && j.until-g.p.now >= returns
+}
+
 // canFinish says whether a run that begins now is expected to end before its client's time does.
 func (g *gate) canFinish(j *job) bool {
 	return g.p.now+spread*g.took[j.carry.Class]+onTheWay < j.until
