--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -64,7 +64,7 @@
 		}
 		loaded := float64(h.inflight) >= max(passOverFloor, passOverMean*b.mean*h.weight+1) ||
 			b.alone && h.inflight > 0 // its part of any host's room is far under one
-		crowded := b.admit*unit(mix(o.luck^uint64(h.ID))) >= b.share(h)
+		crowded := !b.cfg.Gated && b.admit*unit(mix(o.luck^uint64(h.ID))) >= b.share(h)
 		doubted := b.doubts && h.doubted(b.now, o.class.Effect)
 		if loaded || crowded || doubted {
 			r.score = lastRank * float64(h.inflight+1) / h.weight
--- a/internal/market/hall/hall.go
+++ b/internal/market/hall/hall.go
@@ -193,11 +193,11 @@
 	case p.Dumped != nil:
 		h.heardDumped(now, from, p.Dumped)
 	case p.Claim != nil && h.alone(now): // nothing can be bound from here: the asker goes elsewhere at once
-		h.answerer(from, p.Id, p.Claim.Token)(ledger.Unsure, nil)
+		h.answerer(from, p.Id, p.Claim.Token, false)(ledger.Unsure, nil)
 	case p.Claim != nil:
-		h.ledger.Claim(now, p.Claim, h.answerer(from, p.Id, p.Claim.Token))
-	case p.Settle != nil:
-		h.ledger.Settle(now, p.Settle.Key, p.Settle.Receipt, p.Settle.IfFree, h.answerer(from, p.Id, p.Settle.Receipt.GetToken()))
+		h.ledger.Claim(now, p.Claim, h.answerer(from, p.Id, p.Claim.Token, true))
+	case p.Settle != nil: // who settles has the receipt
+		h.ledger.Settle(now, p.Settle.Key, p.Settle.Receipt, p.Settle.IfFree, h.answerer(from, p.Id, p.Settle.Receipt.GetToken(), false))
 	case p.Ping != nil:
 		h.send(from, &cart.Parcel{Id: p.Id, Pong: p.Ping})
 	default:
@@ -205,10 +205,10 @@
 	}
 }
 
-func (h *Hall) answerer(from string, id, token uint64) func(uint32, *cart.Receipt) {
+func (h *Hall) answerer(from string, id, token uint64, receipt bool) func(uint32, *cart.Receipt) {
 	return func(state uint32, held *cart.Receipt) {
 		c := &cart.Claimed{State: state, Token: token}
-		if state == ledger.Done {
+		if receipt && state == ledger.Done {
 			c.Receipt = held
 		}
 		h.send(from, &cart.Parcel{Id: id, Claimed: c})
--- a/internal/market/pitch/news.go
+++ b/internal/market/pitch/news.go
@@ -186,7 +186,7 @@
 			at = &place{slow: 1}
 		}
 		at.source, at.station, at.told = source, r.Station, at.slow
-		s.hosts[h.ID], h.Weight = at, 1/at.slow
+		s.hosts[h.ID], h.Weight = at, 1/(at.slow*at.slow)
 		by[r.Carrier] = append(by[r.Carrier], h)
 	}
 	for _, name := range p.services() {
