--- a/internal/market/fairground/checker.go
+++ b/internal/market/fairground/checker.go
@@ -25,6 +25,8 @@
 	Served   int
 	Asked    int
 	Statuses map[int]int
+	Near     int // runs in the zone in which they were asked for, of those that may run anywhere
+	Far      int
 }
 
 type run struct {
@@ -33,8 +35,8 @@
 }
 
 type request struct {
-	path, key string
-	at        float64
+	path, key, zone string
+	at              float64
 }
 
 func newChecker(w *World) *Checker {
@@ -49,7 +51,7 @@
 
 func (c *Checker) asked(s *Stall, id, path, key string) {
 	c.Asked++
-	c.requests[id] = request{path, key, c.w.Now}
+	c.requests[id] = request{path, key, s.host.Zone, c.w.Now}
 }
 
 // ran is a host that begins a request.
@@ -60,6 +62,13 @@
 		c.fail("UNASKED", "%s runs %s, which nobody asked", st.id, id)
 	}
 	tracked := strings.HasPrefix(q.path, "/pay/")
+	switch {
+	case tracked:
+	case q.zone == s.host.Zone:
+		c.Near++
+	default:
+		c.Far++
+	}
 	if want := map[bool]string{true: "till", false: "shop"}[tracked]; s.host.Carrier != want {
 		c.fail("ROUTE", "%s of %s runs %s", st.id, s.host.Carrier, q.path)
 	}
--- a/internal/market/fairground/fairground_test.go
+++ b/internal/market/fairground/fairground_test.go
@@ -347,3 +347,17 @@
 		verdictOn(t, w, fmt.Sprintf("seed %d", seed), 0)
 	}
 }
+
+// Answers differ as requests do, and that sends nobody out of the zone: gates know what there is room for. Bytes between zones are
+// what it would cost.
+func TestNearHostsStayNear(t *testing.T) {
+	w := market(t, 4, 3)
+	for i := range 3000 {
+		w.After(float64(i)*0.02, func() { w.Ask(w.Stalls[w.Rand.IntN(len(w.Stalls))], "/read/x", "", 1) })
+	}
+	w.Run(62)
+	verdictOn(t, w, "near", 0.98)
+	if share := float64(w.Checker.Far) / float64(w.Checker.Near+w.Checker.Far); share > 0.2 {
+		t.Errorf("%.2f of all reads left their zone", share)
+	}
+}
