--- a/internal/market/cart/net.go
+++ b/internal/market/cart/net.go
@@ -78,8 +78,8 @@
 	wake   chan struct{}
 
 	mu     sync.Mutex
-	queue  []*Parcel
-	queued int
+	frames []byte   // that wait to be written
+	ids    []uint64 // of the parcels in them
 	dead   bool
 }
 
@@ -129,14 +129,17 @@
 }
 
 func (l *link) put(p *Parcel) bool {
-	size := proto.Size(p)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.dead || l.queued+size > mostQueued {
+	if l.dead {
 		return false
 	}
-	l.queue = append(l.queue, p)
-	l.queued += size
+	was := len(l.frames)
+	frames, err := frame(l.frames, p)
+	if err != nil || was > 0 && len(frames) > mostQueued {
+		return false
+	}
+	l.frames, l.ids = frames, append(l.ids, p.Id)
 	select {
 	case l.wake <- struct{}{}:
 	default:
@@ -144,16 +147,17 @@
 	return true
 }
 
-func (l *link) take() []*Parcel {
+// take gives what waits to be written, and leaves a buffer that is no longer needed in its place.
+func (l *link) take(spare []byte) (frames []byte, ids []uint64, dead bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	q := l.queue
-	l.queue, l.queued = nil, 0
-	return q
+	frames, ids = l.frames, l.ids
+	l.frames, l.ids = spare[:0], nil
+	return frames, ids, l.dead
 }
 
 // end takes the link out of use and tells of it. unsent never went out.
-func (l *link) end(unsent []*Parcel) {
+func (l *link) end(unsent []uint64) {
 	l.net.mu.Lock()
 	if l.net.links[l.peer] == l {
 		delete(l.net.links, l.peer)
@@ -163,17 +167,13 @@
 	l.mu.Lock()
 	was := l.dead
 	l.dead = true
-	unsent = append(unsent, l.queue...)
-	l.queue = nil
+	unsent = append(unsent, l.ids...)
+	l.frames, l.ids = nil, nil
 	l.mu.Unlock()
 	if was && len(unsent) == 0 || closed {
 		return
 	}
-	b := Broke{Peer: l.peer, Link: l.number}
-	for _, p := range unsent {
-		b.Unsent = append(b.Unsent, p.Id)
-	}
-	l.net.tell(b)
+	l.net.tell(Broke{Peer: l.peer, Link: l.number, Unsent: unsent})
 }
 
 func (l *link) dial() {
@@ -227,34 +227,25 @@
 
 // write sends what is queued, all that waits in one write.
 func (l *link) write(c net.Conn) {
-	var buf []byte
+	var spare []byte
 	for range l.wake {
-		l.mu.Lock()
-		dead := l.dead
-		l.mu.Unlock()
+		frames, ids, dead := l.take(spare)
 		if dead {
+			l.mu.Lock()
+			l.ids = append(ids, l.ids...) // none of it went out
+			l.mu.Unlock()
 			break
 		}
-		batch := l.take()
-		if len(batch) == 0 {
+		if spare = frames; len(frames) == 0 {
 			continue
 		}
-		buf = buf[:0]
-		for i, p := range batch {
-			var err error
-			if buf, err = frame(buf, p); err != nil { // too large: as if it had broken the connection
-				c.Close()
-				l.end(batch[i:])
-				return
-			}
-		}
 		c.SetWriteDeadline(time.Now().Add(writeWithin))
-		if _, err := c.Write(buf); err != nil {
+		if _, err := c.Write(frames); err != nil {
 			c.Close()
 			break
 		}
-		if cap(buf) > 1<<20 {
-			buf = nil
+		if cap(spare) > 1<<20 {
+			spare = nil
 		}
 	}
 	l.mu.Lock()
--- a/internal/market/hall/hall.go
+++ b/internal/market/hall/hall.go
@@ -75,6 +75,7 @@
 	heard    map[string]float64 // when a source was last heard of, by anybody
 	direct   map[string]bool    // heard here since the last digest
 	parked   []parked
+	newer    bool           // something has come since the parked were looked through
 	changed  []*cart.Record // since the last digest
 	digestAt float64
 	wholeAt  float64
@@ -478,7 +479,7 @@
 	if edition <= h.sure {
 		return
 	}
-	h.sure = edition
+	h.sure, h.newer = edition, true
 	h.out.Puts = append(h.out.Puts, vault.Put{Name: nameSure, Value: binary.BigEndian.AppendUint64(nil, edition)})
 	h.o.Log("in force", "edition", edition)
 	h.digestAt = 0
@@ -516,7 +517,7 @@
 	if old != nil && old.Version >= r.Version || old == nil && len(h.records) >= mostSources {
 		return
 	}
-	h.records[r.Source] = r
+	h.records[r.Source], h.newer = r, true
 	if h.heard[r.Source] == 0 {
 		h.heard[r.Source] = now
 	}
@@ -579,8 +580,11 @@
 
 // wake answers the proxies that lack something by now.
 func (h *Hall) wake(now float64) {
+	newer, alone := h.newer, h.alone(now)
+	h.newer = false
 	h.parked = slices.DeleteFunc(h.parked, func(w parked) bool {
-		return h.answerPull(now, w.from, w.id, w.pull, now > w.until || h.alone(now))
+		must := now > w.until || alone
+		return (must || newer) && h.answerPull(now, w.from, w.id, w.pull, must)
 	})
 }
 
--- a/internal/market/pitch/ask.go
+++ b/internal/market/pitch/ask.go
@@ -63,6 +63,7 @@
 	taken    float64
 	deadline float64
 	route    *charter.Route
+	class    class
 	service  string
 	token    uint64
 	tries    []*try
@@ -141,9 +142,11 @@
 
 // number is the same for a class at all proxies.
 func (c class) number() uint32 {
-	h := fnv.New32a()
-	fmt.Fprint(h, c.effect, c.aim, c.deadline, c.precedence)
-	return h.Sum32()
+	h := uint64(c.effect)
+	for _, x := range [...]uint64{math.Float64bits(c.aim), math.Float64bits(c.deadline), uint64(c.precedence)} {
+		h = mix(h ^ x)
+	}
+	return uint32(h)
 }
 
 // Ask takes a request. It is answered exactly once, by a Tell.
@@ -163,6 +166,7 @@
 		p.tell(o, Reply{Status: 404, Ours: true, Why: "no route"})
 		return
 	}
+	o.class = classOf(o.route)
 	word := o.Key
 	if word == "" {
 		word = o.ID
@@ -195,7 +199,7 @@
 	p.orders[o.id] = o
 	p.purse.Earn(o.service)
 	p.at(o.deadline+afterDeadline, func() { p.over(o) })
-	s.bal.Request(p.now, balancer.Request{ID: balancer.RequestID(o.id), Class: s.class(classOf(o.route)),
+	s.bal.Request(p.now, balancer.Request{ID: balancer.RequestID(o.id), Class: s.class(o.class),
 		Key: p.random() | 1, Budget: max(0, o.deadline-p.now)})
 }
 
@@ -286,7 +290,7 @@
 	c := &cart.Carry{Station: at.station, Method: o.Method, Target: o.Target, Host: o.Host, Fields: o.Fields, Body: o.Body,
 		Framed: o.Framed, LeftUs: uint32(min(math.MaxUint32, max(0, o.deadline-p.now)*1e6)), Sender: p.o.Sender, Key: o.Key,
 		Token: o.token, Precedence: uint32(max(0, o.route.Precedence)), Repeatable: o.route.Repeatable(),
-		Attempt: uint32(t.number), Class: classOf(o.route).number(), AimUs: uint32(max(0, min(o.deadline, o.taken+classOf(o.route).aim)-p.now) * 1e6)}
+		Attempt: uint32(t.number), Class: o.class.number(), AimUs: uint32(max(0, min(o.deadline, o.taken+o.class.aim)-p.now) * 1e6)}
 	parcel := &cart.Parcel{Id: t.id, Carry: c}
 	if t.peer == p.o.Self {
 		p.send(t.peer, parcel)
@@ -373,7 +377,7 @@
 	o := t.order
 	v := verdict.Verdict(c.Verdict)
 	if v == verdict.Answered && c.Status < 500 {
-		p.shelves[o.service].timed(t.host, classOf(o.route), float64(c.TookUs)/1e6)
+		p.shelves[o.service].timed(t.host, o.class, float64(c.TookUs)/1e6)
 	}
 	if v.Arrived() {
 		o.arrivals++
--- a/internal/market/pitch/pitch.go
+++ b/internal/market/pitch/pitch.go
@@ -113,7 +113,11 @@
 // random gives the next of the numbers that the seed begins.
 func (p *Pitch) random() uint64 {
 	p.rng += 0x9e3779b97f4a7c15
-	x := p.rng
+	return mix(p.rng)
+}
+
+// mix spreads the bits of a number over all of them (splitmix64).
+func mix(x uint64) uint64 {
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return x ^ x>>31
--- a/internal/market/porter/porter.go
+++ b/internal/market/porter/porter.go
@@ -4,12 +4,12 @@
 
 import (
 	"bufio"
-	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -192,23 +192,23 @@
 
 // write sends a request in one piece: method, target and headers as they came, framing anew.
 func (c *conn) write(r *cart.Carry) error {
-	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
+	b := make([]byte, 0, 1024+len(r.Body))
+	b = append(append(append(append(b, r.Method...), ' '), r.Target...), " HTTP/1.1\r\nHost: "...)
+	b = append(append(b, r.Host...), "\r\n"...)
+	line := func(name, value string) {
+		b = append(append(append(append(b, name...), ": "...), value...), "\r\n"...)
+	}
 	for _, f := range r.Fields {
-		b.WriteString(f.Name)
-		b.WriteString(": ")
-		b.WriteString(f.Value)
-		b.WriteString("\r\n")
+		line(f.Name, f.Value)
 	}
-	fmt.Fprintf(&b, "%s: %d\r\n%s: %s\r\n%s: %s\r\n", pitch.HeaderDeadline, max(1, r.LeftUs/1000), pitch.HeaderAddressee, r.Station,
-		pitch.HeaderSender, r.Sender)
+	line(pitch.HeaderDeadline, strconv.FormatUint(uint64(max(1, r.LeftUs/1000)), 10))
+	line(pitch.HeaderAddressee, r.Station)
+	line(pitch.HeaderSender, r.Sender)
 	if r.Framed {
-		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.Body))
+		line("Content-Length", strconv.Itoa(len(r.Body)))
 	}
-	b.WriteString("\r\n")
-	b.Write(r.Body)
-	_, err := c.Write(b.Bytes())
+	b = append(append(b, "\r\n"...), r.Body...)
+	_, err := c.Write(b)
 	return err
 }
 
@@ -310,9 +310,10 @@
 // keepFor is how long the host says that it keeps a connection, with something taken off for the way.
 func keepFor(h http.Header) time.Duration {
 	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
-		var s int
-		if n, _ := fmt.Sscanf(strings.TrimSpace(part), "timeout=%d", &s); n == 1 {
-			return time.Duration(s)*time.Second - 500*time.Millisecond
+		if text, found := strings.CutPrefix(strings.TrimSpace(part), "timeout="); found {
+			if s, err := strconv.Atoi(text); err == nil {
+				return time.Duration(s)*time.Second - 500*time.Millisecond
+			}
 		}
 	}
 	return idleFor
