--- a/cmd/guildhall/run.go
+++ b/cmd/guildhall/run.go
@@ -50,7 +50,7 @@
 	assayer *assay.Assayer
 }
 
-func run(ctx context.Context, d *deed.Deed, log *slog.Logger) error {
+func run(ctx context.Context, d *deed.Deed, metrics int, log *slog.Logger) error {
 	p := &program{log: log, clock: shop.NewClock(), deed: d, disk: make(chan struct{}, 1)}
 	if d.DataDir == "" {
 		return errors.New("settings: dataDir: is missing, and the control plane keeps its promises on disk")
@@ -62,7 +62,8 @@
 		return err
 	}
 	log.Info("disk read", "found", found, "values", len(values), "first", d.FirstStart)
-	p.hall, err = hall.New(p.clock.Now(), hall.Options{Self: d.Inner(), Seeds: d.Seeds(), First: d.FirstStart && !found,
+	first := d.FirstStart && len(values) == 0 // one that ended before it had promised anything begins anew
+	p.hall, err = hall.New(p.clock.Now(), hall.Options{Self: d.Inner(), Seeds: d.Seeds(), First: first,
 		Window: d.Bound("passWindowS", 60), Life: rand.Uint32() | 1, Log: func(e string, args ...any) { log.Info(e, args...) }}, values, found)
 	if err != nil {
 		return err
@@ -80,6 +81,9 @@
 	if err != nil {
 		return err
 	}
+	if err := shop.Metrics(ctx, d, metrics, p.figures, log); err != nil {
+		return err
+	}
 	time.AfterFunc(checkAfter, func() { // proxies that start as well need the rest first
 		p.assayMu.Lock()
 		defer p.assayMu.Unlock()
@@ -219,7 +223,7 @@
 		})
 	}
 	counter.Handle(mux, "GET /-/state", counter.SmallBody, func(counter.Call, *counter.None) (s *hall.State, err error) {
-		p.with(func(float64) { now := p.hall.State(); s = &now })
+		p.with(func(now float64) { known := p.hall.State(now); s = &known })
 		return s, nil
 	})
 	return mux
@@ -244,3 +248,30 @@
 	}
 	return &counter.Taken{Edition: edition}, nil
 }
+
+// figures are what is counted, for a reading.
+func (p *program) figures(page shop.Page) {
+	var s hall.State
+	p.with(func(now float64) { s = p.hall.State(now) })
+	page.Count("guildhall_claims_total", s.Counts.Claims)
+	page.Count("guildhall_claims_granted_total", s.Counts.Granted)
+	page.Count("guildhall_settles_total", s.Counts.Settles)
+	page.Count("guildhall_unsure_total", s.Counts.Unsure)
+	page.Count("guildhall_pulls_total", s.Counts.Pulls)
+	page.Count("guildhall_configurations_total", s.Counts.Writes)
+	for state, n := range s.Keys {
+		page.Gauge("guildhall_registers", float64(n), "state", state)
+	}
+	page.Gauge("guildhall_oldest_claim_seconds", s.Oldest)
+	page.Gauge("guildhall_edition_held", float64(s.Edition))
+	page.Gauge("guildhall_edition_in_force", float64(s.InForce))
+	for name, yes := range map[string]bool{"guildhall_voting": s.Voting, "guildhall_alone": s.Alone} {
+		v := 0.0
+		if yes {
+			v = 1
+		}
+		page.Gauge(name, v)
+	}
+	page.Gauge("guildhall_roll", float64(len(s.Roll)))
+	page.Gauge("guildhall_silent", float64(len(s.Silent)))
+}
--- a/cmd/stall/run.go
+++ b/cmd/stall/run.go
@@ -44,7 +44,7 @@
 	pitch *pitch.Pitch
 }
 
-func run(ctx context.Context, d *deed.Deed, log *slog.Logger) error {
+func run(ctx context.Context, d *deed.Deed, metrics int, log *slog.Logger) error {
 	if d.Docking.Outbound == "" || d.Docking.Ready == "" || d.AppAddress == "" {
 		return errors.New("settings: docking.outboundDock, docking.readyDock and appAddress: all have to be there")
 	}
@@ -79,6 +79,9 @@
 			return err
 		}
 	}
+	if err := shop.Metrics(ctx, d, metrics, p.figures, log); err != nil {
+		return err
+	}
 	ln, err := shop.Listen(ctx, d.Docking.Outbound)
 	if err != nil {
 		return err
@@ -264,3 +267,37 @@
 	})
 	return mux
 }
+
+// figures are what is counted, for a reading.
+func (p *program) figures(page shop.Page) {
+	var s pitch.State
+	p.with(func(now float64) { s = p.pitch.State(now) })
+	for status, n := range s.Counts.Answers {
+		page.Count("stall_answers_total", n, "status", strconv.Itoa(status))
+	}
+	for verdict, n := range s.Counts.Tries {
+		page.Count("stall_tries_total", n, "verdict", verdict)
+	}
+	for why, n := range s.Counts.Turned {
+		page.Count("stall_turned_away_total", n, "why", why)
+	}
+	page.Count("stall_runs_total", s.Counts.Runs)
+	page.Count("stall_late_runs_total", s.Counts.Late)
+	page.Count("stall_doubts_total", s.Counts.Doubts)
+	page.Count("stall_host_connections_total", uint64(p.porter.Opened()))
+	page.Gauge("stall_edition", float64(s.Edition))
+	ready := 0.0
+	if s.Ready {
+		ready = 1
+	}
+	page.Gauge("stall_ready", ready)
+	page.Gauge("stall_requests_open", float64(s.Orders))
+	page.Gauge("stall_host_requests", float64(s.Jobs))
+	page.Gauge("stall_waiting", float64(s.Queued), "lane", "in time")
+	page.Gauge("stall_waiting", float64(s.Waiting), "lane", "late")
+	page.Gauge("stall_roll", float64(len(s.Roll)))
+	page.Gauge("stall_silent", float64(len(s.Silent)))
+	for service, n := range s.Avoided {
+		page.Gauge("stall_avoided_hosts", float64(n), "carrier", service)
+	}
+}
--- a/internal/market/hall/hall.go
+++ b/internal/market/hall/hall.go
@@ -81,7 +81,8 @@
 	wholeAt  float64
 	whole    int
 
-	out ledger.Effects
+	out   ledger.Effects
+	count Counts
 }
 
 type dump struct {
@@ -196,8 +197,10 @@
 	case p.Claim != nil && h.alone(now): // nothing can be bound from here: the asker goes elsewhere at once
 		h.answerer(from, p.Id, p.Claim.Token, false)(ledger.Unsure, nil)
 	case p.Claim != nil:
+		h.count.Claims++
 		h.ledger.Claim(now, p.Claim, h.answerer(from, p.Id, p.Claim.Token, true))
 	case p.Settle != nil: // who settles has the receipt
+		h.count.Settles++
 		h.ledger.Settle(now, p.Settle.Key, p.Settle.Receipt, p.Settle.IfFree, h.answerer(from, p.Id, p.Settle.Receipt.GetToken(), false))
 	case p.Ping != nil:
 		h.send(from, &cart.Parcel{Id: p.Id, Pong: p.Ping})
@@ -209,6 +212,12 @@
 func (h *Hall) answerer(from string, id, token uint64, receipt bool) func(uint32, *cart.Receipt) {
 	return func(state uint32, held *cart.Receipt) {
 		c := &cart.Claimed{State: state, Token: token}
+		switch {
+		case state == ledger.Unsure:
+			h.count.Unsure++
+		case receipt && state == ledger.Claimed:
+			h.count.Granted++
+		}
 		if receipt && state == ledger.Done {
 			c.Receipt = held
 		}
@@ -389,6 +398,7 @@
 		return
 	}
 	if edition > h.held {
+		h.count.Writes++
 		h.store(edition, text)
 	}
 	if h.sure >= h.held {
@@ -529,6 +539,7 @@
 }
 
 func (h *Hall) heardPull(now float64, from string, id uint64, p *cart.Pull) {
+	h.count.Pulls++
 	if p.Own != nil {
 		h.heard[p.Own.Source], h.direct[p.Own.Source] = now, true
 		h.learn(now, p.Own, true)
@@ -648,21 +659,46 @@
 	}
 }
 
+// Counts add up since the process started.
+type Counts struct {
+	Claims  uint64 `json:"claims"`
+	Granted uint64 `json:"granted"`
+	Settles uint64 `json:"settles"`
+	Unsure  uint64 `json:"unsure"` // claims and ends of runs for which no majority was found
+	Pulls   uint64 `json:"pulls"`
+	Writes  uint64 `json:"configurations"`
+}
+
 // State is what an operator sees of a hall.
 type State struct {
-	Members   []string       `json:"members"`
-	Voting    bool           `json:"voting"`
-	Held      uint64         `json:"held"`
-	InForce   uint64         `json:"inForce"`
-	Registers int            `json:"registers"`
-	Changes   int            `json:"changes"`
-	Roll      []*cart.Record `json:"roll"`
+	Members   []string          `json:"members"`
+	Voting    bool              `json:"voting"`
+	Edition   uint64            `json:"held"`
+	InForce   uint64            `json:"inForce"`
+	Alone     bool              `json:"alone"`
+	Registers int               `json:"registers"`
+	Keys      map[string]int    `json:"keys"`
+	Oldest    float64           `json:"oldestClaimSeconds"`
+	Changes   int               `json:"changes"`
+	Held      map[string]uint64 `json:"editions"`
+	Pulls     int               `json:"heldPulls"`
+	Silent    []string          `json:"silent"`
+	Counts    Counts            `json:"counts"`
+	Roll      []*cart.Record    `json:"roll"`
 }
 
 // State tells what is known here.
-func (h *Hall) State() State {
-	s := State{Members: h.members, Voting: h.ledger.Voting(), Held: h.held, InForce: h.sure}
+func (h *Hall) State(now float64) State {
+	s := State{Members: h.members, Voting: h.ledger.Voting(), Alone: h.alone(now), Edition: h.held, InForce: h.sure, Pulls: len(h.parked),
+		Held: maps.Clone(h.holds), Counts: h.count}
 	s.Registers, s.Changes = h.ledger.Size()
+	s.Keys, s.Oldest = h.ledger.Held(now)
+	for source, at := range h.heard {
+		if now > at+silentAfter {
+			s.Silent = append(s.Silent, source)
+		}
+	}
+	slices.Sort(s.Silent)
 	for _, r := range h.records {
 		s.Roll = append(s.Roll, proto.Clone(r).(*cart.Record))
 	}
--- a/internal/market/ledger/ledger.go
+++ b/internal/market/ledger/ledger.go
@@ -32,6 +32,8 @@
 	Unsure                // no majority could be asked: nothing was claimed
 )
 
+var stateNames = map[uint32]string{Free: "free", Claimed: "claimed", Done: "done", Lost: "lost", Void: "void"}
+
 const (
 	widenAfter = 0.04 // seconds until the members in reserve are sent a value
 	slowFor    = 2.0  // seconds for which one that did not answer is kept in reserve
@@ -132,6 +134,22 @@
 // Voting says whether it takes part.
 func (l *Ledger) Voting() bool { return l.voting }
 
+// Held counts the registers by the state of their value, and says how old the oldest claim is that nobody has settled.
+func (l *Ledger) Held(now float64) (byState map[string]int, oldest float64) {
+	byState = map[string]int{}
+	for _, e := range l.entries {
+		state := Free
+		if e.value != nil {
+			state = e.value.State
+		}
+		byState[stateNames[state]]++
+		if state == Claimed {
+			oldest = max(oldest, now-e.at)
+		}
+	}
+	return byState, oldest
+}
+
 // Size is the number of registers held, and of changes under way.
 func (l *Ledger) Size() (registers, changes int) { return len(l.entries), len(l.work) }
 
--- a/internal/market/pitch/ask.go
+++ b/internal/market/pitch/ask.go
@@ -225,6 +225,7 @@
 		return
 	}
 	o.told = true
+	p.count.Answers[r.Status]++
 	p.out.Dos = append(p.out.Dos, Tell{o, r})
 	if p.o.Debug != nil {
 		p.o.Debug("answered", "id", o.ID, "status", r.Status, "ours", r.Ours, "why", r.Why, "tries", len(o.tries),
@@ -376,6 +377,7 @@
 	}
 	o := t.order
 	v := verdict.Verdict(c.Verdict)
+	p.count.Tries[v.String()]++
 	if v == verdict.Answered && c.Status < 500 {
 		p.shelves[o.service].timed(t.host, o.class, float64(c.TookUs)/1e6)
 	}
@@ -506,6 +508,9 @@
 // claim of its token was granted and none will be: the register says so. Of the rest it is not known.
 func (p *Pitch) doubt(t *try, why string) {
 	o := t.order
+	if !t.asked {
+		p.count.Doubts++
+	}
 	switch {
 	case o.route.Repeatable():
 		o.arrivals++ // it may have arrived
--- a/internal/market/pitch/gate.go
+++ b/internal/market/pitch/gate.go
@@ -252,6 +252,10 @@
 
 func (g *gate) start(j *job) {
 	j.sent = g.p.now
+	g.p.count.Runs++
+	if j.late {
+		g.p.count.Late++
+	}
 	c := j.carry
 	c.LeftUs = uint32(max(0, j.until-g.p.now) * 1e6)
 	g.p.out.Dos = append(g.p.out.Dos, Exchange{Job: j.id, Carry: c, Until: j.until + hostSlack})
@@ -259,6 +263,7 @@
 
 // turn gives a request back before a byte of it went to the host. backMs is set where the host is full, and not gone.
 func (g *gate) turn(j *job, why string, backMs uint32) {
+	g.p.count.Turned[why]++
 	g.end(j, &cart.Carried{Verdict: uint32(verdict.Turned), Why: why, BackMs: backMs})
 }
 
--- a/internal/market/pitch/pitch.go
+++ b/internal/market/pitch/pitch.go
@@ -7,6 +7,8 @@
 package pitch
 
 import (
+	"maps"
+
 	"beechwing/balancer"
 	"beechwing/internal/market/cart"
 	"beechwing/internal/market/charter"
@@ -67,6 +69,7 @@
 	out   Effects
 	local []func() // what actions of the module gave rise to; it may not be called from within one
 	inUse int      // bytes of bodies
+	count Counts
 
 	// ask.go
 	shelves map[string]*shelf
@@ -87,7 +90,8 @@
 		o.Log = func(string, ...any) {}
 	}
 	p := &Pitch{o: o, now: now, rng: o.Seed, shelves: map[string]*shelf{}, orders: map[uint64]*Order{}, tries: map[uint64]*try{},
-		purse: purse.New(o.Ratio, o.Slack), peers: map[string]*peer{}}
+		purse: purse.New(o.Ratio, o.Slack), peers: map[string]*peer{},
+		count: Counts{Answers: map[int]uint64{}, Tries: map[string]uint64{}, Turned: map[string]uint64{}}}
 	p.gate.begin(p)
 	p.news.begin(p)
 	return p
@@ -208,6 +212,16 @@
 	return &p.table.Charter.SizeLimits
 }
 
+// Counts add up since the process started.
+type Counts struct {
+	Answers map[int]uint64    `json:"answers"` // to clients, by status
+	Tries   map[string]uint64 `json:"tries"`   // sent to proxies beside hosts, by verdict
+	Turned  map[string]uint64 `json:"turned"`  // away by the gate here, by reason
+	Runs    uint64            `json:"runs"`    // given to the host here
+	Late    uint64            `json:"late"`    // of those past their aim before they began
+	Doubts  uint64            `json:"doubts"`  // tries given up as the proxy that had them is silent or gone
+}
+
 // State is what an operator sees of a proxy.
 type State struct {
 	Edition uint64         `json:"edition"`
@@ -220,6 +234,8 @@
 	Orders  int            `json:"orders"`
 	Jobs    int            `json:"jobs"`
 	Queued  int            `json:"queued"`
+	Waiting int            `json:"late"`
+	Counts  Counts         `json:"counts"`
 	Avoided map[string]int `json:"avoided"`
 }
 
@@ -227,7 +243,9 @@
 func (p *Pitch) State(now float64) State {
 	p.now = now
 	s := State{Ready: p.Ready(), Ending: p.news.ending, Halls: p.news.halls, Host: p.news.own, Orders: len(p.orders),
-		Jobs: len(p.gate.jobs), Queued: len(p.gate.queue), Avoided: map[string]int{}}
+		Jobs: len(p.gate.jobs), Queued: len(p.gate.queue), Waiting: len(p.gate.late.jobs), Avoided: map[string]int{},
+		Counts: Counts{Answers: maps.Clone(p.count.Answers), Tries: maps.Clone(p.count.Tries), Turned: maps.Clone(p.count.Turned),
+			Runs: p.count.Runs, Late: p.count.Late, Doubts: p.count.Doubts}}
 	if p.table != nil {
 		s.Edition = p.table.Edition
 	}
--- a/internal/market/shop/commands.go
+++ b/internal/market/shop/commands.go
@@ -21,7 +21,7 @@
 // Program is one of the two, as its command line knows it.
 type Program struct {
 	Name, Short string
-	Run         func(ctx context.Context, d *deed.Deed, log *slog.Logger) error
+	Run         func(ctx context.Context, d *deed.Deed, metrics int, log *slog.Logger) error
 	Check       func(configuration []byte) (verdict string, err error)
 }
 
@@ -30,15 +30,19 @@
 	root := &ff.Command{Name: p.Name, Usage: p.Name + " SUBCOMMAND", ShortHelp: p.Short}
 	flags := ff.NewFlagSet("run")
 	level := flags.StringLong("log", "info", "least level of the log: debug, info, warn, error")
+	metrics := flags.IntLong("metrics", 0, "port of sparePorts at which figures are served as text; 0: none")
 	profile := flags.StringLong("profile", "", "file for a CPU profile of the whole run")
+	looks := ff.NewFlagSet("state")
+	plain := looks.BoolLong("json", "as JSON in place of a table")
 	root.Subcommands = []*ff.Command{
-		{Name: "run", Usage: p.Name + " run [--log LEVEL] [--profile FILE]", Flags: flags,
+		{Name: "run", Usage: p.Name + " run [--log LEVEL] [--metrics PORT] [--profile FILE]", Flags: flags,
 			ShortHelp: "serve, by the settings file that " + deed.Variable + " names",
-			Exec:      func(ctx context.Context, _ []string) error { return p.serve(ctx, *level, *profile) }},
+			Exec:      func(ctx context.Context, _ []string) error { return p.serve(ctx, *level, *profile, *metrics) }},
 		{Name: "check", Usage: p.Name + " check FILE ...", ShortHelp: "check settings (.toml) and configurations (.json)",
 			Exec: func(_ context.Context, args []string) error { return p.check(args) }},
-		{Name: "state", Usage: p.Name + " state ADDRESS", ShortHelp: "what a running process knows, as JSON, from its control address",
-			Exec: state},
+		{Name: "state", Usage: p.Name + " state [--json] ADDRESS", Flags: looks,
+			ShortHelp: "what a running process knows, from its control address",
+			Exec:      func(ctx context.Context, args []string) error { return state(ctx, args, *plain) }},
 	}
 	err := root.ParseAndRun(context.Background(), os.Args[1:])
 	switch {
@@ -55,7 +59,7 @@
 	return 1
 }
 
-func (p Program) serve(ctx context.Context, level, profile string) error {
+func (p Program) serve(ctx context.Context, level, profile string, metrics int) error {
 	d, err := deed.Load(os.Getenv)
 	if err != nil {
 		return err
@@ -69,7 +73,7 @@
 		return err
 	}
 	defer end()
-	return p.Run(ctx, d, log)
+	return p.Run(ctx, d, metrics, log)
 }
 
 // check checks the files that are named.
@@ -117,8 +121,11 @@
 	}, nil
 }
 
-// state asks a running process what it knows.
-func state(ctx context.Context, args []string) error {
+// mostState bounds what is read of an answer to state.
+const mostState = 64 << 20
+
+// state asks a running process what it knows, and shows it.
+func state(ctx context.Context, args []string, plain bool) error {
 	if len(args) != 1 {
 		return errors.New("state: which address?")
 	}
@@ -133,6 +140,16 @@
 		return errors.Wrap(err, "state")
 	}
 	defer res.Body.Close()
-	_, err = io.Copy(os.Stdout, res.Body)
-	return err
+	text, err := io.ReadAll(io.LimitReader(res.Body, mostState))
+	if err != nil {
+		return errors.Wrap(err, "state")
+	}
+	if res.StatusCode != http.StatusOK {
+		return errors.Newf("state: %s answers %s", args[0], res.Status)
+	}
+	if plain {
+		_, err = os.Stdout.Write(text)
+		return errors.Wrap(err, "state")
+	}
+	return table(text, os.Stdout)
 }
--- /dev/null
+++ b/internal/market/shop/table.go
@@ -0,0 +1,95 @@
+package shop
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+)
+
+// columns are the order in which a list's fields are shown; others follow by name.
+var columns = []string{"source", "station", "carrier", "zone", "condition", "version"}
+
+// table shows what a process knows to a person: single values first, a line each, then each list as a table of its own.
+func table(text []byte, w io.Writer) error {
+	var all map[string]any
+	if err := json.Unmarshal(text, &all); err != nil {
+		return errors.Wrap(err, "state")
+	}
+	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	var lists []string
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		if rows, ok := all[name].([]any); ok && len(rows) > 0 {
+			if _, ok := rows[0].(map[string]any); ok {
+				lists = append(lists, name)
+				continue
+			}
+		}
+		fmt.Fprintf(out, "%s\t%s\n", name, cell(all[name]))
+	}
+	for _, name := range lists {
+		rows := all[name].([]any)
+		fields := map[string]bool{}
+		for _, r := range rows {
+			for f := range r.(map[string]any) {
+				fields[f] = true
+			}
+		}
+		order := slices.DeleteFunc(slices.Clone(columns), func(c string) bool { return !fields[c] })
+		for _, f := range slices.Sorted(maps.Keys(fields)) {
+			if !slices.Contains(order, f) {
+				order = append(order, f)
+			}
+		}
+		fmt.Fprintf(out, "\n%s\n%s\n", name, strings.Join(order, "\t"))
+		for _, r := range rows {
+			for i, f := range order {
+				if i > 0 {
+					fmt.Fprint(out, "\t")
+				}
+				fmt.Fprint(out, cell(r.(map[string]any)[f]))
+			}
+			fmt.Fprintln(out)
+		}
+	}
+	return errors.Wrap(out.Flush(), "state")
+}
+
+// cell shows one value. Objects are pairs, in order.
+func cell(v any) string {
+	switch v := v.(type) {
+	case nil:
+		return "-"
+	case string:
+		if v == "" {
+			return "-"
+		}
+		return v
+	case float64:
+		return strings.TrimSuffix(strings.TrimRight(fmt.Sprintf("%.3f", v), "0"), ".")
+	case []any:
+		parts := []string{}
+		for _, e := range v {
+			parts = append(parts, cell(e))
+		}
+		if len(parts) == 0 {
+			return "-"
+		}
+		return strings.Join(parts, " ")
+	case map[string]any:
+		parts := []string{}
+		for _, k := range slices.Sorted(maps.Keys(v)) {
+			parts = append(parts, strings.ReplaceAll(k, " ", "_")+"="+cell(v[k]))
+		}
+		if len(parts) == 0 {
+			return "-"
+		}
+		return strings.Join(parts, " ")
+	}
+	return fmt.Sprint(v)
+}
