--- a/cmd/guildhall/run.go
+++ b/cmd/guildhall/run.go
@@ -55,6 +55,7 @@
 	if d.DataDir == "" {
 		return errors.New("settings: dataDir: is missing, and the control plane keeps its promises on disk")
 	}
+	shop.Memory(d)
 	var values map[string][]byte
 	var found bool
 	var err error
--- a/cmd/stall/run.go
+++ b/cmd/stall/run.go
@@ -57,6 +57,7 @@
 	if log.Enabled(ctx, slog.LevelDebug) {
 		o.Debug = func(e string, args ...any) { log.Debug(e, args...) }
 	}
+	shop.Memory(d)
 	p.pitch = pitch.New(p.clock.Now(), o)
 	term := make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
@@ -68,6 +69,7 @@
 		p.mu.Unlock()
 		return err
 	}
+	p.net.Bound(int64(o.Memory) / 2)
 	p.mu.Unlock()
 	ctx, halt := context.WithCancel(ctx)
 	defer halt()
@@ -161,6 +163,8 @@
 		switch e := e.(type) {
 		case cart.Came:
 			p.pitch.Parcel(now, e.From, e.Parcel)
+		case cart.Sign:
+			p.pitch.Sign(now, e.From)
 		case cart.Broke:
 			p.pitch.Broke(now, e)
 		}
--- a/internal/market/cart/net.go
+++ b/internal/market/cart/net.go
@@ -4,10 +4,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,7 +22,10 @@
 // Bounds of the connections. Each names the failure that it guards against.
 const (
 	MaxFrame     = 72 << 20               // bytes: a peer that speaks something else, or a length that was spoilt
-	mostQueued   = 24 << 20               // bytes that wait for one peer: one that does not read
+	mostQueued   = 24 << 20               // bytes that wait for all peers, where Bound says nothing else: some that do not read
+	largeFrame   = 16 << 10               // what is larger waits behind what is not
+	wholeFrame   = 1 << 20                // is read into one piece of its length: beyond that a spoilt length would cost memory
+	signEvery    = 32 << 10               // bytes of a frame on its way after which its peer is told to live
 	dialWithin   = 300 * time.Millisecond // a peer behind a cut says nothing, and an opening packet is sent again only after a second
 	writeWithin  = 3 * time.Second        // a peer that does not read
 	silentWithin = 1500 * time.Millisecond
@@ -37,7 +42,7 @@
 	Via    *uint64 // if not nil it gets the number of the connection that the parcel goes by
 }
 
-// Event is what a Net tells: Came or Broke.
+// Event is what a Net tells: Came, Sign or Broke.
 type Event interface{ event() }
 
 // Came is a parcel that has come.
@@ -46,8 +51,11 @@
 	Parcel *Parcel
 }
 
+// Sign is a part of a large parcel that is still on its way: its peer is not silent.
+type Sign struct{ From string }
+
 // Broke tells that a connection to a peer is no more. Unsent are the ids of parcels of which no byte went out; what else went
-// by connections up to Link may have arrived.
+// by connections up to Link may have arrived. Answers are not among them: they have their asker's numbers.
 type Broke struct {
 	Peer   string
 	Link   uint64
@@ -55,6 +63,7 @@
 }
 
 func (Came) event()  {}
+func (Sign) event()  {}
 func (Broke) event() {}
 
 // Net is one process's connections to the others.
@@ -68,6 +77,9 @@
 	all    map[net.Conn]bool
 	last   uint64
 	closed bool
+
+	most   int64 // bytes that may wait for all peers
+	queued atomic.Int64
 }
 
 // link is one connection, or one that is being made.
@@ -79,21 +91,37 @@
 
 	mu     sync.Mutex
 	frames []byte   // that wait to be written
-	ids    []uint64 // of the parcels in them
+	ids    []uint64 // of the questions in them
+	large  []large  // the same, one by one: they go after all others
 	dead   bool
 }
 
+// large is one frame that keeps others waiting.
+type large struct {
+	frame []byte
+	ids   []uint64
+}
+
 // Listen takes the address at which this process is known to the others and tells what comes. tell must not wait.
 func Listen(self string, tell func(Event)) (*Net, error) {
 	ln, err := net.Listen("tcp", self)
 	if err != nil {
 		return nil, errors.Wrap(err, "inner address")
 	}
-	n := &Net{self: self, tell: tell, ln: ln, links: map[string]*link{}, all: map[net.Conn]bool{}}
+	n := &Net{self: self, tell: tell, ln: ln, links: map[string]*link{}, all: map[net.Conn]bool{}, most: mostQueued}
 	go n.accept()
 	return n, nil
 }
 
+// Bound sets how many bytes may wait to be sent to all peers together. It is to be called before the first Send.
+func (n *Net) Bound(bytes int64) { n.most = bytes }
+
+// isAnswer says whether a parcel carries the number of another process's question.
+func isAnswer(p *Parcel) bool {
+	return p.Carried != nil || p.Claimed != nil || p.Promise != nil || p.Accepted != nil || p.Stored != nil || p.News != nil ||
+		p.Dumped != nil || p.Pong != nil
+}
+
 // Close ends all connections.
 func (n *Net) Close() {
 	n.ln.Close()
@@ -116,7 +144,7 @@
 		go l.dial()
 	}
 	n.mu.Unlock()
-	if !l.put(p) {
+	if !l.put(p) && !isAnswer(p) {
 		go n.tell(Broke{Peer: to, Unsent: []uint64{p.Id}})
 	}
 	return l.number
@@ -136,10 +164,23 @@
 	}
 	was := len(l.frames)
 	frames, err := frame(l.frames, p)
-	if err != nil || was > 0 && len(frames) > mostQueued {
+	size := len(frames) - was
+	if waits := l.net.queued.Load(); err != nil || waits > 0 && waits+int64(size) > l.net.most {
 		return false
 	}
-	l.frames, l.ids = frames, append(l.ids, p.Id)
+	var ids []uint64
+	if !isAnswer(p) {
+		ids = []uint64{p.Id}
+	}
+	l.net.queued.Add(int64(size))
+	if size > largeFrame {
+		l.large = append(l.large, large{bytes.Clone(frames[was:]), ids})
+		if was == 0 { // what was grown for it is not kept
+			l.frames = nil
+		}
+	} else {
+		l.frames, l.ids = frames, append(l.ids, ids...)
+	}
 	select {
 	case l.wake <- struct{}{}:
 	default:
@@ -147,12 +188,18 @@
 	return true
 }
 
-// take gives what waits to be written, and leaves a buffer that is no longer needed in its place.
+// take gives what is to be written next: all small frames, or else one large one. A buffer that is no longer needed may take the place.
 func (l *link) take(spare []byte) (frames []byte, ids []uint64, dead bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	frames, ids = l.frames, l.ids
-	l.frames, l.ids = spare[:0], nil
+	if len(l.frames) > 0 || len(l.large) == 0 {
+		frames, ids = l.frames, l.ids
+		l.frames, l.ids = spare[:0], nil
+	} else {
+		frames, ids = l.large[0].frame, l.large[0].ids
+		l.large[0] = large{}
+		l.large = l.large[1:]
+	}
 	return frames, ids, l.dead
 }
 
@@ -168,7 +215,13 @@
 	was := l.dead
 	l.dead = true
 	unsent = append(unsent, l.ids...)
-	l.frames, l.ids = nil, nil
+	waits := len(l.frames)
+	for _, f := range l.large {
+		unsent = append(unsent, f.ids...)
+		waits += len(f.frame)
+	}
+	l.net.queued.Add(-int64(waits))
+	l.frames, l.ids, l.large = nil, nil, nil
 	l.mu.Unlock()
 	if was && len(unsent) == 0 || closed {
 		return
@@ -208,7 +261,7 @@
 		l.write(c)
 	}()
 	for {
-		p, err := Read(br)
+		p, err := Read(br, func() { l.net.tell(Sign{l.peer}) })
 		if err != nil {
 			break
 		}
@@ -225,29 +278,41 @@
 	<-done
 }
 
-// write sends what is queued, all that waits in one write.
+// write sends what is queued: all small frames that wait in one write, and the large ones between them.
 func (l *link) write(c net.Conn) {
 	var spare []byte
 	for range l.wake {
-		frames, ids, dead := l.take(spare)
-		if dead {
-			l.mu.Lock()
-			l.ids = append(ids, l.ids...) // none of it went out
-			l.mu.Unlock()
-			break
-		}
-		if spare = frames; len(frames) == 0 {
-			continue
-		}
-		c.SetWriteDeadline(time.Now().Add(writeWithin))
-		if _, err := c.Write(frames); err != nil {
-			c.Close()
-			break
-		}
-		if cap(spare) > 1<<20 {
+		for {
+			frames, ids, dead := l.take(spare)
 			spare = nil
+			l.net.queued.Add(-int64(len(frames)))
+			if dead {
+				l.mu.Lock()
+				l.ids = append(ids, l.ids...) // none of it went out
+				l.mu.Unlock()
+			}
+			if dead || len(frames) == 0 {
+				if dead {
+					l.close()
+					return
+				}
+				break
+			}
+			c.SetWriteDeadline(time.Now().Add(writeWithin))
+			if _, err := c.Write(frames); err != nil {
+				c.Close()
+				l.close()
+				return
+			}
+			if cap(frames) <= 1<<20 {
+				spare = frames
+			}
 		}
 	}
+}
+
+// close takes a link whose connection is no more out of use.
+func (l *link) close() {
 	l.mu.Lock()
 	l.dead = false // so that the end is told
 	l.mu.Unlock()
@@ -292,7 +357,7 @@
 	c = wire.Quicken(c)
 	c.SetReadDeadline(time.Now().Add(writeWithin))
 	br := bufio.NewReaderSize(c, 8<<10)
-	p, err := Read(br)
+	p, err := Read(br, nil)
 	if err != nil || p.Hello == nil || p.Hello.From == "" {
 		c.Close()
 		return
@@ -335,8 +400,8 @@
 	return buf, nil
 }
 
-// Read takes one frame.
-func Read(br *bufio.Reader) (*Parcel, error) {
+// Read takes one frame. sign is called while a large one is still coming.
+func Read(br *bufio.Reader, sign func()) (*Parcel, error) {
 	var head [frameHead]byte
 	if _, err := io.ReadFull(br, head[:]); err != nil {
 		return nil, err
@@ -354,12 +419,9 @@
 		defer br.Discard(size)
 	} else {
 		var err error
-		if b, err = io.ReadAll(io.LimitReader(br, int64(size))); err != nil {
+		if b, err = readLarge(br, size, sign); err != nil {
 			return nil, err
 		}
-		if len(b) < size {
-			return nil, io.ErrUnexpectedEOF
-		}
 	}
 	p := &Parcel{}
 	if err := proto.Unmarshal(b, p); err != nil {
@@ -367,3 +429,23 @@
 	}
 	return p, nil
 }
+
+// readLarge takes so many bytes, and says now and then that there are some.
+func readLarge(br *bufio.Reader, size int, sign func()) ([]byte, error) {
+	b := make([]byte, 0, min(size, wholeFrame))
+	for len(b) < size {
+		if len(b) == cap(b) {
+			b = append(b, 0)[:len(b)]
+		}
+		next := min(cap(b), size, len(b)+signEvery)
+		n, err := io.ReadFull(br, b[len(b):next])
+		b = b[:len(b)+n]
+		if err != nil {
+			return nil, err
+		}
+		if sign != nil && len(b) < size {
+			sign()
+		}
+	}
+	return b, nil
+}
--- a/internal/market/cart/net_test.go
+++ b/internal/market/cart/net_test.go
@@ -49,11 +49,11 @@
 	defer n.Close()
 	at := n.ln.Addr().String()
 	_, first := greeted(t, at, "10.0.0.9:7000")
-	if p, err := Read(first); err != nil || p.Pong == nil {
+	if p, err := Read(first, nil); err != nil || p.Pong == nil {
 		t.Fatalf("%v, %v", p, err)
 	}
 	_, second := greeted(t, at, "10.0.0.9:7000")
-	if p, err := Read(second); err != nil || p.Pong == nil {
+	if p, err := Read(second, nil); err != nil || p.Pong == nil {
 		t.Fatalf("by the new connection: %v, %v", p, err)
 	}
 }
@@ -82,3 +82,89 @@
 		t.Error("nothing is told")
 	}
 }
+
+// What is small does not wait behind large parcels that were queued before it, and a large one on its way shows that its peer lives:
+// in a full link both would else look like silence.
+func TestLargeParcelsKeepNobodyWaiting(t *testing.T) {
+	events := make(chan Event, 64)
+	n, err := Listen("127.0.0.1:0", func(e Event) { events <- e })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.Close()
+	c, br := greeted(t, n.ln.Addr().String(), "10.0.0.9:7000")
+	if e := <-events; e.(Came).Parcel.Ping == nil {
+		t.Fatalf("%v", e)
+	}
+	const each = 4 << 20
+	for i := range uint64(4) {
+		n.Send("10.0.0.9:7000", &Parcel{Id: i, Carried: &Carried{Body: make([]byte, each)}})
+	}
+	n.Send("10.0.0.9:7000", &Parcel{Id: 99, Pong: &Ping{}})
+	before := 0
+	for {
+		p, err := Read(br, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if p.Pong != nil {
+			break
+		}
+		before++
+	}
+	if before > 2 {
+		t.Errorf("%d large parcels came before the small one", before)
+	}
+
+	large, err := frame(nil, &Parcel{Id: 5, Carried: &Carried{Body: make([]byte, 200<<10)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Write(large[:100<<10]); err != nil {
+		t.Fatal(err)
+	}
+	if e := <-events; e != (Sign{"10.0.0.9:7000"}) {
+		t.Errorf("half of a large parcel: told %v", e)
+	}
+	if _, err := c.Write(large[100<<10:]); err != nil {
+		t.Fatal(err)
+	}
+	for {
+		if came, ok := (<-events).(Came); ok {
+			if len(came.Parcel.Carried.GetBody()) != 200<<10 {
+				t.Errorf("came %d bytes", len(came.Parcel.Carried.GetBody()))
+			}
+			break
+		}
+	}
+}
+
+// An answer has the number of another process's question: told as unsent, it would end one of this process's own of that number, as
+// if that had not run.
+func TestUnsentAnswersAreNotTold(t *testing.T) {
+	events := make(chan Event, 16)
+	n, err := Listen("127.0.0.1:0", func(e Event) { events <- e })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.Close()
+	n.Bound(64)
+	peer := "127.0.0.1:1" // nobody is there, and nothing comes back within the test where it is slow to say so
+	n.Send(peer, &Parcel{Id: 3, Carried: &Carried{Body: make([]byte, 100)}})
+	n.Send(peer, &Parcel{Id: 4, Carried: &Carried{Body: make([]byte, 100)}}) // over the bound
+	n.Send(peer, &Parcel{Id: 7, Carry: &Carry{Body: make([]byte, 100)}})     // a question over the bound
+	told := map[uint64]bool{}
+	for !told[7] {
+		select {
+		case e := <-events:
+			for _, id := range e.(Broke).Unsent {
+				told[id] = true
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatal("the question is not told")
+		}
+	}
+	if told[3] || told[4] {
+		t.Errorf("told %v: 3 and 4 are answers", told)
+	}
+}
--- a/internal/market/pitch/ask.go
+++ b/internal/market/pitch/ask.go
@@ -42,7 +42,10 @@
 	weighEvery    = 0.5    // seconds
 	lateWorth     = 0.3
 	silentAsk     = 0.06 // seconds without a word from a proxy that has something of ours in hand: it is asked
-	silentOver    = 0.15 // and without a word since: it counts as gone
+	silentOver    = 0.15 // and without a word since: it counts as gone, where answers to that come at once
+	silentSlow    = 3.0  // times what such answers take lately, on top
+	silentMost    = 0.6
+	pongStep      = 0.05 // weight of one in that
 	strayAfter    = 3.0  // after its deadline a try that nobody ended is forgotten
 	noHostsBack   = 0.15
 	coreGone      = 1.0   // seconds without a word from any control process
@@ -559,7 +562,7 @@
 		case w.asked < w.heard || w.asked < w.oldest:
 			w.asked = p.now
 			p.send(source, &cart.Parcel{Id: p.id(), Ping: &cart.Ping{}})
-		case p.now-w.asked > silentOver:
+		case p.now-w.asked > min(silentMost, silentOver+silentSlow*p.pongs):
 			for _, t := range p.triesAt(source) {
 				if t.sent < w.asked {
 					p.doubt(t, "the proxy beside the host is silent")
--- /dev/null
+++ b/internal/market/pitch/ask_test.go
@@ -0,0 +1,53 @@
+package pitch
+
+import (
+	"testing"
+
+	"beechwing/internal/market/cart"
+)
+
+const oneRoute = `{"edition":"r1","itineraries":[{"name":"a","depot":"h.example","lanePrefix":"/x/","routeKind":"safe","tries":2,
+"timeoutMs":5000,"targetMs":3000,"carrier":"shop"}],"carriers":[{"name":"shop","healthPath":"/health"}]}`
+
+// A large answer in a full link takes a while, and the word that its proxy is there waits behind it. What comes of it shows that the
+// proxy lives: asking elsewhere would fill the links with the same answers again.
+func TestWhatComesIsNotSilent(t *testing.T) {
+	now := 1.0
+	p := New(now, Options{Self: "here", Zone: "a", Sender: "till", Seeds: []string{"hall"}, Beat: 1.5, Memory: 1 << 20, Ratio: 0.2, Slack: 60})
+	carried := map[string]int{}
+	pass := func(s float64, sign string) {
+		for end := now + s; now < end; {
+			now += 0.02
+			if sign != "" {
+				p.Sign(now, sign)
+			}
+			p.Tick(now)
+			for _, s := range p.Take().Sends {
+				if s.Parcel.Carry != nil {
+					carried[s.To]++
+				}
+			}
+		}
+	}
+	p.Parcel(now, "hall", &cart.Parcel{News: &cart.News{FromHall: true, Edition: 1, Text: []byte(oneRoute), Records: []*cart.Record{
+		{Source: "p1", Version: 1, Station: "i-1", Carrier: "shop", Zone: "a", Berths: 4, Condition: AtDock},
+		{Source: "p2", Version: 1, Station: "i-2", Carrier: "shop", Zone: "a", Berths: 4, Condition: AtDock}}}})
+	pass(0.1, "")
+	p.Ask(now, &Order{Method: "GET", Target: "/x/1", Host: "h.example", ID: "q1", Left: 5})
+	pass(0.04, "")
+	var first string
+	for to := range carried {
+		first = to
+	}
+	if len(carried) != 1 {
+		t.Fatalf("carried to %v", carried)
+	}
+	pass(1.5, first)
+	if len(carried) != 1 || carried[first] != 1 {
+		t.Errorf("carried to %v while the answer came", carried)
+	}
+	pass(1, "")
+	if len(carried) != 2 {
+		t.Errorf("carried to %v after a second of silence", carried)
+	}
+}
--- a/internal/market/pitch/pitch.go
+++ b/internal/market/pitch/pitch.go
@@ -79,6 +79,7 @@
 	timers  timers
 	purse   *purse.Purse
 	peers   map[string]*peer
+	pongs   float64 // mean seconds that others take to say that they are there
 
 	gate gate
 	news news
@@ -146,12 +147,22 @@
 func (p *Pitch) Parcel(now float64, from string, parcel *cart.Parcel) {
 	p.now = now
 	if w := p.peers[from]; w != nil {
+		if parcel.Pong != nil && w.asked > 0 {
+			p.pongs += pongStep * (min(silentMost, now-w.asked) - p.pongs)
+		}
 		w.heard = now
 	}
 	p.parcel(from, parcel)
 	p.settle()
 }
 
+// Sign takes word that a large parcel of another process's is on its way: it is not silent.
+func (p *Pitch) Sign(now float64, from string) {
+	if w := p.peers[from]; w != nil {
+		w.heard = now
+	}
+}
+
 func (p *Pitch) parcel(from string, parcel *cart.Parcel) {
 	switch {
 	case parcel.Carry != nil:
--- a/internal/market/shop/shop.go
+++ b/internal/market/shop/shop.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,6 +41,16 @@
 	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: least})), nil
 }
 
+// memoryShare of what a process may have, beyond which it collects garbage all the time rather than grow.
+const memoryShare = 0.7
+
+// Memory keeps the process inside what its settings allow.
+func Memory(d *deed.Deed) {
+	if d.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(d.Limits.MemoryMB<<20)))
+	}
+}
+
 // Listen listens at an address. Connections get no keep-alive probes: callers come and go in moments, and each setting is a call.
 func Listen(ctx context.Context, addr string) (net.Listener, error) {
 	lc := net.ListenConfig{KeepAlive: -1}
