--- a/cmd/stall/run.go
+++ b/cmd/stall/run.go
@@ -26,6 +26,8 @@
 
 const (
 	tickEvery   = 33 * time.Millisecond
+	slowLink    = 400.0                   // Mbit/s: on faster ones an answer of 100 KB keeps nobody waiting
+	linkShare   = 0.85                    // of a slow one, for large answers: all else has to pass as well
 	memoryShare = 4                       // a quarter of what the machine gives may be bodies under way
 	noticeAfter = 2200 * time.Millisecond // the platform asks once a second and believes the second failure
 	lastSpare   = 900 * time.Millisecond  // before the platform ends a process that does not
@@ -70,6 +72,9 @@
 		return err
 	}
 	p.net.Bound(int64(o.Memory) / 2)
+	if mbps := d.Limits.LinkMbps; mbps > 0 && mbps < slowLink {
+		p.net.Pace(mbps * 1e6 / 8 * linkShare)
+	}
 	p.mu.Unlock()
 	ctx, halt := context.WithCancel(ctx)
 	defer halt()
@@ -97,7 +102,10 @@
 		tick := time.NewTicker(tickEvery)
 		defer tick.Stop()
 		for range tick.C {
-			p.with(func(now float64) { p.pitch.Tick(now) })
+			p.with(func(now float64) {
+				p.pitch.Link(p.net.Backlog())
+				p.pitch.Tick(now)
+			})
 		}
 	}()
 	<-term
--- a/internal/market/cart/net.go
+++ b/internal/market/cart/net.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,7 +26,13 @@
 	mostQueued   = 24 << 20               // bytes that wait for all peers, where Bound says nothing else: some that do not read
 	largeFrame   = 16 << 10               // what is larger waits behind what is not
 	wholeFrame   = 1 << 20                // is read into one piece of its length: beyond that a spoilt length would cost memory
-	signEvery    = 32 << 10               // bytes of a frame on its way after which its peer is told to live
+	pieceLeast   = 16 << 10               // bytes of a large parcel that go at once, others go between: at least so many,
+	pieceMost    = 256 << 10              // at most so many, and in between
+	pieceFor     = 8 * time.Millisecond   // as many as take a paced link so long
+	paceAhead    = 3 * time.Millisecond   // a piece may go so much ahead of its time: waking up has its price
+	pacedAtOnce  = 3                      // large parcels that go at once where the link is slow: one peer that does not read holds no other up
+	piece        = 1 << 31                // in a frame's length: part of a large parcel
+	lastPiece    = 1 << 30                // and its last
 	dialWithin   = 300 * time.Millisecond // a peer behind a cut says nothing, and an opening packet is sent again only after a second
 	writeWithin  = 3 * time.Second        // a peer that does not read
 	silentWithin = 1500 * time.Millisecond
@@ -80,6 +87,42 @@
 
 	most   int64 // bytes that may wait for all peers
 	queued atomic.Int64
+	pace   pace
+}
+
+// pace keeps large parcels to what the machine's link carries, so that they wait here and not in the link, where all else would wait
+// behind them. The zero pace keeps nothing.
+type pace struct {
+	rate  float64 // bytes a second; 0: any
+	turns chan struct{}
+	mu    sync.Mutex
+	next  time.Time
+}
+
+// wait waits until so many bytes may go.
+func (p *pace) wait(n int) {
+	if p.rate == 0 {
+		return
+	}
+	p.mu.Lock()
+	now := time.Now()
+	if p.next.Before(now) {
+		p.next = now
+	}
+	at := p.next
+	p.next = at.Add(time.Duration(float64(n) / p.rate * float64(time.Second)))
+	p.mu.Unlock()
+	if d := at.Sub(now); d > paceAhead {
+		time.Sleep(d)
+	}
+}
+
+// piece is how much of a large parcel goes at once.
+func (p *pace) piece() int {
+	if p.rate == 0 {
+		return pieceMost
+	}
+	return min(pieceMost, max(pieceLeast, int(p.rate*pieceFor.Seconds())))
 }
 
 // link is one connection, or one that is being made.
@@ -94,6 +137,9 @@
 	ids    []uint64 // of the questions in them
 	large  []large  // the same, one by one: they go after all others
 	dead   bool
+
+	now  large // of which pieces have gone; only the writer has it
+	turn bool  // it may send them
 }
 
 // large is one frame that keeps others waiting.
@@ -116,6 +162,19 @@
 // Bound sets how many bytes may wait to be sent to all peers together. It is to be called before the first Send.
 func (n *Net) Bound(bytes int64) { n.most = bytes }
 
+// Pace keeps large parcels to so many bytes a second, over all peers. It is to be called before the first Send.
+func (n *Net) Pace(bytesPerSecond float64) {
+	n.pace.rate, n.pace.turns = bytesPerSecond, make(chan struct{}, pacedAtOnce)
+}
+
+// Backlog is how many seconds what waits to be sent will take, where large parcels are paced.
+func (n *Net) Backlog() float64 {
+	if n.pace.rate == 0 {
+		return 0
+	}
+	return float64(n.queued.Load()) / n.pace.rate
+}
+
 // isAnswer says whether a parcel carries the number of another process's question.
 func isAnswer(p *Parcel) bool {
 	return p.Carried != nil || p.Claimed != nil || p.Promise != nil || p.Accepted != nil || p.Stored != nil || p.News != nil ||
@@ -188,19 +247,19 @@
 	return true
 }
 
-// take gives what is to be written next: all small frames, or else one large one. A buffer that is no longer needed may take the place.
-func (l *link) take(spare []byte) (frames []byte, ids []uint64, dead bool) {
+// take gives what is to be written next: all small frames, or else a large one. A buffer that is no longer needed may take the place.
+func (l *link) take(spare []byte) (frames []byte, ids []uint64, first *large, dead bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.frames) > 0 || len(l.large) == 0 {
+	if len(l.frames) > 0 {
 		frames, ids = l.frames, l.ids
 		l.frames, l.ids = spare[:0], nil
-	} else {
-		frames, ids = l.large[0].frame, l.large[0].ids
+	} else if len(l.large) > 0 && l.now.frame == nil {
+		first = &large{l.large[0].frame, l.large[0].ids}
 		l.large[0] = large{}
 		l.large = l.large[1:]
 	}
-	return frames, ids, l.dead
+	return frames, ids, first, l.dead
 }
 
 // end takes the link out of use and tells of it. unsent never went out.
@@ -250,6 +309,7 @@
 
 // run serves a connection until it ends.
 func (l *link) run(c net.Conn, br *bufio.Reader) {
+	r := NewReader(br, func() { l.net.tell(Sign{l.peer}) })
 	if !l.net.hold(c) {
 		l.end(nil)
 		return
@@ -261,7 +321,7 @@
 		l.write(c)
 	}()
 	for {
-		p, err := Read(br, func() { l.net.tell(Sign{l.peer}) })
+		p, err := r.Read()
 		if err != nil {
 			break
 		}
@@ -278,39 +338,96 @@
 	<-done
 }
 
-// write sends what is queued: all small frames that wait in one write, and the large ones between them.
+// write sends what is queued: all small frames that wait in one write, and pieces of the large ones between them.
 func (l *link) write(c net.Conn) {
 	var spare []byte
+	defer l.done()
 	for range l.wake {
 		for {
-			frames, ids, dead := l.take(spare)
+			frames, ids, first, dead := l.take(spare)
 			spare = nil
 			l.net.queued.Add(-int64(len(frames)))
+			if first != nil {
+				l.now = *first
+			}
 			if dead {
 				l.mu.Lock()
 				l.ids = append(ids, l.ids...) // none of it went out
+				if first != nil {
+					l.ids = append(l.ids, first.ids...)
+				}
 				l.mu.Unlock()
+				l.net.queued.Add(-int64(len(l.now.frame)))
+				l.close()
+				return
 			}
-			if dead || len(frames) == 0 {
-				if dead {
-					l.close()
-					return
-				}
+			small := len(frames) > 0
+			if !small && l.now.frame == nil {
 				break
 			}
+			if !small {
+				if !l.mayGo() {
+					continue
+				}
+				frames = l.piece()
+			}
 			c.SetWriteDeadline(time.Now().Add(writeWithin))
 			if _, err := c.Write(frames); err != nil {
 				c.Close()
+				l.net.queued.Add(-int64(len(l.now.frame)))
 				l.close()
 				return
 			}
-			if cap(frames) <= 1<<20 {
+			if small && cap(frames) <= 1<<20 {
 				spare = frames
 			}
 		}
 	}
 }
 
+// mayGo waits for a turn to send a large parcel; false: something else came first.
+func (l *link) mayGo() bool {
+	if l.turn {
+		return true
+	}
+	if l.net.pace.rate > 0 {
+		select {
+		case l.net.pace.turns <- struct{}{}:
+		case <-l.wake:
+			return false
+		}
+	}
+	l.turn = true
+	l.now.frame = l.now.frame[frameHead:]
+	l.net.queued.Add(-frameHead)
+	return true
+}
+
+// done gives the turn back.
+func (l *link) done() {
+	if l.turn && l.net.pace.rate > 0 {
+		<-l.net.pace.turns
+	}
+	l.turn = false
+}
+
+// piece takes the next piece of the large parcel that is being sent, at its time.
+func (l *link) piece() []byte {
+	n := min(l.net.pace.piece(), len(l.now.frame))
+	l.net.pace.wait(n)
+	head, end := uint32(n)|piece, n == len(l.now.frame)
+	if end {
+		head |= lastPiece
+	}
+	out := append(binary.BigEndian.AppendUint32(make([]byte, 0, frameHead+n), head), l.now.frame[:n]...)
+	l.net.queued.Add(-int64(n))
+	if l.now.frame = l.now.frame[n:]; end {
+		l.now = large{}
+		l.done()
+	}
+	return out
+}
+
 // close takes a link whose connection is no more out of use.
 func (l *link) close() {
 	l.mu.Lock()
@@ -357,7 +474,7 @@
 	c = wire.Quicken(c)
 	c.SetReadDeadline(time.Now().Add(writeWithin))
 	br := bufio.NewReaderSize(c, 8<<10)
-	p, err := Read(br, nil)
+	p, err := NewReader(br, nil).Read()
 	if err != nil || p.Hello == nil || p.Hello.From == "" {
 		c.Close()
 		return
@@ -400,52 +517,74 @@
 	return buf, nil
 }
 
-// Read takes one frame. sign is called while a large one is still coming.
-func Read(br *bufio.Reader, sign func()) (*Parcel, error) {
-	var head [frameHead]byte
-	if _, err := io.ReadFull(br, head[:]); err != nil {
-		return nil, err
-	}
-	size := int(binary.BigEndian.Uint32(head[:]))
-	if size > MaxFrame {
-		return nil, errors.Newf("frame of %d bytes", size)
-	}
-	var b []byte
-	if size <= br.Size() { // decoded where it lies: what is kept of it is copied
-		var err error
-		if b, err = br.Peek(size); err != nil {
+// Reader takes parcels off a connection.
+type Reader struct {
+	br   *bufio.Reader
+	sign func() // called while a large one is still coming
+	part []byte // of one that comes in pieces
+}
+
+// NewReader makes a reader. sign may be nil.
+func NewReader(br *bufio.Reader, sign func()) *Reader { return &Reader{br: br, sign: sign} }
+
+// Read takes one parcel.
+func (r *Reader) Read() (*Parcel, error) {
+	for {
+		var head [frameHead]byte
+		if _, err := io.ReadFull(r.br, head[:]); err != nil {
 			return nil, err
 		}
-		defer br.Discard(size)
-	} else {
+		word := binary.BigEndian.Uint32(head[:])
+		size := int(word &^ (piece | lastPiece))
+		switch {
+		case size > MaxFrame || len(r.part)+size > MaxFrame:
+			return nil, errors.Newf("frame of %d bytes", len(r.part)+size)
+		case word&piece == 0 && size <= r.br.Size(): // decoded where it lies: what is kept of it is copied
+			b, err := r.br.Peek(size)
+			if err != nil {
+				return nil, err
+			}
+			p, err := decode(b)
+			r.br.Discard(size)
+			return p, err
+		case word&piece == 0:
+			b, err := appendBytes(nil, r.br, size)
+			if err != nil {
+				return nil, err
+			}
+			return decode(b)
+		}
 		var err error
-		if b, err = readLarge(br, size, sign); err != nil {
+		if r.part, err = appendBytes(r.part, r.br, size); err != nil {
 			return nil, err
 		}
+		if word&lastPiece != 0 {
+			b := r.part
+			r.part = nil
+			return decode(b)
+		}
+		if r.sign != nil {
+			r.sign()
+		}
 	}
-	p := &Parcel{}
-	if err := proto.Unmarshal(b, p); err != nil {
-		return nil, errors.Wrap(err, "frame")
-	}
-	return p, nil
 }
 
-// readLarge takes so many bytes, and says now and then that there are some.
-func readLarge(br *bufio.Reader, size int, sign func()) ([]byte, error) {
-	b := make([]byte, 0, min(size, wholeFrame))
-	for len(b) < size {
-		if len(b) == cap(b) {
-			b = append(b, 0)[:len(b)]
-		}
-		next := min(cap(b), size, len(b)+signEvery)
-		n, err := io.ReadFull(br, b[len(b):next])
-		b = b[:len(b)+n]
+// appendBytes takes so many bytes. Of a length that was spoilt it makes no more room than comes.
+func appendBytes(b []byte, br *bufio.Reader, size int) ([]byte, error) {
+	for size > 0 {
+		n := min(size, wholeFrame)
+		b = slices.Grow(b, n)
+		got, err := io.ReadFull(br, b[len(b):len(b)+n])
+		b = b[:len(b)+got]
 		if err != nil {
-			return nil, err
-		}
-		if sign != nil && len(b) < size {
-			sign()
+			return b, err
 		}
+		size -= n
 	}
 	return b, nil
 }
+
+func decode(b []byte) (*Parcel, error) {
+	p := &Parcel{}
+	return p, errors.Wrap(proto.Unmarshal(b, p), "frame")
+}
--- a/internal/market/cart/net_test.go
+++ b/internal/market/cart/net_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"bufio"
+	"encoding/binary"
 	"net"
 	"testing"
 	"time"
+
+	"google.golang.org/protobuf/proto"
 )
 
 // greeted opens a connection as a process of that name does, and gives it with what comes by it.
-func greeted(t *testing.T, to, name string) (net.Conn, *bufio.Reader) {
+func greeted(t *testing.T, to, name string) (net.Conn, *Reader) {
 	t.Helper()
 	c, err := net.Dial("tcp", to)
 	if err != nil {
@@ -26,7 +29,7 @@
 		t.Fatal(err)
 	}
 	c.SetReadDeadline(time.Now().Add(5 * time.Second))
-	return c, bufio.NewReader(c)
+	return c, NewReader(bufio.NewReader(c), nil)
 }
 
 // A machine that lost power connects anew while its old connection still looks well from here. What is said to it then goes by the
@@ -49,11 +52,11 @@
 	defer n.Close()
 	at := n.ln.Addr().String()
 	_, first := greeted(t, at, "10.0.0.9:7000")
-	if p, err := Read(first, nil); err != nil || p.Pong == nil {
+	if p, err := first.Read(); err != nil || p.Pong == nil {
 		t.Fatalf("%v, %v", p, err)
 	}
 	_, second := greeted(t, at, "10.0.0.9:7000")
-	if p, err := Read(second, nil); err != nil || p.Pong == nil {
+	if p, err := second.Read(); err != nil || p.Pong == nil {
 		t.Fatalf("by the new connection: %v, %v", p, err)
 	}
 }
@@ -103,7 +106,7 @@
 	n.Send("10.0.0.9:7000", &Parcel{Id: 99, Pong: &Ping{}})
 	before := 0
 	for {
-		p, err := Read(br, nil)
+		p, err := br.Read()
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -112,21 +115,22 @@
 		}
 		before++
 	}
-	if before > 2 {
+	if before > 1 {
 		t.Errorf("%d large parcels came before the small one", before)
 	}
 
-	large, err := frame(nil, &Parcel{Id: 5, Carried: &Carried{Body: make([]byte, 200<<10)}})
+	large, err := proto.Marshal(&Parcel{Id: 5, Carried: &Carried{Body: make([]byte, 200<<10)}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := c.Write(large[:100<<10]); err != nil {
+	const half = 100 << 10
+	if _, err := c.Write(append(binary.BigEndian.AppendUint32(nil, half|piece), large[:half]...)); err != nil {
 		t.Fatal(err)
 	}
 	if e := <-events; e != (Sign{"10.0.0.9:7000"}) {
 		t.Errorf("half of a large parcel: told %v", e)
 	}
-	if _, err := c.Write(large[100<<10:]); err != nil {
+	if _, err := c.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(large)-half)|piece|lastPiece), large[half:]...)); err != nil {
 		t.Fatal(err)
 	}
 	for {
@@ -168,3 +172,27 @@
 		t.Errorf("told %v: 3 and 4 are answers", told)
 	}
 }
+
+// Where the link is slow large parcels wait here, at the pace that it carries, and not in the link.
+func TestLargeParcelsKeepThePace(t *testing.T) {
+	events := make(chan Event, 16)
+	n, err := Listen("127.0.0.1:0", func(e Event) { events <- e })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.Close()
+	n.Pace(4 << 20)
+	_, br := greeted(t, n.ln.Addr().String(), "10.0.0.9:7000")
+	<-events
+	began := time.Now()
+	n.Send("10.0.0.9:7000", &Parcel{Id: 1, Carried: &Carried{Body: make([]byte, 1<<20)}})
+	if n.Backlog() < 0.1 {
+		t.Errorf("%.2f s wait to be sent", n.Backlog())
+	}
+	if p, err := br.Read(); err != nil || len(p.Carried.GetBody()) != 1<<20 {
+		t.Fatal(err)
+	}
+	if took := time.Since(began); took < 150*time.Millisecond {
+		t.Errorf("a quarter of a second's worth took %v", took)
+	}
+}
--- a/internal/market/deed/deed.go
+++ b/internal/market/deed/deed.go
@@ -42,6 +42,7 @@
 	Limits struct {
 		CPUShare    float64 `toml:"cpuShare"`
 		MemoryMB    int     `toml:"memoryMb"`
+		LinkMbps    float64 `toml:"linkMbps"`
 		FileHandles int     `toml:"fileHandles"`
 		DiskMB      int     `toml:"diskMb"`
 	} `toml:"sizeLimits"`
--- a/internal/market/pitch/gate.go
+++ b/internal/market/pitch/gate.go
@@ -22,13 +22,14 @@
 	returns       = 0.25  // seconds: with less left a client hardly comes again
 	waitShare     = 0.5   // of the time left that such a request may wait
 	mostClasses   = 256
-	lateShare     = 0.5  // of the berths: so many may wait that are late, until it is known how many get their turn
-	lateMost      = 0.5  // of the berths that are in use, beyond which those that are late get none
-	firstWait     = 0.8  // of a mean run, that a first try may wait
-	muteFor       = 1.5  // seconds for which a control process that did not answer is asked last
-	claimAsk      = 0.12 // seconds until the next control process is asked for a claim
-	claimMost     = 0.36 // and until it is given up: nothing has been sent then
-	settleAsk     = 0.25 // seconds until the end of a run is told again
+	largeAnswer   = 16 << 10 // bytes: such answers wait for the machine's link
+	lateShare     = 0.5      // of the berths: so many may wait that are late, until it is known how many get their turn
+	lateMost      = 0.5      // of the berths that are in use, beyond which those that are late get none
+	firstWait     = 0.8      // of a mean run, that a first try may wait
+	muteFor       = 1.5      // seconds for which a control process that did not answer is asked last
+	claimAsk      = 0.12     // seconds until the next control process is asked for a claim
+	claimMost     = 0.36     // and until it is given up: nothing has been sent then
+	settleAsk     = 0.25     // seconds until the end of a run is told again
 	settleTries   = 6
 	mostSettles   = 4096
 	hostSlack     = 0.15 // seconds beyond its deadline in which a host still gives its own answer
@@ -49,6 +50,8 @@
 	serving  bool
 	work     float64            // mean seconds that the host takes
 	took     map[uint32]float64 // by class
+	bytes    map[uint32]float64 // mean of an answer's body, by class
+	link     float64            // seconds that a large answer waits for this machine's link
 	tickedAt float64
 }
 
@@ -85,7 +88,7 @@
 
 func (g *gate) begin(p *Pitch) {
 	g.p, g.work = p, firstWork
-	g.took, g.mute = map[uint32]float64{}, map[string]float64{}
+	g.took, g.bytes, g.mute = map[uint32]float64{}, map[uint32]float64{}, map[string]float64{}
 	g.jobs, g.claims, g.settles = map[uint64]*job{}, map[uint64]*job{}, map[uint64]*settling{}
 }
 
@@ -112,12 +115,17 @@
 		g.turn(j, "too much is under way here", 1)
 		return
 	}
-	if g.running >= g.berths() {
+	queued := g.running >= g.berths()
+	if link := g.linkWait(c.Class); queued || link > 0 {
 		most := g.patience(j)
 		if c.Attempt == 0 { // there may be room elsewhere: one that was turned away once may wait
 			most = min(most, firstWait*g.work)
 		}
-		if wait := g.wait(j); wait > most || g.pastAim(j) {
+		wait := link
+		if queued {
+			wait += g.wait(j)
+		}
+		if wait > most || queued && g.pastAim(j) {
 			if c.Attempt == 0 || !g.admitLate(j) {
 				g.turn(j, "no berth in time", uint32(wait*1000)+1)
 				return
@@ -243,10 +251,18 @@
 	return g.p.now+spread*g.took[j.carry.Class]+onTheWay < j.until
 }
 
+// linkWait is how long an answer of a class is expected to wait until this machine's link has carried what was there before.
+func (g *gate) linkWait(class uint32) float64 {
+	if g.bytes[class] < largeAnswer {
+		return 0
+	}
+	return g.link
+}
+
 // admitLate says whether one that is too late for its aim may wait on here: as many may as have lately been served so in the time
 // that this one has, and a few where that is not known.
 func (g *gate) admitLate(j *job) bool {
-	room := j.until - g.p.now - spread*g.took[j.carry.Class] - onTheWay
+	room := j.until - g.p.now - spread*g.took[j.carry.Class] - onTheWay - g.linkWait(j.carry.Class)
 	return room > 0 && float64(len(g.late.jobs)) < max(float64(g.berths())*lateShare, g.late.rate(g.p.now)*room)
 }
 
@@ -306,8 +322,9 @@
 		g.work += workStep * (took - g.work)
 		if was, known := g.took[j.carry.Class]; known {
 			g.took[j.carry.Class] += workStep * (took - was)
+			g.bytes[j.carry.Class] += workStep * (float64(len(c.Body)) - g.bytes[j.carry.Class])
 		} else if len(g.took) < mostClasses {
-			g.took[j.carry.Class] = took
+			g.took[j.carry.Class], g.bytes[j.carry.Class] = took, float64(len(c.Body))
 		}
 	}
 	if j.carry.Key != "" {
--- a/internal/market/pitch/pitch.go
+++ b/internal/market/pitch/pitch.go
@@ -156,6 +156,9 @@
 	p.settle()
 }
 
+// Link takes word of how many seconds a large answer waits for this machine's link.
+func (p *Pitch) Link(seconds float64) { p.gate.link = seconds }
+
 // Sign takes word that a large parcel of another process's is on its way: it is not silent.
 func (p *Pitch) Sign(now float64, from string) {
 	if w := p.peers[from]; w != nil {
