Tests: a full disk, and what an operation costs with three to nine control processes

A write that does not fit is told as failed, and what was promised before is there at the next start. An operation costs 4 words between control processes for each other member of its majority, with 3, 5, 7 and 9 of them; at rest they stay under 1 KB a second and pair.

--- a/internal/market/fairground/fairground_test.go
+++ b/internal/market/fairground/fairground_test.go
@@ -361,3 +361,30 @@
 		t.Errorf("%.2f of all reads left their zone", share)
 	}
 }
+
+// What an operation costs the control plane is its majority and nothing else: with three control processes one copy and its answer for
+// the claim and for the end of the run, with nine four. What they say to each other at rest does not depend on the operations.
+func TestOperationsCostTheMajority(t *testing.T) {
+	for _, halls := range []int{3, 5, 7, 9} {
+		w := market(t, 2, halls)
+		quiet := func() (words, bytes int) {
+			words, bytes = w.Words, w.Bytes
+			w.Run(5)
+			return w.Words - words, w.Bytes - bytes
+		}
+		rest, restBytes := quiet()
+		const n = 200
+		for i := range n {
+			w.After(float64(i)*0.02, func() { w.Ask(w.Stalls[i%len(w.Stalls)], "/pay/x", fmt.Sprintf("k%d", i), 1) })
+		}
+		busy, _ := quiet()
+		others := halls / 2
+		if each := float64(busy-rest) / n; each > float64(4*others)*1.15+0.5 {
+			t.Errorf("%d control processes: %.1f words an operation, %d are needed", halls, each, 4*others)
+		}
+		if most := 5 * 1024 * halls * halls; restBytes > most {
+			t.Errorf("%d control processes: %d bytes in 5 s at rest, at most %d", halls, restBytes, most)
+		}
+		verdictOn(t, w, fmt.Sprintf("%d halls", halls), 0.95)
+	}
+}
--- a/internal/market/fairground/world.go
+++ b/internal/market/fairground/world.go
@@ -42,6 +42,9 @@
 	slow   map[[2]string]float64
 	byAddr map[string]machine
 	first  bool
+
+	Words int // parcels sent between control processes
+	Bytes int // in them
 }
 
 // machine is one with a process on it.
@@ -167,6 +170,12 @@
 			delete(w.links, back)
 		}
 	}
+	if _, ok := sender.(*Hall); ok {
+		if _, ok := target.(*Hall); ok {
+			w.Words++
+			w.Bytes += proto.Size(p)
+		}
+	}
 	number, born := l.number, sender.life()
 	parcel := proto.Clone(p).(*cart.Parcel)
 	fail := func(after float64, unsent bool) {
--- a/internal/market/vault/vault_test.go
+++ b/internal/market/vault/vault_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"testing"
+
+	"golang.org/x/sys/unix"
 )
 
 func write(t *testing.T, v *Vault, puts ...Put) {
@@ -135,3 +138,35 @@
 		t.Fatalf("%d names", len(values))
 	}
 }
+
+// A disk that takes no more: the write that does not fit is told as failed, nothing of it may be promised, and what was promised
+// before it is there at the next start.
+func TestFullDisk(t *testing.T) {
+	dir := t.TempDir()
+	v, _, _ := open(t, dir)
+	write(t, v, Put{"a", []byte("kept")})
+	info, err := os.Stat(v.path(v.generation))
+	if err != nil {
+		t.Fatal(err)
+	}
+	signal.Ignore(unix.SIGXFSZ) // then a file that may not grow is an error of the write, as on a full disk
+	var was unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_FSIZE, &was); err != nil {
+		t.Fatal(err)
+	}
+	full := unix.Rlimit{Cur: uint64(info.Size()) + 100, Max: was.Max}
+	if err := unix.Setrlimit(unix.RLIMIT_FSIZE, &full); err != nil {
+		t.Fatal(err)
+	}
+	err = v.Write([]Put{{"a", make([]byte, 4096)}, {"b", []byte("x")}})
+	if reset := unix.Setrlimit(unix.RLIMIT_FSIZE, &was); reset != nil {
+		t.Fatal(reset)
+	}
+	if err == nil {
+		t.Fatal("a write that does not fit went well")
+	}
+	_, values, found := open(t, dir)
+	if !found || string(values["a"]) != "kept" || len(values) != 1 {
+		t.Errorf("found %v, %d values, a = %q", found, len(values), values["a"])
+	}
+}
