--- a/internal/market/fairground/checker.go
+++ b/internal/market/fairground/checker.go
@@ -25,7 +25,9 @@
 	Served   int
 	Asked    int
 	Statuses map[int]int
-	Near     int // runs in the zone in which they were asked for, of those that may run anywhere
+	asks     map[string][]float64 // when requests for a service came
+	further  map[string][]float64 // when one arrived at a host that had arrived at another before
+	Near     int                  // runs in the zone in which they were asked for, of those that may run anywhere
 	Far      int
 }
 
@@ -42,7 +44,8 @@
 func newChecker(w *World) *Checker {
 	return &Checker{w: w, runs: map[string][]run{}, byID: map[string][]run{}, requests: map[string]request{},
 		promised: map[string]bool{}, stamps: map[string]run{}, versions: map[uint64]bool{}, ackedAt: map[uint64]float64{},
-		seen: map[string]uint64{}, at: map[*Stall]int{}, Statuses: map[int]int{}}
+		seen: map[string]uint64{}, at: map[*Stall]int{}, Statuses: map[int]int{}, asks: map[string][]float64{},
+		further: map[string][]float64{}}
 }
 
 func (c *Checker) fail(rule, format string, args ...any) {
@@ -51,6 +54,7 @@
 
 func (c *Checker) asked(s *Stall, id, path, key string) {
 	c.Asked++
+	c.asks[serviceOf(path)] = append(c.asks[serviceOf(path)], c.w.Now)
 	c.requests[id] = request{path, key, s.host.Zone, c.w.Now}
 }
 
@@ -62,6 +66,9 @@
 		c.fail("UNASKED", "%s runs %s, which nobody asked", st.id, id)
 	}
 	tracked := strings.HasPrefix(q.path, "/pay/")
+	if len(c.byID[id]) > 0 {
+		c.again(s.host.Carrier)
+	}
 	switch {
 	case tracked:
 	case q.zone == s.host.Zone:
@@ -69,7 +76,7 @@
 	default:
 		c.Far++
 	}
-	if want := map[bool]string{true: "till", false: "shop"}[tracked]; s.host.Carrier != want {
+	if s.host.Carrier != serviceOf(q.path) {
 		c.fail("ROUTE", "%s of %s runs %s", st.id, s.host.Carrier, q.path)
 	}
 	if st.acked > 0 && c.w.Now > st.acked+2 {
@@ -90,6 +97,37 @@
 	return r.stamp
 }
 
+func serviceOf(path string) string {
+	if strings.HasPrefix(path, "/pay/") {
+		return "till"
+	}
+	return "shop"
+}
+
+// The budget of further tries, as the proxies are told it.
+const (
+	retryRatio, retryWindow, retrySlack = 0.2, 10.0, 60.0
+)
+
+// again counts an arrival beyond a request's first against the budget of its service, summed over all proxies.
+func (c *Checker) again(service string) {
+	c.further[service] = append(c.further[service], c.w.Now)
+	in := func(times []float64, from, to float64) (n int) {
+		for _, at := range times {
+			if at > from && at <= to {
+				n++
+			}
+		}
+		return n
+	}
+	now := c.w.Now
+	asked := max(in(c.asks[service], now-retryWindow, now), in(c.asks[service], now-2*retryWindow, now-retryWindow),
+		in(c.asks[service], now-1.5*retryWindow, now-retryWindow/2))
+	if n := in(c.further[service], now-retryWindow, now); float64(n) > retryRatio*float64(asked)+retrySlack {
+		c.fail("BUDGET", "%d further arrivals at %s for %d requests", n, service, asked)
+	}
+}
+
 // answered is a client that gets an answer.
 func (c *Checker) answered(id string, r pitch.Reply) {
 	c.Statuses[r.Status]++
--- a/internal/market/fairground/fairground_test.go
+++ b/internal/market/fairground/fairground_test.go
@@ -388,3 +388,22 @@
 		verdictOn(t, w, fmt.Sprintf("%d halls", halls), 0.95)
 	}
 }
+
+// Hosts that run requests and lose the answers make every read worth sending again. All proxies together stay inside the budget of further
+// tries, though none asks another.
+func TestLostAnswersStayInTheBudget(t *testing.T) {
+	for seed := range uint64(4) {
+		w := market(t, seed, 3)
+		for _, s := range w.Stalls {
+			s.LoseAnswers(0.9)
+		}
+		for i := range 4000 {
+			w.After(float64(i)*0.005, func() { w.Ask(w.Stalls[w.Rand.IntN(len(w.Stalls))], "/read/x", "", 1) })
+		}
+		w.Run(22)
+		verdictOn(t, w, fmt.Sprintf("seed %d", seed), 0)
+		if n := len(w.Checker.further["shop"]); n < 100 {
+			t.Errorf("seed %d: %d further tries in 20 s: the budget is hardly used", seed, n)
+		}
+	}
+}
