The assize: a host goes out for operations only where most proxies that met it agree

A proxy that sees two failures and two fifths of a host's outcomes in two seconds says so at once; control processes ask the others that met it; the home of the service's register judges: more than half of the witnesses and two at least. A ruling has a term (3 s, doubling for a host that flaps to 24 s), is renewed by fresh evidence, never takes out more than a third of a service, and the host comes back with a quarter and then half of its part. A proxy for which most hosts fail is no witness. Time that ran out is no evidence: that is load.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -133,6 +133,7 @@
 	Cancelling     bool
 	Probes         bool
 	Gated          bool // a gate beside each host bounds what it has in hand and turns the rest away: no limits from here
+	Agreed         bool // a host is left out for what must not run twice only by Host.Condemned, which all agree on
 	PeerMessages   bool
 	MaxCoolDown    float64 // longest wait a client honours after a refusal, seconds; 0: none is passed on
 	ConnectTimeout float64 // seconds
@@ -152,6 +153,8 @@
 	Cell    int
 	Status  Status
 	Started float64 // clock time of its last start; 0: long ago
+
+	Condemned bool // with Config.Agreed: all agree that it fails
 }
 
 // Request is what a client asks.
--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -2,8 +2,7 @@
 
 import "slices"
 
-// givesWay refuses cheaper work at once, by chance, while dearer work finds no room: without it the dearer
-// would only get what is free at its moment.
+// givesWay refuses cheaper work by chance while dearer finds no room, and would get what is free by chance.
 func (b *Balancer) givesWay(o *op) bool {
 	chance, dearest := b.refused, o.density
 	if b.cfg.Gated { // the gates say what there is room for
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -148,8 +148,7 @@
 	o.aimAt = min(o.deadline, b.now+o.class.Aim+o.class.AimStretch*o.work)
 }
 
-// Whole takes word that a body has come. Until then its host only reads: the attempt holds no place in the
-// host's limit, and cannot be late.
+// Whole takes word that a body has come. Until then its host only reads: no place is held, nothing is late.
 func (b *Balancer) Whole(now float64, id RequestID) {
 	b.now = now
 	o := b.ops[id]
--- a/balancer/known.go
+++ b/balancer/known.go
@@ -50,3 +50,8 @@
 		delete(b.ops, o.ID)
 	}
 }
+
+// agreed says whether leaving a host out for a class takes the agreement of all.
+func (b *Balancer) agreed(class int) bool {
+	return b.cfg.Agreed && class < len(b.cfg.Classes) && b.cfg.Classes[class].Effect == Unsafe
+}
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -9,7 +9,7 @@
 	b.set = b.set[:0]
 	home := [2]float64{math.Inf(1), math.Inf(1)} // the best score in this zone and in others
 	for _, h := range b.hosts {
-		out := !panicking && (h.until > b.now || b.mute(h, o.Class)) || h.zone.out(b.now)
+		out := !panicking && b.out(h, o.Class) || h.zone.out(b.now) && !b.agreed(o.Class)
 		if h.Status != Ready || out || o.tried(h) || !inGroup(o.class.Group, anchor, h) {
 			continue
 		}
@@ -65,7 +65,7 @@
 		loaded := float64(h.inflight) >= max(passOverFloor, passOverMean*b.mean*h.weight+1) ||
 			b.alone && h.inflight > 0 // its part of any host's room is far under one
 		crowded := !b.cfg.Gated && b.admit*unit(mix(o.luck^uint64(h.ID))) >= b.share(h)
-		doubted := b.doubts && h.doubted(b.now, o.class.Effect)
+		doubted := b.doubts && !b.agreed(o.Class) && h.doubted(b.now, o.class.Effect)
 		if loaded || crowded || doubted {
 			r.score = lastRank * float64(h.inflight+1) / h.weight
 		}
@@ -76,6 +76,11 @@
 	return best
 }
 
+// out says whether a host is left out for a class: by what happened here, or by agreement where that is due.
+func (b *Balancer) out(h *host, class int) bool {
+	return b.agreed(class) && h.Condemned || !b.agreed(class) && (h.until > b.now || b.mute(h, class))
+}
+
 // doubted says whether requests yield from a host that has failed. Once the doubt is over, what may be sent
 // again finds out; what may not waits for that as long again.
 func (h *host) doubted(now float64, e Effect) bool {
@@ -100,7 +105,7 @@
 		}
 		if h.heard {
 			counted++
-			if h.until <= b.now && !b.mute(h, class) {
+			if !b.out(h, class) {
 				healthy++
 			}
 			if h.doubted(b.now, Safe) {
--- a/balancer/roll.go
+++ b/balancer/roll.go
@@ -30,11 +30,11 @@
 		b.learn(e)
 	}
 	b.hosts = slices.DeleteFunc(b.hosts, func(h *host) bool {
-		if h.Status == Gone && h.inflight == 0 {
+		gone := h.Status == Gone && h.inflight == 0
+		if gone {
 			delete(b.index, h.ID)
-			return true
 		}
-		return false
+		return gone
 	})
 	slices.SortFunc(b.hosts, func(x, y *host) int { return cmp.Compare(x.ID, y.ID) })
 	b.resize()
@@ -44,9 +44,8 @@
 func (b *Balancer) learn(e Host) {
 	h := b.index[e.ID]
 	if h == nil {
-		h = &host{window: -1, until: b.now, cutAt: b.now, answered: math.Inf(-1), newest: math.Inf(-1),
-			admit: 1, admitTold: 1, part: 1, admitAt: b.now,
-			lost: make([]float64, len(b.strain)), lostAt: b.now}
+		h = &host{until: b.now, cutAt: b.now, answered: math.Inf(-1), newest: math.Inf(-1), part: 1, admit: 1,
+			window: -1, admitTold: 1, admitAt: b.now, lost: make([]float64, len(b.strain)), lostAt: b.now}
 		b.index[e.ID] = h
 		b.hosts = append(b.hosts, h)
 	} else if e.Status == Ready && e.Started != 0 && e.Started != h.Started {
--- a/balancer/tuning.go
+++ b/balancer/tuning.go
@@ -44,15 +44,13 @@
 
 	lateDoubt = 2.0 // with 1/lateDoubt of all attempts late, lateness says nothing about a single host
 
-	// zoneOutAfter failed connections to a zone in a row: it is cut off or lost. With thin traffic the same
-	// host is hardly met twice.
+	// zoneOutAfter failed connections to a zone in a row: it is lost. Thin traffic hardly meets a host twice.
 	zoneOutAfter, zoneOutAims = 4, 1.0 // out for so many longest aims
 	ejectAims                 = 4.0    // an ejection, in longest aims; the failure share outlasts it
 
 	// A thin proxy meets a host too seldom to wait for a share: one failure puts the host in doubt for as
 	// long as an ejection, each further one in a row doubles that, up to doubtMost times. sureBad is the
-	// weight of a failure that counts. With more than doubtShare of the counted in doubt it is not they, as
-	// in panic.
+	// weight of a failure that counts. More than doubtShare of the counted in doubt: not they, as in panic.
 	doubtMost, sureBad, doubtShare = 16.0, 0.5, 0.25
 
 	markShare = 0.45 // of the aim: an attempt still out by then counts as late
--- a/cmd/guildhall/main.go
+++ b/cmd/guildhall/main.go
@@ -14,7 +14,7 @@
 
 // Main runs the command line and gives the exit status.
 func Main() int {
-	return shop.Main(shop.Program{Name: "guildhall", Short: "control plane of the mesh", Run: run,
+	return shop.Main(shop.Program{Name: "guildhall", Short: "control plane of the mesh", Run: run, Orders: true,
 		Check: func(text []byte) (string, error) {
 			edition, err := assay.New().Check(text)
 			return fmt.Sprintf("r%d: valid", edition), err
--- a/cmd/guildhall/run.go
+++ b/cmd/guildhall/run.go
@@ -50,7 +50,7 @@
 	assayer *assay.Assayer
 }
 
-func run(ctx context.Context, d *deed.Deed, metrics int, log *slog.Logger) error {
+func run(ctx context.Context, d *deed.Deed, says shop.Options, log *slog.Logger) error {
 	p := &program{log: log, clock: shop.NewClock(), deed: d, disk: make(chan struct{}, 1)}
 	if d.DataDir == "" {
 		return errors.New("settings: dataDir: is missing, and the control plane keeps its promises on disk")
@@ -82,7 +82,7 @@
 	if err != nil {
 		return err
 	}
-	if err := shop.Metrics(ctx, d, metrics, p.figures, log); err != nil {
+	if err := shop.Metrics(ctx, d, says.Metrics, p.figures, log); err != nil {
 		return err
 	}
 	time.AfterFunc(checkAfter, func() { // proxies that start as well need the rest first
@@ -223,6 +223,22 @@
 			return nil, elsewhere
 		})
 	}
+	counter.Handle(mux, "PUT /-/orders/{id}", counter.SmallBody, func(c counter.Call, o *counter.Order) (*counter.None, error) {
+		if o.By == "" {
+			return nil, counter.Refusal{Status: http.StatusBadRequest, Why: "by: who says so?"}
+		}
+		err, told := ask(p, func(now float64, answer func(error)) { p.hall.Order(now, c.ID, o.Out, o.Force, o.By, o.Why, answer) })
+		switch {
+		case !told || errors.Is(err, hall.ErrNoMajority):
+			return nil, errNow
+		case errors.Is(err, hall.ErrNoHost):
+			return nil, counter.Refusal{Status: http.StatusNotFound, Why: err.Error()}
+		case err != nil:
+			return nil, counter.Refusal{Status: http.StatusConflict, Why: err.Error()}
+		}
+		p.log.Info("order", "station", c.ID, "out", o.Out, "by", o.By, "why", o.Why, "force", o.Force)
+		return nil, nil
+	})
 	counter.Handle(mux, "GET /-/state", counter.SmallBody, func(counter.Call, *counter.None) (s *hall.State, err error) {
 		p.with(func(now float64) { known := p.hall.State(now); s = &known })
 		return s, nil
--- a/cmd/stall/run.go
+++ b/cmd/stall/run.go
@@ -46,7 +46,7 @@
 	pitch *pitch.Pitch
 }
 
-func run(ctx context.Context, d *deed.Deed, metrics int, log *slog.Logger) error {
+func run(ctx context.Context, d *deed.Deed, says shop.Options, log *slog.Logger) error {
 	if d.Docking.Outbound == "" || d.Docking.Ready == "" || d.AppAddress == "" {
 		return errors.New("settings: docking.outboundDock, docking.readyDock and appAddress: all have to be there")
 	}
@@ -54,7 +54,7 @@
 	p := &program{log: log, clock: shop.NewClock(), deed: d, porter: porter.New(d.AppAddress, bufs)}
 	o := pitch.Options{Self: d.Inner(), Zone: d.Zone, Sender: d.Carrier, Seeds: d.Seeds(), Beat: float64(d.BeatMs) / 1000,
 		Ratio: d.Bound("retryRatio", 0.2), Slack: d.Bound("retrySlack", 0), Version: uint64(time.Now().UnixMilli()),
-		Seed: rand.Uint64(), Memory: max(16, d.Limits.MemoryMB/memoryShare) << 20,
+		Seed: rand.Uint64(), Agreed: says.Agreed, Memory: max(16, d.Limits.MemoryMB/memoryShare) << 20,
 		Log: func(e string, args ...any) { log.Info(e, args...) }}
 	if log.Enabled(ctx, slog.LevelDebug) {
 		o.Debug = func(e string, args ...any) { log.Debug(e, args...) }
@@ -86,7 +86,7 @@
 			return err
 		}
 	}
-	if err := shop.Metrics(ctx, d, metrics, p.figures, log); err != nil {
+	if err := shop.Metrics(ctx, d, says.Metrics, p.figures, log); err != nil {
 		return err
 	}
 	ln, err := shop.Listen(ctx, d.Docking.Outbound)
--- a/internal/market/counter/counter.go
+++ b/internal/market/counter/counter.go
@@ -117,3 +117,11 @@
 type Taken struct {
 	Edition uint64 `json:"taken"`
 }
+
+// Order takes a host out by hand, or back, for what must not run twice.
+type Order struct {
+	Out   bool   `json:"out"`
+	Force bool   `json:"force"` // the second word, where less than half of the service would be left
+	By    string `json:"by"`
+	Why   string `json:"why"`
+}
--- /dev/null
+++ b/internal/market/fairground/assize_test.go
@@ -0,0 +1,174 @@
+package fairground
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+
+	"beechwing/internal/market/assize"
+)
+
+// tills is a cluster whose four tills take operations, with proxies that leave a host out by agreement only.
+func tills(t *testing.T, seed uint64) *World {
+	t.Helper()
+	w := New(seed, 3, Host{"till", "a"}, Host{"till", "b"}, Host{"till", "a"}, Host{"till", "b"}, Host{"shop", "a"}, Host{"shop", "b"},
+		Host{"shop", "a"}, Host{"shop", "b"})
+	w.Configure(int(seed), 1, nil)
+	w.Run(4)
+	agree(w)
+	return w
+}
+
+func operations(w *World, seconds float64) {
+	const every = 0.005
+	for i := range int(seconds / every) {
+		w.After(float64(i)*every, func() {
+			w.Ask(w.Stalls[w.Rand.IntN(len(w.Stalls))], "/pay/x", fmt.Sprintf("k%d-%d", w.Rand.IntN(1<<30), i), 1)
+		})
+	}
+}
+
+// condemners counts the proxies for which a host is out.
+func condemners(w *World, station string) (n int) {
+	for _, s := range w.Stalls {
+		if s.up && slices.Contains(s.State().Out, station) {
+			n++
+		}
+	}
+	return n
+}
+
+// A host that loses most of its answers is out for operations at all proxies within two seconds, gets none while it is, and its part again
+// once it is well.
+func TestFailingHostGoesOutForAll(t *testing.T) {
+	for seed := range uint64(6) {
+		w := tills(t, seed)
+		operations(w, 14)
+		w.Run(2)
+		grey := w.Stalls[1]
+		grey.LoseAnswers(0.9)
+		within := 0.0
+		for ; within < 4 && condemners(w, grey.station.id) < len(w.Stalls); within += 0.05 {
+			w.Run(0.05)
+		}
+		if within > 2 {
+			t.Errorf("seed %d: after %.2f s %d of %d proxies agree", seed, within, condemners(w, grey.station.id), len(w.Stalls))
+		}
+		runs := w.Checker.RunsAt(grey)
+		w.Run(1)
+		if n := w.Checker.RunsAt(grey) - runs; n > 2 { // what was on its way
+			t.Errorf("seed %d: %d operations reached it in the second after", seed, n)
+		}
+		grey.LoseAnswers(0)
+		w.Run(7)
+		if condemners(w, grey.station.id) > 0 {
+			t.Errorf("seed %d: it is out still, well for 7 s", seed)
+		}
+		runs = w.Checker.RunsAt(grey)
+		w.Run(1.5)
+		if w.Checker.RunsAt(grey) < runs+5 {
+			t.Errorf("seed %d: %d operations in 1.5 s after its return", seed, w.Checker.RunsAt(grey)-runs)
+		}
+		verdictOn(t, w, fmt.Sprintf("seed %d", seed), 0.7)
+	}
+}
+
+// One proxy's bad moment empties no host: cut off from one host, from all others, or one way only, it cannot take a host out, and
+// operations of the others go on everywhere.
+func TestOneProxyTakesNobodyOut(t *testing.T) {
+	for _, way := range []string{"one host", "all", "one way"} {
+		w := tills(t, 3)
+		bad := w.Stalls[5]
+		operations(w, 8)
+		w.Run(1)
+		runs := map[*Stall]int{}
+		for i, s := range w.Stalls[:4] {
+			runs[s] = w.Checker.RunsAt(s)
+			switch way {
+			case "one host":
+				if i == 2 {
+					w.CutOff(bad.addr, s.addr)
+				}
+			case "all":
+				w.CutOff(bad.addr, s.addr)
+			default:
+				w.Cut(s.addr, bad.addr)
+			}
+		}
+		for range 40 {
+			w.Run(0.1)
+			for _, s := range w.Stalls[:4] {
+				if n := condemners(w, s.station.id); n > 0 {
+					t.Fatalf("%s: %s is out for %d proxies", way, s.addr, n)
+				}
+			}
+		}
+		for _, s := range w.Stalls[:4] {
+			if n := w.Checker.RunsAt(s) - runs[s]; n < 60 {
+				t.Errorf("%s: %s got %d operations in 4 s", way, s.addr, n)
+			}
+		}
+		w.JoinAll()
+		w.Run(4)
+		verdictOn(t, w, way, 0.7)
+	}
+}
+
+// By hand a host is out for all proxies until it is called back, over restarts of everything; less than half of the service left needs
+// a second word.
+func TestOutByHand(t *testing.T) {
+	w := tills(t, 2)
+	operations(w, 30)
+	order := func(h int, s *Stall, out, force bool) (err error) {
+		err = errors.New("no answer")
+		w.Halls[h].input(func() {
+			w.Halls[h].hall.Order(w.Now, s.station.id, out, force, "ann", "test", func(e error) { err = e })
+		})
+		w.Run(0.5)
+		return err
+	}
+	first, second, third := w.Stalls[0], w.Stalls[1], w.Stalls[2]
+	for h, s := range []*Stall{first, second} {
+		if err := order(h, s, true, false); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := order(2, third, true, false); !errors.Is(err, assize.ErrSecondWord) {
+		t.Errorf("one of four left: %v", err)
+	}
+	still := func(what string) {
+		t.Helper()
+		w.Run(0.5)
+		a, b := w.Checker.RunsAt(first), w.Checker.RunsAt(second)
+		w.Run(2)
+		if n := w.Checker.RunsAt(first) - a + w.Checker.RunsAt(second) - b; n > 0 {
+			t.Errorf("%s: %d operations reached hosts that are out", what, n)
+		}
+	}
+	still("taken out")
+	for _, h := range w.Halls {
+		h.Kill()
+	}
+	w.Run(0.3)
+	for _, h := range w.Halls {
+		h.Start()
+	}
+	for _, s := range w.Stalls[4:] {
+		s.Kill()
+		s.Start()
+	}
+	w.Run(2)
+	still("after restarts")
+	for h, s := range []*Stall{first, second} {
+		if err := order(h, s, false, false); err != nil {
+			t.Fatal(err)
+		}
+	}
+	runs := w.Checker.RunsAt(first)
+	w.Run(3)
+	if w.Checker.RunsAt(first) < runs+5 {
+		t.Errorf("called back: %d operations in 3 s", w.Checker.RunsAt(first)-runs)
+	}
+	verdictOn(t, w, "by hand", 0.5)
+}
--- a/internal/market/fairground/fairground_test.go
+++ b/internal/market/fairground/fairground_test.go
@@ -21,6 +21,16 @@
 	return w
 }
 
+// agree has the proxies of a cluster leave hosts out for operations by agreement only, from a start anew.
+func agree(w *World) {
+	w.Agreed = true
+	for _, s := range w.Stalls {
+		s.Kill()
+		s.Start()
+	}
+	w.Run(1.5)
+}
+
 // traffic has clients ask all the time: reads, and operations of which some are sent again from another proxy.
 func traffic(w *World, seconds float64) {
 	const every = 0.01
@@ -217,6 +227,9 @@
 	}
 	for seed := range uint64(days) {
 		w := market(t, seed, 3+int(seed%3))
+		if seed%2 == 1 {
+			agree(w)
+		}
 		traffic(w, 14)
 		version := uint64(1)
 		lost := 0.0 // until then a control process is counted as lost: only one is at a time
--- a/internal/market/fairground/world.go
+++ b/internal/market/fairground/world.go
@@ -43,8 +43,9 @@
 	byAddr map[string]machine
 	first  bool
 
-	Words int // parcels sent between control processes
-	Bytes int // in them
+	Agreed bool // proxies leave hosts out for operations by agreement only
+	Words  int  // parcels sent between control processes
+	Bytes  int  // in them
 }
 
 // machine is one with a process on it.
@@ -382,7 +383,7 @@
 	s.up, s.unlit = true, false
 	s.version += uint64(1000 * s.w.Rand.Float64()) // the time of day may have gone back
 	s.pitch = pitch.New(s.w.Now, pitch.Options{Self: s.addr, Zone: s.host.Zone, Sender: s.host.Carrier, Seeds: s.seeds, Beat: beat,
-		Ratio: 0.2, Slack: 60, Version: s.version, Seed: s.w.Rand.Uint64(), Memory: 1 << 24})
+		Ratio: 0.2, Slack: 60, Version: s.version, Seed: s.w.Rand.Uint64(), Memory: 1 << 24, Agreed: s.w.Agreed})
 	life := s.lives
 	var tick func()
 	tick = func() {
--- a/internal/market/hall/hall.go
+++ b/internal/market/hall/hall.go
@@ -81,6 +81,7 @@
 	wholeAt  float64
 	whole    int
 
+	court court
 	out   ledger.Effects
 	count Counts
 }
@@ -110,7 +111,7 @@
 func New(now float64, o Options, values map[string][]byte, found bool) (*Hall, error) {
 	h := &Hall{o: o, began: now, ledger: ledger.New(o.Self, o.Life, o.Window), joined: map[string]bool{}, dumps: map[string]*dump{},
 		holds: map[string]uint64{}, met: map[string]float64{}, writes: map[uint64]*write{}, records: map[string]*cart.Record{},
-		heard: map[string]float64{}, direct: map[string]bool{}}
+		heard: map[string]float64{}, direct: map[string]bool{}, court: court{benches: map[string]*bench{}}}
 	if o.Log == nil {
 		h.o.Log = func(string, ...any) {}
 	}
@@ -234,6 +235,7 @@
 	}
 	h.ledger.Tick(now)
 	h.tickWrites(now)
+	h.tickCourt(now)
 	h.tickNews(now)
 }
 
@@ -543,6 +545,7 @@
 	if p.Own != nil {
 		h.heard[p.Own.Source], h.direct[p.Own.Source] = now, true
 		h.learn(now, p.Own, true)
+		h.heardWords(now, p.Own.Source, p.Words, true)
 	}
 	if !h.answerPull(now, from, id, p, !p.Hold || h.alone(now)) && len(h.parked) < mostParked {
 		h.parked = append(h.parked, parked{from, id, p, now + holdFor})
@@ -572,10 +575,14 @@
 			news.Records = append(news.Records, r)
 		}
 	}
+	if version := h.benchesVersion(); version > p.Benches {
+		news.Benches, news.BenchesVersion = h.wireBenches(now), version
+	}
 	if h.sure > p.Edition && h.held >= h.sure {
 		news.Edition, news.Text = h.held, h.text
 	}
-	if len(news.Records) == 0 && news.Edition == 0 && !must {
+	news.Accused = h.court.told
+	if len(news.Records) == 0 && news.Edition == 0 && news.BenchesVersion == 0 && !must && !h.asks(p) {
 		return false
 	}
 	slices.SortFunc(news.Records, func(a, b *cart.Record) int { return bytes.Compare([]byte(a.Source), []byte(b.Source)) })
@@ -589,6 +596,13 @@
 	return true
 }
 
+// asks says whether a proxy is to be asked about an accused host of which it has not spoken.
+func (h *Hall) asks(p *cart.Pull) bool {
+	return slices.ContainsFunc(h.court.told, func(station string) bool {
+		return !slices.Contains(p.Accused, station)
+	})
+}
+
 // wake answers the proxies that lack something by now.
 func (h *Hall) wake(now float64) {
 	newer, alone := h.newer, h.alone(now)
@@ -613,6 +627,10 @@
 	for _, r := range d.Records {
 		h.learn(now, r, false)
 	}
+	for _, t := range d.Testimonies {
+		h.heardWords(now, t.Witness, t.Words, false)
+	}
+	h.heardBenches(now, d.Benches)
 	if d.Held > h.held && len(h.writes) < 8 && h.ledger.Voting() { // this copy is old: the sweep mends it
 		h.write(now, 0, func(uint64, []byte, bool) {})
 	}
@@ -631,7 +649,8 @@
 	if h.alone(now) {
 		h.digestAt = now + digestSoon
 	}
-	d := &cart.Digest{Held: h.held, Sure: h.sure, Records: h.changed}
+	d := &cart.Digest{Held: h.held, Sure: h.sure, Records: h.changed, Testimonies: h.court.news, Benches: h.wireBenches(now)}
+	h.court.news = nil
 	for source := range h.direct {
 		d.Heard = append(d.Heard, source)
 	}
@@ -682,6 +701,7 @@
 	Changes   int               `json:"changes"`
 	Held      map[string]uint64 `json:"editions"`
 	Pulls     int               `json:"heldPulls"`
+	Benches   []*cart.Bench     `json:"benches"`
 	Silent    []string          `json:"silent"`
 	Counts    Counts            `json:"counts"`
 	Roll      []*cart.Record    `json:"roll"`
@@ -690,7 +710,7 @@
 // State tells what is known here.
 func (h *Hall) State(now float64) State {
 	s := State{Members: h.members, Voting: h.ledger.Voting(), Alone: h.alone(now), Edition: h.held, InForce: h.sure, Pulls: len(h.parked),
-		Held: maps.Clone(h.holds), Counts: h.count}
+		Held: maps.Clone(h.holds), Counts: h.count, Benches: h.wireBenches(now)}
 	s.Registers, s.Changes = h.ledger.Size()
 	s.Keys, s.Oldest = h.ledger.Held(now)
 	for source, at := range h.heard {
--- a/internal/market/ledger/ledger.go
+++ b/internal/market/ledger/ledger.go
@@ -30,9 +30,10 @@
 	Lost                  // it may have run, and nobody knows how that ended
 	Void                  // claimed and given back without a run: the token of it claims no more
 	Unsure                // no majority could be asked: nothing was claimed
+	Ruled                 // no key of an operation: what is in force for a service
 )
 
-var stateNames = map[uint32]string{Free: "free", Claimed: "claimed", Done: "done", Lost: "lost", Void: "void"}
+var stateNames = map[uint32]string{Free: "free", Claimed: "claimed", Done: "done", Lost: "lost", Void: "void", Ruled: "ruled"}
 
 const (
 	widenAfter = 0.04 // seconds until the members in reserve are sent a value
@@ -263,6 +264,24 @@
 	}})
 }
 
+// Rule changes a register that is no operation's, by what it held: nil leaves it. The answer is what it holds then; ok is false where no
+// majority said so. Of what two write at once both see the other's.
+func (l *Ledger) Rule(now float64, name string, edit func(old []byte) []byte, answer func(version uint64, body []byte, ok bool)) {
+	if !l.voting || len(l.work) >= mostWork {
+		answer(0, nil, false)
+		return
+	}
+	l.begin(now, &change{key: name,
+		answer: func(state uint32, held *cart.Receipt) { answer(held.GetToken(), held.GetBody(), state != Unsure) },
+		work: func(old *cart.Receipt) (*cart.Receipt, uint32) {
+			body := edit(old.GetBody())
+			if body == nil {
+				return nil, Ruled
+			}
+			return &cart.Receipt{Token: old.GetToken() + 1, State: Ruled, Body: body}, Ruled
+		}})
+}
+
 func (l *Ledger) begin(now float64, c *change) {
 	if l.work[c.key] != nil {
 		l.waiting[c.key] = append(l.waiting[c.key], c)
--- a/internal/market/pitch/ask.go
+++ b/internal/market/pitch/ask.go
@@ -384,6 +384,14 @@
 	if v == verdict.Answered && c.Status < 500 {
 		p.shelves[o.service].timed(t.host, o.class, float64(c.TookUs)/1e6)
 	}
+	if at := p.shelves[o.service].hosts[t.host]; at != nil && t.peer != p.o.Self { // of the host here the gate speaks
+		switch {
+		case v == verdict.Answered:
+			p.saw(at.station, c.Status >= 500 && c.Status != 504)
+		case v == verdict.Broken, v == verdict.Turned && c.Refused:
+			p.saw(at.station, true)
+		}
+	}
 	if v.Arrived() {
 		o.arrivals++
 	} else if t.spent {
@@ -511,6 +519,11 @@
 // claim of its token was granted and none will be: the register says so. Of the rest it is not known.
 func (p *Pitch) doubt(t *try, why string) {
 	o := t.order
+	if s := p.shelves[o.service]; s != nil && !t.asked {
+		if at := s.hosts[t.host]; at != nil {
+			p.saw(at.station, true)
+		}
+	}
 	if !t.asked {
 		p.count.Doubts++
 	}
@@ -649,7 +662,7 @@
 func (s *shelf) config() balancer.Config {
 	p := s.p
 	cfg := balancer.Config{Seed: p.random(), Zone: p.news.zone(p.o.Zone), Balancers: max(1, len(p.news.records)),
-		Prices: balancer.Prices{CrossZone: crossing}, Weighted: true, Gated: true, MaxCoolDown: comeBackMost, ConnectTimeout: 1}
+		Prices: balancer.Prices{CrossZone: crossing}, Weighted: true, Gated: true, Agreed: p.o.Agreed, MaxCoolDown: comeBackMost, ConnectTimeout: 1}
 	if s.far {
 		cfg.Prices.CrossZone = crossingLarge
 	}
--- a/internal/market/pitch/gate.go
+++ b/internal/market/pitch/gate.go
@@ -317,6 +317,12 @@
 	}
 	v := verdict.Verdict(c.Verdict)
 	took := g.p.now - j.sent
+	switch {
+	case v == verdict.Answered:
+		g.p.saw(j.carry.Station, c.Status >= 500 && c.Status != 504)
+	case v == verdict.Broken, v == verdict.Turned && c.Refused:
+		g.p.saw(j.carry.Station, true)
+	}
 	c.TookUs = uint32(min(took, 1000) * 1e6)
 	if v == verdict.Answered {
 		g.work += workStep * (took - g.work)
--- a/internal/market/pitch/news.go
+++ b/internal/market/pitch/news.go
@@ -186,7 +186,8 @@
 			at = &place{slow: 1}
 		}
 		at.source, at.station, at.told = source, r.Station, at.slow
-		s.hosts[h.ID], h.Weight = at, 1/(at.slow*at.slow)
+		s.hosts[h.ID], h.Weight = at, p.witness.part(p.now, r.Station)/(at.slow*at.slow)
+		h.Condemned = p.witness.condemned(p.now, r.Station)
 		by[r.Carrier] = append(by[r.Carrier], h)
 	}
 	for _, name := range p.services() {
@@ -227,6 +228,10 @@
 	if n.p.table != nil {
 		pull.Edition = n.p.table.Edition
 	}
+	if n.p.o.Agreed {
+		w := &n.p.witness
+		pull.Words, pull.Accused, pull.Benches = w.words(n.p.now), w.accused, w.version
+	}
 	return pull
 }
 
@@ -267,6 +272,9 @@
 		}
 		n.silent = silent
 		n.told = true
+		if p.o.Agreed && p.witness.ruled(p.now, w) {
+			changed = true
+		}
 	}
 	if w.Edition > 0 && (p.table == nil || w.Edition > p.table.Edition) {
 		if t, err := charter.Compile(w.Text); err != nil {
@@ -353,6 +361,9 @@
 			p.out.Dos = append(p.out.Dos, Probe{s.HealthPath})
 		}
 	}
+	if p.o.Agreed && p.witness.tick(p.now) {
+		n.list()
+	}
 	if p.now >= n.weighAt {
 		n.weighAt = p.now + weighEvery
 		for _, s := range p.shelves {
--- a/internal/market/pitch/pitch.go
+++ b/internal/market/pitch/pitch.go
@@ -26,7 +26,8 @@
 	Slack   float64
 	Version uint64 // of its news to begin with: later starts have higher ones, as a rule
 	Seed    uint64
-	Memory  int // bytes that bodies under way may take
+	Agreed  bool // a host is left out for what must not run twice only where most that met it agree
+	Memory  int  // bytes that bodies under way may take
 	Log     func(event string, args ...any)
 	Debug   func(event string, args ...any) // nil: nobody listens
 }
@@ -81,8 +82,9 @@
 	peers   map[string]*peer
 	pongs   float64 // mean seconds that others take to say that they are there
 
-	gate gate
-	news news
+	gate    gate
+	news    news
+	witness witness
 }
 
 // New makes a proxy.
@@ -251,6 +253,8 @@
 	Waiting int            `json:"late"`
 	Counts  Counts         `json:"counts"`
 	Avoided map[string]int `json:"avoided"`
+	Out     []string       `json:"condemned"`
+	Accused []string       `json:"accused"`
 }
 
 // State tells what is known here.
@@ -269,6 +273,7 @@
 			s.Silent = append(s.Silent, source)
 		}
 	}
+	s.Out, s.Accused = p.witness.all(now), p.witness.accused
 	for name, shelf := range p.shelves {
 		s.Avoided[name] = shelf.bal.Avoided(now)
 	}
--- a/internal/market/porter/porter.go
+++ b/internal/market/porter/porter.go
@@ -132,7 +132,7 @@
 func (p *Porter) Run(r *cart.Carry, until time.Time) *cart.Carried {
 	answer, err := p.run(r, until)
 	if err != nil {
-		return &cart.Carried{Verdict: uint32(verdict.Of(err)), Why: short(err)}
+		return &cart.Carried{Verdict: uint32(verdict.Of(err)), Why: short(err), Refused: verdict.Of(err) == verdict.Turned}
 	}
 	return answer
 }
--- a/internal/market/shop/commands.go
+++ b/internal/market/shop/commands.go
@@ -1,11 +1,14 @@
 package shop
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
+	"net/url"
 	"os"
 	"runtime/pprof"
 	"strings"
@@ -21,8 +24,15 @@
 // Program is one of the two, as its command line knows it.
 type Program struct {
 	Name, Short string
-	Run         func(ctx context.Context, d *deed.Deed, metrics int, log *slog.Logger) error
+	Run         func(ctx context.Context, d *deed.Deed, o Options, log *slog.Logger) error
 	Check       func(configuration []byte) (verdict string, err error)
+	Orders      bool // it takes an operator's orders on hosts
+}
+
+// Options are what the command line of run may say.
+type Options struct {
+	Metrics int  // port for figures; 0: none
+	Agreed  bool // hosts are left out for what must not run twice by agreement only
 }
 
 // Main runs a program's command line and gives the exit status: 0 well, 1 failed, 2 not understood.
@@ -30,20 +40,27 @@
 	root := &ff.Command{Name: p.Name, Usage: p.Name + " SUBCOMMAND", ShortHelp: p.Short}
 	flags := ff.NewFlagSet("run")
 	level := flags.StringLong("log", "info", "least level of the log: debug, info, warn, error")
+	agreed := flags.BoolLong("assize", "leave a host out for operations only where most proxies that met it agree that it fails (stall)")
 	metrics := flags.IntLong("metrics", 0, "port of sparePorts at which figures are served as text; 0: none")
 	profile := flags.StringLong("profile", "", "file for a CPU profile of the whole run")
 	looks := ff.NewFlagSet("state")
 	plain := looks.BoolLong("json", "as JSON in place of a table")
 	root.Subcommands = []*ff.Command{
-		{Name: "run", Usage: p.Name + " run [--log LEVEL] [--metrics PORT] [--profile FILE]", Flags: flags,
+		{Name: "run", Usage: p.Name + " run [--log LEVEL] [--assize] [--metrics PORT] [--profile FILE]", Flags: flags,
 			ShortHelp: "serve, by the settings file that " + deed.Variable + " names",
-			Exec:      func(ctx context.Context, _ []string) error { return p.serve(ctx, *level, *profile, *metrics) }},
+			Exec: func(ctx context.Context, _ []string) error {
+				return p.serve(ctx, *level, *profile, Options{*metrics, *agreed})
+			}},
 		{Name: "check", Usage: p.Name + " check FILE ...", ShortHelp: "check settings (.toml) and configurations (.json)",
 			Exec: func(_ context.Context, args []string) error { return p.check(args) }},
 		{Name: "state", Usage: p.Name + " state [--json] ADDRESS", Flags: looks,
 			ShortHelp: "what a running process knows, from its control address",
 			Exec:      func(ctx context.Context, args []string) error { return state(ctx, args, *plain) }},
 	}
+	if p.Orders {
+		root.Subcommands = append(root.Subcommands, p.order("out", "take a host out for operations, for all proxies and until called back"),
+			p.order("back", "call a host back that was taken out"))
+	}
 	err := root.ParseAndRun(context.Background(), os.Args[1:])
 	switch {
 	case err == nil:
@@ -59,7 +76,7 @@
 	return 1
 }
 
-func (p Program) serve(ctx context.Context, level, profile string, metrics int) error {
+func (p Program) serve(ctx context.Context, level, profile string, o Options) error {
 	d, err := deed.Load(os.Getenv)
 	if err != nil {
 		return err
@@ -73,7 +90,7 @@
 		return err
 	}
 	defer end()
-	return p.Run(ctx, d, metrics, log)
+	return p.Run(ctx, d, o, log)
 }
 
 // check checks the files that are named.
@@ -153,3 +170,37 @@
 	}
 	return table(text, os.Stdout)
 }
+
+// order makes the command that takes a host out or back.
+func (p Program) order(name, short string) *ff.Command {
+	flags := ff.NewFlagSet(name)
+	by := flags.StringLong("by", "", "who says so")
+	why := flags.StringLong("why", "", "for those who look later")
+	force := flags.BoolLong("force", "also where less than half of the service's hosts would be left")
+	return &ff.Command{Name: name, Usage: p.Name + " " + name + " --by NAME [--why TEXT] [--force] ADDRESS STATION", Flags: flags, ShortHelp: short,
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 2 {
+				return errors.Newf("%s: which address, and which host?", name)
+			}
+			ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+			defer cancel()
+			body, err := json.Marshal(map[string]any{"out": name == "out", "by": *by, "why": *why, "force": *force})
+			if err != nil {
+				return errors.Wrap(err, name)
+			}
+			req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+args[0]+"/-/orders/"+url.PathEscape(args[1]), bytes.NewReader(body))
+			if err != nil {
+				return errors.Wrap(err, name)
+			}
+			res, err := http.DefaultClient.Do(req)
+			if err != nil {
+				return errors.Wrap(err, name)
+			}
+			defer res.Body.Close()
+			if res.StatusCode/100 == 2 {
+				return nil
+			}
+			text, _ := io.ReadAll(io.LimitReader(res.Body, 4<<10))
+			return errors.Newf("%s: %s: %s", name, res.Status, strings.TrimSpace(string(text)))
+		}}
+}
