--- a/internal/market/pitch/witness.go
+++ b/internal/market/pitch/witness.go
@@ -108,7 +108,7 @@
 	return words
 }
 
-// Condemned are the hosts that are out by what is in force.
+// all are the hosts that are out by what is in force.
 func (w *witness) all(now float64) (stations []string) {
 	for station := range w.hand {
 		stations = append(stations, station)
