--- a/internal/market/cart/net.go
+++ b/internal/market/cart/net.go
@@ -167,12 +167,12 @@
 	n.pace.rate, n.pace.turns = bytesPerSecond, make(chan struct{}, pacedAtOnce)
 }
 
-// Backlog is how many seconds what waits to be sent will take, where large parcels are paced.
-func (n *Net) Backlog() float64 {
+// Backlog is how many seconds what waits to be sent will take, and each further byte, where large parcels are paced; else 0.
+func (n *Net) Backlog() (wait, perByte float64) {
 	if n.pace.rate == 0 {
-		return 0
+		return 0, 0
 	}
-	return float64(n.queued.Load()) / n.pace.rate
+	return float64(n.queued.Load()) / n.pace.rate, 1 / n.pace.rate
 }
 
 // isAnswer says whether a parcel carries the number of another process's question.
--- a/internal/market/cart/net_test.go
+++ b/internal/market/cart/net_test.go
@@ -186,8 +186,8 @@
 	<-events
 	began := time.Now()
 	n.Send("10.0.0.9:7000", &Parcel{Id: 1, Carried: &Carried{Body: make([]byte, 1<<20)}})
-	if n.Backlog() < 0.1 {
-		t.Errorf("%.2f s wait to be sent", n.Backlog())
+	if wait, perByte := n.Backlog(); wait < 0.1 || perByte != 1.0/(4<<20) {
+		t.Errorf("%.2f s wait to be sent, %g a byte", wait, perByte)
 	}
 	if p, err := br.Read(); err != nil || len(p.Carried.GetBody()) != 1<<20 {
 		t.Fatal(err)
--- a/internal/market/pitch/gate.go
+++ b/internal/market/pitch/gate.go
@@ -52,6 +52,7 @@
 	took     map[uint32]float64 // by class
 	bytes    map[uint32]float64 // mean of an answer's body, by class
 	link     float64            // seconds that a large answer waits for this machine's link
+	perByte  float64            // and that it takes, a byte
 	tickedAt float64
 }
 
@@ -118,14 +119,18 @@
 	queued := g.running >= g.berths()
 	if link := g.linkWait(c.Class); queued || link > 0 {
 		most := g.patience(j)
-		if c.Attempt == 0 { // there may be room elsewhere: one that was turned away once may wait
+		if link > most { // what is late in the link keeps all behind it late: there is no lane there
+			g.turn(j, "the link is full", uint32(link*1000)+1)
+			return
+		}
+		if c.Attempt == 0 && queued { // there may be room elsewhere: one that was turned away once may wait
 			most = min(most, firstWait*g.work)
 		}
 		wait := link
 		if queued {
 			wait += g.wait(j)
 		}
-		if wait > most || queued && g.pastAim(j) {
+		if queued && (wait > most || g.pastAim(j)) {
 			if c.Attempt == 0 || !g.admitLate(j) {
 				g.turn(j, "no berth in time", uint32(wait*1000)+1)
 				return
@@ -256,7 +261,13 @@
 	if g.bytes[class] < largeAnswer {
 		return 0
 	}
-	return g.link
+	wait := g.link
+	for _, j := range g.jobs { // their answers come before it
+		if bytes := g.bytes[j.carry.Class]; bytes >= largeAnswer {
+			wait += bytes * g.perByte
+		}
+	}
+	return wait
 }
 
 // admitLate says whether one that is too late for its aim may wait on here: as many may as have lately been served so in the time
--- a/internal/market/pitch/gate_test.go
+++ b/internal/market/pitch/gate_test.go
@@ -144,3 +144,30 @@
 		t.Errorf("%d ran last, want %d", n, slow)
 	}
 }
+
+// A full link: a large answer is asked for only where it can be in time behind those that wait or are being made; small ones go as ever.
+func TestLargeAnswersDoNotQueueInAFullLink(t *testing.T) {
+	d := openDoor(t)
+	d.p.gate.bytes[9] = 100 << 10
+	const perByte = 1.0 / (2 << 20) // 100 KB take 49 ms
+	large := func(aim float64) uint64 {
+		d.next++
+		d.p.Parcel(d.now, "there", &cart.Parcel{Id: d.next, Carry: &cart.Carry{Station: "i-1", Token: d.next, Attempt: 1, Class: 9,
+			AimUs: uint32(aim * 1e6), LeftUs: 3e6, Repeatable: true}})
+		d.take()
+		return d.next
+	}
+	d.p.Link(0.15, perByte)
+	if n := large(0.2); d.told[n] != nil {
+		t.Errorf("turned away with 0.15 s to wait and 0.2 s to its aim: %v", d.told[n])
+	}
+	if n := large(0.2); d.told[n] == nil || d.told[n].BackMs == 0 {
+		t.Error("taken behind one that is being made, 0.2 s to wait and 0.2 s to its aim")
+	}
+	if n := large(0.4); d.told[n] != nil {
+		t.Errorf("turned away with 0.2 s to wait and 0.4 s to its aim: %v", d.told[n])
+	}
+	if n := d.carry(0.2, 1); d.told[n] != nil {
+		t.Errorf("a small one is turned away: %v", d.told[n])
+	}
+}
--- a/internal/market/pitch/pitch.go
+++ b/internal/market/pitch/pitch.go
@@ -158,8 +158,8 @@
 	p.settle()
 }
 
-// Link takes word of how many seconds a large answer waits for this machine's link.
-func (p *Pitch) Link(seconds float64) { p.gate.link = seconds }
+// Link takes word of how many seconds a large answer waits for this machine's link, and takes there for each byte; 0: next to nothing.
+func (p *Pitch) Link(wait, perByte float64) { p.gate.link, p.gate.perByte = wait, perByte }
 
 // Sign takes word that a large parcel of another process's is on its way: it is not silent.
 func (p *Pitch) Sign(now float64, from string) {
