--- a/internal/market/assize/assize.go
+++ b/internal/market/assize/assize.go
@@ -28,6 +28,7 @@
 	outShare     = 3    // one in so many hosts of a service may be out by witnesses, and one of two
 	mostHosts    = 4096
 	mostWords    = 256 // witnesses heard on one host
+	mostRulings  = 256 // of one service
 )
 
 // Word is what a witness saw of a host lately.
@@ -254,6 +255,9 @@
 	if !out {
 		return next, nil
 	}
+	if len(next) >= mostRulings {
+		return nil, errors.Newf("%d hosts of the service are out already: call some back", len(next))
+	}
 	left := 0
 	for _, h := range hosts {
 		gone := h == station || slices.ContainsFunc(held, func(r Ruling) bool { return r.Station == h && r.InForce(now) })
--- a/internal/market/pitch/news.go
+++ b/internal/market/pitch/news.go
@@ -52,6 +52,7 @@
 	pull    uint64
 	pullAt  float64
 	held    bool    // it may be held until there is something
+	missed  int     // control processes in a row that did not answer
 	again   float64 // not before then
 	heardAt float64 // of a control process
 	told    bool    // one has answered in this life
@@ -216,7 +217,7 @@
 	if n.held {
 		return pullAgain
 	}
-	return pullAtOnce
+	return min(pullAgain, pullAtOnce*float64(int(1)<<min(n.missed, 4))) // if all are slow, asking more often makes them slower
 }
 
 // vector is what this proxy has, by source.
@@ -254,7 +255,7 @@
 		}
 	}
 	if w.FromHall {
-		n.heardAt = p.now
+		n.missed, n.heardAt = 0, p.now
 		if len(w.Halls) > 0 && !slices.Equal(n.halls, w.Halls) {
 			n.halls = w.Halls
 		}
@@ -353,6 +354,7 @@
 		n.ask(false)
 	} else if n.pull != 0 && p.now > n.pullAt+n.patience() {
 		n.hall++
+		n.missed++
 		n.ask(false)
 	}
 	if n.own.Station == "" && !n.ending && p.table != nil && p.now >= n.probeAt { // its next beat may be a while
