--- a/internal/market/shop/table.go
+++ b/internal/market/shop/table.go
@@ -84,7 +84,11 @@
 	case map[string]any:
 		parts := []string{}
 		for _, k := range slices.Sorted(maps.Keys(v)) {
-			parts = append(parts, strings.ReplaceAll(k, " ", "_")+"="+cell(v[k]))
+			text := cell(v[k])
+			if _, nested := v[k].(map[string]any); nested {
+				text = "(" + text + ")"
+			}
+			parts = append(parts, strings.ReplaceAll(k, " ", "_")+"="+text)
 		}
 		if len(parts) == 0 {
 			return "-"
--- /dev/null
+++ b/internal/market/shop/table_test.go
@@ -0,0 +1,31 @@
+package shop
+
+import (
+	"strings"
+	"testing"
+)
+
+// What a process knows is shown by name, lists as tables with the same columns first; what is no state is one error.
+func TestTable(t *testing.T) {
+	var b strings.Builder
+	err := table([]byte(`{"edition":7,"silent":null,"counts":{"answers":{"200":5},"runs":2.5},
+		"roll":[{"zone":"a","source":"p1","berths":6},{"source":"p2","zone":"","leaving":true}]}`), &b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := `counts   answers=(200=5) runs=2.5
+edition  7
+silent   -
+
+roll
+source  zone  berths  leaving
+p1      a     6       -
+p2      -     -       true
+`
+	if b.String() != want {
+		t.Errorf("got:\n%s\nwant:\n%s", b.String(), want)
+	}
+	if err := table([]byte("not now"), &b); err == nil {
+		t.Error("a text that is no state is shown")
+	}
+}
