Removal under live traffic by processes; who met a host once speaks beside a complaint

go run ./examples/market -removal -stalls 24: hosts record each run; one loses nine answers of ten, one dies, one is taken out by hand, a proxy is killed -9, clients ask again with the same key at any proxy.

It found that in thin traffic (8 operations a second at a host, 24 proxies) nobody but the proxy beside the host sees two failures in two seconds: not agreed within 4 s in one run of four.

--- a/examples/market/main.go
+++ b/examples/market/main.go
@@ -3,6 +3,7 @@
 //
 //	go run ./examples/market              # builds the programs into target/ first
 //	go run ./examples/market -rate 400 -for 10s
+//	go run ./examples/market -removal -stalls 24   # hosts fail and are taken out under traffic; their records judge (removal.go)
 package main
 
 import (
@@ -41,6 +42,7 @@
 	length   = flag.Duration("for", 3*time.Second, "how long clients ask")
 	work     = flag.Duration("work", 10*time.Millisecond, "how long a host works on a request")
 	level    = flag.String("log", "warn", "least level of the programs' logs")
+	removal  = flag.Bool("removal", false, "hosts fail, die and are taken out by hand under traffic")
 	profiles = flag.String("profiles", "", "folder for a CPU profile of each process")
 )
 
@@ -99,6 +101,10 @@
 			return fmt.Errorf("%s is not ready: %w", p.ip, err)
 		}
 	}
+	if *removal {
+		time.Sleep(1500 * time.Millisecond) // the beats of all hosts have come round
+		return prove(all[*halls:], seeds)
+	}
 	fmt.Printf("%d proxies ready %v after the start\n", *stalls, time.Since(began).Round(time.Millisecond))
 	time.Sleep(500 * time.Millisecond) // the beats of all hosts have come round
 	rest := usage(all)
@@ -136,6 +142,9 @@
 		return nil, err
 	}
 	args := []string{"run", "--log", *level}
+	if program == "stall" && *removal {
+		args = append(args, "--assize")
+	}
 	if *profiles != "" {
 		args = append(args, "--profile", filepath.Join(*profiles, program+"-"+ip+".pprof"))
 	}
@@ -162,12 +171,18 @@
 		return err
 	}
 	var runs atomic.Int64
+	s := &server{id: id, carrier: carrier, ln: ln}
+	servers = append(servers, s)
 	go http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get("Beechwing-Addressee") != id {
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
+		lost := s.ran(r.Header.Get("Beechwing-Once-Key"))
 		time.Sleep(*work)
+		if lost { // it has run, and nobody hears of it
+			panic(http.ErrAbortHandler)
+		}
 		w.Header().Set("Beechwing-Consignment-Id", r.Header.Get("Beechwing-Consignment-Id"))
 		w.Header().Set("Beechwing-Postmark", fmt.Sprintf("%s.%d", id, runs.Add(1)))
 		fmt.Fprintf(w, "%s of %s answers %s, asked by %s\n", id, carrier, r.URL.Path, r.Header.Get("Beechwing-Sender-Carrier"))
--- a/internal/market/assize/assize.go
+++ b/internal/market/assize/assize.go
@@ -183,18 +183,25 @@
 	return stations
 }
 
-// speak counts who speaks against a host, and who has met it at all. Who saw it once says little.
+// speak counts who speaks against a host, and who has met it at all. Where traffic is thin most have met it once: what they saw counts
+// beside a complaint, and is none by itself.
 func (j *Judge) speak(now float64, station string) (against, witnesses int) {
+	complaints := 0
 	for _, w := range j.words[station] {
-		switch {
-		case now > w.at+wordFor:
-		case fails(w.Good, w.Bad):
+		if now > w.at+wordFor || w.Good+w.Bad == 0 {
+			continue
+		}
+		witnesses++
+		if complains := fails(w.Good, w.Bad); complains || w.Bad > 0 && w.Good == 0 {
 			against++
-			witnesses++
-		case w.Good+w.Bad >= leastBad:
-			witnesses++
+			if complains {
+				complaints++
+			}
 		}
 	}
+	if complaints == 0 {
+		against = 0
+	}
 	return against, witnesses
 }
 
--- a/internal/market/assize/assize_test.go
+++ b/internal/market/assize/assize_test.go
@@ -31,6 +31,26 @@
 	}
 }
 
+// Where traffic is thin only the proxy beside the host has seen it fail twice. Those who met it once speak beside it, for or against, and
+// never alone.
+func TestThinTraffic(t *testing.T) {
+	for _, c := range []struct{ complain, bad, good, out int }{{1, 0, 0, 0}, {1, 1, 0, 1}, {1, 3, 3, 1}, {1, 2, 4, 0}, {0, 6, 0, 0}} {
+		j := &Judge{}
+		for w := range c.complain {
+			hear(j, 10, "h1", 0, 4, w)
+		}
+		for w := range c.bad {
+			hear(j, 10, "h1", 0, 1, 100+w)
+		}
+		for w := range c.good {
+			hear(j, 10, "h1", 1, 0, 200+w)
+		}
+		if next, _ := j.Weigh(10.1, four, nil); len(next) != c.out {
+			t.Errorf("%d complain, %d and %d met it once, badly and well: %v", c.complain, c.bad, c.good, next)
+		}
+	}
+}
+
 // Words grow old, a ruling ends by itself unless evidence renews it, and a host that flaps stays out longer each time, up to a bound.
 func TestTerms(t *testing.T) {
 	j := &Judge{}
