--- a/internal/market/hall/assize.go
+++ b/internal/market/hall/assize.go
@@ -17,7 +17,7 @@
 // in order can judge when the home is silent.
 
 const (
-	benchPrefix = "assize\x00" // of the registers' names, before the service's
+	benchPrefix = "\x00assize\x00" // of the registers' names, before the service's: no host name begins so, and keys of operations begin with one
 	judgeEvery  = 0.05
 	handRenew   = 20.0 // seconds after which orders by hand are written anew: registers grow old
 	hopSlack    = 0.05 // seconds by which each process that hears of a term takes it as shorter
