--- a/internal/market/fairground/fairground_test.go
+++ b/internal/market/fairground/fairground_test.go
@@ -420,3 +420,32 @@
 		}
 	}
 }
+
+// A control process that lost its disk and cannot recover yet hears the others, and knows nothing of what was acknowledged meanwhile. Proxies
+// that ask it go on to another: they act by the newest as soon as all.
+func TestNobodyWaitsForAHallThatRecovers(t *testing.T) {
+	for seed := range uint64(6) {
+		w := market(t, seed, 5)
+		h := w.Halls[seed%3]
+		h.PowerOff()
+		h.Wipe()
+		w.Run(0.5)
+		for i := range 2 { // with two others silent to it, it can read back too little
+			w.CutOff(h.addr, w.Halls[3+i].addr)
+		}
+		h.Start()
+		w.Run(1)
+		for _, s := range w.Stalls { // some ask it first
+			s.Kill()
+			s.Start()
+		}
+		w.Run(2)
+		w.Configure(int(seed)+3, 7, nil)
+		w.Run(2)
+		if h.Voting() || w.Checker.Newest != 7 {
+			t.Fatalf("seed %d: voting %v, acknowledged %d: this is not the case that it is for", seed, h.Voting(), w.Checker.Newest)
+		}
+		w.Checker.InForce(w.Stalls...)
+		verdictOn(t, w, fmt.Sprintf("seed %d", seed), 0)
+	}
+}
--- a/internal/market/hall/hall.go
+++ b/internal/market/hall/hall.go
@@ -65,6 +65,7 @@
 	dumps   map[string]*dump
 
 	held, sure uint64 // versions of the configuration: on this disk, on a majority
+	known      uint64 // the newest that another says is on a majority
 	text       []byte
 	holds      map[string]uint64  // what the others have on theirs
 	met        map[string]float64 // when another was heard last
@@ -547,11 +548,17 @@
 		h.learn(now, p.Own, true)
 		h.heardWords(now, p.Own.Source, p.Words, true)
 	}
-	if !h.answerPull(now, from, id, p, !p.Hold || h.alone(now)) && len(h.parked) < mostParked {
+	if !h.answerPull(now, from, id, p, !p.Hold || h.behind(now)) && len(h.parked) < mostParked {
 		h.parked = append(h.parked, parked{from, id, p, now + holdFor})
 	}
 }
 
+// behind says that what is known here may be old: proxies had better ask another. One that lost its disk hears the others and does not
+// know what was acknowledged until it has recovered; one that missed a configuration knows that there is a newer one.
+func (h *Hall) behind(now float64) bool {
+	return h.alone(now) || !h.ledger.Voting() || h.sure < h.known
+}
+
 // alone says that this process has heard from no majority lately, as behind a cut: it would not know of what is new.
 func (h *Hall) alone(now float64) bool {
 	n := 1
@@ -565,7 +572,7 @@
 
 // answerPull tells a proxy what it lacks. Where that is nothing it is told so only if it must be.
 func (h *Hall) answerPull(now float64, from string, id uint64, p *cart.Pull, must bool) bool {
-	news := &cart.News{Halls: h.members, FromHall: true, Alone: h.alone(now)}
+	news := &cart.News{Halls: h.members, FromHall: true, Alone: h.behind(now)}
 	has := make(map[string]uint64, len(p.Seen))
 	for _, s := range p.Seen {
 		has[s.Source] = s.Version
@@ -605,7 +612,7 @@
 
 // wake answers the proxies that lack something by now.
 func (h *Hall) wake(now float64) {
-	newer, alone := h.newer, h.alone(now)
+	newer, alone := h.newer, h.behind(now)
 	h.newer = false
 	h.parked = slices.DeleteFunc(h.parked, func(w parked) bool {
 		must := now > w.until || alone
@@ -618,6 +625,7 @@
 		h.digestAt = 0
 	}
 	h.met[from] = now
+	h.known = max(h.known, d.Sure)
 	h.holdsAt(now, from, d.Held)
 	for _, source := range d.Heard {
 		if h.records[source] != nil {
