--- a/internal/market/hall/hall.go
+++ b/internal/market/hall/hall.go
@@ -625,7 +625,6 @@
 		h.digestAt = 0
 	}
 	h.met[from] = now
-	h.known = max(h.known, d.Sure)
 	h.holdsAt(now, from, d.Held)
 	for _, source := range d.Heard {
 		if h.records[source] != nil {
@@ -645,6 +644,7 @@
 	if d.Sure > h.sure && d.Sure == h.held {
 		h.surely(now, d.Sure)
 	}
+	h.known = max(h.known, d.Sure) // last: what is known by now is no reason to send anybody on
 }
 
 // tickNews tells the others what is new, and forgets whom nobody has heard of.
