--- a/Makefile
+++ b/Makefile
@@ -7,10 +7,10 @@
 # The lab measures the whole machine and counts for nothing where others fill it: the mesh's tests come after it. Its simulated
 # clusters have one goroutine, so the race detector has nothing to find there.
 test:
-	go test -race -timeout 120s $$(go list ./... | grep -v /internal/market | grep -v /examples/market)
-	go test -race -timeout 240s $$(go list ./internal/market/... | grep -v fairground)
-	FAIRGROUND_DAYS=90 go test -timeout 240s ./internal/market/fairground
-	go test -timeout 120s ./examples/market
+	go test -race -timeout 120s $$(go list ./... | grep -v /internal/mesh | grep -v /examples/mesh)
+	go test -race -timeout 240s $$(go list ./internal/mesh/... | grep -v simulation)
+	SIMULATION_DAYS=90 go test -timeout 240s ./internal/mesh/simulation
+	go test -timeout 120s ./examples/mesh
 
 lint:
 	@test -z "$$(gofmt -l .)" || { echo "gofmt wanted:"; gofmt -l .; exit 1; }
--- a/cmd/guildhall/main_test.go
+++ b/cmd/beechwing-control/main_test.go
@@ -12,7 +12,7 @@
 )
 
 func TestMain(m *testing.M) {
-	testscript.Main(m, map[string]func(){"guildhall": func() { os.Exit(Main()) }, "get": get})
+	testscript.Main(m, map[string]func(){"beechwing-control": func() { os.Exit(Main()) }, "get": get})
 }
 
 // get prints what an address answers, and asks until the answer holds a word.
--- a/cmd/guildhall/run.go
+++ b/cmd/beechwing-control/run.go
@@ -13,13 +13,14 @@
 
 	"github.com/cockroachdb/errors"
 
-	"beechwing/internal/market/cart"
-	"beechwing/internal/market/charter/assay"
-	"beechwing/internal/market/counter"
-	"beechwing/internal/market/deed"
-	"beechwing/internal/market/hall"
-	"beechwing/internal/market/shop"
-	"beechwing/internal/market/vault"
+	"beechwing/internal/mesh/transport"
+
+	"beechwing/internal/mesh/api"
+	"beechwing/internal/mesh/bootstrap"
+	"beechwing/internal/mesh/cli"
+	"beechwing/internal/mesh/control"
+	"beechwing/internal/mesh/routeconfig/validate"
+	"beechwing/internal/mesh/store"
 )
 
 const (
@@ -31,40 +32,40 @@
 // program is the shell round the state machine: it owns sockets, disk and clock.
 type program struct {
 	log   *slog.Logger
-	clock shop.Clock
-	deed  *deed.Deed
-	net   *cart.Net
+	clock cli.Clock
+	deed  *bootstrap.Settings
+	net   *transport.Net
 
 	mu   sync.Mutex
-	hall *hall.Hall
+	hall *control.Server
 
 	disk    chan struct{}
 	pending struct {
 		sync.Mutex
-		puts  []vault.Put
-		after []cart.Send
+		puts  []store.Put
+		after []transport.Send
 	}
-	vault *vault.Vault
+	vault *store.Store
 
 	assayMu sync.Mutex
-	assayer *assay.Assayer
+	assayer *validate.Validator
 }
 
-func run(ctx context.Context, d *deed.Deed, says shop.Options, log *slog.Logger) error {
-	p := &program{log: log, clock: shop.NewClock(), deed: d, disk: make(chan struct{}, 1)}
+func run(ctx context.Context, d *bootstrap.Settings, says cli.Options, log *slog.Logger) error {
+	p := &program{log: log, clock: cli.NewClock(), deed: d, disk: make(chan struct{}, 1)}
 	if d.DataDir == "" {
 		return errors.New("settings: dataDir: is missing, and the control plane keeps its promises on disk")
 	}
-	shop.Memory(d)
+	cli.Memory(d)
 	var values map[string][]byte
 	var found bool
 	var err error
-	if p.vault, values, found, err = vault.Open(d.DataDir); err != nil {
+	if p.vault, values, found, err = store.Open(d.DataDir); err != nil {
 		return err
 	}
 	log.Info("disk read", "found", found, "values", len(values), "first", d.FirstStart)
 	first := d.FirstStart && len(values) == 0 // one that ended before it had promised anything begins anew
-	p.hall, err = hall.New(p.clock.Now(), hall.Options{Self: d.Inner(), Seeds: d.Seeds(), First: first,
+	p.hall, err = control.New(p.clock.Now(), control.Options{Self: d.Inner(), Seeds: d.Seeds(), First: first,
 		Window: d.Bound("passWindowS", 60), Life: rand.Uint32() | 1, Log: func(e string, args ...any) { log.Info(e, args...) }}, values, found)
 	if err != nil {
 		return err
@@ -72,27 +73,27 @@
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	p.mu.Lock()
-	if p.net, err = cart.Listen(d.Inner(), p.event); err != nil {
+	if p.net, err = transport.Listen(d.Inner(), p.event); err != nil {
 		p.mu.Unlock()
 		return err
 	}
 	p.mu.Unlock()
 	go p.write()
-	server, err := shop.Serve(ctx, d.Docking.Control, p.calls(), log)
+	server, err := cli.Serve(ctx, d.Docking.Control, p.calls(), log)
 	if err != nil {
 		return err
 	}
-	if err := shop.Metrics(ctx, d, says.Metrics, p.figures, log); err != nil {
+	if err := cli.Metrics(ctx, d, says.Metrics, p.figures, log); err != nil {
 		return err
 	}
 	time.AfterFunc(checkAfter, func() { // proxies that start as well need the rest first
 		p.assayMu.Lock()
 		defer p.assayMu.Unlock()
-		p.assayer = assay.New()
+		p.assayer = validate.New()
 	})
 	again := make(chan os.Signal, 1)
 	signal.Notify(again, syscall.SIGHUP)
-	go shop.Settings(ctx, os.Getenv(deed.Variable), again, log, func(d *deed.Deed) {
+	go cli.Settings(ctx, os.Getenv(bootstrap.Variable), again, log, func(d *bootstrap.Settings) {
 		p.with(func(float64) { p.hall.Seeds(d.Seeds()) })
 	})
 	log.Info("listening", "name", d.NodeName, "control", d.Docking.Control, "inner", d.Inner())
@@ -143,20 +144,20 @@
 }
 
 // send sends parcels; those for this process come back as input. mu is held.
-func (p *program) send(all []cart.Send) {
+func (p *program) send(all []transport.Send) {
 	self := p.deed.Inner()
 	for _, s := range all {
 		if s.To == self {
-			p.hall.Heard(p.clock.Now(), self, s.Parcel)
+			p.hall.Heard(p.clock.Now(), self, s.Message)
 			continue
 		}
-		p.net.Send(s.To, s.Parcel)
+		p.net.Send(s.To, s.Message)
 	}
 }
 
-func (p *program) event(e cart.Event) {
-	if came, ok := e.(cart.Came); ok {
-		p.with(func(now float64) { p.hall.Heard(now, came.From, came.Parcel) })
+func (p *program) event(e transport.Event) {
+	if came, ok := e.(transport.Came); ok {
+		p.with(func(now float64) { p.hall.Heard(now, came.From, came.Message) })
 	}
 }
 
@@ -192,14 +193,14 @@
 	}
 }
 
-var errNow = counter.Refusal{Status: http.StatusServiceUnavailable, Why: "no majority of the control processes can be reached from here now"}
+var errNow = api.Refusal{Status: http.StatusServiceUnavailable, Why: "no majority of the control processes can be reached from here now"}
 
 func (p *program) calls() http.Handler {
 	mux := http.NewServeMux()
-	counter.Handle(mux, "PUT /-/timetable", counter.LargeBody, func(c counter.Call, _ *counter.Raw) (*counter.Taken, error) {
+	api.Handle(mux, "PUT /-/timetable", api.LargeBody, func(c api.Call, _ *api.Raw) (*api.Taken, error) {
 		return p.take(c.Body)
 	})
-	counter.Handle(mux, "GET /-/timetable", counter.SmallBody, func(counter.Call, *counter.None) (*counter.Raw, error) {
+	api.Handle(mux, "GET /-/timetable", api.SmallBody, func(api.Call, *api.None) (*api.Raw, error) {
 		type read struct {
 			text []byte
 			ok   bool
@@ -211,35 +212,35 @@
 		case !ok || !r.ok:
 			return nil, errNow
 		case len(r.text) == 0:
-			return nil, counter.Refusal{Status: http.StatusNotFound, Why: "no configuration has been taken yet"}
+			return nil, api.Refusal{Status: http.StatusNotFound, Why: "no configuration has been taken yet"}
 		}
-		raw := counter.Raw(r.text)
+		raw := api.Raw(r.text)
 		return &raw, nil
 	})
 	// Only the proxy beside a host can close the way to it, so nothing that a host says may be acknowledged here.
-	elsewhere := counter.Refusal{Status: http.StatusServiceUnavailable, Why: "beats go to the proxy beside the host"}
+	elsewhere := api.Refusal{Status: http.StatusServiceUnavailable, Why: "beats go to the proxy beside the host"}
 	for _, call := range []string{"PUT", "DELETE"} {
-		counter.Handle(mux, call+" /-/stations/{id}", counter.SmallBody, func(counter.Call, *counter.None) (*counter.None, error) {
+		api.Handle(mux, call+" /-/stations/{id}", api.SmallBody, func(api.Call, *api.None) (*api.None, error) {
 			return nil, elsewhere
 		})
 	}
-	counter.Handle(mux, "PUT /-/orders/{id}", counter.SmallBody, func(c counter.Call, o *counter.Order) (*counter.None, error) {
+	api.Handle(mux, "PUT /-/orders/{id}", api.SmallBody, func(c api.Call, o *api.Order) (*api.None, error) {
 		if o.By == "" {
-			return nil, counter.Refusal{Status: http.StatusBadRequest, Why: "by: who says so?"}
+			return nil, api.Refusal{Status: http.StatusBadRequest, Why: "by: who says so?"}
 		}
 		err, told := ask(p, func(now float64, answer func(error)) { p.hall.Order(now, c.ID, o.Out, o.Force, o.By, o.Why, answer) })
 		switch {
-		case !told || errors.Is(err, hall.ErrNoMajority):
+		case !told || errors.Is(err, control.ErrNoMajority):
 			return nil, errNow
-		case errors.Is(err, hall.ErrNoHost):
-			return nil, counter.Refusal{Status: http.StatusNotFound, Why: err.Error()}
+		case errors.Is(err, control.ErrNoHost):
+			return nil, api.Refusal{Status: http.StatusNotFound, Why: err.Error()}
 		case err != nil:
-			return nil, counter.Refusal{Status: http.StatusConflict, Why: err.Error()}
+			return nil, api.Refusal{Status: http.StatusConflict, Why: err.Error()}
 		}
 		p.log.Info("order", "station", c.ID, "out", o.Out, "by", o.By, "why", o.Why, "force", o.Force)
 		return nil, nil
 	})
-	counter.Handle(mux, "GET /-/state", counter.SmallBody, func(counter.Call, *counter.None) (s *hall.State, err error) {
+	api.Handle(mux, "GET /-/state", api.SmallBody, func(api.Call, *api.None) (s *control.State, err error) {
 		p.with(func(now float64) { known := p.hall.State(now); s = &known })
 		return s, nil
 	})
@@ -247,7 +248,7 @@
 }
 
 // take checks a configuration and has it kept.
-func (p *program) take(text []byte) (*counter.Taken, error) {
+func (p *program) take(text []byte) (*api.Taken, error) {
 	p.assayMu.Lock()
 	if p.assayer == nil {
 		p.assayMu.Unlock()
@@ -257,33 +258,33 @@
 	p.assayMu.Unlock()
 	if err != nil {
 		p.log.Warn("configuration refused", "error", err)
-		return nil, counter.Refusal{Status: http.StatusBadRequest, Why: err.Error()}
+		return nil, api.Refusal{Status: http.StatusBadRequest, Why: err.Error()}
 	}
 	ok, told := ask(p, func(now float64, answer func(bool)) { p.hall.Put(now, edition, text, answer) })
 	if !told || !ok {
 		return nil, errNow
 	}
-	return &counter.Taken{Edition: edition}, nil
+	return &api.Taken{Edition: edition}, nil
 }
 
 // figures are what is counted, for a reading.
-func (p *program) figures(page shop.Page) {
-	var s hall.State
+func (p *program) figures(page cli.Page) {
+	var s control.State
 	p.with(func(now float64) { s = p.hall.State(now) })
-	page.Count("guildhall_claims_total", s.Counts.Claims)
-	page.Count("guildhall_claims_granted_total", s.Counts.Granted)
-	page.Count("guildhall_settles_total", s.Counts.Settles)
-	page.Count("guildhall_unsure_total", s.Counts.Unsure)
-	page.Count("guildhall_pulls_total", s.Counts.Pulls)
-	page.Count("guildhall_configurations_total", s.Counts.Writes)
+	page.Count("beechwing_control_claims_total", s.Counts.Claims)
+	page.Count("beechwing_control_claims_granted_total", s.Counts.Granted)
+	page.Count("beechwing_control_settles_total", s.Counts.Settles)
+	page.Count("beechwing_control_unsure_total", s.Counts.Unsure)
+	page.Count("beechwing_control_pulls_total", s.Counts.Pulls)
+	page.Count("beechwing_control_configurations_total", s.Counts.Writes)
 	for state, n := range s.Keys {
-		page.Gauge("guildhall_registers", float64(n), "state", state)
+		page.Gauge("beechwing_control_registers", float64(n), "state", state)
 	}
-	page.Gauge("guildhall_oldest_claim_seconds", s.Oldest)
-	page.Gauge("guildhall_edition_held", float64(s.Edition))
-	page.Gauge("guildhall_edition_in_force", float64(s.InForce))
-	page.Flag("guildhall_voting", s.Voting)
-	page.Flag("guildhall_alone", s.Alone)
-	page.Gauge("guildhall_roll", float64(len(s.Roll)))
-	page.Gauge("guildhall_silent", float64(len(s.Silent)))
+	page.Gauge("beechwing_control_oldest_claim_seconds", s.Oldest)
+	page.Gauge("beechwing_control_edition_held", float64(s.Edition))
+	page.Gauge("beechwing_control_edition_in_force", float64(s.InForce))
+	page.Flag("beechwing_control_voting", s.Voting)
+	page.Flag("beechwing_control_alone", s.Alone)
+	page.Gauge("beechwing_control_roll", float64(len(s.Roll)))
+	page.Gauge("beechwing_control_silent", float64(len(s.Silent)))
 }
--- a/cmd/stall/main_test.go
+++ b/cmd/beechwing-sidecar/main_test.go
@@ -8,7 +8,7 @@
 )
 
 func TestMain(m *testing.M) {
-	testscript.Main(m, map[string]func(){"stall": func() { os.Exit(Main()) }})
+	testscript.Main(m, map[string]func(){"beechwing-sidecar": func() { os.Exit(Main()) }})
 }
 
 func TestCommandLine(t *testing.T) { testscript.Run(t, testscript.Params{Dir: "testdata"}) }
--- a/cmd/stall/run.go
+++ b/cmd/beechwing-sidecar/run.go
@@ -14,13 +14,14 @@
 
 	"github.com/cockroachdb/errors"
 
-	"beechwing/internal/market/awning"
-	"beechwing/internal/market/cart"
-	"beechwing/internal/market/counter"
-	"beechwing/internal/market/deed"
-	"beechwing/internal/market/pitch"
-	"beechwing/internal/market/porter"
-	"beechwing/internal/market/shop"
+	"beechwing/internal/mesh/listener"
+	"beechwing/internal/mesh/transport"
+
+	"beechwing/internal/mesh/api"
+	"beechwing/internal/mesh/bootstrap"
+	"beechwing/internal/mesh/cli"
+	"beechwing/internal/mesh/sidecar"
+	"beechwing/internal/mesh/upstream"
 	"beechwing/internal/wire"
 )
 
@@ -36,38 +37,38 @@
 // program is the shell round the state machine: it owns sockets and the clock.
 type program struct {
 	log    *slog.Logger
-	clock  shop.Clock
-	deed   *deed.Deed
-	net    *cart.Net
-	porter *porter.Porter
+	clock  cli.Clock
+	deed   *bootstrap.Settings
+	net    *transport.Net
+	porter *upstream.Host
 	life   string // the host's, that the porter's connections are to
 
 	mu    sync.Mutex
-	pitch *pitch.Pitch
+	pitch *sidecar.Sidecar
 }
 
-func run(ctx context.Context, d *deed.Deed, says shop.Options, log *slog.Logger) error {
+func run(ctx context.Context, d *bootstrap.Settings, says cli.Options, log *slog.Logger) error {
 	if d.Docking.Outbound == "" || d.Docking.Ready == "" || d.AppAddress == "" {
 		return errors.New("settings: docking.outboundDock, docking.readyDock and appAddress: all have to be there")
 	}
 	bufs := wire.NewPool()
-	p := &program{log: log, clock: shop.NewClock(), deed: d, porter: porter.New(d.AppAddress, bufs)}
-	o := pitch.Options{Self: d.Inner(), Zone: d.Zone, Sender: d.Carrier, Seeds: d.Seeds(), Beat: float64(d.BeatMs) / 1000,
+	p := &program{log: log, clock: cli.NewClock(), deed: d, porter: upstream.New(d.AppAddress, bufs)}
+	o := sidecar.Options{Self: d.Inner(), Zone: d.Zone, Sender: d.Carrier, Seeds: d.Seeds(), Beat: float64(d.BeatMs) / 1000,
 		Ratio: d.Bound("retryRatio", 0.2), Slack: d.Bound("retrySlack", 0), Version: uint64(time.Now().UnixMilli()),
 		Seed: rand.Uint64(), Agreed: says.Agreed, Memory: max(16, d.Limits.MemoryMB/memoryShare) << 20,
 		Log: func(e string, args ...any) { log.Info(e, args...) }}
 	if log.Enabled(ctx, slog.LevelDebug) {
 		o.Debug = func(e string, args ...any) { log.Debug(e, args...) }
 	}
-	shop.Memory(d)
-	p.pitch = pitch.New(p.clock.Now(), o)
+	cli.Memory(d)
+	p.pitch = sidecar.New(p.clock.Now(), o)
 	term := make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
 	again := make(chan os.Signal, 1)
 	signal.Notify(again, syscall.SIGHUP)
 	var err error
 	p.mu.Lock()
-	if p.net, err = cart.Listen(d.Inner(), p.event); err != nil {
+	if p.net, err = transport.Listen(d.Inner(), p.event); err != nil {
 		p.mu.Unlock()
 		return err
 	}
@@ -82,19 +83,19 @@
 		if addr == "" {
 			continue
 		}
-		if _, err := shop.Serve(ctx, addr, h, log); err != nil {
+		if _, err := cli.Serve(ctx, addr, h, log); err != nil {
 			return err
 		}
 	}
-	if err := shop.Metrics(ctx, d, says.Metrics, p.figures, log); err != nil {
+	if err := cli.Metrics(ctx, d, says.Metrics, p.figures, log); err != nil {
 		return err
 	}
-	ln, err := shop.Listen(ctx, d.Docking.Outbound)
+	ln, err := cli.Listen(ctx, d.Docking.Outbound)
 	if err != nil {
 		return err
 	}
-	clients := awning.Open(ln, bufs, p.limits, p.serve)
-	go shop.Settings(ctx, os.Getenv(deed.Variable), again, log, func(d *deed.Deed) {
+	clients := listener.Open(ln, bufs, p.limits, p.serve)
+	go cli.Settings(ctx, os.Getenv(bootstrap.Variable), again, log, func(d *bootstrap.Settings) {
 		p.with(func(now float64) { p.pitch.Seeds(now, d.Seeds()) })
 	})
 	log.Info("listening", "name", d.NodeName, "outbound", d.Docking.Outbound, "inner", d.Inner())
@@ -115,7 +116,7 @@
 
 // end ends the process: new work is told to go elsewhere at once, what is under way goes on until it is done, or nearly until
 // the platform would end the process.
-func (p *program) end(clients *awning.Awning) {
+func (p *program) end(clients *listener.Listener) {
 	p.log.Info("ending")
 	told := time.Now()
 	last := told.Add(p.deed.Span("graceS", 6*time.Second) - lastSpare)
@@ -142,18 +143,18 @@
 	for {
 		out := p.pitch.Take()
 		for _, s := range out.Sends {
-			link := p.net.Send(s.To, s.Parcel)
+			link := p.net.Send(s.To, s.Message)
 			if s.Via != nil {
 				*s.Via = link
 			}
 		}
 		for _, do := range out.Dos {
 			switch do := do.(type) {
-			case pitch.Tell:
-				do.Order.Slot.(chan pitch.Reply) <- do.Reply
-			case pitch.Exchange:
+			case sidecar.Tell:
+				do.Order.Slot.(chan sidecar.Reply) <- do.Reply
+			case sidecar.Exchange:
 				go p.exchange(do)
-			case pitch.Probe:
+			case sidecar.Probe:
 				go func() {
 					station, well := p.porter.Probe(do.Path)
 					p.with(func(now float64) { p.pitch.Probed(now, station, well) })
@@ -166,22 +167,22 @@
 	}
 }
 
-func (p *program) event(e cart.Event) {
+func (p *program) event(e transport.Event) {
 	p.with(func(now float64) {
 		switch e := e.(type) {
-		case cart.Came:
-			p.pitch.Parcel(now, e.From, e.Parcel)
-		case cart.Sign:
+		case transport.Came:
+			p.pitch.Message(now, e.From, e.Message)
+		case transport.Sign:
 			p.pitch.Sign(now, e.From)
-		case cart.Broke:
+		case transport.Broke:
 			p.pitch.Broke(now, e)
 		}
 	})
 }
 
 // exchange has the host run a request.
-func (p *program) exchange(do pitch.Exchange) {
-	c := p.porter.Run(do.Carry, p.clock.At(do.Until))
+func (p *program) exchange(do sidecar.Exchange) {
+	c := p.porter.Run(do.Forward, p.clock.At(do.Until))
 	p.with(func(now float64) { p.pitch.Exchanged(now, do.Job, c) })
 }
 
@@ -195,8 +196,8 @@
 }
 
 // limits are those of the configuration in force.
-func (p *program) limits() awning.Limits {
-	l := awning.Usual
+func (p *program) limits() listener.Limits {
+	l := listener.Usual
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c := p.pitch.Limits()
@@ -220,34 +221,34 @@
 }
 
 // serve has a client's request answered.
-func (p *program) serve(q *awning.Request) awning.Answer {
-	o := &pitch.Order{Method: q.Method, Target: q.Target, Host: q.Host, Fields: porter.Fields(q.Header), Body: q.Body,
-		Framed: q.Framed, ID: q.Header.Get(pitch.HeaderID), Key: q.Header.Get(pitch.HeaderKey)}
-	if ms, err := strconv.ParseFloat(q.Header.Get(pitch.HeaderDeadline), 64); err == nil && ms > 0 {
+func (p *program) serve(q *listener.Request) listener.Answer {
+	o := &sidecar.Order{Method: q.Method, Target: q.Target, Host: q.Host, Fields: upstream.Fields(q.Header), Body: q.Body,
+		Framed: q.Framed, ID: q.Header.Get(sidecar.HeaderID), Key: q.Header.Get(sidecar.HeaderKey)}
+	if ms, err := strconv.ParseFloat(q.Header.Get(sidecar.HeaderDeadline), 64); err == nil && ms > 0 {
 		o.Left = ms / 1000
 	}
-	answer := make(chan pitch.Reply, 1)
+	answer := make(chan sidecar.Reply, 1)
 	o.Slot = answer
 	p.with(func(now float64) { p.pitch.Ask(now, o) })
 	return words(o, <-answer)
 }
 
 // words puts an answer into the protocol's.
-func words(o *pitch.Order, r pitch.Reply) awning.Answer {
-	a := awning.Answer{Status: r.Status, Body: r.Body, Fields: make([]awning.Field, 0, len(r.Fields)+2)}
+func words(o *sidecar.Order, r sidecar.Reply) listener.Answer {
+	a := listener.Answer{Status: r.Status, Body: r.Body, Fields: make([]listener.Field, 0, len(r.Fields)+2)}
 	for _, f := range r.Fields {
-		if f.Name != pitch.HeaderID {
-			a.Fields = append(a.Fields, awning.Field{Name: f.Name, Value: f.Value})
+		if f.Name != sidecar.HeaderID {
+			a.Fields = append(a.Fields, listener.Field{Name: f.Name, Value: f.Value})
 		}
 	}
 	if o.ID != "" {
-		a.Fields = append(a.Fields, awning.Field{Name: pitch.HeaderID, Value: o.ID})
+		a.Fields = append(a.Fields, listener.Field{Name: sidecar.HeaderID, Value: o.ID})
 	}
 	if r.Back > 0 {
-		a.Fields = append(a.Fields, awning.Field{Name: "Retry-After", Value: strconv.FormatFloat(r.Back, 'f', 3, 64)})
+		a.Fields = append(a.Fields, listener.Field{Name: "Retry-After", Value: strconv.FormatFloat(r.Back, 'f', 3, 64)})
 	}
 	if r.Ours {
-		a.Fields = append(a.Fields, awning.Field{Name: "Content-Type", Value: "text/plain"})
+		a.Fields = append(a.Fields, listener.Field{Name: "Content-Type", Value: "text/plain"})
 		a.Body = append([]byte(r.Why), '\n')
 	}
 	return a
@@ -255,7 +256,7 @@
 
 func (p *program) calls() http.Handler {
 	mux := http.NewServeMux()
-	counter.Handle(mux, "PUT /-/stations/{id}", counter.SmallBody, func(c counter.Call, b *counter.Beat) (*counter.None, error) {
+	api.Handle(mux, "PUT /-/stations/{id}", api.SmallBody, func(c api.Call, b *api.Beat) (*api.None, error) {
 		s, err := b.Station(c.ID)
 		if err != nil {
 			return nil, err
@@ -269,11 +270,11 @@
 		}
 		return nil, nil
 	})
-	counter.Handle(mux, "DELETE /-/stations/{id}", counter.SmallBody, func(c counter.Call, _ *counter.None) (*counter.None, error) {
+	api.Handle(mux, "DELETE /-/stations/{id}", api.SmallBody, func(c api.Call, _ *api.None) (*api.None, error) {
 		p.with(func(now float64) { p.pitch.Leave(now, c.ID) })
 		return nil, nil
 	})
-	counter.Handle(mux, "GET /-/state", counter.SmallBody, func(counter.Call, *counter.None) (s *pitch.State, err error) {
+	api.Handle(mux, "GET /-/state", api.SmallBody, func(api.Call, *api.None) (s *sidecar.State, err error) {
 		p.with(func(now float64) { known := p.pitch.State(now); s = &known })
 		return s, nil
 	})
@@ -281,31 +282,31 @@
 }
 
 // figures are what is counted, for a reading.
-func (p *program) figures(page shop.Page) {
-	var s pitch.State
+func (p *program) figures(page cli.Page) {
+	var s sidecar.State
 	p.with(func(now float64) { s = p.pitch.State(now) })
 	for status, n := range s.Counts.Answers {
-		page.Count("stall_answers_total", n, "status", strconv.Itoa(status))
+		page.Count("beechwing_sidecar_answers_total", n, "status", strconv.Itoa(status))
 	}
 	for verdict, n := range s.Counts.Tries {
-		page.Count("stall_tries_total", n, "verdict", verdict)
+		page.Count("beechwing_sidecar_tries_total", n, "verdict", verdict)
 	}
 	for why, n := range s.Counts.Turned {
-		page.Count("stall_turned_away_total", n, "why", why)
+		page.Count("beechwing_sidecar_turned_away_total", n, "why", why)
 	}
-	page.Count("stall_runs_total", s.Counts.Runs)
-	page.Count("stall_late_runs_total", s.Counts.Late)
-	page.Count("stall_doubts_total", s.Counts.Doubts)
-	page.Count("stall_host_connections_total", uint64(p.porter.Opened()))
-	page.Gauge("stall_edition", float64(s.Edition))
-	page.Flag("stall_ready", s.Ready)
-	page.Gauge("stall_requests_open", float64(s.Orders))
-	page.Gauge("stall_host_requests", float64(s.Jobs))
-	page.Gauge("stall_waiting", float64(s.Queued), "lane", "in time")
-	page.Gauge("stall_waiting", float64(s.Waiting), "lane", "late")
-	page.Gauge("stall_roll", float64(len(s.Roll)))
-	page.Gauge("stall_silent", float64(len(s.Silent)))
+	page.Count("beechwing_sidecar_runs_total", s.Counts.Runs)
+	page.Count("beechwing_sidecar_late_runs_total", s.Counts.Late)
+	page.Count("beechwing_sidecar_doubts_total", s.Counts.Doubts)
+	page.Count("beechwing_sidecar_host_connections_total", uint64(p.porter.Opened()))
+	page.Gauge("beechwing_sidecar_edition", float64(s.Edition))
+	page.Flag("beechwing_sidecar_ready", s.Ready)
+	page.Gauge("beechwing_sidecar_requests_open", float64(s.Orders))
+	page.Gauge("beechwing_sidecar_host_requests", float64(s.Jobs))
+	page.Gauge("beechwing_sidecar_waiting", float64(s.Queued), "lane", "in time")
+	page.Gauge("beechwing_sidecar_waiting", float64(s.Waiting), "lane", "late")
+	page.Gauge("beechwing_sidecar_roll", float64(len(s.Roll)))
+	page.Gauge("beechwing_sidecar_silent", float64(len(s.Silent)))
 	for service, n := range s.Avoided {
-		page.Gauge("stall_avoided_hosts", float64(n), "carrier", service)
+		page.Gauge("beechwing_sidecar_avoided_hosts", float64(n), "carrier", service)
 	}
 }
--- a/examples/market/main.go
+++ b/examples/mesh/main.go
@@ -1,9 +1,9 @@
-// Command market starts a small mesh on loopback: control processes, proxies with a toy host beside each, an operator who sends
+// Command mesh starts a small mesh on loopback: control processes, proxies with a toy host beside each, an operator who sends
 // a configuration, and clients. It says how long that took, what was answered, and what it cost.
 //
-//	go run ./examples/market              # builds the programs into target/ first
-//	go run ./examples/market -rate 400 -for 10s
-//	go run ./examples/market -removal -stalls 24   # hosts fail and are taken out under traffic; their records judge (removal.go)
+//	go run ./examples/mesh              # builds the programs into target/ first
+//	go run ./examples/mesh -rate 400 -for 10s
+//	go run ./examples/mesh -removal -proxies 24   # hosts fail and are taken out under traffic; their records judge (removal.go)
 package main
 
 import (
@@ -36,8 +36,8 @@
 )
 
 var (
-	halls    = flag.Int("halls", 3, "control processes")
-	stalls   = flag.Int("stalls", 4, "proxies, each with a host")
+	controls = flag.Int("controls", 3, "control processes")
+	proxies  = flag.Int("proxies", 4, "proxies, each with a host")
 	rate     = flag.Int("rate", 200, "requests a second")
 	length   = flag.Duration("for", 3*time.Second, "how long clients ask")
 	work     = flag.Duration("work", 10*time.Millisecond, "how long a host works on a request")
@@ -54,13 +54,13 @@
 func main() {
 	flag.Parse()
 	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "market:", err)
+		fmt.Fprintln(os.Stderr, "mesh:", err)
 		os.Exit(1)
 	}
 }
 
 func run() error {
-	if out, err := exec.Command("go", "build", "-o", "target/", "./cmd/stall", "./cmd/guildhall").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-o", "target/", "./cmd/beechwing-sidecar", "./cmd/beechwing-control").CombinedOutput(); err != nil {
 		return fmt.Errorf("build: %w\n%s", err, out)
 	}
 	dir, err := os.MkdirTemp("", "market")
@@ -71,19 +71,19 @@
 	var all []*process
 	defer func() { stop(all) }()
 	var seeds []string
-	for i := range min(3, *halls) {
+	for i := range min(3, *controls) {
 		seeds = append(seeds, fmt.Sprintf("127.0.7.%d:%d", i+1, control))
 	}
 	began := time.Now()
-	for i := range *halls {
-		p, err := start(dir, "guildhall", fmt.Sprintf("127.0.7.%d", i+1), "", seeds)
+	for i := range *controls {
+		p, err := start(dir, "beechwing-control", fmt.Sprintf("127.0.7.%d", i+1), "", seeds)
 		if err != nil {
 			return err
 		}
 		all = append(all, p)
 	}
-	for i := range *stalls {
-		p, err := start(dir, "stall", fmt.Sprintf("127.0.8.%d", i+1), []string{"shop", "till"}[i%2], seeds)
+	for i := range *proxies {
+		p, err := start(dir, "beechwing-sidecar", fmt.Sprintf("127.0.8.%d", i+1), []string{"shop", "till"}[i%2], seeds)
 		if err != nil {
 			return err
 		}
@@ -95,21 +95,21 @@
 	if err := configure(seeds); err != nil {
 		return err
 	}
-	fmt.Printf("configuration taken by a majority of %d control processes %v after the start\n", *halls, time.Since(began).Round(time.Millisecond))
-	for _, p := range all[*halls:] {
+	fmt.Printf("configuration taken by a majority of %d control processes %v after the start\n", *controls, time.Since(began).Round(time.Millisecond))
+	for _, p := range all[*controls:] {
 		if err := until(10*time.Second, func() bool { return status("http://"+p.ip+":"+strconv.Itoa(ready)+"/-/ready") == 200 }); err != nil {
 			return fmt.Errorf("%s is not ready: %w", p.ip, err)
 		}
 	}
 	if *removal {
 		time.Sleep(1500 * time.Millisecond) // the beats of all hosts have come round
-		return prove(all[*halls:], seeds)
+		return prove(all[*controls:], seeds)
 	}
-	fmt.Printf("%d proxies ready %v after the start\n", *stalls, time.Since(began).Round(time.Millisecond))
+	fmt.Printf("%d proxies ready %v after the start\n", *proxies, time.Since(began).Round(time.Millisecond))
 	time.Sleep(500 * time.Millisecond) // the beats of all hosts have come round
 	rest := usage(all)
-	show(all[*halls].ip)
-	asked, served, times := load(all[*halls:])
+	show(all[*controls].ip)
+	asked, served, times := load(all[*controls:])
 	if asked == 0 {
 		return fmt.Errorf("nothing was asked")
 	}
@@ -117,7 +117,7 @@
 	slices.Sort(times)
 	fmt.Printf("%d of %d requests served, p50 %v, p99 %v (a host works %v)\n", served, asked, times[len(times)/2].Round(100*time.Microsecond),
 		times[len(times)*99/100].Round(100*time.Microsecond), *work)
-	for _, kind := range []string{"stall", "guildhall"} {
+	for _, kind := range []string{"beechwing-sidecar", "beechwing-control"} {
 		fmt.Printf("%-9s  %.3f ms of CPU a request over all of them, %d to %d MB at rest, %d MB at the end\n", kind,
 			float64((end[kind].cpu-rest[kind].cpu).Microseconds())/1000/float64(asked), rest[kind].least, rest[kind].most, end[kind].most)
 	}
@@ -142,8 +142,8 @@
 		return nil, err
 	}
 	args := []string{"run", "--log", *level}
-	if program == "stall" && *removal {
-		args = append(args, "--assize")
+	if program == "beechwing-sidecar" && *removal {
+		args = append(args, "--agreed-ejection")
 	}
 	if *profiles != "" {
 		args = append(args, "--profile", filepath.Join(*profiles, program+"-"+ip+".pprof"))
--- a/examples/market/removal.go
+++ b/examples/mesh/removal.go
@@ -56,7 +56,7 @@
 		}
 	}
 	if len(tills) < 4 {
-		return fmt.Errorf("-removal needs 8 -stalls or more: four hosts that take operations")
+		return fmt.Errorf("-removal needs 8 -proxies or more: four hosts that take operations")
 	}
 	grey, dies, hand := tills[0], tills[1], tills[2]
 	var onset time.Time
@@ -175,25 +175,25 @@
 }
 
 // out asks a control process whether a host is out by agreement.
-func out(hall, station string) bool {
-	res, err := client.Get("http://" + hall + "/-/state")
+func out(server, station string) bool {
+	res, err := client.Get("http://" + server + "/-/state")
 	if err != nil || res.StatusCode != http.StatusOK {
 		return false
 	}
 	defer res.Body.Close()
 	var s struct {
-		Benches []struct {
-			Rulings []struct {
+		EjectionLists []struct {
+			Ejections []struct {
 				Station string `json:"station"`
 				LeftMs  int    `json:"left_ms"`
-			} `json:"rulings"`
-		} `json:"benches"`
+			} `json:"ejections"`
+		} `json:"ejectionLists"`
 	}
 	if json.NewDecoder(res.Body).Decode(&s) != nil {
 		return false
 	}
-	for _, b := range s.Benches {
-		for _, r := range b.Rulings {
+	for _, b := range s.EjectionLists {
+		for _, r := range b.Ejections {
 			if r.Station == station && r.LeftMs > 0 {
 				return true
 			}
--- a/internal/market/counter/counter.go
+++ b/internal/mesh/api/api.go
@@ -1,6 +1,6 @@
-// Package counter is where hosts and operators call: every call and its answer are a pair of types behind one generic handler.
+// Package api is where hosts and operators call: every call and its answer are a pair of types behind one generic handler.
 // (The field's term: API server.)
-package counter
+package api
 
 import (
 	"encoding/json"
@@ -10,7 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"beechwing/internal/market/pitch"
+	"beechwing/internal/mesh/sidecar"
 )
 
 // Refusal is an error that the protocol has a status for.
@@ -97,8 +97,8 @@
 }
 
 // Station checks a beat and gives it in the data plane's words.
-func (b *Beat) Station(id string) (pitch.Station, error) {
-	s := pitch.Station{ID: id, Carrier: b.Carrier, Address: b.Address, Zone: b.Zone, Berths: b.Berths, ColdMs: int(b.ColdLeftMs),
+func (b *Beat) Station(id string) (sidecar.Station, error) {
+	s := sidecar.Station{ID: id, Carrier: b.Carrier, Address: b.Address, Zone: b.Zone, Berths: b.Berths, ColdMs: int(b.ColdLeftMs),
 		Sequence: b.Sequence}
 	switch strings.TrimSpace(b.Condition) {
 	case "at_dock":
--- a/internal/market/deed/deed.go
+++ b/internal/mesh/bootstrap/bootstrap.go
@@ -1,5 +1,5 @@
-// Package deed reads the settings file that the platform hands to every process. (The field's term: bootstrap settings.)
-package deed
+// Package bootstrap reads the settings file that the platform hands to every process. (The field's term: bootstrap settings.)
+package bootstrap
 
 import (
 	"net"
@@ -16,8 +16,8 @@
 // Variable names the environment variable that holds the file's path.
 const Variable = "BEECHWING_SETTINGS"
 
-// Deed is what a process is told. Fields of the file that it does not know are passed over: more may be added.
-type Deed struct {
+// Settings is what a process is told. Fields of the file that it does not know are passed over: more may be added.
+type Settings struct {
 	NodeName    string            `toml:"nodeName"`
 	Role        string            `toml:"stationRole"`
 	IP          string            `toml:"ip"`
@@ -54,7 +54,7 @@
 }
 
 // Load reads the file that the environment names, and checks it.
-func Load(getenv func(string) string) (*Deed, error) {
+func Load(getenv func(string) string) (*Settings, error) {
 	path := getenv(Variable)
 	if path == "" {
 		return nil, errors.Newf("%s is not set: it holds the path of the settings file", Variable)
@@ -63,12 +63,12 @@
 }
 
 // Read reads and checks a settings file.
-func Read(path string) (*Deed, error) {
+func Read(path string) (*Settings, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, errors.Wrap(err, "settings")
 	}
-	d := &Deed{}
+	d := &Settings{}
 	if err := toml.Unmarshal(text, d); err != nil {
 		var bad *toml.DecodeError
 		if errors.As(err, &bad) {
@@ -84,7 +84,7 @@
 	return d, nil
 }
 
-func (d *Deed) check() error {
+func (d *Settings) check() error {
 	if _, err := netip.ParseAddr(d.IP); err != nil {
 		return errors.Newf("ip: %q is no address", d.IP)
 	}
@@ -129,7 +129,7 @@
 }
 
 // Bound is a figure of the rules, or what is taken where it is not told.
-func (d *Deed) Bound(name string, otherwise float64) float64 {
+func (d *Settings) Bound(name string, otherwise float64) float64 {
 	if v, told := d.bounds[name]; told {
 		return v
 	}
@@ -137,7 +137,7 @@
 }
 
 // Span is a bound in seconds.
-func (d *Deed) Span(name string, otherwise time.Duration) time.Duration {
+func (d *Settings) Span(name string, otherwise time.Duration) time.Duration {
 	unit := time.Second
 	if strings.HasSuffix(name, "Ms") {
 		unit = time.Millisecond
@@ -146,10 +146,10 @@
 }
 
 // Inner is the address at which this process is known to the others of the mesh.
-func (d *Deed) Inner() string { return net.JoinHostPort(d.IP, strconv.Itoa(d.SparePorts[0])) }
+func (d *Settings) Inner() string { return net.JoinHostPort(d.IP, strconv.Itoa(d.SparePorts[0])) }
 
 // Seeds are the inner addresses of the control processes that the file names: on all machines of a day ports are the same.
-func (d *Deed) Seeds() []string {
+func (d *Settings) Seeds() []string {
 	var seeds []string
 	for _, s := range d.SeedDepots {
 		at, _ := netip.ParseAddrPort(s)
--- a/internal/market/shop/shop.go
+++ b/internal/mesh/cli/cli.go
@@ -1,5 +1,5 @@
-// Package shop holds what both programs of the mesh are started with: clock, logs, command line, settings that change.
-package shop
+// Package cli holds what both programs of the mesh are started with: clock, logs, command line, settings that change.
+package cli
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"beechwing/internal/market/deed"
+	"beechwing/internal/mesh/bootstrap"
 )
 
 // Clock counts seconds since the process started. It never jumps, whatever the time of day does.
@@ -45,7 +45,7 @@
 const memoryShare = 0.7
 
 // Memory keeps the process inside what its settings allow.
-func Memory(d *deed.Deed) {
+func Memory(d *bootstrap.Settings) {
 	if d.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(d.Limits.MemoryMB<<20)))
 	}
@@ -79,7 +79,7 @@
 
 // Settings follows the settings file: changed is called with every other one that makes sense. One that makes none changes
 // nothing.
-func Settings(ctx context.Context, path string, again <-chan os.Signal, log *slog.Logger, changed func(*deed.Deed)) {
+func Settings(ctx context.Context, path string, again <-chan os.Signal, log *slog.Logger, changed func(*bootstrap.Settings)) {
 	last, _ := os.ReadFile(path)
 	tick := time.NewTicker(lookEvery)
 	defer tick.Stop()
@@ -95,7 +95,7 @@
 			continue
 		}
 		last = text
-		d, err := deed.Read(path)
+		d, err := bootstrap.Read(path)
 		if err != nil {
 			log.Warn("settings not taken", "error", err)
 			continue
--- a/internal/market/shop/commands.go
+++ b/internal/mesh/cli/commands.go
@@ -1,4 +1,4 @@
-package shop
+package cli
 
 import (
 	"bytes"
@@ -18,13 +18,13 @@
 	"github.com/peterbourgon/ff/v4"
 	"github.com/peterbourgon/ff/v4/ffhelp"
 
-	"beechwing/internal/market/deed"
+	"beechwing/internal/mesh/bootstrap"
 )
 
 // Program is one of the two, as its command line knows it.
 type Program struct {
 	Name, Short string
-	Run         func(ctx context.Context, d *deed.Deed, o Options, log *slog.Logger) error
+	Run         func(ctx context.Context, d *bootstrap.Settings, o Options, log *slog.Logger) error
 	Check       func(configuration []byte) (verdict string, err error)
 	Orders      bool // it takes an operator's orders on hosts
 }
@@ -40,14 +40,14 @@
 	root := &ff.Command{Name: p.Name, Usage: p.Name + " SUBCOMMAND", ShortHelp: p.Short}
 	flags := ff.NewFlagSet("run")
 	level := flags.StringLong("log", "info", "least level of the log: debug, info, warn, error")
-	agreed := flags.BoolLong("assize", "leave a host out for operations only where most proxies that met it agree that it fails (stall)")
+	agreed := flags.BoolLong("agreed-ejection", "leave a host out for operations only where most proxies that met it agree that it fails (beechwing-sidecar)")
 	metrics := flags.IntLong("metrics", 0, "port of sparePorts at which figures are served as text; 0: none")
 	profile := flags.StringLong("profile", "", "file for a CPU profile of the whole run")
 	looks := ff.NewFlagSet("state")
 	plain := looks.BoolLong("json", "as JSON in place of a table")
 	root.Subcommands = []*ff.Command{
-		{Name: "run", Usage: p.Name + " run [--log LEVEL] [--assize] [--metrics PORT] [--profile FILE]", Flags: flags,
-			ShortHelp: "serve, by the settings file that " + deed.Variable + " names",
+		{Name: "run", Usage: p.Name + " run [--log LEVEL] [--agreed-ejection] [--metrics PORT] [--profile FILE]", Flags: flags,
+			ShortHelp: "serve, by the settings file that " + bootstrap.Variable + " names",
 			Exec: func(ctx context.Context, _ []string) error {
 				return p.serve(ctx, *level, *profile, Options{*metrics, *agreed})
 			}},
@@ -77,7 +77,7 @@
 }
 
 func (p Program) serve(ctx context.Context, level, profile string, o Options) error {
-	d, err := deed.Load(os.Getenv)
+	d, err := bootstrap.Load(os.Getenv)
 	if err != nil {
 		return err
 	}
@@ -100,7 +100,7 @@
 	}
 	for _, path := range args {
 		if strings.HasSuffix(path, ".toml") {
-			d, err := deed.Read(path)
+			d, err := bootstrap.Read(path)
 			if err != nil {
 				return err
 			}
--- a/internal/market/shop/metrics.go
+++ b/internal/mesh/cli/metrics.go
@@ -1,4 +1,4 @@
-package shop
+package cli
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
-	"beechwing/internal/market/deed"
+	"beechwing/internal/mesh/bootstrap"
 )
 
 // Page is one reading of a process's figures.
@@ -52,7 +52,7 @@
 
 // Metrics serves a process's figures in the usual text format (https://prometheus.io/docs/instrumenting/exposition_formats/) at a
 // port of the machine's sparePorts. Port 0: nowhere. read is called for each reading.
-func Metrics(ctx context.Context, d *deed.Deed, port int, read func(Page), log *slog.Logger) error {
+func Metrics(ctx context.Context, d *bootstrap.Settings, port int, read func(Page), log *slog.Logger) error {
 	if port == 0 {
 		return nil
 	}
--- a/internal/market/shop/table.go
+++ b/internal/mesh/cli/table.go
@@ -1,4 +1,4 @@
-package shop
+package cli
 
 import (
 	"encoding/json"
--- a/internal/market/hall/assize.go
+++ b/internal/mesh/control/ejection.go
@@ -1,4 +1,4 @@
-package hall
+package control
 
 import (
 	"maps"
@@ -7,9 +7,9 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
-	"beechwing/internal/market/aisle"
-	"beechwing/internal/market/assize"
-	"beechwing/internal/market/cart"
+	"beechwing/internal/mesh/ejection"
+	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/rendezvous"
 )
 
 // What is in force for a service stands in one register, so that the bound on how many hosts of it may be out holds whoever writes. The
@@ -26,40 +26,40 @@
 // bench is a service's, as this process knows it.
 type bench struct {
 	version uint64
-	rulings []assize.Ruling
+	rulings []ejection.Ejection
 	busy    bool    // a write is under way
 	read    bool    // the register has been read in this life
 	wrote   float64 // when this process wrote it last
 }
 
 type court struct {
-	judge   assize.Judge
+	judge   ejection.Judge
 	benches map[string]*bench
-	news    []*cart.Testimony // for the others, since the last digest
-	told    []string          // the accused that proxies were asked about last
+	news    []*meshpb.Report // for the others, since the last digest
+	told    []string         // the accused that proxies were asked about last
 	judgeAt float64
 }
 
 // heardWords takes what a witness says.
-func (h *Hall) heardWords(now float64, witness string, words []*cart.Word, tell bool) {
+func (h *Server) heardWords(now float64, witness string, words []*meshpb.Observation, tell bool) {
 	if len(words) == 0 {
 		return
 	}
-	all := make([]assize.Word, 0, len(words))
+	all := make([]ejection.Observation, 0, len(words))
 	for _, w := range words {
-		all = append(all, assize.Word{Station: w.Station, Good: int(w.Good), Bad: int(w.Bad)})
+		all = append(all, ejection.Observation{Station: w.Station, Good: int(w.Good), Bad: int(w.Bad)})
 	}
 	h.court.judge.Hear(now, witness, all)
 	if tell {
-		h.court.news = append(h.court.news, &cart.Testimony{Witness: witness, Words: words})
+		h.court.news = append(h.court.news, &meshpb.Report{Witness: witness, Observations: words})
 		h.digestAt = 0
 	}
 }
 
 // hostsOf are the counted hosts of a service: listed and not leaving.
-func (h *Hall) hostsOf(carrier string) (stations []string) {
+func (h *Server) hostsOf(carrier string) (stations []string) {
 	for _, r := range h.records {
-		if r.Carrier == carrier && r.Station != "" && r.Condition == cart.AtDock {
+		if r.Carrier == carrier && r.Station != "" && r.Condition == meshpb.AtDock {
 			stations = append(stations, r.Station)
 		}
 	}
@@ -68,8 +68,8 @@
 }
 
 // judges says whether this process is the one to judge a service: the first in order that is not silent.
-func (h *Hall) judges(now float64, carrier string) bool {
-	for _, m := range aisle.Order(benchPrefix+carrier, h.members) {
+func (h *Server) judges(now float64, carrier string) bool {
+	for _, m := range rendezvous.Order(benchPrefix+carrier, h.members) {
 		if m == h.o.Self {
 			return true
 		}
@@ -80,7 +80,7 @@
 	return false
 }
 
-func (h *Hall) bench(carrier string) *bench {
+func (h *Server) bench(carrier string) *bench {
 	b := h.court.benches[carrier]
 	if b == nil {
 		b = &bench{}
@@ -92,8 +92,8 @@
 }
 
 // tickCourt judges what it is this process's to judge, and asks proxies about hosts that are newly accused.
-func (h *Hall) tickCourt(now float64) {
-	if now < h.court.judgeAt || h.members == nil || !h.ledger.Voting() || h.alone(now) {
+func (h *Server) tickCourt(now float64) {
+	if now < h.court.judgeAt || h.members == nil || !h.registers.Voting() || h.alone(now) {
 		return
 	}
 	h.court.judgeAt = now + judgeEvery
@@ -114,14 +114,14 @@
 		if idle || !h.judges(now, carrier) {
 			continue
 		}
-		hand := slices.ContainsFunc(b.rulings, func(r assize.Ruling) bool { return r.Hand })
+		hand := slices.ContainsFunc(b.rulings, func(r ejection.Ejection) bool { return r.Hand })
 		switch {
 		case b.busy:
 		case !b.read, hand && now > b.wrote+handRenew:
-			h.rule(now, carrier, func(held []assize.Ruling) ([]assize.Ruling, bool) { return held, b.read }, nil)
+			h.rule(now, carrier, func(held []ejection.Ejection) ([]ejection.Ejection, bool) { return held, b.read }, nil)
 		case len(accused) > 0 || len(b.rulings) > 0:
 			if _, changed := h.court.judge.Weigh(now, h.hostsOf(carrier), b.rulings); changed {
-				h.rule(now, carrier, func(held []assize.Ruling) ([]assize.Ruling, bool) {
+				h.rule(now, carrier, func(held []ejection.Ejection) ([]ejection.Ejection, bool) {
 					return h.court.judge.Weigh(now, h.hostsOf(carrier), held)
 				}, nil)
 			}
@@ -130,16 +130,16 @@
 }
 
 // rule changes what is in force for a service.
-func (h *Hall) rule(now float64, carrier string, edit func(held []assize.Ruling) (next []assize.Ruling, write bool), done func(ok bool)) {
+func (h *Server) rule(now float64, carrier string, edit func(held []ejection.Ejection) (next []ejection.Ejection, write bool), done func(ok bool)) {
 	b := h.bench(carrier)
 	b.busy = true
-	var wrote []assize.Ruling
-	h.ledger.Rule(now, benchPrefix+carrier, func(old []byte) []byte {
+	var wrote []ejection.Ejection
+	h.registers.Rule(now, benchPrefix+carrier, func(old []byte) []byte {
 		next, write := edit(h.merge(now, b, old))
 		if wrote = nil; !write {
 			return nil
 		}
-		wrote = append([]assize.Ruling{}, next...)
+		wrote = append([]ejection.Ejection{}, next...)
 		body, err := proto.Marshal(wire(now, carrier, 0, next))
 		if err != nil {
 			return nil
@@ -162,15 +162,15 @@
 
 // merge reads what a register held. How long ago it was written is not known: of a ruling that this process knows its own time holds, of
 // another nothing is left of the term, so that nothing stays out because nobody knows since when.
-func (h *Hall) merge(now float64, b *bench, body []byte) (rulings []assize.Ruling) {
-	w := &cart.Bench{}
+func (h *Server) merge(now float64, b *bench, body []byte) (rulings []ejection.Ejection) {
+	w := &meshpb.EjectionList{}
 	if proto.Unmarshal(body, w) != nil {
 		return nil
 	}
-	for _, r := range w.Rulings {
+	for _, r := range w.Ejections {
 		ruling := unwire(now, r)
 		ruling.Until = min(ruling.Until, now)
-		if at := slices.IndexFunc(b.rulings, func(k assize.Ruling) bool { return k.Station == r.Station }); at >= 0 {
+		if at := slices.IndexFunc(b.rulings, func(k ejection.Ejection) bool { return k.Station == r.Station }); at >= 0 {
 			ruling.Until = b.rulings[at].Until
 		}
 		rulings = append(rulings, ruling)
@@ -179,7 +179,7 @@
 }
 
 // adopt takes a newer version of what is in force, and lets the proxies know.
-func (h *Hall) adopt(now float64, carrier string, version uint64, rulings []assize.Ruling) {
+func (h *Server) adopt(now float64, carrier string, version uint64, rulings []ejection.Ejection) {
 	b := h.bench(carrier)
 	if version <= b.version {
 		return
@@ -194,14 +194,14 @@
 }
 
 // benchesVersion grows with each bench's.
-func (h *Hall) benchesVersion() (sum uint64) {
+func (h *Server) benchesVersion() (sum uint64) {
 	for _, b := range h.court.benches {
 		sum += b.version
 	}
 	return sum
 }
 
-func (h *Hall) wireBenches(now float64) (all []*cart.Bench) {
+func (h *Server) wireBenches(now float64) (all []*meshpb.EjectionList) {
 	for _, carrier := range slices.Sorted(maps.Keys(h.court.benches)) {
 		if b := h.court.benches[carrier]; b.version > 0 {
 			all = append(all, wire(now, carrier, b.version, b.rulings))
@@ -210,31 +210,31 @@
 	return all
 }
 
-func wire(now float64, carrier string, version uint64, rulings []assize.Ruling) *cart.Bench {
-	w := &cart.Bench{Carrier: carrier, Version: version}
+func wire(now float64, carrier string, version uint64, rulings []ejection.Ejection) *meshpb.EjectionList {
+	w := &meshpb.EjectionList{Carrier: carrier, Version: version}
 	for _, r := range rulings {
-		w.Rulings = append(w.Rulings, &cart.Ruling{Station: r.Station, LeftMs: uint32(max(0, r.Until-now) * 1000),
+		w.Ejections = append(w.Ejections, &meshpb.Ejection{Station: r.Station, LeftMs: uint32(max(0, r.Until-now) * 1000),
 			EndedMs: uint32(min(1e6, max(0, now-r.Until)) * 1000), Count: uint32(r.Count), Hand: r.Hand, By: r.By, Why: r.Why,
 			Against: uint32(r.Against), Witnesses: uint32(r.Witness)})
 	}
 	return w
 }
 
-func unwire(now float64, r *cart.Ruling) assize.Ruling {
-	until := assize.Until(now, r.LeftMs)
+func unwire(now float64, r *meshpb.Ejection) ejection.Ejection {
+	until := ejection.Until(now, r.LeftMs)
 	if r.LeftMs == 0 {
 		until = now - float64(r.EndedMs)/1000
 	}
-	return assize.Ruling{Station: r.Station, Until: until, Count: int(r.Count), Hand: r.Hand, By: r.By, Why: r.Why,
+	return ejection.Ejection{Station: r.Station, Until: until, Count: int(r.Count), Hand: r.Hand, By: r.By, Why: r.Why,
 		Against: int(r.Against), Witness: int(r.Witnesses)}
 }
 
 // heardBenches takes what another control process knows to be in force.
-func (h *Hall) heardBenches(now float64, benches []*cart.Bench) {
+func (h *Server) heardBenches(now float64, benches []*meshpb.EjectionList) {
 	for _, w := range benches {
 		if b := h.bench(w.Carrier); w.Version > b.version {
-			var rulings []assize.Ruling
-			for _, r := range w.Rulings {
+			var rulings []ejection.Ejection
+			for _, r := range w.Ejections {
 				rulings = append(rulings, unwire(now, r))
 			}
 			h.adopt(now, w.Carrier, w.Version, rulings)
@@ -249,7 +249,7 @@
 var ErrNoMajority = errors.New("no majority of the control processes can be reached from here now")
 
 // Order takes a host out by hand, or back, for all proxies and over restarts.
-func (h *Hall) Order(now float64, station string, out, force bool, by, why string, answer func(error)) {
+func (h *Server) Order(now float64, station string, out, force bool, by, why string, answer func(error)) {
 	carrier := ""
 	for _, r := range h.records {
 		if r.Station == station {
@@ -258,7 +258,7 @@
 	}
 	if carrier == "" {
 		for name, b := range h.court.benches { // one that is gone can be called back
-			if slices.ContainsFunc(b.rulings, func(r assize.Ruling) bool { return r.Station == station }) {
+			if slices.ContainsFunc(b.rulings, func(r ejection.Ejection) bool { return r.Station == station }) {
 				carrier = name
 			}
 		}
@@ -268,8 +268,8 @@
 		return
 	}
 	var refused error
-	h.rule(now, carrier, func(held []assize.Ruling) ([]assize.Ruling, bool) {
-		next, err := assize.Order(now, h.hostsOf(carrier), held, station, out, force, by, why)
+	h.rule(now, carrier, func(held []ejection.Ejection) ([]ejection.Ejection, bool) {
+		next, err := ejection.Order(now, h.hostsOf(carrier), held, station, out, force, by, why)
 		refused = err
 		return next, err == nil
 	}, func(ok bool) {
--- a/internal/market/hall/hall.go
+++ b/internal/mesh/control/server.go
@@ -1,7 +1,7 @@
-// Package hall is the control plane's state machine: which control processes there are, the configuration, the roll of hosts
+// Package control is the control plane's state machine: which control processes there are, the configuration, the roll of hosts
 // as news, and the registers of keys. (The field's term: control plane.) It takes inputs and returns what to send, to write
 // and to answer; sockets, disk and clock are the program's.
-package hall
+package control
 
 import (
 	"bytes"
@@ -11,9 +11,11 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"beechwing/internal/market/cart"
-	"beechwing/internal/market/ledger"
-	"beechwing/internal/market/vault"
+	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/transport"
+
+	"beechwing/internal/mesh/register"
+	"beechwing/internal/mesh/store"
 )
 
 // Times, in seconds. Each names what it waits for.
@@ -30,7 +32,7 @@
 	writeFor      = 0.9  // a configuration without a majority: its caller goes elsewhere after a second
 	aloneAfter    = 0.7  // without a word from a majority: what is known here may be old
 	dumpEvery     = 0.3  // what was not answered is asked again
-	forgiveBefore = ledger.GiveUp + 0.4
+	forgiveBefore = register.GiveUp + 0.4
 	mostParked    = 4096
 	mostSources   = 8192
 )
@@ -42,7 +44,7 @@
 	nameWhole   = "whole" // the registers hold all that this process ever promised
 )
 
-// Options is what a hall is told at its start.
+// Options is what a server is told at its start.
 type Options struct {
 	Self   string
 	Seeds  []string
@@ -52,17 +54,17 @@
 	Log    func(event string, args ...any)
 }
 
-// Hall is one control process.
-type Hall struct {
-	o       Options
-	began   float64
-	ledger  *ledger.Ledger
-	members []string
-	joined  map[string]bool // at the founder
-	joinAt  float64         // when the last of them came
-	askAt   float64
-	empty   bool // its disk came back empty: it has to recover
-	dumps   map[string]*dump
+// Server is one control process.
+type Server struct {
+	o         Options
+	began     float64
+	registers *register.Registers
+	members   []string
+	joined    map[string]bool // at the founder
+	joinAt    float64         // when the last of them came
+	askAt     float64
+	empty     bool // its disk came back empty: it has to recover
+	dumps     map[string]*dump
 
 	held, sure uint64 // versions of the configuration: on this disk, on a majority
 	known      uint64 // the newest that another says is on a majority
@@ -72,18 +74,18 @@
 	writes     map[uint64]*write
 	lastID     uint64
 
-	records  map[string]*cart.Record
+	records  map[string]*meshpb.Record
 	heard    map[string]float64 // when a source was last heard of, by anybody
 	direct   map[string]bool    // heard here since the last digest
 	parked   []parked
-	newer    bool           // something has come since the parked were looked through
-	changed  []*cart.Record // since the last digest
+	newer    bool             // something has come since the parked were looked through
+	changed  []*meshpb.Record // since the last digest
 	digestAt float64
 	wholeAt  float64
 	whole    int
 
 	court court
-	out   ledger.Effects
+	out   register.Effects
 	count Counts
 }
 
@@ -104,14 +106,14 @@
 type parked struct {
 	from  string
 	id    uint64
-	pull  *cart.Pull
+	pull  *meshpb.Pull
 	until float64
 }
 
-// New makes a hall from what its disk held. found says whether there was a store.
-func New(now float64, o Options, values map[string][]byte, found bool) (*Hall, error) {
-	h := &Hall{o: o, began: now, ledger: ledger.New(o.Self, o.Life, o.Window), joined: map[string]bool{}, dumps: map[string]*dump{},
-		holds: map[string]uint64{}, met: map[string]float64{}, writes: map[uint64]*write{}, records: map[string]*cart.Record{},
+// New makes a server from what its disk held. found says whether there was a store.
+func New(now float64, o Options, values map[string][]byte, found bool) (*Server, error) {
+	h := &Server{o: o, began: now, registers: register.New(o.Self, o.Life, o.Window), joined: map[string]bool{}, dumps: map[string]*dump{},
+		holds: map[string]uint64{}, met: map[string]float64{}, writes: map[uint64]*write{}, records: map[string]*meshpb.Record{},
 		heard: map[string]float64{}, direct: map[string]bool{}, court: court{benches: map[string]*bench{}}}
 	if o.Log == nil {
 		h.o.Log = func(string, ...any) {}
@@ -122,7 +124,7 @@
 	if text := values[nameSure]; len(text) == 8 && binary.BigEndian.Uint64(text) == h.held {
 		h.sure = h.held // it was in force, so proxies that start may begin with it
 	}
-	if err := h.ledger.Restore(now, values); err != nil {
+	if err := h.registers.Restore(now, values); err != nil {
 		return nil, err
 	}
 	whole := len(values[nameWhole]) > 0
@@ -134,44 +136,44 @@
 }
 
 // seat takes the members, in the form in which they are kept.
-func (h *Hall) seat(now float64, text string) {
+func (h *Server) seat(now float64, text string) {
 	h.members = nil
 	for m := range bytes.SplitSeq([]byte(text), []byte(",")) {
 		h.members = append(h.members, string(m))
 	}
-	h.ledger.Seat(h.members)
+	h.registers.Seat(h.members)
 	if !h.empty {
-		h.ledger.Vote()
+		h.registers.Vote()
 	}
-	h.o.Log("seated", "members", text, "voting", h.ledger.Voting())
+	h.o.Log("seated", "members", text, "voting", h.registers.Voting())
 }
 
 // Take gives what is to be done since the last call.
-func (h *Hall) Take() ledger.Effects {
-	out := h.ledger.Take()
+func (h *Server) Take() register.Effects {
+	out := h.registers.Take()
 	out.Sends = append(out.Sends, h.out.Sends...)
 	out.Puts = append(out.Puts, h.out.Puts...)
 	out.After = append(out.After, h.out.After...)
-	h.out = ledger.Effects{}
+	h.out = register.Effects{}
 	return out
 }
 
 // Seeds takes over other seeds: the settings file has changed. Who knows the members asks nobody.
-func (h *Hall) Seeds(seeds []string) { h.o.Seeds = seeds }
+func (h *Server) Seeds(seeds []string) { h.o.Seeds = seeds }
 
 // Ready says whether calls can be served here.
-func (h *Hall) Ready() bool { return h.ledger.Voting() }
+func (h *Server) Ready() bool { return h.registers.Voting() }
 
 // Members are the control processes, once they are known.
-func (h *Hall) Members() []string { return h.members }
+func (h *Server) Members() []string { return h.members }
 
-func (h *Hall) majority() int { return len(h.members)/2 + 1 }
+func (h *Server) majority() int { return len(h.members)/2 + 1 }
 
-func (h *Hall) send(to string, p *cart.Parcel) {
-	h.out.Sends = append(h.out.Sends, cart.Send{To: to, Parcel: p})
+func (h *Server) send(to string, p *meshpb.Message) {
+	h.out.Sends = append(h.out.Sends, transport.Send{To: to, Message: p})
 }
 
-func (h *Hall) others(p *cart.Parcel) {
+func (h *Server) others(p *meshpb.Message) {
 	for _, m := range h.members {
 		if m != h.o.Self {
 			h.send(m, p)
@@ -180,7 +182,7 @@
 }
 
 // Heard takes a parcel.
-func (h *Hall) Heard(now float64, from string, p *cart.Parcel) {
+func (h *Server) Heard(now float64, from string, p *meshpb.Message) {
 	switch {
 	case p.Found != nil:
 		h.heardFound(now, from, p.Found)
@@ -197,57 +199,57 @@
 	case p.Dumped != nil:
 		h.heardDumped(now, from, p.Dumped)
 	case p.Claim != nil && h.alone(now): // nothing can be bound from here: the asker goes elsewhere at once
-		h.answerer(from, p.Id, p.Claim.Token, false)(ledger.Unsure, nil)
+		h.answerer(from, p.Id, p.Claim.Token, false)(register.Unsure, nil)
 	case p.Claim != nil:
 		h.count.Claims++
-		h.ledger.Claim(now, p.Claim, h.answerer(from, p.Id, p.Claim.Token, true))
+		h.registers.Claim(now, p.Claim, h.answerer(from, p.Id, p.Claim.Token, true))
 	case p.Settle != nil: // who settles has the receipt
 		h.count.Settles++
-		h.ledger.Settle(now, p.Settle.Key, p.Settle.Receipt, p.Settle.IfFree, h.answerer(from, p.Id, p.Settle.Receipt.GetToken(), false))
+		h.registers.Settle(now, p.Settle.Key, p.Settle.Receipt, p.Settle.IfFree, h.answerer(from, p.Id, p.Settle.Receipt.GetToken(), false))
 	case p.Ping != nil:
-		h.send(from, &cart.Parcel{Id: p.Id, Pong: p.Ping})
+		h.send(from, &meshpb.Message{Id: p.Id, Pong: p.Ping})
 	default:
-		h.ledger.Heard(now, from, p)
+		h.registers.Heard(now, from, p)
 	}
 }
 
-func (h *Hall) answerer(from string, id, token uint64, receipt bool) func(uint32, *cart.Receipt) {
-	return func(state uint32, held *cart.Receipt) {
-		c := &cart.Claimed{State: state, Token: token}
+func (h *Server) answerer(from string, id, token uint64, receipt bool) func(uint32, *meshpb.Receipt) {
+	return func(state uint32, held *meshpb.Receipt) {
+		c := &meshpb.Claimed{State: state, Token: token}
 		switch {
-		case state == ledger.Unsure:
+		case state == register.Unsure:
 			h.count.Unsure++
-		case receipt && state == ledger.Claimed:
+		case receipt && state == register.Claimed:
 			h.count.Granted++
 		}
-		if receipt && state == ledger.Done {
+		if receipt && state == register.Done {
 			c.Receipt = held
 		}
-		h.send(from, &cart.Parcel{Id: id, Claimed: c})
+		h.send(from, &meshpb.Message{Id: id, Claimed: c})
 	}
 }
 
 // Tick does what is due. It is to be called every few hundredths of a second.
-func (h *Hall) Tick(now float64) {
+func (h *Server) Tick(now float64) {
 	if h.members == nil {
 		h.meet(now)
-	} else if h.empty && h.ledgerSeat() {
+	} else if h.empty && h.isMember() {
 		h.recover(now)
 	}
-	h.ledger.Tick(now)
+	h.registers.Tick(now)
 	h.tickWrites(now)
 	h.tickCourt(now)
 	h.tickNews(now)
 }
 
-func (h *Hall) ledgerSeat() bool { return slices.Contains(h.members, h.o.Self) }
+func (h *Server) isMember() bool { return slices.Contains(h.members, h.o.Self) }
 
 // ---- who the members are
 
 // meet finds out, or as the founder decides, who the members are. The founder is the first of the seeds by address: at the
 // first start every process has the same three, and they are up. What it has decided stands for ever: it is on its disk before
 // anybody hears of it.
-func (h *Hall) meet(now float64) {
+func (h *Server) meet(now float64) {
 	founder := slices.Min(h.o.Seeds)
 	if h.o.First && founder == h.o.Self {
 		if !h.joined[h.o.Self] {
@@ -268,12 +270,12 @@
 	h.askAt = now + joinEvery
 	for _, s := range h.o.Seeds {
 		if s != h.o.Self {
-			h.send(s, &cart.Parcel{Found: &cart.Found{Join: true, From: h.o.Self}})
+			h.send(s, &meshpb.Message{Found: &meshpb.Found{Join: true, From: h.o.Self}})
 		}
 	}
 }
 
-func (h *Hall) found(now float64) {
+func (h *Server) found(now float64) {
 	var members []string
 	for m := range h.joined {
 		members = append(members, m)
@@ -282,13 +284,13 @@
 	h.become(now, members)
 	for _, m := range members {
 		if m != h.o.Self {
-			h.out.After = append(h.out.After, cart.Send{To: m, Parcel: &cart.Parcel{Found: &cart.Found{Members: members}}})
+			h.out.After = append(h.out.After, transport.Send{To: m, Message: &meshpb.Message{Found: &meshpb.Found{Members: members}}})
 		}
 	}
 }
 
 // become takes the members for ever.
-func (h *Hall) become(now float64, members []string) {
+func (h *Server) become(now float64, members []string) {
 	var text []byte
 	for i, m := range members {
 		if i > 0 {
@@ -296,17 +298,17 @@
 		}
 		text = append(text, m...)
 	}
-	h.out.Puts = append(h.out.Puts, vault.Put{Name: nameMembers, Value: text})
+	h.out.Puts = append(h.out.Puts, store.Put{Name: nameMembers, Value: text})
 	if !h.empty {
-		h.out.Puts = append(h.out.Puts, vault.Put{Name: nameWhole, Value: []byte("1")})
+		h.out.Puts = append(h.out.Puts, store.Put{Name: nameWhole, Value: []byte("1")})
 	}
 	h.seat(now, string(text))
 }
 
-func (h *Hall) heardFound(now float64, from string, f *cart.Found) {
+func (h *Server) heardFound(now float64, from string, f *meshpb.Found) {
 	switch {
 	case f.Join && h.members != nil:
-		h.send(from, &cart.Parcel{Found: &cart.Found{Members: h.members}})
+		h.send(from, &meshpb.Message{Found: &meshpb.Found{Members: h.members}})
 	case f.Join && !h.joined[from]:
 		h.joined[from], h.joinAt = true, now
 	case len(f.Members) > 0 && h.members == nil:
@@ -318,7 +320,7 @@
 
 // recover asks the others for all they hold. Enough of them have answered when every majority that this process may have
 // been part of left a copy with one of those.
-func (h *Hall) recover(now float64) {
+func (h *Server) recover(now float64) {
 	if now < h.began+forgiveBefore { // ballots that it had a part in are given up by then
 		return
 	}
@@ -336,44 +338,44 @@
 			done++
 		} else if now > d.asked+dumpEvery {
 			d.asked = now
-			h.send(m, &cart.Parcel{Dump: &cart.Dump{After: d.after}})
+			h.send(m, &meshpb.Message{Dump: &meshpb.Dump{After: d.after}})
 		}
 	}
 	if done < len(h.members)-h.majority()+1 {
 		return
 	}
 	h.empty = false
-	h.out.Puts = append(h.out.Puts, vault.Put{Name: nameWhole, Value: []byte("1")})
-	h.ledger.Recovered(now)
-	registers, _ := h.ledger.Size()
+	h.out.Puts = append(h.out.Puts, store.Put{Name: nameWhole, Value: []byte("1")})
+	h.registers.Recovered(now)
+	registers, _ := h.registers.Size()
 	h.o.Log("recovered", "registers", registers, "edition", h.held, "from", done)
 }
 
 // heardDump gives a page, unless this process lacks something itself.
-func (h *Hall) heardDump(from string, id uint64, d *cart.Dump) {
-	if !h.ledger.Voting() {
+func (h *Server) heardDump(from string, id uint64, d *meshpb.Dump) {
+	if !h.registers.Voting() {
 		return
 	}
-	page, last := h.ledger.Dump(d.After)
-	out := &cart.Dumped{Entries: page, Last: last, Voting: true}
+	page, last := h.registers.Dump(d.After)
+	out := &meshpb.Dumped{Entries: page, Last: last, Voting: true}
 	if last {
 		out.Edition, out.Text = h.held, h.text
 	}
-	h.send(from, &cart.Parcel{Id: id, Dumped: out})
+	h.send(from, &meshpb.Message{Id: id, Dumped: out})
 }
 
-func (h *Hall) heardDumped(now float64, from string, d *cart.Dumped) {
+func (h *Server) heardDumped(now float64, from string, d *meshpb.Dumped) {
 	w := h.dumps[from]
 	if !h.empty || w == nil || w.done || !d.Voting {
 		return
 	}
-	h.ledger.Recover(now, d.Entries)
+	h.registers.Recover(now, d.Entries)
 	if len(d.Entries) > 0 {
 		w.after = d.Entries[len(d.Entries)-1].Key
 	}
 	if !d.Last {
 		w.asked = now
-		h.send(from, &cart.Parcel{Dump: &cart.Dump{After: w.after}})
+		h.send(from, &meshpb.Message{Dump: &meshpb.Dump{After: w.after}})
 		return
 	}
 	w.done = true
@@ -384,19 +386,19 @@
 
 // store keeps a configuration on this disk if it is newer than what is there. Of two with one number, which two operators may
 // send at one moment, all keep the same.
-func (h *Hall) store(edition uint64, text []byte) {
+func (h *Server) store(edition uint64, text []byte) {
 	if edition < h.held || edition == h.held && bytes.Compare(text, h.text) <= 0 || edition == 0 {
 		return
 	}
 	h.held, h.text = edition, text
-	h.out.Puts = append(h.out.Puts, vault.Put{Name: nameCharter,
+	h.out.Puts = append(h.out.Puts, store.Put{Name: nameCharter,
 		Value: append(binary.BigEndian.AppendUint64(nil, edition), text...)})
 }
 
 // Put has a valid configuration kept by a majority. One that is not above what is held changes nothing; it is answered once
 // what is held stands as firmly.
-func (h *Hall) Put(now float64, edition uint64, text []byte, answer func(ok bool)) {
-	if !h.ledger.Voting() {
+func (h *Server) Put(now float64, edition uint64, text []byte, answer func(ok bool)) {
+	if !h.registers.Voting() {
 		answer(false)
 		return
 	}
@@ -411,7 +413,7 @@
 	h.write(now, h.held, func(_ uint64, _ []byte, ok bool) { answer(ok) })
 }
 
-func (h *Hall) write(now float64, edition uint64, answer func(uint64, []byte, bool)) {
+func (h *Server) write(now float64, edition uint64, answer func(uint64, []byte, bool)) {
 	h.lastID++
 	w := &write{began: now, tried: now, edition: edition, votes: map[string]bool{}, answer: answer}
 	h.writes[h.lastID] = w
@@ -419,31 +421,31 @@
 }
 
 // spread sends a write, or a question, to all. This process counts once its own disk has it.
-func (h *Hall) spread(id uint64, w *write) {
-	s := &cart.Store{Edition: h.held, Text: h.text}
+func (h *Server) spread(id uint64, w *write) {
+	s := &meshpb.Store{Edition: h.held, Text: h.text}
 	if w.edition == 0 {
-		s = &cart.Store{Edition: h.held, Read: true}
+		s = &meshpb.Store{Edition: h.held, Read: true}
 	}
-	h.others(&cart.Parcel{Id: id, Store: s})
-	h.out.After = append(h.out.After, cart.Send{To: h.o.Self, Parcel: &cart.Parcel{Id: id,
-		Stored: &cart.Stored{Edition: h.held, Yes: true}}})
+	h.others(&meshpb.Message{Id: id, Store: s})
+	h.out.After = append(h.out.After, transport.Send{To: h.o.Self, Message: &meshpb.Message{Id: id,
+		Stored: &meshpb.Stored{Edition: h.held, Yes: true}}})
 }
 
-func (h *Hall) heardStore(now float64, from string, id uint64, s *cart.Store) {
-	if !h.ledger.Voting() {
+func (h *Server) heardStore(now float64, from string, id uint64, s *meshpb.Store) {
+	if !h.registers.Voting() {
 		return
 	}
 	if !s.Read {
 		h.store(s.Edition, s.Text)
 	}
-	out := &cart.Stored{Edition: h.held, Yes: true}
+	out := &meshpb.Stored{Edition: h.held, Yes: true}
 	if h.held > s.Edition {
 		out.Text = h.text
 	}
-	h.out.After = append(h.out.After, cart.Send{To: from, Parcel: &cart.Parcel{Id: id, Stored: out}})
+	h.out.After = append(h.out.After, transport.Send{To: from, Message: &meshpb.Message{Id: id, Stored: out}})
 }
 
-func (h *Hall) heardStored(now float64, from string, id uint64, s *cart.Stored) {
+func (h *Server) heardStored(now float64, from string, id uint64, s *meshpb.Stored) {
 	if s.Edition > h.held && len(s.Text) > 0 {
 		h.store(s.Edition, s.Text) // a newer one: this copy is mended
 	}
@@ -471,7 +473,7 @@
 }
 
 // holdsAt notes what another has on its disk: what a majority has is in force.
-func (h *Hall) holdsAt(now float64, from string, edition uint64) {
+func (h *Server) holdsAt(now float64, from string, edition uint64) {
 	h.holds[from] = max(h.holds[from], edition)
 	if from == h.o.Self || h.held <= h.sure {
 		return
@@ -488,27 +490,27 @@
 }
 
 // surely notes that a configuration is in force, and lets the proxies know.
-func (h *Hall) surely(now float64, edition uint64) {
+func (h *Server) surely(now float64, edition uint64) {
 	if edition <= h.sure {
 		return
 	}
 	h.sure, h.newer = edition, true
-	h.out.Puts = append(h.out.Puts, vault.Put{Name: nameSure, Value: binary.BigEndian.AppendUint64(nil, edition)})
+	h.out.Puts = append(h.out.Puts, store.Put{Name: nameSure, Value: binary.BigEndian.AppendUint64(nil, edition)})
 	h.o.Log("in force", "edition", edition)
 	h.digestAt = 0
 	h.wake(now)
 }
 
 // Get reads the newest configuration from a majority.
-func (h *Hall) Get(now float64, answer func(text []byte, ok bool)) {
-	if !h.ledger.Voting() {
+func (h *Server) Get(now float64, answer func(text []byte, ok bool)) {
+	if !h.registers.Voting() {
 		answer(nil, false)
 		return
 	}
 	h.write(now, 0, func(_ uint64, text []byte, ok bool) { answer(text, ok) })
 }
 
-func (h *Hall) tickWrites(now float64) {
+func (h *Server) tickWrites(now float64) {
 	for _, id := range slices.Sorted(maps.Keys(h.writes)) {
 		w := h.writes[id]
 		switch {
@@ -525,7 +527,7 @@
 // ---- news
 
 // learn takes a record if it is newer than what is known of its source.
-func (h *Hall) learn(now float64, r *cart.Record, tell bool) {
+func (h *Server) learn(now float64, r *meshpb.Record, tell bool) {
 	old := h.records[r.Source]
 	if old != nil && old.Version >= r.Version || old == nil && len(h.records) >= mostSources {
 		return
@@ -541,12 +543,12 @@
 	h.wake(now)
 }
 
-func (h *Hall) heardPull(now float64, from string, id uint64, p *cart.Pull) {
+func (h *Server) heardPull(now float64, from string, id uint64, p *meshpb.Pull) {
 	h.count.Pulls++
 	if p.Own != nil {
 		h.heard[p.Own.Source], h.direct[p.Own.Source] = now, true
 		h.learn(now, p.Own, true)
-		h.heardWords(now, p.Own.Source, p.Words, true)
+		h.heardWords(now, p.Own.Source, p.Observations, true)
 	}
 	if !h.answerPull(now, from, id, p, !p.Hold || h.behind(now)) && len(h.parked) < mostParked {
 		h.parked = append(h.parked, parked{from, id, p, now + holdFor})
@@ -555,12 +557,12 @@
 
 // behind says that what is known here may be old: proxies had better ask another. One that lost its disk hears the others and does not
 // know what was acknowledged until it has recovered; one that missed a configuration knows that there is a newer one.
-func (h *Hall) behind(now float64) bool {
-	return h.alone(now) || !h.ledger.Voting() || h.sure < h.known
+func (h *Server) behind(now float64) bool {
+	return h.alone(now) || !h.registers.Voting() || h.sure < h.known
 }
 
 // alone says that this process has heard from no majority lately, as behind a cut: it would not know of what is new.
-func (h *Hall) alone(now float64) bool {
+func (h *Server) alone(now float64) bool {
 	n := 1
 	for _, m := range h.members {
 		if m != h.o.Self && h.met[m] > 0 && now < h.met[m]+aloneAfter {
@@ -571,8 +573,8 @@
 }
 
 // answerPull tells a proxy what it lacks. Where that is nothing it is told so only if it must be.
-func (h *Hall) answerPull(now float64, from string, id uint64, p *cart.Pull, must bool) bool {
-	news := &cart.News{Halls: h.members, FromHall: true, Alone: h.behind(now)}
+func (h *Server) answerPull(now float64, from string, id uint64, p *meshpb.Pull, must bool) bool {
+	news := &meshpb.Update{Servers: h.members, FromServer: true, Alone: h.behind(now)}
 	has := make(map[string]uint64, len(p.Seen))
 	for _, s := range p.Seen {
 		has[s.Source] = s.Version
@@ -582,24 +584,24 @@
 			news.Records = append(news.Records, r)
 		}
 	}
-	if version := h.benchesVersion(); version > p.Benches {
-		news.Benches, news.BenchesVersion = h.wireBenches(now), version
+	if version := h.benchesVersion(); version > p.EjectionLists {
+		news.EjectionLists, news.EjectionsVersion = h.wireBenches(now), version
 	}
 	if h.sure > p.Edition && h.held >= h.sure {
 		news.Edition, news.Text = h.held, h.text
 	}
 	news.Accused = h.court.told
-	if len(news.Records) == 0 && news.Edition == 0 && news.BenchesVersion == 0 && !must && !h.asks(p) {
+	if len(news.Records) == 0 && news.Edition == 0 && news.EjectionsVersion == 0 && !must && !h.asks(p) {
 		return false
 	}
-	slices.SortFunc(news.Records, func(a, b *cart.Record) int { return bytes.Compare([]byte(a.Source), []byte(b.Source)) })
+	slices.SortFunc(news.Records, func(a, b *meshpb.Record) int { return bytes.Compare([]byte(a.Source), []byte(b.Source)) })
 	news.Silent = h.silent(now)
-	h.send(from, &cart.Parcel{Id: id, News: news})
+	h.send(from, &meshpb.Message{Id: id, Update: news})
 	return true
 }
 
 // silent are the proxies of which nobody has heard for long, in order.
-func (h *Hall) silent(now float64) (sources []string) {
+func (h *Server) silent(now float64) (sources []string) {
 	for source, at := range h.heard {
 		if now > at+silentAfter {
 			sources = append(sources, source)
@@ -610,14 +612,14 @@
 }
 
 // asks says whether a proxy is to be asked about an accused host of which it has not spoken.
-func (h *Hall) asks(p *cart.Pull) bool {
+func (h *Server) asks(p *meshpb.Pull) bool {
 	return slices.ContainsFunc(h.court.told, func(station string) bool {
 		return !slices.Contains(p.Accused, station)
 	})
 }
 
 // wake answers the proxies that lack something by now.
-func (h *Hall) wake(now float64) {
+func (h *Server) wake(now float64) {
 	newer, behind := h.newer, h.behind(now)
 	h.newer = false
 	h.parked = slices.DeleteFunc(h.parked, func(w parked) bool {
@@ -626,7 +628,7 @@
 	})
 }
 
-func (h *Hall) heardDigest(now float64, from string, d *cart.Digest) {
+func (h *Server) heardDigest(now float64, from string, d *meshpb.Digest) {
 	if now > h.met[from]+aloneAfter { // one that comes back, or comes first: it hears from here at once
 		h.digestAt = 0
 	}
@@ -640,11 +642,11 @@
 	for _, r := range d.Records {
 		h.learn(now, r, false)
 	}
-	for _, t := range d.Testimonies {
-		h.heardWords(now, t.Witness, t.Words, false)
+	for _, t := range d.Reports {
+		h.heardWords(now, t.Witness, t.Observations, false)
 	}
-	h.heardBenches(now, d.Benches)
-	if d.Held > h.held && len(h.writes) < 8 && h.ledger.Voting() { // this copy is old: the sweep mends it
+	h.heardBenches(now, d.EjectionLists)
+	if d.Held > h.held && len(h.writes) < 8 && h.registers.Voting() { // this copy is old: the sweep mends it
 		h.write(now, 0, func(uint64, []byte, bool) {})
 	}
 	if d.Sure > h.sure && d.Sure == h.held {
@@ -654,7 +656,7 @@
 }
 
 // tickNews tells the others what is new, and forgets whom nobody has heard of.
-func (h *Hall) tickNews(now float64) {
+func (h *Server) tickNews(now float64) {
 	h.wake(now)
 	if h.members == nil || now < h.digestAt {
 		return
@@ -663,7 +665,7 @@
 	if h.alone(now) {
 		h.digestAt = now + digestSoon
 	}
-	d := &cart.Digest{Held: h.held, Sure: h.sure, Records: h.changed, Testimonies: h.court.news, Benches: h.wireBenches(now)}
+	d := &meshpb.Digest{Held: h.held, Sure: h.sure, Records: h.changed, Reports: h.court.news, EjectionLists: h.wireBenches(now)}
 	h.court.news = nil
 	for source := range h.direct {
 		d.Heard = append(d.Heard, source)
@@ -672,16 +674,16 @@
 	clear(h.direct)
 	h.changed = nil
 	h.holds[h.o.Self] = h.held
-	h.others(&cart.Parcel{Digest: d})
+	h.others(&meshpb.Message{Digest: d})
 	if now >= h.wholeAt && len(h.members) > 1 {
 		h.wholeAt = now + wholeEvery/float64(len(h.members)-1)
 		h.whole++
-		all := &cart.Digest{Held: h.held, Sure: h.sure}
+		all := &meshpb.Digest{Held: h.held, Sure: h.sure}
 		for _, r := range h.records {
 			all.Records = append(all.Records, r)
 		}
 		if to := h.members[h.whole%len(h.members)]; to != h.o.Self && len(all.Records) > 0 {
-			h.send(to, &cart.Parcel{Digest: all})
+			h.send(to, &meshpb.Message{Digest: all})
 		}
 	}
 	for source, at := range h.heard {
@@ -702,35 +704,35 @@
 	Writes  uint64 `json:"configurations"`
 }
 
-// State is what an operator sees of a hall.
+// State is what an operator sees of a server.
 type State struct {
-	Members   []string          `json:"members"`
-	Voting    bool              `json:"voting"`
-	Edition   uint64            `json:"held"`
-	InForce   uint64            `json:"inForce"`
-	Alone     bool              `json:"alone"`
-	Registers int               `json:"registers"`
-	Keys      map[string]int    `json:"keys"`
-	Oldest    float64           `json:"oldestClaimSeconds"`
-	Changes   int               `json:"changes"`
-	Held      map[string]uint64 `json:"editions"`
-	Pulls     int               `json:"heldPulls"`
-	Benches   []*cart.Bench     `json:"benches"`
-	Silent    []string          `json:"silent"`
-	Counts    Counts            `json:"counts"`
-	Roll      []*cart.Record    `json:"roll"`
+	Members       []string               `json:"members"`
+	Voting        bool                   `json:"voting"`
+	Edition       uint64                 `json:"held"`
+	InForce       uint64                 `json:"inForce"`
+	Alone         bool                   `json:"alone"`
+	Registers     int                    `json:"registers"`
+	Keys          map[string]int         `json:"keys"`
+	Oldest        float64                `json:"oldestClaimSeconds"`
+	Changes       int                    `json:"changes"`
+	Held          map[string]uint64      `json:"editions"`
+	Pulls         int                    `json:"heldPulls"`
+	EjectionLists []*meshpb.EjectionList `json:"ejectionLists"`
+	Silent        []string               `json:"silent"`
+	Counts        Counts                 `json:"counts"`
+	Roll          []*meshpb.Record       `json:"roll"`
 }
 
 // State tells what is known here.
-func (h *Hall) State(now float64) State {
-	s := State{Members: h.members, Voting: h.ledger.Voting(), Alone: h.alone(now), Edition: h.held, InForce: h.sure, Pulls: len(h.parked),
-		Held: maps.Clone(h.holds), Counts: h.count, Benches: h.wireBenches(now)}
-	s.Registers, s.Changes = h.ledger.Size()
-	s.Keys, s.Oldest = h.ledger.Held(now)
+func (h *Server) State(now float64) State {
+	s := State{Members: h.members, Voting: h.registers.Voting(), Alone: h.alone(now), Edition: h.held, InForce: h.sure, Pulls: len(h.parked),
+		Held: maps.Clone(h.holds), Counts: h.count, EjectionLists: h.wireBenches(now)}
+	s.Registers, s.Changes = h.registers.Size()
+	s.Keys, s.Oldest = h.registers.Held(now)
 	s.Silent = h.silent(now)
 	for _, r := range h.records {
-		s.Roll = append(s.Roll, proto.Clone(r).(*cart.Record))
+		s.Roll = append(s.Roll, proto.Clone(r).(*meshpb.Record))
 	}
-	slices.SortFunc(s.Roll, func(a, b *cart.Record) int { return bytes.Compare([]byte(a.Source), []byte(b.Source)) })
+	slices.SortFunc(s.Roll, func(a, b *meshpb.Record) int { return bytes.Compare([]byte(a.Source), []byte(b.Source)) })
 	return s
 }
--- a/internal/market/assize/assize.go
+++ b/internal/mesh/ejection/ejection.go
@@ -1,9 +1,9 @@
-// Package assize is the agreement that a host fails. (The field's term: outlier ejection by quorum.) Before any proxy leaves a host
+// Package ejection is the agreement that a host fails. (The field's term: outlier ejection by quorum.) Before any proxy leaves a host
 // out for what must not run twice, the others have to agree, so that one proxy's bad moment empties no healthy host.
 //
-// A Docket is what one proxy has seen lately, as a witness. A Bench is what is in force for a service: which hosts are out, until when,
+// A Tally is what one proxy has seen lately, as a witness. A Bench is what is in force for a service: which hosts are out, until when,
 // and why. A Judge hears all witnesses and says what the next Bench is. None does I/O; times are seconds on clocks that never jump.
-package assize
+package ejection
 
 import (
 	"cmp"
@@ -35,8 +35,8 @@
 // Until is when a term ends here of which so much was left as it was told.
 func Until(now float64, leftMs uint32) float64 { return now + max(0, float64(leftMs)/1000-hopSlack) }
 
-// Word is what a witness saw of a host lately.
-type Word struct {
+// Observation is what a witness saw of a host lately.
+type Observation struct {
 	Station   string
 	Good, Bad int
 }
@@ -67,11 +67,11 @@
 
 func fails(good, bad int) bool { return bad >= leastBad && float64(bad) >= badShare*float64(good+bad) }
 
-// Docket is what one proxy has seen of hosts in the last two seconds.
-type Docket struct{ hosts map[string]*count }
+// Tally is what one proxy has seen of hosts in the last two seconds.
+type Tally struct{ hosts map[string]*count }
 
 // Saw notes an outcome, and says whether the host now fails for this proxy as it did not before.
-func (d *Docket) Saw(now float64, station string, bad bool) (complaint bool) {
+func (d *Tally) Saw(now float64, station string, bad bool) (complaint bool) {
 	c := d.hosts[station]
 	if c == nil {
 		if d.hosts == nil {
@@ -95,7 +95,7 @@
 
 // Words are what this proxy has to say: of hosts that fail for it, and of those that it is asked about. A proxy for which many hosts
 // fail says nothing: that is its own path.
-func (d *Docket) Words(now float64, asked []string) (words []Word) {
+func (d *Tally) Observations(now float64, asked []string) (words []Observation) {
 	met, failing := 0, 0
 	for _, station := range slices.Sorted(maps.Keys(d.hosts)) {
 		c := d.hosts[station]
@@ -111,7 +111,7 @@
 			failing++
 		}
 		if f || slices.Contains(asked, station) {
-			words = append(words, Word{station, good, bad})
+			words = append(words, Observation{station, good, bad})
 		}
 	}
 	if met >= ownPathLeast && float64(failing) > ownPathShare*float64(met) {
@@ -122,8 +122,8 @@
 
 // ---- what is in force
 
-// Ruling is that a host is out.
-type Ruling struct {
+// Ejection is that a host is out.
+type Ejection struct {
 	Station          string
 	Until            float64 // on the clock of who has it; of no account where Hand
 	Count            int     // times in a row
@@ -133,12 +133,12 @@
 }
 
 // InForce says whether it holds.
-func (r *Ruling) InForce(now float64) bool { return r.Hand || now < r.Until }
+func (r *Ejection) InForce(now float64) bool { return r.Hand || now < r.Until }
 
 // ---- the judge
 
 type word struct {
-	Word
+	Observation
 	at float64
 }
 
@@ -146,7 +146,7 @@
 type Judge struct{ words map[string]map[string]word } // by host and witness
 
 // Hear takes what a witness says. A later word on a host replaces an earlier one.
-func (j *Judge) Hear(now float64, witness string, words []Word) {
+func (j *Judge) Hear(now float64, witness string, words []Observation) {
 	if j.words == nil {
 		j.words = map[string]map[string]word{}
 	}
@@ -215,7 +215,7 @@
 // Weigh says what is in force next for a service with these hosts, and whether that is anything new: hosts that most of their
 // witnesses speak against go out, up to a share of the service; evidence renews a term; what has ended stays on the list for a while,
 // so that a host that flaps stays out longer.
-func (j *Judge) Weigh(now float64, hosts []string, held []Ruling) (next []Ruling, changed bool) {
+func (j *Judge) Weigh(now float64, hosts []string, held []Ejection) (next []Ejection, changed bool) {
 	out := 0
 	for _, r := range held {
 		switch {
@@ -239,12 +239,12 @@
 		if out >= most || !guilty(against, witnesses) {
 			continue
 		}
-		at := slices.IndexFunc(next, func(r Ruling) bool { return r.Station == station })
+		at := slices.IndexFunc(next, func(r Ejection) bool { return r.Station == station })
 		if at >= 0 && next[at].InForce(now) {
 			continue
 		}
 		if at < 0 {
-			next = append(next, Ruling{Station: station})
+			next = append(next, Ejection{Station: station})
 			at = len(next) - 1
 		}
 		r := &next[at]
@@ -261,8 +261,8 @@
 var ErrSecondWord = errors.New("that would leave less than half of the service's hosts: say it with force")
 
 // Order takes a host out by hand, or back. Leaving less than half of a service needs force.
-func Order(now float64, hosts []string, held []Ruling, station string, out, force bool, by, why string) ([]Ruling, error) {
-	next := slices.DeleteFunc(slices.Clone(held), func(r Ruling) bool { return r.Station == station })
+func Order(now float64, hosts []string, held []Ejection, station string, out, force bool, by, why string) ([]Ejection, error) {
+	next := slices.DeleteFunc(slices.Clone(held), func(r Ejection) bool { return r.Station == station })
 	if !out {
 		return next, nil
 	}
@@ -271,7 +271,7 @@
 	}
 	left := 0
 	for _, h := range hosts {
-		gone := h == station || slices.ContainsFunc(held, func(r Ruling) bool { return r.Station == h && r.InForce(now) })
+		gone := h == station || slices.ContainsFunc(held, func(r Ejection) bool { return r.Station == h && r.InForce(now) })
 		if !gone {
 			left++
 		}
@@ -279,7 +279,7 @@
 	if 2*left < len(hosts) && !force {
 		return nil, ErrSecondWord
 	}
-	next = append(next, Ruling{Station: station, Hand: true, By: by, Why: why})
-	slices.SortFunc(next, func(a, b Ruling) int { return cmp.Compare(a.Station, b.Station) })
+	next = append(next, Ejection{Station: station, Hand: true, By: by, Why: why})
+	slices.SortFunc(next, func(a, b Ejection) int { return cmp.Compare(a.Station, b.Station) })
 	return next, nil
 }
--- a/internal/market/assize/assize_test.go
+++ b/internal/mesh/ejection/ejection_test.go
@@ -1,4 +1,4 @@
-package assize
+package ejection
 
 import (
 	"errors"
@@ -10,7 +10,7 @@
 
 func hear(j *Judge, now float64, station string, good, bad int, witnesses ...int) {
 	for _, w := range witnesses {
-		j.Hear(now, fmt.Sprintf("w%d", w), []Word{{station, good, bad}})
+		j.Hear(now, fmt.Sprintf("w%d", w), []Observation{{station, good, bad}})
 	}
 }
 
@@ -101,7 +101,7 @@
 
 // A proxy for which most hosts fail has a broken path and is no witness; one for which a single host fails is.
 func TestOwnPathIsNoWitness(t *testing.T) {
-	var broken, fine Docket
+	var broken, fine Tally
 	for i := range 6 {
 		for _, h := range four {
 			broken.Saw(1+0.1*float64(i), h, true)
@@ -110,13 +110,13 @@
 			}
 		}
 	}
-	if words := broken.Words(1.6, four); len(words) != 0 {
+	if words := broken.Observations(1.6, four); len(words) != 0 {
 		t.Errorf("broken path: %v", words)
 	}
-	if words := fine.Words(1.6, []string{"h1"}); len(words) != 2 || words[0] != (Word{"h1", 6, 0}) || words[1] != (Word{"h2", 0, 6}) {
+	if words := fine.Observations(1.6, []string{"h1"}); len(words) != 2 || words[0] != (Observation{"h1", 6, 0}) || words[1] != (Observation{"h2", 0, 6}) {
 		t.Errorf("words %v", words)
 	}
-	if words := fine.Words(5, four); len(words) != 0 {
+	if words := fine.Observations(5, four); len(words) != 0 {
 		t.Errorf("after 3 s: %v", words)
 	}
 }
--- a/internal/market/awning/awning.go
+++ b/internal/mesh/listener/listener.go
@@ -1,7 +1,7 @@
-// Package awning is where clients stand: it takes their requests off connections and writes the answers. (The field's term:
+// Package listener is where clients stand: it takes their requests off connections and writes the answers. (The field's term:
 // downstream listener.) It decides nothing about a request that is in order; what is not is refused here, with the status that
 // the protocol has for it.
-package awning
+package listener
 
 import (
 	"bufio"
@@ -57,8 +57,8 @@
 // Field is one header of an answer.
 type Field struct{ Name, Value string }
 
-// Awning is one listener with its connections.
-type Awning struct {
+// Listener is one listener with its connections.
+type Listener struct {
 	ln     net.Listener
 	limits func() Limits
 	serve  func(*Request) Answer
@@ -75,22 +75,22 @@
 	net.Conn
 	meter wire.Meter
 	br    *bufio.Reader
-	busy  bool // a request is being read or served; guarded by Awning.mu
+	busy  bool // a request is being read or served; guarded by Listener.mu
 }
 
 // Open begins to take clients at an address. serve is called for each request, by many at once.
-func Open(ln net.Listener, bufs *wire.Pool, limits func() Limits, serve func(*Request) Answer) *Awning {
-	a := &Awning{ln: ln, bufs: bufs, limits: limits, serve: serve, conns: map[*conn]bool{}}
+func Open(ln net.Listener, bufs *wire.Pool, limits func() Limits, serve func(*Request) Answer) *Listener {
+	a := &Listener{ln: ln, bufs: bufs, limits: limits, serve: serve, conns: map[*conn]bool{}}
 	go a.accept()
 	return a
 }
 
 // Last has every answer from now on close its connection.
-func (a *Awning) Last() { a.last.Store(true) }
+func (a *Listener) Last() { a.last.Store(true) }
 
 // Close takes no more clients, ends connections that bring nothing, and waits until the others are answered, but no longer than
 // so long.
-func (a *Awning) Close(most time.Duration) {
+func (a *Listener) Close(most time.Duration) {
 	a.Last()
 	a.ln.Close()
 	a.mu.Lock()
@@ -112,7 +112,7 @@
 	}
 }
 
-func (a *Awning) accept() {
+func (a *Listener) accept() {
 	for {
 		nc, err := a.ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -138,7 +138,7 @@
 }
 
 // mark notes that a connection is busy or not, and says whether it may go on.
-func (a *Awning) mark(c *conn, busy bool, idle time.Duration) bool {
+func (a *Listener) mark(c *conn, busy bool, idle time.Duration) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	c.busy = busy
@@ -148,7 +148,7 @@
 	return !a.ended || busy
 }
 
-func (a *Awning) run(c *conn) {
+func (a *Listener) run(c *conn) {
 	c.br = a.bufs.Reader(&c.meter)
 	defer func() {
 		c.Close()
--- a/internal/market/awning/awning_test.go
+++ b/internal/mesh/listener/listener_test.go
@@ -1,4 +1,4 @@
-package awning
+package listener
 
 import (
 	"bufio"
@@ -13,7 +13,7 @@
 	"beechwing/internal/wire"
 )
 
-func open(t *testing.T, l Limits) (*Awning, string) {
+func open(t *testing.T, l Limits) (*Listener, string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/market/cart/conditions.go
+++ b/internal/mesh/meshpb/conditions.go
@@ -1,4 +1,4 @@
-package cart
+package meshpb
 
 // The conditions of a host, as records tell them. They go over the wire: only add at the end.
 const (
--- a/internal/market/ledger/ledger.go
+++ b/internal/mesh/register/register.go
@@ -1,4 +1,4 @@
-// Package ledger keeps registers: one for each key, on the disks of the control processes. (The field's term: a replicated
+// Package register keeps registers: one for each key, on the disks of the control processes. (The field's term: a replicated
 // compare-and-set register, CASPaxos.) There is no log and no leader.
 //
 // A change of a register is a ballot: asked for at a majority, which promises to take nothing older and tells what it holds;
@@ -9,7 +9,7 @@
 //
 // A process that lost its disk has forgotten promises. It neither promises nor accepts until Recover has given it what enough
 // of the others hold, and asks for that only once every ballot that it may have had a part in has been given up.
-package ledger
+package register
 
 import (
 	"cmp"
@@ -17,9 +17,11 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"beechwing/internal/market/aisle"
-	"beechwing/internal/market/cart"
-	"beechwing/internal/market/vault"
+	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/rendezvous"
+	"beechwing/internal/mesh/transport"
+
+	"beechwing/internal/mesh/store"
 )
 
 // The states of a key's register. They go over the wire: only add at the end.
@@ -50,9 +52,9 @@
 
 // Effects are what a machine wants done. Sends go at once; Puts go to the disk, and After when they are synced there.
 type Effects struct {
-	Sends []cart.Send
-	Puts  []vault.Put
-	After []cart.Send
+	Sends []transport.Send
+	Puts  []store.Put
+	After []transport.Send
 }
 
 // Ballot orders the changes of a register.
@@ -64,14 +66,16 @@
 
 func (b Ballot) next() Ballot { return Ballot{b.Round + 1, b.Node, b.Life} }
 
-func (b Ballot) wire() *cart.Ballot { return &cart.Ballot{Round: b.Round, Node: b.Node, Life: b.Life} }
+func (b Ballot) wire() *meshpb.Ballot {
+	return &meshpb.Ballot{Round: b.Round, Node: b.Node, Life: b.Life}
+}
 
-func ballot(w *cart.Ballot) Ballot { return Ballot{w.GetRound(), w.GetNode(), w.GetLife()} }
+func ballot(w *meshpb.Ballot) Ballot { return Ballot{w.GetRound(), w.GetNode(), w.GetLife()} }
 
 // entry is a register as this process's disk has it.
 type entry struct {
 	promised, accepted Ballot
-	value              *cart.Receipt
+	value              *meshpb.Receipt
 	at                 float64 // when it came here
 }
 
@@ -85,20 +89,20 @@
 	ballot   Ballot
 	votes    map[string]bool
 	best     Ballot
-	old      *cart.Receipt
-	value    *cart.Receipt
-	work     func(old *cart.Receipt) (value *cart.Receipt, state uint32) // nil: no change
-	answer   func(state uint32, held *cart.Receipt)
+	old      *meshpb.Receipt
+	value    *meshpb.Receipt
+	work     func(old *meshpb.Receipt) (value *meshpb.Receipt, state uint32) // nil: no change
+	answer   func(state uint32, held *meshpb.Receipt)
 	state    uint32
 	rejected Ballot
 	tries    int
 	rest     []string // members that were not sent the value yet
-	parcel   *cart.Parcel
+	parcel   *meshpb.Message
 	sent     []string
 }
 
-// Ledger is one process's part in all registers. Its methods take the time in seconds on a clock that never jumps.
-type Ledger struct {
+// Registers is one process's part in all registers. Its methods take the time in seconds on a clock that never jumps.
+type Registers struct {
 	self    string
 	members []string
 	node    uint32 // this process's place among the members, from 1; 0: none
@@ -118,25 +122,25 @@
 }
 
 // New makes a ledger. window is for how long a key's answer is kept, in seconds; life tells this process's lives apart.
-func New(self string, life uint32, window float64) *Ledger {
-	return &Ledger{self: self, life: life, window: window + slack, entries: map[string]*entry{}, work: map[string]*change{},
+func New(self string, life uint32, window float64) *Registers {
+	return &Registers{self: self, life: life, window: window + slack, entries: map[string]*entry{}, work: map[string]*change{},
 		byID: map[uint64]*change{}, slowUntil: map[string]float64{}, waiting: map[string][]*change{}}
 }
 
 // Seat names the members, in an order that all agree on. Without it there are no ballots.
-func (l *Ledger) Seat(members []string) {
+func (l *Registers) Seat(members []string) {
 	l.members = slices.Clone(members)
 	l.node = uint32(slices.Index(members, l.self) + 1)
 }
 
 // Vote lets this process take part: its disk holds all that it ever promised.
-func (l *Ledger) Vote() { l.voting = l.node > 0 }
+func (l *Registers) Vote() { l.voting = l.node > 0 }
 
 // Voting says whether it takes part.
-func (l *Ledger) Voting() bool { return l.voting }
+func (l *Registers) Voting() bool { return l.voting }
 
 // Held counts the registers by the state of their value, and says how old the oldest claim is that nobody has settled.
-func (l *Ledger) Held(now float64) (byState map[string]int, oldest float64) {
+func (l *Registers) Held(now float64) (byState map[string]int, oldest float64) {
 	byState = map[string]int{}
 	for _, e := range l.entries {
 		state := Free
@@ -152,26 +156,26 @@
 }
 
 // Size is the number of registers held, and of changes under way.
-func (l *Ledger) Size() (registers, changes int) { return len(l.entries), len(l.work) }
+func (l *Registers) Size() (registers, changes int) { return len(l.entries), len(l.work) }
 
 // Take gives what is to be done since the last call.
-func (l *Ledger) Take() Effects {
+func (l *Registers) Take() Effects {
 	out := l.out
 	l.out = Effects{}
 	return out
 }
 
-func (l *Ledger) majority() int { return len(l.members)/2 + 1 }
+func (l *Registers) majority() int { return len(l.members)/2 + 1 }
 
 // Home is the member that a key's claims go to first; the others follow in order.
-func Home(key string, members []string) []string { return aisle.Order(key, members) }
+func Home(key string, members []string) []string { return rendezvous.Order(key, members) }
 
-func (l *Ledger) home(key string) uint32 {
+func (l *Registers) home(key string) uint32 {
 	return uint32(slices.Index(l.members, Home(key, l.members)[0]) + 1)
 }
 
 // promised is what this process has promised for a key.
-func (l *Ledger) promised(key string) Ballot {
+func (l *Registers) promised(key string) Ballot {
 	if e := l.entries[key]; e != nil {
 		return e.promised
 	}
@@ -181,7 +185,7 @@
 // ---- what is asked of it
 
 // Claim binds a key to one run. The answer is told once: the state, and what is held. Claimed means that the asker holds it.
-func (l *Ledger) Claim(now float64, c *cart.Claim, answer func(state uint32, held *cart.Receipt)) {
+func (l *Registers) Claim(now float64, c *meshpb.Claim, answer func(state uint32, held *meshpb.Receipt)) {
 	if !l.voting || len(l.work) >= mostWork {
 		answer(Unsure, nil)
 		return
@@ -197,7 +201,7 @@
 		return
 	}
 	l.begin(now, &change{key: c.Key, answer: answer,
-		work: func(old *cart.Receipt) (*cart.Receipt, uint32) { return claim(c, old) }})
+		work: func(old *meshpb.Receipt) (*meshpb.Receipt, uint32) { return claim(c, old) }})
 }
 
 // busy is added to Claimed where it is somebody else's.
@@ -206,8 +210,8 @@
 // Busy is the state of a key that somebody else has claimed.
 const Busy = Claimed + busy
 
-func claim(c *cart.Claim, old *cart.Receipt) (*cart.Receipt, uint32) {
-	mine := &cart.Receipt{Token: c.Token, State: Claimed, Attempt: c.Attempt, Voided: old.GetVoided()}
+func claim(c *meshpb.Claim, old *meshpb.Receipt) (*meshpb.Receipt, uint32) {
+	mine := &meshpb.Receipt{Token: c.Token, State: Claimed, Attempt: c.Attempt, Voided: old.GetVoided()}
 	switch {
 	case slices.Contains(old.GetVoided(), c.Token): // a late one: its client was promised that it never runs
 		return nil, Void
@@ -228,7 +232,7 @@
 }
 
 // aged says that a claim's holder is gone where that is so.
-func (l *Ledger) aged(now float64, e *entry, state uint32) uint32 {
+func (l *Registers) aged(now float64, e *entry, state uint32) uint32 {
 	if state == Busy && now > e.at+holderGone {
 		return Lost
 	}
@@ -238,13 +242,13 @@
 // Settle records how a claimed run ended. A receipt that is void gives the key back, and keeps late claims of its token out.
 // With ifFree it only does the latter, and only where no claim was granted: so who asked a proxy that has gone silent learns
 // whether the request may still run.
-func (l *Ledger) Settle(now float64, key string, r *cart.Receipt, ifFree bool, answer func(state uint32, held *cart.Receipt)) {
+func (l *Registers) Settle(now float64, key string, r *meshpb.Receipt, ifFree bool, answer func(state uint32, held *meshpb.Receipt)) {
 	if !l.voting || len(l.work) >= mostWork {
 		answer(Unsure, nil)
 		return
 	}
-	l.begin(now, &change{key: key, answer: answer, work: func(old *cart.Receipt) (*cart.Receipt, uint32) {
-		r := proto.Clone(r).(*cart.Receipt)
+	l.begin(now, &change{key: key, answer: answer, work: func(old *meshpb.Receipt) (*meshpb.Receipt, uint32) {
+		r := proto.Clone(r).(*meshpb.Receipt)
 		r.Voided = old.GetVoided()
 		if r.State == Void && !slices.Contains(r.Voided, r.Token) {
 			r.Voided = append(slices.Clone(r.Voided), r.Token)
@@ -253,7 +257,7 @@
 		case old == nil || old.State == Free, old.State == Void && r.State == Void:
 			return r, r.State
 		case r.State == Void && old.State == Claimed && old.Token != r.Token: // another holds it: only that this one never will
-			kept := proto.Clone(old).(*cart.Receipt)
+			kept := proto.Clone(old).(*meshpb.Receipt)
 			kept.Voided = r.Voided
 			return kept, Void
 		case ifFree:
@@ -266,23 +270,23 @@
 
 // Rule changes a register that is no operation's, by what it held: nil leaves it. The answer is what it holds then; ok is false where no
 // majority said so. Of what two write at once both see the other's.
-func (l *Ledger) Rule(now float64, name string, edit func(old []byte) []byte, answer func(version uint64, body []byte, ok bool)) {
+func (l *Registers) Rule(now float64, name string, edit func(old []byte) []byte, answer func(version uint64, body []byte, ok bool)) {
 	if !l.voting || len(l.work) >= mostWork {
 		answer(0, nil, false)
 		return
 	}
 	l.begin(now, &change{key: name,
-		answer: func(state uint32, held *cart.Receipt) { answer(held.GetToken(), held.GetBody(), state != Unsure) },
-		work: func(old *cart.Receipt) (*cart.Receipt, uint32) {
+		answer: func(state uint32, held *meshpb.Receipt) { answer(held.GetToken(), held.GetBody(), state != Unsure) },
+		work: func(old *meshpb.Receipt) (*meshpb.Receipt, uint32) {
 			body := edit(old.GetBody())
 			if body == nil {
 				return nil, Ruled
 			}
-			return &cart.Receipt{Token: old.GetToken() + 1, State: Ruled, Body: body}, Ruled
+			return &meshpb.Receipt{Token: old.GetToken() + 1, State: Ruled, Body: body}, Ruled
 		}})
 }
 
-func (l *Ledger) begin(now float64, c *change) {
+func (l *Registers) begin(now float64, c *change) {
 	if l.work[c.key] != nil {
 		l.waiting[c.key] = append(l.waiting[c.key], c)
 		c.began = now
@@ -304,16 +308,16 @@
 	}
 }
 
-func (l *Ledger) ask(now float64, c *change) {
+func (l *Registers) ask(now float64, c *change) {
 	round := max(l.promised(c.key).Round, c.ballot.Round, c.rejected.Round, 1) + 1
 	c.ballot, c.asking, c.tried = Ballot{round, l.node, l.life}, true, now
 	c.votes, c.best, c.old = map[string]bool{}, Ballot{}, nil
 	c.tries++
-	l.toAll(&l.out.Sends, &cart.Parcel{Id: c.id, Ask: &cart.Ask{Key: c.key, Ballot: c.ballot.wire()}})
+	l.toAll(&l.out.Sends, &meshpb.Message{Id: c.id, Prepare: &meshpb.Prepare{Key: c.key, Ballot: c.ballot.wire()}})
 }
 
 // propose has a changed value accepted, or ends the change where nothing changes.
-func (l *Ledger) propose(now float64, c *change, old *cart.Receipt) {
+func (l *Registers) propose(now float64, c *change, old *meshpb.Receipt) {
 	value, state := c.work(old)
 	if value == nil {
 		if e := l.entries[c.key]; e != nil {
@@ -324,26 +328,26 @@
 	}
 	c.value, c.state, c.asking, c.tried = value, state, false, now
 	c.votes = map[string]bool{}
-	p := &cart.Parcel{Id: c.id, Accept: &cart.Accept{Key: c.key, Ballot: c.ballot.wire(), Value: value}}
+	p := &meshpb.Message{Id: c.id, Accept: &meshpb.Accept{Key: c.key, Ballot: c.ballot.wire(), Value: value}}
 	if l.accept(now, p.Accept) { // this disk first
 		l.spread(now, c, p)
-		l.out.After = append(l.out.After, cart.Send{To: l.self, Parcel: &cart.Parcel{Id: c.id,
-			Accepted: &cart.Accepted{Yes: true, Promised: c.ballot.wire()}}})
+		l.out.After = append(l.out.After, transport.Send{To: l.self, Message: &meshpb.Message{Id: c.id,
+			Accepted: &meshpb.Accepted{Yes: true, Promised: c.ballot.wire()}}})
 		return
 	}
 	c.rejected = l.promised(c.key)
 	l.ask(now, c)
 }
 
-func (l *Ledger) toAll(list *[]cart.Send, p *cart.Parcel) {
+func (l *Registers) toAll(list *[]transport.Send, p *meshpb.Message) {
 	for _, m := range l.members {
-		*list = append(*list, cart.Send{To: m, Parcel: p})
+		*list = append(*list, transport.Send{To: m, Message: p})
 	}
 }
 
 // spread sends a value to as many others as make a majority with this process, and keeps the rest in reserve: answers have
 // bodies, and every copy is bytes between zones and work on another's disk. Who did not answer lately comes last.
-func (l *Ledger) spread(now float64, c *change, p *cart.Parcel) {
+func (l *Registers) spread(now float64, c *change, p *meshpb.Message) {
 	order := Home(c.key, l.members)
 	order = slices.DeleteFunc(order, func(m string) bool { return m == l.self })
 	slices.SortStableFunc(order, func(a, b string) int {
@@ -352,24 +356,24 @@
 	first := l.majority() - 1
 	c.parcel, c.sent, c.rest = p, order[:first], order[first:]
 	for _, m := range c.sent {
-		l.out.After = append(l.out.After, cart.Send{To: m, Parcel: p})
+		l.out.After = append(l.out.After, transport.Send{To: m, Message: p})
 	}
 }
 
 // widen sends a value to the rest.
-func (l *Ledger) widen(now float64, c *change) {
+func (l *Registers) widen(now float64, c *change) {
 	for _, m := range c.sent {
 		if !c.votes[m] {
 			l.slowUntil[m] = now + slowFor
 		}
 	}
 	for _, m := range c.rest {
-		l.out.After = append(l.out.After, cart.Send{To: m, Parcel: c.parcel})
+		l.out.After = append(l.out.After, transport.Send{To: m, Message: c.parcel})
 	}
 	c.rest = nil
 }
 
-func (l *Ledger) end(now float64, c *change, state uint32, held *cart.Receipt) {
+func (l *Registers) end(now float64, c *change, state uint32, held *meshpb.Receipt) {
 	delete(l.work, c.key)
 	delete(l.byID, c.id)
 	c.answer(state, held)
@@ -386,17 +390,17 @@
 // ---- what comes from the others
 
 // Heard takes a parcel of another process's, or of this one's.
-func (l *Ledger) Heard(now float64, from string, p *cart.Parcel) {
+func (l *Registers) Heard(now float64, from string, p *meshpb.Message) {
 	switch {
-	case p.Ask != nil && l.voting:
-		l.heardAsk(now, from, p.Id, p.Ask)
+	case p.Prepare != nil && l.voting:
+		l.heardAsk(now, from, p.Id, p.Prepare)
 	case p.Accept != nil && l.voting:
 		yes := l.accept(now, p.Accept)
-		answer := &cart.Parcel{Id: p.Id, Accepted: &cart.Accepted{Yes: yes, Promised: p.Accept.Ballot}}
+		answer := &meshpb.Message{Id: p.Id, Accepted: &meshpb.Accepted{Yes: yes, Promised: p.Accept.Ballot}}
 		if !yes {
 			answer.Accepted.Promised = l.promised(p.Accept.Key).wire()
 		}
-		l.out.After = append(l.out.After, cart.Send{To: from, Parcel: answer})
+		l.out.After = append(l.out.After, transport.Send{To: from, Message: answer})
 	case p.Promise != nil:
 		l.heardPromise(now, from, l.byID[p.Id], p.Promise)
 	case p.Accepted != nil:
@@ -404,11 +408,11 @@
 	}
 }
 
-func (l *Ledger) heardAsk(now float64, from string, id uint64, a *cart.Ask) {
+func (l *Registers) heardAsk(now float64, from string, id uint64, a *meshpb.Prepare) {
 	b := ballot(a.Ballot)
 	if b.compare(l.promised(a.Key)) <= 0 {
-		l.out.Sends = append(l.out.Sends, cart.Send{To: from, Parcel: &cart.Parcel{Id: id,
-			Promise: &cart.Promise{Promised: l.promised(a.Key).wire()}}})
+		l.out.Sends = append(l.out.Sends, transport.Send{To: from, Message: &meshpb.Message{Id: id,
+			Promise: &meshpb.Promise{Promised: l.promised(a.Key).wire()}}})
 		return
 	}
 	e := l.entries[a.Key]
@@ -418,12 +422,12 @@
 	}
 	e.promised = b
 	l.keep(a.Key, e)
-	l.out.After = append(l.out.After, cart.Send{To: from, Parcel: &cart.Parcel{Id: id, Promise: &cart.Promise{Yes: true,
+	l.out.After = append(l.out.After, transport.Send{To: from, Message: &meshpb.Message{Id: id, Promise: &meshpb.Promise{Yes: true,
 		Promised: a.Ballot, Accepted: e.accepted.wire(), Value: e.value}}})
 }
 
 // accept takes a value where nothing newer was promised.
-func (l *Ledger) accept(now float64, a *cart.Accept) bool {
+func (l *Registers) accept(now float64, a *meshpb.Accept) bool {
 	b := ballot(a.Ballot)
 	if b.compare(l.promised(a.Key)) < 0 {
 		return false
@@ -438,18 +442,18 @@
 	return true
 }
 
-func (l *Ledger) keep(key string, e *entry) {
-	text, err := proto.Marshal(&cart.Entry{Key: key, Promised: e.promised.wire(), Accepted: e.accepted.wire(), Value: e.value})
+func (l *Registers) keep(key string, e *entry) {
+	text, err := proto.Marshal(&meshpb.Entry{Key: key, Promised: e.promised.wire(), Accepted: e.accepted.wire(), Value: e.value})
 	if err != nil {
 		return // a value that came over the wire can be written again
 	}
-	l.out.Puts = append(l.out.Puts, vault.Put{Name: prefix + key, Value: text})
+	l.out.Puts = append(l.out.Puts, store.Put{Name: prefix + key, Value: text})
 }
 
 // prefix of the names under which registers lie in the vault.
 const prefix = "k."
 
-func (l *Ledger) heardPromise(now float64, from string, c *change, p *cart.Promise) {
+func (l *Registers) heardPromise(now float64, from string, c *change, p *meshpb.Promise) {
 	if c == nil || !c.asking {
 		return
 	}
@@ -471,7 +475,7 @@
 	}
 }
 
-func (l *Ledger) heardAccepted(now float64, from string, c *change, a *cart.Accepted) {
+func (l *Registers) heardAccepted(now float64, from string, c *change, a *meshpb.Accepted) {
 	if c == nil || c.asking {
 		return
 	}
@@ -503,7 +507,7 @@
 }
 
 // refused says whether a majority can no longer come together.
-func (l *Ledger) refused(c *change) bool {
+func (l *Registers) refused(c *change) bool {
 	no := 0
 	for name := range c.votes {
 		if name[0] == '!' {
@@ -514,7 +518,7 @@
 }
 
 // Tick begins anew what got no majority, gives up what took too long, and forgets what is older than the window.
-func (l *Ledger) Tick(now float64) {
+func (l *Registers) Tick(now float64) {
 	for _, c := range l.ordered() {
 		switch {
 		case now > c.began+GiveUp:
@@ -532,12 +536,12 @@
 	for key, e := range l.entries {
 		if now > e.at+l.window && l.work[key] == nil {
 			delete(l.entries, key)
-			l.out.Puts = append(l.out.Puts, vault.Put{Name: prefix + key})
+			l.out.Puts = append(l.out.Puts, store.Put{Name: prefix + key})
 		}
 	}
 }
 
-func (l *Ledger) ordered() []*change {
+func (l *Registers) ordered() []*change {
 	all := make([]*change, 0, len(l.work))
 	for _, c := range l.byID {
 		all = append(all, c)
@@ -549,12 +553,12 @@
 // ---- over restarts and lost disks
 
 // Restore takes what the vault held. Ages begin anew.
-func (l *Ledger) Restore(now float64, values map[string][]byte) error {
+func (l *Registers) Restore(now float64, values map[string][]byte) error {
 	for name, text := range values {
 		if len(name) <= len(prefix) || name[:len(prefix)] != prefix {
 			continue
 		}
-		w := &cart.Entry{}
+		w := &meshpb.Entry{}
 		if err := proto.Unmarshal(text, w); err != nil {
 			return err
 		}
@@ -567,7 +571,7 @@
 const pageBytes = 256 << 10
 
 // Dump gives a page of what is held, for a process that lost its disk.
-func (l *Ledger) Dump(after string) (page []*cart.Entry, last bool) {
+func (l *Registers) Dump(after string) (page []*meshpb.Entry, last bool) {
 	keys := make([]string, 0, len(l.entries))
 	for key := range l.entries {
 		if key > after {
@@ -578,7 +582,7 @@
 	size := 0
 	for _, key := range keys {
 		e := l.entries[key]
-		w := &cart.Entry{Key: key, Promised: e.promised.wire(), Accepted: e.accepted.wire(), Value: e.value}
+		w := &meshpb.Entry{Key: key, Promised: e.promised.wire(), Accepted: e.accepted.wire(), Value: e.value}
 		page = append(page, w)
 		if size += proto.Size(w); size > pageBytes {
 			return page, false
@@ -588,7 +592,7 @@
 }
 
 // Recover takes a page of another's into an empty ledger. The newest accepted value holds, and the newest promise.
-func (l *Ledger) Recover(now float64, page []*cart.Entry) {
+func (l *Registers) Recover(now float64, page []*meshpb.Entry) {
 	for _, w := range page {
 		e := l.entries[w.Key]
 		if e == nil {
@@ -606,7 +610,7 @@
 }
 
 // Recovered ends the recovery. What this process once sent as a home is not known, so it is none until that is of no account.
-func (l *Ledger) Recovered(now float64) {
+func (l *Registers) Recovered(now float64) {
 	l.homeOff = now + l.window
 	l.Vote()
 }
--- a/internal/market/ledger/ledger_test.go
+++ b/internal/mesh/register/register_test.go
@@ -1,4 +1,4 @@
-package ledger
+package register
 
 import (
 	"fmt"
@@ -6,8 +6,10 @@
 	"slices"
 	"testing"
 
-	"beechwing/internal/market/cart"
-	"beechwing/internal/market/vault"
+	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/transport"
+
+	"beechwing/internal/mesh/store"
 )
 
 // bag is a few control processes whose parcels come in any order, late, twice or not at all. Their disks keep what was synced.
@@ -15,7 +17,7 @@
 	rng     *rand.Rand
 	now     float64
 	names   []string
-	ledgers map[string]*Ledger
+	ledgers map[string]*Registers
 	disks   map[string]map[string][]byte
 	up      map[string]bool
 	mail    []letter
@@ -23,11 +25,11 @@
 
 type letter struct {
 	from, to string
-	parcel   *cart.Parcel
+	parcel   *meshpb.Message
 }
 
 func newBag(seed uint64, n int) *bag {
-	b := &bag{rng: rand.New(rand.NewPCG(seed, 1)), now: 1, ledgers: map[string]*Ledger{}, disks: map[string]map[string][]byte{},
+	b := &bag{rng: rand.New(rand.NewPCG(seed, 1)), now: 1, ledgers: map[string]*Registers{}, disks: map[string]map[string][]byte{},
 		up: map[string]bool{}}
 	for i := range n {
 		b.names = append(b.names, fmt.Sprintf("m%d", i))
@@ -71,7 +73,7 @@
 	}
 }
 
-func (b *bag) keep(name string, p vault.Put) {
+func (b *bag) keep(name string, p store.Put) {
 	if len(p.Value) == 0 {
 		delete(b.disks[name], p.Name)
 		return
@@ -79,14 +81,14 @@
 	b.disks[name][p.Name] = slices.Clone(p.Value)
 }
 
-func (b *bag) post(from string, s cart.Send) {
+func (b *bag) post(from string, s transport.Send) {
 	if s.To == from { // a process's own word is not lost
-		b.ledgers[from].Heard(b.now, from, s.Parcel)
+		b.ledgers[from].Heard(b.now, from, s.Message)
 		return
 	}
-	b.mail = append(b.mail, letter{from, s.To, s.Parcel})
+	b.mail = append(b.mail, letter{from, s.To, s.Message})
 	if b.rng.IntN(10) == 0 {
-		b.mail = append(b.mail, letter{from, s.To, s.Parcel})
+		b.mail = append(b.mail, letter{from, s.To, s.Message})
 	}
 }
 
@@ -126,7 +128,7 @@
 		granted := map[uint64]bool{}
 		claim := func(token uint64) {
 			name := b.names[b.rng.IntN(len(b.names))]
-			b.ledgers[name].Claim(b.now, &cart.Claim{Key: key, Token: token}, func(state uint32, held *cart.Receipt) {
+			b.ledgers[name].Claim(b.now, &meshpb.Claim{Key: key, Token: token}, func(state uint32, held *meshpb.Receipt) {
 				if state == Claimed {
 					granted[token] = true
 				}
@@ -164,7 +166,7 @@
 		settled, granted := false, false
 		home := b.ledgers[Home("k", b.names)[seed%3]]
 		name := home.self
-		home.Claim(b.now, &cart.Claim{Key: "k", Token: 1}, func(state uint32, _ *cart.Receipt) { granted = state == Claimed })
+		home.Claim(b.now, &meshpb.Claim{Key: "k", Token: 1}, func(state uint32, _ *meshpb.Receipt) { granted = state == Claimed })
 		b.take(name, true)
 		for range 60 {
 			b.step(false)
@@ -173,7 +175,7 @@
 			continue
 		}
 		at := b.names[b.rng.IntN(3)]
-		b.ledgers[at].Settle(b.now, "k", &cart.Receipt{Token: 1, State: Done, Status: 201}, false, func(state uint32, _ *cart.Receipt) {
+		b.ledgers[at].Settle(b.now, "k", &meshpb.Receipt{Token: 1, State: Done, Status: 201}, false, func(state uint32, _ *meshpb.Receipt) {
 			settled = state == Done
 		})
 		b.take(at, true)
@@ -184,7 +186,7 @@
 			continue
 		}
 		for _, ask := range b.names {
-			b.ledgers[ask].Claim(b.now, &cart.Claim{Key: "k", Token: 5}, func(state uint32, held *cart.Receipt) {
+			b.ledgers[ask].Claim(b.now, &meshpb.Claim{Key: "k", Token: 5}, func(state uint32, held *meshpb.Receipt) {
 				switch {
 				case state == Done && held.Status == 201:
 					told++
@@ -207,8 +209,8 @@
 func TestVoidKeepsLateClaimsOut(t *testing.T) {
 	b := newBag(1, 3)
 	states := []uint32{}
-	note := func(state uint32, _ *cart.Receipt) { states = append(states, state) }
-	run := func(f func(l *Ledger)) {
+	note := func(state uint32, _ *meshpb.Receipt) { states = append(states, state) }
+	run := func(f func(l *Registers)) {
 		name := Home("k", b.names)[0]
 		f(b.ledgers[name])
 		b.take(name, true)
@@ -219,28 +221,28 @@
 			b.take(m.to, true)
 		}
 	}
-	run(func(l *Ledger) { l.Settle(b.now, "k", &cart.Receipt{Token: 1, State: Void}, false, note) })
-	run(func(l *Ledger) { l.Claim(b.now, &cart.Claim{Key: "k", Token: 1}, note) })
-	run(func(l *Ledger) { l.Claim(b.now, &cart.Claim{Key: "k", Token: 2}, note) })
-	run(func(l *Ledger) { l.Claim(b.now, &cart.Claim{Key: "k", Token: 3}, note) })
-	run(func(l *Ledger) { l.Claim(b.now, &cart.Claim{Key: "k", Token: 2, Attempt: 1}, note) })
-	run(func(l *Ledger) { l.Settle(b.now, "k", &cart.Receipt{Token: 2, State: Void}, true, note) }) // it may run: nothing changes
-	run(func(l *Ledger) { l.Settle(b.now, "k", &cart.Receipt{Token: 2, State: Void}, false, note) })
-	run(func(l *Ledger) { l.Settle(b.now, "k", &cart.Receipt{Token: 4, State: Void}, true, note) })
-	run(func(l *Ledger) { l.Claim(b.now, &cart.Claim{Key: "k", Token: 4}, note) })
+	run(func(l *Registers) { l.Settle(b.now, "k", &meshpb.Receipt{Token: 1, State: Void}, false, note) })
+	run(func(l *Registers) { l.Claim(b.now, &meshpb.Claim{Key: "k", Token: 1}, note) })
+	run(func(l *Registers) { l.Claim(b.now, &meshpb.Claim{Key: "k", Token: 2}, note) })
+	run(func(l *Registers) { l.Claim(b.now, &meshpb.Claim{Key: "k", Token: 3}, note) })
+	run(func(l *Registers) { l.Claim(b.now, &meshpb.Claim{Key: "k", Token: 2, Attempt: 1}, note) })
+	run(func(l *Registers) { l.Settle(b.now, "k", &meshpb.Receipt{Token: 2, State: Void}, true, note) }) // it may run: nothing changes
+	run(func(l *Registers) { l.Settle(b.now, "k", &meshpb.Receipt{Token: 2, State: Void}, false, note) })
+	run(func(l *Registers) { l.Settle(b.now, "k", &meshpb.Receipt{Token: 4, State: Void}, true, note) })
+	run(func(l *Registers) { l.Claim(b.now, &meshpb.Claim{Key: "k", Token: 4}, note) })
 	// Found on a grown day: what a later try of the same key claims and gives back must not let the first one in again.
-	run(func(l *Ledger) { l.Claim(b.now, &cart.Claim{Key: "k", Token: 5}, note) })
-	run(func(l *Ledger) { l.Settle(b.now, "k", &cart.Receipt{Token: 5, State: Void}, false, note) })
+	run(func(l *Registers) { l.Claim(b.now, &meshpb.Claim{Key: "k", Token: 5}, note) })
+	run(func(l *Registers) { l.Settle(b.now, "k", &meshpb.Receipt{Token: 5, State: Void}, false, note) })
 	for token := range uint64(5) {
 		if token != 2 { // 3 was never voided
-			run(func(l *Ledger) { l.Claim(b.now, &cart.Claim{Key: "k", Token: token + 1, Attempt: 7}, note) })
+			run(func(l *Registers) { l.Claim(b.now, &meshpb.Claim{Key: "k", Token: token + 1, Attempt: 7}, note) })
 		}
 	}
 	// The same where another holds the key meanwhile.
-	run(func(l *Ledger) { l.Claim(b.now, &cart.Claim{Key: "k", Token: 6}, note) })
-	run(func(l *Ledger) { l.Settle(b.now, "k", &cart.Receipt{Token: 7, State: Void}, false, note) })
-	run(func(l *Ledger) { l.Settle(b.now, "k", &cart.Receipt{Token: 6, State: Void}, false, note) })
-	run(func(l *Ledger) { l.Claim(b.now, &cart.Claim{Key: "k", Token: 7}, note) })
+	run(func(l *Registers) { l.Claim(b.now, &meshpb.Claim{Key: "k", Token: 6}, note) })
+	run(func(l *Registers) { l.Settle(b.now, "k", &meshpb.Receipt{Token: 7, State: Void}, false, note) })
+	run(func(l *Registers) { l.Settle(b.now, "k", &meshpb.Receipt{Token: 6, State: Void}, false, note) })
+	run(func(l *Registers) { l.Claim(b.now, &meshpb.Claim{Key: "k", Token: 7}, note) })
 	if want := []uint32{Void, Void, Claimed, Busy, Claimed, Claimed, Void, Void, Void, Claimed, Void, Void, Void, Void, Void,
 		Claimed, Void, Void, Void}; !slices.Equal(states, want) {
 		t.Fatalf("%v, want %v", states, want)
@@ -251,7 +253,7 @@
 func TestForgets(t *testing.T) {
 	b := newBag(1, 1)
 	l := b.ledgers["m0"]
-	l.Claim(b.now, &cart.Claim{Key: "k", Token: 1}, func(uint32, *cart.Receipt) {})
+	l.Claim(b.now, &meshpb.Claim{Key: "k", Token: 1}, func(uint32, *meshpb.Receipt) {})
 	b.take("m0", true)
 	for _, c := range []struct {
 		at   float64
--- a/internal/market/aisle/aisle.go
+++ b/internal/mesh/rendezvous/rendezvous.go
@@ -1,6 +1,6 @@
-// Package aisle says by rendezvous hashing who belongs to whom. (The field's term: highest random weight.) All who know the same
+// Package rendezvous says by rendezvous hashing who belongs to whom. (The field's term: highest random weight.) All who know the same
 // names agree without a word, and a name that goes changes only what it was part of.
-package aisle
+package rendezvous
 
 import (
 	"cmp"
--- a/internal/market/aisle/aisle_test.go
+++ b/internal/mesh/rendezvous/rendezvous_test.go
@@ -1,4 +1,4 @@
-package aisle
+package rendezvous
 
 import (
 	"fmt"
--- a/internal/market/purse/purse_test.go
+++ b/internal/mesh/retrybudget/budget_test.go
@@ -1,4 +1,4 @@
-package purse
+package retrybudget
 
 import (
 	"math/rand/v2"
@@ -10,8 +10,8 @@
 func TestSumStaysInsideTheRule(t *testing.T) {
 	const proxies, seconds, window, ratio, slack = 15, 120, 10, 0.2, 60.0
 	rng := rand.New(rand.NewPCG(1, 1))
-	purses := make([]*Purse, proxies)
-	fresh := func() *Purse {
+	purses := make([]*Budget, proxies)
+	fresh := func() *Budget {
 		p := New(ratio, slack)
 		p.Share(proxies)
 		return p
--- a/internal/market/charter/charter.go
+++ b/internal/mesh/routeconfig/routeconfig.go
@@ -1,6 +1,6 @@
-// Package charter holds the operators' configuration as the data plane uses it: its version, and the route of a request by
+// Package routeconfig holds the operators' configuration as the data plane uses it: its version, and the route of a request by
 // host name and longest prefix. (The field's term: route table.) What makes one invalid is for the package assay to say.
-package charter
+package routeconfig
 
 import (
 	"encoding/json"
@@ -13,8 +13,8 @@
 	"beechwing/balancer"
 )
 
-// Charter is one configuration in the operators' words.
-type Charter struct {
+// Config is one configuration in the operators' words.
+type Config struct {
 	Edition     string    `json:"edition"`
 	Itineraries []Route   `json:"itineraries"`
 	Carriers    []Service `json:"carriers"`
@@ -89,7 +89,7 @@
 // Table is a configuration ready for use. It does not change.
 type Table struct {
 	Edition  uint64
-	Charter  *Charter
+	Config   *Config
 	Text     []byte // as it came
 	services map[string]*Service
 	places   map[string]*Route // by host name and prefix
@@ -97,7 +97,7 @@
 
 // Compile reads a configuration that was found valid when it was taken.
 func Compile(text []byte) (*Table, error) {
-	c := &Charter{}
+	c := &Config{}
 	if err := json.Unmarshal(text, c); err != nil {
 		return nil, errors.Wrap(err, "configuration")
 	}
@@ -105,7 +105,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &Table{Edition: edition, Charter: c, Text: text, services: map[string]*Service{}, places: map[string]*Route{}}
+	t := &Table{Edition: edition, Config: c, Text: text, services: map[string]*Service{}, places: map[string]*Route{}}
 	for i := range c.Carriers {
 		t.services[c.Carriers[i].Name] = &c.Carriers[i]
 	}
--- a/internal/market/charter/charter_test.go
+++ b/internal/mesh/routeconfig/routeconfig_test.go
@@ -1,4 +1,4 @@
-package charter
+package routeconfig
 
 import "testing"
 
--- a/internal/market/charter/assay/assay.go
+++ b/internal/mesh/routeconfig/validate/validate.go
@@ -1,6 +1,6 @@
-// Package assay checks a configuration as it is taken. (The field's term: validation, admission.) Only the control plane
+// Package validate checks a configuration as it is taken. (The field's term: validation, admission.) Only the control plane
 // imports it: the language in which the rules are written takes memory and time that the data plane does not have.
-package assay
+package validate
 
 import (
 	"bytes"
@@ -13,7 +13,7 @@
 	cueerrors "cuelang.org/go/cue/errors"
 	"github.com/cockroachdb/errors"
 
-	"beechwing/internal/market/charter"
+	"beechwing/internal/mesh/routeconfig"
 )
 
 // rules is the operators' page in CUE. Open structs: fields that it does not name are none of its business.
@@ -56,22 +56,22 @@
 // mostKnown bounds the pieces whose verdict is kept, and with them what the language keeps of them.
 const mostKnown = 4096
 
-// Assayer checks configurations. Pieces that it has seen before, byte for byte, are not checked again: a change touches a few
+// Validator checks configurations. Pieces that it has seen before, byte for byte, are not checked again: a change touches a few
 // routes of hundreds. It is single-threaded.
-type Assayer struct {
+type Validator struct {
 	seed                   maphash.Seed
 	known                  map[uint64]bool
 	route, service, limits cue.Value
 }
 
 // New makes an assayer.
-func New() *Assayer {
-	a := &Assayer{}
+func New() *Validator {
+	a := &Validator{}
 	a.begin()
 	return a
 }
 
-func (a *Assayer) begin() {
+func (a *Validator) begin() {
 	a.seed, a.known = maphash.MakeSeed(), map[uint64]bool{}
 	v := cuecontext.New().CompileString(rules)
 	a.route = v.LookupPath(cue.ParsePath("#Route"))
@@ -80,7 +80,7 @@
 }
 
 // Check says what is wrong with a configuration, naming the field; its version where nothing is.
-func (a *Assayer) Check(text []byte) (uint64, error) {
+func (a *Validator) Check(text []byte) (uint64, error) {
 	var whole struct {
 		Edition     string            `json:"edition"`
 		Itineraries []json.RawMessage `json:"itineraries"`
@@ -90,7 +90,7 @@
 	if err := strictJSON(text, &whole); err != nil {
 		return 0, err
 	}
-	edition, err := charter.Edition(whole.Edition)
+	edition, err := routeconfig.Edition(whole.Edition)
 	if err != nil {
 		return 0, err
 	}
@@ -105,7 +105,7 @@
 		if err := a.piece("carriers", a.service, raw); err != nil {
 			return 0, err
 		}
-		var s charter.Service
+		var s routeconfig.Service
 		if err := json.Unmarshal(raw, &s); err != nil {
 			return 0, errors.Wrap(err, "carriers")
 		}
@@ -115,7 +115,7 @@
 		if err := a.piece("itineraries", a.route, raw); err != nil {
 			return 0, err
 		}
-		var r charter.Route
+		var r routeconfig.Route
 		if err := json.Unmarshal(raw, &r); err != nil {
 			return 0, errors.Wrap(err, "itineraries")
 		}
@@ -132,7 +132,7 @@
 }
 
 // goesSomewhere checks that a route's services are ones of the configuration.
-func goesSomewhere(r *charter.Route, services map[string]bool) error {
+func goesSomewhere(r *routeconfig.Route, services map[string]bool) error {
 	if r.Carrier == "" && len(r.Allotment) == 0 {
 		return errors.New("carrier: neither it nor an allotment is there")
 	}
@@ -147,7 +147,7 @@
 	return nil
 }
 
-func (a *Assayer) piece(where string, rule cue.Value, raw json.RawMessage) error {
+func (a *Validator) piece(where string, rule cue.Value, raw json.RawMessage) error {
 	h := maphash.Bytes(a.seed, append([]byte(where), raw...))
 	if a.known[h] {
 		return nil
--- a/internal/market/charter/assay/assay_test.go
+++ b/internal/mesh/routeconfig/validate/validate_test.go
@@ -1,4 +1,4 @@
-package assay
+package validate
 
 import (
 	"fmt"
--- a/internal/market/pitch/gate.go
+++ b/internal/mesh/sidecar/admission.go
@@ -1,13 +1,15 @@
-package pitch
+package sidecar
 
 import (
 	"cmp"
 	"maps"
 	"slices"
 
-	"beechwing/internal/market/cart"
-	"beechwing/internal/market/ledger"
-	"beechwing/internal/market/verdict"
+	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/transport"
+
+	"beechwing/internal/mesh/outcome"
+	"beechwing/internal/mesh/register"
 )
 
 const (
@@ -39,7 +41,7 @@
 // gate is the last before the host: all requests to it pass here, so here it is sure which life of a host has the address,
 // that nothing goes to one that leaves, how many requests it has in hand, and what has been sent at all.
 type gate struct {
-	p        *Pitch
+	p        *Sidecar
 	jobs     map[uint64]*job
 	claims   map[uint64]*job
 	settles  map[uint64]*settling
@@ -61,12 +63,12 @@
 	id      uint64
 	from    string
 	parcel  uint64
-	carry   *cart.Carry
+	carry   *meshpb.Forward
 	came    float64
 	until   float64
 	aim     float64 // by then its answer is worth most
 	claim   uint64  // the parcel in which its key was asked for last
-	halls   []string
+	servers []string
 	at      string // whom
 	asked   float64
 	began   float64 // its claim was first asked for
@@ -79,15 +81,15 @@
 // settling is word on the end of a run, until a control process has taken it.
 type settling struct {
 	key     string
-	receipt *cart.Receipt
+	receipt *meshpb.Receipt
 	ifFree  bool
 	told    func(state uint32) // nil: nobody waits for it
-	halls   []string
+	servers []string
 	asked   float64
 	tries   int
 }
 
-func (g *gate) begin(p *Pitch) {
+func (g *gate) begin(p *Sidecar) {
 	g.p, g.work = p, firstWork
 	g.took, g.bytes, g.mute = map[uint32]float64{}, map[uint32]float64{}, map[string]float64{}
 	g.jobs, g.claims, g.settles = map[uint64]*job{}, map[uint64]*job{}, map[uint64]*settling{}
@@ -101,7 +103,7 @@
 }
 
 // carry takes a request for the host.
-func (g *gate) carry(from string, parcel uint64, c *cart.Carry) {
+func (g *gate) carry(from string, parcel uint64, c *meshpb.Forward) {
 	p := g.p
 	j := &job{id: p.id(), from: from, parcel: parcel, carry: c, came: p.now, until: p.now + float64(c.LeftUs)/1e6,
 		aim: p.now + float64(c.AimUs)/1e6}
@@ -192,7 +194,7 @@
 		own := g.p.news.own
 		switch {
 		case j.until <= g.p.now:
-			g.end(j, &cart.Carried{Verdict: uint32(verdict.Expired)})
+			g.end(j, &meshpb.Forwarded{Verdict: uint32(outcome.Expired)})
 		case own.Station != j.carry.Station || own.Condition == Gone:
 			g.turn(j, "the host has gone", 0)
 		case own.Condition != AtDock && g.p.now > g.p.news.leftAt+drainAfter:
@@ -280,17 +282,17 @@
 	}
 	c := j.carry
 	c.LeftUs = uint32(max(0, j.until-g.p.now) * 1e6)
-	g.p.out.Dos = append(g.p.out.Dos, Exchange{Job: j.id, Carry: c, Until: j.until + hostSlack})
+	g.p.out.Dos = append(g.p.out.Dos, Exchange{Job: j.id, Forward: c, Until: j.until + hostSlack})
 }
 
 // turn gives a request back before a byte of it went to the host. backMs is set where the host is full, and not gone.
 func (g *gate) turn(j *job, why string, backMs uint32) {
 	g.p.count.Turned[why]++
-	g.end(j, &cart.Carried{Verdict: uint32(verdict.Turned), Why: why, BackMs: backMs})
+	g.end(j, &meshpb.Forwarded{Verdict: uint32(outcome.Turned), Why: why, BackMs: backMs})
 }
 
 // end gives the word on a request to the proxy that it came from.
-func (g *gate) end(j *job, c *cart.Carried) {
+func (g *gate) end(j *job, c *meshpb.Forwarded) {
 	if j.ended {
 		return
 	}
@@ -305,27 +307,27 @@
 		g.running--
 	}
 	c.Claimed = j.began > 0
-	g.p.send(j.from, &cart.Parcel{Id: j.parcel, Carried: c})
+	g.p.send(j.from, &meshpb.Message{Id: j.parcel, Forwarded: c})
 	g.serve()
 }
 
 // Exchanged takes the end of an Exchange.
-func (p *Pitch) Exchanged(now float64, id uint64, c *cart.Carried) {
+func (p *Sidecar) Exchanged(now float64, id uint64, c *meshpb.Forwarded) {
 	p.now = now
 	p.gate.exchanged(id, c)
 	p.settle()
 }
 
-func (g *gate) exchanged(id uint64, c *cart.Carried) {
+func (g *gate) exchanged(id uint64, c *meshpb.Forwarded) {
 	j := g.jobs[id]
 	if j == nil {
 		return
 	}
-	v := verdict.Verdict(c.Verdict)
+	v := outcome.Outcome(c.Verdict)
 	took := g.p.now - j.sent
 	g.p.sawEnd(j.carry.Station, c)
 	c.TookUs = uint32(min(took, 1000) * 1e6)
-	if v == verdict.Answered {
+	if v == outcome.Answered {
 		g.work += workStep * (took - g.work)
 		if was, known := g.took[j.carry.Class]; known {
 			g.took[j.carry.Class] += workStep * (took - was)
@@ -336,15 +338,15 @@
 	}
 	if j.carry.Key != "" {
 		switch v {
-		case verdict.Answered:
-			r := &cart.Receipt{Token: j.carry.Token, State: ledger.Done, Attempt: j.carry.Attempt, Status: c.Status,
+		case outcome.Answered:
+			r := &meshpb.Receipt{Token: j.carry.Token, State: register.Done, Attempt: j.carry.Attempt, Status: c.Status,
 				Fields: c.Fields, Body: c.Body}
 			if len(c.Body) > mostKept {
-				r = &cart.Receipt{Token: j.carry.Token, State: ledger.Lost, Attempt: j.carry.Attempt}
+				r = &meshpb.Receipt{Token: j.carry.Token, State: register.Lost, Attempt: j.carry.Attempt}
 			}
 			g.settle(j.carry.Key, r)
-		case verdict.Broken, verdict.Late:
-			g.settle(j.carry.Key, &cart.Receipt{Token: j.carry.Token, State: ledger.Lost, Attempt: j.carry.Attempt})
+		case outcome.Broken, outcome.Late:
+			g.settle(j.carry.Key, &meshpb.Receipt{Token: j.carry.Token, State: register.Lost, Attempt: j.carry.Attempt})
 		}
 	}
 	g.end(j, c)
@@ -360,26 +362,26 @@
 	if j.began == 0 {
 		j.began = g.p.now
 	}
-	if len(j.halls) == 0 {
-		j.halls = g.homes(j.carry.Key)
+	if len(j.servers) == 0 {
+		j.servers = g.homes(j.carry.Key)
 	}
-	mute := j.claim != 0 && !slices.ContainsFunc(j.halls, func(h string) bool { return g.p.now >= g.mute[h] })
-	if len(j.halls) == 0 || mute || g.p.now > j.began+claimMost || g.p.now >= j.until {
-		g.end(j, &cart.Carried{Verdict: uint32(verdict.Unclaimed)})
+	mute := j.claim != 0 && !slices.ContainsFunc(j.servers, func(h string) bool { return g.p.now >= g.mute[h] })
+	if len(j.servers) == 0 || mute || g.p.now > j.began+claimMost || g.p.now >= j.until {
+		g.end(j, &meshpb.Forwarded{Verdict: uint32(outcome.Unclaimed)})
 		return
 	}
 	delete(g.claims, j.claim)
 	j.claim, j.asked = g.p.id(), g.p.now
 	g.claims[j.claim] = j
-	to := j.halls[0]
+	to := j.servers[0]
 	j.at = to
-	j.halls = j.halls[1:]
-	g.p.send(to, &cart.Parcel{Id: j.claim, Claim: &cart.Claim{Key: j.carry.Key, Token: j.carry.Token, Attempt: j.carry.Attempt}})
+	j.servers = j.servers[1:]
+	g.p.send(to, &meshpb.Message{Id: j.claim, Claim: &meshpb.Claim{Key: j.carry.Key, Token: j.carry.Token, Attempt: j.carry.Attempt}})
 }
 
 // homes are the control processes in the order in which one asks them for a key. Those that did not answer lately come last.
 func (g *gate) homes(key string) []string {
-	all := ledger.Home(key, g.p.news.halls)
+	all := register.Home(key, g.p.news.servers)
 	slices.SortStableFunc(all, func(a, b string) int {
 		return cmp.Compare(btoi(g.p.now < g.mute[a]), btoi(g.p.now < g.mute[b]))
 	})
@@ -395,14 +397,14 @@
 
 // muted notes that a control process did not answer, or could do nothing.
 func (g *gate) muted(hall string) {
-	if slices.Contains(g.p.news.halls, hall) {
+	if slices.Contains(g.p.news.servers, hall) {
 		g.mute[hall] = g.p.now + muteFor
 	}
 }
 
-func (g *gate) claimed(id uint64, c *cart.Claimed) {
+func (g *gate) claimed(id uint64, c *meshpb.Claimed) {
 	if s := g.settles[id]; s != nil {
-		if c.State != ledger.Unsure {
+		if c.State != register.Unsure {
 			delete(g.settles, id)
 			if s.told != nil {
 				s.told(c.State)
@@ -416,33 +418,33 @@
 	}
 	delete(g.claims, id)
 	switch c.State {
-	case ledger.Claimed:
+	case register.Claimed:
 		if g.p.now >= j.until {
-			g.end(j, &cart.Carried{Verdict: uint32(verdict.Expired)})
+			g.end(j, &meshpb.Forwarded{Verdict: uint32(outcome.Expired)})
 			return
 		}
 		if own := g.p.news.own; own.Station != j.carry.Station || own.Condition == Gone { // meanwhile
-			g.end(j, &cart.Carried{Verdict: uint32(verdict.Unclaimed), Why: "the host has gone"})
+			g.end(j, &meshpb.Forwarded{Verdict: uint32(outcome.Unclaimed), Why: "the host has gone"})
 			return
 		}
 		g.enter(j)
-	case ledger.Busy:
-		g.end(j, &cart.Carried{Verdict: uint32(verdict.Busy)})
-	case ledger.Done:
-		g.end(j, &cart.Carried{Verdict: uint32(verdict.Kept), Status: c.Receipt.GetStatus(), Fields: c.Receipt.GetFields(),
+	case register.Busy:
+		g.end(j, &meshpb.Forwarded{Verdict: uint32(outcome.Busy)})
+	case register.Done:
+		g.end(j, &meshpb.Forwarded{Verdict: uint32(outcome.Kept), Status: c.Receipt.GetStatus(), Fields: c.Receipt.GetFields(),
 			Body: c.Receipt.GetBody()})
-	case ledger.Lost:
-		g.end(j, &cart.Carried{Verdict: uint32(verdict.Lost)})
-	case ledger.Unsure:
+	case register.Lost:
+		g.end(j, &meshpb.Forwarded{Verdict: uint32(outcome.Lost)})
+	case register.Unsure:
 		g.muted(j.at)
 		g.claim(j)
 	default:
-		g.end(j, &cart.Carried{Verdict: uint32(verdict.Unclaimed), Why: "its claim was given back"})
+		g.end(j, &meshpb.Forwarded{Verdict: uint32(outcome.Unclaimed), Why: "its claim was given back"})
 	}
 }
 
 // settle tells how a run ended, until a control process has taken it.
-func (g *gate) settle(key string, r *cart.Receipt) {
+func (g *gate) settle(key string, r *meshpb.Receipt) {
 	if len(g.settles) >= mostSettles {
 		return // its key stays claimed, and ends as lost
 	}
@@ -452,27 +454,27 @@
 // voidIfFree keeps claims of a token out, and tells whether that was in time.
 func (g *gate) voidIfFree(key string, token uint64, told func(state uint32)) {
 	if len(g.settles) < mostSettles {
-		g.tellEnd(&settling{key: key, receipt: &cart.Receipt{Token: token, State: ledger.Void}, ifFree: true, told: told})
+		g.tellEnd(&settling{key: key, receipt: &meshpb.Receipt{Token: token, State: register.Void}, ifFree: true, told: told})
 	}
 }
 
 func (g *gate) tellEnd(s *settling) {
-	if len(s.halls) == 0 {
-		s.halls = g.homes(s.key)
+	if len(s.servers) == 0 {
+		s.servers = g.homes(s.key)
 	}
-	if s.tries++; len(s.halls) == 0 || s.tries > settleTries {
+	if s.tries++; len(s.servers) == 0 || s.tries > settleTries {
 		return
 	}
 	id := g.p.id()
 	s.asked = g.p.now
 	g.settles[id] = s
-	to := s.halls[0]
-	s.halls = s.halls[1:]
-	g.p.send(to, &cart.Parcel{Id: id, Settle: &cart.Settle{Key: s.key, Receipt: s.receipt, IfFree: s.ifFree}})
+	to := s.servers[0]
+	s.servers = s.servers[1:]
+	g.p.send(to, &meshpb.Message{Id: id, Settle: &meshpb.Settle{Key: s.key, Receipt: s.receipt, IfFree: s.ifFree}})
 }
 
 // broke goes on to the next control process with what the one that is gone had in hand.
-func (g *gate) broke(b cart.Broke) {
+func (g *gate) broke(b transport.Broke) {
 	for _, id := range b.Unsent {
 		if j := g.claims[id]; j != nil {
 			g.muted(j.at)
@@ -509,7 +511,7 @@
 		}
 		j := g.queue[late]
 		g.queue = slices.Delete(g.queue, late, late+1)
-		g.end(j, &cart.Carried{Verdict: uint32(verdict.Expired)})
+		g.end(j, &meshpb.Forwarded{Verdict: uint32(outcome.Expired)})
 	}
 	for _, j := range g.late.drop(func(j *job) bool { return !g.canFinish(j) }) { // nothing is held for what cannot come
 		g.turn(j, "no berth before its deadline", 1)
--- a/internal/market/pitch/gate_test.go
+++ b/internal/mesh/sidecar/admission_test.go
@@ -1,25 +1,26 @@
-package pitch
+package sidecar
 
 import (
 	"testing"
 
-	"beechwing/internal/market/cart"
-	"beechwing/internal/market/verdict"
+	"beechwing/internal/mesh/meshpb"
+
+	"beechwing/internal/mesh/outcome"
 )
 
 // door is a proxy with a host of four berths beside it, as another proxy meets it.
 type door struct {
 	t    *testing.T
-	p    *Pitch
+	p    *Sidecar
 	now  float64
 	next uint64
 	runs []uint64            // what went to the host, by the parcels' numbers
 	jobs map[uint64]Exchange // by the same
-	told map[uint64]*cart.Carried
+	told map[uint64]*meshpb.Forwarded
 }
 
 func openDoor(t *testing.T) *door {
-	d := &door{t: t, now: 1, jobs: map[uint64]Exchange{}, told: map[uint64]*cart.Carried{}}
+	d := &door{t: t, now: 1, jobs: map[uint64]Exchange{}, told: map[uint64]*meshpb.Forwarded{}}
 	d.p = New(d.now, Options{Self: "here", Seeds: []string{"hall"}, Beat: 1.5, Memory: 1 << 20})
 	d.p.Beat(d.now, Station{ID: "i-1", Carrier: "shop", Berths: 4, Sequence: 1})
 	d.take()
@@ -29,13 +30,13 @@
 func (d *door) take() {
 	out := d.p.Take()
 	for _, s := range out.Sends {
-		if s.Parcel.Carried != nil {
-			d.told[s.Parcel.Id] = s.Parcel.Carried
+		if s.Message.Forwarded != nil {
+			d.told[s.Message.Id] = s.Message.Forwarded
 		}
 	}
 	for _, do := range out.Dos {
 		if x, ok := do.(Exchange); ok {
-			n := uint64(x.Carry.Token)
+			n := uint64(x.Forward.Token)
 			d.runs = append(d.runs, n)
 			d.jobs[n] = x
 		}
@@ -45,7 +46,7 @@
 // carry brings a request that has been turned away elsewhere, with so many seconds to its aim and its end.
 func (d *door) carry(aim, left float64) uint64 {
 	d.next++
-	d.p.Parcel(d.now, "there", &cart.Parcel{Id: d.next, Carry: &cart.Carry{Station: "i-1", Token: d.next, Attempt: 1,
+	d.p.Message(d.now, "there", &meshpb.Message{Id: d.next, Forward: &meshpb.Forward{Station: "i-1", Token: d.next, Attempt: 1,
 		AimUs: uint32(aim * 1e6), LeftUs: uint32(left * 1e6), Repeatable: true}})
 	d.take()
 	return d.next
@@ -53,7 +54,7 @@
 
 // answer has the host answer a request.
 func (d *door) answer(n uint64) {
-	d.p.Exchanged(d.now, d.jobs[n].Job, &cart.Carried{Verdict: uint32(verdict.Answered), Status: 200})
+	d.p.Exchanged(d.now, d.jobs[n].Job, &meshpb.Forwarded{Verdict: uint32(outcome.Answered), Status: 200})
 	d.take()
 }
 
@@ -102,7 +103,7 @@
 		n := d.carry(0, 1)
 		if d.told[n] == nil {
 			waiting = append(waiting, n)
-		} else if verdict.Verdict(d.told[n].Verdict) != verdict.Turned || d.told[n].BackMs == 0 {
+		} else if outcome.Outcome(d.told[n].Verdict) != outcome.Turned || d.told[n].BackMs == 0 {
 			t.Errorf("told %v", d.told[n])
 		}
 	}
@@ -117,7 +118,7 @@
 	}
 	d.pass(0.1)
 	for _, n := range waiting {
-		if c := d.told[n]; c == nil || verdict.Verdict(c.Verdict) != verdict.Turned {
+		if c := d.told[n]; c == nil || outcome.Outcome(c.Verdict) != outcome.Turned {
 			t.Errorf("%d is held to its end: %v", n, c)
 		}
 	}
@@ -152,7 +153,7 @@
 	const perByte = 1.0 / (2 << 20) // 100 KB take 49 ms
 	large := func(aim float64) uint64 {
 		d.next++
-		d.p.Parcel(d.now, "there", &cart.Parcel{Id: d.next, Carry: &cart.Carry{Station: "i-1", Token: d.next, Attempt: 1, Class: 9,
+		d.p.Message(d.now, "there", &meshpb.Message{Id: d.next, Forward: &meshpb.Forward{Station: "i-1", Token: d.next, Attempt: 1, Class: 9,
 			AimUs: uint32(aim * 1e6), LeftUs: 3e6, Repeatable: true}})
 		d.take()
 		return d.next
--- a/internal/market/pitch/news.go
+++ b/internal/mesh/sidecar/discovery.go
@@ -1,4 +1,4 @@
-package pitch
+package sidecar
 
 import (
 	"cmp"
@@ -8,17 +8,18 @@
 	"google.golang.org/protobuf/proto"
 
 	"beechwing/balancer"
-	"beechwing/internal/market/aisle"
-	"beechwing/internal/market/cart"
-	"beechwing/internal/market/charter"
+	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/rendezvous"
+
+	"beechwing/internal/mesh/routeconfig"
 )
 
 // The conditions of a host, as records tell them.
 const (
-	Unknown   = cart.Unknown
-	AtDock    = cart.AtDock
-	Unloading = cart.Unloading
-	Gone      = cart.Gone
+	Unknown   = meshpb.Unknown
+	AtDock    = meshpb.AtDock
+	Unloading = meshpb.Unloading
+	Gone      = meshpb.Gone
 )
 
 const (
@@ -36,8 +37,8 @@
 // news is what this proxy knows: the host beside it, which it alone tells the others of; who else there is; and which
 // configuration is in force. It pulls what it lacks by a vector of versions, one for each source.
 type news struct {
-	p        *Pitch
-	own      *cart.Record
+	p        *Sidecar
+	own      *meshpb.Record
 	sequence uint64 // of the host's last beat
 	beatAt   float64
 	leftAt   float64 // when it said that it leaves
@@ -45,10 +46,10 @@
 	leaveAt  float64 // when the others hear of that
 	leaving  bool    // they have
 
-	records map[string]*cart.Record
+	records map[string]*meshpb.Record
 	silent  map[string]bool
-	halls   []string
-	hall    int // whom it pulls from
+	servers []string
+	server  int // whom it pulls from
 	pull    uint64
 	pullAt  float64
 	held    bool    // it may be held until there is something
@@ -62,12 +63,12 @@
 	zones   []string
 }
 
-func (n *news) begin(p *Pitch) {
+func (n *news) begin(p *Sidecar) {
 	n.p = p
-	n.own = &cart.Record{Source: p.o.Self, Version: p.o.Version, Carrier: p.o.Sender, Zone: p.o.Zone}
-	n.records = map[string]*cart.Record{p.o.Self: n.own}
+	n.own = &meshpb.Record{Source: p.o.Self, Version: p.o.Version, Carrier: p.o.Sender, Zone: p.o.Zone}
+	n.records = map[string]*meshpb.Record{p.o.Self: n.own}
 	n.silent = map[string]bool{}
-	n.hall = int(p.random() % 1024)
+	n.server = int(p.random() % 1024)
 	n.heardAt = p.now
 }
 
@@ -81,7 +82,7 @@
 }
 
 // Beat takes a host's word. From here on nothing new goes to one that leaves: it may be acknowledged. A late beat is too.
-func (p *Pitch) Beat(now float64, s Station) {
+func (p *Sidecar) Beat(now float64, s Station) {
 	p.now = now
 	n := &p.news
 	if s.ID == n.own.Station && (s.Sequence < n.sequence || n.own.Condition == Gone) {
@@ -95,7 +96,7 @@
 	if s.Unloading {
 		condition = Unloading
 	}
-	n.change(func(r *cart.Record) {
+	n.change(func(r *meshpb.Record) {
 		r.Station, r.Carrier, r.Zone, r.Berths = s.ID, cmp.Or(s.Carrier, r.Carrier), cmp.Or(s.Zone, r.Zone), uint32(max(0, s.Berths))
 		r.ColdMs, r.Condition = uint32(max(0, s.ColdMs)), condition
 	})
@@ -103,33 +104,33 @@
 }
 
 // Probed takes what the host beside this proxy answered: a proxy that has just started need not wait for its next beat.
-func (p *Pitch) Probed(now float64, station string, well bool) {
+func (p *Sidecar) Probed(now float64, station string, well bool) {
 	p.now = now
 	if n := &p.news; station != "" && well && n.own.Station == "" {
 		n.beatAt = now
-		n.change(func(r *cart.Record) { r.Station, r.Condition = station, AtDock })
+		n.change(func(r *meshpb.Record) { r.Station, r.Condition = station, AtDock })
 	}
 	p.settle()
 }
 
 // Leave takes a host's sign-off.
-func (p *Pitch) Leave(now float64, id string) {
+func (p *Sidecar) Leave(now float64, id string) {
 	p.now = now
 	if n := &p.news; id == n.own.Station {
-		n.change(func(r *cart.Record) { r.Condition = Gone })
+		n.change(func(r *meshpb.Record) { r.Condition = Gone })
 	}
 	p.settle()
 }
 
 // next is the record of the host here under another version, for others may have this one.
-func (n *news) next(version uint64) *cart.Record {
-	r := proto.Clone(n.own).(*cart.Record)
+func (n *news) next(version uint64) *meshpb.Record {
+	r := proto.Clone(n.own).(*meshpb.Record)
 	r.Version, r.Leaving = version, n.leaving
 	return r
 }
 
 // change makes a new record of the host here, if anything changed that others have to know.
-func (n *news) change(f func(*cart.Record)) {
+func (n *news) change(f func(*meshpb.Record)) {
 	old := n.own
 	r := n.next(old.Version + 1)
 	f(r)
@@ -166,7 +167,7 @@
 	p := n.p
 	by := map[string][]balancer.Host{}
 	was := map[string]*place{}
-	for _, s := range p.shelves {
+	for _, s := range p.services {
 		for _, at := range s.hosts {
 			was[s.name+" "+at.source] = at
 		}
@@ -174,7 +175,7 @@
 	}
 	for _, source := range n.sources() {
 		r := n.records[source]
-		s := p.shelves[r.Carrier]
+		s := p.services[r.Carrier]
 		if r.Station == "" || r.Condition == Gone || r.Condition == Unknown || n.silent[source] || s == nil {
 			continue
 		}
@@ -191,25 +192,25 @@
 		h.Condemned = p.witness.condemned(p.now, r.Station)
 		by[r.Carrier] = append(by[r.Carrier], h)
 	}
-	for _, name := range p.services() {
-		p.shelves[name].bal.Members(p.now, balancer.ListFull, by[name])
+	for _, name := range p.serviceNames() {
+		p.services[name].bal.Members(p.now, balancer.ListFull, by[name])
 	}
-	p.purse.Share(len(n.records))
+	p.budget.Share(len(n.records))
 }
 
-// services are the names of the shelves, in order: a seed replays.
-func (p *Pitch) services() []string { return slices.Sorted(maps.Keys(p.shelves)) }
+// services are the names of the services, in order: a seed replays.
+func (p *Sidecar) serviceNames() []string { return slices.Sorted(maps.Keys(p.services)) }
 
 // ---- pulling
 
 // ask pulls from a control process what is lacking here. hold says that it may wait until there is something.
 func (n *news) ask(hold bool) {
-	halls := n.halls
-	if len(halls) == 0 {
-		halls = n.p.o.Seeds
+	servers := n.servers
+	if len(servers) == 0 {
+		servers = n.p.o.Seeds
 	}
 	n.pull, n.pullAt, n.held = n.p.id(), n.p.now, hold
-	n.p.send(halls[n.hall%len(halls)], &cart.Parcel{Id: n.pull, Pull: n.vector(hold)})
+	n.p.send(servers[n.server%len(servers)], &meshpb.Message{Id: n.pull, Pull: n.vector(hold)})
 }
 
 // patience is how long the control process that was asked may say nothing.
@@ -221,23 +222,23 @@
 }
 
 // vector is what this proxy has, by source.
-func (n *news) vector(hold bool) *cart.Pull {
-	pull := &cart.Pull{Own: n.own, Hold: hold}
+func (n *news) vector(hold bool) *meshpb.Pull {
+	pull := &meshpb.Pull{Own: n.own, Hold: hold}
 	for _, source := range n.sources() {
-		pull.Seen = append(pull.Seen, &cart.Seen{Source: source, Version: n.records[source].Version})
+		pull.Seen = append(pull.Seen, &meshpb.Seen{Source: source, Version: n.records[source].Version})
 	}
 	if n.p.table != nil {
 		pull.Edition = n.p.table.Edition
 	}
 	if n.p.o.Agreed {
 		w := &n.p.witness
-		pull.Words, pull.Accused, pull.Benches = w.words(n.p.now), w.accused, w.version
+		pull.Observations, pull.Accused, pull.EjectionLists = w.words(n.p.now), w.accused, w.version
 	}
 	return pull
 }
 
 // came takes what another process knows. A process never goes back: older versions change nothing.
-func (n *news) came(from string, id uint64, w *cart.News) {
+func (n *news) came(from string, id uint64, w *meshpb.Update) {
 	p := n.p
 	changed := false
 	for _, r := range w.Records {
@@ -254,10 +255,10 @@
 			changed = true
 		}
 	}
-	if w.FromHall {
+	if w.FromServer {
 		n.missed, n.heardAt = 0, p.now
-		if len(w.Halls) > 0 && !slices.Equal(n.halls, w.Halls) {
-			n.halls = w.Halls
+		if len(w.Servers) > 0 && !slices.Equal(n.servers, w.Servers) {
+			n.servers = w.Servers
 		}
 		silent := map[string]bool{}
 		for _, s := range w.Silent {
@@ -278,11 +279,11 @@
 		}
 	}
 	if w.Edition > 0 && (p.table == nil || w.Edition > p.table.Edition) {
-		if t, err := charter.Compile(w.Text); err != nil {
+		if t, err := routeconfig.Compile(w.Text); err != nil {
 			p.o.Log("configuration not understood", "edition", w.Edition, "error", err)
 		} else {
 			p.adopt(t)
-			p.o.Log("in force", "edition", t.Edition, "routes", len(t.Charter.Itineraries))
+			p.o.Log("in force", "edition", t.Edition, "routes", len(t.Config.Itineraries))
 			changed = false // adopt has listed
 		}
 	}
@@ -290,9 +291,9 @@
 		n.list()
 	}
 	switch {
-	case !w.FromHall || id != n.pull:
+	case !w.FromServer || id != n.pull:
 	case w.Alone: // behind a cut from the others of its kind: what it knows may be old
-		n.hall++
+		n.server++
 		n.pull, n.again = 0, p.now+aloneAgain
 	default:
 		n.ask(true)
@@ -301,7 +302,7 @@
 
 // pulled tells another proxy what it lacks of what is known here: those that watch this one ask while no control process
 // answers them.
-func (n *news) pulled(from string, id uint64, pull *cart.Pull) {
+func (n *news) pulled(from string, id uint64, pull *meshpb.Pull) {
 	p := n.p
 	if pull.Own != nil {
 		if old := n.records[pull.Own.Source]; old == nil || old.Version < pull.Own.Version {
@@ -309,7 +310,7 @@
 			n.list()
 		}
 	}
-	w := &cart.News{}
+	w := &meshpb.Update{}
 	has := make(map[string]uint64, len(pull.Seen))
 	for _, s := range pull.Seen {
 		has[s.Source] = s.Version
@@ -322,23 +323,23 @@
 	if p.table != nil && p.table.Edition > pull.Edition {
 		w.Edition, w.Text = p.table.Edition, p.table.Text
 	}
-	p.send(from, &cart.Parcel{Id: id, News: w})
+	p.send(from, &meshpb.Message{Id: id, Update: w})
 }
 
 // broke goes on to the next control process.
 func (n *news) broke(from string) {
-	halls := n.halls
-	if len(halls) == 0 {
-		halls = n.p.o.Seeds
+	servers := n.servers
+	if len(servers) == 0 {
+		servers = n.p.o.Seeds
 	}
-	if halls[n.hall%len(halls)] == from {
-		n.hall++
+	if servers[n.server%len(servers)] == from {
+		n.server++
 		n.pull, n.again = 0, n.p.now+retryAfter
 	}
 }
 
 // Seeds takes over other seeds: the settings file has changed.
-func (p *Pitch) Seeds(now float64, seeds []string) {
+func (p *Sidecar) Seeds(now float64, seeds []string) {
 	p.now = now
 	p.o.Seeds = seeds
 	p.settle()
@@ -348,12 +349,12 @@
 	p := n.p
 	if n.ending && !n.leaving && p.now >= n.leaveAt { // the host cannot be reached for a while
 		n.leaving = true
-		n.change(func(*cart.Record) {})
+		n.change(func(*meshpb.Record) {})
 	}
 	if n.pull == 0 && p.now >= n.again {
 		n.ask(false)
 	} else if n.pull != 0 && p.now > n.pullAt+n.patience() {
-		n.hall++
+		n.server++
 		n.missed++
 		n.ask(false)
 	}
@@ -368,7 +369,7 @@
 	}
 	if p.now >= n.weighAt {
 		n.weighAt = p.now + weighEvery
-		for _, s := range p.shelves {
+		for _, s := range p.services {
 			if s.weigh() {
 				n.list()
 				break
@@ -376,15 +377,15 @@
 		}
 	}
 	if n.own.Condition == AtDock && p.o.Beat > 0 && p.now > n.beatAt+beatsMissed*p.o.Beat {
-		n.change(func(r *cart.Record) { r.Condition = Gone })
+		n.change(func(r *meshpb.Record) { r.Condition = Gone })
 	}
 	if p.now > n.heardAt+watchEvery && p.now >= n.watchAt {
 		n.watchAt = p.now + watchEvery
 		for _, source := range n.neighbours() {
-			p.send(source, &cart.Parcel{Id: p.id(), Pull: n.vector(false)})
+			p.send(source, &meshpb.Message{Id: p.id(), Pull: n.vector(false)})
 		}
 	}
 }
 
 // neighbours are the few other proxies that this one knows and watches.
-func (n *news) neighbours() []string { return aisle.Watched(n.p.o.Self, n.sources(), watched) }
+func (n *news) neighbours() []string { return rendezvous.Watched(n.p.o.Self, n.sources(), watched) }
--- a/internal/market/pitch/ask.go
+++ b/internal/mesh/sidecar/dispatch.go
@@ -1,4 +1,4 @@
-package pitch
+package sidecar
 
 import (
 	"container/heap"
@@ -10,10 +10,12 @@
 	"strconv"
 
 	"beechwing/balancer"
-	"beechwing/internal/market/cart"
-	"beechwing/internal/market/charter"
-	"beechwing/internal/market/ledger"
-	"beechwing/internal/market/verdict"
+	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/transport"
+
+	"beechwing/internal/mesh/outcome"
+	"beechwing/internal/mesh/register"
+	"beechwing/internal/mesh/routeconfig"
 )
 
 // The headers of the operators' protocol.
@@ -55,7 +57,7 @@
 // Order is one request of a client's.
 type Order struct {
 	Method, Target, Host string
-	Fields               []*cart.Field
+	Fields               []*meshpb.Field
 	Body                 []byte
 	Framed               bool // it came with a body, of whatever length
 	ID, Key              string
@@ -65,7 +67,7 @@
 	id       uint64
 	taken    float64
 	deadline float64
-	route    *charter.Route
+	route    *routeconfig.Route
 	class    class
 	service  string
 	token    uint64
@@ -73,13 +75,13 @@
 	arrivals int
 	claims   bool // a claim of its key may stand
 	told     bool
-	last     *cart.Carried // a host's answer that is no success
+	last     *meshpb.Forwarded // a host's answer that is no success
 }
 
 // Reply is the answer to a client.
 type Reply struct {
 	Status int
-	Fields []*cart.Field
+	Fields []*meshpb.Field
 	Body   []byte
 	Back   float64 // seconds until the client may come again; 0: not told
 	Ours   bool    // not a host's
@@ -95,7 +97,7 @@
 	peer   string
 	sent   float64
 	link   uint64 // the connection that it went by
-	spent  bool   // taken off the purse
+	spent  bool   // taken off the budget
 	asked  bool   // the register was asked whether it may still run
 	out    bool
 }
@@ -107,9 +109,9 @@
 	oldest       float64
 }
 
-// shelf is a service as this proxy picks among its hosts: the decision module, and who they are.
-type shelf struct {
-	p       *Pitch
+// service is a service as this proxy picks among its hosts: the decision module, and who they are.
+type service struct {
+	p       *Sidecar
 	name    string
 	bal     *balancer.Balancer
 	classes []class
@@ -118,7 +120,7 @@
 	far     bool      // large answers come from here: near hosts are preferred more
 }
 
-// place is a host of a shelf: the proxy beside it, and how long requests take there beside the mean of all.
+// place is a host of a service: the proxy beside it, and how long requests take there beside the mean of all.
 type place struct {
 	source, station string
 	slow            float64
@@ -132,7 +134,7 @@
 	precedence    int
 }
 
-func classOf(r *charter.Route) class {
+func classOf(r *routeconfig.Route) class {
 	c := class{r.Effect(), r.TargetMs / 1000, r.TimeoutMs / 1000, r.Precedence}
 	if c.deadline <= 0 {
 		c.deadline = defaultLeft
@@ -153,14 +155,14 @@
 }
 
 // Ask takes a request. It is answered exactly once, by a Tell.
-func (p *Pitch) Ask(now float64, o *Order) {
+func (p *Sidecar) Ask(now float64, o *Order) {
 	p.now = now
 	o.taken = now
 	p.ask(o)
 	p.settle()
 }
 
-func (p *Pitch) ask(o *Order) {
+func (p *Sidecar) ask(o *Order) {
 	if p.table == nil {
 		p.tell(o, Reply{Status: 503, Back: comeBackMost, Ours: true, Why: "no configuration yet"})
 		return
@@ -175,12 +177,12 @@
 		word = o.ID
 	}
 	o.service = o.route.ServiceFor(word)
-	s := p.shelves[o.service]
+	s := p.services[o.service]
 	if s == nil {
 		p.tell(o, Reply{Status: 503, Back: noHostsBack, Ours: true, Why: "no hosts"})
 		return
 	}
-	if o.route.RouteKind == charter.Tracked && o.Key != "" {
+	if o.route.RouteKind == routeconfig.Tracked && o.Key != "" {
 		o.Key = o.Host + "\x00" + o.Key // one of the same tenant's, whom the host name tells apart
 	} else {
 		o.Key = ""
@@ -200,14 +202,14 @@
 	p.inUse += len(o.Body)
 	o.id, o.token = p.id(), p.random()
 	p.orders[o.id] = o
-	p.purse.Earn(o.service)
+	p.budget.Earn(o.service)
 	p.at(o.deadline+afterDeadline, func() { p.over(o) })
 	s.bal.Request(p.now, balancer.Request{ID: balancer.RequestID(o.id), Class: s.class(o.class),
 		Key: p.random() | 1, Budget: max(0, o.deadline-p.now)})
 }
 
 // over ends an order whose time is over.
-func (p *Pitch) over(o *Order) {
+func (p *Sidecar) over(o *Order) {
 	if o.told {
 		return
 	}
@@ -216,14 +218,14 @@
 		reply = p.hosts(o, o.last)
 	}
 	p.tell(o, reply)
-	if s := p.shelves[o.service]; s != nil {
+	if s := p.services[o.service]; s != nil {
 		s.bal.Gone(p.now, balancer.RequestID(o.id))
 	}
 	p.drop(o)
 }
 
 // tell gives an order its answer.
-func (p *Pitch) tell(o *Order, r Reply) {
+func (p *Sidecar) tell(o *Order, r Reply) {
 	if o.told {
 		return
 	}
@@ -237,7 +239,7 @@
 }
 
 // drop forgets an order that is answered and has nothing out.
-func (p *Pitch) drop(o *Order) {
+func (p *Sidecar) drop(o *Order) {
 	if !o.told || p.orders[o.id] == nil || slices.ContainsFunc(o.tries, func(t *try) bool { return t.out }) {
 		return
 	}
@@ -246,7 +248,7 @@
 }
 
 // hosts words a host's answer for the client.
-func (p *Pitch) hosts(o *Order, c *cart.Carried) Reply {
+func (p *Sidecar) hosts(o *Order, c *meshpb.Forwarded) Reply {
 	r := Reply{Status: int(c.Status), Fields: c.Fields, Body: c.Body}
 	switch r.Status { // a promise that only the host's own word can make, which it did not
 	case 503, 429, 408, 421:
@@ -258,7 +260,7 @@
 // ---- the module's actions
 
 // Send sends a request to the proxy beside the picked host.
-func (s *shelf) Send(id balancer.RequestID, host balancer.HostID, _ float64) {
+func (s *service) Send(id balancer.RequestID, host balancer.HostID, _ float64) {
 	p := s.p
 	o := p.orders[uint64(id)]
 	if o == nil {
@@ -278,7 +280,7 @@
 	case o.arrivals >= max(1, o.route.Tries):
 		p.later(func() { p.ended(t, balancer.Moot, nil, "no tries left") })
 		return
-	case o.arrivals > 0 && !p.purse.Spend(o.service):
+	case o.arrivals > 0 && !p.budget.Spend(o.service):
 		p.later(func() { p.ended(t, balancer.Moot, nil, "no budget for a further try") })
 		return
 	}
@@ -291,20 +293,20 @@
 			w.oldest, w.heard = p.now, p.now
 		}
 	}
-	c := &cart.Carry{Station: at.station, Method: o.Method, Target: o.Target, Host: o.Host, Fields: o.Fields, Body: o.Body,
+	c := &meshpb.Forward{Station: at.station, Method: o.Method, Target: o.Target, Host: o.Host, Fields: o.Fields, Body: o.Body,
 		Framed: o.Framed, LeftUs: uint32(min(math.MaxUint32, max(0, o.deadline-p.now)*1e6)), Sender: p.o.Sender, Key: o.Key,
 		Token: o.token, Precedence: uint32(max(0, o.route.Precedence)), Repeatable: o.route.Repeatable(),
 		Attempt: uint32(t.number), Class: o.class.number(), AimUs: uint32(max(0, min(o.deadline, o.taken+o.class.aim)-p.now) * 1e6)}
-	parcel := &cart.Parcel{Id: t.id, Carry: c}
+	parcel := &meshpb.Message{Id: t.id, Forward: c}
 	if t.peer == p.o.Self {
 		p.send(t.peer, parcel)
 		return
 	}
-	p.out.Sends = append(p.out.Sends, cart.Send{To: t.peer, Parcel: parcel, Via: &t.link})
+	p.out.Sends = append(p.out.Sends, transport.Send{To: t.peer, Message: parcel, Via: &t.link})
 }
 
 // Refuse answers that trying again is harmless.
-func (s *shelf) Refuse(id balancer.RequestID, coolDown float64) {
+func (s *service) Refuse(id balancer.RequestID, coolDown float64) {
 	p := s.p
 	o := p.orders[uint64(id)]
 	if o == nil || o.told {
@@ -318,14 +320,14 @@
 		r = p.hosts(o, o.last)
 	}
 	if o.claims && r.Ours { // what is promised not to run gives its key back
-		p.gate.settle(o.Key, &cart.Receipt{Token: o.token, State: ledger.Void})
+		p.gate.settle(o.Key, &meshpb.Receipt{Token: o.token, State: register.Void})
 	}
 	p.tell(o, r)
 	p.later(func() { p.drop(o) })
 }
 
 // Fail answers that nothing is promised.
-func (s *shelf) Fail(id balancer.RequestID) {
+func (s *service) Fail(id balancer.RequestID) {
 	p := s.p
 	o := p.orders[uint64(id)]
 	if o == nil || o.told {
@@ -340,57 +342,57 @@
 }
 
 // Cancel would stop an attempt: a host at work is left to finish, as its answer is worth recording.
-func (s *shelf) Cancel(balancer.RequestID, int) {}
+func (s *service) Cancel(balancer.RequestID, int) {}
 
 // Probe is not asked for.
-func (s *shelf) Probe(balancer.HostID) {}
+func (s *service) Probe(balancer.HostID) {}
 
 // Timer asks for an event.
-func (s *shelf) Timer(after float64, token uint64) {
+func (s *service) Timer(after float64, token uint64) {
 	s.p.at(s.p.now+max(0, after), func() {
-		if s.p.shelves[s.name] == s {
+		if s.p.services[s.name] == s {
 			s.bal.Timer(s.p.now, token)
 		}
 	})
 }
 
 // Watch and Fetch ask for the list, which comes unasked here.
-func (s *shelf) Watch() {}
-func (s *shelf) Fetch() {}
+func (s *service) Watch() {}
+func (s *service) Fetch() {}
 
 // Tell would send a message to every peer.
-func (s *shelf) Tell([]byte) {}
+func (s *service) Tell([]byte) {}
 
 // Log writes a line of the module's.
-func (s *shelf) Log(text string) {
+func (s *service) Log(text string) {
 	if s.p.o.Debug != nil {
 		s.p.o.Debug("balancer", "service", s.name, "says", text)
 	}
 }
 
-func (p *Pitch) later(f func()) { p.local = append(p.local, f) }
+func (p *Sidecar) later(f func()) { p.local = append(p.local, f) }
 
 // ---- what comes back
 
 // carried takes the end of a try.
-func (p *Pitch) carried(id uint64, c *cart.Carried) {
+func (p *Sidecar) carried(id uint64, c *meshpb.Forwarded) {
 	t := p.tries[id]
 	if t == nil {
 		return
 	}
 	o := t.order
-	v := verdict.Verdict(c.Verdict)
+	v := outcome.Outcome(c.Verdict)
 	p.count.Tries[v.String()]++
-	if v == verdict.Answered && c.Status < 500 {
-		p.shelves[o.service].timed(t.host, o.class, float64(c.TookUs)/1e6)
+	if v == outcome.Answered && c.Status < 500 {
+		p.services[o.service].timed(t.host, o.class, float64(c.TookUs)/1e6)
 	}
-	if at := p.shelves[o.service].hosts[t.host]; at != nil && t.peer != p.o.Self { // of the host here the gate speaks
+	if at := p.services[o.service].hosts[t.host]; at != nil && t.peer != p.o.Self { // of the host here the gate speaks
 		p.sawEnd(at.station, c)
 	}
 	if v.Arrived() {
 		o.arrivals++
 	} else if t.spent {
-		p.purse.Back(o.service)
+		p.budget.Back(o.service)
 	}
 	o.claims = o.claims || v.NeverRan() && c.Claimed
 	why := c.Why
@@ -398,35 +400,35 @@
 		why = v.String()
 	}
 	switch v {
-	case verdict.Answered:
+	case outcome.Answered:
 		if c.Status >= 500 {
 			p.ended(t, balancer.Errored, c, why)
 		} else {
 			p.ended(t, balancer.OK, c, why)
 		}
-	case verdict.Turned:
+	case outcome.Turned:
 		if c.BackMs > 0 { // it is full
 			p.ended(t, balancer.TurnedAway, nil, why)
 		} else {
 			p.ended(t, balancer.ConnectFailed, nil, why)
 		}
-	case verdict.HostTurned:
+	case outcome.HostTurned:
 		p.ended(t, balancer.TurnedAway, nil, why)
-	case verdict.Unclaimed:
+	case outcome.Unclaimed:
 		if p.now > p.news.heardAt+coreGone || t.number > 0 { // nobody reaches the control plane: nothing to try elsewhere
 			p.ended(t, balancer.Moot, nil, why)
 		} else {
 			p.ended(t, balancer.TurnedAway, nil, why)
 		}
-	case verdict.Expired:
+	case outcome.Expired:
 		p.ended(t, balancer.Moot, nil, why)
-	case verdict.Late:
+	case outcome.Late:
 		p.ended(t, balancer.TimedOut, nil, why)
-	case verdict.Busy:
+	case outcome.Busy:
 		p.final(t, Reply{Status: 409, Ours: true, Back: comeBack, Why: "its key is at work"})
-	case verdict.Kept:
+	case outcome.Kept:
 		p.final(t, Reply{Status: int(c.Status), Fields: c.Fields, Body: c.Body, Why: "its key's answer"})
-	case verdict.Lost:
+	case outcome.Lost:
 		p.final(t, Reply{Status: 502, Ours: true, Why: "its key's run has no known end"})
 	default:
 		p.ended(t, balancer.Reset, nil, why)
@@ -434,7 +436,7 @@
 }
 
 // leave takes a try off the books.
-func (p *Pitch) leave(t *try) bool {
+func (p *Sidecar) leave(t *try) bool {
 	if !t.out {
 		return false
 	}
@@ -450,7 +452,7 @@
 }
 
 // final ends a try, and with it the order, by something that says nothing of the host.
-func (p *Pitch) final(t *try, r Reply) {
+func (p *Sidecar) final(t *try, r Reply) {
 	if !p.leave(t) {
 		return
 	}
@@ -461,7 +463,7 @@
 }
 
 // ended takes the result of a try to the module, which says what follows.
-func (p *Pitch) ended(t *try, result balancer.Result, c *cart.Carried, why string) {
+func (p *Sidecar) ended(t *try, result balancer.Result, c *meshpb.Forwarded, why string) {
 	if !p.leave(t) {
 		return
 	}
@@ -482,19 +484,19 @@
 	p.drop(o)
 }
 
-func (p *Pitch) outcome(t *try, result balancer.Result, final bool) {
-	if s := p.shelves[t.order.service]; s != nil {
+func (p *Sidecar) outcome(t *try, result balancer.Result, final bool) {
+	if s := p.services[t.order.service]; s != nil {
 		s.bal.Outcome(p.now, balancer.Outcome{ID: balancer.RequestID(t.order.id), Attempt: t.number, Host: t.host, Result: result,
 			Took: p.now - t.sent, Final: final})
 	}
 }
 
 // brokeTries ends the tries that went by a connection that is no more. What had not gone out has not run.
-func (p *Pitch) brokeTries(b cart.Broke) {
+func (p *Sidecar) brokeTries(b transport.Broke) {
 	for _, id := range b.Unsent {
 		if t := p.tries[id]; t != nil && t.peer == b.Peer {
 			if t.spent {
-				p.purse.Back(t.order.service)
+				p.budget.Back(t.order.service)
 			}
 			p.ended(t, balancer.ConnectFailed, nil, "no connection to the proxy beside the host")
 		}
@@ -512,11 +514,11 @@
 
 // doubt ends a try of which nothing will be heard. What may be sent again is. What has a key has not run, and never will, if no
 // claim of its token was granted and none will be: the register says so. Of the rest it is not known.
-func (p *Pitch) doubt(t *try, why string) {
+func (p *Sidecar) doubt(t *try, why string) {
 	o := t.order
 	if !t.asked {
 		p.count.Doubts++
-		if s := p.shelves[o.service]; s != nil && s.hosts[t.host] != nil {
+		if s := p.services[o.service]; s != nil && s.hosts[t.host] != nil {
 			p.saw(s.hosts[t.host].station, true)
 		}
 	}
@@ -530,7 +532,7 @@
 	case !t.asked:
 		t.asked = true
 		p.gate.voidIfFree(o.Key, o.token, func(state uint32) {
-			if state != ledger.Void {
+			if state != register.Void {
 				o.arrivals++
 				p.ended(t, balancer.Reset, nil, why+"; its key was claimed")
 				return
@@ -544,7 +546,7 @@
 }
 
 // triesAt are the tries that another proxy has in hand, the oldest first.
-func (p *Pitch) triesAt(source string) (all []*try) {
+func (p *Sidecar) triesAt(source string) (all []*try) {
 	for _, t := range p.tries {
 		if t.peer == source {
 			all = append(all, t)
@@ -556,7 +558,7 @@
 
 // watchPeers finds proxies that have gone silent with something of ours in hand: a machine behind a cut says nothing. What may
 // be sent again is; what may not waits for its end.
-func (p *Pitch) watchPeers() {
+func (p *Sidecar) watchPeers() {
 	for _, source := range slices.Sorted(maps.Keys(p.peers)) { // in order: a seed replays
 		w := p.peers[source]
 		if w.out == 0 || source == p.o.Self {
@@ -567,7 +569,7 @@
 		case quiet < silentAsk:
 		case w.asked < w.heard || w.asked < w.oldest:
 			w.asked = p.now
-			p.send(source, &cart.Parcel{Id: p.id(), Ping: &cart.Ping{}})
+			p.send(source, &meshpb.Message{Id: p.id(), Ping: &meshpb.Ping{}})
 		case p.now-w.asked > min(silentMost, silentOver+silentSlow*p.pongs):
 			for _, t := range p.triesAt(source) {
 				if t.sent < w.asked {
@@ -580,29 +582,29 @@
 
 // ---- the services
 
-// adopt makes shelves of what a configuration says.
-func (p *Pitch) adopt(t *charter.Table) {
+// adopt makes services of what a configuration says.
+func (p *Sidecar) adopt(t *routeconfig.Table) {
 	p.table = t
 	by, far := map[string][]class{}, map[string]bool{}
-	for i := range t.Charter.Itineraries {
-		r := &t.Charter.Itineraries[i]
+	for i := range t.Config.Itineraries {
+		r := &t.Config.Itineraries[i]
 		c := classOf(r)
 		names := []string{r.Carrier}
 		for _, a := range r.Allotment {
 			names = append(names, a.Carrier)
 		}
 		for _, name := range names {
-			far[name] = far[name] || r.RouteKind == charter.Download
+			far[name] = far[name] || r.RouteKind == routeconfig.Download
 			if name != "" && !slices.Contains(by[name], c) {
 				by[name] = append(by[name], c)
 			}
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(by)) {
-		s := p.shelves[name]
+		s := p.services[name]
 		if s == nil {
-			s = &shelf{p: p, name: name, classes: by[name], hosts: map[balancer.HostID]*place{}}
-			p.shelves[name] = s
+			s = &service{p: p, name: name, classes: by[name], hosts: map[balancer.HostID]*place{}}
+			p.services[name] = s
 			s.took, s.far = make([]float64, len(s.classes)), far[name]
 			s.bal = balancer.New(p.now, s.config(), s)
 			continue
@@ -628,7 +630,7 @@
 
 // timed takes how long a host had a request. Hosts of a service have different speeds, and the proxy beside each lets only as
 // many requests in as it works on at once, so this is its speed and not the crowd before it.
-func (s *shelf) timed(id balancer.HostID, c class, took float64) {
+func (s *service) timed(id balancer.HostID, c class, took float64) {
 	at, n := s.hosts[id], slices.Index(s.classes, c)
 	if at == nil || n < 0 || took <= 0 {
 		return
@@ -641,7 +643,7 @@
 }
 
 // weigh tells the module of speeds that have changed.
-func (s *shelf) weigh() bool {
+func (s *service) weigh() bool {
 	for _, at := range s.hosts {
 		if r := at.slow / at.told; r > 1+slowTold || r < 1/(1+slowTold) {
 			return true
@@ -650,9 +652,9 @@
 	return false
 }
 
-func (s *shelf) class(c class) int { return max(0, slices.Index(s.classes, c)) }
+func (s *service) class(c class) int { return max(0, slices.Index(s.classes, c)) }
 
-func (s *shelf) config() balancer.Config {
+func (s *service) config() balancer.Config {
 	p := s.p
 	cfg := balancer.Config{Seed: p.random(), Zone: p.news.zone(p.o.Zone), Balancers: max(1, len(p.news.records)),
 		Prices: balancer.Prices{CrossZone: crossing}, Weighted: true, Gated: true, Agreed: p.o.Agreed, MaxCoolDown: comeBackMost, ConnectTimeout: 1}
@@ -698,10 +700,10 @@
 	return t
 }
 
-func (p *Pitch) at(when float64, do func()) { heap.Push(&p.timers, timer{when, p.id(), do}) }
+func (p *Sidecar) at(when float64, do func()) { heap.Push(&p.timers, timer{when, p.id(), do}) }
 
 // fire plays the timers that are due.
-func (p *Pitch) fire() {
+func (p *Sidecar) fire() {
 	for len(p.timers) > 0 && p.timers[0].at <= p.now {
 		heap.Pop(&p.timers).(timer).do()
 		p.settle()
@@ -709,7 +711,7 @@
 }
 
 // Next is when the next timer is due; infinite: none is set.
-func (p *Pitch) Next() float64 {
+func (p *Sidecar) Next() float64 {
 	if len(p.timers) == 0 {
 		return math.Inf(1)
 	}
--- a/internal/market/pitch/ask_test.go
+++ b/internal/mesh/sidecar/dispatch_test.go
@@ -1,9 +1,9 @@
-package pitch
+package sidecar
 
 import (
 	"testing"
 
-	"beechwing/internal/market/cart"
+	"beechwing/internal/mesh/meshpb"
 )
 
 const oneRoute = `{"edition":"r1","itineraries":[{"name":"a","depot":"h.example","lanePrefix":"/x/","routeKind":"safe","tries":2,
@@ -23,13 +23,13 @@
 			}
 			p.Tick(now)
 			for _, s := range p.Take().Sends {
-				if s.Parcel.Carry != nil {
+				if s.Message.Forward != nil {
 					carried[s.To]++
 				}
 			}
 		}
 	}
-	p.Parcel(now, "hall", &cart.Parcel{News: &cart.News{FromHall: true, Edition: 1, Text: []byte(oneRoute), Records: []*cart.Record{
+	p.Message(now, "hall", &meshpb.Message{Update: &meshpb.Update{FromServer: true, Edition: 1, Text: []byte(oneRoute), Records: []*meshpb.Record{
 		{Source: "p1", Version: 1, Station: "i-1", Carrier: "shop", Zone: "a", Berths: 4, Condition: AtDock},
 		{Source: "p2", Version: 1, Station: "i-2", Carrier: "shop", Zone: "a", Berths: 4, Condition: AtDock}}}})
 	pass(0.1, "")
--- a/internal/market/pitch/lane.go
+++ b/internal/mesh/sidecar/lane.go
@@ -1,4 +1,4 @@
-package pitch
+package sidecar
 
 import (
 	"cmp"
--- a/internal/market/pitch/pitch.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -1,18 +1,20 @@
-// Package pitch is the data plane's state machine: one proxy beside one host. (The field's term: sidecar.) It takes what
+// Package sidecar is the data plane's state machine: one proxy beside one host. (The field's term: sidecar.) It takes what
 // clients ask, what the host beside it says, what other processes send and the time, and returns what to send and what to do.
 // Sockets and the clock are the program's.
 //
 // Its files: this one joins the parts; ask.go follows a request from a client here to the proxy beside the picked host;
 // gate.go is that other end, the last before the host; news.go knows who there is and what is in force.
-package pitch
+package sidecar
 
 import (
 	"maps"
 
 	"beechwing/balancer"
-	"beechwing/internal/market/cart"
-	"beechwing/internal/market/charter"
-	"beechwing/internal/market/purse"
+	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/transport"
+
+	"beechwing/internal/mesh/retrybudget"
+	"beechwing/internal/mesh/routeconfig"
 )
 
 // Options is what a proxy is told at its start.
@@ -37,9 +39,9 @@
 
 // Exchange has a request run by the host beside this proxy. The end of it comes back by Exchanged.
 type Exchange struct {
-	Job   uint64
-	Carry *cart.Carry
-	Until float64 // the host has to have answered by then
+	Job     uint64
+	Forward *meshpb.Forward
+	Until   float64 // the host has to have answered by then
 }
 
 // Tell gives a client's request its answer.
@@ -57,30 +59,30 @@
 
 // Effects are what a machine wants done, in order.
 type Effects struct {
-	Sends []cart.Send
+	Sends []transport.Send
 	Dos   []Do
 }
 
-// Pitch is one proxy. It is single-threaded; every input carries the time in seconds on a clock that never jumps.
-type Pitch struct {
+// Sidecar is one proxy. It is single-threaded; every input carries the time in seconds on a clock that never jumps.
+type Sidecar struct {
 	o     Options
 	now   float64
 	rng   uint64
-	table *charter.Table
+	table *routeconfig.Table
 	out   Effects
 	local []func() // what actions of the module gave rise to; it may not be called from within one
 	inUse int      // bytes of bodies
 	count Counts
 
 	// ask.go
-	shelves map[string]*shelf
-	orders  map[uint64]*Order
-	tries   map[uint64]*try
-	lastID  uint64
-	timers  timers
-	purse   *purse.Purse
-	peers   map[string]*peer
-	pongs   float64 // mean seconds that others take to say that they are there
+	services map[string]*service
+	orders   map[uint64]*Order
+	tries    map[uint64]*try
+	lastID   uint64
+	timers   timers
+	budget   *retrybudget.Budget
+	peers    map[string]*peer
+	pongs    float64 // mean seconds that others take to say that they are there
 
 	gate    gate
 	news    news
@@ -88,12 +90,12 @@
 }
 
 // New makes a proxy.
-func New(now float64, o Options) *Pitch {
+func New(now float64, o Options) *Sidecar {
 	if o.Log == nil {
 		o.Log = func(string, ...any) {}
 	}
-	p := &Pitch{o: o, now: now, rng: o.Seed, shelves: map[string]*shelf{}, orders: map[uint64]*Order{}, tries: map[uint64]*try{},
-		purse: purse.New(o.Ratio, o.Slack), peers: map[string]*peer{},
+	p := &Sidecar{o: o, now: now, rng: o.Seed, services: map[string]*service{}, orders: map[uint64]*Order{}, tries: map[uint64]*try{},
+		budget: retrybudget.New(o.Ratio, o.Slack), peers: map[string]*peer{},
 		count: Counts{Answers: map[int]uint64{}, Tries: map[string]uint64{}, Turned: map[string]uint64{}}}
 	p.gate.begin(p)
 	p.news.begin(p)
@@ -101,7 +103,7 @@
 }
 
 // Take gives what is to be done since the last call.
-func (p *Pitch) Take() Effects {
+func (p *Sidecar) Take() Effects {
 	p.settle()
 	out := p.out
 	p.out = Effects{}
@@ -109,7 +111,7 @@
 }
 
 // settle plays what actions gave rise to, in order.
-func (p *Pitch) settle() {
+func (p *Sidecar) settle() {
 	for len(p.local) > 0 {
 		f := p.local[0]
 		p.local = p.local[1:]
@@ -118,7 +120,7 @@
 }
 
 // random gives the next of the numbers that the seed begins.
-func (p *Pitch) random() uint64 {
+func (p *Sidecar) random() uint64 {
 	p.rng += 0x9e3779b97f4a7c15
 	return mix(p.rng)
 }
@@ -131,22 +133,22 @@
 }
 
 // id numbers a parcel.
-func (p *Pitch) id() uint64 {
+func (p *Sidecar) id() uint64 {
 	p.lastID++
 	return p.lastID
 }
 
 // send has a parcel go out; what is for this process itself comes back at once.
-func (p *Pitch) send(to string, parcel *cart.Parcel) {
+func (p *Sidecar) send(to string, parcel *meshpb.Message) {
 	if to == p.o.Self {
 		p.local = append(p.local, func() { p.parcel(to, parcel) })
 		return
 	}
-	p.out.Sends = append(p.out.Sends, cart.Send{To: to, Parcel: parcel})
+	p.out.Sends = append(p.out.Sends, transport.Send{To: to, Message: parcel})
 }
 
-// Parcel takes what another process says.
-func (p *Pitch) Parcel(now float64, from string, parcel *cart.Parcel) {
+// Message takes what another process says.
+func (p *Sidecar) Message(now float64, from string, parcel *meshpb.Message) {
 	p.now = now
 	if w := p.peers[from]; w != nil {
 		if parcel.Pong != nil && w.asked > 0 {
@@ -159,34 +161,34 @@
 }
 
 // Link takes word of how many seconds a large answer waits for this machine's link, and takes there for each byte; 0: next to nothing.
-func (p *Pitch) Link(wait, perByte float64) { p.gate.link, p.gate.perByte = wait, perByte }
+func (p *Sidecar) Link(wait, perByte float64) { p.gate.link, p.gate.perByte = wait, perByte }
 
 // Sign takes word that a large parcel of another process's is on its way: it is not silent.
-func (p *Pitch) Sign(now float64, from string) {
+func (p *Sidecar) Sign(now float64, from string) {
 	if w := p.peers[from]; w != nil {
 		w.heard = now
 	}
 }
 
-func (p *Pitch) parcel(from string, parcel *cart.Parcel) {
+func (p *Sidecar) parcel(from string, parcel *meshpb.Message) {
 	switch {
-	case parcel.Carry != nil:
-		p.gate.carry(from, parcel.Id, parcel.Carry)
-	case parcel.Carried != nil:
-		p.carried(parcel.Id, parcel.Carried)
+	case parcel.Forward != nil:
+		p.gate.carry(from, parcel.Id, parcel.Forward)
+	case parcel.Forwarded != nil:
+		p.carried(parcel.Id, parcel.Forwarded)
 	case parcel.Claimed != nil:
 		p.gate.claimed(parcel.Id, parcel.Claimed)
-	case parcel.News != nil:
-		p.news.came(from, parcel.Id, parcel.News)
+	case parcel.Update != nil:
+		p.news.came(from, parcel.Id, parcel.Update)
 	case parcel.Pull != nil:
 		p.news.pulled(from, parcel.Id, parcel.Pull)
 	case parcel.Ping != nil:
-		p.send(from, &cart.Parcel{Id: parcel.Id, Pong: parcel.Ping})
+		p.send(from, &meshpb.Message{Id: parcel.Id, Pong: parcel.Ping})
 	}
 }
 
 // Broke takes word that a connection is no more.
-func (p *Pitch) Broke(now float64, b cart.Broke) {
+func (p *Sidecar) Broke(now float64, b transport.Broke) {
 	p.now = now
 	p.brokeTries(b)
 	p.gate.broke(b)
@@ -195,7 +197,7 @@
 }
 
 // Tick does what is due. It is to be called every few hundredths of a second, and at Next.
-func (p *Pitch) Tick(now float64) {
+func (p *Sidecar) Tick(now float64) {
 	p.now = now
 	p.fire()
 	p.watchPeers()
@@ -205,12 +207,12 @@
 }
 
 // Ready says whether clients may come: a configuration is in force here, and the process is not about to end.
-func (p *Pitch) Ready() bool { return p.table != nil && !p.news.ending && p.news.told }
+func (p *Sidecar) Ready() bool { return p.table != nil && !p.news.ending && p.news.told }
 
 // Term begins the end: clients hear that they had better go elsewhere, and once they have had time to, after so many seconds,
 // nothing may be under way. The others hear of it shortly before that: until then the host here is of use to them. What comes
 // nevertheless is served.
-func (p *Pitch) Term(now, notice float64) {
+func (p *Sidecar) Term(now, notice float64) {
 	p.now = now
 	p.news.ending = true
 	p.news.leaveAt = now + max(0, notice-leaveAhead)
@@ -218,14 +220,14 @@
 }
 
 // Idle says whether nothing is under way here.
-func (p *Pitch) Idle() bool { return len(p.orders) == 0 && len(p.gate.jobs) == 0 }
+func (p *Sidecar) Idle() bool { return len(p.orders) == 0 && len(p.gate.jobs) == 0 }
 
 // Limits are those of the configuration in force; nil: none is.
-func (p *Pitch) Limits() *charter.Limits {
+func (p *Sidecar) Limits() *routeconfig.Limits {
 	if p.table == nil {
 		return nil
 	}
-	return &p.table.Charter.SizeLimits
+	return &p.table.Config.SizeLimits
 }
 
 // Counts add up since the process started.
@@ -240,27 +242,27 @@
 
 // State is what an operator sees of a proxy.
 type State struct {
-	Edition uint64         `json:"edition"`
-	Ready   bool           `json:"ready"`
-	Ending  bool           `json:"ending"`
-	Halls   []string       `json:"halls"`
-	Host    *cart.Record   `json:"host"`
-	Roll    []*cart.Record `json:"roll"`
-	Silent  []string       `json:"silent"`
-	Orders  int            `json:"orders"`
-	Jobs    int            `json:"jobs"`
-	Queued  int            `json:"queued"`
-	Waiting int            `json:"late"`
-	Counts  Counts         `json:"counts"`
-	Avoided map[string]int `json:"avoided"`
-	Out     []string       `json:"condemned"`
-	Accused []string       `json:"accused"`
+	Edition uint64           `json:"edition"`
+	Ready   bool             `json:"ready"`
+	Ending  bool             `json:"ending"`
+	Servers []string         `json:"servers"`
+	Host    *meshpb.Record   `json:"host"`
+	Roll    []*meshpb.Record `json:"roll"`
+	Silent  []string         `json:"silent"`
+	Orders  int              `json:"orders"`
+	Jobs    int              `json:"jobs"`
+	Queued  int              `json:"queued"`
+	Waiting int              `json:"late"`
+	Counts  Counts           `json:"counts"`
+	Avoided map[string]int   `json:"avoided"`
+	Out     []string         `json:"condemned"`
+	Accused []string         `json:"accused"`
 }
 
 // State tells what is known here.
-func (p *Pitch) State(now float64) State {
+func (p *Sidecar) State(now float64) State {
 	p.now = now
-	s := State{Ready: p.Ready(), Ending: p.news.ending, Halls: p.news.halls, Host: p.news.own, Orders: len(p.orders),
+	s := State{Ready: p.Ready(), Ending: p.news.ending, Servers: p.news.servers, Host: p.news.own, Orders: len(p.orders),
 		Jobs: len(p.gate.jobs), Queued: len(p.gate.queue), Waiting: len(p.gate.late.jobs), Avoided: map[string]int{},
 		Counts: Counts{Answers: maps.Clone(p.count.Answers), Tries: maps.Clone(p.count.Tries), Turned: maps.Clone(p.count.Turned),
 			Runs: p.count.Runs, Late: p.count.Late, Doubts: p.count.Doubts}}
@@ -274,16 +276,16 @@
 		}
 	}
 	s.Out, s.Accused = p.witness.all(now), p.witness.accused
-	for name, shelf := range p.shelves {
-		s.Avoided[name] = shelf.bal.Avoided(now)
+	for name, service := range p.services {
+		s.Avoided[name] = service.bal.Avoided(now)
 	}
 	return s
 }
 
-var _ balancer.Actions = (*shelf)(nil)
+var _ balancer.Actions = (*service)(nil)
 
 // Edition is the version of the configuration in force here; 0: none is.
-func (p *Pitch) Edition() uint64 {
+func (p *Sidecar) Edition() uint64 {
 	if p.table == nil {
 		return 0
 	}
--- a/internal/market/pitch/witness.go
+++ b/internal/mesh/sidecar/witness.go
@@ -1,17 +1,18 @@
-package pitch
+package sidecar
 
 import (
 	"slices"
 
-	"beechwing/internal/market/assize"
-	"beechwing/internal/market/cart"
-	"beechwing/internal/market/verdict"
+	"beechwing/internal/mesh/ejection"
+	"beechwing/internal/mesh/meshpb"
+
+	"beechwing/internal/mesh/outcome"
 )
 
 // witness is this proxy's part in agreeing that a host fails: what it saw of hosts, and what is in force for all. It is empty where
 // proxies decide alone.
 type witness struct {
-	docket  assize.Docket
+	docket  ejection.Tally
 	accused []string           // hosts of which it was asked
 	version uint64             // of what is in force
 	out     map[string]float64 // by host, until when
@@ -39,41 +40,41 @@
 }
 
 // saw notes how a run ended, or that the proxy beside a host is gone. Time that ran out says nothing: that is load.
-func (p *Pitch) saw(station string, bad bool) {
+func (p *Sidecar) saw(station string, bad bool) {
 	if p.o.Agreed && station != "" && p.witness.docket.Saw(p.now, station, bad) {
 		p.news.ask(false) // a complaint is told at once
 	}
 }
 
 // sawEnd notes what the end of a run says of its host.
-func (p *Pitch) sawEnd(station string, c *cart.Carried) {
-	switch v := verdict.Verdict(c.Verdict); {
-	case v == verdict.Answered:
+func (p *Sidecar) sawEnd(station string, c *meshpb.Forwarded) {
+	switch v := outcome.Outcome(c.Verdict); {
+	case v == outcome.Answered:
 		p.saw(station, c.Status >= 500 && c.Status != 504)
-	case v == verdict.Broken, v == verdict.Turned && c.Refused:
+	case v == outcome.Broken, v == outcome.Turned && c.Refused:
 		p.saw(station, true)
 	}
 }
 
 // ruled takes what is in force.
-func (w *witness) ruled(now float64, news *cart.News) (changed bool) {
+func (w *witness) ruled(now float64, news *meshpb.Update) (changed bool) {
 	w.accused = news.Accused
-	if news.BenchesVersion <= w.version {
+	if news.EjectionsVersion <= w.version {
 		return false
 	}
-	w.version = news.BenchesVersion
+	w.version = news.EjectionsVersion
 	was := w.out
 	w.out, w.hand = map[string]float64{}, map[string]bool{}
 	if w.back == nil {
 		w.back = map[string]float64{}
 	}
-	for _, b := range news.Benches {
-		for _, r := range b.Rulings {
+	for _, b := range news.EjectionLists {
+		for _, r := range b.Ejections {
 			switch {
 			case r.Hand:
 				w.hand[r.Station] = true
 			case r.LeftMs > 0:
-				w.out[r.Station] = assize.Until(now, r.LeftMs)
+				w.out[r.Station] = ejection.Until(now, r.LeftMs)
 			}
 		}
 	}
@@ -109,9 +110,9 @@
 }
 
 // words is what this proxy has to say, for a pull.
-func (w *witness) words(now float64) (words []*cart.Word) {
-	for _, word := range w.docket.Words(now, w.accused) {
-		words = append(words, &cart.Word{Station: word.Station, Good: uint32(word.Good), Bad: uint32(word.Bad)})
+func (w *witness) words(now float64) (words []*meshpb.Observation) {
+	for _, word := range w.docket.Observations(now, w.accused) {
+		words = append(words, &meshpb.Observation{Station: word.Station, Good: uint32(word.Good), Bad: uint32(word.Bad)})
 	}
 	return words
 }
--- a/internal/market/fairground/checker.go
+++ b/internal/mesh/simulation/checker.go
@@ -1,11 +1,12 @@
-package fairground
+package simulation
 
 import (
 	"fmt"
 	"strings"
 
-	"beechwing/internal/market/cart"
-	"beechwing/internal/market/pitch"
+	"beechwing/internal/mesh/meshpb"
+
+	"beechwing/internal/mesh/sidecar"
 )
 
 // Checker knows the operators' rules by their names, and judges by what hosts, clients and operators saw.
@@ -21,7 +22,7 @@
 	Newest   uint64          // acknowledged
 	ackedAt  map[uint64]float64
 	seen     map[string]uint64 // by a life of a proxy
-	at       map[*Stall]int    // runs of the host beside a proxy
+	at       map[*Proxy]int    // runs of the host beside a proxy
 	Served   int
 	Asked    int
 	Statuses map[int]int
@@ -44,7 +45,7 @@
 func newChecker(w *World) *Checker {
 	return &Checker{w: w, runs: map[string][]run{}, byID: map[string][]run{}, requests: map[string]request{},
 		promised: map[string]bool{}, stamps: map[string]run{}, versions: map[uint64]bool{}, ackedAt: map[uint64]float64{},
-		seen: map[string]uint64{}, at: map[*Stall]int{}, Statuses: map[int]int{}, asks: map[string][]float64{},
+		seen: map[string]uint64{}, at: map[*Proxy]int{}, Statuses: map[int]int{}, asks: map[string][]float64{},
 		further: map[string][]float64{}}
 }
 
@@ -52,14 +53,14 @@
 	c.Broken = append(c.Broken, fmt.Sprintf("%s at %.3f: ", rule, c.w.Now)+fmt.Sprintf(format, args...))
 }
 
-func (c *Checker) asked(s *Stall, id, path, key string) {
+func (c *Checker) asked(s *Proxy, id, path, key string) {
 	c.Asked++
 	c.asks[serviceOf(path)] = append(c.asks[serviceOf(path)], c.w.Now)
 	c.requests[id] = request{path, key, s.host.Zone, c.w.Now}
 }
 
 // ran is a host that begins a request.
-func (c *Checker) ran(s *Stall, st *station, id string, carry *cart.Carry) string {
+func (c *Checker) ran(s *Proxy, st *station, id string, carry *meshpb.Forward) string {
 	c.at[s]++
 	q, known := c.requests[id]
 	if !known {
@@ -129,14 +130,14 @@
 }
 
 // answered is a client that gets an answer.
-func (c *Checker) answered(id string, r pitch.Reply) {
+func (c *Checker) answered(id string, r sidecar.Reply) {
 	c.Statuses[r.Status]++
 	q := c.requests[id]
 	tracked := strings.HasPrefix(q.path, "/pay/")
 	switch {
 	case r.Status < 300:
 		c.Served++
-		stamp := field(r.Fields, pitch.HeaderPostmark)
+		stamp := field(r.Fields, sidecar.HeaderPostmark)
 		ran, known := c.stamps[stamp]
 		if !known || string(r.Body) != "body of "+stamp || ran.id != id && (q.key == "" || ran.key != q.key) {
 			c.fail("MIXED", "%s is answered by %q", id, stamp)
@@ -162,9 +163,9 @@
 }
 
 // edition looks which configuration a proxy acts by: it never goes back within a life, and only to what was sent.
-func (c *Checker) edition(s *Stall) {
+func (c *Checker) edition(s *Proxy) {
 	name := fmt.Sprintf("%s/%d", s.addr, s.lives)
-	now := s.pitch.Edition()
+	now := s.sidecar.Edition()
 	if was := c.seen[name]; now < was {
 		c.fail("CONFIG", "%s went back from %d to %d", name, was, now)
 	}
@@ -175,13 +176,13 @@
 }
 
 // InForce checks that proxies act by the newest acknowledged configuration.
-func (c *Checker) InForce(stalls ...*Stall) {
-	for _, s := range stalls {
-		if s.up && s.pitch.Edition() < c.Newest {
-			c.fail("CONFIG", "%s acts by %d, %d was acknowledged", s.addr, s.pitch.Edition(), c.Newest)
+func (c *Checker) InForce(proxies ...*Proxy) {
+	for _, s := range proxies {
+		if s.up && s.sidecar.Edition() < c.Newest {
+			c.fail("CONFIG", "%s acts by %d, %d was acknowledged", s.addr, s.sidecar.Edition(), c.Newest)
 		}
 	}
 }
 
 // RunsAt is how much the host beside a proxy has run.
-func (c *Checker) RunsAt(s *Stall) int { return c.at[s] }
+func (c *Checker) RunsAt(s *Proxy) int { return c.at[s] }
--- a/internal/market/fairground/assize_test.go
+++ b/internal/mesh/simulation/ejection_test.go
@@ -1,4 +1,4 @@
-package fairground
+package simulation
 
 import (
 	"errors"
@@ -6,7 +6,7 @@
 	"slices"
 	"testing"
 
-	"beechwing/internal/market/assize"
+	"beechwing/internal/mesh/ejection"
 )
 
 // tills is a cluster whose four tills take operations, with proxies that leave a host out by agreement only.
@@ -24,14 +24,14 @@
 	const every = 0.005
 	for i := range int(seconds / every) {
 		w.After(float64(i)*every, func() {
-			w.Ask(w.Stalls[w.Rand.IntN(len(w.Stalls))], "/pay/x", fmt.Sprintf("k%d-%d", w.Rand.IntN(1<<30), i), 1)
+			w.Ask(w.Proxies[w.Rand.IntN(len(w.Proxies))], "/pay/x", fmt.Sprintf("k%d-%d", w.Rand.IntN(1<<30), i), 1)
 		})
 	}
 }
 
 // condemners counts the proxies for which a host is out.
 func condemners(w *World, station string) (n int) {
-	for _, s := range w.Stalls {
+	for _, s := range w.Proxies {
 		if s.up && slices.Contains(s.State().Out, station) {
 			n++
 		}
@@ -46,14 +46,14 @@
 		w := tills(t, seed)
 		operations(w, 14)
 		w.Run(2)
-		grey := w.Stalls[1]
+		grey := w.Proxies[1]
 		grey.LoseAnswers(0.9)
 		within := 0.0
-		for ; within < 4 && condemners(w, grey.station.id) < len(w.Stalls); within += 0.05 {
+		for ; within < 4 && condemners(w, grey.station.id) < len(w.Proxies); within += 0.05 {
 			w.Run(0.05)
 		}
 		if within > 2 {
-			t.Errorf("seed %d: after %.2f s %d of %d proxies agree", seed, within, condemners(w, grey.station.id), len(w.Stalls))
+			t.Errorf("seed %d: after %.2f s %d of %d proxies agree", seed, within, condemners(w, grey.station.id), len(w.Proxies))
 		}
 		runs := w.Checker.RunsAt(grey)
 		w.Run(1)
@@ -79,11 +79,11 @@
 func TestOneProxyTakesNobodyOut(t *testing.T) {
 	for _, way := range []string{"one host", "all", "one way"} {
 		w := tills(t, 3)
-		bad := w.Stalls[5]
+		bad := w.Proxies[5]
 		operations(w, 8)
 		w.Run(1)
-		runs := map[*Stall]int{}
-		for i, s := range w.Stalls[:4] {
+		runs := map[*Proxy]int{}
+		for i, s := range w.Proxies[:4] {
 			runs[s] = w.Checker.RunsAt(s)
 			switch way {
 			case "one host":
@@ -98,13 +98,13 @@
 		}
 		for range 40 {
 			w.Run(0.1)
-			for _, s := range w.Stalls[:4] {
+			for _, s := range w.Proxies[:4] {
 				if n := condemners(w, s.station.id); n > 0 {
 					t.Fatalf("%s: %s is out for %d proxies", way, s.addr, n)
 				}
 			}
 		}
-		for _, s := range w.Stalls[:4] {
+		for _, s := range w.Proxies[:4] {
 			if n := w.Checker.RunsAt(s) - runs[s]; n < 60 {
 				t.Errorf("%s: %s got %d operations in 4 s", way, s.addr, n)
 			}
@@ -120,21 +120,21 @@
 func TestOutByHand(t *testing.T) {
 	w := tills(t, 2)
 	operations(w, 30)
-	order := func(h int, s *Stall, out, force bool) (err error) {
+	order := func(h int, s *Proxy, out, force bool) (err error) {
 		err = errors.New("no answer")
-		w.Halls[h].input(func() {
-			w.Halls[h].hall.Order(w.Now, s.station.id, out, force, "ann", "test", func(e error) { err = e })
+		w.Servers[h].input(func() {
+			w.Servers[h].server.Order(w.Now, s.station.id, out, force, "ann", "test", func(e error) { err = e })
 		})
 		w.Run(0.5)
 		return err
 	}
-	first, second, third := w.Stalls[0], w.Stalls[1], w.Stalls[2]
-	for h, s := range []*Stall{first, second} {
+	first, second, third := w.Proxies[0], w.Proxies[1], w.Proxies[2]
+	for h, s := range []*Proxy{first, second} {
 		if err := order(h, s, true, false); err != nil {
 			t.Fatal(err)
 		}
 	}
-	if err := order(2, third, true, false); !errors.Is(err, assize.ErrSecondWord) {
+	if err := order(2, third, true, false); !errors.Is(err, ejection.ErrSecondWord) {
 		t.Errorf("one of four left: %v", err)
 	}
 	still := func(what string) {
@@ -147,20 +147,20 @@
 		}
 	}
 	still("taken out")
-	for _, h := range w.Halls {
+	for _, h := range w.Servers {
 		h.Kill()
 	}
 	w.Run(0.3)
-	for _, h := range w.Halls {
+	for _, h := range w.Servers {
 		h.Start()
 	}
-	for _, s := range w.Stalls[4:] {
+	for _, s := range w.Proxies[4:] {
 		s.Kill()
 		s.Start()
 	}
 	w.Run(2)
 	still("after restarts")
-	for h, s := range []*Stall{first, second} {
+	for h, s := range []*Proxy{first, second} {
 		if err := order(h, s, false, false); err != nil {
 			t.Fatal(err)
 		}
