--- a/internal/market/fairground/people.go
+++ b/internal/mesh/simulation/people.go
@@ -1,4 +1,4 @@
-package fairground
+package simulation
 
 import (
 	"encoding/json"
@@ -6,10 +6,11 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"beechwing/internal/market/cart"
-	"beechwing/internal/market/charter"
-	"beechwing/internal/market/pitch"
-	"beechwing/internal/market/verdict"
+	"beechwing/internal/mesh/meshpb"
+
+	"beechwing/internal/mesh/outcome"
+	"beechwing/internal/mesh/routeconfig"
+	"beechwing/internal/mesh/sidecar"
 )
 
 const beat = 1.5
@@ -25,7 +26,7 @@
 }
 
 // StartHost starts a new life of the host beside a proxy.
-func (s *Stall) StartHost() {
+func (s *Proxy) StartHost() {
 	s.stations++
 	st := &station{id: fmt.Sprintf("i-%s-%d", s.addr, s.stations)}
 	s.station = st
@@ -40,78 +41,78 @@
 	s.w.After(0.05+0.1*s.w.Rand.Float64(), beats)
 }
 
-func (s *Stall) beat(st *station) {
+func (s *Proxy) beat(st *station) {
 	st.seq++
 	if !s.up {
 		return
 	}
-	word := pitch.Station{ID: st.id, Carrier: s.host.Carrier, Zone: s.host.Zone, Berths: 4, Unloading: st.leaving, Sequence: st.seq}
-	s.input(func() { s.pitch.Beat(s.w.Now, word) })
+	word := sidecar.Station{ID: st.id, Carrier: s.host.Carrier, Zone: s.host.Zone, Berths: 4, Unloading: st.leaving, Sequence: st.seq}
+	s.input(func() { s.sidecar.Beat(s.w.Now, word) })
 	if st.leaving && st.acked == 0 {
 		st.acked = s.w.Now
 	}
 }
 
 // Drain has the host say that it leaves, and end some seconds later.
-func (s *Stall) Drain() {
+func (s *Proxy) Drain() {
 	st := s.station
 	st.leaving = true
 	s.beat(st)
 	s.w.After(3, func() {
 		st.dead = true
-		s.input(func() { s.pitch.Leave(s.w.Now, st.id) })
+		s.input(func() { s.sidecar.Leave(s.w.Now, st.id) })
 	})
 }
 
 // CrashHost ends the host without a word. Its proxy lives on.
-func (s *Stall) CrashHost() { s.station.dead = true }
+func (s *Proxy) CrashHost() { s.station.dead = true }
 
 // LoseAnswers has the host lose a share of its answers after it ran.
-func (s *Stall) LoseAnswers(share float64) { s.station.Grey = share }
+func (s *Proxy) LoseAnswers(share float64) { s.station.Grey = share }
 
 // exchange is the host running a request.
-func (s *Stall) exchange(do pitch.Exchange) {
+func (s *Proxy) exchange(do sidecar.Exchange) {
 	st, life := s.station, s.lives
-	c := proto.Clone(do.Carry).(*cart.Carry)
-	back := func(after float64, answer *cart.Carried) {
+	c := proto.Clone(do.Forward).(*meshpb.Forward)
+	back := func(after float64, answer *meshpb.Forwarded) {
 		s.w.After(after, func() {
 			if s.up && s.lives == life {
-				s.input(func() { s.pitch.Exchanged(s.w.Now, do.Job, answer) })
+				s.input(func() { s.sidecar.Exchanged(s.w.Now, do.Job, answer) })
 			}
 		})
 	}
 	if st == nil || st.dead {
-		back(0.0005, &cart.Carried{Verdict: uint32(verdict.Turned), Why: "refused"})
+		back(0.0005, &meshpb.Forwarded{Verdict: uint32(outcome.Turned), Why: "refused"})
 		return
 	}
 	if st.id != c.Station { // another host has the address: it says so and does not run it
-		back(0.0005, &cart.Carried{Verdict: uint32(verdict.HostTurned), Why: "421"})
+		back(0.0005, &meshpb.Forwarded{Verdict: uint32(outcome.HostTurned), Why: "421"})
 		return
 	}
-	id := field(c.Fields, pitch.HeaderID)
+	id := field(c.Fields, sidecar.HeaderID)
 	stamp := s.w.Checker.ran(s, st, id, c)
 	work := 0.02 + 0.04*s.w.Rand.Float64()
 	if s.w.Rand.Float64() < st.Grey {
-		back(work, &cart.Carried{Verdict: uint32(verdict.Broken), Why: "reset"})
+		back(work, &meshpb.Forwarded{Verdict: uint32(outcome.Broken), Why: "reset"})
 		return
 	}
-	back(work, &cart.Carried{Verdict: uint32(verdict.Answered), Status: 200, Body: []byte("body of " + stamp),
-		Fields: []*cart.Field{{Name: pitch.HeaderPostmark, Value: stamp}}})
+	back(work, &meshpb.Forwarded{Verdict: uint32(outcome.Answered), Status: 200, Body: []byte("body of " + stamp),
+		Fields: []*meshpb.Field{{Name: sidecar.HeaderPostmark, Value: stamp}}})
 }
 
 // probe is the host saying which life it is.
-func (s *Stall) probe() {
+func (s *Proxy) probe() {
 	if st := s.station; st != nil && !st.dead {
 		life := s.lives
 		s.w.After(0.002, func() {
 			if s.up && s.lives == life {
-				s.input(func() { s.pitch.Probed(s.w.Now, st.id, !st.leaving) })
+				s.input(func() { s.sidecar.Probed(s.w.Now, st.id, !st.leaving) })
 			}
 		})
 	}
 }
 
-func field(fields []*cart.Field, name string) string {
+func field(fields []*meshpb.Field, name string) string {
 	for _, f := range fields {
 		if f.Name == name {
 			return f.Value
@@ -121,7 +122,7 @@
 }
 
 // Ask has a client send a request to a proxy, and again where it may: up to so many tries in all, with the same key.
-func (w *World) Ask(s *Stall, path, key string, tries int) {
+func (w *World) Ask(s *Proxy, path, key string, tries int) {
 	if !s.up {
 		return
 	}
@@ -134,9 +135,9 @@
 		}
 	}
 	life, answered := s.lives, false
-	o := &pitch.Order{Method: "POST", Target: path, Host: "shop.example", ID: id, Key: key, Left: 1.5,
-		Fields: []*cart.Field{{Name: pitch.HeaderID, Value: id}, {Name: pitch.HeaderKey, Value: key}}}
-	o.Slot = func(r pitch.Reply) {
+	o := &sidecar.Order{Method: "POST", Target: path, Host: "shop.example", ID: id, Key: key, Left: 1.5,
+		Fields: []*meshpb.Field{{Name: sidecar.HeaderID, Value: id}, {Name: sidecar.HeaderKey, Value: key}}}
+	o.Slot = func(r sidecar.Reply) {
 		answered = true
 		w.Checker.answered(id, r)
 		if r.Status >= 300 && r.Status != 404 {
@@ -151,20 +152,20 @@
 			again(0.1)
 		}
 	})
-	s.input(func() { s.pitch.Ask(w.Now, o) })
+	s.input(func() { s.sidecar.Ask(w.Now, o) })
 }
 
 // Config makes a configuration: a safe and a tracked route that stay, and one route by its version.
 func Config(version uint64) []byte {
-	c := charter.Charter{Edition: fmt.Sprintf("r%d", version),
-		Itineraries: []charter.Route{
-			{Name: "read", Depot: "shop.example", LanePrefix: "/read/", RouteKind: charter.Safe, TimeoutMs: 1200, TargetMs: 200,
+	c := routeconfig.Config{Edition: fmt.Sprintf("r%d", version),
+		Itineraries: []routeconfig.Route{
+			{Name: "read", Depot: "shop.example", LanePrefix: "/read/", RouteKind: routeconfig.Safe, TimeoutMs: 1200, TargetMs: 200,
 				Carrier: "shop", Tries: 2},
-			{Name: "pay", Depot: "shop.example", LanePrefix: "/pay/", RouteKind: charter.Tracked, TimeoutMs: 1000, TargetMs: 200,
+			{Name: "pay", Depot: "shop.example", LanePrefix: "/pay/", RouteKind: routeconfig.Tracked, TimeoutMs: 1000, TargetMs: 200,
 				Carrier: "till", Tries: 2},
-			{Name: "new", Depot: "shop.example", LanePrefix: fmt.Sprintf("/new%d/", version), RouteKind: charter.Safe, TimeoutMs: 1000,
+			{Name: "new", Depot: "shop.example", LanePrefix: fmt.Sprintf("/new%d/", version), RouteKind: routeconfig.Safe, TimeoutMs: 1000,
 				TargetMs: 200, Carrier: "shop", Tries: 2}},
-		Carriers: []charter.Service{{Name: "shop", HealthPath: "/health"}, {Name: "till", HealthPath: "/health"}}}
+		Carriers: []routeconfig.Service{{Name: "shop", HealthPath: "/health"}, {Name: "till", HealthPath: "/health"}}}
 	text, err := json.Marshal(c)
 	if err != nil {
 		panic(err)
@@ -175,7 +176,7 @@
 // Configure has an operator send a configuration to a control process until it is acknowledged, going to another one after
 // each failure. acked is called then.
 func (w *World) Configure(h int, version uint64, acked func()) {
-	p := w.Halls[h%len(w.Halls)]
+	p := w.Servers[h%len(w.Servers)]
 	done, life := false, p.lives
 	next := func() {
 		if !done {
@@ -190,7 +191,7 @@
 	}
 	w.After(1, next)
 	p.input(func() {
-		p.hall.Put(w.Now, version, Config(version), func(ok bool) {
+		p.server.Put(w.Now, version, Config(version), func(ok bool) {
 			if done || !p.up || p.lives != life {
 				return
 			}
@@ -209,7 +210,7 @@
 
 // ReadBack has the operator ask a control process for the configuration, and others until one answers.
 func (w *World) ReadBack(h int, got func(version uint64)) {
-	p := w.Halls[h%len(w.Halls)]
+	p := w.Servers[h%len(w.Servers)]
 	done := false
 	next := func() {
 		if !done {
@@ -223,7 +224,7 @@
 	}
 	w.After(1, next)
 	p.input(func() {
-		p.hall.Get(w.Now, func(text []byte, ok bool) {
+		p.server.Get(w.Now, func(text []byte, ok bool) {
 			if done {
 				return
 			}
@@ -232,7 +233,7 @@
 				return
 			}
 			done = true
-			t, err := charter.Compile(text)
+			t, err := routeconfig.Compile(text)
 			if err != nil {
 				got(0)
 				return
--- a/internal/market/fairground/fairground_test.go
+++ b/internal/mesh/simulation/simulation_test.go
@@ -1,4 +1,4 @@
-package fairground
+package simulation
 
 import (
 	"fmt"
@@ -8,13 +8,13 @@
 )
 
 // market is a small cluster: two services in two zones, with a configuration in force.
-func market(t *testing.T, seed uint64, halls int) *World {
+func market(t *testing.T, seed uint64, servers int) *World {
 	t.Helper()
-	w := New(seed, halls, Host{"shop", "a"}, Host{"shop", "b"}, Host{"shop", "a"}, Host{"till", "a"}, Host{"till", "b"},
+	w := New(seed, servers, Host{"shop", "a"}, Host{"shop", "b"}, Host{"shop", "a"}, Host{"till", "a"}, Host{"till", "b"},
 		Host{"till", "b"})
 	w.Configure(int(seed), 1, nil)
 	w.Run(4)
-	w.Checker.InForce(w.Stalls...)
+	w.Checker.InForce(w.Proxies...)
 	if w.Checker.Newest != 1 {
 		t.Fatalf("seed %d: no configuration after 4 s", seed)
 	}
@@ -24,7 +24,7 @@
 // agree has the proxies of a cluster leave hosts out for operations by agreement only, from a start anew.
 func agree(w *World) {
 	w.Agreed = true
-	for _, s := range w.Stalls {
+	for _, s := range w.Proxies {
 		s.Kill()
 		s.Start()
 	}
@@ -36,7 +36,7 @@
 	const every = 0.01
 	for i := range int(seconds / every) {
 		w.After(float64(i)*every, func() {
-			s := w.Stalls[w.Rand.IntN(len(w.Stalls))]
+			s := w.Proxies[w.Rand.IntN(len(w.Proxies))]
 			if w.Rand.IntN(2) == 0 {
 				w.Ask(s, "/read/x", "", 3)
 				return
@@ -44,7 +44,7 @@
 			key := fmt.Sprintf("k%d-%d", w.Rand.IntN(1<<30), i)
 			w.Ask(s, "/pay/x", key, 3)
 			if w.Rand.IntN(3) == 0 {
-				other := w.Stalls[w.Rand.IntN(len(w.Stalls))]
+				other := w.Proxies[w.Rand.IntN(len(w.Proxies))]
 				w.After(0.3*w.Rand.Float64()*w.Rand.Float64(), func() { w.Ask(other, "/pay/x", key, 3) })
 			}
 		})
@@ -65,11 +65,11 @@
 }
 
 func TestCalmDay(t *testing.T) {
-	for _, halls := range []int{3, 4, 5} {
-		w := market(t, 1, halls)
+	for _, servers := range []int{3, 4, 5} {
+		w := market(t, 1, servers)
 		traffic(w, 3)
 		w.Run(7)
-		verdictOn(t, w, fmt.Sprintf("%d halls", halls), 0.97)
+		verdictOn(t, w, fmt.Sprintf("%d servers", servers), 0.97)
 	}
 }
 
@@ -82,35 +82,35 @@
 		struck := false
 		w.Configure(int(seed), 9, func() {
 			struck = true
-			for _, h := range w.Halls {
+			for _, h := range w.Servers {
 				if way == "kill" {
 					h.Kill()
 				} else {
 					h.PowerOff()
 				}
 			}
-			for _, s := range w.Stalls {
+			for _, s := range w.Proxies {
 				s.PowerOff()
 			}
 			if way == "wipe" {
-				w.Halls[w.Rand.IntN(len(w.Halls))].Wipe()
+				w.Servers[w.Rand.IntN(len(w.Servers))].Wipe()
 			}
 		})
 		w.Run(1)
 		if !struck {
 			t.Fatalf("seed %d: not acknowledged within a second", seed)
 		}
-		for _, h := range w.Halls {
+		for _, h := range w.Servers {
 			w.After(0.3*w.Rand.Float64(), h.Start)
 		}
-		for _, s := range w.Stalls {
+		for _, s := range w.Proxies {
 			w.After(0.3*w.Rand.Float64(), func() { s.Start(); s.StartHost() })
 		}
 		w.Run(5)
 		var read uint64
 		w.ReadBack(int(seed), func(v uint64) { read = v })
 		w.Run(3)
-		w.Checker.InForce(w.Stalls...)
+		w.Checker.InForce(w.Proxies...)
 		if read != 9 {
 			t.Errorf("seed %d, %s: read back %d, acknowledged 9", seed, way, read)
 		}
@@ -124,12 +124,12 @@
 		w := market(t, seed, 3)
 		traffic(w, 4)
 		w.Run(1)
-		h := w.Halls[seed%3]
+		h := w.Servers[seed%3]
 		h.PowerOff()
 		h.Wipe()
 		w.Run(0.5)
 		h.Start()
-		other := w.Halls[(seed+1)%3]
+		other := w.Servers[(seed+1)%3]
 		other.PowerOff() // and one of those that it would ask is dark
 		w.Run(2.5)
 		if h.Voting() {
@@ -150,8 +150,8 @@
 		w := market(t, seed, 3)
 		traffic(w, 6)
 		for i, at := range []int{0, 3} {
-			w.After(1+float64(i), w.Stalls[at].Drain)
-			w.After(3.5+float64(i), w.Stalls[at].StartHost)
+			w.After(1+float64(i), w.Proxies[at].Drain)
+			w.After(3.5+float64(i), w.Proxies[at].StartHost)
 		}
 		w.Run(10)
 		verdictOn(t, w, fmt.Sprintf("seed %d", seed), 0.95)
@@ -163,7 +163,7 @@
 func TestProxiesEndInTurn(t *testing.T) {
 	w := market(t, 8, 3)
 	traffic(w, 12)
-	for i, s := range w.Stalls {
+	for i, s := range w.Proxies {
 		w.After(0.5+1.5*float64(i), func() {
 			s.Term(func() {
 				w.After(0.4, s.Start)
@@ -183,11 +183,11 @@
 // A proxy that hears no news goes on sending to a host that leaves. The proxy beside that host lets nothing through.
 func TestGateHoldsAgainstOldNews(t *testing.T) {
 	w := market(t, 5, 3)
-	old, leaves := w.Stalls[2], w.Stalls[0]
-	for _, h := range w.Halls {
+	old, leaves := w.Proxies[2], w.Proxies[0]
+	for _, h := range w.Servers {
 		w.CutOff(old.addr, h.addr)
 	}
-	for _, s := range w.Stalls {
+	for _, s := range w.Proxies {
 		if s != leaves {
 			w.CutOff(old.addr, s.addr)
 		}
@@ -207,8 +207,8 @@
 // A proxy cut off from the control plane learns of what is new from those that it watches.
 func TestCutOffProxyHearsFromNeighbours(t *testing.T) {
 	w := market(t, 3, 3)
-	cut := w.Stalls[2]
-	for _, h := range w.Halls {
+	cut := w.Proxies[2]
+	for _, h := range w.Servers {
 		w.CutOff(cut.addr, h.addr)
 	}
 	w.Configure(1, 5, nil)
@@ -222,7 +222,7 @@
 // afterwards all is served again.
 func TestDaysOfTroubles(t *testing.T) {
 	days := 12
-	if n, err := strconv.Atoi(os.Getenv("FAIRGROUND_DAYS")); err == nil { // more, by hand
+	if n, err := strconv.Atoi(os.Getenv("SIMULATION_DAYS")); err == nil { // more, by hand
 		days = n
 	}
 	for seed := range uint64(days) {
@@ -238,16 +238,16 @@
 		}
 		w.Run(12)
 		w.JoinAll()
-		for _, s := range w.Stalls {
+		for _, s := range w.Proxies {
 			if s.station != nil {
 				s.LoseAnswers(0)
 			}
 		}
 		w.Run(4)
-		w.Checker.InForce(w.Stalls...)
+		w.Checker.InForce(w.Proxies...)
 		served := w.Checker.Served
 		for i := range 40 {
-			w.After(float64(i)*0.02, func() { w.Ask(w.Stalls[i%len(w.Stalls)], "/pay/x", fmt.Sprintf("after%d", i), 3) })
+			w.After(float64(i)*0.02, func() { w.Ask(w.Proxies[i%len(w.Proxies)], "/pay/x", fmt.Sprintf("after%d", i), 3) })
 		}
 		w.Run(4)
 		if got := w.Checker.Served - served; got < 36 {
@@ -264,8 +264,8 @@
 }
 
 func trouble(w *World, version *uint64, lost *float64) {
-	h := w.Halls[w.Rand.IntN(len(w.Halls))]
-	s := w.Stalls[w.Rand.IntN(len(w.Stalls))]
+	h := w.Servers[w.Rand.IntN(len(w.Servers))]
+	s := w.Proxies[w.Rand.IntN(len(w.Proxies))]
 	down := 0.2 + 1.5*w.Rand.Float64()
 	free := w.Now > *lost
 	switch k := w.Rand.IntN(12); {
@@ -283,13 +283,13 @@
 		w.After(down, h.Start)
 	case k == 2: // all at once, and their disks are kept
 		*lost = w.Now + 5
-		for _, h := range w.Halls {
+		for _, h := range w.Servers {
 			h.Kill()
 			w.After(0.9*w.Rand.Float64(), h.Start)
 		}
 	case k == 3:
 		*lost = w.Now + down + 4
-		for _, o := range w.Halls {
+		for _, o := range w.Servers {
 			if o != h {
 				w.Cut(h.addr, o.addr)
 				if w.Rand.IntN(2) == 0 {
@@ -305,7 +305,7 @@
 		s.PowerOff()
 		w.After(down, func() { s.Start(); s.StartHost() })
 	case k == 6:
-		for _, o := range w.Halls {
+		for _, o := range w.Servers {
 			w.CutOff(s.addr, o.addr)
 		}
 		w.After(down, w.JoinAll)
@@ -316,7 +316,7 @@
 		s.CrashHost()
 		w.After(down, s.StartHost)
 	case k == 10: // full links: what is given up arrives later
-		for _, o := range w.Stalls {
+		for _, o := range w.Proxies {
 			if w.Rand.IntN(3) == 0 {
 				w.Slow(s.addr, o.addr, 0.3+1.2*w.Rand.Float64())
 			}
@@ -338,25 +338,25 @@
 func TestStartBesideADarkHall(t *testing.T) {
 	for seed := range uint64(12) {
 		w := market(t, seed, 3)
-		for _, h := range w.Halls {
+		for _, h := range w.Servers {
 			h.PowerOff()
 		}
-		for _, s := range w.Stalls {
+		for _, s := range w.Proxies {
 			s.PowerOff()
 		}
 		w.Run(0.5)
-		for i, h := range w.Halls {
+		for i, h := range w.Servers {
 			if i != int(seed%3) {
 				h.Start()
 			}
 		}
 		w.Run(0.3)
-		for _, s := range w.Stalls {
+		for _, s := range w.Proxies {
 			s.Start()
 			s.StartHost()
 		}
 		w.Run(0.6)
-		w.Checker.InForce(w.Stalls...)
+		w.Checker.InForce(w.Proxies...)
 		verdictOn(t, w, fmt.Sprintf("seed %d", seed), 0)
 	}
 }
@@ -366,7 +366,7 @@
 func TestNearHostsStayNear(t *testing.T) {
 	w := market(t, 4, 3)
 	for i := range 3000 {
-		w.After(float64(i)*0.02, func() { w.Ask(w.Stalls[w.Rand.IntN(len(w.Stalls))], "/read/x", "", 1) })
+		w.After(float64(i)*0.02, func() { w.Ask(w.Proxies[w.Rand.IntN(len(w.Proxies))], "/read/x", "", 1) })
 	}
 	w.Run(62)
 	verdictOn(t, w, "near", 0.98)
@@ -378,27 +378,27 @@
 // What an operation costs the control plane is its majority and nothing else: with three control processes one copy and its answer for
 // the claim and for the end of the run, with nine four. What they say to each other at rest does not depend on the operations.
 func TestOperationsCostTheMajority(t *testing.T) {
-	for _, halls := range []int{3, 5, 7, 9} {
-		w := market(t, 2, halls)
+	for _, servers := range []int{3, 5, 7, 9} {
+		w := market(t, 2, servers)
 		quiet := func() (words, bytes int) {
-			words, bytes = w.Words, w.Bytes
+			words, bytes = w.Messages, w.Bytes
 			w.Run(5)
-			return w.Words - words, w.Bytes - bytes
+			return w.Messages - words, w.Bytes - bytes
 		}
 		rest, restBytes := quiet()
 		const n = 200
 		for i := range n {
-			w.After(float64(i)*0.02, func() { w.Ask(w.Stalls[i%len(w.Stalls)], "/pay/x", fmt.Sprintf("k%d", i), 1) })
+			w.After(float64(i)*0.02, func() { w.Ask(w.Proxies[i%len(w.Proxies)], "/pay/x", fmt.Sprintf("k%d", i), 1) })
 		}
 		busy, _ := quiet()
-		others := halls / 2
+		others := servers / 2
 		if each := float64(busy-rest) / n; each > float64(4*others)*1.15+0.5 {
-			t.Errorf("%d control processes: %.1f words an operation, %d are needed", halls, each, 4*others)
+			t.Errorf("%d control processes: %.1f words an operation, %d are needed", servers, each, 4*others)
 		}
-		if most := 5 * 1024 * halls * halls; restBytes > most {
-			t.Errorf("%d control processes: %d bytes in 5 s at rest, at most %d", halls, restBytes, most)
+		if most := 5 * 1024 * servers * servers; restBytes > most {
+			t.Errorf("%d control processes: %d bytes in 5 s at rest, at most %d", servers, restBytes, most)
 		}
-		verdictOn(t, w, fmt.Sprintf("%d halls", halls), 0.95)
+		verdictOn(t, w, fmt.Sprintf("%d servers", servers), 0.95)
 	}
 }
 
@@ -407,11 +407,11 @@
 func TestLostAnswersStayInTheBudget(t *testing.T) {
 	for seed := range uint64(4) {
 		w := market(t, seed, 3)
-		for _, s := range w.Stalls {
+		for _, s := range w.Proxies {
 			s.LoseAnswers(0.9)
 		}
 		for i := range 4000 {
-			w.After(float64(i)*0.005, func() { w.Ask(w.Stalls[w.Rand.IntN(len(w.Stalls))], "/read/x", "", 1) })
+			w.After(float64(i)*0.005, func() { w.Ask(w.Proxies[w.Rand.IntN(len(w.Proxies))], "/read/x", "", 1) })
 		}
 		w.Run(22)
 		verdictOn(t, w, fmt.Sprintf("seed %d", seed), 0)
@@ -426,16 +426,16 @@
 func TestNobodyWaitsForAHallThatRecovers(t *testing.T) {
 	for seed := range uint64(6) {
 		w := market(t, seed, 5)
-		h := w.Halls[seed%3]
+		h := w.Servers[seed%3]
 		h.PowerOff()
 		h.Wipe()
 		w.Run(0.5)
 		for i := range 2 { // with two others silent to it, it can read back too little
-			w.CutOff(h.addr, w.Halls[3+i].addr)
+			w.CutOff(h.addr, w.Servers[3+i].addr)
 		}
 		h.Start()
 		w.Run(1)
-		for _, s := range w.Stalls { // some ask it first
+		for _, s := range w.Proxies { // some ask it first
 			s.Kill()
 			s.Start()
 		}
@@ -445,7 +445,7 @@
 		if h.Voting() || w.Checker.Newest != 7 {
 			t.Fatalf("seed %d: voting %v, acknowledged %d: this is not the case that it is for", seed, h.Voting(), w.Checker.Newest)
 		}
-		w.Checker.InForce(w.Stalls...)
+		w.Checker.InForce(w.Proxies...)
 		verdictOn(t, w, fmt.Sprintf("seed %d", seed), 0)
 	}
 }
--- a/internal/market/fairground/world.go
+++ b/internal/mesh/simulation/world.go
@@ -1,9 +1,9 @@
-// Package fairground is whole clusters in one process: clock, network and disks are simulated, the state machines are the ones
+// Package simulation is whole clusters in one process: clock, network and disks are simulated, the state machines are the ones
 // that the programs run. (The field's term: deterministic simulation.) A seed replays.
 //
 // This file has the world: time, links, processes and disks. people.go has the hosts, clients and operators as stand-ins;
 // checker.go judges by what those saw, and by nothing else.
-package fairground
+package simulation
 
 import (
 	"container/heap"
@@ -13,10 +13,12 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"beechwing/internal/market/cart"
-	"beechwing/internal/market/hall"
-	"beechwing/internal/market/pitch"
-	"beechwing/internal/market/vault"
+	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/transport"
+
+	"beechwing/internal/mesh/control"
+	"beechwing/internal/mesh/sidecar"
+	"beechwing/internal/mesh/store"
 )
 
 const (
@@ -32,8 +34,8 @@
 	Delay   float64 // one way, between machines
 	Rand    *rand.Rand
 	Checker *Checker
-	Halls   []*Hall
-	Stalls  []*Stall
+	Servers []*ControlServer
+	Proxies []*Proxy
 
 	events events
 	seq    uint64
@@ -43,9 +45,9 @@
 	byAddr map[string]machine
 	first  bool
 
-	Agreed bool // proxies leave hosts out for operations by agreement only
-	Words  int  // parcels sent between control processes
-	Bytes  int  // in them
+	Agreed   bool // proxies leave hosts out for operations by agreement only
+	Messages int  // parcels sent between control processes
+	Bytes    int  // in them
 }
 
 // machine is one with a process on it.
@@ -54,8 +56,8 @@
 	alive() bool // its process runs
 	dark() bool  // it has no power
 	life() int
-	heard(from string, p *cart.Parcel)
-	broke(b cart.Broke)
+	heard(from string, p *meshpb.Message)
+	broke(b transport.Broke)
 }
 
 type link struct {
@@ -92,23 +94,23 @@
 type Host struct{ Carrier, Zone string }
 
 // New makes a cluster of so many control processes, and a proxy for each host.
-func New(seed uint64, halls int, hosts ...Host) *World {
+func New(seed uint64, servers int, hosts ...Host) *World {
 	w := &World{Now: 1, Delay: 0.001, Rand: rand.New(rand.NewPCG(seed, 7)), links: map[[2]string]*link{},
 		cuts: map[[2]string]bool{}, slow: map[[2]string]float64{}, byAddr: map[string]machine{}, first: true}
 	w.Checker = newChecker(w)
 	var seeds []string
-	for i := range halls {
+	for i := range servers {
 		seeds = append(seeds, fmt.Sprintf("10.0.0.%d:7000", i+1))
 	}
 	for _, addr := range seeds {
-		h := &Hall{w: w, addr: addr, seeds: seeds[:min(3, halls)], disk: &disk{held: map[string][]byte{}}}
-		w.Halls = append(w.Halls, h)
+		h := &ControlServer{w: w, addr: addr, seeds: seeds[:min(3, servers)], disk: &disk{held: map[string][]byte{}}}
+		w.Servers = append(w.Servers, h)
 		w.byAddr[addr] = h
 		h.Start()
 	}
 	for i, host := range hosts {
-		s := &Stall{w: w, addr: fmt.Sprintf("10.0.1.%d:7000", i+1), host: host, seeds: seeds[:min(3, halls)]}
-		w.Stalls = append(w.Stalls, s)
+		s := &Proxy{w: w, addr: fmt.Sprintf("10.0.1.%d:7000", i+1), host: host, seeds: seeds[:min(3, servers)]}
+		w.Proxies = append(w.Proxies, s)
 		w.byAddr[s.addr] = s
 		s.Start()
 		s.StartHost()
@@ -155,7 +157,7 @@
 
 // send carries a parcel, in order on its link. A link to a process that has ended is reset; one to a silent machine is given up
 // after a while, and what was sent by it may have arrived.
-func (w *World) send(from, to string, p *cart.Parcel) uint64 {
+func (w *World) send(from, to string, p *meshpb.Message) uint64 {
 	key := [2]string{from, to}
 	sender, target := w.byAddr[from], w.byAddr[to]
 	if target == nil {
@@ -171,21 +173,21 @@
 			delete(w.links, back)
 		}
 	}
-	if _, ok := sender.(*Hall); ok {
-		if _, ok := target.(*Hall); ok {
-			w.Words++
+	if _, ok := sender.(*ControlServer); ok {
+		if _, ok := target.(*ControlServer); ok {
+			w.Messages++
 			w.Bytes += proto.Size(p)
 		}
 	}
 	number, born := l.number, sender.life()
-	parcel := proto.Clone(p).(*cart.Parcel)
+	parcel := proto.Clone(p).(*meshpb.Message)
 	fail := func(after float64, unsent bool) {
 		w.After(after, func() {
 			if l.dead || !sender.alive() || sender.life() != born {
 				return
 			}
 			l.dead = true
-			b := cart.Broke{Peer: to, Link: number}
+			b := transport.Broke{Peer: to, Link: number}
 			if unsent {
 				b.Unsent = []uint64{parcel.Id}
 			}
@@ -212,10 +214,10 @@
 // disk keeps batches. One is on its way at a time; what has not been synced is lost with power, all of it or some.
 type disk struct {
 	held    map[string][]byte
-	writing []vault.Put
+	writing []store.Put
 }
 
-func (d *disk) apply(puts []vault.Put) {
+func (d *disk) apply(puts []store.Put) {
 	for _, p := range puts {
 		if len(p.Value) == 0 {
 			delete(d.held, p.Name)
@@ -227,29 +229,29 @@
 
 // ---- control processes
 
-// Hall is a control process.
-type Hall struct {
+// ControlServer is a control process.
+type ControlServer struct {
 	w      *World
 	addr   string
 	seeds  []string
 	disk   *disk
-	hall   *hall.Hall
+	server *control.Server
 	lives  int
 	up     bool
 	unlit  bool
-	puts   []vault.Put
-	after  []cart.Send
+	puts   []store.Put
+	after  []transport.Send
 	busy   bool
 	Synced func() // called as a batch is on the disk, before anything is said of it
 }
 
-func (h *Hall) address() string { return h.addr }
-func (h *Hall) alive() bool     { return h.up }
-func (h *Hall) dark() bool      { return h.unlit }
-func (h *Hall) life() int       { return h.lives }
+func (h *ControlServer) address() string { return h.addr }
+func (h *ControlServer) alive() bool     { return h.up }
+func (h *ControlServer) dark() bool      { return h.unlit }
+func (h *ControlServer) life() int       { return h.lives }
 
 // Start starts the process on what its disk holds.
-func (h *Hall) Start() {
+func (h *ControlServer) Start() {
 	h.lives++
 	h.up, h.unlit, h.busy, h.puts, h.after = true, false, false, nil, nil
 	values := map[string][]byte{}
@@ -257,7 +259,7 @@
 		values[name] = slices.Clone(v)
 	}
 	var err error
-	h.hall, err = hall.New(h.w.Now, hall.Options{Self: h.addr, Seeds: h.seeds, First: h.w.first && len(values) == 0, Window: window,
+	h.server, err = control.New(h.w.Now, control.Options{Self: h.addr, Seeds: h.seeds, First: h.w.first && len(values) == 0, Window: window,
 		Life: h.w.Rand.Uint32() | 1}, values, len(values) > 0)
 	if err != nil {
 		panic(err)
@@ -266,7 +268,7 @@
 	var tick func()
 	tick = func() {
 		if h.up && h.lives == life {
-			h.input(func() { h.hall.Tick(h.w.Now) })
+			h.input(func() { h.server.Tick(h.w.Now) })
 			h.w.After(tickEvery, tick)
 		}
 	}
@@ -274,7 +276,7 @@
 }
 
 // Kill ends the process: what it had begun to write is on the disk.
-func (h *Hall) Kill() {
+func (h *ControlServer) Kill() {
 	if h.up {
 		h.up = false
 		h.disk.apply(h.disk.writing)
@@ -283,7 +285,7 @@
 }
 
 // PowerOff takes the power away: of what was not synced some may be on the disk.
-func (h *Hall) PowerOff() {
+func (h *ControlServer) PowerOff() {
 	if n := len(h.disk.writing); h.up && n > 0 && h.w.Rand.IntN(2) == 0 {
 		h.disk.apply(h.disk.writing[:h.w.Rand.IntN(n)])
 	}
@@ -292,25 +294,25 @@
 }
 
 // Wipe takes the disk's content away. The process has to be down.
-func (h *Hall) Wipe() {
+func (h *ControlServer) Wipe() {
 	h.disk.held, h.disk.writing = map[string][]byte{}, nil
 	h.w.first = false
 }
 
 // Voting says whether the process takes part in ballots.
-func (h *Hall) Voting() bool { return h.up && h.hall.Ready() }
+func (h *ControlServer) Voting() bool { return h.up && h.server.Ready() }
 
-func (h *Hall) heard(from string, p *cart.Parcel) {
-	h.input(func() { h.hall.Heard(h.w.Now, from, p) })
+func (h *ControlServer) heard(from string, p *meshpb.Message) {
+	h.input(func() { h.server.Heard(h.w.Now, from, p) })
 }
 
-func (h *Hall) broke(cart.Broke) {}
+func (h *ControlServer) broke(transport.Broke) {}
 
 // input gives the machine something, and does what it wants done.
-func (h *Hall) input(f func()) {
+func (h *ControlServer) input(f func()) {
 	f()
 	for {
-		out := h.hall.Take()
+		out := h.server.Take()
 		h.puts, h.after = append(h.puts, out.Puts...), append(h.after, out.After...)
 		h.sync()
 		if len(out.Sends) == 0 {
@@ -320,17 +322,17 @@
 	}
 }
 
-func (h *Hall) send(all []cart.Send) {
+func (h *ControlServer) send(all []transport.Send) {
 	for _, s := range all {
 		if s.To == h.addr {
-			h.hall.Heard(h.w.Now, h.addr, s.Parcel)
+			h.server.Heard(h.w.Now, h.addr, s.Message)
 			continue
 		}
-		h.w.send(h.addr, s.To, s.Parcel)
+		h.w.send(h.addr, s.To, s.Message)
 	}
 }
 
-func (h *Hall) sync() {
+func (h *ControlServer) sync() {
 	if h.busy || len(h.puts)+len(h.after) == 0 {
 		return
 	}
@@ -357,13 +359,13 @@
 
 // ---- data plane
 
-// Stall is a proxy with the host beside it.
-type Stall struct {
+// Proxy is a proxy with the host beside it.
+type Proxy struct {
 	w        *World
 	addr     string
 	host     Host
 	seeds    []string
-	pitch    *pitch.Pitch
+	sidecar  *sidecar.Sidecar
 	lives    int
 	up       bool
 	unlit    bool
@@ -372,23 +374,23 @@
 	stations int
 }
 
-func (s *Stall) address() string { return s.addr }
-func (s *Stall) alive() bool     { return s.up }
-func (s *Stall) dark() bool      { return s.unlit }
-func (s *Stall) life() int       { return s.lives }
+func (s *Proxy) address() string { return s.addr }
+func (s *Proxy) alive() bool     { return s.up }
+func (s *Proxy) dark() bool      { return s.unlit }
+func (s *Proxy) life() int       { return s.lives }
 
 // Start starts the process.
-func (s *Stall) Start() {
+func (s *Proxy) Start() {
 	s.lives++
 	s.up, s.unlit = true, false
 	s.version += uint64(1000 * s.w.Rand.Float64()) // the time of day may have gone back
-	s.pitch = pitch.New(s.w.Now, pitch.Options{Self: s.addr, Zone: s.host.Zone, Sender: s.host.Carrier, Seeds: s.seeds, Beat: beat,
+	s.sidecar = sidecar.New(s.w.Now, sidecar.Options{Self: s.addr, Zone: s.host.Zone, Sender: s.host.Carrier, Seeds: s.seeds, Beat: beat,
 		Ratio: 0.2, Slack: 60, Version: s.version, Seed: s.w.Rand.Uint64(), Memory: 1 << 24, Agreed: s.w.Agreed})
 	life := s.lives
 	var tick func()
 	tick = func() {
 		if s.up && s.lives == life {
-			s.input(func() { s.pitch.Tick(s.w.Now) })
+			s.input(func() { s.sidecar.Tick(s.w.Now) })
 			s.w.Checker.edition(s)
 			s.w.After(tickEvery, tick)
 		}
@@ -397,24 +399,24 @@
 }
 
 // Kill ends the process. Its clients see their connections closed.
-func (s *Stall) Kill() { s.up = false }
+func (s *Proxy) Kill() { s.up = false }
 
 // PowerOff takes the power of proxy and host away.
-func (s *Stall) PowerOff() {
+func (s *Proxy) PowerOff() {
 	s.up, s.unlit = false, true
 	s.station = nil
 }
 
 // Term tells the process to end, and ends it once nothing is under way, as its program does. ended is called then.
-func (s *Stall) Term(ended func()) {
+func (s *Proxy) Term(ended func()) {
 	const notice, grace = 2.2, 5.0
 	began, life := s.w.Now, s.lives
-	s.input(func() { s.pitch.Term(s.w.Now, notice) })
+	s.input(func() { s.sidecar.Term(s.w.Now, notice) })
 	var look func()
 	look = func() {
 		switch {
 		case !s.up || s.lives != life:
-		case s.w.Now > began+notice && s.pitch.Idle(), s.w.Now > began+grace:
+		case s.w.Now > began+notice && s.sidecar.Idle(), s.w.Now > began+grace:
 			s.up = false
 			ended()
 		default:
@@ -425,34 +427,34 @@
 }
 
 // State is what the proxy knows.
-func (s *Stall) State() pitch.State { return s.pitch.State(s.w.Now) }
+func (s *Proxy) State() sidecar.State { return s.sidecar.State(s.w.Now) }
 
-func (s *Stall) heard(from string, p *cart.Parcel) {
-	s.input(func() { s.pitch.Parcel(s.w.Now, from, p) })
+func (s *Proxy) heard(from string, p *meshpb.Message) {
+	s.input(func() { s.sidecar.Message(s.w.Now, from, p) })
 }
 
-func (s *Stall) broke(b cart.Broke) { s.input(func() { s.pitch.Broke(s.w.Now, b) }) }
+func (s *Proxy) broke(b transport.Broke) { s.input(func() { s.sidecar.Broke(s.w.Now, b) }) }
 
-func (s *Stall) input(f func()) {
+func (s *Proxy) input(f func()) {
 	if !s.up {
 		return
 	}
 	f()
 	for {
-		out := s.pitch.Take()
+		out := s.sidecar.Take()
 		for _, send := range out.Sends {
-			number := s.w.send(s.addr, send.To, send.Parcel)
+			number := s.w.send(s.addr, send.To, send.Message)
 			if send.Via != nil {
 				*send.Via = number
 			}
 		}
 		for _, do := range out.Dos {
 			switch do := do.(type) {
-			case pitch.Tell:
-				do.Order.Slot.(func(pitch.Reply))(do.Reply)
-			case pitch.Exchange:
+			case sidecar.Tell:
+				do.Order.Slot.(func(sidecar.Reply))(do.Reply)
+			case sidecar.Exchange:
 				s.exchange(do)
-			case pitch.Probe:
+			case sidecar.Probe:
 				s.probe()
 			}
 		}
--- a/internal/market/vault/vault.go
+++ b/internal/mesh/store/store.go
@@ -1,4 +1,4 @@
-// Package vault keeps what a control process has promised on its disk. (The field's term: durable store.)
+// Package store keeps what a control process has promised on its disk. (The field's term: durable store.)
 //
 // A generation is one buntdb file. Writes go in batches: one transaction, one sync, and only then are they promised. A start
 // reads the newest whole generation, writes what it holds into the next one, and uses that: so what was torn at the end of the
@@ -7,7 +7,7 @@
 //
 // A name has two slots, written by turns: a torn write can only spoil the one that is not needed. Every value carries a
 // checksum, so that a slot whose write was torn inside is told from a good one.
-package vault
+package store
 
 import (
 	"bufio"
@@ -25,7 +25,7 @@
 )
 
 const (
-	pattern   = "vault-%08d.bunt"
+	pattern   = "store-%08d.bunt"
 	wholeMark = "~whole" // sorts behind all names, so it is written last into a new generation
 	leastTurn = 24 << 20 // bytes written before a generation may be replaced
 	turnTimes = 3        // of what is live
@@ -39,8 +39,8 @@
 	Value []byte
 }
 
-// Vault is a folder's store. Write is for one caller at a time.
-type Vault struct {
+// Store is a folder's store. Write is for one caller at a time.
+type Store struct {
 	dir        string
 	generation int
 	db         *buntdb.DB
@@ -52,11 +52,11 @@
 }
 
 // Open opens the store of a folder; found says whether one was there.
-func Open(dir string) (v *Vault, values map[string][]byte, found bool, err error) {
+func Open(dir string) (v *Store, values map[string][]byte, found bool, err error) {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return nil, nil, false, errors.Wrap(err, "vault")
+		return nil, nil, false, errors.Wrap(err, "store")
 	}
-	v = &Vault{dir: dir, seq: map[string]uint32{}, live: map[string]int{}}
+	v = &Store{dir: dir, seq: map[string]uint32{}, live: map[string]int{}}
 	files, err := generations(dir)
 	if err != nil {
 		return nil, nil, false, err
@@ -80,7 +80,7 @@
 func generations(dir string) (all []int, err error) {
 	entries, err := os.ReadDir(dir)
 	if err != nil {
-		return nil, errors.Wrap(err, "vault")
+		return nil, errors.Wrap(err, "store")
 	}
 	for _, e := range entries {
 		var g int
@@ -92,19 +92,19 @@
 	return all, nil
 }
 
-func (v *Vault) path(g int) string { return filepath.Join(v.dir, fmt.Sprintf(pattern, g)) }
+func (v *Store) path(g int) string { return filepath.Join(v.dir, fmt.Sprintf(pattern, g)) }
 
 // load reads a generation; whole says whether it had been written in full before it was used. Bytes that make no sense end it:
 // they belong to a batch whose sync never returned, as every one before it was synced before the next began.
-func (v *Vault) load(g int, values map[string][]byte) (whole bool, err error) {
+func (v *Store) load(g int, values map[string][]byte) (whole bool, err error) {
 	f, err := os.Open(v.path(g))
 	if err != nil {
-		return false, errors.Wrap(err, "vault")
+		return false, errors.Wrap(err, "store")
 	}
 	defer f.Close()
 	db, err := buntdb.Open(":memory:")
 	if err != nil {
-		return false, errors.Wrap(err, "vault")
+		return false, errors.Wrap(err, "store")
 	}
 	defer db.Close()
 	_ = db.Load(bufio.NewReaderSize(f, 1<<16)) // what came before the first senseless byte is in db
@@ -134,16 +134,16 @@
 			delete(values, name)
 		}
 	}
-	return whole, errors.Wrap(err, "vault")
+	return whole, errors.Wrap(err, "store")
 }
 
 // turn begins the next generation with what is to be kept, and drops those before it once it stands on the disk.
-func (v *Vault) turn(values map[string][]byte) error {
+func (v *Store) turn(values map[string][]byte) error {
 	v.generation++
 	path := v.path(v.generation)
 	mem, err := buntdb.Open(":memory:")
 	if err != nil {
-		return errors.Wrap(err, "vault")
+		return errors.Wrap(err, "store")
 	}
 	defer mem.Close()
 	v.seq, v.live, v.liveSum, v.written = map[string]uint32{}, map[string]int{}, 0, 0
@@ -157,11 +157,11 @@
 		return err
 	})
 	if err != nil {
-		return errors.Wrap(err, "vault")
+		return errors.Wrap(err, "store")
 	}
 	f, err := os.Create(path)
 	if err != nil {
-		return errors.Wrap(err, "vault")
+		return errors.Wrap(err, "store")
 	}
 	w := bufio.NewWriterSize(f, 1<<16)
 	if err = mem.Save(w); err == nil {
@@ -177,14 +177,14 @@
 		err = syncFolder(v.dir)
 	}
 	if err != nil {
-		return errors.Wrap(err, "vault")
+		return errors.Wrap(err, "store")
 	}
 	db, err := buntdb.Open(path)
 	if err != nil {
-		return errors.Wrap(err, "vault")
+		return errors.Wrap(err, "store")
 	}
 	if err := db.SetConfig(buntdb.Config{SyncPolicy: buntdb.Always, AutoShrinkDisabled: true}); err != nil {
-		return errors.Wrap(err, "vault")
+		return errors.Wrap(err, "store")
 	}
 	if v.db != nil {
 		v.db.Close()
@@ -212,7 +212,7 @@
 }
 
 // set writes one value into the slot that its name does not need.
-func (v *Vault) set(tx *buntdb.Tx, p Put) error {
+func (v *Store) set(tx *buntdb.Tx, p Put) error {
 	seq := v.seq[p.Name] + 1
 	if len(p.Value) == 0 {
 		for s := range slots {
@@ -238,7 +238,7 @@
 }
 
 // Write keeps a batch. When it returns without an error the batch has been synced; with one, nothing of it may be promised.
-func (v *Vault) Write(batch []Put) error {
+func (v *Store) Write(batch []Put) error {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	err := v.db.Update(func(tx *buntdb.Tx) error {
@@ -250,7 +250,7 @@
 		return nil
 	})
 	if err != nil {
-		return errors.Wrap(err, "vault")
+		return errors.Wrap(err, "store")
 	}
 	if v.written > max(leastTurn, turnTimes*v.liveSum) {
 		return v.shrink()
@@ -259,7 +259,7 @@
 }
 
 // shrink turns to a new generation that holds only what is live.
-func (v *Vault) shrink() error {
+func (v *Store) shrink() error {
 	values := map[string][]byte{}
 	err := v.db.View(func(tx *buntdb.Tx) error {
 		for name, seq := range v.seq {
@@ -272,13 +272,13 @@
 		return nil
 	})
 	if err != nil {
-		return errors.Wrap(err, "vault")
+		return errors.Wrap(err, "store")
 	}
 	return v.turn(values)
 }
 
 // Close ends the use of the store.
-func (v *Vault) Close() error {
+func (v *Store) Close() error {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.db.Close()
--- a/internal/market/vault/vault_test.go
+++ b/internal/mesh/store/store_test.go
@@ -1,4 +1,4 @@
-package vault
+package store
 
 import (
 	"fmt"
@@ -10,14 +10,14 @@
 	"golang.org/x/sys/unix"
 )
 
-func write(t *testing.T, v *Vault, puts ...Put) {
+func write(t *testing.T, v *Store, puts ...Put) {
 	t.Helper()
 	if err := v.Write(puts); err != nil {
 		t.Fatal(err)
 	}
 }
 
-func open(t *testing.T, dir string) (*Vault, map[string][]byte, bool) {
+func open(t *testing.T, dir string) (*Store, map[string][]byte, bool) {
 	t.Helper()
 	v, values, found, err := Open(dir)
 	if err != nil {
--- a/internal/market/cart/net.go
+++ b/internal/mesh/transport/net.go
@@ -1,6 +1,6 @@
-// Package cart carries parcels between the processes of the mesh: protobuf in frames over TCP, one connection to a peer.
+// Package transport carries parcels between the processes of the mesh: protobuf in frames over TCP, one connection to a peer.
 // (The field's term: transport.) It decides nothing: what a lost parcel means is for the state machines to say.
-package cart
+package transport
 
 import (
 	"bufio"
@@ -17,6 +17,7 @@
 	"golang.org/x/sys/unix"
 	"google.golang.org/protobuf/proto"
 
+	"beechwing/internal/mesh/meshpb"
 	"beechwing/internal/wire"
 )
 
@@ -44,9 +45,9 @@
 
 // Send is a parcel on its way to a peer.
 type Send struct {
-	To     string
-	Parcel *Parcel
-	Via    *uint64 // if not nil it gets the number of the connection that the parcel goes by
+	To      string
+	Message *meshpb.Message
+	Via     *uint64 // if not nil it gets the number of the connection that the parcel goes by
 }
 
 // Event is what a Net tells: Came, Sign or Broke.
@@ -54,8 +55,8 @@
 
 // Came is a parcel that has come.
 type Came struct {
-	From   string
-	Parcel *Parcel
+	From    string
+	Message *meshpb.Message
 }
 
 // Sign is a part of a large parcel that is still on its way: its peer is not silent.
@@ -176,8 +177,8 @@
 }
 
 // isAnswer says whether a parcel carries the number of another process's question.
-func isAnswer(p *Parcel) bool {
-	return p.Carried != nil || p.Claimed != nil || p.Promise != nil || p.Accepted != nil || p.Stored != nil || p.News != nil ||
+func isAnswer(p *meshpb.Message) bool {
+	return p.Forwarded != nil || p.Claimed != nil || p.Promise != nil || p.Accepted != nil || p.Stored != nil || p.Update != nil ||
 		p.Dumped != nil || p.Pong != nil
 }
 
@@ -194,7 +195,7 @@
 
 // Send queues a parcel and gives the number of the connection that it goes by. It never waits: one that cannot go is told of
 // by Broke.
-func (n *Net) Send(to string, p *Parcel) uint64 {
+func (n *Net) Send(to string, p *meshpb.Message) uint64 {
 	n.mu.Lock()
 	l := n.links[to]
 	if l == nil {
@@ -215,7 +216,7 @@
 	return &link{net: n, peer: peer, number: n.last, wake: make(chan struct{}, 1)}
 }
 
-func (l *link) put(p *Parcel) bool {
+func (l *link) put(p *meshpb.Message) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.dead {
@@ -299,7 +300,7 @@
 	}
 	tune(c)
 	c = wire.Quicken(c)
-	hello, _ := frame(nil, &Parcel{Hello: &Hello{From: l.net.self}})
+	hello, _ := frame(nil, &meshpb.Message{Hello: &meshpb.Hello{From: l.net.self}})
 	c.SetWriteDeadline(time.Now().Add(writeWithin))
 	if _, err := c.Write(hello); err != nil {
 		c.Close()
@@ -498,7 +499,7 @@
 }
 
 // frame appends a parcel's frame: its length in four bytes, then the parcel.
-func frame(buf []byte, p *Parcel) ([]byte, error) {
+func frame(buf []byte, p *meshpb.Message) ([]byte, error) {
 	at := len(buf)
 	buf = append(buf, 0, 0, 0, 0)
 	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, p)
@@ -524,7 +525,7 @@
 func NewReader(br *bufio.Reader, sign func()) *Reader { return &Reader{br: br, sign: sign} }
 
 // Read takes one parcel.
-func (r *Reader) Read() (*Parcel, error) {
+func (r *Reader) Read() (*meshpb.Message, error) {
 	for {
 		var head [frameHead]byte
 		if _, err := io.ReadFull(r.br, head[:]); err != nil {
@@ -580,7 +581,7 @@
 	return b, nil
 }
 
-func decode(b []byte) (*Parcel, error) {
-	p := &Parcel{}
+func decode(b []byte) (*meshpb.Message, error) {
+	p := &meshpb.Message{}
 	return p, errors.Wrap(proto.Unmarshal(b, p), "frame")
 }
--- a/internal/market/cart/net_test.go
+++ b/internal/mesh/transport/net_test.go
@@ -1,4 +1,4 @@
-package cart
+package transport
 
 import (
 	"bufio"
@@ -8,6 +8,8 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
+
+	"beechwing/internal/mesh/meshpb"
 )
 
 // greeted opens a connection as a process of that name does, and gives it with what comes by it.
@@ -18,9 +20,9 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close() })
-	hello, err := frame(nil, &Parcel{Hello: &Hello{From: name}})
+	hello, err := frame(nil, &meshpb.Message{Hello: &meshpb.Hello{From: name}})
 	if err == nil {
-		hello, err = frame(hello, &Parcel{Id: 1, Ping: &Ping{}})
+		hello, err = frame(hello, &meshpb.Message{Id: 1, Ping: &meshpb.Ping{}})
 	}
 	if err != nil {
 		t.Fatal(err)
@@ -41,7 +43,7 @@
 	n, err := Listen("127.0.0.1:0", func(e Event) {
 		<-ready
 		if c, ok := e.(Came); ok {
-			n.Send(c.From, &Parcel{Id: c.Parcel.Id, Pong: c.Parcel.Ping})
+			n.Send(c.From, &meshpb.Message{Id: c.Message.Id, Pong: c.Message.Ping})
 		}
 		events <- e
 	})
@@ -75,7 +77,7 @@
 	}
 	nobody := ln.Addr().String()
 	ln.Close()
-	link := n.Send(nobody, &Parcel{Id: 7, Ping: &Ping{}})
+	link := n.Send(nobody, &meshpb.Message{Id: 7, Ping: &meshpb.Ping{}})
 	select {
 	case e := <-events:
 		if b, ok := e.(Broke); !ok || b.Peer != nobody || b.Link != link || len(b.Unsent) != 1 || b.Unsent[0] != 7 {
@@ -96,14 +98,14 @@
 	}
 	defer n.Close()
 	c, br := greeted(t, n.ln.Addr().String(), "10.0.0.9:7000")
-	if e := <-events; e.(Came).Parcel.Ping == nil {
+	if e := <-events; e.(Came).Message.Ping == nil {
 		t.Fatalf("%v", e)
 	}
 	const each = 4 << 20
 	for i := range uint64(4) {
-		n.Send("10.0.0.9:7000", &Parcel{Id: i, Carried: &Carried{Body: make([]byte, each)}})
+		n.Send("10.0.0.9:7000", &meshpb.Message{Id: i, Forwarded: &meshpb.Forwarded{Body: make([]byte, each)}})
 	}
-	n.Send("10.0.0.9:7000", &Parcel{Id: 99, Pong: &Ping{}})
+	n.Send("10.0.0.9:7000", &meshpb.Message{Id: 99, Pong: &meshpb.Ping{}})
 	before := 0
 	for {
 		p, err := br.Read()
@@ -119,7 +121,7 @@
 		t.Errorf("%d large parcels came before the small one", before)
 	}
 
-	large, err := proto.Marshal(&Parcel{Id: 5, Carried: &Carried{Body: make([]byte, 200<<10)}})
+	large, err := proto.Marshal(&meshpb.Message{Id: 5, Forwarded: &meshpb.Forwarded{Body: make([]byte, 200<<10)}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -135,8 +137,8 @@
 	}
 	for {
 		if came, ok := (<-events).(Came); ok {
-			if len(came.Parcel.Carried.GetBody()) != 200<<10 {
-				t.Errorf("came %d bytes", len(came.Parcel.Carried.GetBody()))
+			if len(came.Message.Forwarded.GetBody()) != 200<<10 {
+				t.Errorf("came %d bytes", len(came.Message.Forwarded.GetBody()))
 			}
 			break
 		}
@@ -154,9 +156,9 @@
 	defer n.Close()
 	n.Bound(64)
 	peer := "127.0.0.1:1" // nobody is there, and nothing comes back within the test where it is slow to say so
-	n.Send(peer, &Parcel{Id: 3, Carried: &Carried{Body: make([]byte, 100)}})
-	n.Send(peer, &Parcel{Id: 4, Carried: &Carried{Body: make([]byte, 100)}}) // over the bound
-	n.Send(peer, &Parcel{Id: 7, Carry: &Carry{Body: make([]byte, 100)}})     // a question over the bound
+	n.Send(peer, &meshpb.Message{Id: 3, Forwarded: &meshpb.Forwarded{Body: make([]byte, 100)}})
+	n.Send(peer, &meshpb.Message{Id: 4, Forwarded: &meshpb.Forwarded{Body: make([]byte, 100)}}) // over the bound
+	n.Send(peer, &meshpb.Message{Id: 7, Forward: &meshpb.Forward{Body: make([]byte, 100)}})     // a question over the bound
 	told := map[uint64]bool{}
 	for !told[7] {
 		select {
@@ -185,11 +187,11 @@
 	_, br := greeted(t, n.ln.Addr().String(), "10.0.0.9:7000")
 	<-events
 	began := time.Now()
-	n.Send("10.0.0.9:7000", &Parcel{Id: 1, Carried: &Carried{Body: make([]byte, 1<<20)}})
+	n.Send("10.0.0.9:7000", &meshpb.Message{Id: 1, Forwarded: &meshpb.Forwarded{Body: make([]byte, 1<<20)}})
 	if wait, perByte := n.Backlog(); wait < 0.1 || perByte != 1.0/(4<<20) {
 		t.Errorf("%.2f s wait to be sent, %g a byte", wait, perByte)
 	}
-	if p, err := br.Read(); err != nil || len(p.Carried.GetBody()) != 1<<20 {
+	if p, err := br.Read(); err != nil || len(p.Forwarded.GetBody()) != 1<<20 {
 		t.Fatal(err)
 	}
 	if took := time.Since(began); took < 150*time.Millisecond {
--- a/internal/market/porter/porter.go
+++ b/internal/mesh/upstream/upstream.go
@@ -1,6 +1,6 @@
-// Package porter takes a request to the host beside this proxy and brings its answer back, over connections that it keeps.
+// Package upstream takes a request to the host beside this proxy and brings its answer back, over connections that it keeps.
 // (The field's term: upstream connection pool.) It tells what is known of the run; it never sends a request twice.
-package porter
+package upstream
 
 import (
 	"bufio"
@@ -16,9 +16,10 @@
 
 	"github.com/cockroachdb/errors"
 
-	"beechwing/internal/market/cart"
-	"beechwing/internal/market/pitch"
-	"beechwing/internal/market/verdict"
+	"beechwing/internal/mesh/meshpb"
+
+	"beechwing/internal/mesh/outcome"
+	"beechwing/internal/mesh/sidecar"
 	"beechwing/internal/wire"
 )
 
@@ -33,10 +34,10 @@
 )
 
 // once are the headers that may stand in a host's answer a single time.
-var once = []string{"Content-Length", "Transfer-Encoding", pitch.HeaderUnrun, pitch.HeaderPostmark, pitch.HeaderID}
+var once = []string{"Content-Length", "Transfer-Encoding", sidecar.HeaderUnrun, sidecar.HeaderPostmark, sidecar.HeaderID}
 
-// Porter is the way to one host.
-type Porter struct {
+// Host is the way to one host.
+type Host struct {
 	addr string
 	bufs *wire.Pool
 
@@ -61,10 +62,10 @@
 }
 
 // New makes a porter for the host at an address.
-func New(addr string, bufs *wire.Pool) *Porter { return &Porter{addr: addr, bufs: bufs} }
+func New(addr string, bufs *wire.Pool) *Host { return &Host{addr: addr, bufs: bufs} }
 
 // Forget closes what is idle: another life of the host has the address.
-func (p *Porter) Forget() {
+func (p *Host) Forget() {
 	p.mu.Lock()
 	idle := p.idle
 	p.idle = nil
@@ -75,13 +76,13 @@
 }
 
 // Opened is how many connections were made.
-func (p *Porter) Opened() int64 {
+func (p *Host) Opened() int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.opened
 }
 
-func (p *Porter) take() *conn {
+func (p *Host) take() *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for n := len(p.idle); n > 0; n = len(p.idle) {
@@ -96,7 +97,7 @@
 	return nil
 }
 
-func (p *Porter) keep(c *conn, most time.Duration) {
+func (p *Host) keep(c *conn, most time.Duration) {
 	c.until = time.Now().Add(min(idleFor, most))
 	c.SetDeadline(time.Time{})
 	p.mu.Lock()
@@ -112,11 +113,11 @@
 	}
 }
 
-func (p *Porter) dial() (*conn, error) {
+func (p *Host) dial() (*conn, error) {
 	d := net.Dialer{Timeout: dialWithin, KeepAlive: -1} // on one machine nobody goes silent without the other
 	nc, err := d.Dial("tcp", p.addr)
 	if err != nil {
-		return nil, verdict.Mark(err, verdict.Turned)
+		return nil, outcome.Mark(err, outcome.Turned)
 	}
 	p.mu.Lock()
 	p.opened++
@@ -129,16 +130,16 @@
 }
 
 // Run has a request run by the host, which has to answer by until.
-func (p *Porter) Run(r *cart.Carry, until time.Time) *cart.Carried {
+func (p *Host) Run(r *meshpb.Forward, until time.Time) *meshpb.Forwarded {
 	answer, err := p.run(r, until)
 	if err != nil {
-		return &cart.Carried{Verdict: uint32(verdict.Of(err)), Why: short(err), Refused: verdict.Of(err) == verdict.Turned}
+		return &meshpb.Forwarded{Verdict: uint32(outcome.Of(err)), Why: short(err), Refused: outcome.Of(err) == outcome.Turned}
 	}
 	return answer
 }
 
 // Probe asks the host for its health: which life of it answers, and whether it is well.
-func (p *Porter) Probe(path string) (station string, well bool) {
+func (p *Host) Probe(path string) (station string, well bool) {
 	c, err := p.dial()
 	if err != nil {
 		return "", false
@@ -152,7 +153,7 @@
 	if err != nil {
 		return "", false
 	}
-	return res.Header.Get(pitch.HeaderStation), res.StatusCode == http.StatusOK
+	return res.Header.Get(sidecar.HeaderStation), res.StatusCode == http.StatusOK
 }
 
 func short(err error) string {
@@ -161,7 +162,7 @@
 	return text[:min(len(text), most)]
 }
 
-func (p *Porter) run(r *cart.Carry, until time.Time) (*cart.Carried, error) {
+func (p *Host) run(r *meshpb.Forward, until time.Time) (*meshpb.Forwarded, error) {
 	c := p.take()
 	if c == nil {
 		var err error
@@ -172,26 +173,26 @@
 	c.SetDeadline(until)
 	if err := c.write(r); err != nil { // some of it may have gone out
 		c.Close()
-		return nil, verdict.Mark(err, verdict.Broken)
+		return nil, outcome.Mark(err, outcome.Broken)
 	}
 	a, err := c.read(r)
 	if err != nil {
 		c.Close()
 		if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(c.meter.Err, os.ErrDeadlineExceeded) {
-			return nil, verdict.Newf(verdict.Late, "the host has not answered")
+			return nil, outcome.Newf(outcome.Late, "the host has not answered")
 		}
-		return nil, verdict.Mark(err, verdict.Broken)
+		return nil, outcome.Mark(err, outcome.Broken)
 	}
 	if a.keep > 0 {
 		p.keep(c, a.keep)
 	} else {
 		c.Close()
 	}
-	return a.Carried, nil
+	return a.Forwarded, nil
 }
 
 // write sends a request in one piece: method, target and headers as they came, framing anew.
-func (c *conn) write(r *cart.Carry) error {
+func (c *conn) write(r *meshpb.Forward) error {
 	b := make([]byte, 0, 1024+len(r.Body))
 	b = append(append(append(append(b, r.Method...), ' '), r.Target...), " HTTP/1.1\r\nHost: "...)
 	b = append(append(b, r.Host...), "\r\n"...)
@@ -201,9 +202,9 @@
 	for _, f := range r.Fields {
 		line(f.Name, f.Value)
 	}
-	line(pitch.HeaderDeadline, strconv.FormatUint(uint64(max(1, r.LeftUs/1000)), 10))
-	line(pitch.HeaderAddressee, r.Station)
-	line(pitch.HeaderSender, r.Sender)
+	line(sidecar.HeaderDeadline, strconv.FormatUint(uint64(max(1, r.LeftUs/1000)), 10))
+	line(sidecar.HeaderAddressee, r.Station)
+	line(sidecar.HeaderSender, r.Sender)
 	if r.Framed {
 		line("Content-Length", strconv.Itoa(len(r.Body)))
 	}
@@ -213,15 +214,15 @@
 }
 
 type answer struct {
-	*cart.Carried
+	*meshpb.Forwarded
 	keep time.Duration // for how long the connection may be kept; 0: not at all
 }
 
 // read takes the answer to a request. One that belongs to another request is passed over: hosts send some twice.
-func (c *conn) read(r *cart.Carry) (answer, error) {
+func (c *conn) read(r *meshpb.Forward) (answer, error) {
 	id := ""
 	for _, f := range r.Fields {
-		if f.Name == pitch.HeaderID {
+		if f.Name == sidecar.HeaderID {
 			id = f.Value
 		}
 	}
@@ -233,7 +234,7 @@
 		case res.StatusCode < 200:
 			continue
 		}
-		if got := res.Header.Get(pitch.HeaderID); id != "" && got != "" && got != id {
+		if got := res.Header.Get(sidecar.HeaderID); id != "" && got != "" && got != id {
 			if stale++; stale > mostStale {
 				return answer{}, errors.New("answers of other requests")
 			}
@@ -252,15 +253,15 @@
 // judge says what a whole message is worth.
 func judge(a answer, res *http.Response, id string) error {
 	switch {
-	case res.Header.Get(pitch.HeaderUnrun) != "", res.StatusCode == http.StatusMisdirectedRequest:
-		a.Verdict = uint32(verdict.HostTurned)
+	case res.Header.Get(sidecar.HeaderUnrun) != "", res.StatusCode == http.StatusMisdirectedRequest:
+		a.Verdict = uint32(outcome.HostTurned)
 		a.Fields, a.Body = nil, nil
 		a.Why = fmt.Sprintf("the host says %d, not run", a.Status)
 	case res.Header.Get("Content-Encoding") != "":
 		return errors.New("an answer in an encoding that nobody asked for")
-	case res.StatusCode < 300 && res.Header.Get(pitch.HeaderPostmark) == "":
+	case res.StatusCode < 300 && res.Header.Get(sidecar.HeaderPostmark) == "":
 		return errors.New("a success without its postmark")
-	case id != "" && res.Header.Get(pitch.HeaderID) == "" && res.StatusCode < 300:
+	case id != "" && res.Header.Get(sidecar.HeaderID) == "" && res.StatusCode < 300:
 		return errors.New("a success that does not say whose it is")
 	}
 	return nil
@@ -299,7 +300,7 @@
 	if err != nil {
 		return a, nil, errors.Wrap(err, "body")
 	}
-	a.Carried = &cart.Carried{Verdict: uint32(verdict.Answered), Status: uint32(res.StatusCode), Body: body,
+	a.Forwarded = &meshpb.Forwarded{Verdict: uint32(outcome.Answered), Status: uint32(res.StatusCode), Body: body,
 		Fields: Fields(res.Header)}
 	if !res.Close {
 		a.keep = keepFor(res.Header)
@@ -322,26 +323,26 @@
 // hop are the headers that concern one connection only, or are set anew for each.
 var hop = map[string]bool{"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
 	"Transfer-Encoding": true, "Upgrade": true, "Expect": true, "Content-Length": true, "Host": true, "Proxy-Authenticate": true,
-	"Proxy-Authorization": true, pitch.HeaderDeadline: true, pitch.HeaderAddressee: true, pitch.HeaderSender: true}
+	"Proxy-Authorization": true, sidecar.HeaderDeadline: true, sidecar.HeaderAddressee: true, sidecar.HeaderSender: true}
 
 // stay are those that go on even where a Connection header names them.
-var stay = map[string]bool{pitch.HeaderID: true, pitch.HeaderKey: true, pitch.HeaderPostmark: true}
+var stay = map[string]bool{sidecar.HeaderID: true, sidecar.HeaderKey: true, sidecar.HeaderPostmark: true}
 
 // Fields are a message's headers that go on.
-func Fields(h http.Header) []*cart.Field {
+func Fields(h http.Header) []*meshpb.Field {
 	named := map[string]bool{}
 	for _, line := range h["Connection"] {
 		for name := range strings.SplitSeq(line, ",") {
 			named[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
 		}
 	}
-	fields := make([]*cart.Field, 0, len(h))
+	fields := make([]*meshpb.Field, 0, len(h))
 	for name, values := range h {
 		if hop[name] || named[name] && !stay[name] {
 			continue
 		}
 		for _, v := range values {
-			fields = append(fields, &cart.Field{Name: name, Value: v})
+			fields = append(fields, &meshpb.Field{Name: name, Value: v})
 		}
 	}
 	return fields
--- a/internal/market/porter/porter_test.go
+++ b/internal/mesh/upstream/upstream_test.go
@@ -1,4 +1,4 @@
-package porter
+package upstream
 
 import (
 	"bufio"
@@ -10,15 +10,16 @@
 	"testing"
 	"time"
 
-	"beechwing/internal/market/cart"
-	"beechwing/internal/market/pitch"
-	"beechwing/internal/market/verdict"
+	"beechwing/internal/mesh/meshpb"
+
+	"beechwing/internal/mesh/outcome"
+	"beechwing/internal/mesh/sidecar"
 	"beechwing/internal/wire"
 )
 
 // host answers each request on its connections by say, which gets the id and the number of the request on its connection. An
 // empty answer closes the connection.
-func host(t *testing.T, say func(id string, n int) string) (*Porter, *wire.Pool) {
+func host(t *testing.T, say func(id string, n int) string) (*Host, *wire.Pool) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -40,7 +41,7 @@
 						return
 					}
 					io.Copy(io.Discard, r.Body)
-					text := say(r.Header.Get(pitch.HeaderID), n)
+					text := say(r.Header.Get(sidecar.HeaderID), n)
 					io.WriteString(c, text)
 					if text == "" || strings.Contains(text, "cut") {
 						return
@@ -54,44 +55,44 @@
 }
 
 func good(id, body string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: p-%s\r\nContent-Length: %d\r\n\r\n%s", pitch.HeaderID, id, pitch.HeaderPostmark,
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: p-%s\r\nContent-Length: %d\r\n\r\n%s", sidecar.HeaderID, id, sidecar.HeaderPostmark,
 		id, len(body), body)
 }
 
-func ask(p *Porter, id string) *cart.Carried {
-	return p.Run(&cart.Carry{Station: "i-1", Method: "POST", Target: "/x", Host: "h", Body: []byte("b"), Framed: true, LeftUs: 1e6,
-		Fields: []*cart.Field{{Name: pitch.HeaderID, Value: id}}}, time.Now().Add(time.Second))
+func ask(p *Host, id string) *meshpb.Forwarded {
+	return p.Run(&meshpb.Forward{Station: "i-1", Method: "POST", Target: "/x", Host: "h", Body: []byte("b"), Framed: true, LeftUs: 1e6,
+		Fields: []*meshpb.Field{{Name: sidecar.HeaderID, Value: id}}}, time.Now().Add(time.Second))
 }
 
 // What a host in trouble may answer, and what is known of the run by it.
 func TestVerdicts(t *testing.T) {
 	for _, c := range []struct {
 		name, text string
-		want       verdict.Verdict
+		want       outcome.Outcome
 	}{
-		{"whole", good("q", "hello"), verdict.Answered},
-		{"its own failure", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", verdict.Answered},
-		{"after 100", "HTTP/1.1 100 Continue\r\n\r\n" + good("q", "hello"), verdict.Answered},
-		{"chunks", "HTTP/1.1 200 OK\r\n" + pitch.HeaderID + ": q\r\n" + pitch.HeaderPostmark + ": p\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", verdict.Answered},
-		{"not run", "HTTP/1.1 503 Full\r\n" + pitch.HeaderUnrun + ": 1\r\nContent-Length: 0\r\n\r\n", verdict.HostTurned},
-		{"another host", "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n", verdict.HostTurned},
-		{"closed", "", verdict.Broken},
-		{"cut in the head", "HTTP/1.1 200 OK\r\ncut", verdict.Broken},
-		{"cut in the body", "HTTP/1.1 200 OK\r\n" + pitch.HeaderID + ": q\r\n" + pitch.HeaderPostmark + ": p\r\nContent-Length: 9\r\n\r\ncut", verdict.Broken},
-		{"no length", "HTTP/1.1 200 OK\r\n" + pitch.HeaderID + ": q\r\n" + pitch.HeaderPostmark + ": p\r\n\r\ncut", verdict.Broken},
-		{"no answer in the protocol", "220 mail ready\r\n\r\ncut", verdict.Broken},
-		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 4\r\n\r\nhello", verdict.Broken},
-		{"no postmark", "HTTP/1.1 200 OK\r\n" + pitch.HeaderID + ": q\r\nContent-Length: 5\r\n\r\nhello", verdict.Broken},
-		{"nobody's", "HTTP/1.1 200 OK\r\n" + pitch.HeaderPostmark + ": p\r\nContent-Length: 5\r\n\r\nhello", verdict.Broken},
-		{"encoded", "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n" + pitch.HeaderID + ": q\r\n" + pitch.HeaderPostmark + ": p\r\nContent-Length: 5\r\n\r\nhello", verdict.Broken},
-		{"silent", "HTTP/1.1 200", verdict.Late},
+		{"whole", good("q", "hello"), outcome.Answered},
+		{"its own failure", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", outcome.Answered},
+		{"after 100", "HTTP/1.1 100 Continue\r\n\r\n" + good("q", "hello"), outcome.Answered},
+		{"chunks", "HTTP/1.1 200 OK\r\n" + sidecar.HeaderID + ": q\r\n" + sidecar.HeaderPostmark + ": p\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", outcome.Answered},
+		{"not run", "HTTP/1.1 503 Full\r\n" + sidecar.HeaderUnrun + ": 1\r\nContent-Length: 0\r\n\r\n", outcome.HostTurned},
+		{"another host", "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n", outcome.HostTurned},
+		{"closed", "", outcome.Broken},
+		{"cut in the head", "HTTP/1.1 200 OK\r\ncut", outcome.Broken},
+		{"cut in the body", "HTTP/1.1 200 OK\r\n" + sidecar.HeaderID + ": q\r\n" + sidecar.HeaderPostmark + ": p\r\nContent-Length: 9\r\n\r\ncut", outcome.Broken},
+		{"no length", "HTTP/1.1 200 OK\r\n" + sidecar.HeaderID + ": q\r\n" + sidecar.HeaderPostmark + ": p\r\n\r\ncut", outcome.Broken},
+		{"no answer in the protocol", "220 mail ready\r\n\r\ncut", outcome.Broken},
+		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 4\r\n\r\nhello", outcome.Broken},
+		{"no postmark", "HTTP/1.1 200 OK\r\n" + sidecar.HeaderID + ": q\r\nContent-Length: 5\r\n\r\nhello", outcome.Broken},
+		{"nobody's", "HTTP/1.1 200 OK\r\n" + sidecar.HeaderPostmark + ": p\r\nContent-Length: 5\r\n\r\nhello", outcome.Broken},
+		{"encoded", "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n" + sidecar.HeaderID + ": q\r\n" + sidecar.HeaderPostmark + ": p\r\nContent-Length: 5\r\n\r\nhello", outcome.Broken},
+		{"silent", "HTTP/1.1 200", outcome.Late},
 	} {
 		p, bufs := host(t, func(string, int) string { return c.text })
 		got := ask(p, "q")
-		if verdict.Verdict(got.Verdict) != c.want {
-			t.Errorf("%s: %v (%s), want %v", c.name, verdict.Verdict(got.Verdict), got.Why, c.want)
+		if outcome.Outcome(got.Verdict) != c.want {
+			t.Errorf("%s: %v (%s), want %v", c.name, outcome.Outcome(got.Verdict), got.Why, c.want)
 		}
-		if c.want == verdict.Answered && got.Status == 200 && string(got.Body) != "hello" {
+		if c.want == outcome.Answered && got.Status == 200 && string(got.Body) != "hello" {
 			t.Errorf("%s: body %q", c.name, got.Body)
 		}
 		p.Forget()
@@ -100,8 +101,8 @@
 		}
 	}
 	p := New("127.0.0.1:1", wire.NewPool())
-	if got := ask(p, "q"); verdict.Verdict(got.Verdict) != verdict.Turned {
-		t.Errorf("no connection: %v, nothing was sent", verdict.Verdict(got.Verdict))
+	if got := ask(p, "q"); outcome.Outcome(got.Verdict) != outcome.Turned {
+		t.Errorf("no connection: %v, nothing was sent", outcome.Outcome(got.Verdict))
 	}
 }
 
@@ -129,7 +130,7 @@
 			t.Errorf("%s: %q", id, got.Body)
 		}
 		for _, f := range got.Fields {
-			if f.Name == pitch.HeaderPostmark && f.Value != "p-"+id {
+			if f.Name == sidecar.HeaderPostmark && f.Value != "p-"+id {
 				t.Errorf("%s has the stamp %s", id, f.Value)
 			}
 		}
