--- a/cmd/beechwing-control/run.go
+++ b/cmd/beechwing-control/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"net/http"
 	"os"
 	"os/signal"
 	"sync"
@@ -15,7 +14,6 @@
 
 	"beechwing/internal/mesh/transport"
 
-	"beechwing/internal/mesh/api"
 	"beechwing/internal/mesh/bootstrap"
 	"beechwing/internal/mesh/cli"
 	"beechwing/internal/mesh/control"
@@ -27,6 +25,9 @@
 	tickEvery  = 33 * time.Millisecond
 	checkAfter = 700 * time.Millisecond // setting up the check of configurations takes longer than all else at the start
 	answerWait = 950 * time.Millisecond // a caller goes elsewhere after a second
+
+	leaveWithin    = 3 * time.Second // for another server to take this one's place, in a planned end
+	shutdownWithin = 2 * time.Second // for calls under way
 )
 
 // program is the shell round the state machine: it owns sockets, disk and clock.
@@ -36,8 +37,8 @@
 	deed  *bootstrap.Settings
 	net   *transport.Net
 
-	mu   sync.Mutex
-	hall *control.Server
+	mu     sync.Mutex
+	server *control.Server
 
 	disk    chan struct{}
 	pending struct {
@@ -64,9 +65,9 @@
 		return err
 	}
 	log.Info("disk read", "found", found, "values", len(values), "first", d.FirstStart)
-	first := d.FirstStart && len(values) == 0 // one that ended before it had promised anything begins anew
-	p.hall, err = control.New(p.clock.Now(), control.Options{Self: d.Inner(), Seeds: d.Seeds(), First: first,
-		Window: d.Bound("passWindowS", 60), Life: rand.Uint32() | 1, Log: func(e string, args ...any) { log.Info(e, args...) }}, values, found)
+	p.server, err = control.New(p.clock.Now(), control.Options{Self: d.Inner(), Seeds: d.Seeds(), First: d.FirstStart,
+		Tolerance: d.Tolerance.Machines, Window: d.Bound("passWindowS", 60), Life: rand.Uint32() | 1, Random: rand.Uint64(),
+		Log: func(e string, args ...any) { log.Info(e, args...) }}, values)
 	if err != nil {
 		return err
 	}
@@ -94,7 +95,7 @@
 	again := make(chan os.Signal, 1)
 	signal.Notify(again, syscall.SIGHUP)
 	go cli.Settings(ctx, os.Getenv(bootstrap.Variable), again, log, func(d *bootstrap.Settings) {
-		p.with(func(float64) { p.hall.Seeds(d.Seeds()) })
+		p.with(func(float64) { p.server.Seeds(d.Seeds()) })
 	})
 	log.Info("listening", "name", d.NodeName, "control", d.Docking.Control, "inner", d.Inner())
 	tick := time.NewTicker(tickEvery)
@@ -102,10 +103,11 @@
 	for {
 		select {
 		case <-tick.C:
-			p.with(func(now float64) { p.hall.Tick(now) })
+			p.with(func(now float64) { p.server.Tick(now) })
 		case <-ctx.Done():
 			log.Info("ending")
-			end, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			p.leave(tick.C)
+			end, cancel := context.WithTimeout(context.Background(), shutdownWithin)
 			defer cancel()
 			server.Shutdown(end)
 			p.net.Close()
@@ -114,6 +116,24 @@
 	}
 }
 
+// leave goes on serving until this server's place has been given to one that waits for it, if there is any.
+func (p *program) leave(ticks <-chan time.Time) {
+	p.with(func(now float64) { p.server.Leave(now) })
+	late := time.After(leaveWithin)
+	for left := false; !left; {
+		select {
+		case <-ticks:
+			p.with(func(now float64) {
+				p.server.Tick(now)
+				left = p.server.Left(now)
+			})
+		case <-late:
+			p.log.Warn("ending as a member", "waited", leaveWithin)
+			return
+		}
+	}
+}
+
 // with gives the machine an input and sees to what it wants done.
 func (p *program) with(input func(now float64)) {
 	p.mu.Lock()
@@ -125,7 +145,7 @@
 func (p *program) step(input func(now float64)) {
 	input(p.clock.Now())
 	for {
-		out := p.hall.Take()
+		out := p.server.Take()
 		if len(out.Puts) > 0 || len(out.After) > 0 {
 			p.pending.Lock()
 			p.pending.puts = append(p.pending.puts, out.Puts...)
@@ -148,7 +168,7 @@
 	self := p.deed.Inner()
 	for _, s := range all {
 		if s.To == self {
-			p.hall.Heard(p.clock.Now(), self, s.Message)
+			p.server.Heard(p.clock.Now(), self, s.Message)
 			continue
 		}
 		p.net.Send(s.To, s.Message)
@@ -157,7 +177,7 @@
 
 func (p *program) event(e transport.Event) {
 	if came, ok := e.(transport.Came); ok {
-		p.with(func(now float64) { p.hall.Heard(now, came.From, came.Message) })
+		p.with(func(now float64) { p.server.Heard(now, came.From, came.Message) })
 	}
 }
 
@@ -177,114 +197,3 @@
 		p.with(func(float64) { p.send(after) })
 	}
 }
-
-// ask gives the machine a question and waits for its answer.
-func ask[T any](p *program, question func(now float64, answer func(T))) (T, bool) {
-	got := make(chan T, 1)
-	p.with(func(now float64) { question(now, func(t T) { got <- t }) })
-	late := time.NewTimer(answerWait)
-	defer late.Stop()
-	select {
-	case t := <-got:
-		return t, true
-	case <-late.C:
-		var none T
-		return none, false
-	}
-}
-
-var errNow = api.Refusal{Status: http.StatusServiceUnavailable, Why: "no majority of the control processes can be reached from here now"}
-
-func (p *program) calls() http.Handler {
-	mux := http.NewServeMux()
-	api.Handle(mux, "PUT /-/timetable", api.LargeBody, func(c api.Call, _ *api.Raw) (*api.Taken, error) {
-		return p.take(c.Body)
-	})
-	api.Handle(mux, "GET /-/timetable", api.SmallBody, func(api.Call, *api.None) (*api.Raw, error) {
-		type read struct {
-			text []byte
-			ok   bool
-		}
-		r, ok := ask(p, func(now float64, answer func(read)) {
-			p.hall.Get(now, func(text []byte, ok bool) { answer(read{text, ok}) })
-		})
-		switch {
-		case !ok || !r.ok:
-			return nil, errNow
-		case len(r.text) == 0:
-			return nil, api.Refusal{Status: http.StatusNotFound, Why: "no configuration has been taken yet"}
-		}
-		raw := api.Raw(r.text)
-		return &raw, nil
-	})
-	// Only the proxy beside a host can close the way to it, so nothing that a host says may be acknowledged here.
-	elsewhere := api.Refusal{Status: http.StatusServiceUnavailable, Why: "beats go to the proxy beside the host"}
-	for _, call := range []string{"PUT", "DELETE"} {
-		api.Handle(mux, call+" /-/stations/{id}", api.SmallBody, func(api.Call, *api.None) (*api.None, error) {
-			return nil, elsewhere
-		})
-	}
-	api.Handle(mux, "PUT /-/orders/{id}", api.SmallBody, func(c api.Call, o *api.Order) (*api.None, error) {
-		if o.By == "" {
-			return nil, api.Refusal{Status: http.StatusBadRequest, Why: "by: who says so?"}
-		}
-		err, told := ask(p, func(now float64, answer func(error)) { p.hall.Order(now, c.ID, o.Out, o.Force, o.By, o.Why, answer) })
-		switch {
-		case !told || errors.Is(err, control.ErrNoMajority):
-			return nil, errNow
-		case errors.Is(err, control.ErrNoHost):
-			return nil, api.Refusal{Status: http.StatusNotFound, Why: err.Error()}
-		case err != nil:
-			return nil, api.Refusal{Status: http.StatusConflict, Why: err.Error()}
-		}
-		p.log.Info("order", "station", c.ID, "out", o.Out, "by", o.By, "why", o.Why, "force", o.Force)
-		return nil, nil
-	})
-	api.Handle(mux, "GET /-/state", api.SmallBody, func(api.Call, *api.None) (s *control.State, err error) {
-		p.with(func(now float64) { known := p.hall.State(now); s = &known })
-		return s, nil
-	})
-	return mux
-}
-
-// take checks a configuration and has it kept.
-func (p *program) take(text []byte) (*api.Taken, error) {
-	p.assayMu.Lock()
-	if p.assayer == nil {
-		p.assayMu.Unlock()
-		return nil, errNow
-	}
-	edition, err := p.assayer.Check(text)
-	p.assayMu.Unlock()
-	if err != nil {
-		p.log.Warn("configuration refused", "error", err)
-		return nil, api.Refusal{Status: http.StatusBadRequest, Why: err.Error()}
-	}
-	ok, told := ask(p, func(now float64, answer func(bool)) { p.hall.Put(now, edition, text, answer) })
-	if !told || !ok {
-		return nil, errNow
-	}
-	return &api.Taken{Edition: edition}, nil
-}
-
-// figures are what is counted, for a reading.
-func (p *program) figures(page cli.Page) {
-	var s control.State
-	p.with(func(now float64) { s = p.hall.State(now) })
-	page.Count("beechwing_control_claims_total", s.Counts.Claims)
-	page.Count("beechwing_control_claims_granted_total", s.Counts.Granted)
-	page.Count("beechwing_control_settles_total", s.Counts.Settles)
-	page.Count("beechwing_control_unsure_total", s.Counts.Unsure)
-	page.Count("beechwing_control_pulls_total", s.Counts.Pulls)
-	page.Count("beechwing_control_configurations_total", s.Counts.Writes)
-	for state, n := range s.Keys {
-		page.Gauge("beechwing_control_registers", float64(n), "state", state)
-	}
-	page.Gauge("beechwing_control_oldest_claim_seconds", s.Oldest)
-	page.Gauge("beechwing_control_edition_held", float64(s.Edition))
-	page.Gauge("beechwing_control_edition_in_force", float64(s.InForce))
-	page.Flag("beechwing_control_voting", s.Voting)
-	page.Flag("beechwing_control_alone", s.Alone)
-	page.Gauge("beechwing_control_roll", float64(len(s.Roll)))
-	page.Gauge("beechwing_control_silent", float64(len(s.Silent)))
-}
--- a/internal/mesh/api/api.go
+++ b/internal/mesh/api/api.go
@@ -15,8 +15,9 @@
 
 // Refusal is an error that the protocol has a status for.
 type Refusal struct {
-	Status int
-	Why    string
+	Status   int
+	Why      string
+	Location string // of a redirection
 }
 
 func (r Refusal) Error() string { return r.Why }
@@ -43,6 +44,9 @@
 			status := http.StatusServiceUnavailable
 			if refusal := (Refusal{}); errors.As(err, &refusal) {
 				status = refusal.Status
+				if refusal.Location != "" {
+					w.Header().Set("Location", refusal.Location)
+				}
 			}
 			w.WriteHeader(status)
 			json.NewEncoder(w).Encode(struct {
@@ -69,16 +73,16 @@
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
 	if err != nil {
 		if large := (*http.MaxBytesError)(nil); errors.As(err, &large) {
-			return nil, Refusal{http.StatusRequestEntityTooLarge, "body is too large"}
+			return nil, Refusal{Status: http.StatusRequestEntityTooLarge, Why: "body is too large"}
 		}
-		return nil, Refusal{http.StatusBadRequest, "body has not come whole"}
+		return nil, Refusal{Status: http.StatusBadRequest, Why: "body has not come whole"}
 	}
 	in := new(In)
 	if _, none := any(in).(*None); !none {
 		if _, raw := any(in).(*Raw); raw {
 			*any(in).(*Raw) = body
 		} else if err := json.Unmarshal(body, in); err != nil {
-			return nil, Refusal{http.StatusBadRequest, "cannot be read: " + err.Error()}
+			return nil, Refusal{Status: http.StatusBadRequest, Why: "cannot be read: " + err.Error()}
 		}
 	}
 	return serve(Call{ID: r.PathValue("id"), Body: body}, in)
@@ -105,10 +109,10 @@
 	case "unloading":
 		s.Unloading = true
 	default:
-		return s, Refusal{http.StatusBadRequest, "condition: neither at_dock nor unloading"}
+		return s, Refusal{Status: http.StatusBadRequest, Why: "condition: neither at_dock nor unloading"}
 	}
 	if id == "" {
-		return s, Refusal{http.StatusBadRequest, "stationId: is missing"}
+		return s, Refusal{Status: http.StatusBadRequest, Why: "stationId: is missing"}
 	}
 	return s, nil
 }
--- /dev/null
+++ b/internal/mesh/control/catchup.go
@@ -0,0 +1,163 @@
+package control
+
+import (
+	"slices"
+
+	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/rendezvous"
+	"beechwing/internal/mesh/view"
+)
+
+// A server that is no member reads all registers of a majority of the members while it waits, and then follows what changes. In the
+// joint view that adds it, it reads the rest from a majority of the old members that go by that view too: they take part in no
+// older ballot any more, so whatever was chosen before is among what they told. Only then it votes.
+
+const (
+	pageAgain   = 0.4 // seconds without an answer until a member is asked again
+	pageGiveUp  = 1.0 // and until another one is asked in its place
+	followEvery = 0.3 // seconds between questions for what has changed, once all has been read
+)
+
+// source is a member from which this server reads.
+type source struct {
+	life     uint32
+	position uint64
+	askedAt  float64
+	heardAt  float64
+	asking   bool
+	complete bool   // all was read once in this life of the member
+	epoch    uint64 // the member's when all that it had was read last
+	member   view.Member
+}
+
+type catchup struct {
+	sources     map[string]*source // by address
+	caughtUp    bool               // a majority of the members has been read once
+	syncedEpoch uint64             // the joint epoch for which everything was read
+	syncing     bool               // the disk is about to have the last of it
+	bytes       int                // read in this life
+	began       float64
+}
+
+func (c *catchup) init() { *c = catchup{sources: map[string]*source{}, bytes: c.bytes} }
+
+// viewChanged has everything that is read count for the new view only.
+func (c *catchup) viewChanged() { c.syncing = false }
+
+// tickCatchup asks as many members as make a majority, in an order of this server's own; who does not answer is passed over.
+func (s *Server) tickCatchup(now float64) {
+	c := &s.catchup
+	if !s.view().Known() || s.Voting() || s.membership.foreign || s.membership.leaving {
+		return
+	}
+	if c.began == 0 {
+		c.began = now
+	}
+	wanted := s.view().Majority()
+	for _, address := range rendezvous.Order(s.o.Self, memberAddresses(s.view().Members)) {
+		if address == s.o.Self || wanted == 0 {
+			continue
+		}
+		from := c.sources[address]
+		if from == nil {
+			from = &source{askedAt: -pageAgain, heardAt: now}
+			c.sources[address] = from
+		}
+		if now < from.heardAt+pageGiveUp {
+			wanted--
+		}
+		s.follow(now, address, from)
+	}
+}
+
+func memberAddresses(members []view.Member) (all []string) {
+	for _, m := range members {
+		all = append(all, m.Address)
+	}
+	return all
+}
+
+// follow asks a member for the next page.
+func (s *Server) follow(now float64, address string, from *source) {
+	wait := pageAgain
+	if !from.asking && from.complete && from.epoch == s.view().Epoch {
+		wait = followEvery
+	}
+	if from.asking && now < from.askedAt+pageAgain || !from.asking && from.complete && now < from.askedAt+wait &&
+		from.epoch == s.view().Epoch {
+		return
+	}
+	from.askedAt, from.asking = now, true
+	s.send(address, &meshpb.Message{SyncRequest: &meshpb.SyncRequest{SourceLife: from.life, Position: from.position}})
+}
+
+// heardSyncRequest gives a page, unless this server lacks something itself.
+func (s *Server) heardSyncRequest(from string, r *meshpb.SyncRequest) {
+	if !s.Voting() {
+		return
+	}
+	after := r.Position
+	if r.SourceLife != s.o.Life {
+		after = 0
+	}
+	page, position, last := s.registers.Page(after)
+	s.send(from, &meshpb.Message{SyncPage: &meshpb.SyncPage{SourceLife: s.o.Life, Position: position, Last: last,
+		Entries: page}})
+}
+
+func (s *Server) heardSyncPage(now float64, member view.Member, p *meshpb.SyncPage) {
+	from := s.catchup.sources[member.Address]
+	if from == nil || s.Voting() || !slices.Contains(s.view().Members, member) {
+		return
+	}
+	if from.life != p.SourceLife || from.member != member {
+		if p.Position < from.position && from.life == p.SourceLife {
+			return
+		}
+		*from = source{life: p.SourceLife, member: member}
+	}
+	if p.Position < from.position { // late
+		return
+	}
+	s.registers.Merge(now, p.Entries)
+	from.position, from.heardAt, from.asking = p.Position, now, false
+	if !p.Last {
+		s.follow(now, member.Address, from)
+		return
+	}
+	from.complete, from.epoch, from.askedAt = true, s.view().Epoch, now
+	s.reviewCatchup(now)
+}
+
+// reviewCatchup looks whether enough has been read to join, or to vote.
+func (s *Server) reviewCatchup(now float64) {
+	c := &s.catchup
+	read := func(needed func(*source) bool) bool {
+		return s.view().OldQuorum(func(m view.Member) bool {
+			from := c.sources[m.Address]
+			return from != nil && from.member == m && needed(from)
+		})
+	}
+	if !c.caughtUp && read(func(from *source) bool { return from.complete }) {
+		c.caughtUp = true
+		registers, _ := s.registers.Size()
+		s.o.Log("caught up", "registers", registers, "seconds", now-c.began)
+		s.membership.joinAt = 0
+	}
+	joiner, _ := s.view().Joiner()
+	if joiner != s.self || c.syncing || !read(func(from *source) bool { return from.epoch == s.view().Epoch }) {
+		return
+	}
+	c.syncing = true
+	epoch := s.view().Epoch
+	s.put(nameSynced, word(epoch))
+	s.whenSynced(func(now float64) {
+		if s.view().Epoch != epoch {
+			return
+		}
+		c.syncedEpoch = epoch
+		s.vote(now)
+		s.propagation.wantWhole = true
+		s.askToJoin()
+	})
+}
--- /dev/null
+++ b/internal/mesh/control/configuration.go
@@ -0,0 +1,268 @@
+package control
+
+import (
+	"bytes"
+	"crypto/sha256"
+
+	"google.golang.org/protobuf/proto"
+
+	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/register"
+	"beechwing/internal/mesh/view"
+)
+
+// The configuration is a register of its own. Its value is the newest configuration with the hashes of the versions before it, so
+// an order that is sent again, to any server and after any number of changes, is told from another one under the same number. An
+// order is answered by what was chosen, after contact with a quorum.
+
+const (
+	hashBytes      = 16
+	mostHistory    = 1024 // versions whose hashes are remembered; of older ones it is only known that they are older
+	resolveAfter   = 0.25 // seconds for which a value may stand that is not known to be chosen
+	fetchEvery     = 0.2  // seconds between questions for a configuration that another says is in force
+	mostOrdersOpen = 64
+)
+
+var configKey = register.Permanent("configuration")
+
+// OrderResult is the end of an operator's order.
+type OrderResult int
+
+const (
+	OrderTaken     OrderResult = iota // it is in force, was in force before, or a newer one is
+	OrderConflict                     // another configuration was taken under its number: this one never takes effect
+	OrderNoContact                    // no quorum is in reach from here: it may or may not take effect
+	OrderNotMember                    // this server takes no orders
+)
+
+func (r OrderResult) String() string {
+	return [...]string{"taken", "conflict", "no contact", "not a member"}[r]
+}
+
+type configuration struct {
+	chosen     *meshpb.Config // the newest known to be chosen; nil: none is
+	confirmed  bool           // what is known here was the newest at some time in this life
+	known      uint64         // the newest version that a server said is chosen
+	heldBallot register.Ballot
+	held       uint64 // version on this server's disk
+	noted      register.Ballot
+	openSince  float64 // since when a value stands that is not known to be chosen
+	resolving  bool
+	open       int // orders under way
+	fetchAt    float64
+}
+
+// chosenVersion is the newest version known to be in force; 0: none.
+func (c *configuration) chosenVersion() uint64 { return c.chosen.GetVersion() }
+
+func hashOf(text []byte) []byte {
+	sum := sha256.Sum256(text)
+	return sum[:hashBytes]
+}
+
+// judge says how an order stands to a configuration that was chosen. newer says that it has to be taken first.
+func judge(chosen *meshpb.Config, version uint64, hash []byte) (result OrderResult, newer bool) {
+	if version > chosen.GetVersion() {
+		return OrderTaken, true
+	}
+	for _, d := range chosen.GetHistory() {
+		if d.Version == version && !bytes.Equal(d.Hash, hash) {
+			return OrderConflict, false
+		}
+	}
+	return OrderTaken, false
+}
+
+// succeed is the value of the register after an order.
+func succeed(old *meshpb.Config, version uint64, text, hash []byte) *meshpb.Config {
+	history := old.GetHistory()
+	if over := len(history) + 1 - mostHistory; over > 0 {
+		history = history[over:]
+	}
+	next := &meshpb.Config{Version: version, Text: text}
+	next.History = append(append(next.History, history...), &meshpb.ConfigDigest{Version: version, Hash: hash})
+	return next
+}
+
+func decodeConfig(body []byte) *meshpb.Config {
+	c := &meshpb.Config{}
+	if len(body) == 0 || proto.Unmarshal(body, c) != nil {
+		return nil
+	}
+	return c
+}
+
+// Order has a valid configuration taken. It is answered once.
+func (s *Server) Order(now float64, version uint64, text []byte, answer func(OrderResult)) {
+	told := func(r OrderResult) {
+		s.count.order(r)
+		answer(r)
+	}
+	c := &s.configuration
+	switch {
+	case !s.isMember():
+		told(OrderNotMember)
+		return
+	case !s.Voting(), !s.inContact(now), c.open >= mostOrdersOpen:
+		told(OrderNoContact)
+		return
+	}
+	hash := hashOf(text)
+	if c.chosen != nil {
+		if result, newer := judge(c.chosen, version, hash); !newer {
+			told(result)
+			return
+		}
+	}
+	c.open++
+	var result OrderResult
+	edit := func(old []byte) []byte {
+		held := decodeConfig(old)
+		var newer bool
+		if result, newer = judge(held, version, hash); !newer {
+			return nil
+		}
+		body, err := proto.Marshal(succeed(held, version, text, hash))
+		if err != nil {
+			return nil
+		}
+		return body
+	}
+	s.registers.Update(now, configKey, edit, func(_ uint64, body []byte, ok bool) {
+		c.open--
+		if !ok {
+			told(OrderNoContact)
+			return
+		}
+		s.learnConfig(now, decodeConfig(body))
+		told(result)
+	})
+}
+
+// Configuration reads the newest configuration from a quorum. text is nil where none was ever taken.
+func (s *Server) Configuration(now float64, answer func(text []byte, result OrderResult)) {
+	switch {
+	case !s.isMember():
+		answer(nil, OrderNotMember)
+		return
+	case !s.Voting(), !s.inContact(now):
+		answer(nil, OrderNoContact)
+		return
+	}
+	s.readConfig(now, func(ok bool) {
+		if !ok {
+			answer(nil, OrderNoContact)
+			return
+		}
+		answer(s.configuration.chosen.GetText(), OrderTaken)
+	})
+}
+
+// readConfig learns what a quorum holds.
+func (s *Server) readConfig(now float64, done func(ok bool)) {
+	s.registers.Update(now, configKey, func([]byte) []byte { return nil }, func(_ uint64, body []byte, ok bool) {
+		if ok {
+			s.learnConfig(now, decodeConfig(body))
+			s.configuration.confirmed = true
+		}
+		done(ok)
+	})
+}
+
+// learnConfig takes a configuration that was chosen, and lets the proxies and the other servers know.
+func (s *Server) learnConfig(now float64, chosen *meshpb.Config) {
+	c := &s.configuration
+	if chosen.GetVersion() <= c.chosenVersion() {
+		return
+	}
+	c.chosen, c.confirmed = chosen, true
+	c.known = max(c.known, chosen.Version)
+	s.o.Log("in force", "edition", chosen.Version, "bytes", len(chosen.Text))
+	s.propagation.changed, s.propagation.digestAt = true, 0
+	s.wake(now)
+}
+
+// noteHeld looks what the disk has of the register; it is told to others once it is synced.
+func (s *Server) noteHeld() {
+	c := &s.configuration
+	value, ballot := s.registers.Local(configKey)
+	if ballot == c.noted {
+		return
+	}
+	c.noted = ballot
+	version := decodeConfig(value.GetBody()).GetVersion()
+	s.whenSynced(func(float64) {
+		c.held, c.heldBallot = version, ballot
+		s.propagation.digestAt = 0
+	})
+}
+
+// configState is what digests tell of the register.
+func (s *Server) configState() *meshpb.ConfigState {
+	c := &s.configuration
+	state := &meshpb.ConfigState{ChosenVersion: c.chosenVersion(), HeldVersion: c.held, HeldBallot: c.heldBallot.Wire()}
+	if c.chosen != nil {
+		state.ChosenHash = c.chosen.History[len(c.chosen.History)-1].Hash
+	}
+	return state
+}
+
+// heardConfigState takes what another member says of the register.
+func (s *Server) heardConfigState(now float64, from view.Member, state *meshpb.ConfigState) {
+	c := &s.configuration
+	c.known = max(c.known, state.GetChosenVersion())
+	if state.GetChosenVersion() > c.chosenVersion() {
+		value, _ := s.registers.Local(configKey)
+		held := decodeConfig(value.GetBody())
+		if held.GetVersion() == state.ChosenVersion && bytes.Equal(hashOf(held.Text), state.ChosenHash) {
+			s.learnConfig(now, held)
+		} else if now >= c.fetchAt {
+			c.fetchAt = now + fetchEvery
+			s.send(from.Address, &meshpb.Message{ConfigRequest: &meshpb.ConfigRequest{After: c.chosenVersion()}})
+		}
+	}
+	s.countHolders(now)
+}
+
+// countHolders learns that a value is chosen where a quorum says that it has it at one ballot of this epoch.
+func (s *Server) countHolders(now float64) {
+	c := &s.configuration
+	if c.heldBallot.Epoch != s.view().Epoch || c.held <= c.chosenVersion() || c.noted != c.heldBallot || !s.Voting() {
+		return
+	}
+	if s.view().Quorum(func(m view.Member) bool {
+		if m == s.self {
+			return true
+		}
+		p := s.contact.peers[m.Address]
+		return p != nil && p.member == m && register.FromWire(p.config.GetHeldBallot()) == c.heldBallot
+	}) {
+		value, _ := s.registers.Local(configKey)
+		s.learnConfig(now, decodeConfig(value.GetBody()))
+	}
+}
+
+func (s *Server) heardConfigRequest(from string, r *meshpb.ConfigRequest) {
+	if chosen := s.configuration.chosen; chosen.GetVersion() > r.After {
+		s.send(from, &meshpb.Message{Config: chosen})
+	}
+}
+
+// tickConfiguration makes sure of a value that stands for long without being known to be chosen: whoever proposed it may be gone.
+func (s *Server) tickConfiguration(now float64) {
+	c := &s.configuration
+	s.noteHeld()
+	open := !c.confirmed || c.held > c.chosenVersion()
+	for _, p := range s.contact.peers {
+		open = open || p.config.GetHeldVersion() > c.chosenVersion()
+	}
+	switch {
+	case !open || !s.Voting() || !s.inContact(now):
+		c.openSince = 0
+	case c.openSince == 0:
+		c.openSince = now
+	case now > c.openSince+resolveAfter && !c.resolving && s.coordinates(now):
+		c.resolving, c.openSince = true, 0
+		s.readConfig(now, func(bool) { c.resolving = false })
+	}
+}
--- a/internal/mesh/control/ejection.go
+++ b/internal/mesh/control/ejection.go
@@ -9,39 +9,42 @@
 
 	"beechwing/internal/mesh/ejection"
 	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/register"
 	"beechwing/internal/mesh/rendezvous"
 )
 
-// What is in force for a service stands in one register, so that the bound on how many hosts of it may be out holds whoever writes. The
-// home of that register judges; any control process takes an operator's order. Words of witnesses go to all control processes, so the next
-// in order can judge when the home is silent.
+// The ejections of a service stand in one register, so that the bound on how many hosts of it may be out holds whoever writes. The
+// home of that register judges; any server takes an operator's order. Observations go to all servers, so the next in order can judge
+// when the home is silent.
 
 const (
-	benchPrefix = "\x00assize\x00" // of the registers' names, before the service's: no host name begins so, and keys of operations begin with one
-	judgeEvery  = 0.05
-	handRenew   = 20.0 // seconds after which orders by hand are written anew: registers grow old
-	mostBenches = 1024
+	judgeEvery = 0.05 // seconds
+	mostLists  = 1024
 )
 
-// bench is a service's, as this process knows it.
-type bench struct {
+// ejectionList is a service's hosts that are out, as this server knows them.
+type ejectionList struct {
 	version uint64
-	rulings []ejection.Ejection
-	busy    bool    // a write is under way
-	read    bool    // the register has been read in this life
-	wrote   float64 // when this process wrote it last
+	entries []ejection.Ejection
+	busy    bool // a write is under way
+	read    bool // the register has been read in this life
 }
 
-type court struct {
+type ejections struct {
 	judge   ejection.Judge
-	benches map[string]*bench
-	news    []*meshpb.Report // for the others, since the last digest
-	told    []string         // the accused that proxies were asked about last
+	lists   map[string]*ejectionList // by service
+	news    []*meshpb.Report         // for the others, since the last digest
+	asked   []string                 // the accused hosts that proxies were asked about last
 	judgeAt float64
 }
 
-// heardWords takes what a witness says.
-func (h *Server) heardWords(now float64, witness string, words []*meshpb.Observation, tell bool) {
+func (e *ejections) init() { e.lists = map[string]*ejectionList{} }
+
+// listKey names the register of a service's list.
+func listKey(service string) string { return register.Permanent("ejections\x00" + service) }
+
+// heardObservations takes what a witness says.
+func (s *Server) heardObservations(now float64, witness string, words []*meshpb.Observation, tell bool) {
 	if len(words) == 0 {
 		return
 	}
@@ -49,16 +52,16 @@
 	for _, w := range words {
 		all = append(all, ejection.Observation{Station: w.Station, Good: int(w.Good), Bad: int(w.Bad)})
 	}
-	h.court.judge.Hear(now, witness, all)
+	s.ejections.judge.Hear(now, witness, all)
 	if tell {
-		h.court.news = append(h.court.news, &meshpb.Report{Witness: witness, Observations: words})
-		h.digestAt = 0
+		s.ejections.news = append(s.ejections.news, &meshpb.Report{Witness: witness, Observations: words})
+		s.propagation.digestAt = 0
 	}
 }
 
 // hostsOf are the counted hosts of a service: listed and not leaving.
-func (h *Server) hostsOf(carrier string) (stations []string) {
-	for _, r := range h.records {
+func (s *Server) hostsOf(carrier string) (stations []string) {
+	for _, r := range s.propagation.records {
 		if r.Carrier == carrier && r.Station != "" && r.Condition == meshpb.AtDock {
 			stations = append(stations, r.Station)
 		}
@@ -68,61 +71,60 @@
 }
 
 // judges says whether this process is the one to judge a service: the first in order that is not silent.
-func (h *Server) judges(now float64, carrier string) bool {
-	for _, m := range rendezvous.Order(benchPrefix+carrier, h.members) {
-		if m == h.o.Self {
+func (s *Server) judges(now float64, carrier string) bool {
+	for _, m := range rendezvous.Order(listKey(carrier), s.view().Staying()) {
+		if m == s.o.Self {
 			return true
 		}
-		if h.met[m] > 0 && now < h.met[m]+aloneAfter {
+		if !s.silent(now, m, contactFor) {
 			return false
 		}
 	}
 	return false
 }
 
-func (h *Server) bench(carrier string) *bench {
-	b := h.court.benches[carrier]
+func (s *Server) ejectionList(carrier string) *ejectionList {
+	b := s.ejections.lists[carrier]
 	if b == nil {
-		b = &bench{}
-		if len(h.court.benches) < mostBenches {
-			h.court.benches[carrier] = b
+		b = &ejectionList{}
+		if len(s.ejections.lists) < mostLists {
+			s.ejections.lists[carrier] = b
 		}
 	}
 	return b
 }
 
-// tickCourt judges what it is this process's to judge, and asks proxies about hosts that are newly accused.
-func (h *Server) tickCourt(now float64) {
-	if now < h.court.judgeAt || h.members == nil || !h.registers.Voting() || h.alone(now) {
+// tickEjections judges what it is this process's to judge, and asks proxies about hosts that are newly accused.
+func (s *Server) tickEjections(now float64) {
+	if now < s.ejections.judgeAt || !s.Voting() || !s.inContact(now) {
 		return
 	}
-	h.court.judgeAt = now + judgeEvery
-	accused := h.court.judge.Accused(now)
-	if !slices.Equal(accused, h.court.told) {
-		h.court.told = accused
-		h.newer = true
-		h.wake(now)
+	s.ejections.judgeAt = now + judgeEvery
+	accused := s.ejections.judge.Accused(now)
+	if !slices.Equal(accused, s.ejections.asked) {
+		s.ejections.asked = accused
+		s.propagation.changed = true
+		s.wake(now)
 	}
 	carriers := map[string]bool{}
-	for _, r := range h.records {
+	for _, r := range s.propagation.records {
 		carriers[r.Carrier] = true
 	}
 	delete(carriers, "") // a proxy that has not heard of its host
 	for _, carrier := range slices.Sorted(maps.Keys(carriers)) {
-		b := h.bench(carrier)
-		idle := b.read && len(accused) == 0 && len(b.rulings) == 0
-		if idle || !h.judges(now, carrier) {
+		b := s.ejectionList(carrier)
+		idle := b.read && len(accused) == 0 && len(b.entries) == 0
+		if idle || !s.judges(now, carrier) {
 			continue
 		}
-		hand := slices.ContainsFunc(b.rulings, func(r ejection.Ejection) bool { return r.Hand })
 		switch {
 		case b.busy:
-		case !b.read, hand && now > b.wrote+handRenew:
-			h.rule(now, carrier, func(held []ejection.Ejection) ([]ejection.Ejection, bool) { return held, b.read }, nil)
-		case len(accused) > 0 || len(b.rulings) > 0:
-			if _, changed := h.court.judge.Weigh(now, h.hostsOf(carrier), b.rulings); changed {
-				h.rule(now, carrier, func(held []ejection.Ejection) ([]ejection.Ejection, bool) {
-					return h.court.judge.Weigh(now, h.hostsOf(carrier), held)
+		case !b.read:
+			s.rule(now, carrier, func(held []ejection.Ejection) ([]ejection.Ejection, bool) { return held, false }, nil)
+		case len(accused) > 0 || len(b.entries) > 0:
+			if _, changed := s.ejections.judge.Weigh(now, s.hostsOf(carrier), b.entries); changed {
+				s.rule(now, carrier, func(held []ejection.Ejection) ([]ejection.Ejection, bool) {
+					return s.ejections.judge.Weigh(now, s.hostsOf(carrier), held)
 				}, nil)
 			}
 		}
@@ -130,12 +132,12 @@
 }
 
 // rule changes what is in force for a service.
-func (h *Server) rule(now float64, carrier string, edit func(held []ejection.Ejection) (next []ejection.Ejection, write bool), done func(ok bool)) {
-	b := h.bench(carrier)
+func (s *Server) rule(now float64, carrier string, edit func(held []ejection.Ejection) (next []ejection.Ejection, write bool), done func(ok bool)) {
+	b := s.ejectionList(carrier)
 	b.busy = true
 	var wrote []ejection.Ejection
-	h.registers.Rule(now, benchPrefix+carrier, func(old []byte) []byte {
-		next, write := edit(h.merge(now, b, old))
+	s.registers.Update(now, listKey(carrier), func(old []byte) []byte {
+		next, write := edit(s.merge(now, b, old))
 		if wrote = nil; !write {
 			return nil
 		}
@@ -148,11 +150,11 @@
 	}, func(version uint64, body []byte, ok bool) {
 		b.busy = false
 		if ok {
-			b.read, b.wrote = true, now
+			b.read = true
 			if wrote == nil {
-				wrote = h.merge(now, b, body)
+				wrote = s.merge(now, b, body)
 			}
-			h.adopt(now, carrier, version, wrote)
+			s.adoptEjections(now, carrier, version, wrote)
 		}
 		if done != nil {
 			done(ok)
@@ -162,7 +164,7 @@
 
 // merge reads what a register held. How long ago it was written is not known: of a ruling that this process knows its own time holds, of
 // another nothing is left of the term, so that nothing stays out because nobody knows since when.
-func (h *Server) merge(now float64, b *bench, body []byte) (rulings []ejection.Ejection) {
+func (s *Server) merge(now float64, b *ejectionList, body []byte) (rulings []ejection.Ejection) {
 	w := &meshpb.EjectionList{}
 	if proto.Unmarshal(body, w) != nil {
 		return nil
@@ -170,41 +172,41 @@
 	for _, r := range w.Ejections {
 		ruling := unwire(now, r)
 		ruling.Until = min(ruling.Until, now)
-		if at := slices.IndexFunc(b.rulings, func(k ejection.Ejection) bool { return k.Station == r.Station }); at >= 0 {
-			ruling.Until = b.rulings[at].Until
+		if at := slices.IndexFunc(b.entries, func(k ejection.Ejection) bool { return k.Station == r.Station }); at >= 0 {
+			ruling.Until = b.entries[at].Until
 		}
 		rulings = append(rulings, ruling)
 	}
 	return rulings
 }
 
-// adopt takes a newer version of what is in force, and lets the proxies know.
-func (h *Server) adopt(now float64, carrier string, version uint64, rulings []ejection.Ejection) {
-	b := h.bench(carrier)
+// adoptEjections takes a newer version of what is in force, and lets the proxies know.
+func (s *Server) adoptEjections(now float64, carrier string, version uint64, rulings []ejection.Ejection) {
+	b := s.ejectionList(carrier)
 	if version <= b.version {
 		return
 	}
-	b.version, b.rulings = version, rulings
-	h.newer, h.digestAt = true, 0
+	b.version, b.entries = version, rulings
+	s.propagation.changed, s.propagation.digestAt = true, 0
 	for _, r := range rulings {
-		h.o.Log("ruling", "carrier", carrier, "station", r.Station, "out", r.InForce(now), "count", r.Count, "by", r.By, "why", r.Why,
+		s.o.Log("ruling", "carrier", carrier, "station", r.Station, "out", r.InForce(now), "count", r.Count, "by", r.By, "why", r.Why,
 			"against", r.Against, "witnesses", r.Witness)
 	}
-	h.wake(now)
+	s.wake(now)
 }
 
-// benchesVersion grows with each bench's.
-func (h *Server) benchesVersion() (sum uint64) {
-	for _, b := range h.court.benches {
+// version grows with each list's.
+func (e *ejections) version() (sum uint64) {
+	for _, b := range e.lists {
 		sum += b.version
 	}
 	return sum
 }
 
-func (h *Server) wireBenches(now float64) (all []*meshpb.EjectionList) {
-	for _, carrier := range slices.Sorted(maps.Keys(h.court.benches)) {
-		if b := h.court.benches[carrier]; b.version > 0 {
-			all = append(all, wire(now, carrier, b.version, b.rulings))
+func (s *Server) wireEjections(now float64) (all []*meshpb.EjectionList) {
+	for _, carrier := range slices.Sorted(maps.Keys(s.ejections.lists)) {
+		if b := s.ejections.lists[carrier]; b.version > 0 {
+			all = append(all, wire(now, carrier, b.version, b.entries))
 		}
 	}
 	return all
@@ -229,15 +231,15 @@
 		Against: int(r.Against), Witness: int(r.Witnesses)}
 }
 
-// heardBenches takes what another control process knows to be in force.
-func (h *Server) heardBenches(now float64, benches []*meshpb.EjectionList) {
+// heardEjections takes what another control process knows to be in force.
+func (s *Server) heardEjections(now float64, benches []*meshpb.EjectionList) {
 	for _, w := range benches {
-		if b := h.bench(w.Carrier); w.Version > b.version {
+		if b := s.ejectionList(w.Carrier); w.Version > b.version {
 			var rulings []ejection.Ejection
 			for _, r := range w.Ejections {
 				rulings = append(rulings, unwire(now, r))
 			}
-			h.adopt(now, w.Carrier, w.Version, rulings)
+			s.adoptEjections(now, w.Carrier, w.Version, rulings)
 		}
 	}
 }
@@ -248,17 +250,17 @@
 // ErrNoMajority tells that an order could not be written.
 var ErrNoMajority = errors.New("no majority of the control processes can be reached from here now")
 
-// Order takes a host out by hand, or back, for all proxies and over restarts.
-func (h *Server) Order(now float64, station string, out, force bool, by, why string, answer func(error)) {
+// OrderEjection takes a host out by hand, or back, for all proxies and over restarts.
+func (s *Server) OrderEjection(now float64, station string, out, force bool, by, why string, answer func(error)) {
 	carrier := ""
-	for _, r := range h.records {
+	for _, r := range s.propagation.records {
 		if r.Station == station {
 			carrier = r.Carrier
 		}
 	}
 	if carrier == "" {
-		for name, b := range h.court.benches { // one that is gone can be called back
-			if slices.ContainsFunc(b.rulings, func(r ejection.Ejection) bool { return r.Station == station }) {
+		for name, b := range s.ejections.lists { // one that is gone can be called back
+			if slices.ContainsFunc(b.entries, func(r ejection.Ejection) bool { return r.Station == station }) {
 				carrier = name
 			}
 		}
@@ -268,8 +270,8 @@
 		return
 	}
 	var refused error
-	h.rule(now, carrier, func(held []ejection.Ejection) ([]ejection.Ejection, bool) {
-		next, err := ejection.Order(now, h.hostsOf(carrier), held, station, out, force, by, why)
+	s.rule(now, carrier, func(held []ejection.Ejection) ([]ejection.Ejection, bool) {
+		next, err := ejection.Order(now, s.hostsOf(carrier), held, station, out, force, by, why)
 		refused = err
 		return next, err == nil
 	}, func(ok bool) {
--- /dev/null
+++ b/internal/mesh/control/membership.go
@@ -0,0 +1,424 @@
+package control
+
+import (
+	"slices"
+
+	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/register"
+	"beechwing/internal/mesh/rendezvous"
+	"beechwing/internal/mesh/view"
+)
+
+// The view is a register of its own: its value for the next epoch is chosen by a quorum of the present one, so there is one
+// successor to each view. A server acts by a view once it is on its disk, and takes part in ballots of that epoch only; what comes
+// from an older one is answered with the view and has no effect.
+//
+// A change exchanges one member. Who asks to join reads everything from the members while it waits. It joins when a member has lost
+// its disk, is silent, says that it leaves, or when there are fewer members than the tolerance needs; silent members are not
+// removed while nobody is there to take the place. The change goes by a joint view, in which the joiner reads the rest, to the
+// stable view of the new members. If the joiner is lost on the way the old members go on.
+
+const (
+	foundAfter    = 1.2  // seconds that the founder waits for others to come
+	foundQuiet    = 0.6  // and for nobody to have come for so long
+	joinEvery     = 0.15 // seconds between questions of a server that is no member
+	viewAskEvery  = 0.05 // seconds between questions for a newer view
+	seedAskEvery  = 0.5  // seconds between questions to the seeds, while no quorum is in reach
+	standbyFor    = 1.0  // seconds without a word from a server that asks to join until it no longer counts
+	replaceAfter  = 1.5  // seconds of silence until a member is exchanged, where somebody can take its place
+	joinerGone    = 1.5  // seconds of a joiner's silence until its change is abandoned
+	coordinateIn  = 0.4  // seconds after its start or a change before a server begins another change
+	mostStandbys  = 64
+	coordinateKey = "coordinator"
+)
+
+var viewKey = register.Permanent("view")
+
+// standby is a server that asks to join.
+type standby struct {
+	member      view.Member
+	heardAt     float64
+	caughtUp    bool
+	syncedEpoch uint64
+}
+
+type membership struct {
+	view      view.View
+	adoptedAt float64
+	standbys  map[string]*standby // by address
+	founders  map[string]view.Member
+	foundAt   float64 // when the last founder came
+	changing  bool    // a change of the view is being proposed
+	leaving   bool    // this server is about to end
+	settled   bool    // the epoch is older than keys are kept
+	foreign   bool    // a disk of another mesh: it takes no part here
+	joinAt    float64
+	askAt     float64
+	seedAskAt float64
+}
+
+func (m *membership) init() {
+	m.standbys, m.founders = map[string]*standby{}, map[string]view.Member{}
+}
+
+func (s *Server) view() view.View { return s.membership.view }
+
+// isMember says whether this server, with this disk, belongs to the view.
+func (s *Server) isMember() bool { return s.view().Has(s.self) }
+
+// restoreView takes what the disk says of the view.
+func (s *Server) restoreView(now float64, values map[string][]byte) error {
+	if len(values[nameView]) == 0 {
+		return nil
+	}
+	v, err := view.Decode(values[nameView])
+	if err != nil {
+		return err
+	}
+	s.catchup.syncedEpoch = number(values[nameSynced])
+	s.membership.settled = v.Epoch == 1 || number(values[nameSettled]) == v.Epoch
+	s.takeView(now, v)
+	return nil
+}
+
+// adopt goes by a newer view from here on. It is put before anything is said in its name.
+func (s *Server) adopt(now float64, v view.View) {
+	if s.view().Known() && v.Mesh != s.view().Mesh {
+		s.foreignView(v)
+		return
+	}
+	if v.Epoch <= s.view().Epoch {
+		return
+	}
+	s.collect() // what was said so far was said in the epoch before
+	wasMember := s.isMember()
+	s.put(nameView, v.Encode())
+	s.membership.settled = v.Epoch == 1
+	if wasMember && !v.Has(s.self) {
+		s.fence(now)
+	}
+	s.takeView(now, v)
+	s.count.ViewChanges++
+	s.o.Log("view", "epoch", v.Epoch, "members", v.Members, "next", v.Next, "member", s.isMember(), "voting", s.Voting())
+}
+
+// fence ends this server's membership: it keeps nothing, and may ask to join anew as a server with another disk.
+func (s *Server) fence(now float64) {
+	s.drawIncarnation()
+	s.registers.Reset(now, s.self)
+	s.catchup.init()
+	s.put(nameSynced, nil)
+	s.o.Log("replaced", "incarnation", s.self.Incarnation)
+}
+
+func (s *Server) takeView(now float64, v view.View) {
+	m := &s.membership
+	m.view, m.adoptedAt = v, now
+	fastFrom := now
+	if !m.settled {
+		fastFrom += s.registers.FastAfter()
+	}
+	s.registers.SetView(now, v, fastFrom)
+	s.contact.viewChanged(now, v)
+	s.catchup.viewChanged()
+	s.vote(now)
+	s.propagation.digestAt = 0
+}
+
+// vote lets this server take part in ballots if it holds all that it has to.
+func (s *Server) vote(now float64) {
+	if s.Voting() {
+		return
+	}
+	joiner, _ := s.view().Joiner()
+	member := slices.Contains(s.view().Members, s.self)
+	if member || joiner == s.self && s.catchup.syncedEpoch == s.view().Epoch {
+		s.registers.Vote()
+		s.o.Log("voting", "epoch", s.view().Epoch)
+	}
+}
+
+func (s *Server) foreignView(v view.View) {
+	if !s.membership.foreign {
+		s.membership.foreign = true
+		s.o.Log("another mesh", "mesh", v.Mesh, "mine", s.view().Mesh,
+			"remedy", "start this server with an empty folder")
+	}
+}
+
+func (s *Server) heardView(now float64, from string, v view.View) {
+	if known := s.membership.standbys[from]; known != nil && v.Epoch >= s.view().Epoch {
+		known.heardAt = now
+	}
+	s.contact.answeredAt[from] = now
+	switch {
+	case !v.Known():
+	case v.Epoch < s.view().Epoch && v.Mesh == s.view().Mesh:
+		s.tellView(from)
+	default:
+		s.adopt(now, v)
+	}
+}
+
+// tellView answers with the view. It goes after the disk has it.
+func (s *Server) tellView(to string) {
+	if s.view().Known() {
+		s.out.After = append(s.out.After, after(to, &meshpb.Message{View: s.view().Wire()}))
+	}
+}
+
+func (s *Server) askView(now float64, from string) {
+	if now >= s.membership.askAt {
+		s.membership.askAt = now + viewAskEvery
+		s.send(from, &meshpb.Message{ViewRequest: &meshpb.Ping{}})
+	}
+}
+
+// heardJoin takes word of a server that is no member.
+func (s *Server) heardJoin(now float64, from view.Member, epoch uint64, j *meshpb.Join) {
+	m := &s.membership
+	if !s.view().Known() {
+		if _, known := m.founders[from.Address]; !known {
+			m.foundAt = now
+		}
+		m.founders[from.Address] = from
+		return
+	}
+	s.tellView(from.Address)
+	if !s.Voting() || epoch != s.view().Epoch || s.view().Has(from) && !s.joins(from) {
+		return
+	}
+	waiting := m.standbys[from.Address]
+	if waiting == nil || waiting.member != from {
+		if waiting == nil && len(m.standbys) >= mostStandbys {
+			return
+		}
+		waiting = &standby{member: from}
+		m.standbys[from.Address] = waiting
+	}
+	waiting.heardAt, waiting.caughtUp, waiting.syncedEpoch = now, j.CaughtUp, j.SyncedEpoch
+}
+
+func (s *Server) joins(m view.Member) bool {
+	joiner, found := s.view().Joiner()
+	return found && joiner == m
+}
+
+func (s *Server) tickMembership(now float64) {
+	m := &s.membership
+	switch {
+	case !s.view().Known() && s.o.First && slices.Min(s.o.Seeds) == s.o.Self:
+		s.found(now)
+	case !s.Voting() && !m.leaving && now >= m.joinAt:
+		m.joinAt = now + joinEvery
+		s.askToJoin()
+	}
+	if s.view().Known() && !s.inContact(now) && now >= m.seedAskAt {
+		m.seedAskAt = now + seedAskEvery
+		s.askSeeds()
+	}
+	s.settle(now)
+	s.coordinate(now)
+}
+
+// found makes the first view, as the first of the seeds by address: at the first start all servers have the same seeds, and they
+// are up.
+func (s *Server) found(now float64) {
+	m := &s.membership
+	if _, come := m.founders[s.o.Self]; !come {
+		m.founders[s.o.Self], m.foundAt = s.self, now
+	}
+	for _, seed := range s.o.Seeds {
+		if _, come := m.founders[seed]; !come {
+			return
+		}
+	}
+	if now < s.began+foundAfter || now < m.foundAt+foundQuiet {
+		return
+	}
+	var members []view.Member
+	for _, founder := range m.founders {
+		members = append(members, founder)
+	}
+	s.configuration.confirmed = true
+	s.adopt(now, view.Founding(s.draw()|1, members))
+	s.tellAll(s.view())
+}
+
+// askToJoin goes to the members that are known, and to the seeds where none are. The disk has this server's identity by then.
+func (s *Server) askToJoin() {
+	j := &meshpb.Join{CaughtUp: s.catchup.caughtUp, SyncedEpoch: s.catchup.syncedEpoch, First: s.o.First}
+	to := slices.Clone(s.view().Addresses())
+	for _, seed := range s.o.Seeds {
+		if !slices.Contains(to, seed) && (len(to) == 0 || !s.answered(s.view().Addresses())) {
+			to = append(to, seed)
+		}
+	}
+	for _, address := range to {
+		if address != s.o.Self {
+			s.out.After = append(s.out.After, after(address, &meshpb.Message{Join: j}))
+		}
+	}
+}
+
+// answered says whether any of these servers has said something.
+func (s *Server) answered(addresses []string) bool {
+	return slices.ContainsFunc(addresses, func(a string) bool { return s.contact.answeredAt[a] > 0 })
+}
+
+// askSeeds asks for a newer view: all that this server knows may have been replaced while it was away.
+func (s *Server) askSeeds() {
+	for _, seed := range s.o.Seeds {
+		if seed != s.o.Self {
+			s.send(seed, &meshpb.Message{ViewRequest: &meshpb.Ping{}})
+		}
+	}
+}
+
+// tellAll announces a view to all whom it concerns.
+func (s *Server) tellAll(v view.View) {
+	for _, address := range v.Addresses() {
+		if address != s.o.Self {
+			s.tellView(address)
+		}
+	}
+}
+
+// settle notes, also for the next start, that the epoch has lasted longer than keys are kept.
+func (s *Server) settle(now float64) {
+	m := &s.membership
+	if m.settled || !s.Voting() || s.view().Joint() || now < m.adoptedAt+s.registers.FastAfter() {
+		return
+	}
+	m.settled = true
+	s.put(nameSettled, word(s.view().Epoch))
+}
+
+// coordinates says whether this server is the one to change the view: the first in order that is neither silent nor leaving.
+func (s *Server) coordinates(now float64) bool {
+	for _, address := range rendezvous.Order(coordinateKey, s.view().Staying()) {
+		if address == s.o.Self {
+			return true
+		}
+		if !s.silent(now, address, replaceAfter) && !s.contact.leaving(address) {
+			return false
+		}
+	}
+	return false
+}
+
+func (s *Server) coordinate(now float64) {
+	m := &s.membership
+	for address, waiting := range m.standbys {
+		if now > waiting.heardAt+standbyFor && !s.joins(waiting.member) {
+			delete(m.standbys, address)
+		}
+	}
+	if m.changing || m.leaving || !s.Voting() || !s.inContact(now) || !s.coordinates(now) {
+		return
+	}
+	if now < s.began+coordinateIn {
+		return
+	}
+	if next, change := s.nextView(now); change {
+		s.changeView(now, next)
+	}
+}
+
+// nextView says which view is to follow, if any.
+func (s *Server) nextView(now float64) (next view.View, change bool) {
+	v := s.view()
+	if joiner, found := v.Joiner(); found {
+		waiting := s.membership.standbys[joiner.Address]
+		known := waiting != nil && waiting.member == joiner
+		switch {
+		case known && waiting.syncedEpoch == v.Epoch:
+			return v.Complete(), true
+		case known && now < waiting.heardAt+joinerGone, now < s.membership.adoptedAt+joinerGone:
+			return view.View{}, false
+		}
+		return v.Abandon(), true
+	}
+	return s.exchange(now)
+}
+
+// exchange chooses a joiner and the member whose place it takes. A disk that came back empty takes the place of what it was; then go
+// the members that are silent, then those that leave.
+func (s *Server) exchange(now float64) (next view.View, change bool) {
+	v := s.view()
+	var joiners []view.Member
+	for _, address := range sorted(s.membership.standbys) {
+		waiting := s.membership.standbys[address]
+		if !waiting.caughtUp || now > waiting.heardAt+standbyFor {
+			continue
+		}
+		for _, m := range v.Members {
+			if m.Address == address {
+				return v.Join(waiting.member, m), true
+			}
+		}
+		joiners = append(joiners, waiting.member)
+	}
+	if len(joiners) == 0 {
+		return view.View{}, false
+	}
+	for _, m := range v.Members {
+		if m != s.self && s.silent(now, m.Address, replaceAfter) {
+			return v.Join(joiners[0], m), true
+		}
+	}
+	for _, m := range v.Members {
+		if m != s.self && s.contact.leaving(m.Address) {
+			return v.Join(joiners[0], m), true
+		}
+	}
+	if len(v.Members) < 2*s.o.Tolerance+1 {
+		return v.Join(joiners[0], view.Member{}), true
+	}
+	return view.View{}, false
+}
+
+// changeView has the next view chosen. Whatever the register turns out to hold for the next epoch is adopted, whoever proposed it.
+func (s *Server) changeView(now float64, next view.View) {
+	m := &s.membership
+	m.changing = true
+	s.o.Log("changing view", "epoch", next.Epoch, "members", next.Members, "next", next.Next)
+	edit := func(old []byte) []byte {
+		held, err := view.Decode(old)
+		if err != nil || held.Epoch >= next.Epoch {
+			return nil
+		}
+		return next.Encode()
+	}
+	s.registers.Update(now, viewKey, edit, func(_ uint64, body []byte, ok bool) {
+		m.changing = false
+		chosen, err := view.Decode(body)
+		if !ok || err != nil || chosen.Epoch != s.view().Epoch+1 {
+			return
+		}
+		before := s.view()
+		s.adopt(now, chosen)
+		s.tellAll(before)
+		s.tellAll(chosen)
+	})
+}
+
+// Leave begins the planned end of this server: its place is given to a server that waits for one, if there is any.
+func (s *Server) Leave(now float64) {
+	s.membership.leaving = true
+	s.propagation.digestAt = 0
+	s.tickPropagation(now)
+}
+
+// Left says whether the planned end may come: nobody waits for the place, or it has been given away.
+func (s *Server) Left(now float64) bool {
+	if !s.Voting() {
+		return true
+	}
+	for _, waiting := range s.membership.standbys {
+		if now <= waiting.heardAt+standbyFor && !s.view().Has(waiting.member) || s.joins(waiting.member) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/mesh/control/state.go
@@ -0,0 +1,96 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/view"
+)
+
+// Counts add up since the process started.
+type Counts struct {
+	Claims      uint64            `json:"claims"`
+	Granted     uint64            `json:"granted"`
+	Settles     uint64            `json:"settles"`
+	Unsure      uint64            `json:"unsure"` // claims and ends of runs for which no quorum was found
+	Pulls       uint64            `json:"pulls"`
+	Orders      map[string]uint64 `json:"orders"` // by their end
+	ViewChanges uint64            `json:"viewChanges"`
+}
+
+func (c *Counts) order(r OrderResult) {
+	if c.Orders == nil {
+		c.Orders = map[string]uint64{}
+	}
+	c.Orders[r.String()]++
+}
+
+// State is what an operator sees of a server.
+type State struct {
+	Epoch         uint64                 `json:"epoch"`
+	Members       []view.Member          `json:"members"`
+	Next          []view.Member          `json:"next,omitempty"` // of a change that is under way
+	Incarnation   uint64                 `json:"incarnation"`
+	Member        bool                   `json:"member"`
+	Voting        bool                   `json:"voting"`
+	InContact     bool                   `json:"inContact"`
+	ContactAge    float64                `json:"lastContactSeconds"` // since a quorum was known to be in reach; -1: never
+	Behind        bool                   `json:"behind"`
+	CaughtUp      bool                   `json:"caughtUp"`
+	Foreign       bool                   `json:"foreignDisk"`
+	Standbys      []string               `json:"standbys"`
+	Silent        []string               `json:"silentMembers"`
+	Edition       uint64                 `json:"held"`
+	InForce       uint64                 `json:"inForce"`
+	Registers     int                    `json:"registers"`
+	Keys          map[string]int         `json:"keys"`
+	Oldest        float64                `json:"oldestClaimSeconds"`
+	Changes       int                    `json:"changes"`
+	Pulls         int                    `json:"heldPulls"`
+	EjectionLists []*meshpb.EjectionList `json:"ejectionLists"`
+	SilentProxies []string               `json:"silent"`
+	Counts        Counts                 `json:"counts"`
+	Roll          []*meshpb.Record       `json:"roll"`
+}
+
+// State tells what is known here.
+func (s *Server) State(now float64) State {
+	v := s.view()
+	state := State{Epoch: v.Epoch, Members: v.Members, Next: v.Next, Incarnation: s.self.Incarnation, Member: s.isMember(),
+		Voting: s.Voting(), InContact: s.inContact(now), ContactAge: -1, Behind: s.behind(now), CaughtUp: s.catchup.caughtUp,
+		Foreign: s.membership.foreign, Standbys: sorted(s.membership.standbys), Edition: s.configuration.held,
+		InForce: s.configuration.chosenVersion(), Pulls: len(s.propagation.pulls), EjectionLists: s.wireEjections(now),
+		SilentProxies: s.silentSources(now), Counts: s.count}
+	if at := s.lastContact(); at > 0 {
+		state.ContactAge = now - at
+	}
+	for _, address := range v.Addresses() {
+		if address != s.o.Self && s.silent(now, address, replaceAfter) {
+			state.Silent = append(state.Silent, address)
+		}
+	}
+	state.Registers, state.Changes = s.registers.Size()
+	state.Keys, state.Oldest = s.registers.Held(now)
+	for _, r := range s.propagation.records {
+		state.Roll = append(state.Roll, proto.Clone(r).(*meshpb.Record))
+	}
+	slices.SortFunc(state.Roll, func(a, b *meshpb.Record) int { return cmp.Compare(a.Source, b.Source) })
+	state.Counts.Orders = map[string]uint64{}
+	for end, n := range s.count.Orders {
+		state.Counts.Orders[end] = n
+	}
+	return state
+}
+
+// Redirect is the server to ask in place of one that is no member: a member that answered lately; empty: none did.
+func (s *Server) Redirect(now float64) string {
+	for _, address := range s.view().Staying() {
+		if at := s.contact.answeredAt[address]; address != s.o.Self && at > 0 && now < at+standbyFor {
+			return address
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/mesh/register/acceptor.go
@@ -0,0 +1,109 @@
+package register
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/store"
+	"beechwing/internal/mesh/transport"
+	"beechwing/internal/mesh/view"
+)
+
+// prefix of the names under which registers lie in the store.
+const prefix = "k."
+
+// Heard takes a message of another server's, or of this one's. Whoever calls it has compared the epochs: questions of another epoch
+// than this server's are not its to answer.
+func (l *Registers) Heard(now float64, from view.Member, m *meshpb.Message) {
+	switch {
+	case m.Prepare != nil:
+		l.heardPrepare(now, from, m.Id, m.Prepare)
+	case m.Accept != nil:
+		l.heardAccept(now, from, m.Id, m.Accept)
+	case m.Promise != nil:
+		l.heardPromise(now, from, l.byID[m.Id], m.Promise)
+	case m.Accepted != nil:
+		l.heardAccepted(now, from, l.byID[m.Id], m.Accepted)
+	}
+}
+
+func (l *Registers) heardPrepare(now float64, from view.Member, id uint64, p *meshpb.Prepare) {
+	b := FromWire(p.Ballot)
+	if !l.voting || b.Epoch != l.view.Epoch {
+		return
+	}
+	if b.compare(l.promised(p.Key)) <= 0 {
+		l.out.Sends = append(l.out.Sends, transport.Send{To: from.Address, Message: &meshpb.Message{Id: id,
+			Promise: &meshpb.Promise{Promised: l.promised(p.Key).Wire()}}})
+		return
+	}
+	e := l.entries[p.Key]
+	if e == nil {
+		e = &entry{at: now}
+		l.entries[p.Key] = e
+	}
+	e.promised, e.chosen = b, false
+	l.keep(p.Key, e)
+	l.out.After = append(l.out.After, transport.Send{To: from.Address, Message: &meshpb.Message{Id: id,
+		Promise: &meshpb.Promise{Yes: true, Promised: p.Ballot, Accepted: e.accepted.Wire(), Value: e.value}}})
+}
+
+func (l *Registers) heardAccept(now float64, from view.Member, id uint64, a *meshpb.Accept) {
+	if !l.voting || FromWire(a.Ballot).Epoch != l.view.Epoch {
+		return
+	}
+	yes := l.accept(now, a)
+	answer := &meshpb.Message{Id: id, Accepted: &meshpb.Accepted{Yes: yes, Promised: a.Ballot}}
+	if !yes {
+		answer.Accepted.Promised = l.promised(a.Key).Wire()
+	}
+	l.out.After = append(l.out.After, transport.Send{To: from.Address, Message: answer})
+}
+
+// accept takes a value where nothing newer was promised.
+func (l *Registers) accept(now float64, a *meshpb.Accept) bool {
+	b := FromWire(a.Ballot)
+	if b.compare(l.promised(a.Key)) < 0 {
+		return false
+	}
+	e := l.entries[a.Key]
+	if e == nil {
+		e = &entry{}
+		l.entries[a.Key] = e
+	}
+	e.promised, e.accepted, e.value, e.at, e.chosen = b.next(), b, a.Value, now, false
+	l.keep(a.Key, e)
+	return true
+}
+
+// keep has an entry written, and gives it the next position in the order of changes.
+func (l *Registers) keep(key string, e *entry) {
+	l.position++
+	e.position = l.position
+	text, err := proto.Marshal(wireEntry(key, e))
+	if err != nil {
+		return // a value that came over the wire can be written again
+	}
+	l.out.Puts = append(l.out.Puts, store.Put{Name: prefix + key, Value: text})
+}
+
+func wireEntry(key string, e *entry) *meshpb.Entry {
+	return &meshpb.Entry{Key: key, Promised: e.promised.Wire(), Accepted: e.accepted.Wire(), Value: e.value}
+}
+
+// Restore takes what the store held. Ages begin anew.
+func (l *Registers) Restore(now float64, values map[string][]byte) error {
+	for _, name := range sortedKeys(values) {
+		if len(name) <= len(prefix) || name[:len(prefix)] != prefix {
+			continue
+		}
+		w := &meshpb.Entry{}
+		if err := proto.Unmarshal(values[name], w); err != nil {
+			return err
+		}
+		l.position++
+		l.entries[w.Key] = &entry{promised: FromWire(w.Promised), accepted: FromWire(w.Accepted), value: w.Value, at: now,
+			position: l.position}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/mesh/register/operation.go
@@ -0,0 +1,137 @@
+package register
+
+import (
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"beechwing/internal/mesh/meshpb"
+)
+
+// State is the state of a register's value.
+type State = uint32
+
+// The states. They go over the wire: only add at the end.
+const (
+	Free    State = iota // nobody has claimed the key
+	Claimed              // somebody has; its run may be under way
+	Done                 // it has run, and this is the answer
+	Lost                 // it may have run, and nobody knows how that ended
+	Void                 // claimed and given back without a run: the token of it claims no more
+	Unsure               // no quorum could be asked: nothing was claimed
+	Stored               // no key of an operation: the value is the body
+)
+
+var stateNames = map[State]string{Free: "free", Claimed: "claimed", Done: "done", Lost: "lost", Void: "void", Stored: "stored"}
+
+const (
+	mostVoided = 24 // tokens that a register remembers as voided
+	// A claim that nobody has settled for so long has lost its holder: the answer no longer says that it is at work.
+	holderGone = 5.0 // seconds
+	otherHolds = 100 // added to Claimed where it is somebody else's
+)
+
+// Busy is the state of a key that somebody else has claimed.
+const Busy = Claimed + otherHolds
+
+// Claim binds a key to one run. The answer is told once: the state, and what is held. Claimed means that the asker holds it.
+func (l *Registers) Claim(now float64, c *meshpb.Claim, answer func(state State, held *meshpb.Receipt)) {
+	if !l.voting || len(l.work) >= mostWork {
+		answer(Unsure, nil)
+		return
+	}
+	if e := l.entries[c.Key]; e != nil && e.value != nil { // what is known here to hold somebody else's needs no ballot
+		if _, state := claim(c, e.value); state != Claimed {
+			answer(l.aged(now, e, state), e.value)
+			return
+		}
+	}
+	if w := l.work[c.Key]; w != nil && w.value != nil && w.value.Token != c.Token {
+		answer(Busy, nil)
+		return
+	}
+	l.begin(now, &change{key: c.Key, answer: answer,
+		work: func(old *meshpb.Receipt) (*meshpb.Receipt, State) { return claim(c, old) }})
+}
+
+func claim(c *meshpb.Claim, old *meshpb.Receipt) (*meshpb.Receipt, State) {
+	mine := &meshpb.Receipt{Token: c.Token, State: Claimed, Attempt: c.Attempt, Voided: old.GetVoided()}
+	switch {
+	case slices.Contains(old.GetVoided(), c.Token): // a late one: its client was promised that it never runs
+		return nil, Void
+	case old == nil || old.State == Free:
+		return mine, Claimed
+	case old.State == Void && len(old.Voided) >= mostVoided: // no more can be remembered, so no more may be promised
+		return nil, Busy
+	case old.State == Void:
+		return mine, Claimed
+	case old.State == Claimed && old.Token == c.Token && old.Attempt < c.Attempt: // the attempt before it has not run
+		return mine, Claimed
+	case old.State == Claimed && old.Token == c.Token && old.Attempt == c.Attempt: // asked twice
+		return old, Claimed
+	case old.State == Claimed:
+		return nil, Busy
+	}
+	return nil, old.State
+}
+
+// aged says that a claim's holder is gone where that is so.
+func (l *Registers) aged(now float64, e *entry, state State) State {
+	if state == Busy && now > e.at+holderGone {
+		return Lost
+	}
+	return state
+}
+
+// Settle records how a claimed run ended. A receipt that is void gives the key back, and keeps late claims of its token out.
+// With ifFree it only does the latter, and only where no claim was granted: so who asked a proxy that has gone silent learns
+// whether the request may still run.
+func (l *Registers) Settle(now float64, key string, r *meshpb.Receipt, ifFree bool,
+	answer func(state State, held *meshpb.Receipt)) {
+	if !l.voting || len(l.work) >= mostWork {
+		answer(Unsure, nil)
+		return
+	}
+	l.begin(now, &change{key: key, answer: answer,
+		work: func(old *meshpb.Receipt) (*meshpb.Receipt, State) { return settle(old, r, ifFree) }})
+}
+
+func settle(old, end *meshpb.Receipt, ifFree bool) (*meshpb.Receipt, State) {
+	r := proto.Clone(end).(*meshpb.Receipt)
+	r.Voided = old.GetVoided()
+	if r.State == Void && !slices.Contains(r.Voided, r.Token) {
+		r.Voided = append(slices.Clone(r.Voided), r.Token)
+	}
+	switch {
+	case old == nil || old.State == Free, old.State == Void && r.State == Void:
+		return r, r.State
+	case r.State == Void && old.State == Claimed && old.Token != r.Token: // another holds it: only that this one never will
+		kept := proto.Clone(old).(*meshpb.Receipt)
+		kept.Voided = r.Voided
+		return kept, Void
+	case ifFree:
+	case old.Token == r.Token && old.State == Claimed, old.Token == r.Token && old.State == Lost && r.State == Done:
+		return r, r.State
+	}
+	return nil, old.State
+}
+
+// Update changes a register that is no operation's, by what it held: a nil body leaves it. The answer is the version that it has then,
+// which grows by one with each change, and its body; ok is false where no quorum said so. It is linearizable: what it answers was
+// chosen, and nothing newer was chosen before it was asked.
+func (l *Registers) Update(now float64, name string, edit func(old []byte) []byte,
+	answer func(version uint64, body []byte, ok bool)) {
+	if !l.voting || len(l.work) >= mostWork {
+		answer(0, nil, false)
+		return
+	}
+	l.begin(now, &change{key: name, linearizable: true,
+		answer: func(state State, held *meshpb.Receipt) { answer(held.GetToken(), held.GetBody(), state != Unsure) },
+		work: func(old *meshpb.Receipt) (*meshpb.Receipt, State) {
+			body := edit(old.GetBody())
+			if body == nil {
+				return nil, Stored
+			}
+			return &meshpb.Receipt{Token: old.GetToken() + 1, State: Stored, Body: body}, Stored
+		}})
+}
--- a/internal/mesh/register/register_test.go
+++ b/internal/mesh/register/register_test.go
@@ -7,9 +7,9 @@
 	"testing"
 
 	"beechwing/internal/mesh/meshpb"
-	"beechwing/internal/mesh/transport"
-
 	"beechwing/internal/mesh/store"
+	"beechwing/internal/mesh/transport"
+	"beechwing/internal/mesh/view"
 )
 
 // bag is a few control processes whose parcels come in any order, late, twice or not at all. Their disks keep what was synced.
@@ -17,6 +17,7 @@
 	rng     *rand.Rand
 	now     float64
 	names   []string
+	view    view.View
 	ledgers map[string]*Registers
 	disks   map[string]map[string][]byte
 	up      map[string]bool
@@ -34,6 +35,11 @@
 	for i := range n {
 		b.names = append(b.names, fmt.Sprintf("m%d", i))
 	}
+	var members []view.Member
+	for _, name := range b.names {
+		members = append(members, b.member(name))
+	}
+	b.view = view.Founding(1, members)
 	for _, name := range b.names {
 		b.disks[name] = map[string][]byte{}
 		b.start(name)
@@ -41,9 +47,11 @@
 	return b
 }
 
+func (b *bag) member(name string) view.Member { return view.Member{Address: name, Incarnation: 1} }
+
 func (b *bag) start(name string) {
-	l := New(name, b.rng.Uint32()|1, 60)
-	l.Seat(b.names)
+	l := New(b.member(name), b.rng.Uint32()|1, 60)
+	l.SetView(b.now, b.view, b.now)
 	if err := l.Restore(b.now, b.disks[name]); err != nil {
 		panic(err)
 	}
@@ -83,7 +91,7 @@
 
 func (b *bag) post(from string, s transport.Send) {
 	if s.To == from { // a process's own word is not lost
-		b.ledgers[from].Heard(b.now, from, s.Message)
+		b.ledgers[from].Heard(b.now, b.member(from), s.Message)
 		return
 	}
 	b.mail = append(b.mail, letter{from, s.To, s.Message})
@@ -101,7 +109,7 @@
 		if b.rng.IntN(8) == 0 || !b.up[m.to] {
 			return
 		}
-		b.ledgers[m.to].Heard(b.now, m.from, m.parcel)
+		b.ledgers[m.to].Heard(b.now, b.member(m.from), m.parcel)
 		b.take(m.to, true)
 		return
 	}
@@ -165,7 +173,7 @@
 		b := newBag(seed, 3)
 		settled, granted := false, false
 		home := b.ledgers[Home("k", b.names)[seed%3]]
-		name := home.self
+		name := home.self.Address
 		home.Claim(b.now, &meshpb.Claim{Key: "k", Token: 1}, func(state uint32, _ *meshpb.Receipt) { granted = state == Claimed })
 		b.take(name, true)
 		for range 60 {
@@ -217,7 +225,7 @@
 		for len(b.mail) > 0 {
 			m := b.mail[0]
 			b.mail = b.mail[1:]
-			b.ledgers[m.to].Heard(b.now, m.from, m.parcel)
+			b.ledgers[m.to].Heard(b.now, b.member(m.from), m.parcel)
 			b.take(m.to, true)
 		}
 	}
--- /dev/null
+++ b/internal/mesh/register/registers.go
@@ -0,0 +1,221 @@
+// Package register keeps registers: one for each key, on the disks of the control servers. It is a replicated compare-and-set
+// register as CASPaxos describes: there is no log and no leader.
+//
+// A change of a register is a ballot: it is prepared at a quorum of the view, whose members promise to take nothing older and tell
+// what they hold; then the changed value is accepted by a quorum. The first half is left out where its result is known beforehand:
+// every key has a home, named by rendezvous hashing, to which all have promised the first ballot of an epoch, and a server that had
+// a value chosen is promised the next ballot.
+//
+// Ballots carry the epoch of the view whose quorums they were made for, and an acceptor takes part in the ballots of its own epoch
+// only. Between two stable views stands a joint one, whose quorums are majorities of the old and the new members, so what is
+// chosen in one epoch is seen by the ballots of the next. A joiner votes once it holds what was chosen before it came: see sync.go.
+//
+// After a change of view, values may stand elsewhere that the home of a key has not seen. No server takes the short way for the
+// first ballot of a key until the window, after which keys are forgotten, has passed in that epoch.
+package register
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/rendezvous"
+	"beechwing/internal/mesh/store"
+	"beechwing/internal/mesh/transport"
+	"beechwing/internal/mesh/view"
+)
+
+const (
+	widenAfter = 0.04 // seconds until the members in reserve are sent a value
+	slowFor    = 2.0  // seconds for which one that did not answer is kept in reserve
+	tryFor     = 0.25 // seconds until a ballot is begun anew
+	GiveUp     = 0.8  // seconds until a change is given up; no message of it is sent later
+	mostWork   = 4096 // changes under way; more are turned away
+	sweepEvery = 1.0  // seconds
+	// Ages are counted from when a server saw a value, and start anew with it, so they err to the side of keeping.
+	slack = 15.0
+)
+
+// permanentPrefix begins the names of registers that do not grow old: no key of an operation begins so.
+const permanentPrefix = "\x00"
+
+// Permanent is the name of a register that is never forgotten.
+func Permanent(name string) string { return permanentPrefix + name }
+
+func permanent(key string) bool { return strings.HasPrefix(key, permanentPrefix) }
+
+// Effects are what a state machine wants done. Sends go at once; Puts go to the disk, and After when they are synced there.
+type Effects struct {
+	Sends []transport.Send
+	Puts  []store.Put
+	After []transport.Send
+}
+
+// entry is a register as this server's disk has it.
+type entry struct {
+	promised, accepted Ballot
+	value              *meshpb.Receipt
+	at                 float64 // when it came here
+	position           uint64  // in the order of changes of this life
+	chosen             bool    // in this life, by this server's own ballot, which is the accepted one
+}
+
+// Registers is one server's part in all registers. Its methods take the time in seconds on a clock that never jumps.
+type Registers struct {
+	self     view.Member
+	view     view.View
+	node     uint32 // this server's number in the view, from 1; 0: it is no member
+	life     uint32
+	window   float64
+	fastFrom float64 // until then no first ballot of a key goes without being prepared
+	voting   bool
+
+	entries   map[string]*entry
+	position  uint64
+	work      map[string]*change
+	byID      map[uint64]*change
+	waiting   map[string][]*change
+	lastID    uint64
+	out       Effects
+	sweepAt   float64
+	slowUntil map[view.Member]float64
+}
+
+// New makes the registers of a server. window is for how long a key's answer is kept, in seconds; life is drawn anew for each start
+// of the process, and is not 0.
+func New(self view.Member, life uint32, window float64) *Registers {
+	return &Registers{self: self, life: life, window: window + slack, lastID: uint64(life) << 32, entries: map[string]*entry{},
+		work: map[string]*change{}, byID: map[uint64]*change{}, waiting: map[string][]*change{},
+		slowUntil: map[view.Member]float64{}}
+}
+
+// SetView takes the view in force. fastFrom is the time from which the home of a key may leave out the first half of its first
+// ballot: at once in the founding view, and after the window in any later one. Changes under way begin anew in the new epoch.
+func (l *Registers) SetView(now float64, v view.View, fastFrom float64) {
+	if v.Epoch == l.view.Epoch {
+		return
+	}
+	l.view, l.node, l.fastFrom = v, v.Node(l.self), fastFrom
+	if l.node == 0 {
+		l.voting = false
+	}
+	if l.node == 0 || !l.voting {
+		l.Abort(now)
+		return
+	}
+	for _, c := range l.ordered() {
+		l.ask(now, c)
+	}
+}
+
+// FastAfter is how many seconds an epoch is old when first ballots may go without being prepared again.
+func (l *Registers) FastAfter() float64 { return l.window }
+
+// Vote lets this server take part: its disk holds all that it ever promised, and what was chosen before it came.
+func (l *Registers) Vote() { l.voting = l.node > 0 }
+
+// Voting says whether this server takes part.
+func (l *Registers) Voting() bool { return l.voting }
+
+// Reset forgets everything: the disk is another one from here on.
+func (l *Registers) Reset(now float64, self view.Member) {
+	for key := range l.entries {
+		l.out.Puts = append(l.out.Puts, store.Put{Name: prefix + key})
+	}
+	l.self, l.voting, l.node = self, false, 0
+	clear(l.entries)
+	l.Abort(now)
+}
+
+// Held counts the registers by the state of their value, and says how old the oldest claim is that nobody has settled.
+func (l *Registers) Held(now float64) (byState map[string]int, oldest float64) {
+	byState = map[string]int{}
+	for _, e := range l.entries {
+		state := Free
+		if e.value != nil {
+			state = e.value.State
+		}
+		byState[stateNames[state]]++
+		if state == Claimed {
+			oldest = max(oldest, now-e.at)
+		}
+	}
+	return byState, oldest
+}
+
+// Size is the number of registers held, and of changes under way.
+func (l *Registers) Size() (registers, changes int) { return len(l.entries), len(l.work) }
+
+// Take gives what is to be done since the last call.
+func (l *Registers) Take() Effects {
+	out := l.out
+	l.out = Effects{}
+	return out
+}
+
+// Home is the order of the servers for a key's claims: the first is its home, the others follow where that one is silent.
+func Home(key string, servers []string) []string { return rendezvous.Order(key, servers) }
+
+// isHome says whether this server is the home of a key in this epoch. A joint view has no homes: nobody goes the short way in it.
+func (l *Registers) isHome(key string) bool {
+	return !l.view.Joint() && Home(key, l.view.Addresses())[0] == l.self.Address
+}
+
+// promised is what this server has promised for a key in this epoch, at least the first ballot to its home.
+func (l *Registers) promised(key string) Ballot {
+	e := l.entries[key]
+	if e != nil && e.promised.Epoch == l.view.Epoch {
+		return e.promised
+	}
+	first := Ballot{Epoch: l.view.Epoch, Round: 1}
+	if !l.view.Joint() {
+		home := Home(key, l.view.Addresses())[0]
+		first.Node = uint32(slices.IndexFunc(l.view.Members, func(m view.Member) bool { return m.Address == home }) + 1)
+	}
+	return first
+}
+
+// Local is what this disk has of a register, chosen or not.
+func (l *Registers) Local(name string) (value *meshpb.Receipt, accepted Ballot) {
+	if e := l.entries[name]; e != nil {
+		return e.value, e.accepted
+	}
+	return nil, Ballot{}
+}
+
+// Tick begins anew what got no quorum, gives up what took too long, and forgets what is older than the window.
+func (l *Registers) Tick(now float64) {
+	for _, c := range l.ordered() {
+		switch {
+		case now > c.began+GiveUp:
+			l.end(now, c, Unsure, nil)
+		case !c.asking && len(c.rest) > 0 && now > c.tried+widenAfter:
+			l.widen(now, c)
+		case now > c.tried+tryFor, c.asking && c.rejected.compare(c.ballot) >= 0 && now > c.tried+tryFor/4:
+			l.ask(now, c)
+		}
+	}
+	if now >= l.sweepAt {
+		l.sweepAt = now + sweepEvery
+		l.forget(now)
+	}
+}
+
+func (l *Registers) forget(now float64) {
+	for key, e := range l.entries {
+		if now > e.at+l.window && l.work[key] == nil && !permanent(key) {
+			delete(l.entries, key)
+			l.out.Puts = append(l.out.Puts, store.Put{Name: prefix + key})
+		}
+	}
+}
+
+func (l *Registers) ordered() []*change {
+	all := make([]*change, 0, len(l.work))
+	for _, c := range l.byID {
+		all = append(all, c)
+	}
+	slices.SortFunc(all, func(a, b *change) int { return cmp.Compare(a.id, b.id) })
+	return all
+}
--- /dev/null
+++ b/internal/mesh/register/sync.go
@@ -0,0 +1,65 @@
+package register
+
+import (
+	"maps"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"beechwing/internal/mesh/meshpb"
+)
+
+// A server that joins reads what the others hold, page by page, in the order in which their entries changed. What changed after a
+// page was read comes in a later one, so a second pass costs what changed since the first, and catching up costs what is live and
+// not what has happened. Once it has read, from a quorum of the old members that go by the joint view, everything up to the moment
+// at which they took that view, it holds whatever was chosen before: none of them takes part in older ballots any more.
+
+// pageBytes bounds one page.
+const pageBytes = 256 << 10
+
+// Position is that of the last change of this life.
+func (l *Registers) Position() uint64 { return l.position }
+
+// Page gives the entries that changed after a position, oldest first; last says that these are all.
+func (l *Registers) Page(after uint64) (page []*meshpb.Entry, position uint64, last bool) {
+	type changed struct {
+		key string
+		*entry
+	}
+	var all []changed
+	for key, e := range l.entries {
+		if e.position > after {
+			all = append(all, changed{key, e})
+		}
+	}
+	slices.SortFunc(all, func(a, b changed) int { return int(int64(a.position) - int64(b.position)) })
+	size := 0
+	for _, c := range all {
+		w := wireEntry(c.key, c.entry)
+		page = append(page, w)
+		if size += proto.Size(w); size > pageBytes {
+			return page, c.position, false
+		}
+	}
+	return page, l.position, true
+}
+
+// Merge takes a page of another server's. Of each register the newest accepted value holds.
+func (l *Registers) Merge(now float64, page []*meshpb.Entry) {
+	for _, w := range page {
+		e := l.entries[w.Key]
+		if e == nil {
+			e = &entry{at: now}
+			l.entries[w.Key] = e
+		}
+		if b := FromWire(w.Promised); b.compare(e.promised) > 0 {
+			e.promised, e.chosen = b, false
+		}
+		if b := FromWire(w.Accepted); b.compare(e.accepted) > 0 {
+			e.accepted, e.value, e.chosen = b, w.Value, false
+		}
+		l.keep(w.Key, e)
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/mesh/sidecar/discovery.go
+++ b/internal/mesh/sidecar/discovery.go
@@ -49,7 +49,8 @@
 	records map[string]*meshpb.Record
 	silent  map[string]bool
 	servers []string
-	server  int // whom it pulls from
+	epoch   uint64 // of the view that named them
+	server  int    // whom it pulls from
 	pull    uint64
 	pullAt  float64
 	held    bool    // it may be held until there is something
@@ -257,24 +258,11 @@
 	}
 	if w.FromServer {
 		n.missed, n.heardAt = 0, p.now
-		if len(w.Servers) > 0 && !slices.Equal(n.servers, w.Servers) {
-			n.servers = w.Servers
+		if len(w.Servers) > 0 && w.Epoch >= n.epoch {
+			n.servers, n.epoch = w.Servers, w.Epoch
 		}
-		silent := map[string]bool{}
-		for _, s := range w.Silent {
-			if s != p.o.Self {
-				silent[s] = true
-			}
-		}
-		if len(silent) != len(n.silent) {
-			changed = true
-		}
-		for s := range silent {
-			changed = changed || !n.silent[s]
-		}
-		n.silent = silent
 		n.told = true
-		if p.o.Agreed && p.witness.ruled(p.now, w) {
+		if !w.Alone && n.judged(w) {
 			changed = true
 		}
 	}
@@ -300,6 +288,20 @@
 	}
 }
 
+// judged takes what a control server that is in contact says of proxies that are silent and of hosts that are out.
+func (n *news) judged(w *meshpb.Update) (changed bool) {
+	p := n.p
+	silent := map[string]bool{}
+	for _, source := range w.Silent {
+		if source != p.o.Self {
+			silent[source] = true
+		}
+	}
+	changed = !maps.Equal(silent, n.silent)
+	n.silent = silent
+	return p.o.Agreed && p.witness.ruled(p.now, w) || changed
+}
+
 // pulled tells another proxy what it lacks of what is known here: those that watch this one ask while no control process
 // answers them.
 func (n *news) pulled(from string, id uint64, pull *meshpb.Pull) {
--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -291,3 +291,11 @@
 	}
 	return p.table.Edition
 }
+
+// Configuration is the text and the version in force here; nil: none is.
+func (p *Sidecar) Configuration() (text []byte, version uint64) {
+	if p.table == nil {
+		return nil, 0
+	}
+	return p.table.Text, p.table.Edition
+}
--- a/internal/mesh/simulation/checker.go
+++ b/internal/mesh/simulation/checker.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 
+	"beechwing/internal/mesh/control"
 	"beechwing/internal/mesh/meshpb"
 
 	"beechwing/internal/mesh/sidecar"
@@ -153,6 +154,13 @@
 	}
 }
 
+// refused is an order that was answered otherwise than by a yes: of one text under a number, none is ever refused for another's sake.
+func (c *Checker) refused(version uint64, result control.OrderResult) {
+	if result == control.OrderConflict {
+		c.fail("CONFIG", "%d is refused, though no other text was sent under its number", version)
+	}
+}
+
 func (c *Checker) sent(version uint64) { c.versions[version] = true }
 
 func (c *Checker) acked(version uint64) {
--- /dev/null
+++ b/internal/mesh/simulation/control_test.go
@@ -0,0 +1,475 @@
+package simulation
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"beechwing/internal/mesh/control"
+)
+
+const (
+	configWithin = 2.0 // seconds within which proxies act by what was acknowledged
+	catchUp      = 4.0 // seconds within which a replacement is complete
+)
+
+// cutWays are the ways in which a server is cut off from others.
+var cutWays = []string{"both", "out", "in"}
+
+func cutOff(w *World, one *ControlServer, way string) {
+	for _, o := range w.Servers {
+		if o == one {
+			continue
+		}
+		if way != "in" {
+			w.Cut(one.addr, o.addr)
+		}
+		if way != "out" {
+			w.Cut(o.addr, one.addr)
+		}
+	}
+}
+
+// A server is cut off from the others for 20 s, both ways or one. It confirms no order, refuses within 20 ms once it knows, and within
+// a second of the cut in any case. No proxy goes on by its old configuration, also one that starts and knows only that server. Back
+// in contact it takes orders within a second.
+func TestServerCutOffFor20Seconds(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(9) {
+		w := market(t, seed, 3+int(seed%3))
+		cut, way := w.Servers[seed%3], cutWays[seed/3%3]
+		name := fmt.Sprintf("seed %d, %s", seed, way)
+		at := w.Now
+		cutOff(w, cut, way)
+		slowest, confirmed := 0.0, 0
+		for i := range 190 {
+			w.After(float64(i)*0.1, func() {
+				asked := w.Now
+				w.Order(cut, 1000+uint64(i), Config(1000+uint64(i)), func(result control.OrderResult) {
+					if result == control.OrderTaken {
+						confirmed++
+					}
+					if asked > at+1 {
+						slowest = max(slowest, w.Now-asked)
+					} else if w.Now > asked+1 {
+						t.Errorf("%s: an order at the cut is answered after %.2f s", name, w.Now-asked)
+					}
+				})
+			})
+		}
+		for i := range 8 {
+			version := uint64(2000 + i)
+			w.After(2*float64(i), func() { w.Configure(int(seed)+1, version, nil) })
+			w.After(2*float64(i)+0.1, func() {
+				late := w.Proxies[i%len(w.Proxies)]
+				late.Kill()
+				late.seeds = []string{cut.addr}
+				late.Start()
+			})
+		}
+		w.Run(1.5)
+		for range 16 {
+			w.Run(1)
+			newest := w.Checker.Newest
+			w.After(0, func() {})
+			if w.Checker.ackedAt[newest] < w.Now-configWithin {
+				w.Checker.InForce(w.Proxies...)
+			}
+		}
+		w.Run(2)
+		if confirmed > 0 {
+			t.Errorf("%s: it confirmed %d orders", name, confirmed)
+		}
+		if slowest > 0.02 {
+			t.Errorf("%s: it took %.3f s to refuse an order", name, slowest)
+		}
+		w.JoinAll()
+		w.Run(1)
+		taken := false
+		w.Order(cut, 3000, Config(3000), func(result control.OrderResult) { taken = result == control.OrderTaken })
+		w.Run(0.5)
+		if !taken {
+			t.Errorf("%s: a second after it is back it takes no orders", name)
+		}
+		verdictOn(t, w, name, 0)
+	}
+}
+
+// Contact that comes and goes every second confirms nothing that is lost, and what was acknowledged is in force.
+func TestContactComesAndGoes(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(6) {
+		w := market(t, seed, 3)
+		cut := w.Servers[seed%3]
+		for i := range 8 {
+			w.After(2*float64(i), func() { cutOff(w, cut, cutWays[w.Rand.IntN(3)]) })
+			w.After(2*float64(i)+1, w.JoinAll)
+		}
+		version := uint64(1)
+		for i := range 50 {
+			version++
+			v := version
+			w.After(0.3*float64(i), func() { w.Configure(w.Rand.IntN(3), v, nil) })
+		}
+		w.Run(20)
+		w.Checker.InForce(w.Proxies...)
+		if w.Checker.Newest != version {
+			t.Errorf("seed %d: %d of %d acknowledged", seed, w.Checker.Newest, version)
+		}
+		verdictOn(t, w, fmt.Sprintf("seed %d", seed), 0)
+	}
+}
+
+// texts keeps what was confirmed under each number.
+type texts struct {
+	t         *testing.T
+	name      string
+	confirmed map[uint64][]byte
+	conflicts int
+}
+
+func newTexts(t *testing.T, name string) *texts {
+	return &texts{t: t, name: name, confirmed: map[uint64][]byte{}}
+}
+
+// order sends a text to a server and notes the end: of two texts under a number one is confirmed, and that one is never refused.
+func (x *texts) order(w *World, to *ControlServer, version uint64, text []byte) {
+	if !to.up {
+		return
+	}
+	w.Order(to, version, text, func(result control.OrderResult) {
+		held, known := x.confirmed[version]
+		switch {
+		case result == control.OrderTaken && known && !bytes.Equal(held, text):
+			x.t.Errorf("%s: two texts are confirmed under %d", x.name, version)
+		case result == control.OrderTaken:
+			x.confirmed[version] = text
+			w.Checker.acked(version)
+		case result == control.OrderConflict && known && bytes.Equal(held, text):
+			x.t.Errorf("%s: %d is refused though it was confirmed", x.name, version)
+		case result == control.OrderConflict:
+			x.conflicts++
+		}
+	})
+}
+
+// check compares what proxies act by with what was confirmed.
+func (x *texts) check(w *World) {
+	for _, p := range w.Proxies {
+		text, version := p.sidecar.Configuration()
+		if held := x.confirmed[version]; p.up && held != nil && !bytes.Equal(held, text) {
+			x.t.Errorf("%s: %s acts by another text under %d than the one confirmed", x.name, p.addr, version)
+		}
+	}
+}
+
+// Two operators send different texts under one number to two servers at one moment, a third one later, also to a server that is cut
+// off. One of them is confirmed, in force and read back.
+func TestOneNumberOneConfiguration(t *testing.T) {
+	t.Parallel()
+	conflicts := 0
+	for seed := range uint64(60) {
+		w := market(t, seed, 3+int(seed%3))
+		x := newTexts(t, fmt.Sprintf("seed %d", seed))
+		a, b, c := w.Servers[seed%3], w.Servers[(seed+1)%3], w.Servers[(seed+2)%3]
+		for i := range 6 {
+			version := uint64(10 + i)
+			w.After(0.7*float64(i), func() {
+				x.order(w, a, version, ConfigVariant(version, 1))
+				w.After(0.01*w.Rand.Float64(), func() { x.order(w, b, version, ConfigVariant(version, 2)) })
+				w.After(0.6*w.Rand.Float64(), func() { x.order(w, c, version, ConfigVariant(version, 3)) })
+			})
+		}
+		if seed%2 == 0 {
+			w.After(2, func() { cutOff(w, c, cutWays[seed%3]) })
+		}
+		w.Run(8)
+		w.JoinAll()
+		w.Run(2)
+		x.check(w)
+		w.Checker.InForce(w.Proxies...)
+		for _, h := range w.Servers { // whatever is sent again is answered alike everywhere
+			for version := range x.confirmed {
+				for variant := range 3 {
+					x.order(w, h, version, ConfigVariant(version, variant+1))
+				}
+			}
+		}
+		w.Run(1)
+		x.check(w)
+		conflicts += x.conflicts
+		verdictOn(t, w, x.name, 0)
+	}
+	if conflicts < 600 {
+		t.Errorf("%d conflicts: this shows little", conflicts)
+	}
+}
+
+// An order is sent again after hundreds of later changes, restarts, a wipe and a replacement: it is confirmed again, at any server.
+// Eight orders are under way at once.
+func TestOrderSentAgainLater(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(4) {
+		w := market(t, seed, 3)
+		x := newTexts(t, fmt.Sprintf("seed %d", seed))
+		first := uint64(5)
+		x.order(w, w.Servers[0], first, Config(first))
+		w.Run(0.2)
+		if x.confirmed[first] == nil {
+			t.Fatalf("seed %d: not confirmed", seed)
+		}
+		const changes = 320
+		for i := range changes {
+			version := uint64(100 + i)
+			w.After(0.25*float64(i/8), func() { x.order(w, w.Servers[w.Rand.IntN(3)], version, Config(version)) })
+		}
+		w.After(4, w.Servers[0].PowerOff)
+		w.After(5, w.Servers[0].Start)
+		w.Run(20)
+		lost := w.Servers[1]
+		lost.PowerOff()
+		lost.Wipe()
+		w.Run(0.5)
+		lost.Start()
+		w.Run(catchUp)
+		w.Remove(w.Servers[2])
+		w.Run(1)
+		w.Add()
+		w.Run(catchUp)
+		if n := len(w.Members()); n != 3 {
+			t.Errorf("%s: %d members", x.name, n)
+		}
+		for _, h := range w.Members() {
+			answered := false
+			w.Order(h, first, Config(first), func(result control.OrderResult) {
+				answered = true
+				if result != control.OrderTaken {
+					t.Errorf("%s: %s answers %v to what was confirmed before", x.name, h.addr, result)
+				}
+			})
+			w.Run(0.1)
+			if !answered {
+				t.Errorf("%s: %s does not answer", x.name, h.addr)
+			}
+		}
+		w.Checker.InForce(w.Proxies...)
+		if len(x.confirmed) < changes*9/10 {
+			t.Errorf("%s: %d of %d changes confirmed", x.name, len(x.confirmed), changes)
+		}
+		verdictOn(t, w, x.name, 0)
+	}
+}
+
+// survives loses as many members as are to be borne, with their disks, and all others their power; then everything that was confirmed
+// has to be there, and operations have to be served.
+func survives(t *testing.T, w *World, name string) {
+	t.Helper()
+	members := w.Members()
+	w.Rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	for i, h := range members {
+		h.PowerOff()
+		if i < w.tolerance {
+			h.Wipe()
+		}
+	}
+	w.Run(0.5)
+	for _, h := range members {
+		h.Start()
+	}
+	w.Run(catchUp)
+	var read uint64
+	w.ReadBack(0, func(version uint64) { read = version })
+	w.Run(2)
+	if read < w.Checker.Newest {
+		t.Errorf("%s: read back %d, %d was confirmed", name, read, w.Checker.Newest)
+	}
+	w.Checker.InForce(w.Proxies...)
+	served := w.Checker.Served
+	for i := range 40 {
+		w.After(float64(i)*0.02, func() {
+			w.Ask(w.Proxies[i%len(w.Proxies)], "/pay/x", fmt.Sprintf("%s/after%d", name, i), 3)
+		})
+	}
+	w.Run(3)
+	if got := w.Checker.Served - served; got < 36 {
+		t.Errorf("%s: %d of 40 operations served after the loss; answers %v", name, got, w.Checker.Statuses)
+	}
+}
+
+// A member is replaced, abruptly or as planned, under traffic; right after the replacement is complete as many members as are to be
+// borne lose their disks and the rest their power. Nothing that was confirmed is lost, no operation runs twice.
+func TestSecondLossAfterReplacement(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(24) {
+		n := 3 + int(seed%3)
+		planned := seed/3%2 == 0
+		name := fmt.Sprintf("seed %d, planned %v", seed, planned)
+		w := market(t, seed, n)
+		traffic(w, 14)
+		w.Run(1)
+		old := w.Servers[w.Rand.IntN(n)]
+		if planned {
+			w.Add()
+			w.Run(1)
+			old.Term()
+			w.Run(catchUp - 1)
+		} else {
+			w.Remove(old)
+			w.Run(1)
+			w.Add()
+			w.Run(catchUp)
+		}
+		w.Configure(int(seed)%n, 7, nil)
+		w.Run(0.5)
+		if members := w.Members(); len(members) != n || old.up {
+			t.Errorf("%s: %d members, the old one is up: %v", name, len(members), old.up)
+		}
+		survives(t, w, name)
+		verdictOn(t, w, name, 0.3)
+	}
+}
+
+// Every member is replaced in turn, under traffic and changes; at the end nothing is left of the first ones.
+func TestWholeCoreReplaced(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(8) {
+		n := 3 + int(seed%3)
+		name := fmt.Sprintf("seed %d", seed)
+		w := market(t, seed, n)
+		traffic(w, float64(n)*(catchUp+2))
+		version := uint64(1)
+		for i := range n {
+			for k := range 8 {
+				version++
+				v := version
+				w.After(0.6*float64(k), func() { w.Configure(w.Rand.IntN(len(w.Servers)), v, nil) })
+			}
+			old := w.Servers[i]
+			if w.Rand.IntN(2) == 0 {
+				w.Add()
+				w.Run(1)
+				old.Term()
+				w.Run(0.5)
+			} else {
+				w.Remove(old)
+				w.Run(1)
+				w.Add()
+				w.Run(0.5)
+			}
+			w.Run(catchUp)
+		}
+		for i := range n {
+			if w.Servers[i].up {
+				t.Errorf("%s: %s is still up", name, w.Servers[i].addr)
+			}
+		}
+		if got := len(w.Members()); got != n {
+			t.Errorf("%s: %d members of %d", name, got, n)
+		}
+		if w.Checker.Newest != version {
+			t.Errorf("%s: %d of %d confirmed", name, w.Checker.Newest, version)
+		}
+		verdictOn(t, w, name, 0.9)
+		survives(t, w, name)
+		verdictOn(t, w, name, 0.5)
+	}
+}
+
+// Replacements go wrong: the newcomer is lost or loses its disk while it joins, two come at once, everybody loses power in the middle,
+// a replaced member comes back. In the end there are as many members as before, and they bear a loss.
+func TestReplacementGoesWrong(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(60) {
+		n := 3 + int(seed%3)
+		way := []string{"newcomer lost", "newcomer wiped", "two at once", "power", "old one back", "core killed"}[seed/3%6]
+		name := fmt.Sprintf("seed %d, %s", seed, way)
+		w := market(t, seed, n)
+		traffic(w, 12)
+		for i := range 20 {
+			v := uint64(2 + i)
+			w.After(0.4*float64(i), func() { w.Configure(w.Rand.IntN(len(w.Servers)), v, nil) })
+		}
+		w.Run(0.5)
+		old := w.Servers[w.Rand.IntN(n)]
+		back := way == "old one back"
+		if back {
+			cutOff(w, old, "both")
+		} else {
+			w.Remove(old)
+		}
+		w.Run(1)
+		newcomer := w.Add()
+		moment := 2 * w.Rand.Float64()
+		w.Run(moment)
+		switch way {
+		case "newcomer lost":
+			w.Remove(newcomer)
+			w.Run(1)
+			w.Add()
+		case "newcomer wiped":
+			newcomer.PowerOff()
+			newcomer.Wipe()
+			w.Run(0.3)
+			newcomer.Start()
+		case "two at once":
+			w.Add()
+		case "power", "core killed":
+			for _, h := range w.Servers {
+				if way == "power" {
+					h.PowerOff()
+				} else {
+					h.Kill()
+				}
+			}
+			w.Run(0.5)
+			for _, h := range w.Servers {
+				w.After(0.4*w.Rand.Float64(), h.Start)
+			}
+		case "old one back":
+			w.Run(max(0, 3-moment))
+			w.JoinAll()
+		}
+		w.Run(catchUp + 2)
+		if got := len(w.Members()); got != n {
+			t.Errorf("%s: %d members of %d", name, got, n)
+		}
+		survives(t, w, name)
+		verdictOn(t, w, name, 0.3)
+	}
+}
+
+// Hundreds of changes, then one server loses its disk and another its power at once after it. Who comes back takes no part before it has
+// caught up, catches up within the time, and nobody ever acts by something older.
+func TestRestartAfterHundredsOfChanges(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(6) {
+		n := 3 + int(seed%3)
+		name := fmt.Sprintf("seed %d", seed)
+		w := market(t, seed, n)
+		const changes = 300
+		for i := range changes {
+			v := uint64(2 + i)
+			w.After(0.03*float64(i), func() { w.Configure(w.Rand.IntN(n), v, nil) })
+		}
+		w.Run(12)
+		h := w.Servers[seed%3]
+		h.PowerOff()
+		h.Wipe()
+		w.Run(0.4)
+		h.Start()
+		if h.Voting() {
+			t.Errorf("%s: it votes at once", name)
+		}
+		w.Run(1.5)
+		if !h.Voting() {
+			t.Errorf("%s: it does not vote 1.5 s after its start", name)
+		}
+		w.Configure(int(seed), 1000, nil)
+		w.Run(0.5)
+		if got := h.server.State(w.Now).InForce; got != 1000 {
+			t.Errorf("%s: it has %d, 1000 was confirmed", name, got)
+		}
+		survives(t, w, name)
+		verdictOn(t, w, name, 0)
+	}
+}
--- a/internal/mesh/simulation/ejection_test.go
+++ b/internal/mesh/simulation/ejection_test.go
@@ -42,6 +42,7 @@
 // A host that loses most of its answers is out for operations at all proxies within two seconds, gets none while it is, and its part again
 // once it is well.
 func TestFailingHostGoesOutForAll(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(6) {
 		w := tills(t, seed)
 		operations(w, 14)
@@ -77,6 +78,7 @@
 // One proxy's bad moment empties no host: cut off from one host, from all others, or one way only, it cannot take a host out, and
 // operations of the others go on everywhere.
 func TestOneProxyTakesNobodyOut(t *testing.T) {
+	t.Parallel()
 	for _, way := range []string{"one host", "all", "one way"} {
 		w := tills(t, 3)
 		bad := w.Proxies[5]
@@ -118,12 +120,13 @@
 // By hand a host is out for all proxies until it is called back, over restarts of everything; less than half of the service left needs
 // a second word.
 func TestOutByHand(t *testing.T) {
+	t.Parallel()
 	w := tills(t, 2)
 	operations(w, 30)
 	order := func(h int, s *Proxy, out, force bool) (err error) {
 		err = errors.New("no answer")
 		w.Servers[h].input(func() {
-			w.Servers[h].server.Order(w.Now, s.station.id, out, force, "ann", "test", func(e error) { err = e })
+			w.Servers[h].server.OrderEjection(w.Now, s.station.id, out, force, "ann", "test", func(e error) { err = e })
 		})
 		w.Run(0.5)
 		return err
--- a/internal/mesh/simulation/people.go
+++ b/internal/mesh/simulation/people.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"beechwing/internal/mesh/control"
 	"beechwing/internal/mesh/meshpb"
 
 	"beechwing/internal/mesh/outcome"
@@ -156,14 +157,17 @@
 }
 
 // Config makes a configuration: a safe and a tracked route that stay, and one route by its version.
-func Config(version uint64) []byte {
+func Config(version uint64) []byte { return ConfigVariant(version, 0) }
+
+// ConfigVariant makes one of several configurations under one number, as two operators may.
+func ConfigVariant(version uint64, variant int) []byte {
 	c := routeconfig.Config{Edition: fmt.Sprintf("r%d", version),
 		Itineraries: []routeconfig.Route{
 			{Name: "read", Depot: "shop.example", LanePrefix: "/read/", RouteKind: routeconfig.Safe, TimeoutMs: 1200, TargetMs: 200,
 				Carrier: "shop", Tries: 2},
 			{Name: "pay", Depot: "shop.example", LanePrefix: "/pay/", RouteKind: routeconfig.Tracked, TimeoutMs: 1000, TargetMs: 200,
 				Carrier: "till", Tries: 2},
-			{Name: "new", Depot: "shop.example", LanePrefix: fmt.Sprintf("/new%d/", version), RouteKind: routeconfig.Safe, TimeoutMs: 1000,
+			{Name: "new", Depot: "shop.example", LanePrefix: fmt.Sprintf("/new%d/", version+uint64(variant)<<32), RouteKind: routeconfig.Safe, TimeoutMs: 1000,
 				TargetMs: 200, Carrier: "shop", Tries: 2}},
 		Carriers: []routeconfig.Service{{Name: "shop", HealthPath: "/health"}, {Name: "till", HealthPath: "/health"}}}
 	text, err := json.Marshal(c)
@@ -191,11 +195,12 @@
 	}
 	w.After(1, next)
 	p.input(func() {
-		p.server.Put(w.Now, version, Config(version), func(ok bool) {
+		p.server.Order(w.Now, version, Config(version), func(result control.OrderResult) {
 			if done || !p.up || p.lives != life {
 				return
 			}
-			if !ok {
+			if result != control.OrderTaken {
+				w.Checker.refused(version, result)
 				next()
 				return
 			}
@@ -208,6 +213,19 @@
 	})
 }
 
+// Order sends one order to one server, once. answer is called if the server lives to answer.
+func (w *World) Order(to *ControlServer, version uint64, text []byte, answer func(control.OrderResult)) {
+	w.Checker.sent(version)
+	life := to.lives
+	to.input(func() {
+		to.server.Order(w.Now, version, text, func(result control.OrderResult) {
+			if to.up && to.lives == life && answer != nil {
+				answer(result)
+			}
+		})
+	})
+}
+
 // ReadBack has the operator ask a control process for the configuration, and others until one answers.
 func (w *World) ReadBack(h int, got func(version uint64)) {
 	p := w.Servers[h%len(w.Servers)]
@@ -224,11 +242,11 @@
 	}
 	w.After(1, next)
 	p.input(func() {
-		p.server.Get(w.Now, func(text []byte, ok bool) {
+		p.server.Configuration(w.Now, func(text []byte, result control.OrderResult) {
 			if done {
 				return
 			}
-			if !ok {
+			if result != control.OrderTaken {
 				next()
 				return
 			}
--- a/internal/mesh/simulation/simulation_test.go
+++ b/internal/mesh/simulation/simulation_test.go
@@ -65,6 +65,7 @@
 }
 
 func TestCalmDay(t *testing.T) {
+	t.Parallel()
 	for _, servers := range []int{3, 4, 5} {
 		w := market(t, 1, servers)
 		traffic(w, 3)
@@ -76,6 +77,7 @@
 // The newest configuration is read back whatever happens to the machines just as it is acknowledged: all lose power, all are
 // killed, or one loses its disk while the others are dark.
 func TestAcknowledgedConfigurationSurvives(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(60) {
 		w := market(t, seed, 3+int(seed%3))
 		way := []string{"power", "kill", "wipe"}[seed/3%3]
@@ -120,6 +122,7 @@
 
 // A control process whose disk came back empty takes no part until it has read back what the others hold, and then does.
 func TestWipedDiskDoesNotVote(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		w := market(t, seed, 3)
 		traffic(w, 4)
@@ -146,6 +149,7 @@
 
 // A host that says it leaves gets nothing later than the rule allows, and nobody loses a request by it.
 func TestDrainUnderTraffic(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		w := market(t, seed, 3)
 		traffic(w, 6)
@@ -161,6 +165,7 @@
 // Proxies are ended and started in turn, as for a new version, while clients go on: nothing is lost, and until shortly before its
 // end a proxy's host is of use to the others.
 func TestProxiesEndInTurn(t *testing.T) {
+	t.Parallel()
 	w := market(t, 8, 3)
 	traffic(w, 12)
 	for i, s := range w.Proxies {
@@ -182,6 +187,7 @@
 
 // A proxy that hears no news goes on sending to a host that leaves. The proxy beside that host lets nothing through.
 func TestGateHoldsAgainstOldNews(t *testing.T) {
+	t.Parallel()
 	w := market(t, 5, 3)
 	old, leaves := w.Proxies[2], w.Proxies[0]
 	for _, h := range w.Servers {
@@ -206,6 +212,7 @@
 
 // A proxy cut off from the control plane learns of what is new from those that it watches.
 func TestCutOffProxyHearsFromNeighbours(t *testing.T) {
+	t.Parallel()
 	w := market(t, 3, 3)
 	cut := w.Proxies[2]
 	for _, h := range w.Servers {
@@ -221,6 +228,7 @@
 // cut off, both ways or one, hosts that drain, crash and lose answers, configurations from two operators. No rule may break, and
 // afterwards all is served again.
 func TestDaysOfTroubles(t *testing.T) {
+	t.Parallel()
 	days := 12
 	if n, err := strconv.Atoi(os.Getenv("SIMULATION_DAYS")); err == nil { // more, by hand
 		days = n
@@ -336,6 +344,7 @@
 // After a loss of power on all machines one control process stays dark, within what is to be borne. No proxy waits for it: those that
 // asked it first have the configuration as soon as the others.
 func TestStartBesideADarkHall(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(12) {
 		w := market(t, seed, 3)
 		for _, h := range w.Servers {
@@ -364,6 +373,7 @@
 // Answers differ as requests do, and that sends nobody out of the zone: gates know what there is room for. Bytes between zones are
 // what it would cost.
 func TestNearHostsStayNear(t *testing.T) {
+	t.Parallel()
 	w := market(t, 4, 3)
 	for i := range 3000 {
 		w.After(float64(i)*0.02, func() { w.Ask(w.Proxies[w.Rand.IntN(len(w.Proxies))], "/read/x", "", 1) })
@@ -378,6 +388,7 @@
 // What an operation costs the control plane is its majority and nothing else: with three control processes one copy and its answer for
 // the claim and for the end of the run, with nine four. What they say to each other at rest does not depend on the operations.
 func TestOperationsCostTheMajority(t *testing.T) {
+	t.Parallel()
 	for _, servers := range []int{3, 5, 7, 9} {
 		w := market(t, 2, servers)
 		quiet := func() (words, bytes int) {
@@ -405,6 +416,7 @@
 // Hosts that run requests and lose the answers make every read worth sending again. All proxies together stay inside the budget of further
 // tries, though none asks another.
 func TestLostAnswersStayInTheBudget(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(4) {
 		w := market(t, seed, 3)
 		for _, s := range w.Proxies {
@@ -424,6 +436,7 @@
 // A control process that lost its disk and cannot recover yet hears the others, and knows nothing of what was acknowledged meanwhile. Proxies
 // that ask it go on to another: they act by the newest as soon as all.
 func TestNobodyWaitsForAHallThatRecovers(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(6) {
 		w := market(t, seed, 5)
 		h := w.Servers[seed%3]
--- a/internal/mesh/simulation/world.go
+++ b/internal/mesh/simulation/world.go
@@ -28,6 +28,9 @@
 	window      = 60.0
 )
 
+// trace tells what servers log. It is for looking at a failed seed.
+var trace = func(format string, args ...any) {}
+
 // World is one cluster.
 type World struct {
 	Now     float64
@@ -45,6 +48,8 @@
 	byAddr map[string]machine
 	first  bool
 
+	tolerance int // control servers that may be lost at once
+
 	Agreed   bool // proxies leave hosts out for operations by agreement only
 	Messages int  // parcels sent between control processes
 	Bytes    int  // in them
@@ -98,6 +103,7 @@
 	w := &World{Now: 1, Delay: 0.001, Rand: rand.New(rand.NewPCG(seed, 7)), links: map[[2]string]*link{},
 		cuts: map[[2]string]bool{}, slow: map[[2]string]float64{}, byAddr: map[string]machine{}, first: true}
 	w.Checker = newChecker(w)
+	w.tolerance = (servers - 1) / 2
 	var seeds []string
 	for i := range servers {
 		seeds = append(seeds, fmt.Sprintf("10.0.0.%d:7000", i+1))
@@ -118,6 +124,43 @@
 	return w
 }
 
+// Add starts a control server with an empty disk at an address that nobody had before. It is told of servers that are up.
+func (w *World) Add() *ControlServer {
+	addr := fmt.Sprintf("10.0.0.%d:7000", len(w.Servers)+1)
+	h := &ControlServer{w: w, addr: addr, seeds: w.upSeeds(), disk: &disk{held: map[string][]byte{}}}
+	w.first = false
+	w.Servers = append(w.Servers, h)
+	w.byAddr[addr] = h
+	h.Start()
+	return h
+}
+
+// upSeeds names three servers that are up, as the operator's list would.
+func (w *World) upSeeds() (seeds []string) {
+	for _, h := range w.Servers {
+		if h.up && len(seeds) < 3 {
+			seeds = append(seeds, h.addr)
+		}
+	}
+	return seeds
+}
+
+// Remove takes a machine away for good.
+func (w *World) Remove(h *ControlServer) {
+	h.PowerOff()
+	h.gone = true
+}
+
+// Members are the servers that vote, and are up.
+func (w *World) Members() (all []*ControlServer) {
+	for _, h := range w.Servers {
+		if h.up && h.server.Voting() {
+			all = append(all, h)
+		}
+	}
+	return all
+}
+
 // After does something so many seconds from now.
 func (w *World) After(s float64, do func()) {
 	w.seq++
@@ -239,6 +282,7 @@
 	lives  int
 	up     bool
 	unlit  bool
+	gone   bool // for good
 	puts   []store.Put
 	after  []transport.Send
 	busy   bool
@@ -252,6 +296,9 @@
 
 // Start starts the process on what its disk holds.
 func (h *ControlServer) Start() {
+	if h.gone || h.up {
+		return
+	}
 	h.lives++
 	h.up, h.unlit, h.busy, h.puts, h.after = true, false, false, nil, nil
 	values := map[string][]byte{}
@@ -259,8 +306,9 @@
 		values[name] = slices.Clone(v)
 	}
 	var err error
-	h.server, err = control.New(h.w.Now, control.Options{Self: h.addr, Seeds: h.seeds, First: h.w.first && len(values) == 0, Window: window,
-		Life: h.w.Rand.Uint32() | 1}, values, len(values) > 0)
+	h.server, err = control.New(h.w.Now, control.Options{Self: h.addr, Seeds: h.seeds, First: h.w.first && len(values) == 0,
+		Tolerance: h.w.tolerance, Window: window, Life: h.w.Rand.Uint32() | 1, Random: h.w.Rand.Uint64(),
+		Log: func(event string, args ...any) { trace("%.3f %s %s %v", h.w.Now, h.addr, event, args) }}, values)
 	if err != nil {
 		panic(err)
 	}
@@ -284,6 +332,25 @@
 	}
 }
 
+// Term tells the process to end as planned. It ends when its place is taken or nobody waits for it, and is not started again.
+func (h *ControlServer) Term() {
+	const leaveWithin = 3.0
+	late, life := h.w.Now+leaveWithin, h.lives
+	h.input(func() { h.server.Leave(h.w.Now) })
+	var look func()
+	look = func() {
+		switch {
+		case !h.up || h.lives != life:
+		case h.server.Left(h.w.Now), h.w.Now > late:
+			h.Kill()
+			h.gone = true
+		default:
+			h.w.After(tickEvery, look)
+		}
+	}
+	h.w.After(tickEvery, look)
+}
+
 // PowerOff takes the power away: of what was not synced some may be on the disk.
 func (h *ControlServer) PowerOff() {
 	if n := len(h.disk.writing); h.up && n > 0 && h.w.Rand.IntN(2) == 0 {
@@ -300,7 +367,7 @@
 }
 
 // Voting says whether the process takes part in ballots.
-func (h *ControlServer) Voting() bool { return h.up && h.server.Ready() }
+func (h *ControlServer) Voting() bool { return h.up && h.server.Voting() }
 
 func (h *ControlServer) heard(from string, p *meshpb.Message) {
 	h.input(func() { h.server.Heard(h.w.Now, from, p) })
--- a/internal/mesh/transport/net.go
+++ b/internal/mesh/transport/net.go
@@ -178,8 +178,8 @@
 
 // isAnswer says whether a parcel carries the number of another process's question.
 func isAnswer(p *meshpb.Message) bool {
-	return p.Forwarded != nil || p.Claimed != nil || p.Promise != nil || p.Accepted != nil || p.Stored != nil || p.Update != nil ||
-		p.Dumped != nil || p.Pong != nil
+	return p.Forwarded != nil || p.Claimed != nil || p.Promise != nil || p.Accepted != nil || p.Update != nil ||
+		p.SyncPage != nil || p.Config != nil || p.View != nil || p.Pong != nil
 }
 
 // Close ends all connections.
