Proxies count an answer only from the peer asked, with their life and an open id

Cause: ids began at 1 in each process and an answer was matched by its id alone. A proxy that was killed and started again gave the late answer to its former process's request to another client as 200. The same held for claims, news and pongs. Change: a process draws a life and the first of its ids from its seed. Forwarded, Claimed, Update and Pong count only from the address that was asked, with this life and the id of what is open; a Claimed also needs the token. All else is dropped, counted by reason (beechwing_sidecar_dropped_messages_total) and logged at debug. Control processes that do not return the life yet are matched by peer and id. A try whose answer never counts is let go of 3 s after its deadline (strayAfter was defined and unused), so nothing stays under way for ever. Word that a claim was unsent counts only from the peer that it was sent to. Test changed: TestWhatComesIsNotSilent gave the proxy an update that nobody had asked for; it now answers the proxy's pull. The rest of it stands.

--- a/cmd/beechwing-sidecar/run.go
+++ b/cmd/beechwing-sidecar/run.go
@@ -297,6 +297,9 @@
 	page.Count("beechwing_sidecar_runs_total", s.Counts.Runs)
 	page.Count("beechwing_sidecar_late_runs_total", s.Counts.Late)
 	page.Count("beechwing_sidecar_doubts_total", s.Counts.Doubts)
+	for why, n := range s.Counts.Dropped {
+		page.Count("beechwing_sidecar_dropped_messages_total", n, "why", why)
+	}
 	page.Count("beechwing_sidecar_host_connections_total", uint64(p.porter.Opened()))
 	page.Gauge("beechwing_sidecar_edition", float64(s.Edition))
 	page.Flag("beechwing_sidecar_ready", s.Ready)
--- a/internal/mesh/sidecar/admission.go
+++ b/internal/mesh/sidecar/admission.go
@@ -62,7 +62,7 @@
 type job struct {
 	id      uint64
 	from    string
-	parcel  uint64
+	message *meshpb.Message // that brought it
 	carry   *meshpb.Forward
 	came    float64
 	until   float64
@@ -85,6 +85,7 @@
 	ifFree  bool
 	told    func(state uint32) // nil: nobody waits for it
 	servers []string
+	at      string // whom
 	asked   float64
 	tries   int
 }
@@ -103,9 +104,9 @@
 }
 
 // carry takes a request for the host.
-func (g *gate) carry(from string, parcel uint64, c *meshpb.Forward) {
-	p := g.p
-	j := &job{id: p.id(), from: from, parcel: parcel, carry: c, came: p.now, until: p.now + float64(c.LeftUs)/1e6,
+func (g *gate) carry(from string, m *meshpb.Message) {
+	p, c := g.p, m.Forward
+	j := &job{id: p.id(), from: from, message: m, carry: c, came: p.now, until: p.now + float64(c.LeftUs)/1e6,
 		aim: p.now + float64(c.AimUs)/1e6}
 	switch own := p.news.own; {
 	case own.Station == "" || own.Station != c.Station:
@@ -307,7 +308,7 @@
 		g.running--
 	}
 	c.Claimed = j.began > 0
-	g.p.send(j.from, &meshpb.Message{Id: j.parcel, Forwarded: c})
+	g.p.send(j.from, meshpb.Answer(j.message, &meshpb.Message{Forwarded: c}))
 	g.serve()
 }
 
@@ -376,7 +377,8 @@
 	to := j.servers[0]
 	j.at = to
 	j.servers = j.servers[1:]
-	g.p.send(to, &meshpb.Message{Id: j.claim, Claim: &meshpb.Claim{Key: j.carry.Key, Token: j.carry.Token, Attempt: j.carry.Attempt}})
+	claim := &meshpb.Claim{Key: j.carry.Key, Token: j.carry.Token, Attempt: j.carry.Attempt}
+	g.p.send(to, g.p.question(j.claim, &meshpb.Message{Claim: claim}))
 }
 
 // homes are the control processes in the order in which one asks them for a key. Those that did not answer lately come last.
@@ -402,21 +404,41 @@
 	}
 }
 
-func (g *gate) claimed(id uint64, c *meshpb.Claimed) {
-	if s := g.settles[id]; s != nil {
-		if c.State != register.Unsure {
-			delete(g.settles, id)
-			if s.told != nil {
-				s.told(c.State)
-			}
-		}
-		return
+// claimed takes a control process's answer to a claim or to word on the end of a run.
+func (g *gate) claimed(from string, m *meshpb.Message) {
+	s, j := g.settles[m.Id], g.claims[m.Id]
+	asked, token := "", m.Claimed.Token
+	switch {
+	case s != nil:
+		asked, token = s.at, s.receipt.Token
+	case j != nil:
+		asked, token = j.at, j.carry.Token
 	}
-	j := g.claims[id]
-	if j == nil {
+	switch {
+	case !g.p.accepts(from, m, asked):
+	case m.Claimed.Token != token:
+		g.p.drop(from, m, dropToken)
+	case s != nil:
+		g.settled(m.Id, s, m.Claimed.State)
+	default:
+		delete(g.claims, m.Id)
+		g.granted(j, m.Claimed)
+	}
+}
+
+// settled ends the telling of how a run ended. Of what no majority was found for it goes on.
+func (g *gate) settled(id uint64, s *settling, state uint32) {
+	if state == register.Unsure {
 		return
 	}
-	delete(g.claims, id)
+	delete(g.settles, id)
+	if s.told != nil {
+		s.told(state)
+	}
+}
+
+// granted takes what became of a claim.
+func (g *gate) granted(j *job, c *meshpb.Claimed) {
 	switch c.State {
 	case register.Claimed:
 		if g.p.now >= j.until {
@@ -468,19 +490,20 @@
 	id := g.p.id()
 	s.asked = g.p.now
 	g.settles[id] = s
-	to := s.servers[0]
+	s.at = s.servers[0]
 	s.servers = s.servers[1:]
-	g.p.send(to, &meshpb.Message{Id: id, Settle: &meshpb.Settle{Key: s.key, Receipt: s.receipt, IfFree: s.ifFree}})
+	settle := &meshpb.Settle{Key: s.key, Receipt: s.receipt, IfFree: s.ifFree}
+	g.p.send(s.at, g.p.question(id, &meshpb.Message{Settle: settle}))
 }
 
 // broke goes on to the next control process with what the one that is gone had in hand.
 func (g *gate) broke(b transport.Broke) {
 	for _, id := range b.Unsent {
-		if j := g.claims[id]; j != nil {
+		if j := g.claims[id]; j != nil && j.at == b.Peer {
 			g.muted(j.at)
 			g.claim(j)
 		}
-		if s := g.settles[id]; s != nil {
+		if s := g.settles[id]; s != nil && s.at == b.Peer {
 			delete(g.settles, id)
 			g.tellEnd(s)
 		}
--- /dev/null
+++ b/internal/mesh/sidecar/calls.go
@@ -0,0 +1,85 @@
+package sidecar
+
+import (
+	"slices"
+
+	"beechwing/internal/mesh/meshpb"
+)
+
+// Why a message was dropped. They are the labels of a metric.
+const (
+	dropNotOpen   = "not open"       // no question of that id is open: an answer that comes late or twice
+	dropLife      = "another life"   // an answer to a question of this address's former process
+	dropPeer      = "another peer"   // an answer from a process that was not asked
+	dropToken     = "another token"  // the answer to a claim that is not the one that was asked for
+	dropRepeated  = "repeated"       // a request that has come before
+	dropForgotten = "too late"       // a request so old that it may have come before
+	dropGateLife  = "former process" // a request for the process that had this address before
+)
+
+// Drawn from the same seed as all else, and different from it.
+const (
+	lifeSalt    = 0x6c6966656c696665
+	firstIDSalt = 0x6964737069647370
+)
+
+// identify draws this process's life and where its ids begin, so that neither is a former process's of the same address.
+// The upper half of all ids stays free: they do not wrap.
+func (p *Sidecar) identify() {
+	p.life = mix(p.o.Seed^lifeSalt) | 1
+	p.lastID = mix(p.o.Seed^firstIDSalt) >> 1
+}
+
+// id numbers a message, or something else of which an end comes back.
+func (p *Sidecar) id() uint64 {
+	p.lastID++
+	return p.lastID
+}
+
+// question makes a message that is answered: the answer has to carry its id and this process's life.
+func (p *Sidecar) question(id uint64, m *meshpb.Message) *meshpb.Message {
+	m.Id = id
+	m.Life = p.life
+	return m
+}
+
+// accepts says whether a message is the answer to an open question that was put to a peer; "" as the peer: none is open
+// under the message's id. What is not is counted, and changes nothing.
+func (p *Sidecar) accepts(from string, m *meshpb.Message, asked string) bool {
+	why := p.misdirected(from, m, asked)
+	if why != "" {
+		p.drop(from, m, why)
+	}
+	return why == ""
+}
+
+// misdirected is why an answer does not count; "": it does.
+func (p *Sidecar) misdirected(from string, m *meshpb.Message, asked string) string {
+	switch {
+	case !p.ofThisLife(from, m):
+		return dropLife
+	case asked == "":
+		return dropNotOpen
+	case asked != from:
+		return dropPeer
+	}
+	return ""
+}
+
+// ofThisLife says whether an answer is to a question of this process, and not of one that had the address before. Older
+// control processes do not return the life; ids begin at random, so theirs are told apart by those alone.
+func (p *Sidecar) ofThisLife(from string, m *meshpb.Message) bool {
+	return m.Life == p.life || m.Life == 0 && p.isServer(from)
+}
+
+func (p *Sidecar) isServer(address string) bool {
+	return slices.Contains(p.news.servers, address) || slices.Contains(p.o.Seeds, address)
+}
+
+// drop counts a message that changes nothing.
+func (p *Sidecar) drop(from string, m *meshpb.Message, why string) {
+	p.count.Dropped[why]++
+	if p.o.Debug != nil {
+		p.o.Debug("dropped", "from", from, "message", m.Id, "life", m.Life, "why", why)
+	}
+}
--- /dev/null
+++ b/internal/mesh/sidecar/calls_test.go
@@ -0,0 +1,222 @@
+package sidecar
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/outcome"
+	"beechwing/internal/mesh/register"
+)
+
+// caller is a proxy that asks others, and what it has asked and told.
+type caller struct {
+	p       *Sidecar
+	now     float64
+	asked   map[string][]*meshpb.Message // by peer
+	replies []Reply
+	runs    int
+}
+
+// newCaller makes a proxy that knows two hosts at "p1" and "p2", and has one of its own.
+func newCaller(seed uint64) *caller {
+	c := &caller{now: 1, asked: map[string][]*meshpb.Message{}}
+	c.p = New(c.now, Options{Self: "here", Zone: "a", Sender: "till", Seeds: []string{"hall"}, Beat: 1.5, Memory: 1 << 20, Ratio: 0.2,
+		Slack: 60, Seed: seed})
+	answerPull(c.p, c.now, &meshpb.Update{FromServer: true, Edition: 1, Text: []byte(oneRoute), Servers: []string{"hall", "annex"},
+		Records: []*meshpb.Record{
+			{Source: "p1", Version: 1, Station: "i-1", Carrier: "shop", Zone: "a", Berths: 4, Condition: AtDock},
+			{Source: "p2", Version: 1, Station: "i-2", Carrier: "shop", Zone: "a", Berths: 4, Condition: AtDock}}})
+	c.p.Beat(c.now, Station{ID: "i-0", Carrier: "till", Berths: 4, Sequence: 1})
+	c.take()
+	return c
+}
+
+func (c *caller) take() {
+	out := c.p.Take()
+	for _, s := range out.Sends {
+		c.asked[s.To] = append(c.asked[s.To], s.Message)
+	}
+	for _, do := range out.Dos {
+		switch do := do.(type) {
+		case Tell:
+			c.replies = append(c.replies, do.Reply)
+		case Exchange:
+			c.runs++
+		}
+	}
+}
+
+// hears gives the proxy a message.
+func (c *caller) hears(from string, m *meshpb.Message) {
+	c.p.Message(c.now, from, proto.Clone(m).(*meshpb.Message))
+	c.take()
+}
+
+func (c *caller) pass(seconds float64) {
+	for end := c.now + seconds; c.now < end; {
+		c.now += 0.02
+		c.p.Tick(c.now)
+		c.take()
+	}
+}
+
+// question is the newest that a peer was asked and that fits.
+func (c *caller) question(t *testing.T, fits func(*meshpb.Message) bool) (peer string, q *meshpb.Message) {
+	t.Helper()
+	for to, all := range c.asked {
+		for _, m := range all {
+			if fits(m) && (q == nil || m.Id > q.Id) {
+				peer, q = to, m
+			}
+		}
+	}
+	if q == nil {
+		t.Fatal("nothing of the kind was asked")
+	}
+	return peer, q
+}
+
+// misdirected are the ways in which an answer is not the one to a question: what comes, from whom, and why it is dropped.
+func misdirected(peer string, right *meshpb.Message) []struct {
+	name, from, why string
+	answer          *meshpb.Message
+} {
+	change := func(f func(*meshpb.Message)) *meshpb.Message {
+		m := proto.Clone(right).(*meshpb.Message)
+		f(m)
+		return m
+	}
+	return []struct {
+		name, from, why string
+		answer          *meshpb.Message
+	}{
+		{"of a former process", peer, dropLife, change(func(m *meshpb.Message) { m.Life += 2 })},
+		{"without a life", "p9", dropLife, change(func(m *meshpb.Message) { m.Life = 0 })},
+		{"from a peer that was not asked", "p9", dropPeer, right},
+		{"to no open question", peer, dropNotOpen, change(func(m *meshpb.Message) { m.Id += 1 << 20 })},
+	}
+}
+
+// An answer to a request counts only from the proxy that was asked, with the life and the id of the question, and once.
+func TestForwardedCountsFromWhomWasAsked(t *testing.T) {
+	c := newCaller(1)
+	c.p.Ask(c.now, &Order{Method: "GET", Target: "/x/1", Host: "h.example", ID: "q1", Left: 5})
+	c.take()
+	peer, q := c.question(t, func(m *meshpb.Message) bool { return m.Forward != nil })
+	right := meshpb.Answer(q, &meshpb.Message{Forwarded: &meshpb.Forwarded{Verdict: uint32(outcome.Answered), Status: 200}})
+	for _, wrong := range misdirected(peer, right) {
+		before := c.p.count.Dropped[wrong.why]
+		c.hears(wrong.from, wrong.answer)
+		if len(c.replies) > 0 || c.p.count.Dropped[wrong.why] != before+1 {
+			t.Fatalf("an answer %s: %d replies, dropped %v", wrong.name, len(c.replies), c.p.count.Dropped)
+		}
+	}
+	c.hears(peer, right)
+	c.hears(peer, right)
+	if len(c.replies) != 1 || c.replies[0].Status != 200 || c.p.count.Dropped[dropNotOpen] != 2 {
+		t.Errorf("the answer, twice: replies %v, dropped %v", c.replies, c.p.count.Dropped)
+	}
+}
+
+// A claim is granted only by the control process that was asked for it, to the life that asked, and runs once.
+func TestClaimedCountsFromWhomWasAsked(t *testing.T) {
+	c := newCaller(2)
+	c.hears("p1", &meshpb.Message{Id: 7, Life: 99, Forward: &meshpb.Forward{Station: "i-0", Key: "k", Token: 5, LeftUs: 3e6, AimUs: 1e6}})
+	peer, q := c.question(t, func(m *meshpb.Message) bool { return m.Claim != nil })
+	right := meshpb.Answer(q, &meshpb.Message{Claimed: &meshpb.Claimed{State: register.Claimed, Token: 5}})
+	for _, wrong := range misdirected(peer, right) {
+		c.hears(wrong.from, wrong.answer)
+	}
+	other := proto.Clone(right).(*meshpb.Message)
+	other.Claimed.Token = 6
+	c.hears(peer, other)
+	if c.runs > 0 || c.p.count.Dropped[dropToken] != 1 {
+		t.Fatalf("%d runs on grants that are none, dropped %v", c.runs, c.p.count.Dropped)
+	}
+	right.Life = 0 // older control processes do not return it
+	c.hears(peer, right)
+	c.hears(peer, right)
+	if c.runs != 1 {
+		t.Errorf("%d runs on one grant, told twice", c.runs)
+	}
+}
+
+// News counts only as the answer to a question of this life: an update for a former process of this address, or from one
+// that was not asked, would take back who is silent and who the control processes are.
+func TestUpdateCountsFromWhomWasAsked(t *testing.T) {
+	c := newCaller(3)
+	peer, q := c.question(t, func(m *meshpb.Message) bool { return m.Pull != nil })
+	right := meshpb.Answer(q, &meshpb.Message{Update: &meshpb.Update{FromServer: true, Servers: []string{"elsewhere"},
+		Silent: []string{"p1"}}})
+	for _, wrong := range misdirected(peer, right) {
+		c.hears(wrong.from, wrong.answer)
+		if s := c.p.State(c.now); len(s.Silent) > 0 || len(s.Servers) != 2 {
+			t.Fatalf("an update %s: silent %v, servers %v", wrong.name, s.Silent, s.Servers)
+		}
+	}
+	c.hears(peer, right)
+	if s := c.p.State(c.now); len(s.Silent) != 1 || len(s.Servers) != 1 {
+		t.Errorf("the update that was asked for: silent %v, servers %v", s.Silent, s.Servers)
+	}
+}
+
+// A pong counts only as the answer to the open ping: others say nothing of how long answers take.
+func TestPongCountsFromWhomWasAsked(t *testing.T) {
+	c := newCaller(4)
+	c.p.Ask(c.now, &Order{Method: "GET", Target: "/x/1", Host: "h.example", ID: "q1", Left: 5})
+	c.pass(0.1)
+	peer, q := c.question(t, func(m *meshpb.Message) bool { return m.Ping != nil })
+	right := meshpb.Answer(q, &meshpb.Message{Pong: &meshpb.Ping{}})
+	for _, wrong := range misdirected(peer, right) {
+		c.hears(wrong.from, wrong.answer)
+		if c.p.pongs != 0 {
+			t.Fatalf("a pong %s was measured", wrong.name)
+		}
+	}
+	c.hears(peer, right)
+	if c.p.pongs == 0 {
+		t.Error("the pong was not measured")
+	}
+	once := c.p.pongs
+	c.hears(peer, right)
+	if c.p.pongs != once {
+		t.Error("the same pong was measured twice")
+	}
+}
+
+// Two lives of one address have no id in common, whatever they ask.
+func TestLivesHaveIdsOfTheirOwn(t *testing.T) {
+	const asked = 1 << 32 // far more than any life asks
+	lives := map[uint64]bool{}
+	var first []uint64
+	for seed := range uint64(200) {
+		p := New(1, Options{Self: "here", Seeds: []string{"hall"}, Seed: seed})
+		lives[p.life] = true
+		for _, other := range first {
+			if max(p.lastID, other)-min(p.lastID, other) < asked {
+				t.Errorf("seed %d: ids from %x on, another life's from %x", seed, p.lastID, other)
+			}
+		}
+		first = append(first, p.lastID)
+	}
+	if len(lives) != 200 {
+		t.Errorf("200 processes have %d lives", len(lives))
+	}
+}
+
+// A try whose answer never counts is let go of after its client's time: nothing stays under way for ever.
+func TestLostAnswerLeavesNothingUnderWay(t *testing.T) {
+	c := newCaller(5)
+	c.p.Ask(c.now, &Order{Method: "GET", Target: "/x/1", Host: "h.example", ID: "q1", Left: 1})
+	c.take()
+	for range 250 { // its proxy lives, and says nothing of it
+		c.pass(0.02)
+		c.hears("p1", &meshpb.Message{Id: 1, Life: 9, Ping: &meshpb.Ping{}})
+		c.hears("p2", &meshpb.Message{Id: 1, Life: 9, Ping: &meshpb.Ping{}})
+	}
+	if len(c.replies) != 1 || !c.p.Idle() {
+		t.Errorf("replies %v, idle %v after five times the client's time", c.replies, c.p.Idle())
+	}
+}
--- a/internal/mesh/sidecar/discovery.go
+++ b/internal/mesh/sidecar/discovery.go
@@ -49,9 +49,11 @@
 	records map[string]*meshpb.Record
 	silent  map[string]bool
 	servers []string
-	epoch   uint64 // of the view that named them
-	server  int    // whom it pulls from
-	pull    uint64
+	epoch   uint64            // of the view that named them
+	server  int               // whom it pulls from
+	pull    uint64            // the newest question to one
+	pulls   []openPull        // the questions to them that are open, in order
+	watch   map[string]uint64 // those to other proxies
 	pullAt  float64
 	held    bool    // it may be held until there is something
 	missed  int     // control processes in a row that did not answer
@@ -68,6 +70,7 @@
 	n.p = p
 	n.own = &meshpb.Record{Source: p.o.Self, Version: p.o.Version, Carrier: p.o.Sender, Zone: p.o.Zone}
 	n.records = map[string]*meshpb.Record{p.o.Self: n.own}
+	n.watch = map[string]uint64{}
 	n.silent = map[string]bool{}
 	n.server = int(p.random() % 1024)
 	n.heardAt = p.now
@@ -211,7 +214,9 @@
 		servers = n.p.o.Seeds
 	}
 	n.pull, n.pullAt, n.held = n.p.id(), n.p.now, hold
-	n.p.send(servers[n.server%len(servers)], &meshpb.Message{Id: n.pull, Pull: n.vector(hold)})
+	to := servers[n.server%len(servers)]
+	n.open(openPull{n.pull, to})
+	n.p.send(to, n.p.question(n.pull, &meshpb.Message{Pull: n.vector(hold)}))
 }
 
 // patience is how long the control process that was asked may say nothing.
@@ -239,8 +244,13 @@
 }
 
 // came takes what another process knows. A process never goes back: older versions change nothing.
-func (n *news) came(from string, id uint64, w *meshpb.Update) {
-	p := n.p
+func (n *news) came(from string, m *meshpb.Message) {
+	p, w := n.p, m.Update
+	asked, fromServer := n.asked(m.Id, from)
+	if !p.accepts(from, m, asked) {
+		return
+	}
+	n.close(m.Id, from)
 	changed := false
 	for _, r := range w.Records {
 		if r.Source == p.o.Self {
@@ -256,7 +266,7 @@
 			changed = true
 		}
 	}
-	if w.FromServer {
+	if fromServer {
 		n.missed, n.heardAt = 0, p.now
 		if len(w.Servers) > 0 && w.Epoch >= n.epoch {
 			n.servers, n.epoch = w.Servers, w.Epoch
@@ -279,7 +289,7 @@
 		n.list()
 	}
 	switch {
-	case !w.FromServer || id != n.pull:
+	case m.Id != n.pull:
 	case w.Alone: // behind a cut from the others of its kind: what it knows may be old
 		n.server++
 		n.pull, n.again = 0, p.now+aloneAgain
@@ -304,8 +314,8 @@
 
 // pulled tells another proxy what it lacks of what is known here: those that watch this one ask while no control process
 // answers them.
-func (n *news) pulled(from string, id uint64, pull *meshpb.Pull) {
-	p := n.p
+func (n *news) pulled(from string, m *meshpb.Message) {
+	p, pull := n.p, m.Pull
 	if pull.Own != nil {
 		if old := n.records[pull.Own.Source]; old == nil || old.Version < pull.Own.Version {
 			n.records[pull.Own.Source] = pull.Own
@@ -325,7 +335,7 @@
 	if p.table != nil && p.table.Edition > pull.Edition {
 		w.Edition, w.Text = p.table.Edition, p.table.Text
 	}
-	p.send(from, &meshpb.Message{Id: id, Update: w})
+	p.send(from, meshpb.Answer(m, &meshpb.Message{Update: w}))
 }
 
 // broke goes on to the next control process.
@@ -384,7 +394,8 @@
 	if p.now > n.heardAt+watchEvery && p.now >= n.watchAt {
 		n.watchAt = p.now + watchEvery
 		for _, source := range n.neighbours() {
-			p.send(source, &meshpb.Message{Id: p.id(), Pull: n.vector(false)})
+			n.watch[source] = p.id()
+			p.send(source, p.question(n.watch[source], &meshpb.Message{Pull: n.vector(false)}))
 		}
 	}
 }
--- a/internal/mesh/sidecar/dispatch.go
+++ b/internal/mesh/sidecar/dispatch.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"hash/fnv"
@@ -106,6 +107,7 @@
 type peer struct {
 	out          int
 	heard, asked float64
+	ping         uint64 // the question that it was asked then; 0: it has answered
 	oldest       float64
 }
 
@@ -210,18 +212,30 @@
 
 // over ends an order whose time is over.
 func (p *Sidecar) over(o *Order) {
-	if o.told {
-		return
+	if !o.told {
+		reply := Reply{Status: 504, Ours: true, Why: "its time was over"}
+		if o.last != nil {
+			reply = p.hosts(o, o.last)
+		}
+		p.tell(o, reply)
+		if s := p.services[o.service]; s != nil {
+			s.bal.Gone(p.now, balancer.RequestID(o.id))
+		}
+		p.forget(o)
 	}
-	reply := Reply{Status: 504, Ours: true, Why: "its time was over"}
-	if o.last != nil {
-		reply = p.hosts(o, o.last)
+	if p.orders[o.id] != nil {
+		p.at(o.deadline+strayAfter, func() { p.endStrays(o) })
 	}
-	p.tell(o, reply)
-	if s := p.services[o.service]; s != nil {
-		s.bal.Gone(p.now, balancer.RequestID(o.id))
+}
+
+// endStrays ends the tries of an order that nobody has ended, and will not: their answer was lost, or belonged to nothing.
+func (p *Sidecar) endStrays(o *Order) {
+	for _, t := range o.tries {
+		if p.leave(t) {
+			p.outcome(t, balancer.TimedOut, true)
+		}
 	}
-	p.drop(o)
+	p.forget(o)
 }
 
 // tell gives an order its answer.
@@ -238,8 +252,8 @@
 	}
 }
 
-// drop forgets an order that is answered and has nothing out.
-func (p *Sidecar) drop(o *Order) {
+// forget lets go of an order that is answered and has nothing out.
+func (p *Sidecar) forget(o *Order) {
 	if !o.told || p.orders[o.id] == nil || slices.ContainsFunc(o.tries, func(t *try) bool { return t.out }) {
 		return
 	}
@@ -297,7 +311,7 @@
 		Framed: o.Framed, LeftUs: uint32(min(math.MaxUint32, max(0, o.deadline-p.now)*1e6)), Sender: p.o.Sender, Key: o.Key,
 		Token: o.token, Precedence: uint32(max(0, o.route.Precedence)), Repeatable: o.route.Repeatable(),
 		Attempt: uint32(t.number), Class: o.class.number(), AimUs: uint32(max(0, min(o.deadline, o.taken+o.class.aim)-p.now) * 1e6)}
-	parcel := &meshpb.Message{Id: t.id, Forward: c}
+	parcel := p.question(t.id, &meshpb.Message{Forward: c})
 	if t.peer == p.o.Self {
 		p.send(t.peer, parcel)
 		return
@@ -323,7 +337,7 @@
 		p.gate.settle(o.Key, &meshpb.Receipt{Token: o.token, State: register.Void})
 	}
 	p.tell(o, r)
-	p.later(func() { p.drop(o) })
+	p.later(func() { p.forget(o) })
 }
 
 // Fail answers that nothing is promised.
@@ -338,7 +352,7 @@
 		r = p.hosts(o, o.last)
 	}
 	p.tell(o, r)
-	p.later(func() { p.drop(o) })
+	p.later(func() { p.forget(o) })
 }
 
 // Cancel would stop an attempt: a host at work is left to finish, as its answer is worth recording.
@@ -374,12 +388,19 @@
 
 // ---- what comes back
 
-// carried takes the end of a try.
-func (p *Sidecar) carried(id uint64, c *meshpb.Forwarded) {
-	t := p.tries[id]
-	if t == nil {
-		return
+// forwarded takes the end of a try from the proxy that had it.
+func (p *Sidecar) forwarded(from string, m *meshpb.Message) {
+	t, asked := p.tries[m.Id], ""
+	if t != nil {
+		asked = t.peer
+	}
+	if p.accepts(from, m, asked) {
+		p.carried(t, m.Forwarded)
 	}
+}
+
+// carried takes the end of a try.
+func (p *Sidecar) carried(t *try, c *meshpb.Forwarded) {
 	o := t.order
 	v := outcome.Outcome(c.Verdict)
 	p.count.Tries[v.String()]++
@@ -459,7 +480,7 @@
 	o := t.order
 	p.tell(o, r)
 	p.outcome(t, balancer.Cancelled, true)
-	p.drop(o)
+	p.forget(o)
 }
 
 // ended takes the result of a try to the module, which says what follows.
@@ -481,7 +502,7 @@
 		o.last = c
 	}
 	p.outcome(t, result, final)
-	p.drop(o)
+	p.forget(o)
 }
 
 func (p *Sidecar) outcome(t *try, result balancer.Result, final bool) {
@@ -552,7 +573,7 @@
 			all = append(all, t)
 		}
 	}
-	slices.SortFunc(all, func(a, b *try) int { return int(a.id) - int(b.id) })
+	slices.SortFunc(all, func(a, b *try) int { return cmp.Compare(a.id, b.id) })
 	return all
 }
 
@@ -568,8 +589,8 @@
 		switch {
 		case quiet < silentAsk:
 		case w.asked < w.heard || w.asked < w.oldest:
-			w.asked = p.now
-			p.send(source, &meshpb.Message{Id: p.id(), Ping: &meshpb.Ping{}})
+			w.asked, w.ping = p.now, p.id()
+			p.send(source, p.question(w.ping, &meshpb.Message{Ping: &meshpb.Ping{}}))
 		case p.now-w.asked > min(silentMost, silentOver+silentSlow*p.pongs):
 			for _, t := range p.triesAt(source) {
 				if t.sent < w.asked {
--- a/internal/mesh/sidecar/dispatch_test.go
+++ b/internal/mesh/sidecar/dispatch_test.go
@@ -9,6 +9,16 @@
 const oneRoute = `{"edition":"r1","itineraries":[{"name":"a","depot":"h.example","lanePrefix":"/x/","routeKind":"safe","tries":2,
 "timeoutMs":5000,"targetMs":3000,"carrier":"shop"}],"carriers":[{"name":"shop","healthPath":"/health"}]}`
 
+// answerPull has the control process "hall" answer what a proxy asks it as it starts.
+func answerPull(p *Sidecar, now float64, update *meshpb.Update) {
+	p.Tick(now)
+	for _, s := range p.Take().Sends {
+		if s.To == "hall" && s.Message.Pull != nil {
+			p.Message(now, "hall", meshpb.Answer(s.Message, &meshpb.Message{Update: update}))
+		}
+	}
+}
+
 // A large answer in a full link takes a while, and the word that its proxy is there waits behind it. What comes of it shows that the
 // proxy lives: asking elsewhere would fill the links with the same answers again.
 func TestWhatComesIsNotSilent(t *testing.T) {
@@ -29,9 +39,9 @@
 			}
 		}
 	}
-	p.Message(now, "hall", &meshpb.Message{Update: &meshpb.Update{FromServer: true, Edition: 1, Text: []byte(oneRoute), Records: []*meshpb.Record{
+	answerPull(p, now, &meshpb.Update{FromServer: true, Edition: 1, Text: []byte(oneRoute), Records: []*meshpb.Record{
 		{Source: "p1", Version: 1, Station: "i-1", Carrier: "shop", Zone: "a", Berths: 4, Condition: AtDock},
-		{Source: "p2", Version: 1, Station: "i-2", Carrier: "shop", Zone: "a", Berths: 4, Condition: AtDock}}}})
+		{Source: "p2", Version: 1, Station: "i-2", Carrier: "shop", Zone: "a", Berths: 4, Condition: AtDock}}})
 	pass(0.1, "")
 	p.Ask(now, &Order{Method: "GET", Target: "/x/1", Host: "h.example", ID: "q1", Left: 5})
 	pass(0.04, "")
--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -78,6 +78,7 @@
 	services map[string]*service
 	orders   map[uint64]*Order
 	tries    map[uint64]*try
+	life     uint64 // of this process; its questions carry it
 	lastID   uint64
 	timers   timers
 	budget   *retrybudget.Budget
@@ -96,7 +97,8 @@
 	}
 	p := &Sidecar{o: o, now: now, rng: o.Seed, services: map[string]*service{}, orders: map[uint64]*Order{}, tries: map[uint64]*try{},
 		budget: retrybudget.New(o.Ratio, o.Slack), peers: map[string]*peer{},
-		count: Counts{Answers: map[int]uint64{}, Tries: map[string]uint64{}, Turned: map[string]uint64{}}}
+		count: Counts{Answers: map[int]uint64{}, Tries: map[string]uint64{}, Turned: map[string]uint64{}, Dropped: map[string]uint64{}}}
+	p.identify()
 	p.gate.begin(p)
 	p.news.begin(p)
 	return p
@@ -132,12 +134,6 @@
 	return x ^ x>>31
 }
 
-// id numbers a parcel.
-func (p *Sidecar) id() uint64 {
-	p.lastID++
-	return p.lastID
-}
-
 // send has a parcel go out; what is for this process itself comes back at once.
 func (p *Sidecar) send(to string, parcel *meshpb.Message) {
 	if to == p.o.Self {
@@ -150,10 +146,7 @@
 // Message takes what another process says.
 func (p *Sidecar) Message(now float64, from string, parcel *meshpb.Message) {
 	p.now = now
-	if w := p.peers[from]; w != nil {
-		if parcel.Pong != nil && w.asked > 0 {
-			p.pongs += pongStep * (min(silentMost, now-w.asked) - p.pongs)
-		}
+	if w := p.peers[from]; w != nil && (!meshpb.IsAnswer(parcel) || p.ofThisLife(from, parcel)) {
 		w.heard = now
 	}
 	p.parcel(from, parcel)
@@ -173,17 +166,31 @@
 func (p *Sidecar) parcel(from string, parcel *meshpb.Message) {
 	switch {
 	case parcel.Forward != nil:
-		p.gate.carry(from, parcel.Id, parcel.Forward)
+		p.gate.carry(from, parcel)
 	case parcel.Forwarded != nil:
-		p.carried(parcel.Id, parcel.Forwarded)
+		p.forwarded(from, parcel)
 	case parcel.Claimed != nil:
-		p.gate.claimed(parcel.Id, parcel.Claimed)
+		p.gate.claimed(from, parcel)
 	case parcel.Update != nil:
-		p.news.came(from, parcel.Id, parcel.Update)
+		p.news.came(from, parcel)
 	case parcel.Pull != nil:
-		p.news.pulled(from, parcel.Id, parcel.Pull)
+		p.news.pulled(from, parcel)
 	case parcel.Ping != nil:
-		p.send(from, &meshpb.Message{Id: parcel.Id, Pong: parcel.Ping})
+		p.send(from, meshpb.Answer(parcel, &meshpb.Message{Pong: parcel.Ping}))
+	case parcel.Pong != nil:
+		p.ponged(from, parcel)
+	}
+}
+
+// ponged takes a peer's word that it is there.
+func (p *Sidecar) ponged(from string, m *meshpb.Message) {
+	w, asked := p.peers[from], ""
+	if w != nil && w.ping == m.Id {
+		asked = from
+	}
+	if p.accepts(from, m, asked) {
+		w.ping = 0
+		p.pongs += pongStep * (min(silentMost, p.now-w.asked) - p.pongs)
 	}
 }
 
@@ -238,6 +245,7 @@
 	Runs    uint64            `json:"runs"`    // given to the host here
 	Late    uint64            `json:"late"`    // of those past their aim before they began
 	Doubts  uint64            `json:"doubts"`  // tries given up as the proxy that had them is silent or gone
+	Dropped map[string]uint64 `json:"dropped"` // messages that changed nothing, by reason
 }
 
 // State is what an operator sees of a proxy.
@@ -265,7 +273,7 @@
 	s := State{Ready: p.Ready(), Ending: p.news.ending, Servers: p.news.servers, Host: p.news.own, Orders: len(p.orders),
 		Jobs: len(p.gate.jobs), Queued: len(p.gate.queue), Waiting: len(p.gate.late.jobs), Avoided: map[string]int{},
 		Counts: Counts{Answers: maps.Clone(p.count.Answers), Tries: maps.Clone(p.count.Tries), Turned: maps.Clone(p.count.Turned),
-			Runs: p.count.Runs, Late: p.count.Late, Doubts: p.count.Doubts}}
+			Runs: p.count.Runs, Late: p.count.Late, Doubts: p.count.Doubts, Dropped: maps.Clone(p.count.Dropped)}}
 	if p.table != nil {
 		s.Edition = p.table.Edition
 	}
--- a/internal/mesh/simulation/people.go
+++ b/internal/mesh/simulation/people.go
@@ -24,6 +24,7 @@
 	acked   float64 // when its word that it leaves was acknowledged
 	dead    bool
 	Grey    float64 // share of runs whose answer is lost
+	takes   float64 // seconds that each run takes on top
 }
 
 // StartHost starts a new life of the host beside a proxy.
@@ -92,7 +93,7 @@
 	}
 	id := field(c.Fields, sidecar.HeaderID)
 	stamp := s.w.Checker.ran(s, st, id, c)
-	work := 0.02 + 0.04*s.w.Rand.Float64()
+	work := st.takes + 0.02 + 0.04*s.w.Rand.Float64()
 	if s.w.Rand.Float64() < st.Grey {
 		back(work, &meshpb.Forwarded{Verdict: uint32(outcome.Broken), Why: "reset"})
 		return
--- a/internal/mesh/transport/net.go
+++ b/internal/mesh/transport/net.go
@@ -176,12 +176,6 @@
 	return float64(n.queued.Load()) / n.pace.rate, 1 / n.pace.rate
 }
 
-// isAnswer says whether a parcel carries the number of another process's question.
-func isAnswer(p *meshpb.Message) bool {
-	return p.Forwarded != nil || p.Claimed != nil || p.Promise != nil || p.Accepted != nil || p.Update != nil ||
-		p.SyncPage != nil || p.Config != nil || p.View != nil || p.Pong != nil
-}
-
 // Close ends all connections.
 func (n *Net) Close() {
 	n.ln.Close()
@@ -204,7 +198,7 @@
 		go l.dial()
 	}
 	n.mu.Unlock()
-	if !l.put(p) && !isAnswer(p) {
+	if !l.put(p) && !meshpb.IsAnswer(p) {
 		go n.tell(Broke{Peer: to, Unsent: []uint64{p.Id}})
 	}
 	return l.number
@@ -229,7 +223,7 @@
 		return false
 	}
 	var ids []uint64
-	if !isAnswer(p) {
+	if !meshpb.IsAnswer(p) {
 		ids = []uint64{p.Id}
 	}
 	l.net.queued.Add(int64(size))
