The gate runs each request of a process once, however often and late it comes

Cause: the gate took whatever came. A request that came twice ran twice: without a key both went to the host, and with one the register grants a claim again that is asked for twice with one token and attempt. A doubled one could also be turned away while the first ran, which its sender takes for a promise. What comes again is dropped before anything is said of it, and counted. A request names the life of the gate that it is for as far as its sender knows it (Forward.gate_life, Message.responder); another life of the gate answers that it may have run. A proxy that is to end counts word on the end of a run as under way until a control process has taken it.

--- a/internal/mesh/sidecar/admission.go
+++ b/internal/mesh/sidecar/admission.go
@@ -43,6 +43,7 @@
 type gate struct {
 	p        *Sidecar
 	jobs     map[uint64]*job
+	arrivals arrivals
 	claims   map[uint64]*job
 	settles  map[uint64]*settling
 	mute     map[string]float64 // control processes that did not answer, until when they are asked last
@@ -93,6 +94,7 @@
 func (g *gate) begin(p *Sidecar) {
 	g.p, g.work = p, firstWork
 	g.took, g.bytes, g.mute = map[uint32]float64{}, map[uint32]float64{}, map[string]float64{}
+	g.arrivals = newArrivals()
 	g.jobs, g.claims, g.settles = map[uint64]*job{}, map[uint64]*job{}, map[uint64]*settling{}
 }
 
@@ -103,8 +105,24 @@
 	return defaultBerths + spareBerths
 }
 
-// carry takes a request for the host.
+// carry takes a request for the host. What has come before, or may have, is dropped before anything is said of it: its
+// sender would take a word that it was turned away for a promise, while the first one runs.
 func (g *gate) carry(from string, m *meshpb.Message) {
+	if why := g.arrivals.admit(g.p.now, arrival{asker{from, m.Life}, m.Id}); why != "" {
+		g.p.drop(from, m, why)
+		return
+	}
+	if life := m.Forward.GateLife; life != 0 && life != g.p.life { // it may have run there
+		g.p.drop(from, m, dropGateLife)
+		broken := &meshpb.Forwarded{Verdict: uint32(outcome.Broken), Why: "it was for the process before this one"}
+		g.p.answer(from, m, &meshpb.Message{Forwarded: broken})
+		return
+	}
+	g.admit(from, m)
+}
+
+// admit takes a request that comes for the first time.
+func (g *gate) admit(from string, m *meshpb.Message) {
 	p, c := g.p, m.Forward
 	j := &job{id: p.id(), from: from, message: m, carry: c, came: p.now, until: p.now + float64(c.LeftUs)/1e6,
 		aim: p.now + float64(c.AimUs)/1e6}
@@ -308,7 +326,7 @@
 		g.running--
 	}
 	c.Claimed = j.began > 0
-	g.p.send(j.from, meshpb.Answer(j.message, &meshpb.Message{Forwarded: c}))
+	g.p.answer(j.from, j.message, &meshpb.Message{Forwarded: c})
 	g.serve()
 }
 
--- a/internal/mesh/sidecar/calls.go
+++ b/internal/mesh/sidecar/calls.go
@@ -43,6 +43,20 @@
 	return m
 }
 
+// answer sends the answer to a message.
+func (p *Sidecar) answer(to string, question, m *meshpb.Message) {
+	m.Responder = p.life
+	p.send(to, meshpb.Answer(question, m))
+}
+
+// senderLife is the life of the process that sends a message; 0: it is an older one's.
+func senderLife(m *meshpb.Message) uint64 {
+	if meshpb.IsAnswer(m) {
+		return m.Responder
+	}
+	return m.Life
+}
+
 // accepts says whether a message is the answer to an open question that was put to a peer; "" as the peer: none is open
 // under the message's id. What is not is counted, and changes nothing.
 func (p *Sidecar) accepts(from string, m *meshpb.Message, asked string) bool {
--- a/internal/mesh/sidecar/discovery.go
+++ b/internal/mesh/sidecar/discovery.go
@@ -335,7 +335,7 @@
 	if p.table != nil && p.table.Edition > pull.Edition {
 		w.Edition, w.Text = p.table.Edition, p.table.Text
 	}
-	p.send(from, meshpb.Answer(m, &meshpb.Message{Update: w}))
+	p.answer(from, m, &meshpb.Message{Update: w})
 }
 
 // broke goes on to the next control process.
--- a/internal/mesh/sidecar/dispatch.go
+++ b/internal/mesh/sidecar/dispatch.go
@@ -106,6 +106,7 @@
 // peer is what is known of another proxy that has something of ours in hand.
 type peer struct {
 	out          int
+	life         uint64 // of its process, by what came from it last; 0: not known
 	heard, asked float64
 	ping         uint64 // the question that it was asked then; 0: it has answered
 	oldest       float64
@@ -310,7 +311,7 @@
 	c := &meshpb.Forward{Station: at.station, Method: o.Method, Target: o.Target, Host: o.Host, Fields: o.Fields, Body: o.Body,
 		Framed: o.Framed, LeftUs: uint32(min(math.MaxUint32, max(0, o.deadline-p.now)*1e6)), Sender: p.o.Sender, Key: o.Key,
 		Token: o.token, Precedence: uint32(max(0, o.route.Precedence)), Repeatable: o.route.Repeatable(),
-		Attempt: uint32(t.number), Class: o.class.number(), AimUs: uint32(max(0, min(o.deadline, o.taken+o.class.aim)-p.now) * 1e6)}
+		Attempt: uint32(t.number), Class: o.class.number(), AimUs: uint32(max(0, min(o.deadline, o.taken+o.class.aim)-p.now) * 1e6), GateLife: p.peers[t.peer].life}
 	parcel := p.question(t.id, &meshpb.Message{Forward: c})
 	if t.peer == p.o.Self {
 		p.send(t.peer, parcel)
@@ -525,6 +526,9 @@
 	if b.Link == 0 {
 		return
 	}
+	if w := p.peers[b.Peer]; w != nil {
+		w.life = 0 // another process may have the address
+	}
 	for _, t := range p.triesAt(b.Peer) {
 		if t.link != b.Link {
 			continue
--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -147,7 +147,7 @@
 func (p *Sidecar) Message(now float64, from string, parcel *meshpb.Message) {
 	p.now = now
 	if w := p.peers[from]; w != nil && (!meshpb.IsAnswer(parcel) || p.ofThisLife(from, parcel)) {
-		w.heard = now
+		w.heard, w.life = now, senderLife(parcel)
 	}
 	p.parcel(from, parcel)
 	p.settle()
@@ -176,7 +176,7 @@
 	case parcel.Pull != nil:
 		p.news.pulled(from, parcel)
 	case parcel.Ping != nil:
-		p.send(from, meshpb.Answer(parcel, &meshpb.Message{Pong: parcel.Ping}))
+		p.answer(from, parcel, &meshpb.Message{Pong: parcel.Ping})
 	case parcel.Pong != nil:
 		p.ponged(from, parcel)
 	}
@@ -226,8 +226,11 @@
 	p.settle()
 }
 
-// Idle says whether nothing is under way here.
-func (p *Sidecar) Idle() bool { return len(p.orders) == 0 && len(p.gate.jobs) == 0 }
+// Idle says whether nothing is under way here. Word on the end of a run is, until it has been taken: lost with this process,
+// it would leave a key that has run without its answer.
+func (p *Sidecar) Idle() bool {
+	return len(p.orders) == 0 && len(p.gate.jobs) == 0 && len(p.gate.settles) == 0
+}
 
 // Limits are those of the configuration in force; nil: none is.
 func (p *Sidecar) Limits() *routeconfig.Limits {
