Frames end with a checksum: a message changed on the way is never taken for another

Cause: a changed bit in a frame mostly makes another valid message: another body, status, id or token. TCP's own checksum is weak, and processes between ours rewrite it. Change: a message's bytes end with their CRC-32C as field 42, which older processes skip; on a connection whose messages have it, all need it, and the first that is wrong ends the connection as any other that cannot be read. No other framing. Test changed: TestLargeParcelsKeepNobodyWaiting wrote a large message's pieces without the checksum behind messages that had it; it now writes what the sender would.

--- a/internal/mesh/transport/net.go
+++ b/internal/mesh/transport/net.go
@@ -217,7 +217,7 @@
 		return false
 	}
 	was := len(l.frames)
-	frames, err := frame(l.frames, p)
+	frames, err := AppendFrame(l.frames, p)
 	size := len(frames) - was
 	if waits := l.net.queued.Load(); err != nil || waits > 0 && waits+int64(size) > l.net.most {
 		return false
@@ -294,7 +294,7 @@
 	}
 	tune(c)
 	c = wire.Quicken(c)
-	hello, _ := frame(nil, &meshpb.Message{Hello: &meshpb.Hello{From: l.net.self}})
+	hello, _ := AppendFrame(nil, &meshpb.Message{Hello: &meshpb.Hello{From: l.net.self}})
 	c.SetWriteDeadline(time.Now().Add(writeWithin))
 	if _, err := c.Write(hello); err != nil {
 		c.Close()
@@ -492,14 +492,15 @@
 	}
 }
 
-// frame appends a parcel's frame: its length in four bytes, then the parcel.
-func frame(buf []byte, p *meshpb.Message) ([]byte, error) {
+// AppendFrame appends a message's frame: its length in four bytes, then the message, which its checksum ends.
+func AppendFrame(buf []byte, p *meshpb.Message) ([]byte, error) {
 	at := len(buf)
 	buf = append(buf, 0, 0, 0, 0)
 	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, p)
 	if err != nil {
 		return buf, errors.Wrap(err, "parcel")
 	}
+	buf = appendChecksum(buf, at+frameHead)
 	size := len(buf) - at - frameHead
 	if size > MaxFrame {
 		return buf, errors.Newf("parcel of %d bytes", size)
@@ -513,6 +514,7 @@
 	br   *bufio.Reader
 	sign func() // called while a large one is still coming
 	part []byte // of one that comes in pieces
+	sums bool   // its sender ends messages with checksums, as older processes do not: all of them have to
 }
 
 // NewReader makes a reader. sign may be nil.
@@ -535,7 +537,7 @@
 			if err != nil {
 				return nil, err
 			}
-			p, err := decode(b)
+			p, err := r.decode(b)
 			r.br.Discard(size)
 			return p, err
 		case word&piece == 0:
@@ -543,7 +545,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return decode(b)
+			return r.decode(b)
 		}
 		var err error
 		if r.part, err = appendBytes(r.part, r.br, size); err != nil {
@@ -552,7 +554,7 @@
 		if word&lastPiece != 0 {
 			b := r.part
 			r.part = nil
-			return decode(b)
+			return r.decode(b)
 		}
 		if r.sign != nil {
 			r.sign()
@@ -575,7 +577,20 @@
 	return b, nil
 }
 
-func decode(b []byte) (*meshpb.Message, error) {
+// decode takes a message out of its bytes. One that was changed on the way is none: its connection ends with it.
+func (r *Reader) decode(b []byte) (*meshpb.Message, error) {
+	present, err := checkSum(b)
+	if err == nil && r.sums && !present {
+		err = errChecksum
+	}
+	if err != nil {
+		return nil, err
+	}
+	r.sums = present
 	p := &meshpb.Message{}
-	return p, errors.Wrap(proto.Unmarshal(b, p), "frame")
+	if err := proto.Unmarshal(b, p); err != nil {
+		return nil, errors.Wrap(err, "frame")
+	}
+	p.Checksum = 0 // of the frame that it came in
+	return p, nil
 }
--- a/internal/mesh/transport/net_test.go
+++ b/internal/mesh/transport/net_test.go
@@ -7,8 +7,6 @@
 	"testing"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"beechwing/internal/mesh/meshpb"
 )
 
@@ -20,9 +18,9 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close() })
-	hello, err := frame(nil, &meshpb.Message{Hello: &meshpb.Hello{From: name}})
+	hello, err := AppendFrame(nil, &meshpb.Message{Hello: &meshpb.Hello{From: name}})
 	if err == nil {
-		hello, err = frame(hello, &meshpb.Message{Id: 1, Ping: &meshpb.Ping{}})
+		hello, err = AppendFrame(hello, &meshpb.Message{Id: 1, Ping: &meshpb.Ping{}})
 	}
 	if err != nil {
 		t.Fatal(err)
@@ -121,10 +119,11 @@
 		t.Errorf("%d large parcels came before the small one", before)
 	}
 
-	large, err := proto.Marshal(&meshpb.Message{Id: 5, Forwarded: &meshpb.Forwarded{Body: make([]byte, 200<<10)}})
+	large, err := AppendFrame(nil, &meshpb.Message{Id: 5, Forwarded: &meshpb.Forwarded{Body: make([]byte, 200<<10)}})
 	if err != nil {
 		t.Fatal(err)
 	}
+	large = large[frameHead:]
 	const half = 100 << 10
 	if _, err := c.Write(append(binary.BigEndian.AppendUint32(nil, half|piece), large[:half]...)); err != nil {
 		t.Fatal(err)
