--- a/internal/mesh/transport/net.go
+++ b/internal/mesh/transport/net.go
@@ -188,7 +188,7 @@
 }
 
 // Send queues a parcel and gives the number of the connection that it goes by. It never waits: one that cannot go is told of
-// by Broke.
+// by Broke, and goes by none: 0.
 func (n *Net) Send(to string, p *meshpb.Message) uint64 {
 	n.mu.Lock()
 	l := n.links[to]
@@ -198,10 +198,13 @@
 		go l.dial()
 	}
 	n.mu.Unlock()
-	if !l.put(p) && !meshpb.IsAnswer(p) {
+	if l.put(p) {
+		return l.number
+	}
+	if !meshpb.IsAnswer(p) {
 		go n.tell(Broke{Peer: to, Unsent: []uint64{p.Id}})
 	}
-	return l.number
+	return 0
 }
 
 // newLink makes a link. n.mu is held.
