A host's answer counts only for the request it names, also when it comes again

Cause: hosts refuse (421, 503 with Beechwing-Undelivered) and fail without naming the request. Such an answer that came again on the kept connection was taken for the next request's: told as refused while it ran, so that it would be sent to another host. A request without an id took any answer, and one by an id that its connection had served took the first one's, sent again. Change: a connection is used again only after an answer that names its request, and not for one of the last 8 ids that it served. An answer that names a request is never one without an id's. What refuses without its id costs a connection each.

--- a/internal/mesh/upstream/upstream.go
+++ b/internal/mesh/upstream/upstream.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -31,6 +32,7 @@
 	mostBody    = 64 << 20
 	mostIdle    = 64
 	mostStale   = 2 // answers of others ahead of the one waited for
+	mostServed  = 8 // ids that a connection is known to have served: a host sends an answer again soon or never
 )
 
 // once are the headers that may stand in a host's answer a single time.
@@ -52,6 +54,7 @@
 	br    *bufio.Reader
 	bufs  *wire.Pool
 	until time.Time // it is not used after that
+	ids   []string  // that it served last
 }
 
 // Close ends the connection. Whoever has it calls it once.
@@ -82,17 +85,19 @@
 	return p.opened
 }
 
-func (p *Host) take() *conn {
+// take gives an idle connection; nil: there is none. What has an id that one has served before does not go by it: an answer
+// that comes twice would be taken for its own.
+func (p *Host) take(id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for n := len(p.idle); n > 0; n = len(p.idle) {
 		c := p.idle[n-1]
 		p.idle = p.idle[:n-1]
 		said, ended := wire.Arrived(c.Conn)
-		if !said && !ended && c.br.Buffered() == 0 && time.Now().Before(c.until) {
+		if !said && !ended && c.br.Buffered() == 0 && time.Now().Before(c.until) && !slices.Contains(c.ids, id) {
 			return c
 		}
-		c.Close() // it has ended, or what it has said belongs to nothing
+		c.Close() // it has ended, or what it has said or would say belongs to nothing
 	}
 	return nil
 }
@@ -163,7 +168,8 @@
 }
 
 func (p *Host) run(r *meshpb.Forward, until time.Time) (*meshpb.Forwarded, error) {
-	c := p.take()
+	id := requestID(r)
+	c := p.take(id)
 	if c == nil {
 		var err error
 		if c, err = p.dial(); err != nil {
@@ -175,7 +181,7 @@
 		c.Close()
 		return nil, outcome.Mark(err, outcome.Broken)
 	}
-	a, err := c.read(r)
+	a, err := c.read(r.Method, id)
 	if err != nil {
 		c.Close()
 		if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(c.meter.Err, os.ErrDeadlineExceeded) {
@@ -184,6 +190,7 @@
 		return nil, outcome.Mark(err, outcome.Broken)
 	}
 	if a.keep > 0 {
+		c.served(id)
 		p.keep(c, a.keep)
 	} else {
 		c.Close()
@@ -218,23 +225,36 @@
 	keep time.Duration // for how long the connection may be kept; 0: not at all
 }
 
-// read takes the answer to a request. One that belongs to another request is passed over: hosts send some twice.
-func (c *conn) read(r *meshpb.Forward) (answer, error) {
-	id := ""
+// requestID is the id that a request's answer carries; "": it has none.
+func requestID(r *meshpb.Forward) string {
 	for _, f := range r.Fields {
 		if f.Name == sidecar.HeaderID {
-			id = f.Value
+			return f.Value
 		}
 	}
+	return ""
+}
+
+// served notes a request that the connection has served.
+func (c *conn) served(id string) {
+	c.ids = append(c.ids, id)
+	if len(c.ids) > mostServed {
+		c.ids = c.ids[1:]
+	}
+}
+
+// read takes the answer to a request. One that belongs to another request is passed over: hosts send some twice.
+func (c *conn) read(method, id string) (answer, error) {
 	for stale := 0; ; {
-		a, res, err := c.readOne(r.Method)
+		a, res, err := c.readOne(method)
 		switch {
 		case err != nil:
 			return answer{}, err
 		case res.StatusCode < 200:
 			continue
 		}
-		if got := res.Header.Get(sidecar.HeaderID); id != "" && got != "" && got != id {
+		got := res.Header.Get(sidecar.HeaderID)
+		if got != "" && got != id {
 			if stale++; stale > mostStale {
 				return answer{}, errors.New("answers of other requests")
 			}
@@ -246,6 +266,9 @@
 		if stale > 0 || c.br.Buffered() > 0 { // who sends more than was asked cannot be trusted with a further request
 			a.keep = 0
 		}
+		if got == "" { // should it come again, nothing would tell it from the answer to the next request
+			a.keep = 0
+		}
 		return a, nil
 	}
 }
