What may not be repeated names the process that it is for, from the first contact on

Cause: a gate knows what has come to it, and the next process at its address knows nothing of that. At first contact, or after a broken connection, its asker did not know the gate's life yet, so a request that came once more to the next process ran again: the register grants one token and attempt twice. The next process could also turn the copy away while the first ran, which the asker took for a promise. Change: the first request to a proxy that may not be repeated waits for a pong, which tells the process's life: one way there and back, once a connection. What waits has not gone: where the peer breaks or is silent it goes elsewhere. An answer by another process than the one that was asked casts doubt on the try: the register is asked, or it may have run.

--- a/internal/mesh/sidecar/calls.go
+++ b/internal/mesh/sidecar/calls.go
@@ -8,13 +8,14 @@
 
 // Why a message was dropped. They are the labels of a metric.
 const (
-	dropNotOpen   = "not open"       // no question of that id is open: an answer that comes late or twice
-	dropLife      = "another life"   // an answer to a question of this address's former process
-	dropPeer      = "another peer"   // an answer from a process that was not asked
-	dropToken     = "another token"  // the answer to a claim that is not the one that was asked for
-	dropRepeated  = "repeated"       // a request that has come before
-	dropForgotten = "too late"       // a request so old that it may have come before
-	dropGateLife  = "former process" // a request for the process that had this address before
+	dropNotOpen   = "not open"        // no question of that id is open: an answer that comes late or twice
+	dropLife      = "another life"    // an answer to a question of this address's former process
+	dropPeer      = "another peer"    // an answer from a process that was not asked
+	dropToken     = "another token"   // the answer to a claim that is not the one that was asked for
+	dropRepeated  = "repeated"        // a request that has come before
+	dropForgotten = "too late"        // a request so old that it may have come before
+	dropResponder = "another process" // an answer of a process at the address that is not the one that was asked
+	dropGateLife  = "former process"  // a request for the process that had this address before
 )
 
 // Drawn from the same seed as all else, and different from it.
--- a/internal/mesh/sidecar/dispatch.go
+++ b/internal/mesh/sidecar/dispatch.go
@@ -91,21 +91,25 @@
 
 // try is one sending of an order.
 type try struct {
-	order  *Order
-	id     uint64
-	number int
-	host   balancer.HostID
-	peer   string
-	sent   float64
-	link   uint64 // the connection that it went by
-	spent  bool   // taken off the budget
-	asked  bool   // the register was asked whether it may still run
-	out    bool
+	order    *Order
+	id       uint64
+	number   int
+	host     balancer.HostID
+	peer     string
+	sent     float64
+	station  string // the life of the host that it is for
+	gateLife uint64 // and the process beside that; 0: any
+	held     bool   // it has not gone: it waits until that process is known
+	link     uint64 // the connection that it went by
+	spent    bool   // taken off the budget
+	asked    bool   // the register was asked whether it may still run
+	out      bool
 }
 
 // peer is what is known of another proxy that has something of ours in hand.
 type peer struct {
 	out          int
+	held         int    // of those, how many have not gone
 	life         uint64 // of its process, by what came from it last; 0: not known
 	heard, asked float64
 	ping         uint64 // the question that it was asked then; 0: it has answered
@@ -300,7 +304,7 @@
 		return
 	}
 	t.spent = o.arrivals > 0
-	t.peer = at.source
+	t.peer, t.station = at.source, at.station
 	if w := p.peers[t.peer]; w == nil {
 		p.peers[t.peer] = &peer{out: 1, heard: p.now, oldest: p.now}
 	} else {
@@ -308,11 +312,17 @@
 			w.oldest, w.heard = p.now, p.now
 		}
 	}
-	c := &meshpb.Forward{Station: at.station, Method: o.Method, Target: o.Target, Host: o.Host, Fields: o.Fields, Body: o.Body,
-		Framed: o.Framed, LeftUs: uint32(min(math.MaxUint32, max(0, o.deadline-p.now)*1e6)), Sender: p.o.Sender, Key: o.Key,
-		Token: o.token, Precedence: uint32(max(0, o.route.Precedence)), Repeatable: o.route.Repeatable(),
-		Attempt: uint32(t.number), Class: o.class.number(), AimUs: uint32(max(0, min(o.deadline, o.taken+o.class.aim)-p.now) * 1e6), GateLife: p.peers[t.peer].life}
-	parcel := p.question(t.id, &meshpb.Message{Forward: c})
+	if !o.route.Repeatable() && t.peer != p.o.Self && p.peers[t.peer].life == 0 {
+		p.hold(t)
+		return
+	}
+	p.sendTry(t)
+}
+
+// sendTry has a try go to the proxy beside its host.
+func (p *Sidecar) sendTry(t *try) {
+	t.gateLife = p.peers[t.peer].life
+	parcel := p.question(t.id, &meshpb.Message{Forward: p.forward(t)})
 	if t.peer == p.o.Self {
 		p.send(t.peer, parcel)
 		return
@@ -320,6 +330,31 @@
 	p.out.Sends = append(p.out.Sends, transport.Send{To: t.peer, Message: parcel, Via: &t.link})
 }
 
+// forward is what a try asks of the proxy beside its host.
+func (p *Sidecar) forward(t *try) *meshpb.Forward {
+	o := t.order
+	aim := min(o.deadline, o.taken+o.class.aim)
+	return &meshpb.Forward{
+		Station:    t.station,
+		Method:     o.Method,
+		Target:     o.Target,
+		Host:       o.Host,
+		Fields:     o.Fields,
+		Body:       o.Body,
+		Framed:     o.Framed,
+		LeftUs:     uint32(min(math.MaxUint32, max(0, o.deadline-p.now)*1e6)),
+		Sender:     p.o.Sender,
+		Key:        o.Key,
+		Token:      o.token,
+		Precedence: uint32(max(0, o.route.Precedence)),
+		Repeatable: o.route.Repeatable(),
+		Attempt:    uint32(t.number),
+		Class:      o.class.number(),
+		AimUs:      uint32(max(0, aim-p.now) * 1e6),
+		GateLife:   t.gateLife,
+	}
+}
+
 // Refuse answers that trying again is harmless.
 func (s *service) Refuse(id balancer.RequestID, coolDown float64) {
 	p := s.p
@@ -395,9 +430,15 @@
 	if t != nil {
 		asked = t.peer
 	}
-	if p.accepts(from, m, asked) {
-		p.carried(t, m.Forwarded)
+	if !p.accepts(from, m, asked) {
+		return
+	}
+	if t.gateLife != 0 && m.Responder != t.gateLife {
+		p.drop(from, m, dropResponder)
+		p.doubt(t, "another process is at its proxy's address")
+		return
 	}
+	p.carried(t, m.Forwarded)
 }
 
 // carried takes the end of a try.
@@ -468,6 +509,10 @@
 		if w.out--; w.out <= 0 {
 			w.out = 0
 		}
+		if t.held {
+			t.held = false
+			w.held--
+		}
 		w.oldest = p.now
 	}
 	return true
@@ -517,12 +562,10 @@
 func (p *Sidecar) brokeTries(b transport.Broke) {
 	for _, id := range b.Unsent {
 		if t := p.tries[id]; t != nil && t.peer == b.Peer {
-			if t.spent {
-				p.budget.Back(t.order.service)
-			}
-			p.ended(t, balancer.ConnectFailed, nil, "no connection to the proxy beside the host")
+			p.endUnsent(t, "no connection to the proxy beside the host")
 		}
 	}
+	p.endHeld(b.Peer, "no connection to the proxy beside the host")
 	if b.Link == 0 {
 		return
 	}
@@ -537,6 +580,14 @@
 	}
 }
 
+// endUnsent ends a try of which nothing has gone.
+func (p *Sidecar) endUnsent(t *try, why string) {
+	if t.spent {
+		p.budget.Back(t.order.service)
+	}
+	p.ended(t, balancer.ConnectFailed, nil, why)
+}
+
 // doubt ends a try of which nothing will be heard. What may be sent again is. What has a key has not run, and never will, if no
 // claim of its token was granted and none will be: the register says so. Of the rest it is not known.
 func (p *Sidecar) doubt(t *try, why string) {
@@ -593,9 +644,9 @@
 		switch {
 		case quiet < silentAsk:
 		case w.asked < w.heard || w.asked < w.oldest:
-			w.asked, w.ping = p.now, p.id()
-			p.send(source, p.question(w.ping, &meshpb.Message{Ping: &meshpb.Ping{}}))
+			p.ping(source)
 		case p.now-w.asked > min(silentMost, silentOver+silentSlow*p.pongs):
+			p.endHeld(source, "the proxy beside the host is silent")
 			for _, t := range p.triesAt(source) {
 				if t.sent < w.asked {
 					p.doubt(t, "the proxy beside the host is silent")
--- /dev/null
+++ b/internal/mesh/sidecar/introduction_test.go
@@ -0,0 +1,108 @@
+package sidecar
+
+import (
+	"testing"
+
+	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/outcome"
+	"beechwing/internal/mesh/transport"
+)
+
+const onceRoute = `{"edition":"r2","itineraries":[{"name":"a","depot":"h.example","lanePrefix":"/x/","routeKind":"tracked","tries":2,
+"timeoutMs":5000,"targetMs":3000,"carrier":"shop"}],"carriers":[{"name":"shop","healthPath":"/health"}]}`
+
+func isForward(m *meshpb.Message) bool { return m.Forward != nil }
+func isPing(m *meshpb.Message) bool    { return m.Ping != nil }
+
+// onceCaller is a proxy that has been asked something that may not be repeated, and has pinged the proxy that it picked.
+func onceCaller(t *testing.T, seed uint64) (c *caller, peer string, ping *meshpb.Message) {
+	t.Helper()
+	c = newCaller(seed)
+	hall, pull := c.question(t, func(m *meshpb.Message) bool { return m.Pull != nil })
+	c.hears(hall, meshpb.Answer(pull, &meshpb.Message{Update: &meshpb.Update{FromServer: true, Edition: 2, Text: []byte(onceRoute)}}))
+	c.p.Ask(c.now, &Order{Method: "POST", Target: "/x/1", Host: "h.example", ID: "q1", Left: 5})
+	c.take()
+	if c.forwards("p1")+c.forwards("p2") > 0 {
+		t.Fatal("it went to a process that is not known")
+	}
+	peer, ping = c.question(t, isPing)
+	return c, peer, ping
+}
+
+// forwards counts the requests that went to a peer.
+func (c *caller) forwards(to string) (n int) {
+	for _, m := range c.asked[to] {
+		if isForward(m) {
+			n++
+		}
+	}
+	return n
+}
+
+// What may not be repeated goes once it is known to which process, and names it. An answer by another process at that
+// address is none.
+func TestUnrepeatableGoesToAKnownProcess(t *testing.T) {
+	const gate = 40
+	c, peer, ping := onceCaller(t, 1)
+	c.hears(peer, meshpb.Answer(ping, &meshpb.Message{Responder: gate, Pong: &meshpb.Ping{}}))
+	to, q := c.question(t, isForward)
+	if to != peer || q.Forward.GateLife != gate || c.forwards(peer) != 1 {
+		t.Fatalf("%d requests, to %s for %d", c.forwards(peer), to, q.Forward.GateLife)
+	}
+	turned := &meshpb.Forwarded{Verdict: uint32(outcome.Turned)}
+	c.hears(peer, meshpb.Answer(q, &meshpb.Message{Responder: gate + 2, Forwarded: turned}))
+	if n := c.p.count.Dropped[dropResponder]; n != 1 {
+		t.Errorf("%d answers of another process dropped", n)
+	}
+	if len(c.replies) != 1 || c.replies[0].Status != 502 || c.forwards("p1")+c.forwards("p2") != 1 {
+		t.Errorf("replies %v: the process that had it may have run it", c.replies)
+	}
+}
+
+// What was held for a process that cannot be reached, or says nothing, has not gone: it goes to another.
+func TestUnrepeatableThatWasHeldGoesElsewhere(t *testing.T) {
+	for name, lose := range map[string]func(c *caller, peer string){
+		"broken": func(c *caller, peer string) { c.p.Broke(c.now, transport.Broke{Peer: peer, Link: 1}); c.take() },
+		"silent": func(c *caller, peer string) {
+			for at, _ := c.question(t, isPing); at == peer && c.now < 2; at, _ = c.question(t, isPing) {
+				c.pass(0.02)
+			}
+		},
+	} {
+		c, peer, _ := onceCaller(t, 2)
+		lose(c, peer)
+		other, ping := c.question(t, isPing)
+		if other == peer {
+			t.Fatalf("%s: nobody else is asked", name)
+		}
+		c.hears(other, meshpb.Answer(ping, &meshpb.Message{Responder: 40, Pong: &meshpb.Ping{}}))
+		if c.forwards(peer) != 0 || c.forwards(other) != 1 || len(c.replies) > 0 {
+			t.Errorf("%s: %d requests to the lost one, %d to the other, replies %v", name, c.forwards(peer), c.forwards(other), c.replies)
+		}
+	}
+}
+
+// An older proxy does not say which process it is: it gets the request all the same.
+func TestOlderProxyGetsUnrepeatable(t *testing.T) {
+	c, peer, ping := onceCaller(t, 3)
+	c.hears(peer, meshpb.Answer(ping, &meshpb.Message{Pong: &meshpb.Ping{}}))
+	if c.forwards(peer) != 1 {
+		t.Errorf("%d requests", c.forwards(peer))
+	}
+}
+
+// What was held until its client's time was over does not go.
+func TestHeldPastItsTimeDoesNotGo(t *testing.T) {
+	c, peer, _ := onceCaller(t, 4)
+	for range 300 {
+		c.pass(0.02)
+		for _, source := range []string{"p1", "p2"} { // they are there, and do not answer
+			c.hears(source, &meshpb.Message{Id: 1, Ping: &meshpb.Ping{}})
+		}
+	}
+	_, ping := c.question(t, isPing)
+	c.hears(peer, meshpb.Answer(ping, &meshpb.Message{Responder: 40, Pong: &meshpb.Ping{}}))
+	if c.forwards("p1")+c.forwards("p2") > 0 || len(c.replies) != 1 {
+		t.Errorf("%d and %d requests went, replies %v", c.forwards("p1"), c.forwards("p2"), c.replies)
+	}
+}
--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -148,6 +148,7 @@
 	p.now = now
 	if w := p.peers[from]; w != nil && (!meshpb.IsAnswer(parcel) || p.ofThisLife(from, parcel)) {
 		w.heard, w.life = now, senderLife(parcel)
+		p.sendHeld(from)
 	}
 	p.parcel(from, parcel)
 	p.settle()
@@ -182,18 +183,6 @@
 	}
 }
 
-// ponged takes a peer's word that it is there.
-func (p *Sidecar) ponged(from string, m *meshpb.Message) {
-	w, asked := p.peers[from], ""
-	if w != nil && w.ping == m.Id {
-		asked = from
-	}
-	if p.accepts(from, m, asked) {
-		w.ping = 0
-		p.pongs += pongStep * (min(silentMost, p.now-w.asked) - p.pongs)
-	}
-}
-
 // Broke takes word that a connection is no more.
 func (p *Sidecar) Broke(now float64, b transport.Broke) {
 	p.now = now
