Drained counts what is being written as well

Cause: bytes left the count of what waits as their write began, so that the end could cut a write that the kernel had yet to take. Change: Net.writing counts the connections on which something is being written; the writer's inner loop is a function of its own (flush). No test brings the moment about: it is one write long.

--- a/internal/mesh/transport/net.go
+++ b/internal/mesh/transport/net.go
@@ -86,9 +86,10 @@
 	last   uint64
 	closed bool
 
-	most   int64 // bytes that may wait for all peers
-	queued atomic.Int64
-	pace   pace
+	most    int64 // bytes that may wait for all peers
+	queued  atomic.Int64
+	writing atomic.Int64 // connections on which something is being written
+	pace    pace
 }
 
 // pace keeps large parcels to what the machine's link carries, so that they wait here and not in the link, where all else would wait
@@ -177,7 +178,7 @@
 }
 
 // Drained reports whether all that was sent has gone: a process that is to end would take what waits along.
-func (n *Net) Drained() bool { return n.queued.Load() == 0 }
+func (n *Net) Drained() bool { return n.queued.Load() == 0 && n.writing.Load() == 0 }
 
 // Close ends all connections.
 func (n *Net) Close() {
@@ -341,38 +342,47 @@
 	<-done
 }
 
-// write sends what is queued: all small frames that wait in one write, and pieces of the large ones between them.
+// write sends what is queued until the connection ends.
 func (l *link) write(c net.Conn) {
-	var spare []byte
 	defer l.done()
 	for range l.wake {
-		for {
-			frames, dead := l.take(spare)
-			spare = nil
-			l.net.queued.Add(-int64(len(frames)))
-			if dead {
-				l.close()
-				return
-			}
-			small := len(frames) > 0
-			if !small && l.now.frame == nil {
-				break
-			}
-			if !small {
-				if !l.mayGo() {
-					continue
-				}
-				frames = l.piece()
-			}
-			c.SetWriteDeadline(time.Now().Add(writeWithin))
-			if _, err := c.Write(frames); err != nil {
-				c.Close()
-				l.close()
-				return
-			}
-			if small && cap(frames) <= 1<<20 {
-				spare = frames
+		if !l.flush(c) {
+			l.close()
+			return
+		}
+	}
+}
+
+// flush sends all that waits: all small frames in one write, and pieces of the large ones between them. False: the
+// connection has ended.
+func (l *link) flush(c net.Conn) bool {
+	var spare []byte
+	l.net.writing.Add(1)
+	defer l.net.writing.Add(-1)
+	for {
+		frames, dead := l.take(spare)
+		spare = nil
+		l.net.queued.Add(-int64(len(frames)))
+		if dead {
+			return false
+		}
+		small := len(frames) > 0
+		if !small && l.now.frame == nil {
+			return true
+		}
+		if !small {
+			if !l.mayGo() {
+				continue
 			}
+			frames = l.piece()
+		}
+		c.SetWriteDeadline(time.Now().Add(writeWithin))
+		if _, err := c.Write(frames); err != nil {
+			c.Close()
+			return false
+		}
+		if small && cap(frames) <= 1<<20 {
+			spare = frames
 		}
 	}
 }
