Mend what staticcheck finds outside the packages others work on

Cause: two tests compare a call with itself in one expression, which a reader takes for a slip; cue.Value.Context is deprecated; an error text begins with a capital. Change: the tests name the two draws and compare them, TestBinding now also where the first Take fails (stricter); the validator keeps its cue context; the text says 'field Zone is', its test unchanged.

--- a/cmd/beechwing-lab/fleet_test.go
+++ b/cmd/beechwing-lab/fleet_test.go
@@ -89,7 +89,8 @@
 		}
 		return text.String()
 	}
-	if draw(1) != draw(1) || draw(1) == draw(2) || strings.Count(draw(1), "\n") < 500 {
+	first, again, other := draw(1), draw(1), draw(2)
+	if first != again || first == other || strings.Count(first, "\n") < 500 {
 		t.Error("a schedule is not its seed's alone")
 	}
 }
--- a/internal/body/body_test.go
+++ b/internal/body/body_test.go
@@ -45,7 +45,11 @@
 	var wg sync.WaitGroup
 	for n := range 8 {
 		wg.Go(func() {
-			if b.Take(n) && b.Take(n) {
+			first, again := b.Take(n), b.Take(n)
+			if first != again {
+				t.Errorf("attempt %d: %v, then %v", n, first, again)
+			}
+			if first {
 				had.Add(1)
 			}
 		})
--- a/internal/mesh/routeconfig/routeconfig_test.go
+++ b/internal/mesh/routeconfig/routeconfig_test.go
@@ -39,10 +39,11 @@
 	r, n := table.Match("shop.example", "/x/y/"), 0
 	for i := range 10000 {
 		word := string(rune('a'+i%26)) + string(rune('a'+i/26%26)) + string(rune('a'+i/676))
-		if r.ServiceFor(word) == "s2" {
+		first, again := r.ServiceFor(word), r.ServiceFor(word)
+		if first == "s2" {
 			n++
 		}
-		if r.ServiceFor(word) != r.ServiceFor(word) {
+		if first != again {
 			t.Fatal("drawn anew")
 		}
 	}
--- a/internal/mesh/routeconfig/validate/validate.go
+++ b/internal/mesh/routeconfig/validate/validate.go
@@ -61,6 +61,7 @@
 type Validator struct {
 	seed                   maphash.Seed
 	known                  map[uint64]bool
+	ctx                    *cue.Context // of the rules and of the pieces checked against them
 	route, service, limits cue.Value
 }
 
@@ -73,7 +74,8 @@
 
 func (a *Validator) begin() {
 	a.seed, a.known = maphash.MakeSeed(), map[uint64]bool{}
-	v := cuecontext.New().CompileString(rules)
+	a.ctx = cuecontext.New()
+	v := a.ctx.CompileString(rules)
 	a.route = v.LookupPath(cue.ParsePath("#Route"))
 	a.service = v.LookupPath(cue.ParsePath("#Service"))
 	a.limits = v.LookupPath(cue.ParsePath("#Limits"))
@@ -152,7 +154,7 @@
 	if a.known[h] {
 		return nil
 	}
-	v := rule.Context().CompileBytes(raw)
+	v := a.ctx.CompileBytes(raw)
 	if err := rule.Unify(v).Validate(cue.Concrete(true)); err != nil {
 		return errors.Newf("%s: %s", where, first(err))
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -104,7 +104,7 @@
 		}
 	}
 	if len(s.Dcs) > 0 && s.Zone >= len(s.Dcs) {
-		return fmt.Errorf("Zone is %d, of %d in Dcs", s.Zone, len(s.Dcs))
+		return fmt.Errorf("field Zone is %d, of %d in Dcs", s.Zone, len(s.Dcs))
 	}
 	return nil
 }
