--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,7 @@
 lint:
 	@test -z "$$(gofmt -l .)" || { echo "gofmt wanted:"; gofmt -l .; exit 1; }
 	go vet ./...
+	go tool staticcheck ./...
 	@n=$$(cat $(MODULE) | grep -c '[^[:space:]]'); test $$n -le 910 || { echo "$(MODULE): $$n lines, 910 allowed"; exit 1; }
 	@expand -t 4 $(MODULE) | awk 'length > 110 { print "policy: " $$0 ": longer than 110 columns"; bad = 1 } END { exit bad }'
 
