Split internal/proxy/owner.go: events, actions and timers on their own

Cause: 446 lines of the loop, its inputs, what the module asks for and the timers. Change: moving only; the two dividing comments give way to the files. docs/architecture.md names them. Result: declarations word for word the same; go vet and go test of the package pass (36 s).

--- /dev/null
+++ b/internal/proxy/timers.go
@@ -0,0 +1,42 @@
+package proxy
+
+import (
+	"container/heap"
+	"time"
+)
+
+// timer is an event that the module asked for.
+type timer struct {
+	at    float64
+	token uint64
+}
+
+// timerHeap holds the timers, the next one due first.
+type timerHeap []timer
+
+func (h timerHeap) Len() int           { return len(h) }
+func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(x any)        { *h = append(*h, x.(timer)) }
+func (h *timerHeap) Pop() any {
+	last := len(*h) - 1
+	t := (*h)[last]
+	*h = (*h)[:last]
+	return t
+}
+
+// fire plays one timer that is due and says how long to wait for the next event. One at a time: what the module asked
+// for in it comes first.
+func (o *owner) fire() time.Duration {
+	const idle = time.Second
+	if len(o.timers) == 0 {
+		return idle
+	}
+	now := o.clock.now()
+	if next := o.timers[0].at; next > now {
+		return seconds(next - now)
+	}
+	t := heap.Pop(&o.timers).(timer)
+	o.bal.Timer(now, t.token)
+	return 0
+}
