Split internal/failover/agent.go by concern

Cause: 454 lines of messages, the author's part, the member's and the row in force. Change: moving only, to message.go, author.go and follow.go.

--- a/internal/failover/agent.go
+++ b/internal/failover/agent.go
@@ -1,11 +1,7 @@
 package failover
 
 import (
-	"cmp"
-	"hash/fnv"
-	"io"
 	"maps"
-	"math"
 	"slices"
 )
 
@@ -31,27 +27,6 @@
 	moreLoad, moreTaken = 0.15, 0.3
 )
 
-// Message is a word between members.
-type Message struct {
-	Version int     `codec:"v"`
-	From    string  `codec:"n"`
-	Seq     uint64  `codec:"q"` // grows with each word of a sender: older ones are dropped
-	Epoch   uint64  `codec:"e"` // of the sender's plan
-	Author  string  `codec:"w"`
-	Report  *Report `codec:"r"`
-	Orphan  bool    `codec:"o"` // the sender hears nothing of its author
-	Plan    *Plan   `codec:"p"`
-	Digest  uint64  `codec:"d"` // of the orders that the sender knows
-	Orders  []Order `codec:"x"`
-	Answer  bool    `codec:"y"` // and gets none
-}
-
-// Outgoing is a message and whom it is for.
-type Outgoing struct {
-	To string
-	Message
-}
-
 // Agent is a proxy's part in the decision. Among members one, the author, hears the reports of all and makes the plans; any
 // other can go on from its last one. A member alone decides by what it sees itself.
 type Agent struct {
@@ -151,98 +126,6 @@
 	maps.DeleteFunc(a.last, func(name string, _ uint64) bool { return gone(name) && len(a.last) > 2*len(a.members)+16 })
 }
 
-// author is who makes the plans: who made the last, as long as that one is there, else the first of the members in an order
-// of their own.
-func (a *Agent) author() string {
-	if a.plan != nil && slices.Contains(a.members, a.plan.Author) {
-		return a.plan.Author
-	}
-	return first(a.members, "")
-}
-
-// first is the first of the members in an order that no name can choose, but for one.
-func first(members []string, but string) (best string) {
-	lowest := uint64(math.MaxUint64)
-	for _, name := range members {
-		h := fnv.New64a()
-		io.WriteString(h, "author "+name)
-		if x := h.Sum64() * 0x9e3779b97f4a7c15; name != but && (x < lowest || best == "") {
-			best, lowest = name, x
-		}
-	}
-	return best
-}
-
-// work does a member's part: as the author it makes plans, else it reports.
-func (a *Agent) work(now float64, own Report, zones []Zone) {
-	author := a.author()
-	if author == a.name && a.plan == nil && now-a.born < joinFor {
-		author = first(a.members, a.name) // which knows the plan in force, if there is one
-	}
-	if author != a.name {
-		a.lead = nil
-		a.report(now, own, author)
-		return
-	}
-	a.asked = 0
-	if a.lead == nil {
-		a.begin(now)
-	}
-	a.lead.Hear(now, own)
-	for name := range a.lead.heard {
-		if !slices.Contains(a.members, name) {
-			a.lead.Forget(name)
-		}
-	}
-	if p := a.lead.Decide(now, zones, len(a.members)); now-a.leadAt >= listenFor && a.news(now, p) {
-		a.publish(now, p)
-	}
-}
-
-// news says whether a plan is worth telling.
-func (a *Agent) news(now float64, p *Plan) bool {
-	switch {
-	case a.plan == nil || a.plan.Author != a.name:
-		return true
-	case !a.plan.sameWays(p):
-		return true
-	}
-	return now-a.planAt >= planEvery && !a.plan.like(p)
-}
-
-func (a *Agent) publish(now float64, p *Plan) {
-	if a.plan != nil {
-		p.Epoch = a.plan.Epoch
-	}
-	p.Epoch, p.Author = p.Epoch+1, a.name
-	a.plan, a.planAt = p, now
-	for _, name := range a.members {
-		if name != a.name {
-			a.send(name, Message{Plan: p})
-		}
-	}
-}
-
-// report tells the author what this proxy sees, if it is time to or there is something to tell.
-func (a *Agent) report(now float64, own Report, author string) {
-	n := float64(len(a.members))
-	since := now - a.toldAt
-	orphan := a.asked > 0 && now-a.asked >= orphanAfter
-	due := since >= max(calmLeast, n/calmWords) || since >= max(urgentLeast, n/urgentWords) && a.differs(own) ||
-		a.asked > 0 && since >= max(orphanAgain, n/urgentWords)
-	if !due {
-		return
-	}
-	a.told, a.toldAt = own, now
-	a.asked = cmp.Or(a.asked, now)
-	a.send(author, Message{Report: &own, Orphan: orphan})
-	if deputy := first(a.members, author); orphan && deputy != a.name {
-		a.send(deputy, Message{Report: &own, Orphan: true})
-	} else if orphan {
-		a.takeOver(now, own)
-	}
-}
-
 // greet tells one other member which plan holds here. Whoever has a later one answers with it.
 func (a *Agent) greet(now float64) {
 	if now-a.greetAt < greetEvery {
@@ -255,45 +138,6 @@
 	}
 }
 
-// differs says whether a report says something new.
-func (a *Agent) differs(r Report) bool {
-	if math.Abs(r.Taken-a.told.Taken) > moreTaken*max(1, a.told.Taken) {
-		return true
-	}
-	return slices.ContainsFunc(r.Flows, func(f Flow) bool {
-		i := slices.IndexFunc(a.told.Flows, func(g Flow) bool { return g.Zone == f.Zone })
-		was := Flow{}
-		if i >= 0 {
-			was = a.told.Flows[i]
-		}
-		bad, wasBad := f.Row >= rowSure, was.Row >= rowSure
-		return bad != wasBad || bad && f.LostAgo < was.LostAgo || f.Answered > 0 &&
-			(math.Abs(f.Load-was.Load) > moreLoad || math.Abs(f.Answered-was.Answered) > moreTaken*max(1, was.Answered))
-	})
-}
-
-// takeOver makes the deputy the author, once as many as it takes to believe that the author is gone say so.
-func (a *Agent) takeOver(now float64, own Report) {
-	a.orphans[a.name] = now
-	if len(a.orphans) < min(len(a.members)-1, Witnesses(len(a.members))) {
-		return
-	}
-	a.asked = 0
-	a.begin(now)
-	a.lead.Hear(now, own)
-	if p := a.plan; p != nil {
-		a.publish(now, &Plan{Reason: "the author before gives no answer", Rows: p.Rows, Well: p.Well, Most: p.Most})
-	}
-}
-
-// begin makes this the author, who goes on from the last plan.
-func (a *Agent) begin(now float64) {
-	a.lead, a.leadAt = NewDecider(), now
-	if a.plan != nil {
-		a.lead.GoOn(now, a.plan)
-	}
-}
-
 func (a *Agent) send(to string, m Message) {
 	a.seq++
 	m.Version, m.From, m.Seq = Version, a.name, a.seq
@@ -344,111 +188,3 @@
 		a.lead.Hear(now, *m.Report)
 	}
 }
-
-// target is the row that this proxy ought to follow, and whether it is that of the plan in common.
-func (a *Agent) target(now float64) (Row, bool) {
-	if a.plan != nil && (len(a.members) > 1 || now-a.others < KeepFor) {
-		if r := a.plan.Row(a.zone); r != nil && len(r.Shares) > 0 {
-			a.reason = a.plan.Reason
-			return *r, true
-		}
-	}
-	a.reason = a.mine.Reason
-	if r := a.mine.Row(a.zone); r != nil {
-		return *r, false
-	}
-	return a.row, a.common
-}
-
-// follow moves the row in force towards a target, by steps for a while after it has come from another source.
-func (a *Agent) follow(now float64, target Row, common bool) bool {
-	if common != a.common && len(a.row.Shares) > 0 {
-		a.easeUntil = now + easeFor
-	}
-	a.common = common
-	if now < a.easeUntil {
-		target = ease(a.row, target)
-	}
-	if a.row.like(&target) {
-		return false
-	}
-	a.row = target
-	return true
-}
-
-// ease is a row between two: zones that the target leaves out are left at once, the rest moves by a step.
-func ease(from, to Row) Row {
-	was := map[string]float64{}
-	kept := 0.0
-	for _, s := range from.Shares {
-		if slices.ContainsFunc(to.Shares, func(t Share) bool { return t.Zone == s.Zone }) {
-			was[s.Zone] = s.Part
-			kept += s.Part
-		}
-	}
-	if kept <= 0 {
-		return to
-	}
-	scale := (1 - from.Refused) / kept
-	apart := math.Abs(to.Refused - from.Refused)
-	for _, s := range to.Shares {
-		apart = max(apart, math.Abs(s.Part-was[s.Zone]*scale))
-	}
-	if apart <= easeBy {
-		return to
-	}
-	part := easeBy / apart
-	mid := to
-	mid.Refused = from.Refused + part*(to.Refused-from.Refused)
-	mid.Shares = nil
-	for _, s := range to.Shares {
-		x := was[s.Zone] * scale
-		mid.Shares = append(mid.Shares, Share{s.Zone, x + part*(s.Part-x)})
-	}
-	return mid
-}
-
-const (
-	mostZones = 256
-	mostName  = 256
-)
-
-// sound says whether a word can be used: bounded, and with numbers that are numbers.
-func (m *Message) sound() bool {
-	ok := len(m.From) <= mostName && len(m.Author) <= mostName
-	if r := m.Report; r != nil {
-		ok = ok && r.Member == m.From && len(r.Zone) <= mostName && len(r.Flows) <= mostZones && positive(r.Span, r.Taken)
-		for _, f := range r.Flows {
-			ok = ok && len(f.Zone) <= mostName && f.Row >= 0 && positive(f.Answered, f.Lost, f.Late, f.Load, f.Since, f.LostAgo) && f.Load <= 1
-		}
-	}
-	ok = ok && len(m.Orders) <= mostOrders
-	for _, o := range m.Orders {
-		ok = ok && o.Zone != "" && len(o.Zone) <= mostName && len(o.By) <= mostName && positive(o.At)
-	}
-	if m.Plan != nil {
-		ok = ok && m.Plan.sound()
-	}
-	return ok
-}
-
-func (p *Plan) sound() bool {
-	ok := len(p.Rows) > 0 && len(p.Rows) <= mostZones && p.Author != "" && positive(p.Well, p.Most) && len(p.Author) <= mostName
-	for _, r := range p.Rows {
-		sum := r.Refused
-		ok = ok && len(r.Zone) <= mostName && positive(r.Refused, r.Part, r.Demand) && len(r.Shares) <= mostZones && len(r.Out) <= mostZones
-		for _, s := range r.Shares {
-			ok = ok && len(s.Zone) <= mostName && positive(s.Part)
-			sum += s.Part
-		}
-		for _, o := range r.Out {
-			ok = ok && len(o.Zone) <= mostName && positive(o.For, o.Hold, o.Ramp) && o.Ramp <= 1
-		}
-		ok = ok && (len(r.Shares) == 0 || math.Abs(sum-1) < 1e-3)
-	}
-	return ok
-}
-
-func positive(numbers ...float64) bool {
-	return !slices.ContainsFunc(numbers, func(x float64) bool { return !(x >= 0 && x <= 1e12) })
-}
