routeconfig, validate: standard terms in names and comments

Cause: comments and identifiers kept the withdrawn themes (assayer, word, pieces' verdict, edition inside). Change: Edition() is ParseVersion(), no use outside these packages; receivers, locals and doc comments in ordinary terms; the JSON names and error texts stay. Table.Edition stays too: eight uses in sidecar and the same name in the messages.

--- a/internal/mesh/routeconfig/routeconfig.go
+++ b/internal/mesh/routeconfig/routeconfig.go
@@ -1,5 +1,6 @@
-// Package routeconfig holds the operators' configuration as the data plane uses it: its version, and the route of a request by
-// host name and longest prefix. (The field's term: route table.) What makes one invalid is for the package assay to say.
+// Package routeconfig holds the route table: the operators' configuration as the data plane uses it, with its version and the
+// route of a request by host name and longest path prefix. Validation is in the package validate, which only the control plane
+// imports.
 package routeconfig
 
 import (
@@ -13,7 +14,7 @@
 	"beechwing/balancer"
 )
 
-// Config is one configuration in the operators' words.
+// Config is one configuration as it is read from JSON. Its fields have the operators' names.
 type Config struct {
 	Edition     string    `json:"edition"`
 	Itineraries []Route   `json:"itineraries"`
@@ -21,7 +22,7 @@
 	SizeLimits  Limits    `json:"sizeLimits"`
 }
 
-// Route says which requests go to which services, and how.
+// Route matches requests by host name and path prefix and says which services they go to, and how.
 type Route struct {
 	Name       string  `json:"name"`
 	Depot      string  `json:"depot"`
@@ -35,13 +36,13 @@
 	Tries      int     `json:"tries"`
 }
 
-// Share is a service's part of a route's requests.
+// Share is the weight of a service among those of a route.
 type Share struct {
 	Carrier string  `json:"carrier"`
 	Share   float64 `json:"share"`
 }
 
-// Service is what is said of the hosts of one.
+// Service is the configuration of a service's hosts.
 type Service struct {
 	Name       string `json:"name"`
 	HealthPath string `json:"healthPath"`
@@ -49,7 +50,7 @@
 	DedupSelf  bool   `json:"dedupSelf"`
 }
 
-// Limits bound what a client may send, and for how long.
+// Limits bound the size of clients' requests and the time that they may take.
 type Limits struct {
 	HeaderBytes  int     `json:"headerBytes"`
 	BodyBytes    int64   `json:"bodyBytes"`
@@ -57,7 +58,7 @@
 	IdleWaitMs   float64 `json:"idleWaitMs"`
 }
 
-// The kinds of routes.
+// The kinds of routes, by what a repeated request does.
 const (
 	Safe     = "safe"
 	Unsafe   = "unsafe"
@@ -68,16 +69,16 @@
 // Repeatable says whether a request of the route may run more than once.
 func (r *Route) Repeatable() bool { return r.RouteKind == Safe || r.RouteKind == Download }
 
-// Effect is the module's word for that.
+// Effect is the kind of the route as the balancer knows it.
 func (r *Route) Effect() balancer.Effect {
 	if r.Repeatable() {
 		return balancer.Safe
 	}
-	return balancer.Unsafe // a key's register lets it run once; so does the module
+	return balancer.Unsafe // tracked requests run once by their key's register; the balancer treats them alike
 }
 
-// Edition reads a version, such as r12.
-func Edition(text string) (uint64, error) {
+// ParseVersion reads a version, such as r12.
+func ParseVersion(text string) (uint64, error) {
 	digits, found := strings.CutPrefix(text, "r")
 	n, err := strconv.ParseUint(digits, 10, 64)
 	if !found || err != nil {
@@ -86,42 +87,42 @@
 	return n, nil
 }
 
-// Table is a configuration ready for use. It does not change.
+// Table is a compiled configuration. It is immutable.
 type Table struct {
-	Edition  uint64
+	Edition  uint64 // its version
 	Config   *Config
-	Text     []byte // as it came
+	Text     []byte // the JSON that it was compiled from
 	services map[string]*Service
-	places   map[string]*Route // by host name and prefix
+	routes   map[string]*Route // by host name and prefix
 }
 
-// Compile reads a configuration that was found valid when it was taken.
+// Compile makes the table of a configuration that the control plane has validated.
 func Compile(text []byte) (*Table, error) {
 	c := &Config{}
 	if err := json.Unmarshal(text, c); err != nil {
 		return nil, errors.Wrap(err, "configuration")
 	}
-	edition, err := Edition(c.Edition)
+	version, err := ParseVersion(c.Edition)
 	if err != nil {
 		return nil, err
 	}
-	t := &Table{Edition: edition, Config: c, Text: text, services: map[string]*Service{}, places: map[string]*Route{}}
+	t := &Table{Edition: version, Config: c, Text: text, services: map[string]*Service{}, routes: map[string]*Route{}}
 	for i := range c.Carriers {
 		t.services[c.Carriers[i].Name] = &c.Carriers[i]
 	}
 	for i := range c.Itineraries {
 		r := &c.Itineraries[i]
-		if place := strings.ToLower(r.Depot) + r.LanePrefix; t.places[place] == nil {
-			t.places[place] = r
+		if key := strings.ToLower(r.Depot) + r.LanePrefix; t.routes[key] == nil {
+			t.routes[key] = r
 		}
 	}
 	return t, nil
 }
 
-// Service is what the configuration says of one; nil: nothing.
+// Service is the configuration of a service, or nil if there is none.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
-// Match finds the route of a request; nil: there is none. host may carry a port, path a query.
+// Match finds the route of a request, or nil if none matches. host may have a port, path a query.
 func (t *Table) Match(host, path string) *Route {
 	if at := strings.LastIndexByte(host, ':'); at >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:at]
@@ -131,16 +132,16 @@
 		path = path[:at]
 	}
 	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
-		if r := t.places[host+path[:end+1]]; r != nil {
+		if r := t.routes[host+path[:end+1]]; r != nil {
 			return r
 		}
 	}
 	return nil
 }
 
-// ServiceFor draws the service of a request on a route. The same word draws the same one, so that the tries of one operation
-// meet unless the shares move.
-func (r *Route) ServiceFor(word string) string {
+// ServiceFor picks the service of a request on a route by its shares. The same key always gets the same service, so that all
+// attempts of one operation go to one service unless the shares change.
+func (r *Route) ServiceFor(key string) string {
 	if len(r.Allotment) == 0 {
 		return r.Carrier
 	}
@@ -149,7 +150,7 @@
 		sum += a.Share
 	}
 	h := fnv.New64a()
-	h.Write([]byte(word))
+	h.Write([]byte(key))
 	x := float64(mix(h.Sum64())>>11) / (1 << 53) * sum
 	for _, a := range r.Allotment {
 		if x -= a.Share; x < 0 {
@@ -159,7 +160,7 @@
 	return r.Allotment[len(r.Allotment)-1].Carrier
 }
 
-// mix spreads a hash's bits: FNV leaves the high ones of short words alike.
+// mix is the finalizer of MurmurHash3: FNV leaves the high bits of short keys alike.
 func mix(x uint64) uint64 {
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
--- a/internal/mesh/routeconfig/routeconfig_test.go
+++ b/internal/mesh/routeconfig/routeconfig_test.go
@@ -30,7 +30,7 @@
 	}
 }
 
-// Shares are kept, and one word always draws the same service.
+// Shares are kept, and one key always gets the same service.
 func TestServiceFor(t *testing.T) {
 	table, err := Compile([]byte(text))
 	if err != nil {
@@ -38,13 +38,13 @@
 	}
 	r, n := table.Match("shop.example", "/x/y/"), 0
 	for i := range 10000 {
-		word := string(rune('a'+i%26)) + string(rune('a'+i/26%26)) + string(rune('a'+i/676))
-		first, again := r.ServiceFor(word), r.ServiceFor(word)
+		key := string(rune('a'+i%26)) + string(rune('a'+i/26%26)) + string(rune('a'+i/676))
+		first, again := r.ServiceFor(key), r.ServiceFor(key)
 		if first == "s2" {
 			n++
 		}
 		if first != again {
-			t.Fatal("drawn anew")
+			t.Fatal("one key got two services")
 		}
 	}
 	if n < 850 || n > 1150 {
@@ -52,11 +52,11 @@
 	}
 }
 
-func TestEdition(t *testing.T) {
-	for word, want := range map[string]uint64{"r1": 1, "r12": 12, "12": 0, "r": 0, "r-1": 0, "R3": 0} {
-		got, err := Edition(word)
+func TestParseVersion(t *testing.T) {
+	for text, want := range map[string]uint64{"r1": 1, "r12": 12, "12": 0, "r": 0, "r-1": 0, "R3": 0} {
+		got, err := ParseVersion(text)
 		if got != want || (err == nil) != (want > 0) {
-			t.Errorf("%q: %d, %v", word, got, err)
+			t.Errorf("%q: %d, %v", text, got, err)
 		}
 	}
 }
--- a/internal/mesh/routeconfig/validate/validate.go
+++ b/internal/mesh/routeconfig/validate/validate.go
@@ -1,5 +1,5 @@
-// Package validate checks a configuration as it is taken. (The field's term: validation, admission.) Only the control plane
-// imports it: the language in which the rules are written takes memory and time that the data plane does not have.
+// Package validate checks a configuration before the control plane accepts it. The data plane does not import it: CUE, in which
+// the rules are written, takes memory and time that a proxy does not have.
 package validate
 
 import (
@@ -16,7 +16,7 @@
 	"beechwing/internal/mesh/routeconfig"
 )
 
-// rules is the operators' page in CUE. Open structs: fields that it does not name are none of its business.
+// rules is the operators' specification of a configuration in CUE. Structs are open: fields not named here are accepted.
 const rules = `
 import "list"
 
@@ -53,11 +53,11 @@
 }
 `
 
-// mostKnown bounds the pieces whose verdict is kept, and with them what the language keeps of them.
+// mostKnown bounds the cache of valid pieces, and with it what the CUE context retains of them.
 const mostKnown = 4096
 
-// Validator checks configurations. Pieces that it has seen before, byte for byte, are not checked again: a change touches a few
-// routes of hundreds. It is single-threaded.
+// Validator checks configurations. It caches the pieces (routes, services, limits) found valid and does not check the same bytes
+// again, as a change touches a few routes of hundreds. It is not safe for concurrent use.
 type Validator struct {
 	seed                   maphash.Seed
 	known                  map[uint64]bool
@@ -65,24 +65,25 @@
 	route, service, limits cue.Value
 }
 
-// New makes an assayer.
+// New makes a validator.
 func New() *Validator {
-	a := &Validator{}
-	a.begin()
-	return a
+	v := &Validator{}
+	v.reset()
+	return v
 }
 
-func (a *Validator) begin() {
-	a.seed, a.known = maphash.MakeSeed(), map[uint64]bool{}
-	a.ctx = cuecontext.New()
-	v := a.ctx.CompileString(rules)
-	a.route = v.LookupPath(cue.ParsePath("#Route"))
-	a.service = v.LookupPath(cue.ParsePath("#Service"))
-	a.limits = v.LookupPath(cue.ParsePath("#Limits"))
+// reset empties the cache and begins a new CUE context.
+func (v *Validator) reset() {
+	v.seed, v.known = maphash.MakeSeed(), map[uint64]bool{}
+	v.ctx = cuecontext.New()
+	all := v.ctx.CompileString(rules)
+	v.route = all.LookupPath(cue.ParsePath("#Route"))
+	v.service = all.LookupPath(cue.ParsePath("#Service"))
+	v.limits = all.LookupPath(cue.ParsePath("#Limits"))
 }
 
-// Check says what is wrong with a configuration, naming the field; its version where nothing is.
-func (a *Validator) Check(text []byte) (uint64, error) {
+// Check returns the version of a valid configuration, or an error that names the field that is wrong.
+func (v *Validator) Check(text []byte) (uint64, error) {
 	var whole struct {
 		Edition     string            `json:"edition"`
 		Itineraries []json.RawMessage `json:"itineraries"`
@@ -92,19 +93,19 @@
 	if err := strictJSON(text, &whole); err != nil {
 		return 0, err
 	}
-	edition, err := routeconfig.Edition(whole.Edition)
+	version, err := routeconfig.ParseVersion(whole.Edition)
 	if err != nil {
 		return 0, err
 	}
 	if whole.Itineraries == nil || whole.Carriers == nil {
 		return 0, errors.New("itineraries and carriers: both have to be there")
 	}
-	if len(a.known) > mostKnown {
-		a.begin()
+	if len(v.known) > mostKnown {
+		v.reset()
 	}
 	services := map[string]bool{}
 	for _, raw := range whole.Carriers {
-		if err := a.piece("carriers", a.service, raw); err != nil {
+		if err := v.piece("carriers", v.service, raw); err != nil {
 			return 0, err
 		}
 		var s routeconfig.Service
@@ -114,27 +115,27 @@
 		services[s.Name] = true
 	}
 	for _, raw := range whole.Itineraries {
-		if err := a.piece("itineraries", a.route, raw); err != nil {
+		if err := v.piece("itineraries", v.route, raw); err != nil {
 			return 0, err
 		}
 		var r routeconfig.Route
 		if err := json.Unmarshal(raw, &r); err != nil {
 			return 0, errors.Wrap(err, "itineraries")
 		}
-		if err := goesSomewhere(&r, services); err != nil {
+		if err := checkServices(&r, services); err != nil {
 			return 0, errors.Wrapf(err, "itineraries, %s", r.Name)
 		}
 	}
 	if whole.SizeLimits != nil {
-		if err := a.piece("sizeLimits", a.limits, whole.SizeLimits); err != nil {
+		if err := v.piece("sizeLimits", v.limits, whole.SizeLimits); err != nil {
 			return 0, err
 		}
 	}
-	return edition, nil
+	return version, nil
 }
 
-// goesSomewhere checks that a route's services are ones of the configuration.
-func goesSomewhere(r *routeconfig.Route, services map[string]bool) error {
+// checkServices checks that a route has a service, and that the configuration has all services of the route.
+func checkServices(r *routeconfig.Route, services map[string]bool) error {
 	if r.Carrier == "" && len(r.Allotment) == 0 {
 		return errors.New("carrier: neither it nor an allotment is there")
 	}
@@ -149,37 +150,38 @@
 	return nil
 }
 
-func (a *Validator) piece(where string, rule cue.Value, raw json.RawMessage) error {
-	h := maphash.Bytes(a.seed, append([]byte(where), raw...))
-	if a.known[h] {
+// piece checks one route, service or the limits; where is the field that it stands in.
+func (v *Validator) piece(where string, rule cue.Value, raw json.RawMessage) error {
+	h := maphash.Bytes(v.seed, append([]byte(where), raw...))
+	if v.known[h] {
 		return nil
 	}
-	v := a.ctx.CompileBytes(raw)
-	if err := rule.Unify(v).Validate(cue.Concrete(true)); err != nil {
+	value := v.ctx.CompileBytes(raw)
+	if err := rule.Unify(value).Validate(cue.Concrete(true)); err != nil {
 		return errors.Newf("%s: %s", where, first(err))
 	}
-	a.known[h] = true
+	v.known[h] = true
 	return nil
 }
 
-// first words the first of an error's findings in one line.
+// first is the first error of a CUE error list, in one line with the path of the field.
 func first(err error) string {
 	all := cueerrors.Errors(err)
 	if len(all) == 0 {
 		return err.Error()
 	}
-	words := all[0].Error()
+	text := all[0].Error()
 	if path := all[0].Path(); len(path) > 0 {
 		name := strings.Join(path, ".")
-		if at := strings.Index(words, ": "); at >= 0 {
-			words = words[at+2:]
+		if at := strings.Index(text, ": "); at >= 0 {
+			text = text[at+2:]
 		}
-		words = strings.TrimPrefix(name, "#Route.") + ": " + words
+		text = strings.TrimPrefix(name, "#Route.") + ": " + text
 	}
-	return strings.Join(strings.Fields(words), " ")
+	return strings.Join(strings.Fields(text), " ")
 }
 
-// strictJSON reads a text that has to be one whole value.
+// strictJSON decodes a text that has to be exactly one JSON value.
 func strictJSON(text []byte, into any) error {
 	dec := json.NewDecoder(bytes.NewReader(text))
 	if err := dec.Decode(into); err != nil {
