retrybudget, rendezvous, outcome: standard terms in names and comments

Cause: 'purse', 'word', 'verdicts' and package comments with '(The field's term: ...)' were left from the old themes. Change: comments and unexported names (balances, keys, names); exported names are as they were. The last comments of validate's tests too.

--- a/internal/mesh/outcome/outcome.go
+++ b/internal/mesh/outcome/outcome.go
@@ -1,45 +1,45 @@
-// Package outcome says of an error whether the request behind it may have run. (The field's term: delivery certainty.)
+// Package outcome tells whether a request whose attempt ended may have run at a host.
 //
-// Every error that can end a request carries one, so that what may be sent again is told from what may not in one place.
+// Every error that can end an attempt carries an outcome, so that one place decides what may be sent again.
 package outcome
 
 import "github.com/cockroachdb/errors"
 
-// Outcome is what is known of a request's run at a host.
+// Outcome is how an attempt ended, and so what is known of the request's run at a host.
 type Outcome uint8
 
-// The verdicts. Their numbers go over the wire and into the registers: only add at the end.
+// The outcomes. Their numbers go over the wire and into the registers: only add at the end.
 const (
 	Answered   Outcome = iota // the host's whole answer came
 	Turned                    // turned away before a byte went to the host: no arrival there, never runs
 	HostTurned                // the host said that it did not run it: an arrival, never runs
 	Broken                    // sent, and no whole answer: it may have run
-	Busy                      // its key is at work elsewhere
-	Kept                      // its key's answer, recorded before
-	Lost                      // its key's run ended and nobody knows how: it may have run
-	Expired                   // its time was over before a byte went to the host
-	Late                      // its time was over after it was sent: it may have run
+	Busy                      // its key's request is in progress elsewhere
+	Kept                      // the recorded answer of an earlier run of its key
+	Lost                      // a run of its key ended without a known result: it may have run
+	Expired                   // its deadline passed before a byte went to the host
+	Late                      // its deadline passed after it was sent: it may have run
 	Unclaimed                 // its key could not be claimed in time: nothing was sent
 )
 
-var words = [...]string{"answered", "turned away", "turned away by the host", "broken", "busy", "kept", "lost", "expired",
+var names = [...]string{"answered", "turned away", "turned away by the host", "broken", "busy", "kept", "lost", "expired",
 	"late", "unclaimed"}
 
-func (v Outcome) String() string {
-	if int(v) < len(words) {
-		return words[v]
+func (o Outcome) String() string {
+	if int(o) < len(names) {
+		return names[o]
 	}
 	return "unknown"
 }
 
-// NeverRan reports whether the request has not run by this try, and will not.
-func (v Outcome) NeverRan() bool {
-	return v == Turned || v == HostTurned || v == Expired || v == Unclaimed
+// NeverRan reports whether this attempt has not run the request and never will.
+func (o Outcome) NeverRan() bool {
+	return o == Turned || o == HostTurned || o == Expired || o == Unclaimed
 }
 
-// Arrived reports whether the try reached a host, so that it counts for the budget of further tries.
-func (v Outcome) Arrived() bool {
-	return v == Answered || v == HostTurned || v == Broken || v == Late
+// Arrived reports whether the attempt reached a host, so that it counts for the retry budget.
+func (o Outcome) Arrived() bool {
+	return o == Answered || o == HostTurned || o == Broken || o == Late
 }
 
 type marked struct {
@@ -50,17 +50,17 @@
 func (m *marked) Unwrap() error { return m.error }
 
 // Mark gives an error its outcome. A nil error stays nil.
-func Mark(err error, v Outcome) error {
+func Mark(err error, o Outcome) error {
 	if err == nil {
 		return nil
 	}
-	return &marked{err, v}
+	return &marked{err, o}
 }
 
-// Newf makes an error with a outcome.
-func Newf(v Outcome, format string, args ...any) error { return Mark(errors.Newf(format, args...), v) }
+// Newf makes an error with an outcome.
+func Newf(o Outcome, format string, args ...any) error { return Mark(errors.Newf(format, args...), o) }
 
-// Of is an error's outcome. What carries none may have run: that is the side on which nothing is doubled.
+// Of is an error's outcome. An error without one counts as Broken: the request may have run, so it is not sent twice.
 func Of(err error) Outcome {
 	if err == nil {
 		return Answered
--- a/internal/mesh/rendezvous/rendezvous.go
+++ b/internal/mesh/rendezvous/rendezvous.go
@@ -1,5 +1,5 @@
-// Package rendezvous says by rendezvous hashing who belongs to whom. (The field's term: highest random weight.) All who know the same
-// names agree without a word, and a name that goes changes only what it was part of.
+// Package rendezvous ranks nodes by rendezvous hashing (highest random weight). All processes that know the same nodes compute the
+// same order without communication, and a node that leaves changes only the assignments that it was part of.
 package rendezvous
 
 import (
@@ -8,8 +8,8 @@
 	"slices"
 )
 
-// Order ranks names for a word, the first one first.
-func Order(word string, names []string) []string {
+// Order ranks names for a key, by descending hash.
+func Order(key string, names []string) []string {
 	type scored struct {
 		name  string
 		score uint64
@@ -17,7 +17,7 @@
 	all := make([]scored, len(names))
 	for i, name := range names {
 		h := fnv.New64a()
-		h.Write([]byte(word))
+		h.Write([]byte(key))
 		h.Write([]byte{0})
 		h.Write([]byte(name))
 		x := h.Sum64()
@@ -34,7 +34,7 @@
 	return order
 }
 
-// Watched names the few others that one knows and watches.
+// Watched is the set of at most so many others that a node watches.
 func Watched(self string, all []string, most int) []string {
 	others := slices.DeleteFunc(slices.Clone(all), func(name string) bool { return name == self })
 	order := Order(self, others)
--- a/internal/mesh/rendezvous/rendezvous_test.go
+++ b/internal/mesh/rendezvous/rendezvous_test.go
@@ -13,16 +13,16 @@
 	return all
 }
 
-// Names that differ at their ends only share the words about evenly, whoever lists them in whatever order.
+// Names that differ only at their ends share the keys about evenly, in whatever order they are listed.
 func TestOrderIsEvenAndAgreed(t *testing.T) {
 	all := names(5)
 	turned := slices.Clone(all)
 	slices.Reverse(turned)
 	first := map[string]int{}
 	for i := range 5000 {
-		word := fmt.Sprintf("k-%d", i)
-		order := Order(word, all)
-		if !slices.Equal(order, Order(word, turned)) {
+		key := fmt.Sprintf("k-%d", i)
+		order := Order(key, all)
+		if !slices.Equal(order, Order(key, turned)) {
 			t.Fatal("the order of the list matters")
 		}
 		first[order[0]]++
@@ -34,7 +34,7 @@
 	}
 }
 
-// One that goes changes only the sets that it was in.
+// A node that leaves changes only the sets that it was in.
 func TestWatchedChangesLittle(t *testing.T) {
 	all := names(40)
 	gone := all[7]
--- a/internal/mesh/retrybudget/budget.go
+++ b/internal/mesh/retrybudget/budget.go
@@ -1,56 +1,58 @@
-// Package retrybudget is the budget of further tries that all proxies share without talking of it. (The field's term: retry budget.)
+// Package retrybudget is a retry budget that all proxies share without coordination.
 //
-// The rule sums arrivals beyond the first of each request over all machines and any window. Each proxy earns a part of the
-// ratio for every request that its own clients send to a service, and saves up at most its part of the slack; so the sum over
-// proxies stays inside whatever they do, and nobody has to ask. Calls that a repeated run makes count as repeats at the
-// services that it calls: that is why it is only a part of the ratio.
+// The operators bound retries, the arrivals at hosts beyond the first of each request, summed over all proxies and any window: a
+// ratio of the requests and a constant slack. Each proxy adds a part of the ratio to a service's balance for every request that
+// its own clients send there, and a balance holds at most the proxy's part of the slack. So the sum over all proxies stays within
+// the bound whatever each does. Calls that a repeated run makes count as retries at the services that it calls, which is why only
+// a part of the ratio is used here.
 package retrybudget
 
 const (
-	ratioPart = 0.5 // of the ratio is spent here; the rest is for calls made by repeated runs
-	slackPart = 0.6 // of the slack; the rest is for proxies that start anew and come with a purse of their own
-	mostNames = 1024
+	ratioPart = 0.5  // of the ratio is used here; the rest is for calls made by repeated runs
+	slackPart = 0.6  // of the slack; the rest is for proxies that restart, each with a new budget
+	mostNames = 1024 // services with a balance
 )
 
-// Budget is one proxy's.
+// Budget is one proxy's part of the shared budget, with a balance for each service.
 type Budget struct {
 	ratio, slack float64
 	proxies      int
-	saved        map[string]float64
+	balances     map[string]float64
 }
 
-// New makes a purse by the figures of the rule.
+// New makes a budget by the operators' bounds, for a proxy that knows of no other.
 func New(ratio, slack float64) *Budget {
-	return &Budget{ratio: ratio * ratioPart, slack: slack * slackPart, proxies: 1, saved: map[string]float64{}}
+	return &Budget{ratio: ratio * ratioPart, slack: slack * slackPart, proxies: 1, balances: map[string]float64{}}
 }
 
-// Share tells how many proxies share the slack.
-func (p *Budget) Share(proxies int) { p.proxies = max(1, proxies) }
+// Share sets the number of proxies that share the slack.
+func (b *Budget) Share(proxies int) { b.proxies = max(1, proxies) }
 
-func (p *Budget) most() float64 { return p.slack / float64(p.proxies) }
+// most is the bound of a balance.
+func (b *Budget) most() float64 { return b.slack / float64(b.proxies) }
 
-// Earn counts a request of this proxy's own clients.
-func (p *Budget) Earn(service string) {
-	saved, known := p.saved[service]
-	if !known && len(p.saved) >= mostNames {
+// Earn adds to a service's balance for a request of this proxy's own clients. A service that is new begins with half of the most.
+func (b *Budget) Earn(service string) {
+	balance, known := b.balances[service]
+	if !known && len(b.balances) >= mostNames {
 		return
 	}
 	if !known {
-		saved = p.most() / 2
+		balance = b.most() / 2
 	}
-	p.saved[service] = min(p.most(), saved+p.ratio)
+	b.balances[service] = min(b.most(), balance+b.ratio)
 }
 
-// Spend says whether a further try may go to a host of a service, and takes it off.
-func (p *Budget) Spend(service string) bool {
-	if p.saved[service] < 1 {
+// Spend reports whether a retry may go to a host of a service, and if so takes it off the balance.
+func (b *Budget) Spend(service string) bool {
+	if b.balances[service] < 1 {
 		return false
 	}
-	p.saved[service]--
+	b.balances[service]--
 	return true
 }
 
-// Back gives a try back that turned out not to have arrived anywhere.
-func (p *Budget) Back(service string) {
-	p.saved[service] = min(p.most(), p.saved[service]+1)
+// Back refunds a retry that did not arrive at any host.
+func (b *Budget) Back(service string) {
+	b.balances[service] = min(b.most(), b.balances[service]+1)
 }
--- a/internal/mesh/retrybudget/budget_test.go
+++ b/internal/mesh/retrybudget/budget_test.go
@@ -5,24 +5,24 @@
 	"testing"
 )
 
-// Whatever proxies do, and though some start anew in between, in no window do all together send more further tries than the rule
-// allows: a fifth of the requests and the slack.
+// Whatever proxies do, and though some restart in between, in no window do all together send more retries than the bound allows: a
+// fifth of the requests and the slack.
 func TestSumStaysInsideTheRule(t *testing.T) {
 	const proxies, seconds, window, ratio, slack = 15, 120, 10, 0.2, 60.0
 	rng := rand.New(rand.NewPCG(1, 1))
-	purses := make([]*Budget, proxies)
+	budgets := make([]*Budget, proxies)
 	fresh := func() *Budget {
 		p := New(ratio, slack)
 		p.Share(proxies)
 		return p
 	}
-	for i := range purses {
-		purses[i] = fresh()
+	for i := range budgets {
+		budgets[i] = fresh()
 	}
 	var asked, again [seconds]int
 	spent := 0
 	for s := range seconds {
-		for i, p := range purses {
+		for i, p := range budgets {
 			for range rng.IntN(2 * (i + 1)) { // some are asked much, some hardly ever
 				asked[s]++
 				p.Earn("a")
@@ -34,25 +34,25 @@
 				}
 			}
 			if rng.IntN(40) == 0 {
-				purses[i] = fresh()
+				budgets[i] = fresh()
 			}
 		}
 	}
 	for at := 0; at+window <= seconds; at++ {
-		requests, further := 0, 0
+		requests, retries := 0, 0
 		for s := at; s < at+window; s++ {
-			requests, further = requests+asked[s], further+again[s]
+			requests, retries = requests+asked[s], retries+again[s]
 		}
-		if float64(further) > ratio*float64(requests)+slack {
-			t.Fatalf("from %d s: %d further tries for %d requests", at, further, requests)
+		if float64(retries) > ratio*float64(requests)+slack {
+			t.Fatalf("from %d s: %d retries for %d requests", at, retries, requests)
 		}
 	}
 	if spent < 500 {
-		t.Fatalf("%d further tries in all: this shows nothing", spent)
+		t.Fatalf("%d retries in all: this shows nothing", spent)
 	}
 }
 
-// A try that arrived nowhere is given back, and no more is saved than the proxy's part of the slack.
+// A retry that arrived nowhere is refunded, and a balance holds no more than the proxy's part of the slack.
 func TestBackAndBound(t *testing.T) {
 	p := New(0.2, 10)
 	p.Share(2)
@@ -64,10 +64,10 @@
 		n++
 	}
 	if n != 3 {
-		t.Fatalf("%d saved", n)
+		t.Fatalf("balance of %d retries", n)
 	}
 	p.Back("a")
 	if !p.Spend("a") || p.Spend("a") || p.Spend("b") {
-		t.Fatal("one was given back, to one service")
+		t.Fatal("one was refunded, to one service")
 	}
 }
--- a/internal/mesh/routeconfig/validate/validate_test.go
+++ b/internal/mesh/routeconfig/validate/validate_test.go
@@ -14,10 +14,10 @@
 	`"carriers":[{"name":"s1","healthPath":"/health","berthCap":110,"protocol":"h1","sealed":false,"dedupSelf":false},` +
 	`{"name":"s2"}],"sizeLimits":{"headerBytes":16384,"bodyBytes":67108864,"headerWaitMs":3000,"idleWaitMs":15000}}`
 
-// Each kind of invalid configuration that the operators' page names is refused with a word that names the field.
+// Each kind of invalid configuration in the operators' specification is refused with an error that names the field.
 func TestCheckNamesTheField(t *testing.T) {
-	a := New()
-	if n, err := a.Check([]byte(good)); err != nil || n != 7 {
+	v := New()
+	if n, err := v.Check([]byte(good)); err != nil || n != 7 {
 		t.Fatalf("the good one: %d, %v", n, err)
 	}
 	for _, c := range []struct{ from, to, says string }{
@@ -35,31 +35,31 @@
 		if text == good {
 			t.Fatalf("nothing to replace: %s", c.from)
 		}
-		_, err := a.Check([]byte(text))
+		_, err := v.Check([]byte(text))
 		if err == nil || !strings.Contains(err.Error(), c.says) {
-			t.Errorf("%s: %v, want a word on %s", c.to, err, c.says)
+			t.Errorf("%s: %v, want an error that names %s", c.to, err, c.says)
 		}
 	}
 }
 
-// What an assayer remembers is bounded, and it goes on checking when that is full.
+// The cache of a validator is bounded, and it goes on checking when that is full.
 func TestCheckForgets(t *testing.T) {
-	a := New()
+	v := New()
 	for i := range mostKnown + 10 {
-		a.known[uint64(i)] = true
+		v.known[uint64(i)] = true
 	}
-	if _, err := a.Check([]byte(good)); err != nil {
+	if _, err := v.Check([]byte(good)); err != nil {
 		t.Fatal(err)
 	}
-	if len(a.known) > 100 {
-		t.Fatalf("%d pieces known", len(a.known))
+	if len(v.known) > 100 {
+		t.Fatalf("%d pieces known", len(v.known))
 	}
 }
 
 func BenchmarkCheck(b *testing.B) {
-	a := New()
+	v := New()
 	for i := range b.N {
-		if _, err := a.Check([]byte(strings.ReplaceAll(good, `"/x/`, fmt.Sprintf(`"/x%d/`, i)))); err != nil {
+		if _, err := v.Check([]byte(strings.ReplaceAll(good, `"/x/`, fmt.Sprintf(`"/x%d/`, i)))); err != nil {
 			b.Fatal(err)
 		}
 	}
