ejection: votes, observations and ejection lists in place of the court's terms

Cause: docket, complaint, ruling, guilty, word, witness, judge and Bench were left inside the renamed package. Two texts that operators see: an ejection by vote is by "vote" (was "witnesses"), and the 409 ends in "force is required".

--- a/internal/mesh/control/ejection.go
+++ b/internal/mesh/control/ejection.go
@@ -31,7 +31,7 @@
 }
 
 type ejections struct {
-	judge   ejection.Judge
+	votes   ejection.Votes
 	lists   map[string]*ejectionList // by service
 	news    []*meshpb.Report         // for the others, since the last digest
 	asked   []string                 // the accused hosts that proxies were asked about last
@@ -52,7 +52,7 @@
 	for _, w := range words {
 		all = append(all, ejection.Observation{Station: w.Station, Good: int(w.Good), Bad: int(w.Bad)})
 	}
-	s.ejections.judge.Hear(now, witness, all)
+	s.ejections.votes.Record(now, witness, all)
 	if tell {
 		s.ejections.news = append(s.ejections.news, &meshpb.Report{Witness: witness, Observations: words})
 		s.propagation.digestAt = 0
@@ -100,7 +100,7 @@
 		return
 	}
 	s.ejections.judgeAt = now + judgeEvery
-	accused := s.ejections.judge.Accused(now)
+	accused := s.ejections.votes.Suspects(now)
 	if !slices.Equal(accused, s.ejections.asked) {
 		s.ejections.asked = accused
 		s.propagation.changed = true
@@ -122,9 +122,9 @@
 		case !b.read:
 			s.rule(now, carrier, func(held []ejection.Ejection) ([]ejection.Ejection, bool) { return held, false }, nil)
 		case len(accused) > 0 || len(b.entries) > 0:
-			if _, changed := s.ejections.judge.Weigh(now, s.hostsOf(carrier), b.entries); changed {
+			if _, changed := s.ejections.votes.Decide(now, s.hostsOf(carrier), b.entries); changed {
 				s.rule(now, carrier, func(held []ejection.Ejection) ([]ejection.Ejection, bool) {
-					return s.ejections.judge.Weigh(now, s.hostsOf(carrier), held)
+					return s.ejections.votes.Decide(now, s.hostsOf(carrier), held)
 				}, nil)
 			}
 		}
@@ -190,7 +190,7 @@
 	s.propagation.changed, s.propagation.digestAt = true, 0
 	for _, r := range rulings {
 		s.o.Log("ruling", "carrier", carrier, "station", r.Station, "out", r.InForce(now), "count", r.Count, "by", r.By, "why", r.Why,
-			"against", r.Against, "witnesses", r.Witness)
+			"against", r.Against, "witnesses", r.Observers)
 	}
 	s.wake(now)
 }
@@ -216,8 +216,8 @@
 	w := &meshpb.EjectionList{Carrier: carrier, Version: version}
 	for _, r := range rulings {
 		w.Ejections = append(w.Ejections, &meshpb.Ejection{Station: r.Station, LeftMs: uint32(max(0, r.Until-now) * 1000),
-			EndedMs: uint32(min(1e6, max(0, now-r.Until)) * 1000), Count: uint32(r.Count), Hand: r.Hand, By: r.By, Why: r.Why,
-			Against: uint32(r.Against), Witnesses: uint32(r.Witness)})
+			EndedMs: uint32(min(1e6, max(0, now-r.Until)) * 1000), Count: uint32(r.Count), Hand: r.Manual, By: r.By, Why: r.Why,
+			Against: uint32(r.Against), Witnesses: uint32(r.Observers)})
 	}
 	return w
 }
@@ -227,8 +227,8 @@
 	if r.LeftMs == 0 {
 		until = now - float64(r.EndedMs)/1000
 	}
-	return ejection.Ejection{Station: r.Station, Until: until, Count: int(r.Count), Hand: r.Hand, By: r.By, Why: r.Why,
-		Against: int(r.Against), Witness: int(r.Witnesses)}
+	return ejection.Ejection{Station: r.Station, Until: until, Count: int(r.Count), Manual: r.Hand, By: r.By, Why: r.Why,
+		Against: int(r.Against), Observers: int(r.Witnesses)}
 }
 
 // heardEjections takes what another control process knows to be in force.
--- a/internal/mesh/ejection/ejection.go
+++ b/internal/mesh/ejection/ejection.go
@@ -1,8 +1,8 @@
-// Package ejection is the agreement that a host fails. (The field's term: outlier ejection by quorum.) Before any proxy leaves a host
-// out for what must not run twice, the others have to agree, so that one proxy's bad moment empties no healthy host.
+// Package ejection is outlier ejection by vote: a proxy leaves a host out for requests that must not run twice only once a majority
+// of the proxies that sent to the host agree that it fails, so that one proxy's bad moment does not empty a healthy host.
 //
-// A Tally is what one proxy has seen lately, as a witness. A Bench is what is in force for a service: which hosts are out, until when,
-// and why. A Judge hears all witnesses and says what the next Bench is. None does I/O; times are seconds on clocks that never jump.
+// A Tally counts the outcomes that one proxy has seen lately. Votes collects the observations of all proxies and decides on a
+// service's ejection list: which hosts are out, until when, and why. Neither does I/O; times are seconds on a monotonic clock.
 package ejection
 
 import (
@@ -14,41 +14,41 @@
 )
 
 const (
-	window       = 2.0  // seconds that a docket looks back
-	slots        = 4    // in which it counts
-	leastBad     = 2    // failures that make a complaint
-	badShare     = 0.4  // of what was seen of the host
-	ownPathShare = 0.5  // of the hosts met: with so many failing it is this proxy's own path
-	ownPathLeast = 3    // hosts met, for that
-	wordFor      = 2.5  // seconds for which a word counts
-	leastAccuse  = 2    // witnesses against a host: one alone never suffices
-	firstTerm    = 3.0  // seconds that a host stays out without fresh evidence
-	mostTerm     = 24.0 // a host that flaps stays out longer, up to so long
-	forgive      = 60.0 // seconds after which it counts as a first time again
-	outShare     = 3    // one in so many hosts of a service may be out by witnesses, and one of two
-	mostHosts    = 4096
-	mostWords    = 256  // witnesses heard on one host
-	mostRulings  = 256  // of one service
-	hopSlack     = 0.05 // seconds by which each process that hears of a term takes it as shorter
+	window           = 2.0  // seconds over which a tally counts
+	slots            = 4    // into which the window is divided
+	minFailures      = 2    // with fewer a host does not fail for a proxy
+	failureShare     = 0.4  // of a host's outcomes, from which on it fails for a proxy
+	ownPathShare     = 0.5  // of the hosts sent to: if more fail, the proxy's own network path is at fault
+	ownPathHosts     = 3    // hosts sent to, at least, for that
+	observationFor   = 2.5  // seconds for which an observation counts
+	minVotes         = 2    // votes against a host: one alone never suffices
+	baseTime         = 3.0  // seconds of a first ejection without new evidence
+	maxTime          = 24.0 // repeated ejections last longer, up to this
+	forgetAfter      = 60.0 // seconds after which an ejection counts as a first one again
+	hostsPerEjection = 3    // one in so many hosts of a service may be out by vote, and one of two
+	maxHosts         = 4096
+	maxObservers     = 256  // of one host
+	maxEjections     = 256  // of one service
+	hopSlack         = 0.05 // seconds by which each process that is told of an ejection takes it as shorter
 )
 
-// Until is when a term ends here of which so much was left as it was told.
+// Until is the local time at which an ejection ends that has so many milliseconds left by a message.
 func Until(now float64, leftMs uint32) float64 { return now + max(0, float64(leftMs)/1000-hopSlack) }
 
-// Observation is what a witness saw of a host lately.
+// Observation is the outcomes of one host in the window of one proxy.
 type Observation struct {
 	Station   string
 	Good, Bad int
 }
 
-// ---- the witness
-
+// count is the sliding window of one host's outcomes.
 type count struct {
 	good, bad [slots]int
 	slot      int64
 }
 
-func (c *count) turn(now float64) {
+// advance moves the window to now.
+func (c *count) advance(now float64) {
 	at := int64(now / (window / slots))
 	for ; c.slot < at; c.slot++ {
 		if at-c.slot > slots {
@@ -65,25 +65,28 @@
 	return good, bad
 }
 
-func fails(good, bad int) bool { return bad >= leastBad && float64(bad) >= badShare*float64(good+bad) }
+// fails reports whether a host with such outcomes fails for a proxy.
+func fails(good, bad int) bool {
+	return bad >= minFailures && float64(bad) >= failureShare*float64(good+bad)
+}
 
-// Tally is what one proxy has seen of hosts in the last two seconds.
+// Tally counts the outcomes that one proxy has seen in the last two seconds, by host.
 type Tally struct{ hosts map[string]*count }
 
-// Saw notes an outcome, and says whether the host now fails for this proxy as it did not before.
-func (d *Tally) Saw(now float64, station string, bad bool) (complaint bool) {
-	c := d.hosts[station]
+// Record counts an outcome, and reports whether with it the host begins to fail for this proxy.
+func (t *Tally) Record(now float64, station string, bad bool) (begins bool) {
+	c := t.hosts[station]
 	if c == nil {
-		if d.hosts == nil {
-			d.hosts = map[string]*count{}
+		if t.hosts == nil {
+			t.hosts = map[string]*count{}
 		}
-		if len(d.hosts) >= mostHosts {
+		if len(t.hosts) >= maxHosts {
 			return false
 		}
 		c = &count{}
-		d.hosts[station] = c
+		t.hosts[station] = c
 	}
-	c.turn(now)
+	c.advance(now)
 	was := fails(c.sum())
 	if bad {
 		c.bad[c.slot%slots]++
@@ -93,93 +96,90 @@
 	return bad && !was && fails(c.sum())
 }
 
-// Words are what this proxy has to say: of hosts that fail for it, and of those that it is asked about. A proxy for which many hosts
-// fail says nothing: that is its own path.
-func (d *Tally) Observations(now float64, asked []string) (words []Observation) {
-	met, failing := 0, 0
-	for _, station := range slices.Sorted(maps.Keys(d.hosts)) {
-		c := d.hosts[station]
-		c.turn(now)
+// Observations are those of the hosts that fail for this proxy, and of those that it is asked about. A proxy for which many hosts fail
+// reports none, as its own network path is at fault.
+func (t *Tally) Observations(now float64, asked []string) (all []Observation) {
+	hosts, failing := 0, 0
+	for _, station := range slices.Sorted(maps.Keys(t.hosts)) {
+		c := t.hosts[station]
+		c.advance(now)
 		good, bad := c.sum()
 		if good+bad == 0 {
-			delete(d.hosts, station)
+			delete(t.hosts, station)
 			continue
 		}
-		met++
+		hosts++
 		f := fails(good, bad)
 		if f {
 			failing++
 		}
 		if f || slices.Contains(asked, station) {
-			words = append(words, Observation{station, good, bad})
+			all = append(all, Observation{station, good, bad})
 		}
 	}
-	if met >= ownPathLeast && float64(failing) > ownPathShare*float64(met) {
+	if hosts >= ownPathHosts && float64(failing) > ownPathShare*float64(hosts) {
 		return nil
 	}
-	return words
+	return all
 }
 
-// ---- what is in force
-
-// Ejection is that a host is out.
+// Ejection is an entry of a service's ejection list. One that has ended stays listed for a while with its count.
 type Ejection struct {
-	Station          string
-	Until            float64 // on the clock of who has it; of no account where Hand
-	Count            int     // times in a row
-	Hand             bool    // by an operator: until called back
-	By, Why          string
-	Against, Witness int // how many witnesses said so, of how many
+	Station            string
+	Until              float64 // on the local clock; not used if Manual
+	Count              int     // ejections in a row
+	Manual             bool    // by an operator, until called back
+	By, Why            string
+	Against, Observers int // votes for the ejection, of how many observers
 }
 
-// InForce says whether it holds.
-func (r *Ejection) InForce(now float64) bool { return r.Hand || now < r.Until }
-
-// ---- the judge
+// InForce reports whether the host is out.
+func (r *Ejection) InForce(now float64) bool { return r.Manual || now < r.Until }
 
-type word struct {
+// vote is an observation and the time at which it was received.
+type vote struct {
 	Observation
 	at float64
 }
 
-// Judge hears witnesses.
-type Judge struct{ words map[string]map[string]word } // by host and witness
+// Votes holds the latest observation of each observer on each host.
+type Votes struct{ votes map[string]map[string]vote } // by host and observer
 
-// Hear takes what a witness says. A later word on a host replaces an earlier one.
-func (j *Judge) Hear(now float64, witness string, words []Observation) {
-	if j.words == nil {
-		j.words = map[string]map[string]word{}
+// Record takes an observer's observations. A later one on a host replaces an earlier one.
+func (v *Votes) Record(now float64, observer string, observations []Observation) {
+	if v.votes == nil {
+		v.votes = map[string]map[string]vote{}
 	}
-	for _, w := range words {
-		by := j.words[w.Station]
+	for _, o := range observations {
+		by := v.votes[o.Station]
 		if by == nil {
-			if len(j.words) >= mostHosts {
+			if len(v.votes) >= maxHosts {
 				continue
 			}
-			by = map[string]word{}
-			j.words[w.Station] = by
+			by = map[string]vote{}
+			v.votes[o.Station] = by
 		}
-		if _, known := by[witness]; known || len(by) < mostWords {
-			by[witness] = word{w, now}
+		if _, known := by[observer]; known || len(by) < maxObservers {
+			by[observer] = vote{o, now}
 		}
 	}
 }
 
-// Accused are the hosts against which somebody speaks, in order: others are asked about them.
-func (j *Judge) Accused(now float64) (stations []string) {
-	for station, by := range j.words {
-		accused := false
-		for witness, w := range by {
-			if now > w.at+wordFor {
-				delete(by, witness)
+// Suspects are the hosts that fail for some observer, in order: others are asked about them.
+func (v *Votes) Suspects(now float64) (stations []string) {
+	for station, by := range v.votes {
+		suspect := false
+		for observer, o := range by {
+			if now > o.at+observationFor {
+				delete(by, observer)
 				continue
 			}
-			accused = accused || fails(w.Good, w.Bad)
+			suspect = suspect || fails(o.Good, o.Bad)
 		}
 		if len(by) == 0 {
-			delete(j.words, station)
+			delete(v.votes, station)
 		}
-		if accused {
+		if suspect {
 			stations = append(stations, station)
 		}
 	}
@@ -187,44 +187,44 @@
 	return stations
 }
 
-// speak counts who speaks against a host, and who has met it at all. Where traffic is thin most have met it once: what they saw counts
-// beside a complaint, and is none by itself.
-func (j *Judge) speak(now float64, station string) (against, witnesses int) {
-	complaints := 0
-	for _, w := range j.words[station] {
-		if now > w.at+wordFor || w.Good+w.Bad == 0 {
+// count counts the votes against a host, and all observers that sent to it. Where traffic is thin most have sent to it once: one
+// failure is a vote against it if the host fails for some other observer, and none by itself.
+func (v *Votes) count(now float64, station string) (against, observers int) {
+	failing := 0
+	for _, o := range v.votes[station] {
+		if now > o.at+observationFor || o.Good+o.Bad == 0 {
 			continue
 		}
-		witnesses++
-		if complains := fails(w.Good, w.Bad); complains || w.Bad > 0 && w.Good == 0 {
+		observers++
+		if f := fails(o.Good, o.Bad); f || o.Bad > 0 && o.Good == 0 {
 			against++
-			if complains {
-				complaints++
+			if f {
+				failing++
 			}
 		}
 	}
-	if complaints == 0 {
+	if failing == 0 {
 		against = 0
 	}
-	return against, witnesses
+	return against, observers
 }
 
-// guilty: more than half of those who met the host lately, and two at least.
-func guilty(against, witnesses int) bool { return against >= leastAccuse && 2*against > witnesses }
+// majority reports whether votes suffice: those of more than half of the observers, and of two at least.
+func majority(against, observers int) bool { return against >= minVotes && 2*against > observers }
 
-// Weigh says what is in force next for a service with these hosts, and whether that is anything new: hosts that most of their
-// witnesses speak against go out, up to a share of the service; evidence renews a term; what has ended stays on the list for a while,
-// so that a host that flaps stays out longer.
-func (j *Judge) Weigh(now float64, hosts []string, held []Ejection) (next []Ejection, changed bool) {
+// Decide computes the next ejection list of a service with these hosts from the one held, and whether it differs: hosts with a
+// majority against them are ejected, up to a share of the service; new evidence prolongs an ejection; one that has ended stays listed
+// for a while, so that a host that is ejected again stays out longer.
+func (v *Votes) Decide(now float64, hosts []string, held []Ejection) (next []Ejection, changed bool) {
 	out := 0
 	for _, r := range held {
 		switch {
-		case !slices.Contains(hosts, r.Station) && !r.Hand, !r.Hand && now > r.Until+forgive:
+		case !slices.Contains(hosts, r.Station) && !r.Manual, !r.Manual && now > r.Until+forgetAfter:
 			changed = true
 			continue
-		case r.Hand:
-		case guilty(j.speak(now, r.Station)) && r.InForce(now):
-			if until := now + firstTerm; until > r.Until+firstTerm/3 { // renewed, but not at every word
+		case r.Manual:
+		case majority(v.count(now, r.Station)) && r.InForce(now):
+			if until := now + baseTime; until > r.Until+baseTime/3 { // not at every observation
 				r.Until, changed = until, true
 			}
 		}
@@ -233,10 +233,10 @@
 		}
 		next = append(next, r)
 	}
-	most := max(len(hosts)/outShare, min(1, len(hosts)/2))
+	most := max(len(hosts)/hostsPerEjection, min(1, len(hosts)/2))
 	for _, station := range hosts {
-		against, witnesses := j.speak(now, station)
-		if out >= most || !guilty(against, witnesses) {
+		against, observers := v.count(now, station)
+		if out >= most || !majority(against, observers) {
 			continue
 		}
 		at := slices.IndexFunc(next, func(r Ejection) bool { return r.Station == station })
@@ -249,24 +249,25 @@
 		}
 		r := &next[at]
 		r.Count++
-		r.Until = now + min(mostTerm, firstTerm*float64(int(1)<<min(r.Count-1, 5)))
-		r.By, r.Why, r.Against, r.Witness = "witnesses", "fails for most that met it", against, witnesses
+		r.Until = now + min(maxTime, baseTime*float64(int(1)<<min(r.Count-1, 5)))
+		r.By, r.Why, r.Against, r.Observers = "vote", "fails for most proxies that sent to it", against, observers
 		out++
 		changed = true
 	}
 	return next, changed
 }
 
-// ErrSecondWord tells that an order would leave less than half of a service.
-var ErrSecondWord = errors.New("that would leave less than half of the service's hosts: say it with force")
+// ErrForceRequired tells that an order without force would leave less than half of a service.
+var ErrForceRequired = errors.New("that would leave less than half of the service's hosts: force is required")
 
-// Order takes a host out by hand, or back. Leaving less than half of a service needs force.
+// Order computes the ejection list after an operator's order, which takes a host out or calls it back. Leaving less than half of a
+// service requires force.
 func Order(now float64, hosts []string, held []Ejection, station string, out, force bool, by, why string) ([]Ejection, error) {
 	next := slices.DeleteFunc(slices.Clone(held), func(r Ejection) bool { return r.Station == station })
 	if !out {
 		return next, nil
 	}
-	if len(next) >= mostRulings {
+	if len(next) >= maxEjections {
 		return nil, errors.Newf("%d hosts of the service are out already: call some back", len(next))
 	}
 	left := 0
@@ -277,9 +278,9 @@
 		}
 	}
 	if 2*left < len(hosts) && !force {
-		return nil, ErrSecondWord
+		return nil, ErrForceRequired
 	}
-	next = append(next, Ejection{Station: station, Hand: true, By: by, Why: why})
+	next = append(next, Ejection{Station: station, Manual: true, By: by, Why: why})
 	slices.SortFunc(next, func(a, b Ejection) int { return cmp.Compare(a.Station, b.Station) })
 	return next, nil
 }
--- a/internal/mesh/simulation/ejection_test.go
+++ b/internal/mesh/simulation/ejection_test.go
@@ -137,7 +137,7 @@
 			t.Fatal(err)
 		}
 	}
-	if err := order(2, third, true, false); !errors.Is(err, ejection.ErrSecondWord) {
+	if err := order(2, third, true, false); !errors.Is(err, ejection.ErrForceRequired) {
 		t.Errorf("one of four left: %v", err)
 	}
 	still := func(what string) {
