api, bootstrap, cli: standard terms in names and comments

Cause: comments and receivers kept the old themes (deed, verdict, word, '(The field's term: ...)'). Result: go vet of internal/mesh and cmd; go test of cli, beechwing-sidecar and beechwing-control pass (api and bootstrap have no tests of their own).

--- a/internal/mesh/api/api.go
+++ b/internal/mesh/api/api.go
@@ -1,5 +1,5 @@
-// Package api is where hosts and operators call: every call and its answer are a pair of types behind one generic handler.
-// (The field's term: API server.)
+// Package api is the HTTP API for hosts and operators: every call is a pair of types, request and response, behind one generic
+// handler.
 package api
 
 import (
@@ -13,7 +13,7 @@
 	"beechwing/internal/mesh/sidecar"
 )
 
-// Refusal is an error that the protocol has a status for.
+// Refusal is an error with an HTTP status. Errors without one are answered 503.
 type Refusal struct {
 	Status   int
 	Why      string
@@ -22,23 +22,23 @@
 
 func (r Refusal) Error() string { return r.Why }
 
-// Call is what a handler is told of a call besides its body.
+// Call is what a handler gets besides the decoded body.
 type Call struct {
-	ID   string // of the path
-	Body []byte
+	ID   string // the path's {id}
+	Body []byte // as it came
 }
 
-// Bodies bound the calls, in bytes.
+// The bounds of request bodies, in bytes.
 const (
 	SmallBody = 64 << 10
 	LargeBody = 16 << 20
 )
 
-// Handle serves one kind of call. In is read from JSON where it is not an empty struct; a nil *Out is an empty object; *Raw goes
-// out as it is.
+// Handle serves one kind of call. In is decoded from JSON, but Raw is the body as it came and None reads nothing. Out is encoded as
+// JSON, but Raw is sent as it is.
 func Handle[In, Out any](mux *http.ServeMux, pattern string, most int64, serve func(c Call, in *In) (*Out, error)) {
 	mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
-		out, err := take(w, r, most, serve)
+		out, err := call(w, r, most, serve)
 		w.Header().Set("Content-Type", "application/json")
 		if err != nil {
 			status := http.StatusServiceUnavailable
@@ -63,13 +63,14 @@
 	})
 }
 
-// Raw is an answer that stands as JSON already.
+// Raw is a body that is JSON already.
 type Raw []byte
 
-// None stands for a call or an answer without content.
+// None is a body without content.
 type None struct{}
 
-func take[In, Out any](w http.ResponseWriter, r *http.Request, most int64, serve func(Call, *In) (*Out, error)) (*Out, error) {
+// call decodes a request and has it served.
+func call[In, Out any](w http.ResponseWriter, r *http.Request, most int64, serve func(Call, *In) (*Out, error)) (*Out, error) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
 	if err != nil {
 		if large := (*http.MaxBytesError)(nil); errors.As(err, &large) {
@@ -88,7 +89,7 @@
 	return serve(Call{ID: r.PathValue("id"), Body: body}, in)
 }
 
-// Beat is a host's word on itself.
+// Beat is a host's heartbeat. Its fields have the operators' names.
 type Beat struct {
 	Carrier    string  `json:"carrier"`
 	Address    string  `json:"address"`
@@ -100,7 +101,7 @@
 	Sequence   uint64  `json:"sequence"`
 }
 
-// Station checks a beat and gives it in the data plane's words.
+// Station validates a heartbeat and converts it to the data plane's record of the host.
 func (b *Beat) Station(id string) (sidecar.Station, error) {
 	s := sidecar.Station{ID: id, Carrier: b.Carrier, Address: b.Address, Zone: b.Zone, Berths: b.Berths, ColdMs: int(b.ColdLeftMs),
 		Sequence: b.Sequence}
@@ -117,15 +118,15 @@
 	return s, nil
 }
 
-// Taken answers a configuration that was taken, or was overtaken already.
+// Taken acknowledges a configuration with its version. One that is not newer than the one held is acknowledged too.
 type Taken struct {
 	Edition uint64 `json:"taken"`
 }
 
-// Order takes a host out by hand, or back, for what must not run twice.
+// Order is an operator's order to take a host out for requests that must not run twice, or to call it back.
 type Order struct {
 	Out   bool   `json:"out"`
-	Force bool   `json:"force"` // the second word, where less than half of the service would be left
+	Force bool   `json:"force"` // required where less than half of the service's hosts would be left
 	By    string `json:"by"`
 	Why   string `json:"why"`
 }
--- a/internal/mesh/bootstrap/bootstrap.go
+++ b/internal/mesh/bootstrap/bootstrap.go
@@ -1,4 +1,4 @@
-// Package bootstrap reads the settings file that the platform hands to every process. (The field's term: bootstrap settings.)
+// Package bootstrap reads the settings file that the platform gives to every process.
 package bootstrap
 
 import (
@@ -16,7 +16,7 @@
 // Variable names the environment variable that holds the file's path.
 const Variable = "BEECHWING_SETTINGS"
 
-// Settings is what a process is told. Fields of the file that it does not know are passed over: more may be added.
+// Settings is the settings file, with the platform's names. Unknown fields are ignored, as more may be added.
 type Settings struct {
 	NodeName    string            `toml:"nodeName"`
 	Role        string            `toml:"stationRole"`
@@ -68,8 +68,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "settings")
 	}
-	d := &Settings{}
-	if err := toml.Unmarshal(text, d); err != nil {
+	s := &Settings{}
+	if err := toml.Unmarshal(text, s); err != nil {
 		var bad *toml.DecodeError
 		if errors.As(err, &bad) {
 			row, col := bad.Position()
@@ -78,27 +78,27 @@
 		}
 		return nil, errors.Wrapf(err, "settings: %s", path)
 	}
-	if err := d.check(); err != nil {
+	if err := s.check(); err != nil {
 		return nil, errors.Wrapf(err, "settings: %s", path)
 	}
-	return d, nil
+	return s, nil
 }
 
-func (d *Settings) check() error {
-	if _, err := netip.ParseAddr(d.IP); err != nil {
-		return errors.Newf("ip: %q is no address", d.IP)
+func (s *Settings) check() error {
+	if _, err := netip.ParseAddr(s.IP); err != nil {
+		return errors.Newf("ip: %q is no address", s.IP)
 	}
-	if d.Zone == "" {
+	if s.Zone == "" {
 		return errors.New("zone: is missing")
 	}
-	if len(d.SparePorts) < 1 || d.SparePorts[0] <= 0 || d.SparePorts[0] > 65535 {
-		return errors.Newf("sparePorts: %v holds no port for what processes say to each other", d.SparePorts)
+	if len(s.SparePorts) < 1 || s.SparePorts[0] <= 0 || s.SparePorts[0] > 65535 {
+		return errors.Newf("sparePorts: %v holds no port for what processes say to each other", s.SparePorts)
 	}
-	if len(d.SeedDepots) == 0 {
+	if len(s.SeedDepots) == 0 {
 		return errors.New("seedDepots: names no one")
 	}
-	for name, addr := range map[string]string{"docking.outboundDock": d.Docking.Outbound, "docking.readyDock": d.Docking.Ready,
-		"docking.controlDock": d.Docking.Control, "appAddress": d.AppAddress} {
+	for name, addr := range map[string]string{"docking.outboundDock": s.Docking.Outbound, "docking.readyDock": s.Docking.Ready,
+		"docking.controlDock": s.Docking.Control, "appAddress": s.AppAddress} {
 		if addr == "" {
 			continue
 		}
@@ -106,21 +106,21 @@
 			return errors.Newf("%s: %q is not address and port", name, addr)
 		}
 	}
-	for _, seed := range d.SeedDepots {
+	for _, seed := range s.SeedDepots {
 		if _, err := netip.ParseAddrPort(seed); err != nil {
 			return errors.Newf("seedDepots: %q is not address and port", seed)
 		}
 	}
-	d.bounds = map[string]float64{}
-	for _, text := range d.BoundTexts {
+	s.bounds = map[string]float64{}
+	for _, text := range s.BoundTexts {
 		name, value, _ := strings.Cut(text, "=")
 		switch v, err := strconv.ParseFloat(value, 64); {
 		case err == nil:
-			d.bounds[name] = v
+			s.bounds[name] = v
 		case value == "true":
-			d.bounds[name] = 1
+			s.bounds[name] = 1
 		case value == "false":
-			d.bounds[name] = 0
+			s.bounds[name] = 0
 		default:
 			return errors.Newf("bounds: %q is not name=value", text)
 		}
@@ -128,32 +128,32 @@
 	return nil
 }
 
-// Bound is a figure of the rules, or what is taken where it is not told.
-func (d *Settings) Bound(name string, otherwise float64) float64 {
-	if v, told := d.bounds[name]; told {
+// Bound is a number among the bounds, or otherwise if the file has none of that name.
+func (s *Settings) Bound(name string, otherwise float64) float64 {
+	if v, told := s.bounds[name]; told {
 		return v
 	}
 	return otherwise
 }
 
-// Span is a bound in seconds.
-func (d *Settings) Span(name string, otherwise time.Duration) time.Duration {
+// Span is a bound as a duration: in milliseconds if its name ends in Ms, else in seconds.
+func (s *Settings) Span(name string, otherwise time.Duration) time.Duration {
 	unit := time.Second
 	if strings.HasSuffix(name, "Ms") {
 		unit = time.Millisecond
 	}
-	return time.Duration(d.Bound(name, float64(otherwise)/float64(unit)) * float64(unit))
+	return time.Duration(s.Bound(name, float64(otherwise)/float64(unit)) * float64(unit))
 }
 
-// Inner is the address at which this process is known to the others of the mesh.
-func (d *Settings) Inner() string { return net.JoinHostPort(d.IP, strconv.Itoa(d.SparePorts[0])) }
+// Inner is the address at which the other processes of the mesh reach this one.
+func (s *Settings) Inner() string { return net.JoinHostPort(s.IP, strconv.Itoa(s.SparePorts[0])) }
 
-// Seeds are the inner addresses of the control processes that the file names: on all machines of a day ports are the same.
-func (d *Settings) Seeds() []string {
+// Seeds are the inner addresses of the control processes that the file names. All machines use the same ports.
+func (s *Settings) Seeds() []string {
 	var seeds []string
-	for _, s := range d.SeedDepots {
-		at, _ := netip.ParseAddrPort(s)
-		seeds = append(seeds, net.JoinHostPort(at.Addr().String(), strconv.Itoa(d.SparePorts[0])))
+	for _, text := range s.SeedDepots {
+		at, _ := netip.ParseAddrPort(text)
+		seeds = append(seeds, net.JoinHostPort(at.Addr().String(), strconv.Itoa(s.SparePorts[0])))
 	}
 	return seeds
 }
--- a/internal/mesh/cli/cli.go
+++ b/internal/mesh/cli/cli.go
@@ -1,4 +1,5 @@
-// Package cli holds what both programs of the mesh are started with: clock, logs, command line, settings that change.
+// Package cli is what both programs of the mesh share around their state machines: command line, clock, log, metrics, and the
+// settings file, which is watched for changes.
 package cli
 
 import (
@@ -16,16 +17,16 @@
 	"beechwing/internal/mesh/bootstrap"
 )
 
-// Clock counts seconds since the process started. It never jumps, whatever the time of day does.
+// Clock is a monotonic clock of seconds since the process started.
 type Clock struct{ start time.Time }
 
 // NewClock starts a clock.
 func NewClock() Clock { return Clock{time.Now()} }
 
 // Now is the time in seconds.
-func (c Clock) Now() float64 { return time.Since(c.start).Seconds() + 1 } // 0 stands for never
+func (c Clock) Now() float64 { return time.Since(c.start).Seconds() + 1 } // 0 means never
 
-// At turns a time of this clock into one that deadlines take.
+// At converts a time of this clock to a time.Time.
 func (c Clock) At(t float64) time.Time {
 	return c.start.Add(time.Duration((t - 1) * float64(time.Second)))
 }
@@ -41,17 +42,17 @@
 	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: least})), nil
 }
 
-// memoryShare of what a process may have, beyond which it collects garbage all the time rather than grow.
+// memoryShare is the part of a process's memory limit that is the soft limit of Go's garbage collector.
 const memoryShare = 0.7
 
-// Memory keeps the process inside what its settings allow.
-func Memory(d *bootstrap.Settings) {
-	if d.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(d.Limits.MemoryMB<<20)))
+// Memory sets the soft memory limit by the settings.
+func Memory(s *bootstrap.Settings) {
+	if s.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryMB<<20)))
 	}
 }
 
-// Listen listens at an address. Connections get no keep-alive probes: callers come and go in moments, and each setting is a call.
+// Listen listens at an address. TCP keep-alive is off: connections are short, and setting it up costs system calls for each.
 func Listen(ctx context.Context, addr string) (net.Listener, error) {
 	lc := net.ListenConfig{KeepAlive: -1}
 	ln, err := lc.Listen(ctx, "tcp", addr)
@@ -74,11 +75,11 @@
 	return s, nil
 }
 
-// lookEvery is how often the settings file is looked at: it may change without a signal.
+// lookEvery is how often the settings file is read: it may change without a signal.
 const lookEvery = time.Second
 
-// Settings follows the settings file: changed is called with every other one that makes sense. One that makes none changes
-// nothing.
+// Settings watches the settings file and calls changed with each new content that is valid. One that is not valid is logged and
+// ignored. A signal on again has the file read at once.
 func Settings(ctx context.Context, path string, again <-chan os.Signal, log *slog.Logger, changed func(*bootstrap.Settings)) {
 	last, _ := os.ReadFile(path)
 	tick := time.NewTicker(lookEvery)
@@ -95,12 +96,12 @@
 			continue
 		}
 		last = text
-		d, err := bootstrap.Read(path)
+		s, err := bootstrap.Read(path)
 		if err != nil {
 			log.Warn("settings not taken", "error", err)
 			continue
 		}
-		log.Info("settings taken", "seeds", d.SeedDepots)
-		changed(d)
+		log.Info("settings taken", "seeds", s.SeedDepots)
+		changed(s)
 	}
 }
--- a/internal/mesh/cli/commands.go
+++ b/internal/mesh/cli/commands.go
@@ -21,21 +21,21 @@
 	"beechwing/internal/mesh/bootstrap"
 )
 
-// Program is one of the two, as its command line knows it.
+// Program is what the command line needs of a program.
 type Program struct {
 	Name, Short string
-	Run         func(ctx context.Context, d *bootstrap.Settings, o Options, log *slog.Logger) error
-	Check       func(configuration []byte) (verdict string, err error)
-	Orders      bool // it takes an operator's orders on hosts
+	Run         func(ctx context.Context, s *bootstrap.Settings, o Options, log *slog.Logger) error
+	Check       func(configuration []byte) (result string, err error)
+	Orders      bool // it has the subcommands for operators' orders on hosts
 }
 
-// Options are what the command line of run may say.
+// Options are the flags of run that the program itself uses.
 type Options struct {
-	Metrics int  // port for figures; 0: none
-	Agreed  bool // hosts are left out for what must not run twice by agreement only
+	Metrics int  // port of the metrics; 0: none
+	Agreed  bool // eject hosts for requests that must not run twice only by vote
 }
 
-// Main runs a program's command line and gives the exit status: 0 well, 1 failed, 2 not understood.
+// Main runs a program's command line and returns the exit status: 0 success, 1 failure, 2 usage.
 func Main(p Program) int {
 	root := &ff.Command{Name: p.Name, Usage: p.Name + " SUBCOMMAND", ShortHelp: p.Short}
 	flags := ff.NewFlagSet("run")
@@ -43,8 +43,8 @@
 	agreed := flags.BoolLong("agreed-ejection", "leave a host out for operations only where most proxies that met it agree that it fails (beechwing-sidecar)")
 	metrics := flags.IntLong("metrics", 0, "port of sparePorts at which figures are served as text; 0: none")
 	profile := flags.StringLong("profile", "", "file for a CPU profile of the whole run")
-	looks := ff.NewFlagSet("state")
-	plain := looks.BoolLong("json", "as JSON in place of a table")
+	stateFlags := ff.NewFlagSet("state")
+	plain := stateFlags.BoolLong("json", "as JSON in place of a table")
 	root.Subcommands = []*ff.Command{
 		{Name: "run", Usage: p.Name + " run [--log LEVEL] [--agreed-ejection] [--metrics PORT] [--profile FILE]", Flags: flags,
 			ShortHelp: "serve, by the settings file that " + bootstrap.Variable + " names",
@@ -53,7 +53,7 @@
 			}},
 		{Name: "check", Usage: p.Name + " check FILE ...", ShortHelp: "check settings (.toml) and configurations (.json)",
 			Exec: func(_ context.Context, args []string) error { return p.check(args) }},
-		{Name: "state", Usage: p.Name + " state [--json] ADDRESS", Flags: looks,
+		{Name: "state", Usage: p.Name + " state [--json] ADDRESS", Flags: stateFlags,
 			ShortHelp: "what a running process knows, from its control address",
 			Exec:      func(ctx context.Context, args []string) error { return state(ctx, args, *plain) }},
 	}
@@ -77,7 +77,7 @@
 }
 
 func (p Program) serve(ctx context.Context, level, profile string, o Options) error {
-	d, err := bootstrap.Load(os.Getenv)
+	s, err := bootstrap.Load(os.Getenv)
 	if err != nil {
 		return err
 	}
@@ -90,32 +90,32 @@
 		return err
 	}
 	defer end()
-	return p.Run(ctx, d, o, log)
+	return p.Run(ctx, s, o, log)
 }
 
-// check checks the files that are named.
+// check validates the files that are named.
 func (p Program) check(args []string) error {
 	if len(args) == 0 {
 		return errors.New("check: which file?")
 	}
 	for _, path := range args {
 		if strings.HasSuffix(path, ".toml") {
-			d, err := bootstrap.Read(path)
+			s, err := bootstrap.Read(path)
 			if err != nil {
 				return err
 			}
-			fmt.Printf("settings of %s at %s: valid\n", d.NodeName, d.Inner())
+			fmt.Printf("settings of %s at %s: valid\n", s.NodeName, s.Inner())
 			continue
 		}
 		text, err := os.ReadFile(path)
 		if err != nil {
 			return errors.Wrap(err, "check")
 		}
-		verdict, err := p.Check(text)
+		result, err := p.Check(text)
 		if err != nil {
 			return errors.Wrap(err, path)
 		}
-		fmt.Println("configuration", verdict)
+		fmt.Println("configuration", result)
 	}
 	return nil
 }
@@ -138,10 +138,10 @@
 	}, nil
 }
 
-// mostState bounds what is read of an answer to state.
+// mostState bounds the size of a state.
 const mostState = 64 << 20
 
-// state asks a running process what it knows, and shows it.
+// state fetches and shows the state of a running process.
 func state(ctx context.Context, args []string, plain bool) error {
 	if len(args) != 1 {
 		return errors.New("state: which address?")
@@ -171,11 +171,11 @@
 	return table(text, os.Stdout)
 }
 
-// order makes the command that takes a host out or back.
+// order makes the subcommand that takes a host out or calls it back.
 func (p Program) order(name, short string) *ff.Command {
 	flags := ff.NewFlagSet(name)
-	by := flags.StringLong("by", "", "who says so")
-	why := flags.StringLong("why", "", "for those who look later")
+	by := flags.StringLong("by", "", "who gives the order")
+	why := flags.StringLong("why", "", "the reason, for the record")
 	force := flags.BoolLong("force", "also where less than half of the service's hosts would be left")
 	return &ff.Command{Name: name, Usage: p.Name + " " + name + " --by NAME [--why TEXT] [--force] ADDRESS STATION", Flags: flags, ShortHelp: short,
 		Exec: func(ctx context.Context, args []string) error {
--- a/internal/mesh/cli/metrics.go
+++ b/internal/mesh/cli/metrics.go
@@ -14,20 +14,20 @@
 	"beechwing/internal/mesh/bootstrap"
 )
 
-// Page is one reading of a process's figures.
+// Page is one scrape of a process's metrics.
 type Page struct{ set *metrics.Set }
 
-// Count notes a figure that only grows; labels are pairs of name and value.
+// Count sets a counter; labels are pairs of name and value.
 func (p Page) Count(name string, n uint64, labels ...string) {
 	p.set.GetOrCreateCounter(series(name, labels)).Set(n)
 }
 
-// Gauge notes a figure as it is now.
+// Gauge sets a gauge; labels are pairs of name and value.
 func (p Page) Gauge(name string, v float64, labels ...string) {
 	p.set.GetOrCreateGauge(series(name, labels), nil).Set(v)
 }
 
-// Flag notes whether something is so, as 1 or 0.
+// Flag sets a gauge to 1 or 0.
 func (p Page) Flag(name string, yes bool) {
 	v := 0.0
 	if yes {
@@ -50,13 +50,13 @@
 	return name
 }
 
-// Metrics serves a process's figures in the usual text format (https://prometheus.io/docs/instrumenting/exposition_formats/) at a
-// port of the machine's sparePorts. Port 0: nowhere. read is called for each reading.
-func Metrics(ctx context.Context, d *bootstrap.Settings, port int, read func(Page), log *slog.Logger) error {
+// Metrics serves a process's metrics in Prometheus's text format (https://prometheus.io/docs/instrumenting/exposition_formats/) at a
+// port of the machine's sparePorts; with port 0 it does nothing. read is called for each scrape.
+func Metrics(ctx context.Context, s *bootstrap.Settings, port int, read func(Page), log *slog.Logger) error {
 	if port == 0 {
 		return nil
 	}
-	first, last := d.SparePorts[0], d.SparePorts[len(d.SparePorts)-1]
+	first, last := s.SparePorts[0], s.SparePorts[len(s.SparePorts)-1]
 	if port <= first || port > last {
 		return errors.Newf("--metrics %d: is none of the machine's spare ports after its first, %d to %d", port, first+1, last)
 	}
@@ -69,6 +69,6 @@
 		metrics.WriteProcessMetrics(w)
 		fmt.Fprintln(w)
 	})
-	_, err := Serve(ctx, net.JoinHostPort(d.IP, strconv.Itoa(port)), mux, log)
+	_, err := Serve(ctx, net.JoinHostPort(s.IP, strconv.Itoa(port)), mux, log)
 	return errors.Wrap(err, "metrics")
 }
--- a/internal/mesh/cli/table.go
+++ b/internal/mesh/cli/table.go
@@ -12,10 +12,10 @@
 	"github.com/cockroachdb/errors"
 )
 
-// columns are the order in which a list's fields are shown; others follow by name.
+// columns are the first columns of a list, in order; others follow by name.
 var columns = []string{"source", "station", "carrier", "zone", "condition", "version"}
 
-// table shows what a process knows to a person: single values first, a line each, then each list as a table of its own.
+// table prints a state for people: single values first, a line each, then each list as a table.
 func table(text []byte, w io.Writer) error {
 	var all map[string]any
 	if err := json.Unmarshal(text, &all); err != nil {
@@ -60,7 +60,7 @@
 	return errors.Wrap(out.Flush(), "state")
 }
 
-// cell shows one value. Objects are pairs, in order.
+// cell formats one value; an object as its pairs, by name.
 func cell(v any) string {
 	switch v := v.(type) {
 	case nil:
--- a/internal/mesh/cli/table_test.go
+++ b/internal/mesh/cli/table_test.go
@@ -5,7 +5,7 @@
 	"testing"
 )
 
-// What a process knows is shown by name, lists as tables with the same columns first; what is no state is one error.
+// A state is shown by name, its lists as tables with the same columns first; what is no state is one error.
 func TestTable(t *testing.T) {
 	var b strings.Builder
 	err := table([]byte(`{"edition":7,"silent":null,"counts":{"answers":{"200":5},"runs":2.5},
