listener: standard terms in names and comments

Cause: 'where clients stand', Usual, Last, receivers of the old names. Change: Usual is DefaultLimits, Last DisableKeepAlives, Answer Response; timeouts and bounds are named so; doc comments. Tests keep their checks.

--- a/cmd/beechwing-sidecar/run.go
+++ b/cmd/beechwing-sidecar/run.go
@@ -121,7 +121,7 @@
 	told := time.Now()
 	last := told.Add(p.deed.Span("graceS", 6*time.Second) - lastSpare)
 	p.with(func(now float64) { p.pitch.Term(now, noticeAfter.Seconds()) })
-	clients.Last()
+	clients.DisableKeepAlives()
 	for time.Now().Before(last) {
 		time.Sleep(tickEvery)
 		idle := false
@@ -197,7 +197,7 @@
 
 // limits are those of the configuration in force.
 func (p *program) limits() listener.Limits {
-	l := listener.Usual
+	l := listener.DefaultLimits
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c := p.pitch.Limits()
@@ -221,7 +221,7 @@
 }
 
 // serve has a client's request answered.
-func (p *program) serve(q *listener.Request) listener.Answer {
+func (p *program) serve(q *listener.Request) listener.Response {
 	o := &sidecar.Order{Method: q.Method, Target: q.Target, Host: q.Host, Fields: upstream.Fields(q.Header), Body: q.Body,
 		Framed: q.Framed, ID: q.Header.Get(sidecar.HeaderID), Key: q.Header.Get(sidecar.HeaderKey)}
 	if ms, err := strconv.ParseFloat(q.Header.Get(sidecar.HeaderDeadline), 64); err == nil && ms > 0 {
@@ -234,8 +234,8 @@
 }
 
 // words puts an answer into the protocol's.
-func words(o *sidecar.Order, r sidecar.Reply) listener.Answer {
-	a := listener.Answer{Status: r.Status, Body: r.Body, Fields: make([]listener.Field, 0, len(r.Fields)+2)}
+func words(o *sidecar.Order, r sidecar.Reply) listener.Response {
+	a := listener.Response{Status: r.Status, Body: r.Body, Fields: make([]listener.Field, 0, len(r.Fields)+2)}
 	for _, f := range r.Fields {
 		if f.Name != sidecar.HeaderID {
 			a.Fields = append(a.Fields, listener.Field{Name: f.Name, Value: f.Value})
--- a/internal/mesh/listener/listener.go
+++ b/internal/mesh/listener/listener.go
@@ -1,6 +1,5 @@
-// Package listener is where clients stand: it takes their requests off connections and writes the answers. (The field's term:
-// downstream listener.) It decides nothing about a request that is in order; what is not is refused here, with the status that
-// the protocol has for it.
+// Package listener is the downstream listener: it reads clients' HTTP/1.1 requests and writes the responses. A valid request is
+// passed on as it is; an invalid one, or one beyond the limits, is answered here with the status that the protocol has for it.
 package listener
 
 import (
@@ -19,7 +18,7 @@
 	"beechwing/internal/wire"
 )
 
-// Limits bound what a client may send, and for how long.
+// Limits bound the size of requests and the time that clients may take.
 type Limits struct {
 	HeadBytes  int
 	BodyBytes  int64
@@ -27,43 +26,43 @@
 	IdleFor    time.Duration // between requests
 }
 
-// Usual are the limits while no configuration tells any.
-var Usual = Limits{HeadBytes: 16 << 10, BodyBytes: 64 << 20, HeadWithin: 10 * time.Second, IdleFor: time.Minute}
+// DefaultLimits are the limits without a configuration.
+var DefaultLimits = Limits{HeadBytes: 16 << 10, BodyBytes: 64 << 20, HeadWithin: 10 * time.Second, IdleFor: time.Minute}
 
 const (
-	mostHead    = wire.BufferSize  // whatever the configuration says
-	bodyWithin  = 30 * time.Second // a client that sends a body and stops
-	writeWithin = 10 * time.Second // a client that does not read
-	lingerFor   = 200 * time.Millisecond
-	lingerMost  = 256 << 10
-	refusePause = 20 * time.Millisecond // out of descriptors: they come back
+	maxHead      = wire.BufferSize  // whatever the configuration says
+	bodyTimeout  = 30 * time.Second // for a client to send a body
+	writeTimeout = 10 * time.Second // for a client to read a response
+	lingerFor    = 200 * time.Millisecond
+	lingerBytes  = 256 << 10
+	acceptPause  = 20 * time.Millisecond // after a failed accept, as when descriptors run out
 )
 
-// Request is a request that has come whole.
+// Request is a request that has been read whole.
 type Request struct {
 	Method, Target, Host string
 	Header               http.Header
 	Body                 []byte
-	Framed               bool // it came with a body, of whatever length
+	Framed               bool // it had a body, also an empty one
 }
 
-// Answer is what a client gets.
-type Answer struct {
+// Response is the response to a request. Content-Length and Connection are added to its fields.
+type Response struct {
 	Status int
 	Fields []Field
 	Body   []byte
 }
 
-// Field is one header of an answer.
+// Field is one header field.
 type Field struct{ Name, Value string }
 
-// Listener is one listener with its connections.
+// Listener accepts connections and serves them.
 type Listener struct {
 	ln     net.Listener
 	limits func() Limits
-	serve  func(*Request) Answer
+	serve  func(*Request) Response
 	bufs   *wire.Pool
-	last   atomic.Bool // every answer closes its connection
+	last   atomic.Bool // every response closes its connection
 
 	mu    sync.Mutex
 	conns map[*conn]bool
@@ -78,97 +77,97 @@
 	busy  bool // a request is being read or served; guarded by Listener.mu
 }
 
-// Open begins to take clients at an address. serve is called for each request, by many at once.
-func Open(ln net.Listener, bufs *wire.Pool, limits func() Limits, serve func(*Request) Answer) *Listener {
-	a := &Listener{ln: ln, bufs: bufs, limits: limits, serve: serve, conns: map[*conn]bool{}}
-	go a.accept()
-	return a
+// Open begins to accept connections. serve is called for each request, concurrently.
+func Open(ln net.Listener, bufs *wire.Pool, limits func() Limits, serve func(*Request) Response) *Listener {
+	l := &Listener{ln: ln, bufs: bufs, limits: limits, serve: serve, conns: map[*conn]bool{}}
+	go l.accept()
+	return l
 }
 
-// Last has every answer from now on close its connection.
-func (a *Listener) Last() { a.last.Store(true) }
+// DisableKeepAlives has every response from now on close its connection.
+func (l *Listener) DisableKeepAlives() { l.last.Store(true) }
 
-// Close takes no more clients, ends connections that bring nothing, and waits until the others are answered, but no longer than
-// so long.
-func (a *Listener) Close(most time.Duration) {
-	a.Last()
-	a.ln.Close()
-	a.mu.Lock()
-	a.ended = true
-	for c := range a.conns {
+// Close stops accepting, closes idle connections and waits for requests in progress, at most for the timeout.
+func (l *Listener) Close(timeout time.Duration) {
+	l.DisableKeepAlives()
+	l.ln.Close()
+	l.mu.Lock()
+	l.ended = true
+	for c := range l.conns {
 		if !c.busy {
 			c.SetReadDeadline(time.Now())
 		}
 	}
-	a.mu.Unlock()
+	l.mu.Unlock()
 	done := make(chan struct{})
 	go func() {
-		a.wg.Wait()
+		l.wg.Wait()
 		close(done)
 	}()
 	select {
 	case <-done:
-	case <-time.After(most):
+	case <-time.After(timeout):
 	}
 }
 
-func (a *Listener) accept() {
+func (l *Listener) accept() {
 	for {
-		nc, err := a.ln.Accept()
+		nc, err := l.ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
-			time.Sleep(refusePause)
+			time.Sleep(acceptPause)
 			continue
 		}
 		nc = wire.Quicken(nc)
 		c := &conn{Conn: nc, meter: wire.Meter{R: nc}}
-		a.mu.Lock()
-		if a.ended {
-			a.mu.Unlock()
+		l.mu.Lock()
+		if l.ended {
+			l.mu.Unlock()
 			nc.Close()
 			continue
 		}
-		a.conns[c] = true
-		a.wg.Add(1)
-		a.mu.Unlock()
-		go a.run(c)
+		l.conns[c] = true
+		l.wg.Add(1)
+		l.mu.Unlock()
+		go l.run(c)
 	}
 }
 
-// mark notes that a connection is busy or not, and says whether it may go on.
-func (a *Listener) mark(c *conn, busy bool, idle time.Duration) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
+// mark sets whether a connection is busy, and reports whether it may go on.
+func (l *Listener) mark(c *conn, busy bool, idle time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	c.busy = busy
 	if !busy {
 		c.SetReadDeadline(time.Now().Add(idle))
 	}
-	return !a.ended || busy
+	return !l.ended || busy
 }
 
-func (a *Listener) run(c *conn) {
-	c.br = a.bufs.Reader(&c.meter)
+// run serves a connection until it ends.
+func (l *Listener) run(c *conn) {
+	c.br = l.bufs.Reader(&c.meter)
 	defer func() {
 		c.Close()
-		a.bufs.PutReader(c.br)
-		a.mu.Lock()
-		delete(a.conns, c)
-		a.mu.Unlock()
-		a.wg.Done()
+		l.bufs.PutReader(c.br)
+		l.mu.Lock()
+		delete(l.conns, c)
+		l.mu.Unlock()
+		l.wg.Done()
 	}()
 	for {
-		l := a.limits()
-		c.meter.Allow(mostHead)
-		if !a.mark(c, false, l.IdleFor) {
+		limits := l.limits()
+		c.meter.Allow(maxHead)
+		if !l.mark(c, false, limits.IdleFor) {
 			return
 		}
 		if _, err := c.br.Peek(1); err != nil {
 			return
 		}
-		a.mark(c, true, 0)
-		r, bad := c.read(l)
+		l.mark(c, true, 0)
+		r, bad := c.read(limits)
 		if bad != nil {
 			if bad.Status > 0 && c.write(*bad, true) == nil {
 				c.linger()
@@ -176,28 +175,28 @@
 			return
 		}
 		q := &Request{Method: r.Method, Target: target(r), Host: r.Host, Header: r.Header}
-		if q.Body, bad = c.body(r, l); bad != nil {
+		if q.Body, bad = c.body(r, limits); bad != nil {
 			if bad.Status > 0 && c.write(*bad, true) == nil {
 				c.linger()
 			}
 			return
 		}
 		q.Framed = r.ContentLength != 0 || r.Header.Get("Content-Length") != ""
-		answer := a.serve(q)
-		last := r.Close || a.last.Load()
-		if c.write(answer, last) != nil || last {
+		response := l.serve(q)
+		last := r.Close || l.last.Load()
+		if c.write(response, last) != nil || last {
 			return
 		}
 	}
 }
 
-// once are the headers that may stand in a request a single time.
+// once are the fields that a request may have only once.
 var once = []string{"Content-Length", "Transfer-Encoding", "Host"}
 
-// read takes a request's head. An answer without a status closes the connection without a word: nothing whole has come.
-func (c *conn) read(l Limits) (*http.Request, *Answer) {
-	most := min(l.HeadBytes, mostHead-1)
-	c.SetReadDeadline(time.Now().Add(l.HeadWithin))
+// read reads a request's head. A response without a status closes the connection without one, as no whole request has come.
+func (c *conn) read(limits Limits) (*http.Request, *Response) {
+	most := min(limits.HeadBytes, maxHead-1)
+	c.SetReadDeadline(time.Now().Add(limits.HeadWithin))
 	head, err := wire.PeekHead(c.br, most)
 	if err == nil {
 		err = wire.CheckHead(head, once)
@@ -216,16 +215,16 @@
 	case errors.Is(err, wire.ErrTooLarge), errors.Is(err, bufio.ErrBufferFull):
 		return nil, refusal(http.StatusRequestHeaderFieldsTooLarge, "header is too large")
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &ne):
-		return nil, &Answer{}
+		return nil, &Response{}
 	}
 	return nil, refusal(http.StatusBadRequest, "malformed request")
 }
 
-func refusal(status int, why string) *Answer {
-	return &Answer{Status: status, Fields: []Field{{"Content-Type", "text/plain"}}, Body: []byte(why + "\n")}
+func refusal(status int, why string) *Response {
+	return &Response{Status: status, Fields: []Field{{"Content-Type", "text/plain"}}, Body: []byte(why + "\n")}
 }
 
-// target is path and query as they came; a client that takes this for a plain proxy names the host before them.
+// target is path and query as they came. A client that uses this as a forward proxy sends an absolute URI, of which it is a part.
 func target(r *http.Request) string {
 	if r.URL.Scheme != "" && r.URL.Host != "" {
 		return r.URL.RequestURI()
@@ -233,69 +232,70 @@
 	return r.RequestURI
 }
 
-func (c *conn) body(r *http.Request, l Limits) ([]byte, *Answer) {
+// body reads a request's body whole.
+func (c *conn) body(r *http.Request, limits Limits) ([]byte, *Response) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	if r.ContentLength > l.BodyBytes {
+	if r.ContentLength > limits.BodyBytes {
 		return nil, refusal(http.StatusRequestEntityTooLarge, "body is too large")
 	}
 	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
-		c.SetWriteDeadline(time.Now().Add(writeWithin))
+		c.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if _, err := io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, &Answer{}
+			return nil, &Response{}
 		}
 	}
-	c.SetReadDeadline(time.Now().Add(bodyWithin))
-	const framing = 2 // chunks of few bytes each take more for their framing than this allows: none of the protocol's do
-	c.meter.Allow(int(min(framing*l.BodyBytes+mostHead, 1<<30)))
+	c.SetReadDeadline(time.Now().Add(bodyTimeout))
+	const framing = 2 // bounds the overhead of chunked coding; chunks of few bytes each exceed it and are refused
+	c.meter.Allow(int(min(framing*limits.BodyBytes+maxHead, 1<<30)))
 	var body []byte
 	var err error
 	if r.ContentLength > 0 {
 		body = make([]byte, r.ContentLength)
 		_, err = io.ReadFull(r.Body, body)
 	} else {
-		body, err = io.ReadAll(io.LimitReader(r.Body, l.BodyBytes+1))
+		body, err = io.ReadAll(io.LimitReader(r.Body, limits.BodyBytes+1))
 	}
 	var ne net.Error
 	switch {
-	case int64(len(body)) > l.BodyBytes, errors.Is(err, wire.ErrTooLarge):
+	case int64(len(body)) > limits.BodyBytes, errors.Is(err, wire.ErrTooLarge):
 		return nil, refusal(http.StatusRequestEntityTooLarge, "body is too large")
 	case err == nil:
 		return body, nil
 	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF), errors.As(err, &ne):
-		return nil, &Answer{}
+		return nil, &Response{}
 	}
 	return nil, refusal(http.StatusBadRequest, "malformed body")
 }
 
-// write sends an answer in one piece.
-func (c *conn) write(a Answer, last bool) error {
-	b := make([]byte, 0, 512+len(a.Body))
+// write sends a response in one write.
+func (c *conn) write(r Response, last bool) error {
+	b := make([]byte, 0, 512+len(r.Body))
 	b = append(b, "HTTP/1.1 "...)
-	b = strconv.AppendInt(b, int64(a.Status), 10)
-	b = append(append(append(b, ' '), http.StatusText(a.Status)...), "\r\n"...)
-	for _, f := range a.Fields {
+	b = strconv.AppendInt(b, int64(r.Status), 10)
+	b = append(append(append(b, ' '), http.StatusText(r.Status)...), "\r\n"...)
+	for _, f := range r.Fields {
 		b = append(append(append(append(b, f.Name...), ": "...), f.Value...), "\r\n"...)
 	}
 	if last {
 		b = append(b, "Connection: close\r\n"...)
 	}
-	if a.Status != http.StatusNoContent && a.Status != http.StatusNotModified {
-		b = append(strconv.AppendInt(append(b, "Content-Length: "...), int64(len(a.Body)), 10), "\r\n"...)
+	if r.Status != http.StatusNoContent && r.Status != http.StatusNotModified {
+		b = append(strconv.AppendInt(append(b, "Content-Length: "...), int64(len(r.Body)), 10), "\r\n"...)
 	}
-	b = append(append(b, "\r\n"...), a.Body...)
-	c.SetWriteDeadline(time.Now().Add(writeWithin))
+	b = append(append(b, "\r\n"...), r.Body...)
+	c.SetWriteDeadline(time.Now().Add(writeTimeout))
 	_, err := c.Write(b)
 	return err
 }
 
-// linger takes what the client still sends for a moment: closing at once would reset the connection, and the answer with it.
+// linger reads what the client still sends for a moment: closing at once would reset the connection before the response is read.
 func (c *conn) linger() {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		half.CloseWrite()
 	}
 	c.SetReadDeadline(time.Now().Add(lingerFor))
-	c.meter.Allow(lingerMost)
+	c.meter.Allow(lingerBytes)
 	io.Copy(io.Discard, c.br)
 }
--- a/internal/mesh/listener/listener_test.go
+++ b/internal/mesh/listener/listener_test.go
@@ -19,14 +19,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := Open(ln, wire.NewPool(), func() Limits { return l }, func(q *Request) Answer {
-		return Answer{Status: 200, Fields: []Field{{"X-Got", q.Method + " " + q.Host + " " + q.Target}}, Body: q.Body}
+	s := Open(ln, wire.NewPool(), func() Limits { return l }, func(q *Request) Response {
+		return Response{Status: 200, Fields: []Field{{"X-Got", q.Method + " " + q.Host + " " + q.Target}}, Body: q.Body}
 	})
-	t.Cleanup(func() { a.Close(time.Second) })
-	return a, ln.Addr().String()
+	t.Cleanup(func() { s.Close(time.Second) })
+	return s, ln.Addr().String()
 }
 
-func say(t *testing.T, addr, text string) net.Conn {
+func send(t *testing.T, addr, text string) net.Conn {
 	t.Helper()
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
@@ -40,7 +40,7 @@
 	return c
 }
 
-func hear(t *testing.T, br *bufio.Reader) (int, string, string, bool) {
+func receive(t *testing.T, br *bufio.Reader) (int, string, string, bool) {
 	t.Helper()
 	r, err := http.ReadResponse(br, nil)
 	if err != nil {
@@ -54,24 +54,24 @@
 }
 
 func TestRequestsOfAllFrames(t *testing.T) {
-	_, addr := open(t, Usual)
-	c := say(t, addr, "GET /a/b?c=%2f HTTP/1.1\r\nHost: h.example\r\n\r\n"+
+	_, addr := open(t, DefaultLimits)
+	c := send(t, addr, "GET /a/b?c=%2f HTTP/1.1\r\nHost: h.example\r\n\r\n"+
 		"POST /d HTTP/1.1\r\nHost: h.example\r\nContent-Length: 3\r\n\r\nabc"+
 		"PUT http://h.example/e?f HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nde\r\n1\r\nf\r\n0\r\n\r\n"+
 		"GET /g HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\r\n")
 	br := bufio.NewReader(c)
 	for _, want := range []string{"200 GET h.example /a/b?c=%2f  false", "200 POST h.example /d abc false",
 		"200 PUT h.example /e?f def false", "200 GET h.example /g  true"} {
-		status, got, body, last := hear(t, br)
+		status, got, body, last := receive(t, br)
 		if s := fmt.Sprintf("%d %s %s %v", status, got, body, last); s != want {
 			t.Errorf("%q, want %q", s, want)
 		}
 	}
 }
 
-// What could hide a second request, or is beyond its bound, gets one answer, and the connection ends with it.
+// What could hide a second request, or is beyond its limit, gets one response, and the connection ends with it.
 func TestRefused(t *testing.T) {
-	l := Usual
+	l := DefaultLimits
 	l.HeadBytes, l.BodyBytes = 1000, 10
 	_, addr := open(t, l)
 	for _, c := range []struct {
@@ -88,46 +88,46 @@
 		{"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nb\r\nabcdefghijk\r\n0\r\n\r\n", 413},
 		{"nonsense\r\n\r\n", 400},
 	} {
-		br := bufio.NewReader(say(t, addr, c.text))
-		status, _, _, last := hear(t, br)
+		br := bufio.NewReader(send(t, addr, c.text))
+		status, _, _, last := receive(t, br)
 		if status != c.status || !last {
 			t.Errorf("%q: %d, last %v, want %d", c.text[:min(60, len(c.text))], status, last, c.status)
 		}
 		if _, err := br.ReadByte(); err == nil {
-			t.Errorf("%q: more than one answer", c.text[:min(60, len(c.text))])
+			t.Errorf("%q: more than one response", c.text[:min(60, len(c.text))])
 		}
 	}
 }
 
-// A request that is under way at the end is answered, an idle connection ends, and nobody new is taken.
+// A request in progress at Close is answered, an idle connection ends, and no new one is accepted.
 func TestCloseAnswersWhatCame(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	began, goOn := make(chan bool), make(chan bool)
-	a := Open(ln, wire.NewPool(), func() Limits { return Usual }, func(*Request) Answer {
+	s := Open(ln, wire.NewPool(), func() Limits { return DefaultLimits }, func(*Request) Response {
 		began <- true
 		<-goOn
-		return Answer{Status: 200}
+		return Response{Status: 200}
 	})
-	idle := say(t, ln.Addr().String(), "")
-	c := say(t, ln.Addr().String(), "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	idle := send(t, ln.Addr().String(), "")
+	c := send(t, ln.Addr().String(), "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 	<-began
 	closed := make(chan bool)
 	go func() {
-		a.Close(5 * time.Second)
+		s.Close(5 * time.Second)
 		close(closed)
 	}()
 	if _, err := idle.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("the idle connection: %v, want its end", err)
 	}
 	goOn <- true
-	if status, _, _, last := hear(t, bufio.NewReader(c)); status != 200 || !last {
+	if status, _, _, last := receive(t, bufio.NewReader(c)); status != 200 || !last {
 		t.Errorf("%d, last %v", status, last)
 	}
 	<-closed
 	if _, err := net.Dial("tcp", ln.Addr().String()); err == nil {
-		t.Error("it still takes clients")
+		t.Error("it still accepts connections")
 	}
 }
