--- a/cmd/beechwing-sidecar/main.go
+++ b/cmd/beechwing-sidecar/main.go
@@ -1,5 +1,5 @@
-// Command beechwing-sidecar is the data plane of the mesh: the proxy beside a host. What the host and the clients on its machine ask goes
-// to the proxy beside the host that the decision module picks, and from there to that host.
+// Command beechwing-sidecar is the data plane of the mesh: the proxy beside a host. A request from the host or a client on its machine
+// goes to the proxy beside the host that the balancer picks, and from there to that host.
 package main
 
 import (
@@ -12,7 +12,7 @@
 
 func main() { os.Exit(Main()) }
 
-// Main runs the command line and gives the exit status.
+// Main runs the command line and returns the exit status.
 func Main() int {
 	return cli.Main(cli.Program{Name: "beechwing-sidecar", Short: "data plane of the mesh", Run: run, Check: func(text []byte) (string, error) {
 		t, err := routeconfig.Compile(text)
--- a/cmd/beechwing-sidecar/run.go
+++ b/cmd/beechwing-sidecar/run.go
@@ -14,72 +14,71 @@
 
 	"github.com/cockroachdb/errors"
 
-	"beechwing/internal/mesh/listener"
-	"beechwing/internal/mesh/transport"
-
 	"beechwing/internal/mesh/api"
 	"beechwing/internal/mesh/bootstrap"
 	"beechwing/internal/mesh/cli"
+	"beechwing/internal/mesh/listener"
 	"beechwing/internal/mesh/sidecar"
+	"beechwing/internal/mesh/transport"
 	"beechwing/internal/mesh/upstream"
 	"beechwing/internal/wire"
 )
 
 const (
 	tickEvery   = 33 * time.Millisecond
-	slowLink    = 400.0                   // Mbit/s: on faster ones an answer of 100 KB keeps nobody waiting
-	linkShare   = 0.85                    // of a slow one, for large answers: all else has to pass as well
-	memoryShare = 4                       // a quarter of what the machine gives may be bodies under way
-	noticeAfter = 2200 * time.Millisecond // the platform asks once a second and believes the second failure
-	lastSpare   = 900 * time.Millisecond  // before the platform ends a process that does not
+	slowLink    = 400.0                   // Mbit/s: on faster links a response of 100 KB delays nothing noticeably
+	linkShare   = 0.85                    // of a slow link, for large responses; the rest is for everything else
+	memoryShare = 4                       // a quarter of the memory limit may be bodies in progress
+	noticeAfter = 2200 * time.Millisecond // the platform probes readiness once a second and acts on the second failure
+	lastSpare   = 900 * time.Millisecond  // before the platform kills a process that does not end
 )
 
-// program is the shell round the state machine: it owns sockets and the clock.
+// program owns the sockets and the clock around the state machine, which does no I/O.
 type program struct {
-	log    *slog.Logger
-	clock  cli.Clock
-	deed   *bootstrap.Settings
-	net    *transport.Net
-	porter *upstream.Host
-	life   string // the host's, that the porter's connections are to
+	log      *slog.Logger
+	clock    cli.Clock
+	settings *bootstrap.Settings
+	net      *transport.Net
+	host     *upstream.Host
+	hostID   string // the host that the connections of host are to
 
-	mu    sync.Mutex
-	pitch *sidecar.Sidecar
+	mu      sync.Mutex
+	sidecar *sidecar.Sidecar
 }
 
-func run(ctx context.Context, d *bootstrap.Settings, says cli.Options, log *slog.Logger) error {
-	if d.Docking.Outbound == "" || d.Docking.Ready == "" || d.AppAddress == "" {
+func run(ctx context.Context, s *bootstrap.Settings, opts cli.Options, log *slog.Logger) error {
+	if s.Docking.Outbound == "" || s.Docking.Ready == "" || s.AppAddress == "" {
 		return errors.New("settings: docking.outboundDock, docking.readyDock and appAddress: all have to be there")
 	}
 	bufs := wire.NewPool()
-	p := &program{log: log, clock: cli.NewClock(), deed: d, porter: upstream.New(d.AppAddress, bufs)}
-	o := sidecar.Options{Self: d.Inner(), Zone: d.Zone, Sender: d.Carrier, Seeds: d.Seeds(), Beat: float64(d.BeatMs) / 1000,
-		Ratio: d.Bound("retryRatio", 0.2), Slack: d.Bound("retrySlack", 0), Version: uint64(time.Now().UnixMilli()),
-		Seed: rand.Uint64(), Agreed: says.Agreed, Memory: max(16, d.Limits.MemoryMB/memoryShare) << 20,
+	p := &program{log: log, clock: cli.NewClock(), settings: s, host: upstream.New(s.AppAddress, bufs)}
+	o := sidecar.Options{Self: s.Inner(), Zone: s.Zone, Sender: s.Carrier, Seeds: s.Seeds(), Beat: float64(s.BeatMs) / 1000,
+		Ratio: s.Bound("retryRatio", 0.2), Slack: s.Bound("retrySlack", 0), Version: uint64(time.Now().UnixMilli()),
+		Seed: rand.Uint64(), Agreed: opts.Agreed, Memory: max(16, s.Limits.MemoryMB/memoryShare) << 20,
 		Log: func(e string, args ...any) { log.Info(e, args...) }}
 	if log.Enabled(ctx, slog.LevelDebug) {
 		o.Debug = func(e string, args ...any) { log.Debug(e, args...) }
 	}
-	cli.Memory(d)
-	p.pitch = sidecar.New(p.clock.Now(), o)
+	cli.Memory(s)
+	p.sidecar = sidecar.New(p.clock.Now(), o)
 	term := make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
-	again := make(chan os.Signal, 1)
-	signal.Notify(again, syscall.SIGHUP)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	var err error
 	p.mu.Lock()
-	if p.net, err = transport.Listen(d.Inner(), p.event); err != nil {
+	if p.net, err = transport.Listen(s.Inner(), p.event); err != nil {
 		p.mu.Unlock()
 		return err
 	}
 	p.net.Bound(int64(o.Memory) / 2)
-	if mbps := d.Limits.LinkMbps; mbps > 0 && mbps < slowLink {
+	if mbps := s.Limits.LinkMbps; mbps > 0 && mbps < slowLink {
 		p.net.Pace(mbps * 1e6 / 8 * linkShare)
 	}
 	p.mu.Unlock()
-	ctx, halt := context.WithCancel(ctx)
-	defer halt()
-	for addr, h := range map[string]http.Handler{d.Docking.Ready: http.HandlerFunc(p.ready), d.Docking.Control: p.calls()} {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for addr, h := range map[string]http.Handler{s.Docking.Ready: http.HandlerFunc(p.ready), s.Docking.Control: p.calls()} {
 		if addr == "" {
 			continue
 		}
@@ -87,45 +86,45 @@
 			return err
 		}
 	}
-	if err := cli.Metrics(ctx, d, says.Metrics, p.figures, log); err != nil {
+	if err := cli.Metrics(ctx, s, opts.Metrics, p.metrics, log); err != nil {
 		return err
 	}
-	ln, err := cli.Listen(ctx, d.Docking.Outbound)
+	ln, err := cli.Listen(ctx, s.Docking.Outbound)
 	if err != nil {
 		return err
 	}
 	clients := listener.Open(ln, bufs, p.limits, p.serve)
-	go cli.Settings(ctx, os.Getenv(bootstrap.Variable), again, log, func(d *bootstrap.Settings) {
-		p.with(func(now float64) { p.pitch.Seeds(now, d.Seeds()) })
+	go cli.Settings(ctx, os.Getenv(bootstrap.Variable), reload, log, func(s *bootstrap.Settings) {
+		p.with(func(now float64) { p.sidecar.Seeds(now, s.Seeds()) })
 	})
-	log.Info("listening", "name", d.NodeName, "outbound", d.Docking.Outbound, "inner", d.Inner())
+	log.Info("listening", "name", s.NodeName, "outbound", s.Docking.Outbound, "inner", s.Inner())
 	go func() {
 		tick := time.NewTicker(tickEvery)
 		defer tick.Stop()
 		for range tick.C {
 			p.with(func(now float64) {
-				p.pitch.Link(p.net.Backlog())
-				p.pitch.Tick(now)
+				p.sidecar.Link(p.net.Backlog())
+				p.sidecar.Tick(now)
 			})
 		}
 	}()
 	<-term
-	p.end(clients)
+	p.shutdown(clients)
 	return nil
 }
 
-// end ends the process: new work is told to go elsewhere at once, what is under way goes on until it is done, or nearly until
-// the platform would end the process.
-func (p *program) end(clients *listener.Listener) {
+// shutdown ends the process gracefully: new requests are sent elsewhere at once, those in progress go on until they are done, or until
+// shortly before the platform would kill the process.
+func (p *program) shutdown(clients *listener.Listener) {
 	p.log.Info("ending")
 	told := time.Now()
-	last := told.Add(p.deed.Span("graceS", 6*time.Second) - lastSpare)
-	p.with(func(now float64) { p.pitch.Term(now, noticeAfter.Seconds()) })
+	last := told.Add(p.settings.Span("graceS", 6*time.Second) - lastSpare)
+	p.with(func(now float64) { p.sidecar.Term(now, noticeAfter.Seconds()) })
 	clients.DisableKeepAlives()
 	for time.Now().Before(last) {
 		time.Sleep(tickEvery)
 		idle := false
-		p.with(func(float64) { idle = p.pitch.Idle() && p.net.Drained() })
+		p.with(func(float64) { idle = p.sidecar.Idle() && p.net.Drained() })
 		if idle && time.Since(told) > noticeAfter {
 			break
 		}
@@ -135,13 +134,13 @@
 	p.log.Info("ended", "after", time.Since(told))
 }
 
-// with gives the machine an input and sees to what it wants done.
+// with gives the state machine an input and carries out what it returns.
 func (p *program) with(input func(now float64)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	input(p.clock.Now())
 	for {
-		out := p.pitch.Take()
+		out := p.sidecar.Take()
 		for _, s := range out.Sends {
 			link := p.net.Send(s.To, s.Message)
 			if s.Via != nil {
@@ -156,8 +155,8 @@
 				go p.exchange(do)
 			case sidecar.Probe:
 				go func() {
-					station, well := p.porter.Probe(do.Path)
-					p.with(func(now float64) { p.pitch.Probed(now, station, well) })
+					station, well := p.host.Probe(do.Path)
+					p.with(func(now float64) { p.sidecar.Probed(now, station, well) })
 				}()
 			}
 		}
@@ -171,44 +170,44 @@
 	p.with(func(now float64) {
 		switch e := e.(type) {
 		case transport.Came:
-			p.pitch.Message(now, e.From, e.Message)
+			p.sidecar.Message(now, e.From, e.Message)
 		case transport.Sign:
-			p.pitch.Sign(now, e.From)
+			p.sidecar.Sign(now, e.From)
 		case transport.Broke:
-			p.pitch.Broke(now, e)
+			p.sidecar.Broke(now, e)
 		}
 	})
 }
 
-// exchange has the host run a request.
+// exchange sends a request to the host.
 func (p *program) exchange(do sidecar.Exchange) {
-	c := p.porter.Run(do.Forward, p.clock.At(do.Until))
-	p.with(func(now float64) { p.pitch.Exchanged(now, do.Job, c) })
+	c := p.host.Run(do.Forward, p.clock.At(do.Until))
+	p.with(func(now float64) { p.sidecar.Exchanged(now, do.Job, c) })
 }
 
-// ready answers the platform.
+// ready answers the platform's readiness probe.
 func (p *program) ready(w http.ResponseWriter, r *http.Request) {
 	ready := false
-	p.with(func(float64) { ready = p.pitch.Ready() })
+	p.with(func(float64) { ready = p.sidecar.Ready() })
 	if !ready {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
-// limits are those of the configuration in force.
+// limits are those of the configuration in force, and the default ones where it has none.
 func (p *program) limits() listener.Limits {
 	l := listener.DefaultLimits
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c := p.pitch.Limits()
+	c := p.sidecar.Limits()
 	if c == nil {
 		return l
 	}
-	ms := func(told float64, otherwise time.Duration) time.Duration {
-		if told <= 0 {
+	ms := func(configured float64, otherwise time.Duration) time.Duration {
+		if configured <= 0 {
 			return otherwise
 		}
-		return time.Duration(told * float64(time.Millisecond))
+		return time.Duration(configured * float64(time.Millisecond))
 	}
 	l.HeadWithin, l.IdleFor = ms(c.HeaderWaitMs, l.HeadWithin), ms(c.IdleWaitMs, l.IdleFor)
 	if c.HeaderBytes > 0 {
@@ -220,21 +219,21 @@
 	return l
 }
 
-// serve has a client's request answered.
+// serve passes a client's request to the state machine and waits for the reply.
 func (p *program) serve(q *listener.Request) listener.Response {
 	o := &sidecar.Order{Method: q.Method, Target: q.Target, Host: q.Host, Fields: upstream.Fields(q.Header), Body: q.Body,
 		Framed: q.Framed, ID: q.Header.Get(sidecar.HeaderID), Key: q.Header.Get(sidecar.HeaderKey)}
 	if ms, err := strconv.ParseFloat(q.Header.Get(sidecar.HeaderDeadline), 64); err == nil && ms > 0 {
 		o.Left = ms / 1000
 	}
-	answer := make(chan sidecar.Reply, 1)
-	o.Slot = answer
-	p.with(func(now float64) { p.pitch.Ask(now, o) })
-	return words(o, <-answer)
+	reply := make(chan sidecar.Reply, 1)
+	o.Slot = reply
+	p.with(func(now float64) { p.sidecar.Ask(now, o) })
+	return response(o, <-reply)
 }
 
-// words puts an answer into the protocol's.
-func words(o *sidecar.Order, r sidecar.Reply) listener.Response {
+// response is the HTTP response for a reply.
+func response(o *sidecar.Order, r sidecar.Reply) listener.Response {
 	a := listener.Response{Status: r.Status, Body: r.Body, Fields: make([]listener.Field, 0, len(r.Fields)+2)}
 	for _, f := range r.Fields {
 		if f.Name != sidecar.HeaderID {
@@ -254,6 +253,7 @@
 	return a
 }
 
+// calls serves the control address.
 func (p *program) calls() http.Handler {
 	mux := http.NewServeMux()
 	api.Handle(mux, "PUT /-/stations/{id}", api.SmallBody, func(c api.Call, b *api.Beat) (*api.None, error) {
@@ -261,35 +261,35 @@
 		if err != nil {
 			return nil, err
 		}
-		p.with(func(now float64) { p.pitch.Beat(now, s) })
+		p.with(func(now float64) { p.sidecar.Beat(now, s) })
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		if p.life != s.ID {
-			p.life = s.ID
-			p.porter.Forget()
+		if p.hostID != s.ID {
+			p.hostID = s.ID
+			p.host.Forget()
 		}
 		return nil, nil
 	})
 	api.Handle(mux, "DELETE /-/stations/{id}", api.SmallBody, func(c api.Call, _ *api.None) (*api.None, error) {
-		p.with(func(now float64) { p.pitch.Leave(now, c.ID) })
+		p.with(func(now float64) { p.sidecar.Leave(now, c.ID) })
 		return nil, nil
 	})
 	api.Handle(mux, "GET /-/state", api.SmallBody, func(api.Call, *api.None) (s *sidecar.State, err error) {
-		p.with(func(now float64) { known := p.pitch.State(now); s = &known })
+		p.with(func(now float64) { known := p.sidecar.State(now); s = &known })
 		return s, nil
 	})
 	return mux
 }
 
-// figures are what is counted, for a reading.
-func (p *program) figures(page cli.Page) {
+// metrics fills one scrape.
+func (p *program) metrics(page cli.Page) {
 	var s sidecar.State
-	p.with(func(now float64) { s = p.pitch.State(now) })
+	p.with(func(now float64) { s = p.sidecar.State(now) })
 	for status, n := range s.Counts.Answers {
 		page.Count("beechwing_sidecar_answers_total", n, "status", strconv.Itoa(status))
 	}
-	for verdict, n := range s.Counts.Tries {
-		page.Count("beechwing_sidecar_tries_total", n, "verdict", verdict)
+	for outcome, n := range s.Counts.Tries {
+		page.Count("beechwing_sidecar_tries_total", n, "outcome", outcome)
 	}
 	for why, n := range s.Counts.Turned {
 		page.Count("beechwing_sidecar_turned_away_total", n, "why", why)
@@ -300,7 +300,7 @@
 	for why, n := range s.Counts.Dropped {
 		page.Count("beechwing_sidecar_dropped_messages_total", n, "why", why)
 	}
-	page.Count("beechwing_sidecar_host_connections_total", uint64(p.porter.Opened()))
+	page.Count("beechwing_sidecar_host_connections_total", uint64(p.host.Opened()))
 	page.Gauge("beechwing_sidecar_edition", float64(s.Edition))
 	page.Flag("beechwing_sidecar_ready", s.Ready)
 	page.Gauge("beechwing_sidecar_requests_open", float64(s.Orders))
