A replaced disk takes one change of the view: who is a member already does not join again

Change: who is a member is no candidate, and no longer waits. Test: TestReplacementIsOneChange, which counts epochs; it fails without the change.

--- a/internal/mesh/control/membership.go
+++ b/internal/mesh/control/membership.go
@@ -310,7 +310,7 @@
 func (s *Server) coordinate(now float64) {
 	m := &s.membership
 	for address, waiting := range m.standbys {
-		if now > waiting.heardAt+standbyFor && !s.joins(waiting.member) {
+		if !s.joins(waiting.member) && (now > waiting.heardAt+standbyFor || s.view().Has(waiting.member)) {
 			delete(m.standbys, address)
 		}
 	}
@@ -349,7 +349,7 @@
 	var joiners []view.Member
 	for _, address := range sorted(s.membership.standbys) {
 		waiting := s.membership.standbys[address]
-		if !waiting.caughtUp || now > waiting.heardAt+standbyFor {
+		if !waiting.caughtUp || now > waiting.heardAt+standbyFor || v.Has(waiting.member) {
 			continue
 		}
 		for _, m := range v.Members {
--- a/internal/mesh/simulation/control_test.go
+++ b/internal/mesh/simulation/control_test.go
@@ -329,6 +329,30 @@
 	}
 }
 
+// A replacement, of a disk or of a machine, takes one change of the view and no more: two epochs.
+func TestReplacementIsOneChange(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(6) {
+		n := 3 + int(seed%3)
+		w := market(t, seed, n)
+		h := w.Servers[seed%3]
+		h.PowerOff()
+		h.Wipe()
+		w.Run(0.5)
+		h.Start()
+		w.Run(catchUp)
+		epochs := []uint64{w.Members()[0].server.State(w.Now).Epoch}
+		w.Remove(w.Servers[(seed+1)%3])
+		w.Run(1)
+		w.Add()
+		w.Run(catchUp)
+		epochs = append(epochs, w.Members()[0].server.State(w.Now).Epoch)
+		if epochs[0] != 3 || epochs[1] != 5 {
+			t.Errorf("seed %d: epochs %v after one replacement and after two, want 3 and 5", seed, epochs)
+		}
+	}
+}
+
 // Every member is replaced in turn, under traffic and changes; at the end nothing is left of the first ones.
 func TestWholeCoreReplaced(t *testing.T) {
 	t.Parallel()
