Store: open without writing, and begin a new generation after a failed write

A read error passed for the end of the file.

Change: the store writes its files itself, in the form of buntdb's log, through a small interface to the folder. Open only reads. The first Write, and the one after a failed one, begin a new generation of what is kept and what is new; the old one goes once the new one and its name are synced. A failed write leaves the memory as it was and gives its room back. A generation that has no room beside the one at hand is put off; after one whose mark may stand nothing is appended to the old. The mark holds length and checksum of what is before it. A name taken away gets an empty value in its other slot. A read error is an error.

Room: at most max(24 MB, 3 x live) and a batch for the generation at hand, live and a batch for the next one: on a disk of 256 MB that nobody else fills, up to 60 MB of live values always find room for the next generation.

--- a/cmd/beechwing-control/run.go
+++ b/cmd/beechwing-control/run.go
@@ -64,6 +64,9 @@
 	if p.vault, values, found, err = store.Open(d.DataDir); err != nil {
 		return err
 	}
+	if err = p.vault.Write(nil); err != nil { // what was read is on the disk for good from here on
+		return err
+	}
 	log.Info("disk read", "found", found, "values", len(values), "first", d.FirstStart)
 	p.server, err = control.New(p.clock.Now(), control.Options{Self: d.Inner(), Seeds: d.Seeds(), First: d.FirstStart,
 		Tolerance: d.Tolerance.Machines, Window: d.Bound("passWindowS", 60), Life: rand.Uint32() | 1, Random: rand.Uint64(),
--- a/internal/mesh/store/store.go
+++ b/internal/mesh/store/store.go
@@ -1,39 +1,30 @@
 // Package store keeps what a control process has promised on its disk. (The field's term: durable store.)
 //
-// A generation is one buntdb file. Writes go in batches: one transaction, one sync, and only then are they promised. A start
-// reads the newest whole generation, writes what it holds into the next one, and uses that: so what was torn at the end of the
-// last one is never written behind. Nothing is ever renamed; the library's own way to shrink a file is off, as it renames one
-// without syncing the folder, and after a loss of power the old file would be there again without what came later.
+// A generation is one file in the form of buntdb's log. Writes go in batches: one write, one sync, and only
+// then are they promised. A start reads the newest whole generation; the first write after it begins the
+// next one, which holds what was read and what is new: so nothing is ever written behind a torn end. A
+// write that fails leaves the file torn, or synced in part, so the one after it begins a new generation as
+// well. The old generation goes once the new one and its name are synced. Nothing is ever renamed.
 //
-// A name has two slots, written by turns: a torn write can only spoil the one that is not needed. Every value carries a
-// checksum, so that a slot whose write was torn inside is told from a good one.
+// A name has two slots, written by turns: a torn write can only spoil the one that is not needed. Every
+// value carries a checksum, so that a slot whose write was torn inside is told from a good one. A name that
+// is taken away gets an empty value, which the next generation leaves out.
 package store
 
 import (
-	"bufio"
-	"encoding/binary"
-	"fmt"
-	"hash/crc32"
-	"os"
-	"path/filepath"
-	"slices"
-	"strings"
+	"bytes"
 	"sync"
 
 	"github.com/cockroachdb/errors"
-	"github.com/tidwall/buntdb"
 )
 
 const (
-	pattern   = "store-%08d.bunt"
-	wholeMark = "~whole" // sorts behind all names, so it is written last into a new generation
-	leastTurn = 24 << 20 // bytes written before a generation may be replaced
+	leastTurn = 24 << 20 // bytes of a generation before it may be replaced
 	turnTimes = 3        // of what is live
-	headBytes = 8        // checksum, sequence
-	slots     = 2
+	turnAgain = 8 << 20  // bytes until the next attempt, where there was no room for a new generation
 )
 
-// Put is one value to be kept. An empty one takes the name away.
+// Put is one value to be kept. An empty one takes the name away. The value belongs to the store from then on.
 type Put struct {
 	Name  string
 	Value []byte
@@ -41,245 +32,241 @@
 
 // Store is a folder's store. Write is for one caller at a time.
 type Store struct {
-	dir        string
-	generation int
-	db         *buntdb.DB
-	seq        map[string]uint32 // of each name
-	live       map[string]int    // bytes of it
-	liveSum    int
-	written    int
 	mu         sync.Mutex
+	disk       Disk
+	code       *codec
+	generation int               // the newest number in use
+	file       File              // nil: the next write begins a generation
+	size       int64             // bytes of the file that are synced
+	records    map[string]record // what is kept, and what was taken away in this generation
+	live       int64             // bytes of what is kept
+	turnAt     int64             // size of the file at which the next generation is due
 }
 
-// Open opens the store of a folder; found says whether one was there.
-func Open(dir string) (v *Store, values map[string][]byte, found bool, err error) {
-	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return nil, nil, false, errors.Wrap(err, "store")
-	}
-	v = &Store{dir: dir, seq: map[string]uint32{}, live: map[string]int{}}
-	files, err := generations(dir)
+// Open reads the store of a folder; found says whether one was there. It writes nothing: a disk that takes
+// no bytes is an error of the first Write. What was read may not be on the disk for good before the first
+// Write has returned without an error: the sync of the last batch may have failed in the process before.
+func Open(dir string) (s *Store, values map[string][]byte, found bool, err error) {
+	return OpenDisk(&folder{path: dir})
+}
+
+// OpenDisk is Open for any Disk.
+func OpenDisk(disk Disk) (s *Store, values map[string][]byte, found bool, err error) {
+	code, err := newCodec()
 	if err != nil {
 		return nil, nil, false, err
 	}
-	values = map[string][]byte{}
-	for _, g := range slices.Backward(files) {
-		v.generation = max(v.generation, g)
-		if found {
-			continue
-		}
-		if found, err = v.load(g, values); err != nil {
-			return nil, nil, false, err
-		}
-	}
-	if err := v.turn(values); err != nil {
-		return nil, nil, false, err
+	if s, values, found, err = openWith(disk, code); err != nil {
+		code.close()
 	}
-	return v, values, found, nil
+	return s, values, found, err
 }
 
-func generations(dir string) (all []int, err error) {
-	entries, err := os.ReadDir(dir)
-	if err != nil {
-		return nil, errors.Wrap(err, "store")
+func openWith(disk Disk, code *codec) (s *Store, values map[string][]byte, found bool, err error) {
+	s = &Store{disk: disk, code: code, records: map[string]record{}}
+	if found, err = s.read(); err != nil {
+		return nil, nil, false, err
 	}
-	for _, e := range entries {
-		var g int
-		if n, _ := fmt.Sscanf(e.Name(), pattern, &g); n == 1 {
-			all = append(all, g)
+	values = map[string][]byte{}
+	for name, r := range s.records {
+		if len(r.value) > 0 {
+			values[name] = bytes.Clone(r.value)
 		}
 	}
-	slices.Sort(all)
-	return all, nil
+	return s, values, found, nil
 }
 
-func (v *Store) path(g int) string { return filepath.Join(v.dir, fmt.Sprintf(pattern, g)) }
-
-// load reads a generation; whole says whether it had been written in full before it was used. Bytes that make no sense end it:
-// they belong to a batch whose sync never returned, as every one before it was synced before the next began.
-func (v *Store) load(g int, values map[string][]byte) (whole bool, err error) {
-	f, err := os.Open(v.path(g))
+// read takes over the newest whole generation. One that can't be read is an error, even if an older one
+// can: it may hold promises that the older one doesn't.
+func (s *Store) read() (found bool, err error) {
+	all, err := generations(s.disk)
 	if err != nil {
-		return false, errors.Wrap(err, "store")
+		return false, err
 	}
-	defer f.Close()
-	db, err := buntdb.Open(":memory:")
-	if err != nil {
-		return false, errors.Wrap(err, "store")
-	}
-	defer db.Close()
-	_ = db.Load(bufio.NewReaderSize(f, 1<<16)) // what came before the first senseless byte is in db
-	err = db.View(func(tx *buntdb.Tx) error {
-		if _, err := tx.Get(wholeMark); err != nil {
-			return nil
+	for i := len(all) - 1; i >= 0; i-- {
+		s.generation = max(s.generation, all[i])
+		records, whole, err := readGeneration(s.disk, s.code, all[i])
+		if err != nil {
+			return false, err
 		}
-		whole = true
-		return tx.Ascend("", func(key, text string) bool {
-			name, at := strings.TrimSuffix(strings.TrimSuffix(key, "/0"), "/1"), len(text)
-			if key == wholeMark || at < headBytes || len(name) == len(key) {
-				return true
-			}
-			seq := binary.BigEndian.Uint32([]byte(text[4:8]))
-			if crc32.ChecksumIEEE([]byte(text[4:])) != binary.BigEndian.Uint32([]byte(text[:4])) {
-				return true // torn: the other slot holds
-			}
-			if old, known := v.seq[name]; known && old >= seq {
-				return true
-			}
-			v.seq[name], values[name] = seq, []byte(text[headBytes:])
-			return true
-		})
-	})
-	for name, value := range values { // an empty one was taken away
-		if len(value) == 0 {
-			delete(values, name)
+		if whole {
+			s.records = records
+			return true, nil
 		}
 	}
-	return whole, errors.Wrap(err, "store")
+	return false, nil
 }
 
-// turn begins the next generation with what is to be kept, and drops those before it once it stands on the disk.
-func (v *Store) turn(values map[string][]byte) error {
-	v.generation++
-	path := v.path(v.generation)
-	mem, err := buntdb.Open(":memory:")
-	if err != nil {
-		return errors.Wrap(err, "store")
-	}
-	defer mem.Close()
-	v.seq, v.live, v.liveSum, v.written = map[string]uint32{}, map[string]int{}, 0, 0
-	err = mem.Update(func(tx *buntdb.Tx) error {
-		for name, value := range values {
-			if err := v.set(tx, Put{name, value}); err != nil {
-				return err
-			}
-		}
-		_, _, err := tx.Set(wholeMark, "1", nil)
+// Write keeps a batch; of two values for a name the later one. When it returns without an error the batch
+// has been synced. With an error nothing of it may be promised, and the store is as before; a later Write
+// may succeed. An empty batch makes sure that the disk takes writes since the store was opened, or since
+// the last error.
+func (s *Store) Write(batch []Put) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.file == nil {
+		_, err := s.begin(s.changes(batch))
 		return err
-	})
-	if err != nil {
-		return errors.Wrap(err, "store")
 	}
-	f, err := os.Create(path)
-	if err != nil {
-		return errors.Wrap(err, "store")
+	if len(batch) == 0 {
+		return nil
 	}
-	w := bufio.NewWriterSize(f, 1<<16)
-	if err = mem.Save(w); err == nil {
-		err = w.Flush()
+	if err := s.append(s.changes(batch)); err != nil {
+		s.abandon()
+		return err
 	}
-	if err == nil {
-		err = f.Sync()
+	if s.size >= s.turnAt {
+		s.turn()
 	}
-	if closed := f.Close(); err == nil {
-		err = closed
+	return nil
+}
+
+// changes gives each name of a batch its newest value only, in the slot that the name does not need.
+func (s *Store) changes(batch []Put) map[string]record {
+	changes := make(map[string]record, len(batch))
+	for _, p := range batch {
+		changes[p.Name] = record{p.Name, s.records[p.Name].seq + 1, p.Value}
 	}
-	if err == nil {
-		err = syncFolder(v.dir)
+	return changes
+}
+
+// append writes changes behind what the file holds.
+func (s *Store) append(changes map[string]record) error {
+	pairs := make(map[string]string, len(changes))
+	for _, r := range changes {
+		pairs[r.slot()] = r.text()
 	}
-	if err != nil {
+	var text bytes.Buffer
+	if err := s.code.encode(&text, pairs); err != nil {
 		return errors.Wrap(err, "store")
 	}
-	db, err := buntdb.Open(path)
-	if err != nil {
-		return errors.Wrap(err, "store")
+	if _, err := s.file.Write(text.Bytes()); err != nil {
+		return errors.Wrap(err, "store: write")
 	}
-	if err := db.SetConfig(buntdb.Config{SyncPolicy: buntdb.Always, AutoShrinkDisabled: true}); err != nil {
-		return errors.Wrap(err, "store")
+	if err := s.file.Sync(); err != nil {
+		return errors.Wrap(err, "store: sync")
 	}
-	if v.db != nil {
-		v.db.Close()
+	s.size += int64(text.Len())
+	for name, r := range changes {
+		s.live += liveBytes(r) - liveBytes(s.records[name])
+		s.records[name] = r
 	}
-	v.db = db
-	old, err := generations(v.dir)
-	if err != nil {
-		return err
+	return nil
+}
+
+func liveBytes(r record) int64 {
+	if len(r.value) == 0 {
+		return 0
 	}
-	for _, g := range old { // one that cannot be removed is only read past at the next start
-		if g < v.generation {
-			os.Remove(v.path(g))
-		}
+	return r.size()
+}
+
+// abandon gives up the file at hand: it stays as it was at its last sync until the next generation stands.
+// What a failed write left behind that is given back, as the next generation needs the room.
+func (s *Store) abandon() {
+	_ = s.file.Truncate(s.size)
+	_ = s.file.Close()
+	s.file = nil
+}
+
+// turn begins a new generation to get rid of old values. Where there is no room for it the one at hand goes
+// on.
+func (s *Store) turn() {
+	marked, err := s.begin(nil)
+	switch {
+	case err == nil:
+	case marked: // a loss of power may leave either: only a still newer one may be written to
+		s.abandon()
+	default:
+		s.turnAt = s.size + turnAgain
 	}
-	return nil
 }
 
-func syncFolder(dir string) error {
-	d, err := os.Open(dir)
+// begin writes the next generation, with what is kept and what is to be changed, and removes those before
+// it once it stands on the disk. After an error the store is as before. marked says that the new file may
+// count as whole all the same: then the one before it may not be written to any more.
+func (s *Store) begin(changes map[string]record) (marked bool, err error) {
+	records, live := s.merge(changes)
+	s.generation++
+	name := fileName(s.generation)
+	file, err := s.disk.Create(name)
 	if err != nil {
-		return err
+		return false, errors.Wrap(err, "store: create")
+	}
+	size, marked, err := s.fill(file, records)
+	if err != nil {
+		_ = file.Close()
+		_ = s.disk.Remove(name) // it needs room, and counts for nothing
+		return marked, err
+	}
+	if s.file != nil {
+		_ = s.file.Close()
 	}
-	defer d.Close()
-	return d.Sync()
+	s.file, s.size, s.records, s.live = file, size, records, live
+	s.turnAt = max(leastTurn, turnTimes*live)
+	s.removeOld()
+	return true, nil
 }
 
-// set writes one value into the slot that its name does not need.
-func (v *Store) set(tx *buntdb.Tx, p Put) error {
-	seq := v.seq[p.Name] + 1
-	if len(p.Value) == 0 {
-		for s := range slots {
-			if _, err := tx.Delete(fmt.Sprintf("%s/%d", p.Name, s)); err != nil && err != buntdb.ErrNotFound {
-				return err
-			}
+// merge is what a new generation holds.
+func (s *Store) merge(changes map[string]record) (records map[string]record, live int64) {
+	records = make(map[string]record, len(s.records)+len(changes))
+	keep := func(r record) {
+		if len(r.value) == 0 {
+			delete(records, r.name)
+			return
 		}
-		v.liveSum -= v.live[p.Name]
-		delete(v.live, p.Name)
-		delete(v.seq, p.Name)
-		return nil
+		records[r.name] = record{r.name, 1, r.value}
+	}
+	for _, r := range s.records {
+		keep(r)
+	}
+	for _, r := range changes {
+		keep(r)
+	}
+	for _, r := range records {
+		live += r.size()
 	}
-	buf := make([]byte, headBytes, headBytes+len(p.Value))
-	binary.BigEndian.PutUint32(buf[4:], seq)
-	buf = append(buf, p.Value...)
-	binary.BigEndian.PutUint32(buf, crc32.ChecksumIEEE(buf[4:]))
-	_, _, err := tx.Set(fmt.Sprintf("%s/%d", p.Name, seq%slots), string(buf), nil)
-	v.seq[p.Name] = seq
-	v.liveSum += len(buf) + len(p.Name) - v.live[p.Name]
-	v.live[p.Name] = len(buf) + len(p.Name)
-	v.written += len(buf) + len(p.Name)
-	return err
+	return records, live
 }
 
-// Write keeps a batch. When it returns without an error the batch has been synced; with one, nothing of it may be promised.
-func (v *Store) Write(batch []Put) error {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	err := v.db.Update(func(tx *buntdb.Tx) error {
-		for _, p := range batch {
-			if err := v.set(tx, p); err != nil {
-				return err
-			}
-		}
-		return nil
-	})
+// fill writes a new generation's content, then its mark, and syncs the file and its name.
+func (s *Store) fill(file File, records map[string]record) (size int64, marked bool, err error) {
+	content, err := writeContent(file, s.code, records)
 	if err != nil {
-		return errors.Wrap(err, "store")
+		return 0, false, errors.Wrap(err, "store: write")
 	}
-	if v.written > max(leastTurn, turnTimes*v.liveSum) {
-		return v.shrink()
+	end := &contentWriter{to: file}
+	if err := s.code.encode(end, map[string]string{wholeMark: content.text()}); err != nil {
+		return 0, true, errors.Wrap(err, "store: write")
 	}
-	return nil
+	if err := file.Sync(); err != nil {
+		return 0, true, errors.Wrap(err, "store: sync")
+	}
+	if err := s.disk.Sync(); err != nil {
+		return 0, true, errors.Wrap(err, "store: sync of the folder")
+	}
+	return content.size + end.size, true, nil
 }
 
-// shrink turns to a new generation that holds only what is live.
-func (v *Store) shrink() error {
-	values := map[string][]byte{}
-	err := v.db.View(func(tx *buntdb.Tx) error {
-		for name, seq := range v.seq {
-			text, err := tx.Get(fmt.Sprintf("%s/%d", name, seq%slots))
-			if err != nil {
-				return err
-			}
-			values[name] = []byte(text[headBytes:])
+// removeOld removes the generations before the one at hand. One that can't be removed is only read past at
+// the next start.
+func (s *Store) removeOld() {
+	all, _ := generations(s.disk)
+	for _, g := range all {
+		if g < s.generation {
+			_ = s.disk.Remove(fileName(g))
 		}
-		return nil
-	})
-	if err != nil {
-		return errors.Wrap(err, "store")
 	}
-	return v.turn(values)
 }
 
 // Close ends the use of the store.
-func (v *Store) Close() error {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.db.Close()
+func (s *Store) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.code.close()
+	if s.file == nil {
+		return nil
+	}
+	return s.file.Close()
 }
--- a/internal/mesh/store/store_test.go
+++ b/internal/mesh/store/store_test.go
@@ -1,12 +1,16 @@
 package store
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"syscall"
 	"testing"
 
+	"github.com/cockroachdb/errors"
+	"github.com/tidwall/buntdb"
 	"golang.org/x/sys/unix"
 )
 
@@ -26,46 +30,31 @@
 	return v, values, found
 }
 
-// The file of a recorded day is cut, and spoilt, at every byte: what was promised before the batch at hand is always there, and
-// what is there of a name is a value that was once written for it.
+// The file of a recorded day is cut, and spoilt, at every byte: what was promised before the batch at hand
+// is always there, and what is there of a name is a value that was once written for it.
 func TestOpensAfterATornWrite(t *testing.T) {
-	dir := t.TempDir()
-	v, _, found := open(t, dir)
+	disk := newMemoryDisk(nil)
+	v, _, found := openMemory(t, disk)
 	if found {
 		t.Fatal("an empty folder holds nothing")
 	}
-	type point struct {
-		size int64
-		last int
-	}
-	path := v.path(v.generation)
-	size := func() int64 {
-		info, err := os.Stat(path)
-		if err != nil {
-			t.Fatal(err)
-		}
-		return info.Size()
-	}
+	type point struct{ size, last int }
 	var points []point
 	for i := 1; i <= 6; i++ {
 		write(t, v, Put{"a", fmt.Appendf(nil, "value %d", i)}, Put{fmt.Sprintf("b%d", i), []byte("x")})
-		points = append(points, point{size(), i})
+		points = append(points, point{disk.used(), i})
 	}
 	v.Close()
-	text, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	for cut := points[0].size; cut <= int64(len(text)); cut++ {
-		promised := 0
-		var until int64
+	name := fileName(v.generation)
+	text := disk.names[name].content
+	for cut := points[0].size; cut <= len(text); cut++ {
+		promised, until := 0, 0
 		for _, p := range points {
 			if p.size <= cut {
 				promised, until = p.last, p.size
 			}
 		}
 		for _, way := range []string{"cut", "zeros", "hole"} {
-			other := t.TempDir()
 			kept := append([]byte{}, text[:cut]...)
 			switch way {
 			case "zeros": // the length went to the disk, the bytes did not
@@ -75,10 +64,8 @@
 					kept[i] = 0
 				}
 			}
-			if err := os.WriteFile(filepath.Join(other, filepath.Base(path)), kept, 0o644); err != nil {
-				t.Fatal(err)
-			}
-			w, values, found := open(t, other)
+			other := newMemoryDisk(map[string][]byte{name: kept})
+			w, values, found := openMemory(t, other)
 			var got int
 			fmt.Sscanf(string(values["a"]), "value %d", &got)
 			if !found || got < promised || got > promised+1 {
@@ -86,7 +73,7 @@
 			}
 			write(t, w, Put{"a", []byte("value 99")}) // and what is written behind it is found as well
 			w.Close()
-			w, values, _ = open(t, other)
+			w, values, _ = openMemory(t, other)
 			if string(values["a"]) != "value 99" {
 				t.Fatalf("%s at %d: written behind it, read back %q", way, cut, values["a"])
 			}
@@ -101,12 +88,12 @@
 	v, _, _ := open(t, dir)
 	write(t, v, Put{"a", []byte("kept")})
 	v.Close()
-	text, err := os.ReadFile(v.path(v.generation))
+	text, err := os.ReadFile(filepath.Join(dir, fileName(v.generation)))
 	if err != nil {
 		t.Fatal(err)
 	}
-	for cut := range 20 {
-		os.WriteFile(v.path(90), text[:cut], 0o644)
+	for cut := range text {
+		os.WriteFile(filepath.Join(dir, fileName(90)), text[:cut], 0o644)
 		w, values, found := open(t, dir)
 		if !found || string(values["a"]) != "kept" {
 			t.Fatalf("cut at %d: %v, %q", cut, found, values["a"])
@@ -115,6 +102,142 @@
 	}
 }
 
+// A loss of power may keep the mark of a new generation and lose a value before it: the generation before
+// it counts then.
+func TestGenerationWithAHoleDoesNotCount(t *testing.T) {
+	disk := newMemoryDisk(nil)
+	v, _, _ := openMemory(t, disk)
+	write(t, v, Put{"a", []byte("a value of some length")})
+	v.Close()
+	name := fileName(v.generation)
+	text := disk.names[name].content
+	at := bytes.Index(text, []byte("value of"))
+	spoilt := bytes.Clone(text)
+	clear(spoilt[at : at+5])
+	after := newMemoryDisk(map[string][]byte{name: text, fileName(90): spoilt})
+	_, values, found := openMemory(t, after)
+	if !found || string(values["a"]) != "a value of some length" {
+		t.Fatalf("found %v, a = %q", found, values["a"])
+	}
+}
+
+// Generations of the version before, whose mark had no checksum and in which names were taken away by
+// deletions, are read.
+func TestReadsTheFormBefore(t *testing.T) {
+	db, err := buntdb.Open(filepath.Join(t.TempDir(), "db"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer db.Close()
+	text := func(seq uint32, value string) string { return record{"", seq, []byte(value)}.text() }
+	err = db.Update(func(tx *buntdb.Tx) error {
+		tx.Set("a/0", text(2, "new"), nil)
+		tx.Set("a/1", text(1, "old"), nil)
+		_, _, err := tx.Set(wholeMark, "1", nil)
+		return err
+	})
+	var file bytes.Buffer
+	if saved := db.Save(&file); err != nil || saved != nil {
+		t.Fatal(err, saved)
+	}
+	file.WriteString("*2\r\n$3\r\ndel\r\n$3\r\nb/1\r\n")
+	_, values, found := openMemory(t, newMemoryDisk(map[string][]byte{fileName(7): file.Bytes()}))
+	if !found || len(values) != 1 || string(values["a"]) != "new" {
+		t.Fatalf("found %v, %q", found, values)
+	}
+}
+
+// A file that can't be read to its end is an error: what was promised in the rest of it may not pass for
+// lost.
+func TestReadErrorIsNoEnd(t *testing.T) {
+	disk := newMemoryDisk(nil)
+	v, _, _ := openMemory(t, disk)
+	write(t, v, Put{"a", []byte("kept")})
+	write(t, v, Put{"a", []byte("newer")})
+	disk.readFail = errRead
+	if _, _, _, err := OpenDisk(disk); !errors.Is(err, errRead) {
+		t.Fatalf("opened on a disk that can't be read: %v", err)
+	}
+	disk.readFail = nil
+	if _, values, _ := openMemory(t, disk); string(values["a"]) != "newer" {
+		t.Fatalf("a = %q", values["a"])
+	}
+}
+
+// A start on a disk that takes no bytes reads what is there; the store is usable once the disk is.
+func TestOpensOnAFullDisk(t *testing.T) {
+	disk := newMemoryDisk(nil)
+	v, _, _ := openMemory(t, disk)
+	write(t, v, Put{"a", []byte("kept")})
+	v.Close()
+	disk.capacity = disk.used()
+	v, values, found := openMemory(t, disk)
+	if !found || string(values["a"]) != "kept" {
+		t.Fatalf("found %v, a = %q", found, values["a"])
+	}
+	for range 3 {
+		if err := v.Write([]Put{{"b", []byte("x")}}); !errors.Is(err, syscall.ENOSPC) {
+			t.Fatalf("a write on a full disk: %v", err)
+		}
+		if disk.used() > disk.capacity || len(disk.names) != 1 {
+			t.Fatalf("%d files of %d bytes are left", len(disk.names), disk.used())
+		}
+	}
+	disk.capacity = 0
+	write(t, v, Put{"c", []byte("y")})
+	_, values, _ = openMemory(t, disk)
+	if len(values) != 2 || string(values["a"]) != "kept" || string(values["c"]) != "y" || len(disk.names) != 1 {
+		t.Fatalf("%q in %d files", values, len(disk.names))
+	}
+}
+
+// A disk that fills up: the store goes on in its file where there is no room for a new generation, fails
+// when the file can't grow, gives back what the failed write took, and goes on by itself once there is room
+// for what is live.
+func TestFillsUpAndRecovers(t *testing.T) {
+	disk := newMemoryDisk(nil)
+	disk.capacity = 64 << 10
+	v, _, _ := openMemory(t, disk)
+	value := func(i int) []byte { return bytes.Repeat([]byte{byte('a' + i%26)}, 1000) }
+	kept, failed := 0, 0
+	for i := 1; failed == 0; i++ {
+		v.turnAt = 40 << 10
+		var batch []Put
+		for name := range 20 { // 20 KB are live
+			batch = append(batch, Put{fmt.Sprint(name), value(i)})
+		}
+		if i > 1 {
+			batch = batch[:1]
+		}
+		before := disk.used()
+		if v.Write(batch) != nil {
+			if failed = i; disk.used() != before {
+				t.Fatalf("%d bytes of the failed write are left", disk.used()-before)
+			}
+			continue
+		}
+		kept = i
+		if i == 10 { // from here on others fill the disk
+			disk.capacity = disk.used() + 4<<10
+		}
+	}
+	if kept < 10 {
+		t.Fatalf("failed at %d", failed)
+	}
+	_, values, _ := openMemory(t, disk)
+	if !bytes.Equal(values["0"], value(kept)) {
+		t.Fatalf("kept %d, found %.8q", kept, values["0"])
+	}
+	disk.capacity = disk.used() + 24<<10 // others have made room for what is live
+	write(t, v, Put{"0", value(100)})
+	if _, values, _ = openMemory(t, disk); len(values) != 20 || !bytes.Equal(values["0"], value(100)) {
+		t.Fatalf("%d values, found %.8q", len(values), values["0"])
+	}
+	if len(disk.names) != 1 || disk.used() > 24<<10 {
+		t.Fatalf("%d files of %d bytes are left", len(disk.names), disk.used())
+	}
+}
+
 // What is written over and over does not fill the disk, and what was taken away stays away.
 func TestShrinks(t *testing.T) {
 	dir := t.TempDir()
@@ -139,13 +262,13 @@
 	}
 }
 
-// A disk that takes no more: the write that does not fit is told as failed, nothing of it may be promised, and what was promised
-// before it is there at the next start.
+// A disk that takes no more: the write that does not fit is told as failed, nothing of it may be promised,
+// and what was promised before it is there at the next start.
 func TestFullDisk(t *testing.T) {
 	dir := t.TempDir()
 	v, _, _ := open(t, dir)
 	write(t, v, Put{"a", []byte("kept")})
-	info, err := os.Stat(v.path(v.generation))
+	info, err := os.Stat(filepath.Join(dir, fileName(v.generation)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -169,4 +292,9 @@
 	if !found || string(values["a"]) != "kept" || len(values) != 1 {
 		t.Errorf("found %v, %d values, a = %q", found, len(values), values["a"])
 	}
+	write(t, v, Put{"c", []byte("later")}) // and the store goes on once there is room
+	_, values, _ = open(t, dir)
+	if len(values) != 2 || string(values["a"]) != "kept" || string(values["c"]) != "later" {
+		t.Errorf("after there was room: %q", values)
+	}
 }
