Store: a writer that retries what the disk refuses and lets no message go before

Change: Writer owns the queue of values, the newest of each name, and the messages that wait for them. One batch and one sync at a time; a failed batch is tried again with what has come since, 0.25 s later and then up to 2 s. Messages go in order once all values before them are synced; the first write of a process has to succeed before any goes, as what was read may not be on the disk for good. A message that waits for more than 1 s for its write to begin, or 5 s for it to return, is dropped. A name that comes and goes while the disk takes nothing leaves the queue. Changes between healthy, stalled (0.5 s), full and failing are told once. The queue is a state machine; the shell has one goroutine and no timer.

--- /dev/null
+++ b/internal/mesh/store/queue_test.go
@@ -0,0 +1,207 @@
+package store
+
+import (
+	"fmt"
+	"slices"
+	"syscall"
+	"testing"
+)
+
+// begun is a queue whose first write has succeeded.
+func begun(t *testing.T, names ...string) *queue[string] {
+	t.Helper()
+	q := newQueue[string](names)
+	if puts, write, ok := q.begin(0); len(puts) != 0 || !write || !ok {
+		t.Fatal("the first write is begun without anything to write")
+	}
+	q.end(0, true, nil)
+	return q
+}
+
+func expectBatch(t *testing.T, q *queue[string], now float64, expected ...string) {
+	t.Helper()
+	puts, _, ok := q.begin(now)
+	var got []string
+	for _, p := range puts {
+		got = append(got, p.Name+"="+string(p.Value))
+	}
+	if !ok || !slices.Equal(got, expected) {
+		t.Fatalf("at %v: began %v %v, not %v", now, ok, got, expected)
+	}
+}
+
+func expectIdle(t *testing.T, q *queue[string], now float64) {
+	t.Helper()
+	if puts, _, ok := q.begin(now); ok {
+		t.Fatalf("at %v: began %v", now, puts)
+	}
+}
+
+func put(name, value string) []Put { return []Put{{name, []byte(value)}} }
+
+// Nothing that was read at the start is said again before the disk has taken a write.
+func TestMessagesWaitForTheFirstWrite(t *testing.T) {
+	q := newQueue[string]([]string{"a"})
+	q.add(0, nil, []string{"I have a"})
+	if _, write, ok := q.begin(0); !write || !ok {
+		t.Fatal("no write")
+	}
+	if got := q.end(0.1, true, syscall.ENOSPC); len(got) != 0 {
+		t.Fatalf("went after a failed write: %v", got)
+	}
+	if _, write, ok := q.begin(0.5); !write || !ok {
+		t.Fatal("no other write")
+	}
+	if got := q.end(0.6, true, nil); !slices.Equal(got, []string{"I have a"}) {
+		t.Fatalf("went: %v", got)
+	}
+}
+
+// What waits goes in one batch, the newest value of each name; messages go in order and only once all
+// values before them are synced, those without values as well.
+func TestMessagesWaitForValues(t *testing.T) {
+	q := begun(t)
+	q.add(1, put("a", "1"), []string{"a is 1"})
+	expectBatch(t, q, 1, "a=1")
+	q.add(1.01, put("a", "2"), []string{"a is 2"})
+	q.add(1.02, put("a", "3"), nil)
+	q.add(1.03, put("b", "1"), nil)
+	q.add(1.04, nil, []string{"all is there"})
+	expectIdle(t, q, 1.05)
+	if got := q.end(1.1, true, nil); !slices.Equal(got, []string{"a is 1"}) {
+		t.Fatalf("went: %v", got)
+	}
+	expectBatch(t, q, 1.1, "a=3", "b=1")
+	if got := q.end(1.2, true, nil); !slices.Equal(got, []string{"a is 2", "all is there"}) {
+		t.Fatalf("went: %v", got)
+	}
+	expectIdle(t, q, 1.3)
+	q.add(1.4, nil, []string{"and nothing new"})
+	if _, write, ok := q.begin(1.4); write || !ok {
+		t.Fatal("a message without values needs no write")
+	}
+	if got := q.end(1.4, false, nil); !slices.Equal(got, []string{"and nothing new"}) {
+		t.Fatalf("went: %v", got)
+	}
+}
+
+// A batch that failed is tried again with what has come since, after pauses that grow to a bound; its
+// messages go first if it succeeds in time, and are dropped if not.
+func TestFailedBatchIsTriedAgain(t *testing.T) {
+	q := begun(t)
+	q.add(1, append(put("a", "1"), put("b", "1")...), []string{"a is 1"})
+	expectBatch(t, q, 1, "a=1", "b=1")
+	q.add(1.01, put("a", "2"), []string{"a is 2"})
+	q.end(1.02, true, syscall.ENOSPC)
+	expectIdle(t, q, 1.02+retryFirst-0.01)
+	expectBatch(t, q, 1.02+retryFirst, "a=2", "b=1")
+	if got := q.end(1.3, true, nil); !slices.Equal(got, []string{"a is 1", "a is 2"}) {
+		t.Fatalf("went: %v", got)
+	}
+	q.add(2, put("c", "1"), []string{"c is 1"})
+	now := 2.0
+	for _, pause := range []float64{retryFirst, 2 * retryFirst, 4 * retryFirst, retryMost, retryMost} {
+		expectBatch(t, q, now, "c=1")
+		q.end(now, true, syscall.EIO)
+		expectIdle(t, q, now+pause-0.01)
+		now += pause
+	}
+	q.add(now, nil, []string{"late"})
+	expectBatch(t, q, now, "c=1")
+	if got := q.end(now, true, nil); !slices.Equal(got, []string{"late"}) || q.dropped != 1 {
+		t.Fatalf("went: %v, %d dropped", got, q.dropped)
+	}
+}
+
+// A disk that takes nothing for ten minutes, while 20 names a second come and go: what waits stays bounded.
+func TestMemoryIsBoundedWhileTheDiskFails(t *testing.T) {
+	const perTick, perSecond, lifeTicks, ticks = 5, 4, 75 * 4, 600 * 4
+	for _, stalled := range []bool{false, true} {
+		q := begun(t, "old")
+		q.add(0, put("old", ""), nil)
+		q.begin(0)
+		most := 0
+		for n := range ticks {
+			now := float64(n+1) / perSecond
+			for i := range perTick {
+				q.add(now, put(fmt.Sprint("k", n, "/", i), "v"), []string{"promise"})
+				q.add(now, put(fmt.Sprint("k", n-lifeTicks, "/", i), ""), nil)
+			}
+			q.tick(now)
+			if !stalled {
+				if q.writing != nil {
+					q.end(now, true, syscall.ENOSPC)
+				}
+				q.begin(now)
+			}
+			messages, puts := len(q.waiting.after), len(q.waiting.puts)
+			if q.writing != nil {
+				messages, puts = messages+len(q.writing.after), puts+len(q.writing.puts)
+			}
+			most = max(most, messages+puts)
+		}
+		if allowed := perTick * (2*lifeTicks + 50); most > allowed {
+			t.Errorf("stalled %v: %d values and messages waited, %d allowed", stalled, most, allowed)
+		}
+		if !stalled && q.writing != nil {
+			q.end(ticks/perSecond, true, syscall.ENOSPC)
+		}
+		if stalled {
+			q.end(ticks/perSecond, true, nil)
+		}
+		if value, waits := q.waiting.puts["old"]; !stalled && (!waits || len(value) > 0) {
+			t.Error("a name that is on the disk has to be taken away there")
+		}
+	}
+}
+
+// A write that hangs for long is told once, and the disk is healthy once it has been calm; a disk on which
+// every write is slow doesn't change to and fro.
+func TestSlowDiskIsToldOnce(t *testing.T) {
+	q := begun(t)
+	now := 1.0
+	for range 20 {
+		q.add(now, put("a", "1"), []string{"promise"})
+		expectBatch(t, q, now, "a=1")
+		for range 6 {
+			now += 0.1
+			q.tick(now)
+		}
+		if got := q.end(now, true, nil); len(got) != 1 {
+			t.Fatal("a slow disk is no reason to drop a message whose write was begun in time")
+		}
+		now += 0.1
+		q.tick(now)
+	}
+	for range 20 {
+		now += 0.1
+		q.tick(now)
+	}
+	expectConditions(t, q, Stalled, Healthy)
+}
+
+// Each kind of failure is told once, and the first write that succeeds ends it.
+func TestFailureIsToldOnce(t *testing.T) {
+	q := begun(t)
+	now := 1.0
+	q.add(now, put("a", "1"), nil)
+	for _, err := range []error{syscall.ENOSPC, syscall.EDQUOT, syscall.EFBIG, syscall.EIO, syscall.EROFS, nil} {
+		now += retryMost
+		q.tick(now)
+		expectBatch(t, q, now, "a=1")
+		q.end(now, true, err)
+		q.tick(now)
+	}
+	expectConditions(t, q, Full, Failing, Healthy)
+}
+
+func expectConditions(t *testing.T, q *queue[string], expected ...Condition) {
+	t.Helper()
+	var got []Condition
+	for _, c := range q.health.changes {
+		got = append(got, c.Condition)
+	}
+	if !slices.Equal(got, expected) {
+		t.Fatalf("told %v, not %v", q.health.changes, expected)
+	}
+}
