beechwing-control stays on a full, stalled or unreadable disk, and says so

Cause: a failed write ended the process, and so did a start on a disk that takes no bytes, again and again.

Change: run uses the store's Writer.

--- a/cmd/beechwing-control/calls.go
+++ b/cmd/beechwing-control/calls.go
@@ -10,6 +10,7 @@
 	"beechwing/internal/mesh/api"
 	"beechwing/internal/mesh/cli"
 	"beechwing/internal/mesh/control"
+	"beechwing/internal/mesh/store"
 )
 
 // ask gives the machine a question and waits for its answer.
@@ -162,6 +163,11 @@
 	page.Gauge("beechwing_control_standbys", float64(len(s.Standbys)))
 	page.Gauge("beechwing_control_silent_members", float64(len(s.Silent)))
 	page.Gauge("beechwing_control_last_contact_seconds", s.ContactAge)
+	disk := p.writer.Figures()
+	page.Flag("beechwing_control_disk_failing", disk.Condition != store.Healthy)
+	page.Gauge("beechwing_control_disk_waiting", float64(disk.Values), "what", "values")
+	page.Gauge("beechwing_control_disk_waiting", float64(disk.Messages), "what", "messages")
+	page.Count("beechwing_control_disk_dropped_messages_total", disk.Dropped)
 	page.Gauge("beechwing_control_roll", float64(len(s.Roll)))
 	page.Gauge("beechwing_control_silent", float64(len(s.SilentProxies)))
 }
--- a/cmd/beechwing-control/run.go
+++ b/cmd/beechwing-control/run.go
@@ -40,33 +40,27 @@
 	mu     sync.Mutex
 	server *control.Server
 
-	disk    chan struct{}
-	pending struct {
-		sync.Mutex
-		puts  []store.Put
-		after []transport.Send
-	}
-	vault *store.Store
+	writer *store.Writer[transport.Send]
 
 	assayMu sync.Mutex
 	assayer *validate.Validator
 }
 
 func run(ctx context.Context, d *bootstrap.Settings, says cli.Options, log *slog.Logger) error {
-	p := &program{log: log, clock: cli.NewClock(), deed: d, disk: make(chan struct{}, 1)}
+	p := &program{log: log, clock: cli.NewClock(), deed: d}
 	if d.DataDir == "" {
 		return errors.New("settings: dataDir: is missing, and the control plane keeps its promises on disk")
 	}
 	cli.Memory(d)
-	var values map[string][]byte
-	var found bool
-	var err error
-	if p.vault, values, found, err = store.Open(d.DataDir); err != nil {
-		return err
-	}
-	if err = p.vault.Write(nil); err != nil { // what was read is on the disk for good from here on
-		return err
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	disk, err := p.openStore(ctx)
+	if err != nil { // told to end before the disk was read
+		log.Info("ending")
+		return nil
 	}
+	values, found := disk.values, disk.found
+	p.writer = p.newWriter(disk)
 	log.Info("disk read", "found", found, "values", len(values), "first", d.FirstStart)
 	p.server, err = control.New(p.clock.Now(), control.Options{Self: d.Inner(), Seeds: d.Seeds(), First: d.FirstStart,
 		Tolerance: d.Tolerance.Machines, Window: d.Bound("passWindowS", 60), Life: rand.Uint32() | 1, Random: rand.Uint64(),
@@ -74,15 +68,13 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	p.mu.Lock()
 	if p.net, err = transport.Listen(d.Inner(), p.event); err != nil {
 		p.mu.Unlock()
 		return err
 	}
 	p.mu.Unlock()
-	go p.write()
+	go p.writer.Run(context.Background()) // calls that are open at the end still get their answers
 	server, err := cli.Serve(ctx, d.Docking.Control, p.calls(), log)
 	if err != nil {
 		return err
@@ -107,6 +99,7 @@
 		select {
 		case <-tick.C:
 			p.with(func(now float64) { p.server.Tick(now) })
+			p.writer.Tick()
 		case <-ctx.Done():
 			log.Info("ending")
 			p.leave(tick.C)
@@ -130,6 +123,7 @@
 				p.server.Tick(now)
 				left = p.server.Left(now)
 			})
+			p.writer.Tick()
 		case <-late:
 			p.log.Warn("ending as a member", "waited", leaveWithin)
 			return
@@ -150,14 +144,7 @@
 	for {
 		out := p.server.Take()
 		if len(out.Puts) > 0 || len(out.After) > 0 {
-			p.pending.Lock()
-			p.pending.puts = append(p.pending.puts, out.Puts...)
-			p.pending.after = append(p.pending.after, out.After...)
-			p.pending.Unlock()
-			select {
-			case p.disk <- struct{}{}:
-			default:
-			}
+			p.writer.Add(out.Puts, out.After)
 		}
 		if len(out.Sends) == 0 {
 			return
@@ -183,20 +170,3 @@
 		p.with(func(now float64) { p.server.Heard(now, came.From, came.Message) })
 	}
 }
-
-// write keeps what has to be kept, all that waits in one batch, and lets go what waited for that.
-func (p *program) write() {
-	for range p.disk {
-		p.pending.Lock()
-		puts, after := p.pending.puts, p.pending.after
-		p.pending.puts, p.pending.after = nil, nil
-		p.pending.Unlock()
-		if len(puts) > 0 {
-			if err := p.vault.Write(puts); err != nil { // what cannot be kept may not be promised, and nothing after it
-				p.log.Error("disk", "error", err)
-				os.Exit(1)
-			}
-		}
-		p.with(func(float64) { p.send(after) })
-	}
-}
