A server whose disk fails refuses at once; what was chosen stays known over a restart

Cause: with the disk's writer joined, orders at a server whose disk takes no writes hung until they were given up (0.8 s), and its joiner's last write could be waited for without end. After a restart the configuration was known only once the coordinator had read it by a ballot. Change: Server.DiskState is hooked up: orders, claims and changes of view are refused at once while the disk fails; the state says why. The ballot of the chosen configuration is on disk, so a start knows it; it is told to proxies once a quorum's digests show that nothing newer is held.

--- a/internal/mesh/control/catchup.go
+++ b/internal/mesh/control/catchup.go
@@ -15,6 +15,7 @@
 const (
 	pageAgain   = 0.4 // seconds without an answer until a member is asked again
 	pageGiveUp  = 1.0 // and until another one is asked in its place
+	syncWithin  = 1.5 // and until what was put is put again, as a disk that fails may have dropped the word on it
 	followEvery = 0.3 // seconds between questions for what has changed, once all has been read
 )
 
@@ -34,7 +35,7 @@
 	sources     map[string]*source // by address
 	caughtUp    bool               // a majority of the members has been read once
 	syncedEpoch uint64             // the joint epoch for which everything was read
-	syncing     bool               // the disk is about to have the last of it
+	syncingTill float64            // the disk is about to have the last of it; after this time it is asked again
 	bytes       int                // read in this life
 	began       float64
 }
@@ -42,7 +43,7 @@
 func (c *catchup) init() { *c = catchup{sources: map[string]*source{}, bytes: c.bytes} }
 
 // viewChanged has everything that is read count for the new view only.
-func (c *catchup) viewChanged() { c.syncing = false }
+func (c *catchup) viewChanged() { c.syncingTill = 0 }
 
 // tickCatchup asks as many members as make a majority, in an order of this server's own; who does not answer is passed over.
 func (s *Server) tickCatchup(now float64) {
@@ -145,10 +146,10 @@
 		s.membership.joinAt = 0
 	}
 	joiner, _ := s.view().Joiner()
-	if joiner != s.self || c.syncing || !read(func(from *source) bool { return from.epoch == s.view().Epoch }) {
+	if joiner != s.self || now < c.syncingTill || !read(func(from *source) bool { return from.epoch == s.view().Epoch }) {
 		return
 	}
-	c.syncing = true
+	c.syncingTill = now + syncWithin
 	epoch := s.view().Epoch
 	s.put(nameSynced, word(epoch))
 	s.whenSynced(func(now float64) {
--- a/internal/mesh/control/configuration.go
+++ b/internal/mesh/control/configuration.go
@@ -103,7 +103,7 @@
 	case !s.isMember():
 		told(OrderNotMember)
 		return
-	case !s.Voting(), !s.inContact(now), c.open >= mostOrdersOpen:
+	case !s.canPromise(now), c.open >= mostOrdersOpen:
 		told(OrderNoContact)
 		return
 	}
@@ -145,7 +145,7 @@
 	case !s.isMember():
 		answer(nil, OrderNotMember)
 		return
-	case !s.Voting(), !s.inContact(now):
+	case !s.canPromise(now):
 		answer(nil, OrderNoContact)
 		return
 	}
@@ -163,7 +163,6 @@
 	s.registers.Update(now, configKey, func([]byte) []byte { return nil }, func(_ uint64, body []byte, ok bool) {
 		if ok {
 			s.learnConfig(now, decodeConfig(body))
-			s.configuration.confirmed = true
 		}
 		done(ok)
 	})
@@ -175,13 +174,54 @@
 	if chosen.GetVersion() <= c.chosenVersion() {
 		return
 	}
-	c.chosen, c.confirmed = chosen, true
+	c.chosen = chosen
 	c.known = max(c.known, chosen.Version)
+	s.putChosen()
 	s.o.Log("in force", "edition", chosen.Version, "bytes", len(chosen.Text))
 	s.propagation.changed, s.propagation.digestAt = true, 0
 	s.wake(now)
 }
 
+// putChosen notes on the disk that the value there is chosen, for the next start: what was chosen once stays so.
+func (s *Server) putChosen() {
+	value, ballot := s.registers.Local(configKey)
+	held := decodeConfig(value.GetBody())
+	if held.GetVersion() != s.configuration.chosenVersion() {
+		return
+	}
+	if text, err := proto.Marshal(ballot.Wire()); err == nil {
+		s.put(nameChosen, text)
+	}
+}
+
+// restoreChosen takes what the disk says of the configuration. It was in force once, and need not be the newest.
+func (s *Server) restoreChosen(values map[string][]byte) {
+	noted := &meshpb.Ballot{}
+	if len(values[nameChosen]) == 0 || proto.Unmarshal(values[nameChosen], noted) != nil {
+		return
+	}
+	if value, ballot := s.registers.Local(configKey); ballot == register.FromWire(noted) {
+		s.configuration.chosen = decodeConfig(value.GetBody())
+	}
+}
+
+// confirm learns that what is known here is the newest: a quorum holds nothing newer, and a newer one would be on one of them.
+func (s *Server) confirm(now float64) {
+	c := &s.configuration
+	if c.confirmed || !s.Voting() || !s.inContact(now) {
+		return
+	}
+	newest := c.chosenVersion()
+	value, _ := s.registers.Local(configKey)
+	if decodeConfig(value.GetBody()).GetVersion() > newest {
+		return
+	}
+	c.confirmed = s.view().Quorum(func(m view.Member) bool {
+		p := s.contact.peers[m.Address]
+		return m == s.self || p != nil && p.member == m && p.config != nil && p.config.HeldVersion <= newest
+	})
+}
+
 // noteHeld looks what the disk has of the register; it is told to others once it is synced.
 func (s *Server) noteHeld() {
 	c := &s.configuration
@@ -222,6 +262,7 @@
 		}
 	}
 	s.countHolders(now)
+	s.confirm(now)
 }
 
 // countHolders learns that a value is chosen where a quorum says that it has it at one ballot of this epoch.
@@ -252,12 +293,13 @@
 func (s *Server) tickConfiguration(now float64) {
 	c := &s.configuration
 	s.noteHeld()
+	s.confirm(now)
 	open := !c.confirmed || c.held > c.chosenVersion()
 	for _, p := range s.contact.peers {
 		open = open || p.config.GetHeldVersion() > c.chosenVersion()
 	}
 	switch {
-	case !open || !s.Voting() || !s.inContact(now):
+	case !open || !s.canPromise(now):
 		c.openSince = 0
 	case c.openSince == 0:
 		c.openSince = now
--- a/internal/mesh/control/disk.go
+++ b/internal/mesh/control/disk.go
@@ -1,17 +1,23 @@
 package control
 
-// diskState is how the disk of this process takes writes.
+// diskState is how the disk of this server takes writes.
 type diskState struct {
 	since   float64
 	failing bool
 	why     string
 }
 
-// DiskState tells the machine that its disk has begun to fail or to stall, or takes writes again. What
-// waits for the disk waits for it all the same; this says that it may be long.
+// DiskState tells the server that its disk has begun to fail or to stall, or takes writes again. While it fails nothing that waits
+// for the disk is sent, so no promise can be kept: orders and claims are refused at once, and this server changes no view. It goes
+// on telling what is in force, which it learns from the others.
 func (s *Server) DiskState(now float64, failing bool, why string) {
-	s.setDiskState(diskState{since: now, failing: failing, why: why})
+	s.disk = diskState{since: now, failing: failing, why: why}
+	if failing {
+		s.registers.Abort(now)
+	}
 }
 
-// setDiskState is where the state goes. Nothing is decided by it yet.
-func (s *Server) setDiskState(diskState) {}
+// canPromise says whether a change of a register begun here can come to an end.
+func (s *Server) canPromise(now float64) bool {
+	return s.Voting() && s.inContact(now) && !s.disk.failing
+}
--- a/internal/mesh/control/ejection.go
+++ b/internal/mesh/control/ejection.go
@@ -96,7 +96,7 @@
 
 // tickEjections judges what it is this process's to judge, and asks proxies about hosts that are newly accused.
 func (s *Server) tickEjections(now float64) {
-	if now < s.ejections.judgeAt || !s.Voting() || !s.inContact(now) {
+	if now < s.ejections.judgeAt || !s.canPromise(now) {
 		return
 	}
 	s.ejections.judgeAt = now + judgeEvery
--- a/internal/mesh/control/membership.go
+++ b/internal/mesh/control/membership.go
@@ -314,10 +314,7 @@
 			delete(m.standbys, address)
 		}
 	}
-	if m.changing || m.leaving || !s.Voting() || !s.inContact(now) || !s.coordinates(now) {
-		return
-	}
-	if now < s.began+coordinateIn {
+	if m.changing || m.leaving || !s.canPromise(now) || !s.coordinates(now) || now < s.began+coordinateIn {
 		return
 	}
 	if next, change := s.nextView(now); change {
--- a/internal/mesh/control/server.go
+++ b/internal/mesh/control/server.go
@@ -23,6 +23,7 @@
 	nameIdentity = "identity" // the incarnation of this disk
 	nameView     = "view"     // the view in force
 	nameSynced   = "synced"   // the joint epoch for which this server holds all that was chosen before
+	nameChosen   = "chosen"   // the ballot at which the configuration on this disk was chosen
 	nameSettled  = "settled"  // the epoch that has lasted longer than keys are kept
 )
 
@@ -49,6 +50,7 @@
 	synced    map[uint64]func(now float64) // by token: to be called when what was put so far is on the disk
 	lastID    uint64
 
+	disk          diskState
 	membership    membership
 	contact       contact
 	catchup       catchup
@@ -77,6 +79,7 @@
 	if err := s.registers.Restore(now, values); err != nil {
 		return nil, err
 	}
+	s.restoreChosen(values)
 	if err := s.restoreView(now, values); err != nil {
 		return nil, err
 	}
@@ -216,7 +219,7 @@
 
 func (s *Server) heardClaim(now float64, from string, m *meshpb.Message) {
 	answer := s.claimAnswer(from, m, m.Claim.Token, true)
-	if !s.inContact(now) { // nothing can be bound from here: the asker goes elsewhere at once
+	if !s.canPromise(now) { // nothing can be bound from here: the asker goes elsewhere at once
 		answer(register.Unsure, nil)
 		return
 	}
--- a/internal/mesh/control/state.go
+++ b/internal/mesh/control/state.go
@@ -41,6 +41,7 @@
 	Behind        bool                   `json:"behind"`
 	CaughtUp      bool                   `json:"caughtUp"`
 	Foreign       bool                   `json:"foreignDisk"`
+	DiskFailing   string                 `json:"diskFailing,omitempty"` // why the disk takes no writes; empty: it does
 	Standbys      []string               `json:"standbys"`
 	Silent        []string               `json:"silentMembers"`
 	Edition       uint64                 `json:"held"`
@@ -64,6 +65,9 @@
 		Foreign: s.membership.foreign, Standbys: sorted(s.membership.standbys), Edition: s.configuration.held,
 		InForce: s.configuration.chosenVersion(), Pulls: len(s.propagation.pulls), EjectionLists: s.wireEjections(now),
 		SilentProxies: s.silentSources(now), Counts: s.count}
+	if s.disk.failing {
+		state.DiskFailing = cmp.Or(s.disk.why, "stalled")
+	}
 	if at := s.lastContact(); at > 0 {
 		state.ContactAge = now - at
 	}
