examples/mesh -added: what the mesh adds to a call, from paired calls

Change: -added sends calls in turn directly to a host, by two proxies, and by two proxies with a key, all by kept connections of one client, and tells median and 99th percentile of each and what they are above the direct ones.

--- a/examples/mesh/main.go
+++ b/examples/mesh/main.go
@@ -3,6 +3,7 @@
 //
 //	go run ./examples/mesh              # builds the programs into target/ first
 //	go run ./examples/mesh -rate 400 -for 10s
+//	go run ./examples/mesh -added -work 1ms        # what the mesh adds to a call, from paired calls (added.go)
 //	go run ./examples/mesh -removal -proxies 24   # hosts fail and are taken out under traffic; their records judge (removal.go)
 package main
 
@@ -105,6 +106,10 @@
 		time.Sleep(1500 * time.Millisecond) // the beats of all hosts have come round
 		return prove(all[*controls:], seeds)
 	}
+	if *added {
+		time.Sleep(1500 * time.Millisecond) // the beats of all hosts have come round
+		return compareAdded(all[*controls:])
+	}
 	fmt.Printf("%d proxies ready %v after the start\n", *proxies, time.Since(began).Round(time.Millisecond))
 	time.Sleep(500 * time.Millisecond) // the beats of all hosts have come round
 	rest := usage(all)
