Registers: copies that a joiner read are no proof that a value was chosen

Cause: a read took a value for chosen where a quorum told one ballot. A joiner tells ballots that it copied, so one acceptance of an earlier epoch and its copy passed for a quorum, while another value of the same version, accepted by one other member, was still open. Change: only ballots of the present epoch count so; of an earlier one the value is accepted anew. Within an epoch a joiner's copies cannot mislead, as a majority of the old members has to tell the ballot as well, and theirs are no copies. The servers of the model test come with it; a driver plays the membership. Result: the test reads version 1 'a' and then version 1 'b' before, the same value twice now.

--- /dev/null
+++ b/internal/mesh/register/model_cluster_test.go
@@ -0,0 +1,492 @@
+package register
+
+import (
+	"cmp"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/store"
+	"beechwing/internal/mesh/view"
+)
+
+// The model: servers with registers, a view and a disk, and a network that delivers in any order, late, twice or never. The driver
+// plays the part of the control plane's membership with the least that the protocol needs. Every choice comes from the seed.
+
+const (
+	modelWindow      = 60.0 // seconds for which keys are kept
+	modelMostPending = 60   // messages under way; beyond it some are lost
+	modelFresh       = 8    // of them, how many count as sent just now
+	modelIdentity    = "identity"
+	modelViewName    = "view"
+	modelSyncedName  = "synced"
+)
+
+var modelViewKey = Permanent("view")
+
+// modelRegister and modelOperation are the keys in use: of registers that are never forgotten, and of operations.
+func modelRegister(i int) string  { return Permanent(fmt.Sprintf("register%d", i)) }
+func modelOperation(i int) string { return fmt.Sprintf("operation%d", i) }
+
+// plantedFault is a mistake that the driver makes on purpose, to show that the checker finds it.
+type plantedFault int
+
+const (
+	noFault          plantedFault = iota
+	contentBlindVote              // an acceptor votes for a value whose version it holds, whatever the content
+	otherEpochVote                // an acceptor votes in ballots of an epoch that it has left
+	earlyJoinerVote               // a joiner votes before it has read what was chosen
+	leaverDropped                 // the stable view is chosen before the joiner has read what was chosen
+	reusedLife                    // a process reuses the ids and ballots of the one before it
+	unchosenFastPath              // the fast path continues a value that is on this disk, whether it was chosen or not
+	wipedMemberVotes              // a disk that lost its content votes as the member that it was
+)
+
+// modelMessage is a message under way.
+type modelMessage struct {
+	from    view.Member
+	to      string
+	epoch   uint64 // of the sender's view
+	message *meshpb.Message
+}
+
+// modelBatch is what goes to the disk at once, and what is to be done when it is there.
+type modelBatch struct {
+	puts  []store.Put
+	after []func()
+}
+
+func (b *modelBatch) empty() bool { return len(b.puts)+len(b.after) == 0 }
+
+// modelSource is how far a server that is no member has read another one's registers.
+type modelSource struct {
+	asked    uint64 // id of the question that is open
+	life     uint32
+	position uint64
+	member   view.Member
+	epoch    uint64 // of the view in which everything was read
+}
+
+type modelServer struct {
+	cluster *modelCluster
+	address string
+
+	disk    map[string][]byte
+	writing modelBatch // on its way to the disk, where syncing is set
+	queued  modelBatch
+	syncing bool
+
+	up        bool
+	life      uint32
+	self      view.Member
+	view      view.View
+	registers *Registers
+	lastID    uint64
+	sources   map[string]*modelSource
+	synced    uint64                 // the joint epoch for which this server has read everything
+	finishing bool                   // the last of it is on its way to the disk
+	joined    map[view.Member]uint64 // by joiner: the epoch for which it says so
+	changing  bool
+}
+
+type modelCluster struct {
+	random  *rand.Rand
+	fault   plantedFault
+	now     float64
+	servers []*modelServer
+	byName  map[string]*modelServer
+	network []modelMessage
+	history *modelHistory
+	trace   func(format string, args ...any)
+	lives   uint32
+	claims  bool // keys of operations are in use: the clock does not pass their window
+}
+
+// newModelCluster founds a mesh of some members; the spare servers are up and belong to no view.
+func newModelCluster(seed uint64, members, spares int, fault plantedFault) *modelCluster {
+	c := &modelCluster{random: rand.New(rand.NewPCG(seed, 11)), fault: fault, now: 1, byName: map[string]*modelServer{},
+		history: newModelHistory(), trace: func(string, ...any) {}}
+	var founders []view.Member
+	for i := range members + spares {
+		s := &modelServer{cluster: c, address: fmt.Sprintf("s%d", i), disk: map[string][]byte{}}
+		c.servers, c.byName[s.address] = append(c.servers, s), s
+		member := view.Member{Address: s.address, Incarnation: c.random.Uint64() | 1}
+		s.disk[modelIdentity] = modelWord(member.Incarnation)
+		if i < members {
+			founders = append(founders, member)
+		}
+	}
+	founding := view.Founding(1, founders)
+	for _, s := range c.servers {
+		s.disk[modelViewName] = founding.Encode()
+		s.start()
+	}
+	return c
+}
+
+func modelWord(n uint64) []byte { return binary.BigEndian.AppendUint64(nil, n) }
+
+func modelNumber(text []byte) uint64 {
+	if len(text) != 8 {
+		return 0
+	}
+	return binary.BigEndian.Uint64(text)
+}
+
+// start starts the process on what its disk holds.
+func (s *modelServer) start() {
+	c := s.cluster
+	s.up, s.syncing, s.writing, s.queued = true, false, modelBatch{}, modelBatch{}
+	c.lives++
+	s.life = c.lives
+	if c.fault == reusedLife {
+		s.life = 1
+	}
+	s.lastID = uint64(s.life) << 32
+	s.sources, s.joined = map[string]*modelSource{}, map[view.Member]uint64{}
+	s.changing, s.finishing, s.view = false, false, view.View{}
+	s.self = view.Member{Address: s.address, Incarnation: modelNumber(s.disk[modelIdentity])}
+	if s.self.Incarnation == 0 {
+		s.drawIncarnation()
+	}
+	s.synced = modelNumber(s.disk[modelSyncedName])
+	s.registers = New(s.self, s.life, modelWindow)
+	if err := s.registers.Restore(c.now, s.disk); err != nil {
+		panic(err)
+	}
+	if held, err := view.Decode(s.disk[modelViewName]); err == nil && held.Known() {
+		s.takeView(held)
+	}
+	s.collect()
+}
+
+func (s *modelServer) drawIncarnation() {
+	s.self.Incarnation = s.cluster.random.Uint64() | 1
+	s.put(modelIdentity, modelWord(s.self.Incarnation))
+}
+
+func (s *modelServer) put(name string, value []byte) {
+	s.queued.puts = append(s.queued.puts, store.Put{Name: name, Value: value})
+}
+
+func (s *modelServer) whenSynced(f func()) { s.queued.after = append(s.queued.after, f) }
+
+func (s *modelServer) isMember() bool { return s.view.Has(s.self) }
+
+// ---- disks
+
+// collect takes what the registers want done.
+func (s *modelServer) collect() {
+	for {
+		out := s.registers.Take()
+		s.queued.puts = append(s.queued.puts, out.Puts...)
+		for _, send := range out.After {
+			m := s.marked(send.To, send.Message)
+			s.whenSynced(func() { s.post(m) })
+		}
+		for _, send := range out.Sends {
+			s.post(s.marked(send.To, send.Message))
+		}
+		if len(out.Sends) == 0 {
+			break
+		}
+	}
+	if !s.syncing && !s.queued.empty() {
+		s.writing, s.queued, s.syncing = s.queued, modelBatch{}, true
+	}
+}
+
+// finishSync has the batch on the disk.
+func (s *modelServer) finishSync() {
+	done := s.writing
+	s.apply(done.puts)
+	s.writing, s.syncing = modelBatch{}, false
+	for _, f := range done.after {
+		f()
+	}
+	s.collect()
+}
+
+func (s *modelServer) apply(puts []store.Put) {
+	for _, p := range puts {
+		if len(p.Value) == 0 {
+			delete(s.disk, p.Name)
+		} else {
+			s.disk[p.Name] = slices.Clone(p.Value)
+		}
+	}
+}
+
+// stop ends the process. What the disk was given is there after a kill; after a loss of power any part of it may be.
+func (s *modelServer) stop(power bool) {
+	puts := s.writing.puts
+	if power {
+		puts = slices.Clone(puts)
+		slices.SortStableFunc(puts, func(a, b store.Put) int { return cmp.Compare(a.Name, b.Name) })
+		puts = slices.DeleteFunc(puts, func(store.Put) bool { return s.cluster.random.IntN(2) == 0 })
+	}
+	s.apply(puts)
+	s.up, s.syncing, s.writing, s.queued = false, false, modelBatch{}, modelBatch{}
+}
+
+// wipe takes the disk's content away.
+func (s *modelServer) wipe() {
+	kept := s.disk
+	s.disk = map[string][]byte{}
+	if s.cluster.fault == wipedMemberVotes {
+		s.disk[modelIdentity], s.disk[modelViewName] = kept[modelIdentity], kept[modelViewName]
+	}
+}
+
+// ---- network
+
+func (s *modelServer) marked(to string, m *meshpb.Message) modelMessage {
+	return modelMessage{s.self, to, s.view.Epoch, m}
+}
+
+func (s *modelServer) send(to string, m *meshpb.Message) { s.post(s.marked(to, m)) }
+
+// sendSynced sends a message once everything put so far is on the disk.
+func (s *modelServer) sendSynced(to string, m *meshpb.Message) {
+	marked := s.marked(to, m)
+	s.whenSynced(func() { s.post(marked) })
+}
+
+func (s *modelServer) post(m modelMessage) {
+	if m.to == s.address {
+		s.heard(m)
+		return
+	}
+	s.cluster.network = append(s.cluster.network, m)
+}
+
+func (s *modelServer) heard(m modelMessage) {
+	switch {
+	case m.message.View != nil:
+		s.adopt(view.FromWire(m.message.View))
+	case m.message.ViewRequest != nil:
+		s.tellView(m.from.Address)
+	case m.epoch < s.view.Epoch:
+		if s.cluster.fault == otherEpochVote && s.voteElsewhere(m) {
+			return
+		}
+		s.tellView(m.from.Address)
+	case m.epoch > s.view.Epoch:
+		s.send(m.from.Address, &meshpb.Message{ViewRequest: &meshpb.Ping{}})
+	case m.message.Join != nil:
+		s.joined[m.from] = m.message.Join.SyncedEpoch
+	case m.message.SyncRequest != nil:
+		s.heardSyncRequest(m)
+	case m.message.SyncPage != nil:
+		s.heardSyncPage(m)
+	case s.cluster.fault == contentBlindVote && m.message.Accept != nil && s.voteBlindly(m):
+	default:
+		s.registers.Heard(s.cluster.now, m.from, m.message)
+	}
+}
+
+// voteBlindly is a planted fault: the version alone decides.
+func (s *modelServer) voteBlindly(m modelMessage) bool {
+	accept := m.message.Accept
+	held, _ := s.registers.Local(accept.Key)
+	if held.GetToken() == 0 || held.GetToken() != accept.Value.GetToken() {
+		return false
+	}
+	s.sendSynced(m.from.Address, &meshpb.Message{Id: m.message.Id, Accepted: &meshpb.Accepted{Yes: true,
+		Promised: accept.Ballot}})
+	return true
+}
+
+// voteElsewhere is a planted fault: a vote in an epoch that this server has left.
+func (s *modelServer) voteElsewhere(m modelMessage) bool {
+	answer := &meshpb.Message{Id: m.message.Id}
+	switch {
+	case m.message.Accept != nil:
+		a := m.message.Accept
+		s.registers.Merge(s.cluster.now, []*meshpb.Entry{{Key: a.Key, Accepted: a.Ballot, Value: a.Value}})
+		answer.Accepted = &meshpb.Accepted{Yes: true, Promised: a.Ballot}
+	case m.message.Prepare != nil:
+		held, accepted := s.registers.Local(m.message.Prepare.Key)
+		answer.Promise = &meshpb.Promise{Yes: true, Promised: m.message.Prepare.Ballot, Accepted: accepted.Wire(), Value: held}
+	default:
+		return false
+	}
+	marked := s.marked(m.from.Address, answer)
+	marked.epoch = m.epoch
+	s.whenSynced(func() { s.post(marked) })
+	return true
+}
+
+// believeChosen is a planted fault: what this server accepted counts as chosen by its own ballot.
+func (s *modelServer) believeChosen() {
+	for _, e := range s.registers.entries {
+		e.chosen = e.value != nil
+	}
+}
+
+// ---- views
+
+func (s *modelServer) tellView(to string) {
+	s.sendSynced(to, &meshpb.Message{View: s.view.Wire()})
+}
+
+// adopt goes by a newer view. A member that it leaves out forgets everything and is another member from here on.
+func (s *modelServer) adopt(v view.View) {
+	if v.Epoch <= s.view.Epoch {
+		return
+	}
+	s.collect()
+	was := s.isMember()
+	s.put(modelViewName, v.Encode())
+	if was && !v.Has(s.self) {
+		s.fence()
+	}
+	s.takeView(v)
+	s.cluster.trace("%s adopts epoch %d %v -> %v, voting %v", s.address, v.Epoch, v.Members, v.Next, s.registers.Voting())
+}
+
+func (s *modelServer) fence() {
+	s.drawIncarnation()
+	s.registers.Reset(s.cluster.now, s.self)
+	s.sources, s.synced, s.finishing = map[string]*modelSource{}, 0, false
+	s.put(modelSyncedName, nil)
+}
+
+func (s *modelServer) takeView(v view.View) {
+	s.view, s.finishing = v, false
+	fastFrom := s.cluster.now
+	if v.Epoch > 1 {
+		fastFrom += s.registers.FastAfter()
+	}
+	s.registers.SetView(s.cluster.now, v, fastFrom)
+	s.vote()
+}
+
+// vote lets a server take part that was a member before, or has read everything.
+func (s *modelServer) vote() {
+	joiner, _ := s.view.Joiner()
+	member := slices.Contains(s.view.Members, s.self)
+	if member || joiner == s.self && (s.synced == s.view.Epoch || s.cluster.fault == earlyJoinerVote) {
+		s.registers.Vote()
+	}
+}
+
+// changeView proposes a next view.
+func (s *modelServer) changeView(next view.View) {
+	s.changing = true
+	s.cluster.trace("%s proposes epoch %d %v -> %v", s.address, next.Epoch, next.Members, next.Next)
+	edit := func(old []byte) []byte {
+		held, err := view.Decode(old)
+		if err != nil || held.Epoch >= next.Epoch {
+			return nil
+		}
+		return next.Encode()
+	}
+	s.registers.Update(s.cluster.now, modelViewKey, edit, func(_ uint64, body []byte, ok bool) {
+		s.changing = false
+		chosen, err := view.Decode(body)
+		if !ok || err != nil || chosen.Epoch != s.view.Epoch+1 {
+			return
+		}
+		s.cluster.history.choseView(chosen)
+		s.adopt(chosen)
+		for _, other := range s.cluster.servers {
+			if other != s {
+				s.tellView(other.address)
+			}
+		}
+	})
+	s.collect()
+}
+
+// ---- joining
+
+// follow reads the registers of the members.
+func (s *modelServer) follow() {
+	if s.registers.Voting() || !s.view.Known() {
+		return
+	}
+	for _, m := range s.view.Members {
+		if m.Address == s.address {
+			continue
+		}
+		from := s.sources[m.Address]
+		if from == nil {
+			from = &modelSource{}
+			s.sources[m.Address] = from
+		}
+		s.lastID++
+		from.asked = s.lastID
+		s.send(m.Address, &meshpb.Message{Id: from.asked,
+			SyncRequest: &meshpb.SyncRequest{SourceLife: from.life, Position: from.position}})
+	}
+}
+
+func (s *modelServer) heardSyncRequest(m modelMessage) {
+	if !s.registers.Voting() {
+		return
+	}
+	request := m.message.SyncRequest
+	after := request.Position
+	if request.SourceLife != s.life {
+		after = 0
+	}
+	page, position, last := s.registers.Page(after)
+	answer := &meshpb.Message{Id: m.message.Id, SyncPage: &meshpb.SyncPage{SourceLife: s.life, Position: position,
+		Last: last, Entries: page}}
+	s.sendSynced(m.from.Address, answer)
+}
+
+func (s *modelServer) heardSyncPage(m modelMessage) {
+	from, page := s.sources[m.from.Address], m.message.SyncPage
+	if from == nil || m.message.Id != from.asked || s.registers.Voting() || !slices.Contains(s.view.Members, m.from) {
+		return
+	}
+	s.registers.Merge(s.cluster.now, page.Entries)
+	*from = modelSource{life: page.SourceLife, position: page.Position, member: m.from}
+	if page.Last {
+		from.epoch = s.view.Epoch
+	}
+	s.reviewSync()
+}
+
+// reviewSync looks whether a majority of the old members has told everything. The disk has it all before it says so.
+func (s *modelServer) reviewSync() {
+	joiner, _ := s.view.Joiner()
+	if joiner != s.self || s.finishing || !s.view.OldQuorum(func(m view.Member) bool {
+		from := s.sources[m.Address]
+		return from != nil && from.member == m && from.epoch == s.view.Epoch
+	}) {
+		return
+	}
+	s.finishing = true
+	epoch := s.view.Epoch
+	s.collect()
+	s.whenSynced(func() {
+		s.put(modelSyncedName, modelWord(epoch))
+		s.whenSynced(func() { s.syncFinished(epoch) })
+	})
+}
+
+func (s *modelServer) syncFinished(epoch uint64) {
+	if s.view.Epoch != epoch {
+		return
+	}
+	s.synced = epoch
+	s.vote()
+	s.sayJoined()
+}
+
+// sayJoined tells the others that this joiner has read everything.
+func (s *modelServer) sayJoined() {
+	if !s.view.Joint() || s.synced != s.view.Epoch {
+		return
+	}
+	for _, address := range s.view.Addresses() {
+		if address != s.address {
+			s.send(address, &meshpb.Message{Join: &meshpb.Join{SyncedEpoch: s.synced}})
+		}
+	}
+}
--- /dev/null
+++ b/internal/mesh/register/model_scripted_test.go
@@ -0,0 +1,120 @@
+package register
+
+import (
+	"slices"
+	"testing"
+
+	"beechwing/internal/mesh/meshpb"
+)
+
+// pump delivers, in order and without loss, what servers send each other, if both are among the named ones. The rest is lost.
+func (c *modelCluster) pump(addresses ...string) {
+	for len(c.network) > 0 || slices.ContainsFunc(c.servers, func(s *modelServer) bool { return s.up && s.syncing }) {
+		for _, s := range c.servers {
+			if s.up && s.syncing {
+				s.finishSync()
+			}
+		}
+		if len(c.network) == 0 {
+			continue
+		}
+		m := c.network[0]
+		c.network = c.network[1:]
+		if slices.Contains(addresses, m.from.Address) && slices.Contains(addresses, m.to) {
+			c.byName[m.to].heard(m)
+			c.byName[m.to].collect()
+		}
+	}
+}
+
+// run is pump for a while, with retries.
+func (c *modelCluster) run(addresses ...string) {
+	for range 6 {
+		c.pump(addresses...)
+		c.now += 0.1
+		for _, s := range c.servers {
+			s.registers.Tick(c.now)
+			s.collect()
+		}
+	}
+}
+
+// write has a register changed by a server that reaches the named ones; the answer's version, 0: there was none.
+func (c *modelCluster) write(at, key, body string, reach ...string) (version uint64) {
+	s := c.byName[at]
+	s.registers.Update(c.now, key, func([]byte) []byte { return []byte(body) }, func(told uint64, _ []byte, ok bool) {
+		if ok {
+			version = told
+		}
+	})
+	s.collect()
+	c.run(reach...)
+	return version
+}
+
+// read has a register read.
+func (c *modelCluster) read(at, key string, reach ...string) (version uint64, body string) {
+	s := c.byName[at]
+	s.registers.Update(c.now, key, func([]byte) []byte { return nil }, func(told uint64, held []byte, ok bool) {
+		if ok {
+			version, body = told, string(held)
+		}
+	})
+	s.collect()
+	c.run(reach...)
+	return version, body
+}
+
+// exchange takes a mesh of three from its founding view to the next stable one: a joiner for a leaver.
+func (c *modelCluster) exchange(t *testing.T, at, joiner, leaver string) {
+	t.Helper()
+	all := []string{"s0", "s1", "s2", "s3"}
+	s, j := c.byName[at], c.byName[joiner]
+	s.changeView(s.view.Join(j.self, c.byName[leaver].self))
+	c.pump(all...)
+	j.follow()
+	j.collect()
+	c.pump(all...)
+	s.changeView(s.view.Complete())
+	c.pump(all...)
+	if s.view.Epoch != 3 || !j.registers.Voting() {
+		t.Fatalf("epoch %d, joiner votes: %v", s.view.Epoch, j.registers.Voting())
+	}
+}
+
+// its original has not found a value that a quorum accepted: the other change may still be chosen.
+func TestCopyIsNoVote(t *testing.T) {
+	c := newModelCluster(1, 3, 1, noFault)
+	key := modelRegister(0)
+	begun := func(at string, round uint32, body string) {
+		s := c.byName[at]
+		s.registers.accept(c.now, &meshpb.Accept{Key: key, Ballot: Ballot{1, round, s.registers.node, s.life}.Wire(),
+			Value: &meshpb.Receipt{Token: 1, State: Stored, Body: []byte(body)}})
+		s.collect()
+		c.pump()
+	}
+	begun("s0", 2, "a") // at a ballot that s0 and s2 had promised
+	begun("s1", 3, "b") // at one that s1 and s2 had promised: s2 had accepted nothing
+	joiner, leaver := c.byName["s3"].self, c.byName["s2"].self
+	joint := c.byName["s0"].view.Join(joiner, leaver)
+	for _, s := range c.servers {
+		s.adopt(joint)
+		s.collect()
+	}
+	c.byName["s3"].follow()
+	c.byName["s3"].collect()
+	c.pump("s0", "s2", "s3")
+	for _, s := range c.servers {
+		s.adopt(joint.Complete())
+		s.collect()
+	}
+	c.pump()
+	version, body := c.read("s0", key, "s0", "s3")
+	laterVersion, laterBody := c.read("s1", key, "s1", "s3")
+	if version == laterVersion && body != laterBody || laterVersion < version {
+		t.Fatalf("read version %d %q, then version %d %q", version, body, laterVersion, laterBody)
+	}
+	if version != 1 || laterVersion != 1 {
+		t.Fatalf("versions %d and %d: this shows nothing", version, laterVersion)
+	}
+}
--- a/internal/mesh/register/proposer.go
+++ b/internal/mesh/register/proposer.go
@@ -77,15 +77,15 @@
 	}
 }
 
-// propose has a changed value accepted. Where nothing changes, what is held is made sure of: it is accepted anew unless a quorum
-// told the same ballot, for then it was chosen.
+// propose has a changed value accepted. Where nothing changes, what is held is made sure of: it is accepted anew unless it is known
+// to be chosen.
 func (l *Registers) propose(now float64, c *change, old *meshpb.Receipt) {
 	value, state := c.work(old)
 	if value == nil {
 		if e := l.entries[c.key]; e != nil {
 			state = l.aged(now, e, state)
 		}
-		if old == nil && c.asking || !c.linearizable || c.asking && l.view.Quorum(func(m view.Member) bool { return c.alike[m] }) {
+		if old == nil && c.asking || !c.linearizable || c.asking && l.known(c) {
 			l.end(now, c, state, old)
 			return
 		}
@@ -107,6 +107,12 @@
 		Accepted: &meshpb.Accepted{Yes: true, Promised: c.ballot.Wire()}}})
 }
 
+// known says whether a quorum told one ballot of this epoch: what it accepted there was chosen. Of an earlier epoch that does not
+// follow: a joiner's part in it is a copy, and a quorum of that epoch may have accepted something else.
+func (l *Registers) known(c *change) bool {
+	return c.best.Epoch == l.view.Epoch && l.view.Quorum(func(m view.Member) bool { return c.alike[m] })
+}
+
 // spread sends a value to as many others as make a quorum with this server, and keeps the rest in reserve: answers have bodies, and
 // every copy is bytes between zones and work on another's disk. Who did not answer lately comes last. All get what is permanent, as
 // all need it, and in a joint view all get everything.
