Registers: who holds an older value promises no first ballot to a key's home

Cause: an acceptor promised the first ballot of every epoch to the key's home, whatever it held. Once the epoch was older than the window, a home that had never seen a register that is not forgotten (the configuration, the view, a list of ejections) began it anew, and the quorum of the new epoch accepted that over the chosen value. Change: a server that holds anything of an earlier epoch takes no unprepared first ballot for that key. What was chosen before is held by one member of every quorum, so the fast path cannot go past it, however the epochs and clocks stand.

--- a/internal/mesh/register/model_scripted_test.go
+++ b/internal/mesh/register/model_scripted_test.go
@@ -82,6 +82,32 @@
 	}
 }
 
+// is, that home does not begin it anew.
+func TestHomeOfALaterEpochDoesNotBeginAnew(t *testing.T) {
+	tried := 0
+	for seed := range uint64(40) {
+		c := newModelCluster(seed, 3, 1, noFault)
+		key := modelRegister(int(seed))
+		order := Home(key, []string{"s0", "s1", "s2"})
+		leaver, home, third := order[0], order[1], order[2]
+		if Home(key, []string{home, third, "s3"})[0] != home {
+			continue
+		}
+		tried++
+		if version := c.write(leaver, key, "old", leaver, third); version != 1 {
+			t.Fatalf("seed %d: version %d", seed, version)
+		}
+		c.exchange(t, third, "s3", leaver)
+		c.now += 1000
+		if version := c.write(home, key, "new", "s0", "s1", "s2", "s3"); version != 2 {
+			t.Fatalf("seed %d: the change after version 1 is version %d", seed, version)
+		}
+	}
+	if tried == 0 {
+		t.Fatal("no key had such a home")
+	}
+}
+
 // its original has not found a value that a quorum accepted: the other change may still be chosen.
 func TestCopyIsNoVote(t *testing.T) {
 	c := newModelCluster(1, 3, 1, noFault)
--- a/internal/mesh/register/registers.go
+++ b/internal/mesh/register/registers.go
@@ -16,6 +16,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 
@@ -162,13 +163,19 @@
 	return !l.view.Joint() && Home(key, l.view.Addresses())[0] == l.self.Address
 }
 
-// promised is what this server has promised for a key in this epoch, at least the first ballot to its home.
+// promised is what this server has promised for a key in this epoch, at least the first ballot to its home. Who holds a value of an
+// earlier epoch promises no first ballot: the home may not have seen that value, so it has to ask. What was chosen before is held by
+// at least one member of every quorum, so no first ballot that goes without being prepared replaces it.
 func (l *Registers) promised(key string) Ballot {
 	e := l.entries[key]
 	if e != nil && e.promised.Epoch == l.view.Epoch {
 		return e.promised
 	}
 	first := Ballot{Epoch: l.view.Epoch, Round: 1}
+	if e != nil {
+		first.Node = math.MaxUint32
+		return first
+	}
 	if !l.view.Joint() {
 		home := Home(key, l.view.Addresses())[0]
 		first.Node = uint32(slices.IndexFunc(l.view.Members, func(m view.Member) bool { return m.Address == home }) + 1)
