Registers: that a claim's holder is gone is said by a quorum, not by one disk

Cause: a server that had accepted a claim and missed its end answered later claims 'lost' from its own disk once the claim was five seconds old, for as long as keys are kept, although the answer was recorded elsewhere. Change: an old claim on this disk is asked about before 'lost' is told, also on the fast path. 'Busy' is still told at once. Result: the test is told lost before and done now.

--- a/internal/mesh/register/model_scripted_test.go
+++ b/internal/mesh/register/model_scripted_test.go
@@ -144,3 +144,30 @@
 		t.Fatalf("versions %d and %d: this shows nothing", version, laterVersion)
 	}
 }
+
+// A server that missed the end of a run asks the others before it says that the end is not known.
+func TestStaleClaimIsAskedAbout(t *testing.T) {
+	c := newModelCluster(1, 3, 0, noFault)
+	key := modelOperation(0)
+	order := Home(key, []string{"s0", "s1", "s2"})
+	holder, other, stale := order[0], order[1], order[2]
+	all := []string{"s0", "s1", "s2"}
+	state := Free
+	told := func(answer State, _ *meshpb.Receipt) { state = answer }
+	c.byName[stale].registers.Claim(c.now, &meshpb.Claim{Key: key, Token: 1}, told)
+	c.byName[stale].collect()
+	c.run(all...)
+	c.byName[holder].registers.Settle(c.now, key, &meshpb.Receipt{Token: 1, State: Done}, false, told)
+	c.byName[holder].collect()
+	c.run(holder, other)
+	if state != Done {
+		t.Fatalf("settled as %s", modelStateName(state))
+	}
+	c.now += holderGone + 1
+	c.byName[stale].registers.Claim(c.now, &meshpb.Claim{Key: key, Token: 2}, told)
+	c.byName[stale].collect()
+	c.run(all...)
+	if state != Done {
+		t.Fatalf("told %s, and the answer was recorded", modelStateName(state))
+	}
+}
--- a/internal/mesh/register/operation.go
+++ b/internal/mesh/register/operation.go
@@ -41,8 +41,9 @@
 		return
 	}
 	if e := l.entries[c.Key]; e != nil && e.value != nil { // what is known here to hold somebody else's needs no ballot
-		if _, state := claim(c, e.value); state != Claimed {
-			answer(l.aged(now, e, state), e.value)
+		_, state := claim(c, e.value)
+		if state != Claimed && l.aged(now, e, state) == state { // that its holder is gone is for a quorum to say
+			answer(state, e.value)
 			return
 		}
 	}
@@ -83,6 +84,14 @@
 	return state
 }
 
+// agedHere does so for what this disk has of a key.
+func (l *Registers) agedHere(now float64, key string, state State) State {
+	if e := l.entries[key]; e != nil {
+		return l.aged(now, e, state)
+	}
+	return state
+}
+
 // Settle records how a claimed run ended. A receipt that is void gives the key back, and keeps late claims of its token out.
 // With ifFree it only does the latter, and only where no claim was granted: so who asked a proxy that has gone silent learns
 // whether the request may still run.
--- a/internal/mesh/register/proposer.go
+++ b/internal/mesh/register/proposer.go
@@ -82,9 +82,12 @@
 func (l *Registers) propose(now float64, c *change, old *meshpb.Receipt) {
 	value, state := c.work(old)
 	if value == nil {
-		if e := l.entries[c.key]; e != nil {
-			state = l.aged(now, e, state)
+		aged := l.agedHere(now, c.key, state)
+		if aged != state && !c.asking { // others may know how the run ended
+			l.ask(now, c)
+			return
 		}
+		state = aged
 		if old == nil && c.asking || !c.linearizable || c.asking && l.known(c) {
 			l.end(now, c, state, old)
 			return
