Registers: an end that a retry finds is made sure of before it is told

Cause: a settle whose first ballot reached too few disks began another one, found its own value there and answered 'done' without having it accepted: fewer disks than a quorum held what was told to be recorded. Change: settles are answered like updates: what is held already is accepted anew unless a quorum of this epoch told the ballot. Result: the test is told busy by the other two servers after the answer was told to be recorded, and done now.

--- a/internal/mesh/register/model_scripted_test.go
+++ b/internal/mesh/register/model_scripted_test.go
@@ -171,3 +171,30 @@
 		t.Fatalf("told %s, and the answer was recorded", modelStateName(state))
 	}
 }
+
+// The end of a run reached one disk only, and is recorded anew by a second ballot. It is not told as recorded before a quorum has it.
+func TestRecordedMeansAQuorumHasIt(t *testing.T) {
+	c := newModelCluster(1, 3, 0, noFault)
+	key := modelOperation(0)
+	order := Home(key, []string{"s0", "s1", "s2"})
+	holder, first, second := order[0], order[1], order[2]
+	state := Free
+	told := func(answer State, _ *meshpb.Receipt) { state = answer }
+	c.byName[holder].registers.Claim(c.now, &meshpb.Claim{Key: key, Token: 1}, told)
+	c.byName[holder].collect()
+	c.run("s0", "s1", "s2")
+	c.byName[holder].registers.Settle(c.now, key, &meshpb.Receipt{Token: 1, State: Done}, false, told)
+	c.byName[holder].collect()
+	c.pump()
+	c.run(holder, first)
+	if state != Done {
+		t.Fatalf("settled as %s", modelStateName(state))
+	}
+	c.now += holderGone + 1
+	c.byName[second].registers.Claim(c.now, &meshpb.Claim{Key: key, Token: 2}, told)
+	c.byName[second].collect()
+	c.run(first, second)
+	if state != Done {
+		t.Fatalf("told %s by the others, and the answer was recorded", modelStateName(state))
+	}
+}
--- a/internal/mesh/register/operation.go
+++ b/internal/mesh/register/operation.go
@@ -101,7 +101,7 @@
 		answer(Unsure, nil)
 		return
 	}
-	l.begin(now, &change{key: key, answer: answer,
+	l.begin(now, &change{key: key, answer: answer, linearizable: true, // an end that a retry finds may stand on one disk only
 		work: func(old *meshpb.Receipt) (*meshpb.Receipt, State) { return settle(old, r, ifFree) }})
 }
 
