Registers: a model test of every order of messages, lost disks and view changes

Cause: the registers were tested in one view only; nothing tested them over the exchange of a member, with a joiner, a wiped disk or a server that stays behind in an older epoch. MODEL_SEEDS, MODEL_FROM and MODEL_TRACE play other seeds; the head of model_test.go says how.

--- /dev/null
+++ b/internal/mesh/register/model_test.go
@@ -0,0 +1,431 @@
+package register
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+
+	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/view"
+)
+
+// How many seeds the random exploration plays, and from which on. For hours:
+//
+//	MODEL_SEEDS=5000000 go test -run TestModel -timeout 0 ./internal/mesh/register
+//
+// and one seed again, with its trace:
+//
+//	MODEL_FROM=1234 MODEL_SEEDS=1 MODEL_TRACE=1 go test -v -run TestModelRandom ./internal/mesh/register
+const (
+	modelSeedsVariable = "MODEL_SEEDS"
+	modelFromVariable  = "MODEL_FROM"
+	modelTraceVariable = "MODEL_TRACE"
+	modelSeeds         = 1500
+	modelSeedsRace     = 150 // under the race detector, which has nothing to find in one goroutine
+	modelSteps         = 600
+	modelKeys          = 4     // registers, and as many keys of operations
+	plantedSeeds       = 40000 // at most, until a planted fault is found
+)
+
+func modelSetting(name string, otherwise uint64) uint64 {
+	if n, err := strconv.ParseUint(os.Getenv(name), 10, 64); err == nil {
+		return n
+	}
+	return otherwise
+}
+
+func defaultSeeds() uint64 {
+	if raceDetector {
+		return modelSeedsRace
+	}
+	return modelSeeds
+}
+
+// modelRun is one run of the random exploration.
+type modelRun struct {
+	*modelCluster
+	phase    modelPhase
+	written  uint64
+	tokens   uint64
+	granted  map[string][]uint64 // by key: tokens that were told that they hold it
+	settling map[uint64]State    // by token: how its holder ends
+	wiped    int
+	keys     int  // how many registers are in use
+	leaps    bool // the clock jumps over the window for which keys are kept
+}
+
+// modelPhase is how the world behaves for some steps.
+type modelPhase struct {
+	left      int             // steps
+	lossy     bool            // messages are lost, doubled and late
+	slowDisks bool            // batches wait for long
+	unrest    int             // of a thousand steps, how many stop or start a process
+	cut       map[string]bool // addresses that nothing reaches and that reach nobody
+}
+
+func newModelRun(seed uint64, fault plantedFault) *modelRun {
+	members := 3 + 2*int(seed%6/5)
+	r := &modelRun{modelCluster: newModelCluster(seed, members, 2, fault), granted: map[string][]uint64{},
+		settling: map[uint64]State{}}
+	switch seed % 4 {
+	case 0, 1:
+		r.claims, r.keys = true, modelKeys
+	case 2:
+		r.leaps, r.keys = true, 2*modelKeys
+	default:
+		r.keys = 1
+	}
+	return r
+}
+
+// play takes random steps, then heals everything and reads what is there.
+func (r *modelRun) play(steps int) *violation {
+	for range steps {
+		r.step()
+		if r.history.broken != nil {
+			return r.history.broken
+		}
+	}
+	r.heal()
+	return r.history.broken
+}
+
+func (r *modelRun) nextPhase() {
+	r.phase = modelPhase{left: 10 + r.random.IntN(80), lossy: r.random.IntN(2) == 0, slowDisks: r.random.IntN(3) == 0,
+		unrest: r.random.IntN(3) * r.random.IntN(30), cut: map[string]bool{}}
+	for range r.random.IntN(3) {
+		r.phase.cut[r.servers[r.random.IntN(len(r.servers))].address] = true
+	}
+}
+
+// step does one thing that may happen.
+func (r *modelRun) step() {
+	if r.phase.left == 0 {
+		r.nextPhase()
+	}
+	r.phase.left--
+	s := r.servers[r.random.IntN(len(r.servers))]
+	switch n := r.random.IntN(1000); {
+	case n < 620:
+		r.deliver()
+	case n < 820:
+		r.syncAny()
+	case n < 850:
+		r.tick()
+	case n < 900:
+		r.operate(s)
+	case n < 950:
+		r.membership(s)
+	case n < 950+r.phase.unrest/2:
+		r.interrupt(s)
+	case n >= 997 && r.leaps:
+		r.now += modelWindow + slack + 1 // long enough for what is forgotten, and for the fast path of a later epoch
+	}
+	if !r.phase.slowDisks {
+		r.syncAny()
+	}
+}
+
+// deliver hands over a message, loses it, or hands it over and keeps it.
+func (r *modelRun) deliver() {
+	for len(r.network) > modelMostPending {
+		r.remove(r.random.IntN(len(r.network)))
+	}
+	if len(r.network) == 0 {
+		return
+	}
+	i := r.random.IntN(len(r.network))
+	if r.random.IntN(4) > 0 { // most messages do not take long
+		i = len(r.network) - 1 - r.random.IntN(min(modelFresh, len(r.network)))
+	}
+	m := r.network[i]
+	if r.phase.cut[m.to] || r.phase.cut[m.from.Address] {
+		if r.random.IntN(4) > 0 {
+			r.remove(i)
+		}
+		return
+	}
+	fate := r.random.IntN(20)
+	if !r.phase.lossy || fate != 0 { // else it will come again
+		r.remove(i)
+	}
+	if !r.phase.lossy || fate != 1 {
+		r.hand(m)
+	}
+}
+
+// remove takes a message out of the network; the others keep their order.
+func (r *modelRun) remove(i int) { r.network = slices.Delete(r.network, i, i+1) }
+
+func (r *modelRun) hand(m modelMessage) {
+	s := r.byName[m.to]
+	if !s.up {
+		return
+	}
+	r.trace("%s (epoch %d) hears %s (epoch %d): %v", s.address, s.view.Epoch, m.from.Address, m.epoch, m.message)
+	s.heard(m)
+	s.collect()
+}
+
+// syncAny has one disk finish, if any is at work.
+func (r *modelRun) syncAny() {
+	first := r.random.IntN(len(r.servers))
+	for i := range r.servers {
+		if s := r.servers[(first+i)%len(r.servers)]; s.up && s.syncing {
+			r.sync(s)
+			return
+		}
+	}
+}
+
+func (r *modelRun) sync(s *modelServer) {
+	if s.up && s.syncing {
+		r.trace("%s: the disk has %d values", s.address, len(s.writing.puts))
+		s.finishSync()
+	}
+}
+
+func (r *modelRun) tick() {
+	r.now += 0.2 * r.random.Float64()
+	for _, s := range r.servers {
+		if !s.up {
+			continue
+		}
+		s.registers.Tick(r.now)
+		if s.view.Joint() && r.random.IntN(2) == 0 || r.random.IntN(10) == 0 {
+			s.follow()
+			s.sayJoined()
+		}
+		s.collect()
+	}
+}
+
+// interrupt stops a process, starts it again, or takes its disk.
+func (r *modelRun) interrupt(s *modelServer) {
+	if !s.up {
+		r.trace("%s starts", s.address)
+		s.start()
+		return
+	}
+	power := r.random.IntN(2) == 0
+	wiped := r.random.IntN(6) == 0 && r.wiped < 2
+	s.stop(power)
+	r.trace("%s stops, power %v, wiped %v", s.address, power, wiped)
+	if wiped {
+		r.wiped++
+		s.wipe()
+	}
+	if r.random.IntN(3) > 0 {
+		s.start()
+	}
+}
+
+// ---- views
+
+// membership has a server propose the next view, if it may.
+func (r *modelRun) membership(s *modelServer) {
+	if !s.up || !s.registers.Voting() || s.changing {
+		return
+	}
+	if !s.view.Joint() {
+		if next, found := r.exchange(s); found {
+			s.changeView(next)
+		}
+		return
+	}
+	joiner, _ := s.view.Joiner()
+	switch {
+	case s.joined[joiner] == s.view.Epoch, r.fault == leaverDropped, r.fault == earlyJoinerVote:
+		s.changeView(s.view.Complete())
+	case r.random.IntN(8) == 0:
+		s.changeView(s.view.Abandon())
+	}
+}
+
+// exchange chooses one that waits to join, and who goes for it.
+func (r *modelRun) exchange(s *modelServer) (next view.View, found bool) {
+	var waiting []view.Member
+	for _, other := range r.servers {
+		identified := modelNumber(other.disk[modelIdentity]) == other.self.Incarnation
+		if other.up && identified && !s.view.Has(other.self) {
+			waiting = append(waiting, other.self)
+		}
+	}
+	if len(waiting) == 0 {
+		return view.View{}, false
+	}
+	joiner := waiting[r.random.IntN(len(waiting))]
+	for _, m := range s.view.Members {
+		if m.Address == joiner.Address {
+			return s.view.Join(joiner, m), true
+		}
+	}
+	if len(s.view.Members) < 5 && r.random.IntN(4) == 0 {
+		return s.view.Join(joiner, view.Member{}), true
+	}
+	return s.view.Join(joiner, s.view.Members[r.random.IntN(len(s.view.Members))]), true
+}
+
+// ---- operations
+
+func (r *modelRun) operate(s *modelServer) {
+	if !s.up || !s.registers.Voting() {
+		return
+	}
+	if r.fault == unchosenFastPath {
+		s.believeChosen()
+	}
+	if r.claims && r.random.IntN(2) == 0 {
+		r.claimOrSettle(s, modelOperation(r.random.IntN(modelKeys)))
+		return
+	}
+	r.update(s, modelRegister(r.random.IntN(r.keys)), r.random.IntN(3) > 0)
+}
+
+// update changes a register, or reads it.
+func (r *modelRun) update(s *modelServer, key string, write bool) {
+	r.written++
+	body, saw := fmt.Sprintf("w%d", r.written), ""
+	least := r.history.register(key).newest
+	edit := func(old []byte) []byte {
+		saw = string(old)
+		if !write {
+			return nil
+		}
+		return []byte(body)
+	}
+	r.trace("%s is asked: %q, write %v %s, at least version %d", s.address, key, write, body, least)
+	s.registers.Update(r.now, key, edit, func(version uint64, held []byte, ok bool) {
+		r.trace("%s answers %s: ok %v, version %d %q", s.address, body, ok, version, held)
+		if ok {
+			r.history.updated(key, least, version, string(held), saw, write)
+		}
+	})
+	s.collect()
+}
+
+func (r *modelRun) claimOrSettle(s *modelServer, key string) {
+	holders := r.granted[key]
+	switch {
+	case len(holders) > 0 && r.random.IntN(2) == 0:
+		r.settle(s, key, holders[r.random.IntN(len(holders))])
+	case r.tokens > 0 && r.random.IntN(4) == 0:
+		r.settleIfFree(s, key, 1+r.random.Uint64N(r.tokens))
+	case r.tokens > 0 && r.random.IntN(4) == 0: // asked again
+		r.claim(s, key, 1+r.random.Uint64N(r.tokens))
+	default:
+		r.tokens++
+		r.claim(s, key, r.tokens)
+	}
+}
+
+func (r *modelRun) claim(s *modelServer, key string, token uint64) {
+	known := r.history.claim(key)
+	voided, recorded := known.voided[token], known.recorded
+	r.trace("%s is asked: token %d claims %s", s.address, token, key)
+	s.registers.Claim(r.now, &meshpb.Claim{Key: key, Token: token}, func(state State, _ *meshpb.Receipt) {
+		r.trace("%s answers: token %d, %s: %s", s.address, token, key, modelStateName(state))
+		if r.settling[token] != Free && state == Claimed { // a late answer to one that has settled since
+			return
+		}
+		r.history.claimAnswered(key, token, state, voided, recorded)
+		if state == Claimed {
+			r.granted[key] = append(r.granted[key], token)
+		}
+	})
+	s.collect()
+}
+
+// settle ends the run of a token that holds the key: always in the same way, however often it is asked.
+func (r *modelRun) settle(s *modelServer, key string, token uint64) {
+	if r.settling[token] == Free {
+		r.settling[token] = []State{Done, Void, Void}[r.random.IntN(3)]
+	}
+	r.settleAs(s, key, token, r.settling[token], false)
+}
+
+func (r *modelRun) settleIfFree(s *modelServer, key string, token uint64) {
+	r.settleAs(s, key, token, Void, true)
+}
+
+func (r *modelRun) settleAs(s *modelServer, key string, token uint64, end State, ifFree bool) {
+	if !ifFree {
+		r.history.settling(key, token, end)
+	}
+	r.trace("%s is asked: token %d settles %s as %s, if free %v", s.address, token, key, modelStateName(end), ifFree)
+	receipt := &meshpb.Receipt{Token: token, State: end}
+	s.registers.Settle(r.now, key, receipt, ifFree, func(state State, _ *meshpb.Receipt) {
+		r.trace("%s answers: token %d settled %s: %s", s.address, token, key, modelStateName(state))
+		r.history.settled(key, token, end, state)
+	})
+	s.collect()
+}
+
+// ---- the end
+
+// heal starts all servers, loses nothing any more, and has everything read.
+func (r *modelRun) heal() {
+	for _, s := range r.servers {
+		if !s.up {
+			s.start()
+		}
+	}
+	r.settleDown()
+	for _, s := range r.servers {
+		for i := range r.keys {
+			if s.registers.Voting() && r.random.IntN(2) == 0 {
+				r.update(s, modelRegister(i), false)
+			}
+			if r.claims && s.registers.Voting() {
+				r.tokens++
+				r.claim(s, modelOperation(i), r.tokens)
+			}
+		}
+		r.settleDown()
+	}
+}
+
+// settleDown delivers everything for a while.
+func (r *modelRun) settleDown() {
+	for range 6 {
+		for limit := 0; len(r.network) > 0 && limit < 2000; limit++ {
+			i := r.random.IntN(len(r.network))
+			m := r.network[i]
+			r.remove(i)
+			r.hand(m)
+			for _, s := range r.servers {
+				r.sync(s)
+			}
+		}
+		for _, s := range r.servers {
+			r.sync(s)
+		}
+		r.tick()
+	}
+}
+
+// ---- tests
+
+// Servers are lost, replaced and brought back while registers are changed, read, claimed and settled, and messages come in any
+// order. Nothing that was answered is ever contradicted.
+func TestModelRandom(t *testing.T) {
+	from, seeds := modelSetting(modelFromVariable, 0), modelSetting(modelSeedsVariable, defaultSeeds())
+	answered, epochs := 0, 0
+	for seed := from; seed < from+seeds; seed++ {
+		r := newModelRun(seed, noFault)
+		if os.Getenv(modelTraceVariable) != "" {
+			r.trace = t.Logf
+		}
+		if broken := r.play(modelSteps); broken != nil {
+			t.Fatalf("seed %d: %v", seed, broken)
+		}
+		answered += r.history.answered
+		epochs += len(r.history.views)
+	}
+	t.Logf("%d seeds: %d changes answered, %d views chosen", seeds, answered, epochs)
+	if seeds >= modelSeedsRace && (answered < int(seeds) || epochs < int(seeds)) {
+		t.Fatalf("%d changes answered and %d views chosen in %d runs: this shows nothing", answered, epochs, seeds)
+	}
+}
