--- a/internal/mesh/control/membership.go
+++ b/internal/mesh/control/membership.go
@@ -225,7 +225,7 @@
 // are up.
 func (s *Server) found(now float64) {
 	m := &s.membership
-	if _, come := m.founders[s.o.Self]; !come {
+	if _, come := m.founders[s.o.Self]; !come { // others may have come before
 		m.founders[s.o.Self], m.foundAt = s.self, now
 	}
 	for _, seed := range s.o.Seeds {
