Control: a number that was passed over stands for the first text that is ordered

Cause: an order whose number was below the one in force, and had never been taken, was answered 'taken' whatever its text: two texts under one number were both confirmed. Change: such an order goes into the history of the configuration's register, without taking effect. Another text under its number is refused from then on; numbers older than the whole history are answered as before. Result: the test confirms both texts before, one now.

--- a/internal/mesh/control/configuration.go
+++ b/internal/mesh/control/configuration.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"cmp"
 	"crypto/sha256"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -60,28 +62,38 @@
 	return sum[:hashBytes]
 }
 
-// judge says how an order stands to a configuration that was chosen. newer says that it has to be taken first.
-func judge(chosen *meshpb.Config, version uint64, hash []byte) (result OrderResult, newer bool) {
-	if version > chosen.GetVersion() {
-		return OrderTaken, true
-	}
-	for _, d := range chosen.GetHistory() {
-		if d.Version == version && !bytes.Equal(d.Hash, hash) {
-			return OrderConflict, false
-		}
+// judge says how an order stands to a configuration that was chosen. open says that its number stands for no text yet, so it has to
+// be taken first: it is newer, or it was passed over.
+func judge(chosen *meshpb.Config, version uint64, hash []byte) (result OrderResult, open bool) {
+	history := chosen.GetHistory()
+	at, found := findVersion(history, version)
+	switch {
+	case found && !bytes.Equal(history[at].Hash, hash):
+		return OrderConflict, false
+	case found, at == 0 && len(history) >= mostHistory:
+		return OrderTaken, false
 	}
-	return OrderTaken, false
+	return OrderTaken, true
 }
 
-// succeed is the value of the register after an order.
+func findVersion(history []*meshpb.ConfigDigest, version uint64) (at int, found bool) {
+	return slices.BinarySearchFunc(history, version, func(d *meshpb.ConfigDigest, v uint64) int {
+		return cmp.Compare(d.Version, v)
+	})
+}
+
+// succeed is the value of the register after an order. One whose number was passed over changes the history only: a newer one stays
+// in force, and no other text is ever taken under that number.
 func succeed(old *meshpb.Config, version uint64, text, hash []byte) *meshpb.Config {
-	history := old.GetHistory()
-	if over := len(history) + 1 - mostHistory; over > 0 {
+	at, _ := findVersion(old.GetHistory(), version)
+	history := slices.Insert(slices.Clone(old.GetHistory()), at, &meshpb.ConfigDigest{Version: version, Hash: hash})
+	if over := len(history) - mostHistory; over > 0 {
 		history = history[over:]
 	}
-	next := &meshpb.Config{Version: version, Text: text}
-	next.History = append(append(next.History, history...), &meshpb.ConfigDigest{Version: version, Hash: hash})
-	return next
+	if version < old.GetVersion() {
+		version, text = old.Version, old.Text
+	}
+	return &meshpb.Config{Version: version, Text: text, History: history}
 }
 
 func decodeConfig(body []byte) *meshpb.Config {
@@ -109,7 +121,7 @@
 	}
 	hash := hashOf(text)
 	if c.chosen != nil {
-		if result, newer := judge(c.chosen, version, hash); !newer {
+		if result, open := judge(c.chosen, version, hash); !open {
 			told(result)
 			return
 		}
@@ -118,8 +130,8 @@
 	var result OrderResult
 	edit := func(old []byte) []byte {
 		held := decodeConfig(old)
-		var newer bool
-		if result, newer = judge(held, version, hash); !newer {
+		var open bool
+		if result, open = judge(held, version, hash); !open {
 			return nil
 		}
 		body, err := proto.Marshal(succeed(held, version, text, hash))
