Control: a page for a joiner goes once the disk has the view

Cause: a member answered a joiner in the name of the joint view before that view was on its disk. After a loss of power it was back in the older epoch and took part in its ballots, while the joiner counted on it not to: what such a ballot chose the joiner had not read. Change: pages wait for the disk, like promises.

--- a/internal/mesh/control/catchup.go
+++ b/internal/mesh/control/catchup.go
@@ -92,18 +92,19 @@
 	s.send(address, &meshpb.Message{SyncRequest: &meshpb.SyncRequest{SourceLife: from.life, Position: from.position}})
 }
 
-// heardSyncRequest gives a page, unless this server lacks something itself.
+// heardSyncRequest gives a page, unless this server lacks something itself. It goes once the disk has the view: who reads it counts on
+// this server to take part in no older ballot any more, also after a loss of power.
 func (s *Server) heardSyncRequest(from string, r *meshpb.SyncRequest) {
 	if !s.Voting() {
 		return
 	}
-	after := r.Position
+	read := r.Position
 	if r.SourceLife != s.o.Life {
-		after = 0
+		read = 0
 	}
-	page, position, last := s.registers.Page(after)
-	s.send(from, &meshpb.Message{SyncPage: &meshpb.SyncPage{SourceLife: s.o.Life, Position: position, Last: last,
-		Entries: page}})
+	page, position, last := s.registers.Page(read)
+	s.out.After = append(s.out.After, after(from, &meshpb.Message{SyncPage: &meshpb.SyncPage{SourceLife: s.o.Life,
+		Position: position, Last: last, Entries: page}}))
 }
 
 func (s *Server) heardSyncPage(now float64, member view.Member, p *meshpb.SyncPage) {
