Control: that a joiner has read everything goes to its disk behind what it read

Cause: the mark that everything was read was put into the batch of the last page. Of a batch that power cuts off any part may be on the disk, so a joiner could come back with the mark and without the registers, and vote. Change: the mark is put once the registers are synced. Result: the test sees both in one batch before, the mark in the second now.

--- a/internal/mesh/control/catchup.go
+++ b/internal/mesh/control/catchup.go
@@ -152,14 +152,22 @@
 	}
 	c.syncingTill = now + syncWithin
 	epoch := s.view().Epoch
-	s.put(nameSynced, word(epoch))
-	s.whenSynced(func(now float64) {
+	s.whenSynced(func(float64) { // not in one batch: of one that is cut off any part may be there
 		if s.view().Epoch != epoch {
 			return
 		}
-		c.syncedEpoch = epoch
-		s.vote(now)
-		s.propagation.wantWhole = true
-		s.askToJoin()
+		s.put(nameSynced, word(epoch))
+		s.whenSynced(func(now float64) { s.joinSynced(now, epoch) })
 	})
 }
+
+// joinSynced has this joiner vote: its disk holds everything, and says so.
+func (s *Server) joinSynced(now float64, epoch uint64) {
+	if s.view().Epoch != epoch {
+		return
+	}
+	s.catchup.syncedEpoch = epoch
+	s.vote(now)
+	s.propagation.wantWhole = true
+	s.askToJoin()
+}
--- a/internal/mesh/control/catchup_test.go
+++ b/internal/mesh/control/catchup_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 
 	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/register"
 	"beechwing/internal/mesh/transport"
 	"beechwing/internal/mesh/view"
 )
@@ -49,3 +51,56 @@
 		t.Fatalf("a page at once: %v, behind the disk: %v", hasPage(out.Sends), hasPage(out.After))
 	}
 }
+
+// scriptedJoiner is a joiner that has asked the members for pages, by the id of its question to each.
+func scriptedJoiner(t *testing.T) (s *Server, joint view.View, members []view.Member, asked map[string]uint64) {
+	t.Helper()
+	joint, joiner, members := joinerAndMembers()
+	s = startScripted(t, joiner, onDisk(joiner, joint))
+	s.Tick(1)
+	asked = map[string]uint64{}
+	for _, send := range s.Take().Sends {
+		if send.Message.SyncRequest != nil {
+			asked[send.To] = send.Message.Id
+		}
+	}
+	return s, joint, members, asked
+}
+
+// page has a member answer with all that it has: one register.
+func page(s *Server, from view.Member, id, epoch uint64) {
+	held := &meshpb.Entry{Key: register.Permanent("x"), Accepted: register.Ballot{Epoch: 1, Round: 1, Node: 1, Life: 1}.Wire(),
+		Value: &meshpb.Receipt{Token: 1}}
+	s.Heard(1, from.Address, &meshpb.Message{Id: id, Incarnation: from.Incarnation, Epoch: epoch, SyncPage: &meshpb.SyncPage{
+		SourceLife: 8, Position: 12, Last: true, Entries: []*meshpb.Entry{held}}})
+}
+
+// finishBatch has everything put so far on the disk, and gives the names.
+func finishBatch(s *Server) (names []string) {
+	out := s.Take()
+	for _, p := range out.Puts {
+		names = append(names, p.Name)
+	}
+	for _, send := range out.After {
+		if send.To == s.o.Self {
+			s.Heard(1, s.o.Self, send.Message)
+		}
+	}
+	return names
+}
+
+// Of a batch that is cut off any part may be on the disk: what says that everything was read goes behind what was read.
+func TestJoinerIsSyncedBehindWhatItRead(t *testing.T) {
+	s, joint, members, asked := scriptedJoiner(t)
+	for _, m := range members {
+		page(s, m, asked[m.Address], joint.Epoch)
+	}
+	first := finishBatch(s)
+	read := slices.ContainsFunc(first, func(name string) bool { return strings.HasPrefix(name, "k.") })
+	if !read || slices.Contains(first, nameSynced) || s.Voting() {
+		t.Fatalf("first batch %v, voting %v", first, s.Voting())
+	}
+	if second := finishBatch(s); !slices.Contains(second, nameSynced) || !s.Voting() {
+		t.Fatalf("second batch %v, voting %v", second, s.Voting())
+	}
+}
