Control: a joiner takes only the pages that this life asked for

Cause: a page carried nothing of the question that it answers. One that an earlier life of the joiner had asked for, and that held only what changed after what that life had read, counted as all of a member's registers; also after the disk was wiped. Change: questions have an id, which the page repeats; a question that is asked again keeps it, so a slow page still counts. Result: the test has a joiner vote by pages that it never asked for before, and only by its own now.

--- a/internal/mesh/control/catchup.go
+++ b/internal/mesh/control/catchup.go
@@ -26,6 +26,7 @@
 	askedAt  float64
 	heardAt  float64
 	asking   bool
+	id       uint64 // of the question that is open; it is the same where that is asked again
 	complete bool   // all was read once in this life of the member
 	epoch    uint64 // the member's when all that it had was read last
 	member   view.Member
@@ -88,13 +89,17 @@
 		from.epoch == s.view().Epoch {
 		return
 	}
+	if from.id == 0 {
+		s.lastID++
+		from.id = s.lastID
+	}
 	from.askedAt, from.asking = now, true
-	s.send(address, &meshpb.Message{SyncRequest: &meshpb.SyncRequest{SourceLife: from.life, Position: from.position}})
+	s.send(address, &meshpb.Message{Id: from.id, SyncRequest: &meshpb.SyncRequest{SourceLife: from.life, Position: from.position}})
 }
 
 // heardSyncRequest gives a page, unless this server lacks something itself. It goes once the disk has the view: who reads it counts on
 // this server to take part in no older ballot any more, also after a loss of power.
-func (s *Server) heardSyncRequest(from string, r *meshpb.SyncRequest) {
+func (s *Server) heardSyncRequest(from string, id uint64, r *meshpb.SyncRequest) {
 	if !s.Voting() {
 		return
 	}
@@ -103,26 +108,22 @@
 		read = 0
 	}
 	page, position, last := s.registers.Page(read)
-	s.out.After = append(s.out.After, after(from, &meshpb.Message{SyncPage: &meshpb.SyncPage{SourceLife: s.o.Life,
+	s.out.After = append(s.out.After, after(from, &meshpb.Message{Id: id, SyncPage: &meshpb.SyncPage{SourceLife: s.o.Life,
 		Position: position, Last: last, Entries: page}}))
 }
 
-func (s *Server) heardSyncPage(now float64, member view.Member, p *meshpb.SyncPage) {
+// heardSyncPage takes the answer to the question that is open. Any other may be one to an earlier life, which had read what came
+// before the page.
+func (s *Server) heardSyncPage(now float64, member view.Member, id uint64, p *meshpb.SyncPage) {
 	from := s.catchup.sources[member.Address]
-	if from == nil || s.Voting() || !slices.Contains(s.view().Members, member) {
+	if from == nil || id != from.id || s.Voting() || !slices.Contains(s.view().Members, member) {
 		return
 	}
 	if from.life != p.SourceLife || from.member != member {
-		if p.Position < from.position && from.life == p.SourceLife {
-			return
-		}
 		*from = source{life: p.SourceLife, member: member}
 	}
-	if p.Position < from.position { // late
-		return
-	}
 	s.registers.Merge(now, p.Entries)
-	from.position, from.heardAt, from.asking = p.Position, now, false
+	from.position, from.heardAt, from.asking, from.id = p.Position, now, false, 0
 	if !p.Last {
 		s.follow(now, member.Address, from)
 		return
--- a/internal/mesh/control/catchup_test.go
+++ b/internal/mesh/control/catchup_test.go
@@ -104,3 +104,24 @@
 		t.Fatalf("second batch %v, voting %v", second, s.Voting())
 	}
 }
+
+// A page that an earlier life of the joiner asked for may be the last of many: it does not count as all.
+func TestPageForAnEarlierLifeDoesNotCount(t *testing.T) {
+	s, joint, members, asked := scriptedJoiner(t)
+	for _, m := range members {
+		page(s, m, 77, joint.Epoch)
+	}
+	finishBatch(s)
+	finishBatch(s)
+	if s.Voting() {
+		t.Fatal("votes by pages that it never asked for")
+	}
+	for _, m := range members {
+		page(s, m, asked[m.Address], joint.Epoch)
+	}
+	finishBatch(s)
+	finishBatch(s)
+	if !s.Voting() {
+		t.Fatal("does not vote by pages that it asked for")
+	}
+}
--- a/internal/mesh/control/server.go
+++ b/internal/mesh/control/server.go
@@ -205,9 +205,9 @@
 	case m.Digest != nil:
 		s.heardDigest(now, member, m.Digest)
 	case m.SyncRequest != nil:
-		s.heardSyncRequest(from, m.SyncRequest)
+		s.heardSyncRequest(from, m.Id, m.SyncRequest)
 	case m.SyncPage != nil:
-		s.heardSyncPage(now, member, m.SyncPage)
+		s.heardSyncPage(now, member, m.Id, m.SyncPage)
 	case m.ConfigRequest != nil:
 		s.heardConfigRequest(from, m.ConfigRequest)
 	case m.Config != nil:
