Control: digests count for the value that they name, not for a newer one on this disk

Cause: a server that learned from a quorum's digests that the value at one ballot is chosen took what its disk had at that moment. Where it had accepted a newer one since it last looked, that one counted as chosen with one server holding it: its text was told and given to the proxies, while another text under the same number was chosen. Change: the ballot on the disk has to be the one that the quorum named. Result: the test learns version 2 by digests of version 1 before, and not now.

--- a/internal/mesh/control/configuration.go
+++ b/internal/mesh/control/configuration.go
@@ -277,10 +277,12 @@
 	s.confirm(now)
 }
 
-// countHolders learns that a value is chosen where a quorum says that it has it at one ballot of this epoch.
+// countHolders learns that a value is chosen where a quorum says that it has it at one ballot of this epoch. This disk may have a
+// newer one by now, which nobody has told of.
 func (s *Server) countHolders(now float64) {
 	c := &s.configuration
-	if c.heldBallot.Epoch != s.view().Epoch || c.held <= c.chosenVersion() || c.noted != c.heldBallot || !s.Voting() {
+	value, ballot := s.registers.Local(configKey)
+	if ballot != c.heldBallot || ballot.Epoch != s.view().Epoch || c.held <= c.chosenVersion() || !s.Voting() {
 		return
 	}
 	if s.view().Quorum(func(m view.Member) bool {
@@ -290,7 +292,6 @@
 		p := s.contact.peers[m.Address]
 		return p != nil && p.member == m && register.FromWire(p.config.GetHeldBallot()) == c.heldBallot
 	}) {
-		value, _ := s.registers.Local(configKey)
 		s.learnConfig(now, decodeConfig(value.GetBody()))
 	}
 }
--- a/internal/mesh/control/configuration_test.go
+++ b/internal/mesh/control/configuration_test.go
@@ -3,7 +3,11 @@
 import (
 	"testing"
 
+	"google.golang.org/protobuf/proto"
+
 	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/register"
+	"beechwing/internal/mesh/view"
 )
 
 // An order whose number was passed over is taken under one text only.
@@ -28,3 +32,27 @@
 		t.Fatalf("in force: %d %q", held.Version, held.Text)
 	}
 }
+
+// A server learns from the others' digests that one value is chosen, while its disk has taken a newer one in between.
+func TestDigestsTellOfTheValueThatTheyName(t *testing.T) {
+	_, _, members := joinerAndMembers()
+	s := startScripted(t, members[0], onDisk(members[0], view.Founding(9, members)))
+	ballot := register.Ballot{Epoch: 1, Round: 2, Node: 2, Life: 8}
+	accept := func(ballot register.Ballot, version uint64, text string) {
+		body, err := proto.Marshal(succeed(nil, version, []byte(text), hashOf([]byte(text))))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Heard(1, "s1", &meshpb.Message{Id: 4, Incarnation: 1, Epoch: 1, Accept: &meshpb.Accept{Key: configKey,
+			Ballot: ballot.Wire(), Value: &meshpb.Receipt{Token: version, State: register.Stored, Body: body}}})
+	}
+	accept(ballot, 1, "one")
+	s.Tick(1)
+	finishBatch(s)
+	accept(register.Ballot{Epoch: 1, Round: 5, Node: 2, Life: 8}, 2, "two")
+	s.Heard(1, "s1", &meshpb.Message{Incarnation: 1, Epoch: 1, Digest: &meshpb.Digest{Sequence: 1, Life: 8,
+		Config: &meshpb.ConfigState{HeldVersion: 1, HeldBallot: ballot.Wire()}}})
+	if version := s.configuration.chosenVersion(); version > 1 {
+		t.Fatalf("version %d counts as chosen, and one server has it", version)
+	}
+}
