--- a/internal/mesh/control/membership.go
+++ b/internal/mesh/control/membership.go
@@ -310,7 +310,8 @@
 func (s *Server) coordinate(now float64) {
 	m := &s.membership
 	for address, waiting := range m.standbys {
-		if !s.joins(waiting.member) && (now > waiting.heardAt+standbyFor || s.view().Has(waiting.member)) {
+		gone := now > waiting.heardAt+standbyFor || s.view().Has(waiting.member) // silent, or a member by now
+		if gone && !s.joins(waiting.member) {
 			delete(m.standbys, address)
 		}
 	}
--- /dev/null
+++ b/internal/mesh/control/model_cluster_test.go
@@ -0,0 +1,320 @@
+package control
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/store"
+	"beechwing/internal/mesh/transport"
+	"beechwing/internal/mesh/view"
+)
+
+// The model: whole control servers on a simulated clock, network and disks. Every choice comes from the seed.
+
+const (
+	modelTick      = 0.02  // seconds
+	modelWindow    = 60.0  // seconds for which keys are kept
+	modelFounded   = 3.0   // seconds after which the first view is there
+	modelMostDelay = 0.010 // seconds that a message usually takes at most
+	modelLateDelay = 0.500 // and one that is late
+	modelMostSync  = 0.010 // seconds that a batch usually takes to the disk at most
+	modelLateSync  = 0.200 // and a late one
+)
+
+// modelEvent is something that happens at a time.
+type modelEvent struct {
+	at     float64
+	number uint64 // the order of those at one time
+	do     func()
+}
+
+type modelEvents []modelEvent
+
+func (h modelEvents) Len() int { return len(h) }
+func (h modelEvents) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(h[i].at, h[j].at), cmp.Compare(h[i].number, h[j].number)) < 0
+}
+func (h modelEvents) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *modelEvents) Push(x any)   { *h = append(*h, x.(modelEvent)) }
+func (h *modelEvents) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	(*h)[last] = modelEvent{}
+	*h = (*h)[:last]
+	return e
+}
+
+// modelCluster is all servers and what is between them.
+type modelCluster struct {
+	random    *rand.Rand
+	now       float64
+	events    modelEvents
+	number    uint64
+	tolerance int
+	seeds     []string
+	machines  []*modelMachine
+	byName    map[string]*modelMachine
+	cuts      map[[2]string]bool // from, to
+	lossy     bool               // messages are lost, doubled and late, and disks are slow
+	trace     func(format string, args ...any)
+	orders    *orderHistory
+}
+
+// modelMachine is one machine: a disk, and a server while it is up.
+type modelMachine struct {
+	cluster *modelCluster
+	address string
+	disk    map[string][]byte
+	server  *Server
+	up      bool
+	lives   uint32
+	first   bool // the whole system starts for the first time
+	cutAt   float64
+
+	writing []store.Put
+	puts    []store.Put
+	after   []transport.Send
+	syncing bool
+}
+
+// newModelCluster founds a mesh, and starts the servers that wait to join.
+func newModelCluster(seed uint64, tolerance, spares int) *modelCluster {
+	c := &modelCluster{random: rand.New(rand.NewPCG(seed, 13)), now: 1, tolerance: tolerance,
+		byName: map[string]*modelMachine{}, cuts: map[[2]string]bool{}, trace: func(string, ...any) {},
+		orders: newOrderHistory()}
+	members := 2*tolerance + 1
+	for i := range members + spares {
+		m := &modelMachine{cluster: c, address: fmt.Sprintf("s%d", i), disk: map[string][]byte{}, first: i < members}
+		c.machines, c.byName[m.address] = append(c.machines, m), m
+		if m.first {
+			c.seeds = append(c.seeds, m.address)
+		}
+	}
+	for _, m := range c.machines[:members] {
+		m.start()
+	}
+	c.run(modelFounded)
+	for _, m := range c.machines {
+		m.first = false
+		if !m.up {
+			m.start()
+		}
+	}
+	return c
+}
+
+// after does something so many seconds from now.
+func (c *modelCluster) after(seconds float64, do func()) {
+	c.number++
+	heap.Push(&c.events, modelEvent{c.now + seconds, c.number, do})
+}
+
+// run lets so many seconds pass.
+func (c *modelCluster) run(seconds float64) {
+	until := c.now + seconds
+	for len(c.events) > 0 && c.events[0].at <= until && c.orders.broken == nil {
+		e := heap.Pop(&c.events).(modelEvent)
+		c.now = e.at
+		e.do()
+	}
+	c.now = until
+}
+
+// ---- machines
+
+// start starts the server on what the disk holds.
+func (m *modelMachine) start() {
+	c := m.cluster
+	m.lives++
+	m.up, m.syncing, m.writing, m.puts, m.after = true, false, nil, nil, nil
+	values := map[string][]byte{}
+	for name, value := range m.disk {
+		values[name] = slices.Clone(value)
+	}
+	server, err := New(c.now, Options{Self: m.address, Seeds: c.seeds, First: m.first && len(values) == 0,
+		Tolerance: c.tolerance, Window: modelWindow, Life: c.random.Uint32() | 1, Random: c.random.Uint64(),
+		Log: func(event string, args ...any) { c.trace("%.3f %s: %s %v", c.now, m.address, event, args) }}, values)
+	if err != nil {
+		panic(err)
+	}
+	m.server = server
+	c.trace("%.3f %s starts, incarnation %d, epoch %d", c.now, m.address, server.self.Incarnation, server.view().Epoch)
+	m.work()
+	m.tick(m.lives)
+}
+
+func (m *modelMachine) tick(life uint32) {
+	m.cluster.after(modelTick*(0.5+m.cluster.random.Float64()), func() {
+		if m.up && m.lives == life {
+			m.server.Tick(m.cluster.now)
+			m.work()
+			m.tick(life)
+		}
+	})
+}
+
+// work does what the server wants done.
+func (m *modelMachine) work() {
+	for {
+		out := m.server.Take()
+		m.puts, m.after = append(m.puts, out.Puts...), append(m.after, out.After...)
+		m.sync()
+		if len(out.Sends) == 0 {
+			return
+		}
+		m.send(out.Sends)
+	}
+}
+
+func (m *modelMachine) send(all []transport.Send) {
+	for _, send := range all {
+		if send.To == m.address {
+			m.server.Heard(m.cluster.now, m.address, send.Message)
+			continue
+		}
+		m.cluster.carry(m.address, send.To, send.Message)
+	}
+}
+
+// sync has the next batch go to the disk, if none is on its way.
+func (m *modelMachine) sync() {
+	if m.syncing || len(m.puts)+len(m.after) == 0 {
+		return
+	}
+	c := m.cluster
+	takes := modelMostSync * c.random.Float64()
+	if c.lossy && c.random.IntN(10) == 0 {
+		takes = modelLateSync * c.random.Float64()
+	}
+	m.syncing, m.writing = true, m.puts
+	after, life := m.after, m.lives
+	m.puts, m.after = nil, nil
+	c.after(takes, func() {
+		if !m.up || m.lives != life {
+			return
+		}
+		m.apply(m.writing)
+		m.writing, m.syncing = nil, false
+		m.send(after)
+		m.work()
+	})
+}
+
+func (m *modelMachine) apply(puts []store.Put) {
+	for _, p := range puts {
+		if len(p.Value) == 0 {
+			delete(m.disk, p.Name)
+		} else {
+			m.disk[p.Name] = slices.Clone(p.Value)
+		}
+	}
+}
+
+// kill ends the server: what its disk was given is there.
+func (m *modelMachine) kill() {
+	m.cluster.trace("%.3f %s is killed", m.cluster.now, m.address)
+	m.apply(m.writing)
+	m.up, m.writing = false, nil
+}
+
+// powerOff ends the server: of what its disk was given any part may be there.
+func (m *modelMachine) powerOff() {
+	m.cluster.trace("%.3f %s loses power, %d values on their way to the disk", m.cluster.now, m.address, len(m.writing))
+	puts := slices.Clone(m.writing)
+	slices.SortStableFunc(puts, func(a, b store.Put) int { return cmp.Compare(a.Name, b.Name) })
+	m.apply(slices.DeleteFunc(puts, func(store.Put) bool { return m.cluster.random.IntN(2) == 0 }))
+	m.up, m.writing = false, nil
+}
+
+// wipe takes the disk's content away. The server is down.
+func (m *modelMachine) wipe() {
+	m.cluster.trace("%.3f %s: its disk is wiped", m.cluster.now, m.address)
+	clear(m.disk)
+}
+
+// holds says whether this machine's disk is the one of a member.
+func (m *modelMachine) holds(member view.Member) bool {
+	return number(m.disk[nameIdentity]) == member.Incarnation
+}
+
+// ---- network
+
+// carry takes a message to another machine.
+func (c *modelCluster) carry(from, to string, message *meshpb.Message) {
+	copies := 1
+	if c.lossy {
+		switch c.random.IntN(30) {
+		case 0:
+			copies = 0
+		case 1:
+			copies = 2
+		}
+	}
+	for range copies {
+		takes := 0.0002 + modelMostDelay*c.random.Float64()
+		if c.lossy && c.random.IntN(20) == 0 {
+			takes = modelLateDelay * c.random.Float64()
+		}
+		c.after(takes, func() { c.deliver(from, to, message) })
+	}
+}
+
+func (c *modelCluster) deliver(from, to string, message *meshpb.Message) {
+	m := c.byName[to]
+	if m == nil || !m.up || c.cuts[[2]string{from, to}] {
+		return
+	}
+	m.server.Heard(c.now, from, message)
+	m.work()
+}
+
+// cutOff lets nothing pass between a machine and the others; oneWay: nothing from it to them.
+func (c *modelCluster) cutOff(m *modelMachine, oneWay bool) {
+	c.trace("%.3f %s is cut off, one way %v", c.now, m.address, oneWay)
+	m.cutAt = c.now
+	for _, other := range c.machines {
+		if other != m {
+			c.cuts[[2]string{m.address, other.address}] = true
+			if !oneWay {
+				c.cuts[[2]string{other.address, m.address}] = true
+			}
+		}
+	}
+}
+
+func (c *modelCluster) joinAll() {
+	c.trace("%.3f all cuts end", c.now)
+	clear(c.cuts)
+	for _, m := range c.machines {
+		m.cutAt = 0
+	}
+}
+
+// newest is the newest view that a server goes by.
+func (c *modelCluster) newest() (newest view.View) {
+	for _, m := range c.machines {
+		if m.up && m.server.view().Epoch > newest.Epoch {
+			newest = m.server.view()
+		}
+	}
+	return newest
+}
+
+// lost counts the members of a view whose disks are lost.
+func (c *modelCluster) lost(v view.View) (n int) {
+	for _, member := range v.Members {
+		if !c.byName[member.Address].holds(member) {
+			n++
+		}
+	}
+	return n
+}
+
+// viewMember is the member that a machine's disk makes it.
+func viewMember(m *modelMachine) view.Member {
+	return view.Member{Address: m.address, Incarnation: number(m.disk[nameIdentity])}
+}
