Control: a joiner says that it has read everything until it is a member

Cause: a joiner said so once, as it began to vote, and was silent from then on. Where that word was lost, or overtaken by the one before it, the coordinator waited for 1.5 s and abandoned the change; the joiner, which had done all it had to, was replaced and began again. Change: it repeats its word until it is a member, and an older word does not take back a newer one.

--- a/internal/mesh/control/membership.go
+++ b/internal/mesh/control/membership.go
@@ -196,7 +196,8 @@
 		waiting = &standby{member: from}
 		m.standbys[from.Address] = waiting
 	}
-	waiting.heardAt, waiting.caughtUp, waiting.syncedEpoch = now, j.CaughtUp, j.SyncedEpoch
+	waiting.heardAt, waiting.caughtUp = now, j.CaughtUp
+	waiting.syncedEpoch = max(waiting.syncedEpoch, j.SyncedEpoch) // words may overtake each other
 }
 
 func (s *Server) joins(m view.Member) bool {
@@ -209,7 +210,7 @@
 	switch {
 	case !s.view().Known() && s.o.First && slices.Min(s.o.Seeds) == s.o.Self:
 		s.found(now)
-	case !s.Voting() && !m.leaving && now >= m.joinAt:
+	case (!s.Voting() || s.joins(s.self)) && !m.leaving && now >= m.joinAt: // a joiner until it is a member: its word may be lost
 		m.joinAt = now + joinEvery
 		s.askToJoin()
 	}
--- a/internal/mesh/control/model_cases_test.go
+++ b/internal/mesh/control/model_cases_test.go
@@ -17,3 +17,16 @@
 		}
 	}
 }
+
+// The joiner's word that it has read everything is overtaken by an older one, or lost: it says so again, and is not abandoned.
+func TestJoinerIsNotAbandoned(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newModelCluster(seed, 1, 1)
+		c.run(2)
+		c.machines[seed%3].powerOff()
+		c.run(10)
+		if v := c.newest(); v.Epoch != 3 || !v.Has(viewMember(c.byName["s3"])) {
+			t.Fatalf("seed %d: %v", seed, v)
+		}
+	}
+}
