Registers: what is permanent begins unprepared in the founding view only

Cause: in a settled later epoch the home of a permanent register that it had never seen (chosen in a joint view without it) accepted its own first ballot on its own disk. The others refused it, but its epoch made it newer than the chosen value, so the next ballot that asked this disk took it for the newest: version 1 stood for two values. Change: Registers.mayBeginFirst; the ballot of what is permanent is prepared in every view but the founding one. Keys of operations are forgotten by then. The note of a chosen configuration on disk needs the same value, not only the same version.

--- a/internal/mesh/control/configuration.go
+++ b/internal/mesh/control/configuration.go
@@ -194,11 +194,11 @@
 	s.wake(now)
 }
 
-// putChosen notes on the disk that the value there is chosen, for the next start: what was chosen once stays so.
+// putChosen notes on the disk that the value there is chosen, for the next start: what was chosen once stays so. It has to be the
+// same value: another one under its version, or with another history, may stand on this disk alone.
 func (s *Server) putChosen() {
 	value, ballot := s.registers.Local(configKey)
-	held := decodeConfig(value.GetBody())
-	if held.GetVersion() != s.configuration.chosenVersion() {
+	if !proto.Equal(decodeConfig(value.GetBody()), s.configuration.chosen) {
 		return
 	}
 	if text, err := proto.Marshal(ballot.Wire()); err == nil {
--- a/internal/mesh/register/proposer.go
+++ b/internal/mesh/register/proposer.go
@@ -49,7 +49,7 @@
 	l.work[c.key], l.byID[c.id] = c, c
 	e := l.entries[c.key]
 	switch {
-	case e == nil && now >= l.fastFrom && l.isHome(c.key):
+	case e == nil && l.mayBeginFirst(now, c.key):
 		c.ballot = Ballot{l.view.Epoch, 1, l.node, l.life}
 		l.propose(now, c, nil)
 	case e != nil && e.chosen && e.accepted.Epoch == l.view.Epoch && e.promised == e.accepted.next():
@@ -60,6 +60,12 @@
 	}
 }
 
+// mayBeginFirst says whether the first ballot of a key in this epoch may go without being prepared. Of what is permanent something may
+// have been chosen in any earlier epoch, however long ago: there only the founding view has a first ballot that needs none.
+func (l *Registers) mayBeginFirst(now float64, key string) bool {
+	return now >= l.fastFrom && l.isHome(key) && (!permanent(key) || l.view.Epoch == 1)
+}
+
 // ask prepares a ballot.
 func (l *Registers) ask(now float64, c *change) {
 	round := max(l.promised(c.key).Round, 1)
