Control: a model test of whole servers, operators and lost disks

Change: random exploration of whole servers on a simulated clock, network and disks, judged by what operators are told: one text under a number, no refusal of what was confirmed, no confirmation out of contact, each order answered once and in time, nothing confirmed lost, also after as many disks as the mesh tolerates are lost at the end. MODEL_SEEDS, MODEL_FROM and MODEL_TRACE play other seeds; the head of model_test.go says how.

--- a/internal/mesh/control/model_orders_test.go
+++ b/internal/mesh/control/model_orders_test.go
@@ -1,6 +1,10 @@
 package control
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
 
 // The kinds of violations that the checker of orders tells apart.
 const (
@@ -77,3 +81,43 @@
 	}
 	h.newest = max(h.newest, number)
 }
+
+// The checker finds what must not be.
+func TestOrderCheckerFinds(t *testing.T) {
+	for _, c := range []struct {
+		kind string
+		tell func(h *orderHistory)
+	}{
+		{"", func(h *orderHistory) {
+			h.answered(1, "order 1, text 0", OrderTaken)
+			h.answered(1, "order 1, text 1", OrderConflict)
+			h.readBack(1, "order 1, text 0")
+		}},
+		{twoTextsOneNumber, func(h *orderHistory) {
+			h.answered(1, "order 1, text 0", OrderTaken)
+			h.answered(1, "order 1, text 1", OrderTaken)
+		}},
+		{twoTextsOneNumber, func(h *orderHistory) {
+			h.answered(1, "order 1, text 0", OrderTaken)
+			h.readBack(1, "order 1, text 1")
+		}},
+		{refusedAfterwards, func(h *orderHistory) {
+			h.answered(1, "order 1, text 0", OrderTaken)
+			h.answered(1, "order 1, text 0", OrderConflict)
+		}},
+		{orderLost, func(h *orderHistory) {
+			h.answered(2, "order 2, text 0", OrderTaken)
+			h.readBack(2, "order 1, text 0")
+		}},
+		{orderLost, func(h *orderHistory) {
+			h.answered(1, "order 1, text 0", OrderTaken)
+			h.readBack(1, "")
+		}},
+	} {
+		h := newOrderHistory()
+		c.tell(h)
+		if found := h.broken != nil; found != (c.kind != "") || found && !strings.HasPrefix(h.broken.Error(), c.kind) {
+			t.Errorf("found %v, want %q", h.broken, c.kind)
+		}
+	}
+}
--- /dev/null
+++ b/internal/mesh/control/model_race_test.go
@@ -0,0 +1,6 @@
+//go:build race
+
+package control
+
+// raceDetector says whether the tests run under the race detector.
+const raceDetector = true
--- /dev/null
+++ b/internal/mesh/control/model_test.go
@@ -0,0 +1,306 @@
+package control
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+)
+
+// How many seeds the random exploration plays, and from which on. For hours:
+//
+//	MODEL_SEEDS=200000 go test -run TestModelServers -timeout 0 ./internal/mesh/control
+//
+// and one seed again, with its trace:
+//
+//	MODEL_FROM=1234 MODEL_SEEDS=1 MODEL_TRACE=1 go test -v -run TestModelServers ./internal/mesh/control
+const (
+	modelSeedsVariable = "MODEL_SEEDS"
+	modelFromVariable  = "MODEL_FROM"
+	modelTraceVariable = "MODEL_TRACE"
+	modelSeeds         = 40
+	modelSeedsRace     = 6    // under the race detector, which has nothing to find in one goroutine
+	modelTrouble       = 40.0 // seconds of trouble in a run
+	modelCalm          = 12.0 // seconds without any, until everything has to work again
+	lossesApart        = 3.0  // seconds between two lost disks, also of servers that wait
+	answerWithin       = 2.0  // seconds until an order is answered by a server that goes on
+	outOfContactAfter  = contactFor + 0.1
+)
+
+func modelSetting(name string, otherwise uint64) uint64 {
+	if n, err := strconv.ParseUint(os.Getenv(name), 10, 64); err == nil {
+		return n
+	}
+	return otherwise
+}
+
+func defaultSeeds() uint64 {
+	if raceDetector {
+		return modelSeedsRace
+	}
+	return modelSeeds
+}
+
+// modelRun is one run: operators, and what goes wrong.
+type modelRun struct {
+	*modelCluster
+	last      uint64 // number of the newest order
+	exchanged uint64 // epochs
+	leaving   *modelMachine
+	lostAt    float64 // when a disk was lost last
+}
+
+func newModelRun(seed uint64, trace func(string, ...any)) *modelRun {
+	r := &modelRun{modelCluster: newModelCluster(seed, 1+int(seed%4/3), 2)}
+	if trace != nil {
+		r.trace = trace
+	}
+	return r
+}
+
+// play has trouble for a while, and looks then whether everything confirmed is there.
+func (r *modelRun) play() error {
+	until := r.now + modelTrouble
+	r.nextOrder(until)
+	r.nextTrouble(until)
+	r.run(modelTrouble)
+	r.heal()
+	r.run(modelCalm)
+	r.readAll()
+	r.loseTolerance()
+	return r.orders.broken
+}
+
+func (r *modelRun) anyMachine() *modelMachine { return r.machines[r.random.IntN(len(r.machines))] }
+
+// ---- operators
+
+// nextOrder has operators give orders until a time.
+func (r *modelRun) nextOrder(until float64) {
+	r.after(0.6*r.random.Float64(), func() {
+		if r.now > until {
+			return
+		}
+		switch r.random.IntN(8) {
+		case 0:
+			r.read(r.anyMachine())
+		case 1:
+			for range 8 { // at once, to any servers, with two texts
+				r.order(r.anyMachine(), r.last+1, r.random.IntN(2))
+			}
+			r.last++
+		case 2, 3: // again, or the other text
+			if r.last > 0 {
+				r.order(r.anyMachine(), r.last-min(r.last-1, r.random.Uint64N(4)), r.random.IntN(2))
+			}
+		default:
+			r.last++
+			r.order(r.anyMachine(), r.last, 0)
+		}
+		r.nextOrder(until)
+	})
+}
+
+// order gives an order to a server. Its answer may be lost on the way back.
+func (r *modelRun) order(m *modelMachine, number uint64, variant int) {
+	if !m.up {
+		return
+	}
+	text := fmt.Sprintf("order %d, text %d", number, variant)
+	life, answers := m.lives, 0
+	r.trace("%.3f %s is ordered %q", r.now, m.address, text)
+	m.server.Order(r.now, number, []byte(text), func(result OrderResult) {
+		r.trace("%.3f %s answers %q: %v", r.now, m.address, text, result)
+		if answers++; answers > 1 {
+			r.orders.fail(answeredTwice, "%q by %s", text, m.address)
+		}
+		if result == OrderTaken && m.cutAt > 0 && r.now > m.cutAt+outOfContactAfter {
+			r.orders.fail(confirmedOutOfReach, "%q by %s", text, m.address)
+		}
+		if r.random.IntN(6) > 0 {
+			r.orders.answered(number, text, result)
+		}
+	})
+	m.work()
+	r.after(answerWithin, func() {
+		if m.up && m.lives == life && answers == 0 {
+			r.orders.fail(neverAnswered, "%q by %s", text, m.address)
+		}
+	})
+}
+
+// read has a server read the configuration.
+func (r *modelRun) read(m *modelMachine) {
+	if !m.up {
+		return
+	}
+	least := r.orders.newest
+	m.server.Configuration(r.now, func(text []byte, result OrderResult) {
+		if result == OrderTaken {
+			r.trace("%.3f %s read %q, at least %d", r.now, m.address, text, least)
+			r.orders.readBack(least, string(text))
+		}
+	})
+	m.work()
+}
+
+// ---- trouble
+
+// nextTrouble has things go wrong until a time.
+func (r *modelRun) nextTrouble(until float64) {
+	r.after(1.5*r.random.Float64(), func() {
+		if r.now > until {
+			return
+		}
+		r.trouble()
+		r.nextTrouble(until)
+	})
+}
+
+func (r *modelRun) trouble() {
+	m := r.anyMachine()
+	switch n := r.random.IntN(20); {
+	case n < 2:
+		r.lossy = !r.lossy
+	case n < 4 && len(r.cuts) == 0:
+		r.cutOff(m, r.random.IntN(2) == 0)
+	case n < 8:
+		if len(r.cuts) > 0 {
+			r.joinAll()
+		}
+	case n < 12 && m.up:
+		r.stop(m)
+	case n < 15:
+		if !m.up {
+			m.start()
+		}
+	case n < 17:
+		r.loseDisk(m)
+	case n == 17 && m.up && m.server.isMember() && r.leaving == nil:
+		r.leave(m)
+	}
+}
+
+// stop ends a server by one of two ways, and often starts it again soon.
+func (r *modelRun) stop(m *modelMachine) {
+	if r.random.IntN(2) == 0 {
+		m.kill()
+	} else {
+		m.powerOff()
+	}
+	if r.random.IntN(3) > 0 {
+		r.startAfter(m, 3*r.random.Float64())
+	}
+}
+
+func (r *modelRun) startAfter(m *modelMachine, seconds float64) {
+	r.after(seconds, func() {
+		if !m.up {
+			m.start()
+		}
+	})
+}
+
+// loseDisk takes a disk, where no more members are lost by that than the mesh tolerates.
+func (r *modelRun) loseDisk(m *modelMachine) {
+	if r.now < r.lostAt+lossesApart {
+		return
+	}
+	v := r.newest()
+	member := v.Has(viewMember(m))
+	if member && (v.Joint() || r.lost(v) >= r.tolerance) {
+		return
+	}
+	r.lostAt = r.now
+	if m.up {
+		m.powerOff()
+	}
+	m.wipe()
+	r.startAfter(m, 2*r.random.Float64())
+}
+
+// leave is a planned end: the server goes once its place is given away.
+func (r *modelRun) leave(m *modelMachine) {
+	r.trace("%.3f %s leaves", r.now, m.address)
+	r.leaving = m
+	m.server.Leave(r.now)
+	m.work()
+	life := m.lives
+	r.after(4, func() {
+		r.leaving = nil
+		if m.up && m.lives == life {
+			r.trace("%.3f %s has left: %v", r.now, m.address, m.server.Left(r.now))
+			m.kill()
+			r.startAfter(m, 2)
+		}
+	})
+}
+
+// ---- the end
+
+// heal ends all trouble.
+func (r *modelRun) heal() {
+	r.lossy = false
+	r.joinAll()
+	for _, m := range r.machines {
+		if !m.up {
+			m.start()
+		}
+	}
+}
+
+// readAll has every server read. At least one has to be in reach of a quorum by now.
+func (r *modelRun) readAll() {
+	before := r.orders.read
+	for _, m := range r.machines {
+		r.read(m)
+	}
+	r.run(answerWithin)
+	if r.orders.read == before && r.orders.broken == nil {
+		r.orders.fail(orderLost, "no server reads a configuration any more: %v", r.newest())
+	}
+	r.exchanged = r.newest().Epoch
+}
+
+// loseTolerance takes as many disks as the mesh tolerates, and reads from the others.
+func (r *modelRun) loseTolerance() {
+	v := r.newest()
+	if r.orders.broken != nil || v.Joint() || r.lost(v) > 0 {
+		return
+	}
+	for _, i := range r.random.Perm(len(v.Members))[:r.tolerance] {
+		m := r.byName[v.Members[i].Address]
+		if m.up {
+			m.powerOff()
+		}
+		m.wipe()
+	}
+	r.run(2)
+	r.readAll()
+}
+
+// ---- tests
+
+// Servers are lost, replaced and brought back while operators give orders. What was confirmed stays, and is told alike by all.
+func TestModelServers(t *testing.T) {
+	from, seeds := modelSetting(modelFromVariable, 0), modelSetting(modelSeedsVariable, defaultSeeds())
+	var trace func(string, ...any)
+	if os.Getenv(modelTraceVariable) != "" {
+		trace = t.Logf
+	}
+	taken, conflicts, unknown, epochs := 0, 0, 0, uint64(0)
+	for seed := from; seed < from+seeds; seed++ {
+		r := newModelRun(seed, trace)
+		if broken := r.play(); broken != nil {
+			t.Fatalf("seed %d: %v", seed, broken)
+		}
+		taken += r.orders.taken
+		conflicts += r.orders.conflicts
+		unknown += r.orders.unknown
+		epochs += r.exchanged
+	}
+	t.Logf("%d seeds: %d orders taken, %d refused, %d without an answer, %d views", seeds, taken, conflicts, unknown, epochs)
+	if taken < int(seeds) {
+		t.Fatalf("%d orders taken in %d runs: this shows nothing", taken, seeds)
+	}
+}
