Names of the control side and its tests: message, server, ejection, validator

Renames only: what the mechanical rename left behind in transport, store, upstream, control, register, the tests' names and the example. The log event 'ruling' is 'ejection', its field 'witnesses' is 'observers'; docs follow.

--- a/cmd/beechwing-control/calls.go
+++ b/cmd/beechwing-control/calls.go
@@ -72,13 +72,13 @@
 
 // take checks a configuration and has it kept.
 func (p *program) take(text []byte) (*api.Taken, error) {
-	p.assayMu.Lock()
-	if p.assayer == nil {
-		p.assayMu.Unlock()
+	p.validatorMu.Lock()
+	if p.validator == nil {
+		p.validatorMu.Unlock()
 		return nil, errNow
 	}
-	edition, err := p.assayer.Check(text)
-	p.assayMu.Unlock()
+	edition, err := p.validator.Check(text)
+	p.validatorMu.Unlock()
 	if err != nil {
 		p.log.Warn("configuration refused", "error", err)
 		return nil, api.Refusal{Status: http.StatusBadRequest, Why: err.Error()}
@@ -124,7 +124,7 @@
 		var member string
 		p.with(func(now float64) { member = p.server.Redirect(now) })
 		host, _, err := net.SplitHostPort(member)
-		_, port, portErr := net.SplitHostPort(p.deed.Docking.Control)
+		_, port, portErr := net.SplitHostPort(p.settings.Docking.Control)
 		if err != nil || portErr != nil {
 			return errNow
 		}
--- a/cmd/beechwing-control/disk.go
+++ b/cmd/beechwing-control/disk.go
@@ -31,7 +31,7 @@
 		read := make(chan kept, 1)
 		go func() {
 			var k kept
-			k.store, k.values, k.found, k.err = store.Open(p.deed.DataDir)
+			k.store, k.values, k.found, k.err = store.Open(p.settings.DataDir)
 			read <- k
 		}()
 		k, err := p.awaitRead(ctx, read)
--- a/cmd/beechwing-control/run.go
+++ b/cmd/beechwing-control/run.go
@@ -32,22 +32,22 @@
 
 // program is the shell round the state machine: it owns sockets, disk and clock.
 type program struct {
-	log   *slog.Logger
-	clock cli.Clock
-	deed  *bootstrap.Settings
-	net   *transport.Net
+	log      *slog.Logger
+	clock    cli.Clock
+	settings *bootstrap.Settings
+	net      *transport.Net
 
 	mu     sync.Mutex
 	server *control.Server
 
 	writer *store.Writer[transport.Send]
 
-	assayMu sync.Mutex
-	assayer *validate.Validator
+	validatorMu sync.Mutex
+	validator   *validate.Validator
 }
 
 func run(ctx context.Context, d *bootstrap.Settings, says cli.Options, log *slog.Logger) error {
-	p := &program{log: log, clock: cli.NewClock(), deed: d}
+	p := &program{log: log, clock: cli.NewClock(), settings: d}
 	if d.DataDir == "" {
 		return errors.New("settings: dataDir: is missing, and the control plane keeps its promises on disk")
 	}
@@ -83,9 +83,9 @@
 		return err
 	}
 	time.AfterFunc(checkAfter, func() { // proxies that start as well need the rest first
-		p.assayMu.Lock()
-		defer p.assayMu.Unlock()
-		p.assayer = validate.New()
+		p.validatorMu.Lock()
+		defer p.validatorMu.Unlock()
+		p.validator = validate.New()
 	})
 	again := make(chan os.Signal, 1)
 	signal.Notify(again, syscall.SIGHUP)
@@ -153,9 +153,9 @@
 	}
 }
 
-// send sends parcels; those for this process come back as input. mu is held.
+// send sends messages; those for this process come back as input. mu is held.
 func (p *program) send(all []transport.Send) {
-	self := p.deed.Inner()
+	self := p.settings.Inner()
 	for _, s := range all {
 		if s.To == self {
 			p.server.Heard(p.clock.Now(), self, s.Message)
--- a/examples/mesh/main.go
+++ b/examples/mesh/main.go
@@ -64,7 +64,7 @@
 	if out, err := exec.Command("go", "build", "-o", "target/", "./cmd/beechwing-sidecar", "./cmd/beechwing-control").CombinedOutput(); err != nil {
 		return fmt.Errorf("build: %w\n%s", err, out)
 	}
-	dir, err := os.MkdirTemp("", "market")
+	dir, err := os.MkdirTemp("", "mesh")
 	if err != nil {
 		return err
 	}
--- a/examples/mesh/removal.go
+++ b/examples/mesh/removal.go
@@ -63,7 +63,7 @@
 	var before int64
 	order := func(out bool) func() error {
 		return func() error {
-			body, err := json.Marshal(map[string]any{"out": out, "by": "market", "why": "removal under traffic"})
+			body, err := json.Marshal(map[string]any{"out": out, "by": "example", "why": "removal under traffic"})
 			if err != nil {
 				return err
 			}
--- a/internal/mesh/control/ejection.go
+++ b/internal/mesh/control/ejection.go
@@ -43,18 +43,18 @@
 // listKey names the register of a service's list.
 func listKey(service string) string { return register.Permanent("ejections\x00" + service) }
 
-// heardObservations takes what a witness says.
-func (s *Server) heardObservations(now float64, witness string, words []*meshpb.Observation, tell bool) {
-	if len(words) == 0 {
+// heardObservations takes what an observer says.
+func (s *Server) heardObservations(now float64, observer string, observations []*meshpb.Observation, tell bool) {
+	if len(observations) == 0 {
 		return
 	}
-	all := make([]ejection.Observation, 0, len(words))
-	for _, w := range words {
+	all := make([]ejection.Observation, 0, len(observations))
+	for _, w := range observations {
 		all = append(all, ejection.Observation{Station: w.Station, Good: int(w.Good), Bad: int(w.Bad)})
 	}
-	s.ejections.votes.Record(now, witness, all)
+	s.ejections.votes.Record(now, observer, all)
 	if tell {
-		s.ejections.news = append(s.ejections.news, &meshpb.Report{Witness: witness, Observations: words})
+		s.ejections.news = append(s.ejections.news, &meshpb.Report{Witness: observer, Observations: observations})
 		s.propagation.digestAt = 0
 	}
 }
@@ -70,7 +70,7 @@
 	return stations
 }
 
-// judges says whether this process is the one to judge a service: the first in order that is not silent.
+// judges says whether this server is the one to judge a service: the first in order that is not silent.
 func (s *Server) judges(now float64, carrier string) bool {
 	for _, m := range rendezvous.Order(listKey(carrier), s.view().Staying()) {
 		if m == s.o.Self {
@@ -94,7 +94,7 @@
 	return b
 }
 
-// tickEjections judges what it is this process's to judge, and asks proxies about hosts that are newly accused.
+// tickEjections judges what it is this server's to judge, and asks proxies about hosts that are newly accused.
 func (s *Server) tickEjections(now float64) {
 	if now < s.ejections.judgeAt || !s.canPromise(now) {
 		return
@@ -120,10 +120,10 @@
 		switch {
 		case b.busy:
 		case !b.read:
-			s.rule(now, carrier, func(held []ejection.Ejection) ([]ejection.Ejection, bool) { return held, false }, nil)
+			s.changeEjections(now, carrier, func(held []ejection.Ejection) ([]ejection.Ejection, bool) { return held, false }, nil)
 		case len(accused) > 0 || len(b.entries) > 0:
 			if _, changed := s.ejections.votes.Decide(now, s.hostsOf(carrier), b.entries); changed {
-				s.rule(now, carrier, func(held []ejection.Ejection) ([]ejection.Ejection, bool) {
+				s.changeEjections(now, carrier, func(held []ejection.Ejection) ([]ejection.Ejection, bool) {
 					return s.ejections.votes.Decide(now, s.hostsOf(carrier), held)
 				}, nil)
 			}
@@ -131,8 +131,8 @@
 	}
 }
 
-// rule changes what is in force for a service.
-func (s *Server) rule(now float64, carrier string, edit func(held []ejection.Ejection) (next []ejection.Ejection, write bool), done func(ok bool)) {
+// changeEjections changes what is in force for a service.
+func (s *Server) changeEjections(now float64, carrier string, edit func(held []ejection.Ejection) (next []ejection.Ejection, write bool), done func(ok bool)) {
 	b := s.ejectionList(carrier)
 	b.busy = true
 	var wrote []ejection.Ejection
@@ -162,35 +162,35 @@
 	})
 }
 
-// merge reads what a register held. How long ago it was written is not known: of a ruling that this process knows its own time holds, of
+// merge reads what a register held. How long ago it was written is not known: of an ejection that this server knows its own time holds, of
 // another nothing is left of the term, so that nothing stays out because nobody knows since when.
-func (s *Server) merge(now float64, b *ejectionList, body []byte) (rulings []ejection.Ejection) {
+func (s *Server) merge(now float64, b *ejectionList, body []byte) (entries []ejection.Ejection) {
 	w := &meshpb.EjectionList{}
 	if proto.Unmarshal(body, w) != nil {
 		return nil
 	}
 	for _, r := range w.Ejections {
-		ruling := unwire(now, r)
-		ruling.Until = min(ruling.Until, now)
+		entry := unwire(now, r)
+		entry.Until = min(entry.Until, now)
 		if at := slices.IndexFunc(b.entries, func(k ejection.Ejection) bool { return k.Station == r.Station }); at >= 0 {
-			ruling.Until = b.entries[at].Until
+			entry.Until = b.entries[at].Until
 		}
-		rulings = append(rulings, ruling)
+		entries = append(entries, entry)
 	}
-	return rulings
+	return entries
 }
 
 // adoptEjections takes a newer version of what is in force, and lets the proxies know.
-func (s *Server) adoptEjections(now float64, carrier string, version uint64, rulings []ejection.Ejection) {
+func (s *Server) adoptEjections(now float64, carrier string, version uint64, entries []ejection.Ejection) {
 	b := s.ejectionList(carrier)
 	if version <= b.version {
 		return
 	}
-	b.version, b.entries = version, rulings
+	b.version, b.entries = version, entries
 	s.propagation.changed, s.propagation.digestAt = true, 0
-	for _, r := range rulings {
-		s.o.Log("ruling", "carrier", carrier, "station", r.Station, "out", r.InForce(now), "count", r.Count, "by", r.By, "why", r.Why,
-			"against", r.Against, "witnesses", r.Observers)
+	for _, r := range entries {
+		s.o.Log("ejection", "carrier", carrier, "station", r.Station, "out", r.InForce(now), "count", r.Count, "by", r.By, "why", r.Why,
+			"against", r.Against, "observers", r.Observers)
 	}
 	s.wake(now)
 }
@@ -212,9 +212,9 @@
 	return all
 }
 
-func wire(now float64, carrier string, version uint64, rulings []ejection.Ejection) *meshpb.EjectionList {
+func wire(now float64, carrier string, version uint64, entries []ejection.Ejection) *meshpb.EjectionList {
 	w := &meshpb.EjectionList{Carrier: carrier, Version: version}
-	for _, r := range rulings {
+	for _, r := range entries {
 		w.Ejections = append(w.Ejections, &meshpb.Ejection{Station: r.Station, LeftMs: uint32(max(0, r.Until-now) * 1000),
 			EndedMs: uint32(min(1e6, max(0, now-r.Until)) * 1000), Count: uint32(r.Count), Hand: r.Manual, By: r.By, Why: r.Why,
 			Against: uint32(r.Against), Witnesses: uint32(r.Observers)})
@@ -232,14 +232,14 @@
 }
 
 // heardEjections takes what another control process knows to be in force.
-func (s *Server) heardEjections(now float64, benches []*meshpb.EjectionList) {
-	for _, w := range benches {
+func (s *Server) heardEjections(now float64, lists []*meshpb.EjectionList) {
+	for _, w := range lists {
 		if b := s.ejectionList(w.Carrier); w.Version > b.version {
-			var rulings []ejection.Ejection
+			var entries []ejection.Ejection
 			for _, r := range w.Ejections {
-				rulings = append(rulings, unwire(now, r))
+				entries = append(entries, unwire(now, r))
 			}
-			s.adoptEjections(now, w.Carrier, w.Version, rulings)
+			s.adoptEjections(now, w.Carrier, w.Version, entries)
 		}
 	}
 }
@@ -270,7 +270,7 @@
 		return
 	}
 	var refused error
-	s.rule(now, carrier, func(held []ejection.Ejection) ([]ejection.Ejection, bool) {
+	s.changeEjections(now, carrier, func(held []ejection.Ejection) ([]ejection.Ejection, bool) {
 		next, err := ejection.Order(now, s.hostsOf(carrier), held, station, out, force, by, why)
 		refused = err
 		return next, err == nil
--- a/internal/mesh/register/register_test.go
+++ b/internal/mesh/register/register_test.go
@@ -12,13 +12,13 @@
 	"beechwing/internal/mesh/view"
 )
 
-// bag is a few control processes whose parcels come in any order, late, twice or not at all. Their disks keep what was synced.
+// bag is a few control processes whose messages come in any order, late, twice or not at all. Their disks keep what was synced.
 type bag struct {
 	rng     *rand.Rand
 	now     float64
 	names   []string
 	view    view.View
-	ledgers map[string]*Registers
+	servers map[string]*Registers
 	disks   map[string]map[string][]byte
 	up      map[string]bool
 	mail    []letter
@@ -26,11 +26,11 @@
 
 type letter struct {
 	from, to string
-	parcel   *meshpb.Message
+	message  *meshpb.Message
 }
 
 func newBag(seed uint64, n int) *bag {
-	b := &bag{rng: rand.New(rand.NewPCG(seed, 1)), now: 1, ledgers: map[string]*Registers{}, disks: map[string]map[string][]byte{},
+	b := &bag{rng: rand.New(rand.NewPCG(seed, 1)), now: 1, servers: map[string]*Registers{}, disks: map[string]map[string][]byte{},
 		up: map[string]bool{}}
 	for i := range n {
 		b.names = append(b.names, fmt.Sprintf("m%d", i))
@@ -56,13 +56,13 @@
 		panic(err)
 	}
 	l.Vote()
-	b.ledgers[name], b.up[name] = l, true
+	b.servers[name], b.up[name] = l, true
 }
 
 // take does what a ledger wants done. Where synced is false it is killed before its disk has the batch.
 func (b *bag) take(name string, synced bool) {
 	for {
-		out := b.ledgers[name].Take()
+		out := b.servers[name].Take()
 		if len(out.Sends)+len(out.After)+len(out.Puts) == 0 {
 			return
 		}
@@ -91,7 +91,7 @@
 
 func (b *bag) post(from string, s transport.Send) {
 	if s.To == from { // a process's own word is not lost
-		b.ledgers[from].Heard(b.now, b.member(from), s.Message)
+		b.servers[from].Heard(b.now, b.member(from), s.Message)
 		return
 	}
 	b.mail = append(b.mail, letter{from, s.To, s.Message})
@@ -109,24 +109,24 @@
 		if b.rng.IntN(8) == 0 || !b.up[m.to] {
 			return
 		}
-		b.ledgers[m.to].Heard(b.now, b.member(m.from), m.parcel)
+		b.servers[m.to].Heard(b.now, b.member(m.from), m.message)
 		b.take(m.to, true)
 		return
 	}
 	b.now += 0.03
 	for _, name := range b.names {
-		b.ledgers[name].Tick(b.now)
+		b.servers[name].Tick(b.now)
 		b.take(name, true)
 	}
 	if restarts && b.rng.IntN(25) == 0 {
 		name := b.names[b.rng.IntN(len(b.names))]
-		b.ledgers[name].Tick(b.now)
+		b.servers[name].Tick(b.now)
 		b.take(name, b.rng.IntN(2) == 0)
 		b.start(name)
 	}
 }
 
-// Claims of one key come to any process, at once and later, while parcels are lost, doubled and late and processes die between
+// Claims of one key come to any process, at once and later, while messages are lost, doubled and late and processes die between
 // promise, disk and word. At most one token is ever told that it holds the key, until the one that held it gives it back.
 func TestOneClaimHolds(t *testing.T) {
 	holders := 0
@@ -136,7 +136,7 @@
 		granted := map[uint64]bool{}
 		claim := func(token uint64) {
 			name := b.names[b.rng.IntN(len(b.names))]
-			b.ledgers[name].Claim(b.now, &meshpb.Claim{Key: key, Token: token}, func(state uint32, held *meshpb.Receipt) {
+			b.servers[name].Claim(b.now, &meshpb.Claim{Key: key, Token: token}, func(state uint32, held *meshpb.Receipt) {
 				if state == Claimed {
 					granted[token] = true
 				}
@@ -172,7 +172,7 @@
 	for seed := range uint64(1500) {
 		b := newBag(seed, 3)
 		settled, granted := false, false
-		home := b.ledgers[Home("k", b.names)[seed%3]]
+		home := b.servers[Home("k", b.names)[seed%3]]
 		name := home.self.Address
 		home.Claim(b.now, &meshpb.Claim{Key: "k", Token: 1}, func(state uint32, _ *meshpb.Receipt) { granted = state == Claimed })
 		b.take(name, true)
@@ -183,7 +183,7 @@
 			continue
 		}
 		at := b.names[b.rng.IntN(3)]
-		b.ledgers[at].Settle(b.now, "k", &meshpb.Receipt{Token: 1, State: Done, Status: 201}, false, func(state uint32, _ *meshpb.Receipt) {
+		b.servers[at].Settle(b.now, "k", &meshpb.Receipt{Token: 1, State: Done, Status: 201}, false, func(state uint32, _ *meshpb.Receipt) {
 			settled = state == Done
 		})
 		b.take(at, true)
@@ -194,7 +194,7 @@
 			continue
 		}
 		for _, ask := range b.names {
-			b.ledgers[ask].Claim(b.now, &meshpb.Claim{Key: "k", Token: 5}, func(state uint32, held *meshpb.Receipt) {
+			b.servers[ask].Claim(b.now, &meshpb.Claim{Key: "k", Token: 5}, func(state uint32, held *meshpb.Receipt) {
 				switch {
 				case state == Done && held.Status == 201:
 					told++
@@ -220,12 +220,12 @@
 	note := func(state uint32, _ *meshpb.Receipt) { states = append(states, state) }
 	run := func(f func(l *Registers)) {
 		name := Home("k", b.names)[0]
-		f(b.ledgers[name])
+		f(b.servers[name])
 		b.take(name, true)
 		for len(b.mail) > 0 {
 			m := b.mail[0]
 			b.mail = b.mail[1:]
-			b.ledgers[m.to].Heard(b.now, b.member(m.from), m.parcel)
+			b.servers[m.to].Heard(b.now, b.member(m.from), m.message)
 			b.take(m.to, true)
 		}
 	}
@@ -260,7 +260,7 @@
 // What is older than the window goes from memory and disk, and not before.
 func TestForgets(t *testing.T) {
 	b := newBag(1, 1)
-	l := b.ledgers["m0"]
+	l := b.servers["m0"]
 	l.Claim(b.now, &meshpb.Claim{Key: "k", Token: 1}, func(uint32, *meshpb.Receipt) {})
 	b.take("m0", true)
 	for _, c := range []struct {
--- a/internal/mesh/simulation/control_test.go
+++ b/internal/mesh/simulation/control_test.go
@@ -36,7 +36,7 @@
 func TestServerCutOffFor20Seconds(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(9) {
-		w := market(t, seed, 3+int(seed%3))
+		w := cluster(t, seed, 3+int(seed%3))
 		cut, way := w.Servers[seed%3], cutWays[seed/3%3]
 		name := fmt.Sprintf("seed %d, %s", seed, way)
 		at := w.Now
@@ -99,7 +99,7 @@
 func TestContactComesAndGoes(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(6) {
-		w := market(t, seed, 3)
+		w := cluster(t, seed, 3)
 		cut := w.Servers[seed%3]
 		for i := range 8 {
 			w.After(2*float64(i), func() { cutOff(w, cut, cutWays[w.Rand.IntN(3)]) })
@@ -169,7 +169,7 @@
 	t.Parallel()
 	conflicts := 0
 	for seed := range uint64(60) {
-		w := market(t, seed, 3+int(seed%3))
+		w := cluster(t, seed, 3+int(seed%3))
 		x := newTexts(t, fmt.Sprintf("seed %d", seed))
 		a, b, c := w.Servers[seed%3], w.Servers[(seed+1)%3], w.Servers[(seed+2)%3]
 		for i := range 6 {
@@ -210,7 +210,7 @@
 func TestOrderSentAgainLater(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(4) {
-		w := market(t, seed, 3)
+		w := cluster(t, seed, 3)
 		x := newTexts(t, fmt.Sprintf("seed %d", seed))
 		first := uint64(5)
 		x.order(w, w.Servers[0], first, Config(first))
@@ -304,7 +304,7 @@
 		n := 3 + int(seed%3)
 		planned := seed/3%2 == 0
 		name := fmt.Sprintf("seed %d, planned %v", seed, planned)
-		w := market(t, seed, n)
+		w := cluster(t, seed, n)
 		traffic(w, 14)
 		w.Run(1)
 		old := w.Servers[w.Rand.IntN(n)]
@@ -334,7 +334,7 @@
 	t.Parallel()
 	for seed := range uint64(6) {
 		n := 3 + int(seed%3)
-		w := market(t, seed, n)
+		w := cluster(t, seed, n)
 		h := w.Servers[seed%3]
 		h.PowerOff()
 		h.Wipe()
@@ -359,7 +359,7 @@
 	for seed := range uint64(8) {
 		n := 3 + int(seed%3)
 		name := fmt.Sprintf("seed %d", seed)
-		w := market(t, seed, n)
+		w := cluster(t, seed, n)
 		traffic(w, float64(n)*(catchUp+2))
 		version := uint64(1)
 		for i := range n {
@@ -407,7 +407,7 @@
 		n := 3 + int(seed%3)
 		way := []string{"newcomer lost", "newcomer wiped", "two at once", "power", "old one back", "core killed"}[seed/3%6]
 		name := fmt.Sprintf("seed %d, %s", seed, way)
-		w := market(t, seed, n)
+		w := cluster(t, seed, n)
 		traffic(w, 12)
 		for i := range 20 {
 			v := uint64(2 + i)
@@ -469,7 +469,7 @@
 	for seed := range uint64(6) {
 		n := 3 + int(seed%3)
 		name := fmt.Sprintf("seed %d", seed)
-		w := market(t, seed, n)
+		w := cluster(t, seed, n)
 		const changes = 300
 		for i := range changes {
 			v := uint64(2 + i)
--- a/internal/mesh/simulation/simulation_test.go
+++ b/internal/mesh/simulation/simulation_test.go
@@ -7,8 +7,8 @@
 	"testing"
 )
 
-// market is a small cluster: two services in two zones, with a configuration in force.
-func market(t *testing.T, seed uint64, servers int) *World {
+// cluster is a small cluster: two services in two zones, with a configuration in force.
+func cluster(t *testing.T, seed uint64, servers int) *World {
 	t.Helper()
 	w := New(seed, servers, Host{"shop", "a"}, Host{"shop", "b"}, Host{"shop", "a"}, Host{"till", "a"}, Host{"till", "b"},
 		Host{"till", "b"})
@@ -67,7 +67,7 @@
 func TestCalmDay(t *testing.T) {
 	t.Parallel()
 	for _, servers := range []int{3, 4, 5} {
-		w := market(t, 1, servers)
+		w := cluster(t, 1, servers)
 		traffic(w, 3)
 		w.Run(7)
 		verdictOn(t, w, fmt.Sprintf("%d servers", servers), 0.97)
@@ -79,7 +79,7 @@
 func TestAcknowledgedConfigurationSurvives(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(60) {
-		w := market(t, seed, 3+int(seed%3))
+		w := cluster(t, seed, 3+int(seed%3))
 		way := []string{"power", "kill", "wipe"}[seed/3%3]
 		struck := false
 		w.Configure(int(seed), 9, func() {
@@ -124,7 +124,7 @@
 func TestWipedDiskDoesNotVote(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(10) {
-		w := market(t, seed, 3)
+		w := cluster(t, seed, 3)
 		traffic(w, 4)
 		w.Run(1)
 		h := w.Servers[seed%3]
@@ -151,7 +151,7 @@
 func TestDrainUnderTraffic(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(10) {
-		w := market(t, seed, 3)
+		w := cluster(t, seed, 3)
 		traffic(w, 6)
 		for i, at := range []int{0, 3} {
 			w.After(1+float64(i), w.Proxies[at].Drain)
@@ -166,7 +166,7 @@
 // end a proxy's host is of use to the others.
 func TestProxiesEndInTurn(t *testing.T) {
 	t.Parallel()
-	w := market(t, 8, 3)
+	w := cluster(t, 8, 3)
 	traffic(w, 12)
 	for i, s := range w.Proxies {
 		w.After(0.5+1.5*float64(i), func() {
@@ -188,7 +188,7 @@
 // A proxy that hears no news goes on sending to a host that leaves. The proxy beside that host lets nothing through.
 func TestGateHoldsAgainstOldNews(t *testing.T) {
 	t.Parallel()
-	w := market(t, 5, 3)
+	w := cluster(t, 5, 3)
 	old, leaves := w.Proxies[2], w.Proxies[0]
 	for _, h := range w.Servers {
 		w.CutOff(old.addr, h.addr)
@@ -213,7 +213,7 @@
 // A proxy cut off from the control plane learns of what is new from those that it watches.
 func TestCutOffProxyHearsFromNeighbours(t *testing.T) {
 	t.Parallel()
-	w := market(t, 3, 3)
+	w := cluster(t, 3, 3)
 	cut := w.Proxies[2]
 	for _, h := range w.Servers {
 		w.CutOff(cut.addr, h.addr)
@@ -234,7 +234,7 @@
 		days = n
 	}
 	for seed := range uint64(days) {
-		w := market(t, seed, 3+int(seed%3))
+		w := cluster(t, seed, 3+int(seed%3))
 		if seed%2 == 1 {
 			agree(w)
 		}
@@ -343,10 +343,10 @@
 
 // After a loss of power on all machines one control process stays dark, within what is to be borne. No proxy waits for it: those that
 // asked it first have the configuration as soon as the others.
-func TestStartBesideADarkHall(t *testing.T) {
+func TestStartBesideAServerWithoutPower(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(12) {
-		w := market(t, seed, 3)
+		w := cluster(t, seed, 3)
 		for _, h := range w.Servers {
 			h.PowerOff()
 		}
@@ -374,7 +374,7 @@
 // what it would cost.
 func TestNearHostsStayNear(t *testing.T) {
 	t.Parallel()
-	w := market(t, 4, 3)
+	w := cluster(t, 4, 3)
 	for i := range 3000 {
 		w.After(float64(i)*0.02, func() { w.Ask(w.Proxies[w.Rand.IntN(len(w.Proxies))], "/read/x", "", 1) })
 	}
@@ -390,7 +390,7 @@
 func TestOperationsCostTheMajority(t *testing.T) {
 	t.Parallel()
 	for _, servers := range []int{3, 5, 7, 9} {
-		w := market(t, 2, servers)
+		w := cluster(t, 2, servers)
 		quiet := func() (words, bytes int) {
 			words, bytes = w.Messages, w.Bytes
 			w.Run(5)
@@ -418,7 +418,7 @@
 func TestLostAnswersStayInTheBudget(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(4) {
-		w := market(t, seed, 3)
+		w := cluster(t, seed, 3)
 		for _, s := range w.Proxies {
 			s.LoseAnswers(0.9)
 		}
@@ -435,10 +435,10 @@
 
 // A control process that lost its disk and cannot recover yet hears the others, and knows nothing of what was acknowledged meanwhile. Proxies
 // that ask it go on to another: they act by the newest as soon as all.
-func TestNobodyWaitsForAHallThatRecovers(t *testing.T) {
+func TestNobodyWaitsForAServerThatRecovers(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(6) {
-		w := market(t, seed, 5)
+		w := cluster(t, seed, 5)
 		h := w.Servers[seed%3]
 		h.PowerOff()
 		h.Wipe()
--- a/internal/mesh/simulation/world.go
+++ b/internal/mesh/simulation/world.go
@@ -1,5 +1,5 @@
 // Package simulation is whole clusters in one process: clock, network and disks are simulated, the state machines are the ones
-// that the programs run. (The field's term: deterministic simulation.) A seed replays.
+// that the programs run. A seed replays.
 //
 // This file has the world: time, links, processes and disks. people.go has the hosts, clients and operators as stand-ins;
 // checker.go judges by what those saw, and by nothing else.
--- a/internal/mesh/store/store.go
+++ b/internal/mesh/store/store.go
@@ -1,4 +1,4 @@
-// Package store keeps what a control process has promised on its disk. (The field's term: durable store.)
+// Package store keeps what a control process has promised on its disk.
 //
 // A generation is one file in the form of buntdb's log. Writes go in batches: one write, one sync, and only
 // then are they promised. A start reads the newest whole generation; the first write after it begins the
--- a/internal/mesh/transport/net.go
+++ b/internal/mesh/transport/net.go
@@ -1,5 +1,5 @@
-// Package transport carries parcels between the processes of the mesh: protobuf in frames over TCP, one connection to a peer.
-// (The field's term: transport.) It decides nothing: what a lost parcel means is for the state machines to say.
+// Package transport carries messages between the processes of the mesh: protobuf in frames over TCP, one connection to a peer.
+// It decides nothing: what a lost message means is for the state machines to say.
 package transport
 
 import (
@@ -27,12 +27,12 @@
 	mostQueued   = 24 << 20               // bytes that wait for all peers, where Bound says nothing else: some that do not read
 	largeFrame   = 16 << 10               // what is larger waits behind what is not
 	wholeFrame   = 1 << 20                // is read into one piece of its length: beyond that a spoilt length would cost memory
-	pieceLeast   = 16 << 10               // bytes of a large parcel that go at once, others go between: at least so many,
+	pieceLeast   = 16 << 10               // bytes of a large message that go at once, others go between: at least so many,
 	pieceMost    = 256 << 10              // at most so many, and in between
 	pieceFor     = 8 * time.Millisecond   // as many as take a paced link so long
 	paceAhead    = 3 * time.Millisecond   // a piece may go so much ahead of its time: waking up has its price
-	pacedAtOnce  = 3                      // large parcels that go at once where the link is slow: one peer that does not read holds no other up
-	piece        = 1 << 31                // in a frame's length: part of a large parcel
+	pacedAtOnce  = 3                      // large messages that go at once where the link is slow: one peer that does not read holds no other up
+	piece        = 1 << 31                // in a frame's length: part of a large message
 	lastPiece    = 1 << 30                // and its last
 	dialWithin   = 300 * time.Millisecond // a peer behind a cut says nothing, and an opening packet is sent again only after a second
 	writeWithin  = 3 * time.Second        // a peer that does not read
@@ -43,26 +43,26 @@
 	frameHead    = 4
 )
 
-// Send is a parcel on its way to a peer.
+// Send is a message on its way to a peer.
 type Send struct {
 	To      string
 	Message *meshpb.Message
-	Via     *uint64 // if not nil it gets the number of the connection that the parcel goes by
+	Via     *uint64 // if not nil it gets the number of the connection that the message goes by
 }
 
 // Event is what a Net tells: Came, Sign or Broke.
 type Event interface{ event() }
 
-// Came is a parcel that has come.
+// Came is a message that has come.
 type Came struct {
 	From    string
 	Message *meshpb.Message
 }
 
-// Sign is a part of a large parcel that is still on its way: its peer is not silent.
+// Sign is a part of a large message that is still on its way: its peer is not silent.
 type Sign struct{ From string }
 
-// Broke tells that a connection to a peer is no more. Unsent are the ids of parcels of which no byte went out; what else went
+// Broke tells that a connection to a peer is no more. Unsent are the ids of messages of which no byte went out; what else went
 // by connections up to Link may have arrived. Answers are not among them: they have their asker's numbers.
 type Broke struct {
 	Peer   string
@@ -92,7 +92,7 @@
 	pace    pace
 }
 
-// pace keeps large parcels to what the machine's link carries, so that they wait here and not in the link, where all else would wait
+// pace keeps large messages to what the machine's link carries, so that they wait here and not in the link, where all else would wait
 // behind them. The zero pace keeps nothing.
 type pace struct {
 	rate  float64 // bytes a second; 0: any
@@ -119,7 +119,7 @@
 	}
 }
 
-// piece is how much of a large parcel goes at once.
+// piece is how much of a large message goes at once.
 func (p *pace) piece() int {
 	if p.rate == 0 {
 		return pieceMost
@@ -164,12 +164,12 @@
 // Bound sets how many bytes may wait to be sent to all peers together. It is to be called before the first Send.
 func (n *Net) Bound(bytes int64) { n.most = bytes }
 
-// Pace keeps large parcels to so many bytes a second, over all peers. It is to be called before the first Send.
+// Pace keeps large messages to so many bytes a second, over all peers. It is to be called before the first Send.
 func (n *Net) Pace(bytesPerSecond float64) {
 	n.pace.rate, n.pace.turns = bytesPerSecond, make(chan struct{}, pacedAtOnce)
 }
 
-// Backlog is how many seconds what waits to be sent will take, and each further byte, where large parcels are paced; else 0.
+// Backlog is how many seconds what waits to be sent will take, and each further byte, where large messages are paced; else 0.
 func (n *Net) Backlog() (wait, perByte float64) {
 	if n.pace.rate == 0 {
 		return 0, 0
@@ -191,7 +191,7 @@
 	}
 }
 
-// Send queues a parcel and gives the number of the connection that it goes by. It never waits: one that cannot go is told of
+// Send queues a message and gives the number of the connection that it goes by. It never waits: one that cannot go is told of
 // by Broke, and goes by none: 0.
 func (n *Net) Send(to string, p *meshpb.Message) uint64 {
 	n.mu.Lock()
@@ -249,7 +249,7 @@
 	return true
 }
 
-// take gives the small frames that are to be written next; where there are none, the next large parcel is the writer's. A buffer that is no
+// take gives the small frames that are to be written next; where there are none, the next large message is the writer's. A buffer that is no
 // longer needed may take the place. Of a dead link it takes nothing.
 func (l *link) take(spare []byte) (frames []byte, dead bool) {
 	l.mu.Lock()
@@ -387,7 +387,7 @@
 	}
 }
 
-// mayGo waits for a turn to send a large parcel; false: something else came first.
+// mayGo waits for a turn to send a large message; false: something else came first.
 func (l *link) mayGo() bool {
 	if l.turn {
 		return true
@@ -413,7 +413,7 @@
 	l.turn = false
 }
 
-// piece takes the next piece of the large parcel that is being sent, at its time.
+// piece takes the next piece of the large message that is being sent, at its time.
 func (l *link) piece() []byte {
 	n := min(l.net.pace.piece(), len(l.now.frame))
 	l.net.pace.wait(n)
@@ -514,18 +514,18 @@
 	buf = append(buf, 0, 0, 0, 0)
 	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, p)
 	if err != nil {
-		return buf, errors.Wrap(err, "parcel")
+		return buf, errors.Wrap(err, "message")
 	}
 	buf = appendChecksum(buf, at+frameHead)
 	size := len(buf) - at - frameHead
 	if size > MaxFrame {
-		return buf, errors.Newf("parcel of %d bytes", size)
+		return buf, errors.Newf("message of %d bytes", size)
 	}
 	binary.BigEndian.PutUint32(buf[at:], uint32(size))
 	return buf, nil
 }
 
-// Reader takes parcels off a connection.
+// Reader takes messages off a connection.
 type Reader struct {
 	br   *bufio.Reader
 	sign func() // called while a large one is still coming
@@ -536,7 +536,7 @@
 // NewReader makes a reader. sign may be nil.
 func NewReader(br *bufio.Reader, sign func()) *Reader { return &Reader{br: br, sign: sign} }
 
-// Read takes one parcel.
+// Read takes one message.
 func (r *Reader) Read() (*meshpb.Message, error) {
 	for {
 		var head [frameHead]byte
--- a/internal/mesh/transport/net_test.go
+++ b/internal/mesh/transport/net_test.go
@@ -86,7 +86,7 @@
 	}
 }
 
-// What is small does not wait behind large parcels that were queued before it, and a large one on its way shows that its peer lives:
+// What is small does not wait behind large messages that were queued before it, and a large one on its way shows that its peer lives:
 // in a full link both would else look like silence.
 func TestLargeParcelsKeepNobodyWaiting(t *testing.T) {
 	events := make(chan Event, 64)
@@ -116,7 +116,7 @@
 		before++
 	}
 	if before > 1 {
-		t.Errorf("%d large parcels came before the small one", before)
+		t.Errorf("%d large messages came before the small one", before)
 	}
 
 	large, err := AppendFrame(nil, &meshpb.Message{Id: 5, Forwarded: &meshpb.Forwarded{Body: make([]byte, 200<<10)}})
@@ -129,7 +129,7 @@
 		t.Fatal(err)
 	}
 	if e := <-events; e != (Sign{"10.0.0.9:7000"}) {
-		t.Errorf("half of a large parcel: told %v", e)
+		t.Errorf("half of a large message: told %v", e)
 	}
 	if _, err := c.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(large)-half)|piece|lastPiece), large[half:]...)); err != nil {
 		t.Fatal(err)
@@ -174,7 +174,7 @@
 	}
 }
 
-// Where the link is slow large parcels wait here, at the pace that it carries, and not in the link.
+// Where the link is slow large messages wait here, at the pace that it carries, and not in the link.
 func TestLargeParcelsKeepThePace(t *testing.T) {
 	events := make(chan Event, 16)
 	n, err := Listen("127.0.0.1:0", func(e Event) { events <- e })
--- a/internal/mesh/upstream/upstream.go
+++ b/internal/mesh/upstream/upstream.go
@@ -1,5 +1,5 @@
 // Package upstream takes a request to the host beside this proxy and brings its answer back, over connections that it keeps.
-// (The field's term: upstream connection pool.) It tells what is known of the run; it never sends a request twice.
+// It tells what is known of the run; it never sends a request twice.
 package upstream
 
 import (
