sidecar: a frozen gate's host is not gone, and nothing older than the freeze runs

Cause: after a freeze of 6 or 8 s the gate's own tick found its host's beats missing and took it for gone, and beats of a host that is gone were ignored for good. That a gate frozen for longer than the register's window ran nothing old held only by that.

Change: a host is gone by missed beats only after 3.5 beats in which this process itself ran (inputs less than 0.3 s apart). One that is gone so is back with its next beat of a higher sequence, leaving if that says so; one that signed off stays gone. For 1 s after a freeze a request counts as sent before it: its time is shorter by so much, and where that is over it is turned away, so that a fresh one goes elsewhere. TestThawedGateRunsNothingOld is as it was, but for the reason that its comment gives.

--- a/internal/mesh/sidecar/admission.go
+++ b/internal/mesh/sidecar/admission.go
@@ -124,8 +124,12 @@
 // admit takes a request that comes for the first time.
 func (g *gate) admit(from string, m *meshpb.Message) {
 	p, c := g.p, m.Forward
-	j := &job{id: p.id(), from: from, message: m, carry: c, came: p.now, until: p.now + float64(c.LeftUs)/1e6,
-		aim: p.now + float64(c.AimUs)/1e6}
+	sent := p.now
+	if from != p.o.Self {
+		sent -= p.pauses.age(p.now)
+	}
+	j := &job{id: p.id(), from: from, message: m, carry: c, came: p.now, until: sent + float64(c.LeftUs)/1e6,
+		aim: sent + float64(c.AimUs)/1e6}
 	switch own := p.news.own; {
 	case own.Station == "" || own.Station != c.Station:
 		g.turn(j, "another host is here", 0)
@@ -133,6 +137,9 @@
 	case own.Condition != AtDock:
 		g.turn(j, "the host leaves", 0)
 		return
+	case sent < p.now && j.until <= p.now: // its sender may have given it up; a fresh one may go elsewhere
+		g.turn(j, "this process was stopped for longer than its time", 1)
+		return
 	case len(g.jobs) >= mostJobs || p.inUse+len(c.Body) > p.o.Memory:
 		g.turn(j, "too much is under way here", 1)
 		return
@@ -332,7 +339,7 @@
 
 // Exchanged takes the end of an Exchange.
 func (p *Sidecar) Exchanged(now float64, id uint64, c *meshpb.Forwarded) {
-	p.now = now
+	p.input(now)
 	p.gate.exchanged(id, c)
 	p.settle()
 }
--- a/internal/mesh/sidecar/discovery.go
+++ b/internal/mesh/sidecar/discovery.go
@@ -25,7 +25,7 @@
 const (
 	pullAgain   = 1.3 // seconds without an answer until another control process is asked, where it may wait for news
 	pullAtOnce  = 0.2 // the same where it has to answer at once: its machine may have no power
-	beatsMissed = 3.5 // beats after which a host that said nothing is gone
+	beatsMissed = 3.5 // beats after which a host that said nothing while this process ran is gone
 	watched     = 3   // other proxies that this one knows and watches
 	watchEvery  = 1.0 // seconds between questions to them, while no control process answers
 	aloneAgain  = 0.05
@@ -39,8 +39,9 @@
 type news struct {
 	p        *Sidecar
 	own      *meshpb.Record
-	sequence uint64 // of the host's last beat
-	beatAt   float64
+	sequence uint64  // of the host's last beat
+	beatRan  float64 // for how long this process had run then
+	signed   bool    // the host has signed off
 	leftAt   float64 // when it said that it leaves
 	ending   bool
 	leaveAt  float64 // when the others hear of that
@@ -87,15 +88,12 @@
 
 // Beat takes a host's word. From here on nothing new goes to one that leaves: it may be acknowledged. A late beat is too.
 func (p *Sidecar) Beat(now float64, s Station) {
-	p.now = now
+	p.input(now)
 	n := &p.news
-	if s.ID == n.own.Station && (s.Sequence < n.sequence || n.own.Condition == Gone) {
+	if s.ID == n.own.Station && !n.counts(s) {
 		return
 	}
-	if s.ID == n.own.Station && n.own.Condition == Unloading && !n.ending && !s.Unloading && s.Sequence <= n.sequence {
-		return
-	}
-	n.beatAt, n.sequence = now, s.Sequence
+	n.beatRan, n.sequence, n.signed = p.pauses.ran, s.Sequence, false
 	condition := AtDock
 	if s.Unloading {
 		condition = Unloading
@@ -107,11 +105,25 @@
 	p.settle()
 }
 
+// counts says whether a further beat of the host here is no late one. A host that has signed off stays gone. One that was taken
+// for gone because its beats were missing is back with its next one.
+func (n *news) counts(s Station) bool {
+	switch {
+	case n.signed, s.Sequence < n.sequence:
+		return false
+	case n.own.Condition == Gone:
+		return s.Sequence > n.sequence
+	case n.own.Condition == Unloading && !n.ending && !s.Unloading:
+		return s.Sequence > n.sequence
+	}
+	return true
+}
+
 // Probed takes what the host beside this proxy answered: a proxy that has just started need not wait for its next beat.
 func (p *Sidecar) Probed(now float64, station string, well bool) {
-	p.now = now
+	p.input(now)
 	if n := &p.news; station != "" && well && n.own.Station == "" {
-		n.beatAt = now
+		n.beatRan = p.pauses.ran
 		n.change(func(r *meshpb.Record) { r.Station, r.Condition = station, AtDock })
 	}
 	p.settle()
@@ -119,8 +131,9 @@
 
 // Leave takes a host's sign-off.
 func (p *Sidecar) Leave(now float64, id string) {
-	p.now = now
+	p.input(now)
 	if n := &p.news; id == n.own.Station {
+		n.signed = true
 		n.change(func(r *meshpb.Record) { r.Condition = Gone })
 	}
 	p.settle()
@@ -352,7 +365,7 @@
 
 // Seeds takes over other seeds: the settings file has changed.
 func (p *Sidecar) Seeds(now float64, seeds []string) {
-	p.now = now
+	p.input(now)
 	p.o.Seeds = seeds
 	p.settle()
 }
@@ -388,7 +401,7 @@
 			}
 		}
 	}
-	if n.own.Condition == AtDock && p.o.Beat > 0 && p.now > n.beatAt+beatsMissed*p.o.Beat {
+	if n.own.Condition == AtDock && p.o.Beat > 0 && p.pauses.ran > n.beatRan+beatsMissed*p.o.Beat {
 		n.change(func(r *meshpb.Record) { r.Condition = Gone })
 	}
 	if p.now > n.heardAt+watchEvery && p.now >= n.watchAt {
--- a/internal/mesh/sidecar/dispatch.go
+++ b/internal/mesh/sidecar/dispatch.go
@@ -163,7 +163,7 @@
 
 // Ask takes a request. It is answered exactly once, by a Tell.
 func (p *Sidecar) Ask(now float64, o *Order) {
-	p.now = now
+	p.input(now)
 	o.taken = now
 	p.ask(o)
 	p.settle()
--- /dev/null
+++ b/internal/mesh/sidecar/pause_test.go
@@ -0,0 +1,118 @@
+package sidecar
+
+import (
+	"testing"
+
+	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/outcome"
+)
+
+// freeze lets time pass in which the process does not run.
+func (d *door) freeze(seconds float64) { d.now += seconds }
+
+// beat brings a beat of the host here.
+func (d *door) beat(sequence uint64, unloading bool) {
+	d.p.Beat(d.now, Station{ID: "i-1", Carrier: "shop", Berths: 4, Sequence: sequence, Unloading: unloading})
+	d.take()
+}
+
+func (d *door) wantCondition(want uint32, when string) {
+	d.t.Helper()
+	if got := d.p.news.own.Condition; got != want {
+		d.t.Errorf("%s: the host's condition is %d, want %d", when, got, want)
+	}
+}
+
+// Time in which the proxy was frozen is no silence of its host; time in which it runs is, before and after.
+func TestHostIsGoneByBeatsMissedWhileThisRan(t *testing.T) {
+	d := openDoor(t)
+	d.pass(2)
+	d.freeze(8)
+	d.pass(2.5)
+	d.wantCondition(AtDock, "8 s frozen, 4.5 s awake")
+	d.pass(0.8)
+	d.wantCondition(Gone, "8 s frozen, 5.3 s awake, 5.25 s are 3.5 beats")
+}
+
+// A host that was taken for gone by missed beats is back with a beat that comes after its last one, and a late
+// beat changes nothing.
+func TestHostIsBackAfterMissedBeats(t *testing.T) {
+	d := openDoor(t)
+	d.pass(6)
+	d.wantCondition(Gone, "6 s without a beat")
+	d.beat(1, false)
+	d.wantCondition(Gone, "its last beat again")
+	d.beat(2, false)
+	d.wantCondition(AtDock, "its next beat")
+	if n := d.carry(1, 2); len(d.runs) != 1 || d.runs[0] != n {
+		t.Errorf("ran %v, want %d", d.runs, n)
+	}
+}
+
+// A host that comes back leaving leaves, and one that leaves is not back by beats that were late.
+func TestHostThatLeavesIsNotBackAfterMissedBeats(t *testing.T) {
+	d := openDoor(t)
+	d.pass(6)
+	d.beat(3, true)
+	d.wantCondition(Unloading, "back and leaving")
+	d.beat(2, false)
+	d.beat(3, false)
+	d.wantCondition(Unloading, "late beats")
+	d.freeze(8)
+	d.pass(6)
+	d.beat(3, false)
+	d.wantCondition(Unloading, "a late beat after a freeze")
+}
+
+// A host that has signed off is not back by any beat, also where its beats were missing before that.
+func TestHostThatSignedOffStaysGone(t *testing.T) {
+	for name, missed := range map[string]bool{"at dock": false, "taken for gone": true} {
+		d := openDoor(t)
+		if missed {
+			d.pass(6)
+		}
+		d.p.Leave(d.now, "i-1")
+		d.beat(9, false)
+		d.wantCondition(Gone, name)
+	}
+}
+
+// What a gate finds after a freeze is taken for as old as the freeze: it runs if its time is not over by then.
+// What is over is turned away, so that a fresh one may go elsewhere. A second later all is fresh again.
+func TestRequestsFoundAfterAFreezeAreOld(t *testing.T) {
+	d := openDoor(t)
+	d.pass(0.1)
+	d.freeze(3)
+	old, long := d.carry(1, 1.5), d.carry(1, 10)
+	if c := d.told[old]; c == nil || outcome.Outcome(c.Verdict) != outcome.Turned || c.BackMs == 0 {
+		t.Errorf("1.5 s left, 3 s frozen: told %v", c)
+	}
+	if len(d.runs) != 1 || d.runs[0] != long {
+		t.Fatalf("ran %v, want %d", d.runs, long)
+	}
+	if left := d.jobs[long].Forward.LeftUs; left > 7e6 || left < 6.9e6 {
+		t.Errorf("%d us left of 10 s after 3 s frozen", left)
+	}
+	d.pass(0.5)
+	d.freeze(1)
+	late := d.carry(1, 3)
+	if len(d.runs) != 1 || d.told[late] == nil {
+		t.Errorf("two freezes of 4.5 s together, 3 s left: ran %v", d.runs)
+	}
+	d.pass(1.1)
+	if fresh := d.carry(1, 1.5); len(d.runs) != 2 || d.runs[1] != fresh {
+		t.Errorf("a second later: ran %v, want %d", d.runs, fresh)
+	}
+}
+
+// What this process asks its own gate after a freeze has not been in any buffer.
+func TestOwnRequestsAfterAFreezeAreFresh(t *testing.T) {
+	d := openDoor(t)
+	d.freeze(3)
+	d.p.Message(d.now, "here", &meshpb.Message{Id: 1, Forward: &meshpb.Forward{Station: "i-1", Token: 1, Attempt: 1,
+		AimUs: 1e6, LeftUs: 1.5e6, Repeatable: true}})
+	d.take()
+	if len(d.runs) != 1 {
+		t.Errorf("ran %v, want 1", d.runs)
+	}
+}
--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -86,6 +86,7 @@
 	pongs    float64 // mean seconds that others take to say that they are there
 
 	gate    gate
+	pauses  pauses
 	news    news
 	witness witness
 }
@@ -98,6 +99,7 @@
 	p := &Sidecar{o: o, now: now, rng: o.Seed, services: map[string]*service{}, orders: map[uint64]*Order{}, tries: map[uint64]*try{},
 		budget: retrybudget.New(o.Ratio, o.Slack), peers: map[string]*peer{},
 		count: Counts{Answers: map[int]uint64{}, Tries: map[string]uint64{}, Turned: map[string]uint64{}, Dropped: map[string]uint64{}}}
+	p.pauses.inputAt = now
 	p.identify()
 	p.gate.begin(p)
 	p.news.begin(p)
@@ -145,7 +147,7 @@
 
 // Message takes what another process says.
 func (p *Sidecar) Message(now float64, from string, parcel *meshpb.Message) {
-	p.now = now
+	p.input(now)
 	if w := p.peers[from]; w != nil && (!meshpb.IsAnswer(parcel) || p.ofThisLife(from, parcel)) {
 		w.heard, w.life = now, senderLife(parcel)
 		p.sendHeld(from)
@@ -185,7 +187,7 @@
 
 // Broke takes word that a connection is no more.
 func (p *Sidecar) Broke(now float64, b transport.Broke) {
-	p.now = now
+	p.input(now)
 	p.brokeTries(b)
 	p.gate.broke(b)
 	p.news.broke(b.Peer)
@@ -194,7 +196,7 @@
 
 // Tick does what is due. It is to be called every few hundredths of a second, and at Next.
 func (p *Sidecar) Tick(now float64) {
-	p.now = now
+	p.input(now)
 	p.fire()
 	p.watchPeers()
 	p.gate.tick()
@@ -209,7 +211,7 @@
 // nothing may be under way. The others hear of it shortly before that: until then the host here is of use to them. What comes
 // nevertheless is served.
 func (p *Sidecar) Term(now, notice float64) {
-	p.now = now
+	p.input(now)
 	p.news.ending = true
 	p.news.leaveAt = now + max(0, notice-leaveAhead)
 	p.settle()
@@ -261,7 +263,7 @@
 
 // State tells what is known here.
 func (p *Sidecar) State(now float64) State {
-	p.now = now
+	p.input(now)
 	s := State{Ready: p.Ready(), Ending: p.news.ending, Servers: p.news.servers, Host: p.news.own, Orders: len(p.orders),
 		Jobs: len(p.gate.jobs), Queued: len(p.gate.queue), Waiting: len(p.gate.late.jobs), Avoided: map[string]int{},
 		Counts: Counts{Answers: maps.Clone(p.count.Answers), Tries: maps.Clone(p.count.Tries), Turned: maps.Clone(p.count.Turned),
--- a/internal/mesh/simulation/calls_test.go
+++ b/internal/mesh/simulation/calls_test.go
@@ -109,7 +109,7 @@
 
 // The only gate of a service is frozen as an operation comes to it. Its asker has the token voided and
 // promises that the operation never runs; the register forgets that after its window. What the gate finds in
-// its connections when it thaws after that does not run: by then the host has missed its beats.
+// its connections when it thaws after that does not run: it is as old as the freeze was long.
 func TestThawedGateRunsNothingOld(t *testing.T) {
 	for seed := range uint64(20) {
 		w := New(seed, 3, Host{"shop", "a"}, Host{"till", "a"})
--- /dev/null
+++ b/internal/mesh/simulation/freeze_test.go
@@ -0,0 +1,53 @@
+package simulation
+
+import (
+	"fmt"
+	"testing"
+)
+
+// The only gate of a service is frozen for some seconds and thaws. Its host was there all the time: requests
+// that come afterwards are served.
+func TestThawedGateServes(t *testing.T) {
+	const asks = 10
+	for _, frozen := range []float64{2, 4, 6, 8} {
+		for seed := range uint64(5) {
+			w := New(seed, 3, Host{"shop", "a"}, Host{"till", "a"})
+			w.Configure(int(seed), 1, nil)
+			w.Run(4)
+			asker, gate := w.Proxies[0], w.Proxies[1]
+			gate.Freeze()
+			w.Run(frozen)
+			gate.Thaw()
+			w.Run(12)
+			for i := range asks {
+				w.After(float64(i)*0.1, func() { w.Ask(asker, "/pay/x", fmt.Sprintf("k%d", i), 1) })
+			}
+			w.Run(3)
+			if w.Checker.Served != asks {
+				t.Errorf("seed %d, %v s frozen: %d of %d served 12 s after the thaw; answers %v", seed, frozen,
+					w.Checker.Served, asks, w.Checker.Statuses)
+			}
+			verdictOn(t, w, fmt.Sprintf("seed %d, %v s", seed, frozen), 0)
+		}
+	}
+}
+
+// A host that ends while its gate is frozen is gone once the gate has run for long enough without a beat.
+func TestHostLostDuringAFreezeIsGone(t *testing.T) {
+	w := New(1, 3, Host{"shop", "a"}, Host{"till", "a"})
+	w.Configure(1, 1, nil)
+	w.Run(4)
+	gate := w.Proxies[1]
+	gate.Freeze()
+	gate.CrashHost()
+	w.Run(8)
+	gate.Thaw()
+	w.Run(1)
+	if got := gate.State().Host.Condition; got != 1 {
+		t.Errorf("1 s after the thaw its condition is %d", got)
+	}
+	w.Run(5)
+	if got := gate.State().Host.Condition; got != 3 {
+		t.Errorf("6 s after the thaw its condition is %d", got)
+	}
+}
