control, sidecar: messages with missing parts neither panic nor loop

Cause: a Settle without a receipt, and a configuration without its history, ended a control server by a panic; an Update that names a proxy as a control server had that proxy ask itself for ever within one input.

Change: a Settle that holds no end of a run is answered unsure and changes nothing; a digest tells the hash of the configuration that it means; a proxy leaves itself out of the control servers that it is told.

TestSettleWithoutAnEndIsRefused panics without the change.

--- a/internal/mesh/control/configuration.go
+++ b/internal/mesh/control/configuration.go
@@ -254,7 +254,7 @@
 	c := &s.configuration
 	state := &meshpb.ConfigState{ChosenVersion: c.chosenVersion(), HeldVersion: c.held, HeldBallot: c.heldBallot.Wire()}
 	if c.chosen != nil {
-		state.ChosenHash = c.chosen.History[len(c.chosen.History)-1].Hash
+		state.ChosenHash = hashOf(c.chosen.Text)
 	}
 	return state
 }
--- a/internal/mesh/register/operation.go
+++ b/internal/mesh/register/operation.go
@@ -97,7 +97,7 @@
 // whether the request may still run.
 func (l *Registers) Settle(now float64, key string, r *meshpb.Receipt, ifFree bool,
 	answer func(state State, held *meshpb.Receipt)) {
-	if !l.voting || len(l.work) >= mostWork {
+	if !l.voting || len(l.work) >= mostWork || !isEnd(r) {
 		answer(Unsure, nil)
 		return
 	}
@@ -105,6 +105,15 @@
 		work: func(old *meshpb.Receipt) (*meshpb.Receipt, State) { return settle(old, r, ifFree) }})
 }
 
+// isEnd reports whether a receipt is the end of a run: a garbled message, or a foreign one, may hold none.
+func isEnd(r *meshpb.Receipt) bool {
+	switch r.GetState() {
+	case Done, Lost, Void:
+		return true
+	}
+	return false
+}
+
 func settle(old, end *meshpb.Receipt, ifFree bool) (*meshpb.Receipt, State) {
 	r := proto.Clone(end).(*meshpb.Receipt)
 	r.Voided = old.GetVoided()
--- a/internal/mesh/register/register_test.go
+++ b/internal/mesh/register/register_test.go
@@ -274,3 +274,18 @@
 		}
 	}
 }
+
+// Word on the end of a run that holds no end, as a garbled or a foreign message may, changes nothing and is refused.
+func TestSettleWithoutAnEndIsRefused(t *testing.T) {
+	b := newBag(1, 1)
+	l := b.servers["m0"]
+	for name, r := range map[string]*meshpb.Receipt{"none": nil, "free": {Token: 1}, "claimed": {Token: 1, State: Claimed},
+		"stored": {Token: 1, State: Stored}} {
+		told := Free
+		l.Settle(b.now, "k", r, false, func(state State, _ *meshpb.Receipt) { told = state })
+		b.take("m0", true)
+		if n, _ := l.Size(); told != Unsure || n != 0 {
+			t.Errorf("%s: told %d, %d registers", name, told, n)
+		}
+	}
+}
--- a/internal/mesh/sidecar/discovery.go
+++ b/internal/mesh/sidecar/discovery.go
@@ -281,8 +281,8 @@
 	}
 	if fromServer {
 		n.missed, n.heardAt = 0, p.now
-		if len(w.Servers) > 0 && w.Epoch >= n.epoch {
-			n.servers, n.epoch = w.Servers, w.Epoch
+		if servers := n.others(w.Servers); len(servers) > 0 && w.Epoch >= n.epoch {
+			n.servers, n.epoch = servers, w.Epoch
 		}
 		n.told = true
 		if !w.Alone && n.judged(w) {
@@ -311,6 +311,16 @@
 	}
 }
 
+// others are the addresses that are not this proxy's: it asks no news of itself.
+func (n *news) others(addresses []string) (all []string) {
+	for _, address := range addresses {
+		if address != n.p.o.Self {
+			all = append(all, address)
+		}
+	}
+	return all
+}
+
 // judged takes what a control server that is in contact says of proxies that are silent and of hosts that are out.
 func (n *news) judged(w *meshpb.Update) (changed bool) {
 	p := n.p
--- /dev/null
+++ b/internal/mesh/simulation/fuzz_test.go
@@ -0,0 +1,244 @@
+package simulation
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"beechwing/internal/mesh/control"
+	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/sidecar"
+	"beechwing/internal/mesh/transport"
+)
+
+// drawn makes random messages: each field is there or missing by lot, and has a value that means something to
+// the processes, or any.
+type drawn struct {
+	rng  *rand.Rand
+	ids  []uint64 // of questions that are open
+	many bool     // most fields are there, else few
+}
+
+// message is a random message as it comes off the wire.
+func (d *drawn) message(t *testing.T) *meshpb.Message {
+	t.Helper()
+	d.many = d.rng.IntN(2) == 0
+	m := &meshpb.Message{}
+	fields := m.ProtoReflect().Descriptor().Fields()
+	d.fill(m.ProtoReflect(), d.rng.IntN(fields.Len()), 0)
+	if len(d.ids) > 0 && d.rng.IntN(2) == 0 {
+		m.Id = d.ids[d.rng.IntN(len(d.ids))]
+	}
+	frame, err := proto.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	read := &meshpb.Message{}
+	if err := proto.Unmarshal(frame, read); err != nil {
+		t.Fatal(err)
+	}
+	return read
+}
+
+// fill draws the fields of a message. One of them, by number, is there in any case. Of the kinds of content at
+// the top there is seldom more than one.
+func (d *drawn) fill(m protoreflect.Message, wanted, depth int) {
+	fields := m.Descriptor().Fields()
+	for i := range fields.Len() {
+		f := fields.Get(i)
+		there := d.rng.IntN(4) == 0 || d.many && d.rng.IntN(4) > 0
+		if depth == 0 && f.Message() != nil {
+			there = d.rng.IntN(40) == 0
+		}
+		if !there && i != wanted {
+			continue
+		}
+		if !f.IsList() {
+			m.Set(f, d.value(m.NewField(f), f, depth))
+			continue
+		}
+		list := m.Mutable(f).List()
+		for range d.rng.IntN(4) {
+			list.Append(d.value(list.NewElement(), f, depth))
+		}
+	}
+}
+
+// value draws one value of a field.
+func (d *drawn) value(empty protoreflect.Value, f protoreflect.FieldDescriptor, depth int) protoreflect.Value {
+	small := d.rng.IntN(5) > 0
+	number := d.rng.Uint64()
+	if small {
+		number = d.rng.Uint64N(5)
+	}
+	switch f.Kind() {
+	case protoreflect.MessageKind:
+		d.fill(empty.Message(), -1, depth+1)
+		return empty
+	case protoreflect.BoolKind:
+		return protoreflect.ValueOfBool(d.rng.IntN(2) == 0)
+	case protoreflect.Uint32Kind, protoreflect.Fixed32Kind:
+		return protoreflect.ValueOfUint32(uint32(number))
+	case protoreflect.Uint64Kind:
+		return protoreflect.ValueOfUint64(number)
+	case protoreflect.StringKind:
+		return protoreflect.ValueOfString(d.text())
+	case protoreflect.BytesKind:
+		return protoreflect.ValueOfBytes(d.bytes())
+	}
+	panic("messages have no fields of kind " + f.Kind().String())
+}
+
+// text draws an address, a key, a host or a service.
+func (d *drawn) text() string {
+	all := []string{"", "a:1", "b:1", "c:1", "p:1", "q:1", "k", "\x00configuration", "\x00view", "\x00ejections\x00shop",
+		"i-1", "shop", "till"}
+	return all[d.rng.IntN(len(all))]
+}
+
+// bytes draws a configuration, a value of a register, or garbage.
+func (d *drawn) bytes() []byte {
+	switch d.rng.IntN(3) {
+	case 0:
+		return Config(1)
+	case 1:
+		text, err := proto.Marshal(&meshpb.Config{Version: d.rng.Uint64N(9), Text: Config(2)})
+		if err != nil {
+			panic(err)
+		}
+		return text
+	}
+	return []byte{8, byte(d.rng.Uint32()), 255}
+}
+
+// survive gives a process an input, and tells what it was where that panics.
+func survive(t *testing.T, name string, m *meshpb.Message, input func()) {
+	t.Helper()
+	defer func() {
+		if why := recover(); why != nil {
+			t.Fatalf("%s: %v\n%v", name, why, m)
+		}
+	}()
+	input()
+}
+
+// note keeps the ids of questions that a process asks.
+func (d *drawn) note(sends []transport.Send) {
+	const most = 32
+	for _, s := range sends {
+		if s.Message.Id != 0 && !meshpb.IsAnswer(s.Message) {
+			d.ids = append(d.ids, s.Message.Id)
+		}
+	}
+	d.ids = d.ids[max(0, len(d.ids)-most):]
+}
+
+// fuzzRounds is how many processes of each kind get random messages; SIMULATION_FUZZ has more, by hand.
+func fuzzRounds() uint64 {
+	if n, err := strconv.ParseUint(os.Getenv("SIMULATION_FUZZ"), 10, 64); err == nil {
+		return n
+	}
+	return 100
+}
+
+const messagesEach = 200
+
+// A control server gets random messages of any sender, its own included, with parts missing: it does not panic.
+func TestControlServerSurvivesAnyMessage(t *testing.T) {
+	for seed := range fuzzRounds() {
+		d := &drawn{rng: rand.New(rand.NewPCG(seed, 3))}
+		seeds := []string{"a:1", "b:1", "c:1"}
+		s, err := control.New(1, control.Options{Self: "a:1", Seeds: seeds, First: true, Tolerance: 1, Window: window, Life: 1}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := 1.0
+		take := func() {
+			for range 4 {
+				out := s.Take()
+				d.note(out.Sends)
+				d.note(out.After)
+				for _, send := range append(out.Sends, out.After...) {
+					if send.To == "a:1" {
+						survive(t, fmt.Sprintf("seed %d, its own", seed), send.Message, func() { s.Heard(now, "a:1", send.Message) })
+					}
+				}
+			}
+		}
+		if seed%3 > 0 { // else it is alone, and knows no view
+			for _, other := range seeds[1:] {
+				s.Heard(now, other, &meshpb.Message{Incarnation: 1, Join: &meshpb.Join{First: true}})
+			}
+		}
+		for range 200 {
+			now += tickEvery
+			s.Tick(now)
+			take()
+		}
+		if seed%3 > 0 && !s.Voting() {
+			t.Fatalf("seed %d: it does not vote: this shows little", seed)
+		}
+		for i := range messagesEach {
+			m := d.message(t)
+			from := []string{"a:1", "b:1", "c:1", "p:1"}[d.rng.IntN(4)]
+			if d.rng.IntN(4) > 0 { // as of this epoch, by a member
+				m.Epoch, m.Incarnation = s.State(now).Epoch, 1
+				if from == "a:1" {
+					m.Incarnation = s.State(now).Incarnation
+				}
+			}
+			name := fmt.Sprintf("seed %d, message %d from %s", seed, i, from)
+			survive(t, name, m, func() { s.Heard(now, from, m); take() })
+			now += tickEvery * d.rng.Float64()
+			survive(t, name+", then a tick", m, func() { s.Tick(now); take() })
+		}
+	}
+}
+
+// A proxy gets random messages of any sender with parts missing, while it asks: it does not panic.
+func TestProxySurvivesAnyMessage(t *testing.T) {
+	for seed := range fuzzRounds() {
+		d := &drawn{rng: rand.New(rand.NewPCG(seed, 5))}
+		p := sidecar.New(1, sidecar.Options{Self: "p:1", Zone: "a", Sender: "shop", Seeds: []string{"a:1", "b:1", "c:1"}, Beat: beat,
+			Ratio: 0.2, Slack: 60, Version: 1, Seed: seed, Memory: 1 << 24, Agreed: seed%2 == 0})
+		now, life := 1.0, uint64(0)
+		take := func() {
+			out := p.Take()
+			d.note(out.Sends)
+			for _, s := range out.Sends {
+				if !meshpb.IsAnswer(s.Message) {
+					life = s.Message.Life
+				}
+			}
+			for _, do := range out.Dos {
+				if x, ok := do.(sidecar.Exchange); ok && d.rng.IntN(2) == 0 {
+					p.Exchanged(now, x.Job, &meshpb.Forwarded{Verdict: uint32(d.rng.IntN(12)), Status: 200})
+				}
+			}
+		}
+		p.Beat(now, sidecar.Station{ID: "i-1", Carrier: "shop", Berths: 1, Sequence: 1})
+		p.Tick(now)
+		take()
+		for i := range messagesEach {
+			m := d.message(t)
+			from := []string{"a:1", "b:1", "c:1", "p:1", "q:1"}[d.rng.IntN(5)]
+			if d.rng.IntN(4) > 0 {
+				m.Life = life
+			}
+			name := fmt.Sprintf("seed %d, message %d from %s", seed, i, from)
+			survive(t, name, m, func() { p.Message(now, from, m); take() })
+			o := &sidecar.Order{Method: "POST", Target: "/read/x", Host: "shop.example", ID: "q", Left: 1, Slot: 0}
+			if i%2 == 0 {
+				o.Target, o.Key = "/pay/x", "k"
+			}
+			now += tickEvery * d.rng.Float64()
+			survive(t, name+", then a request", m, func() { p.Ask(now, o); take() })
+			survive(t, name+", then a tick", m, func() { p.Tick(now); take() })
+		}
+	}
+}
