A machine that is gone for good stays out of all lists

Cause: control servers forgot a source 30 s after anybody had heard of it, and no longer told that it is silent; proxies kept its record for ever and listed it again. The whole digest of a server that had not forgotten then taught it to the others as just heard.

Change: a forgotten source leaves a tombstone, a record of a higher version that goes the way of all records and is kept for an hour, counted over all that tell it. A server forgets only if for 30 s a quorum was in reach and it heard each member that others hear. What proxies name and no server knows is forgotten like the rest, and whole digests tell who is silent, so restarts bring nobody back. A proxy that is told its own tombstone tells a higher version.

--- a/internal/mesh/capacity/capacity_test.go
+++ b/internal/mesh/capacity/capacity_test.go
@@ -84,7 +84,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	names := []string{"quiet", "change", "calls", "restart", "rack", "zone", "region cut", "replacement"}
+	names := []string{"quiet", "change", "calls", "restart", "rack", "zone", "region cut", "replacement",
+		"gone for good"}
 	for _, name := range names {
 		p := r.Phase(name)
 		if p == nil {
--- a/internal/mesh/control/propagation.go
+++ b/internal/mesh/control/propagation.go
@@ -16,7 +16,6 @@
 	digestEvery  = 0.25 // and at least else
 	wholeEvery   = 3.0  // seconds between comparisons of everything with all other members
 	silentAfter  = 7.0  // seconds after which a proxy that nobody has heard of takes no requests
-	forgetAfter  = 30.0 // and is forgotten
 	holdFor      = 0.7  // seconds after which a pull that lacks nothing is answered at the latest
 	informWithin = 0.6  // seconds in contact after which a server that just came tells what it knows, whatever that is
 	mostHeld     = 4096 // pulls
@@ -33,9 +32,9 @@
 }
 
 type propagation struct {
-	records   map[string]*meshpb.Record
-	heard     map[string]float64 // when a source was last heard of, by anybody
-	direct    map[string]bool    // heard here since the last digest
+	records   map[string]*meshpb.Record // tombstones too
+	heard     map[string]float64        // when a source was last heard of, by anybody
+	direct    map[string]bool           // heard here since the last digest
 	pulls     []heldPull
 	changed   bool             // something has come since the pulls were looked through
 	news      []*meshpb.Record // since the last digest
@@ -45,10 +44,12 @@
 	wantWhole bool    // another server's records are asked for
 	informed  bool    // they have come, or nobody had any
 	informAt  float64 // when a quorum was first in reach
+	forgotten forgotten
 }
 
 func (p *propagation) init() {
 	p.records, p.heard, p.direct = map[string]*meshpb.Record{}, map[string]float64{}, map[string]bool{}
+	p.forgotten.init()
 	p.wantWhole = true
 }
 
@@ -56,13 +57,11 @@
 func (s *Server) learn(now float64, r *meshpb.Record, tell bool) {
 	p := &s.propagation
 	old := p.records[r.Source]
-	if old != nil && old.Version >= r.Version || old == nil && len(p.records) >= mostSources {
+	if !r.Supersedes(old) || r.Expired() || old == nil && len(p.records) >= mostSources {
 		return
 	}
 	p.records[r.Source], p.changed = r, true
-	if p.heard[r.Source] == 0 {
-		p.heard[r.Source] = now
-	}
+	s.rememberSource(now, r)
 	if tell {
 		p.news = append(p.news, r)
 		p.digestAt = 0
@@ -78,6 +77,7 @@
 		s.learn(now, own, true)
 		s.heardObservations(now, own.Source, pull.Observations, true)
 	}
+	s.heardNamed(now, pull.Seen)
 	held := heldPull{from, m.Id, m.Life, pull, now + holdFor}
 	if !s.answerPull(now, held, !pull.Hold || s.behind(now)) && len(p.pulls) < mostHeld {
 		p.pulls = append(p.pulls, held)
@@ -113,8 +113,8 @@
 		has[seen.Source] = seen.Version
 	}
 	for source, r := range s.propagation.records {
-		if v, known := has[source]; !known || v < r.Version {
-			update.Records = append(update.Records, r)
+		if v, known := has[source]; known && v < r.Version || !known && !r.IsTombstone() {
+			update.Records = append(update.Records, s.aged(now, r))
 		}
 	}
 	slices.SortFunc(update.Records, func(a, b *meshpb.Record) int { return cmp.Compare(a.Source, b.Source) })
@@ -170,6 +170,7 @@
 			p.heard[source] = now
 		}
 	}
+	s.heardSilent(now, d)
 	for _, r := range d.Records {
 		s.learn(now, r, false)
 	}
@@ -207,12 +208,7 @@
 	clear(p.direct)
 	s.sendOthers(&meshpb.Message{Digest: d})
 	s.compare(now)
-	for source, at := range p.heard {
-		if now > at+forgetAfter {
-			delete(p.heard, source)
-			delete(p.records, source)
-		}
-	}
+	s.tickForgotten(now)
 }
 
 // inform decides when a server that just came, and may know of nobody, answers proxies.
@@ -251,9 +247,9 @@
 
 func (s *Server) sendWhole(now float64, to string) {
 	d := s.digest(now)
-	d.Whole = true
+	d.Whole, d.Silent = true, s.silentSources(now)
 	for _, source := range sorted(s.propagation.records) {
-		d.Records = append(d.Records, s.propagation.records[source])
+		d.Records = append(d.Records, s.aged(now, s.propagation.records[source]))
 	}
 	s.send(to, &meshpb.Message{Digest: d})
 }
--- a/internal/mesh/control/state.go
+++ b/internal/mesh/control/state.go
@@ -79,7 +79,9 @@
 	state.Registers, state.Changes = s.registers.Size()
 	state.Keys, state.Oldest = s.registers.Held(now)
 	for _, r := range s.propagation.records {
-		state.Roll = append(state.Roll, proto.Clone(r).(*meshpb.Record))
+		if !r.IsTombstone() {
+			state.Roll = append(state.Roll, proto.Clone(r).(*meshpb.Record))
+		}
 	}
 	slices.SortFunc(state.Roll, func(a, b *meshpb.Record) int { return cmp.Compare(a.Source, b.Source) })
 	state.Counts.Orders = map[string]uint64{}
--- a/internal/mesh/sidecar/discovery.go
+++ b/internal/mesh/sidecar/discovery.go
@@ -48,6 +48,7 @@
 	leaving  bool    // they have
 
 	records map[string]*meshpb.Record
+	gone    map[string]tombstone // by source
 	silent  map[string]bool
 	servers []string
 	epoch   uint64            // of the view that named them
@@ -71,6 +72,7 @@
 	n.p = p
 	n.own = &meshpb.Record{Source: p.o.Self, Version: p.o.Version, Carrier: p.o.Sender, Zone: p.o.Zone}
 	n.records = map[string]*meshpb.Record{p.o.Self: n.own}
+	n.gone = map[string]tombstone{}
 	n.watch = map[string]uint64{}
 	n.silent = map[string]bool{}
 	n.server = int(p.random() % 1024)
@@ -267,15 +269,14 @@
 	changed := false
 	for _, r := range w.Records {
 		if r.Source == p.o.Self {
-			if r.Version >= n.own.Version && !(r.Version == n.own.Version && r.Station == n.own.Station) { // of an earlier life
+			if n.isOlder(r) {
 				n.own = n.next(r.Version + 1)
 				n.records[p.o.Self] = n.own
 				changed = true
 			}
 			continue
 		}
-		if old := n.records[r.Source]; old == nil || old.Version < r.Version {
-			n.records[r.Source] = r
+		if n.take(r) {
 			changed = true
 		}
 	}
@@ -339,11 +340,8 @@
 // answers them.
 func (n *news) pulled(from string, m *meshpb.Message) {
 	p, pull := n.p, m.Pull
-	if pull.Own != nil {
-		if old := n.records[pull.Own.Source]; old == nil || old.Version < pull.Own.Version {
-			n.records[pull.Own.Source] = pull.Own
-			n.list()
-		}
+	if pull.Own != nil && n.take(pull.Own) {
+		n.list()
 	}
 	w := &meshpb.Update{}
 	has := make(map[string]uint64, len(pull.Seen))
@@ -355,6 +353,7 @@
 			w.Records = append(w.Records, r)
 		}
 	}
+	w.Records = append(w.Records, n.forgottenOf(has)...)
 	if p.table != nil && p.table.Edition > pull.Edition {
 		w.Edition, w.Text = p.table.Edition, p.table.Text
 	}
@@ -382,6 +381,7 @@
 
 func (n *news) tick() {
 	p := n.p
+	n.dropTombstones()
 	if n.ending && !n.leaving && p.now >= n.leaveAt { // the host cannot be reached for a while
 		n.leaving = true
 		n.change(func(*meshpb.Record) {})
--- /dev/null
+++ b/internal/mesh/simulation/forgotten_test.go
@@ -0,0 +1,226 @@
+package simulation
+
+import (
+	"fmt"
+	"testing"
+
+	"beechwing/internal/mesh/sidecar"
+)
+
+const (
+	silentWithin    = 8.5  // seconds after a machine's end until no proxy lists it
+	forgottenWithin = 34.0 // and until every server and every proxy has forgotten it
+	listedWithin    = 2.5  // seconds after a proxy speaks again until all list it
+	lookEvery       = 0.1
+)
+
+// lists says whether a proxy would send calls to the host beside another.
+func lists(s, other *Proxy) bool {
+	state := s.State()
+	for _, silent := range state.Silent {
+		if silent == other.addr {
+			return false
+		}
+	}
+	for _, r := range state.Roll {
+		if r.Source == other.addr {
+			return r.Station != "" && r.Condition == sidecar.AtDock
+		}
+	}
+	return false
+}
+
+// remembers says whether a proxy has a record of another.
+func remembers(s, other *Proxy) bool {
+	for _, r := range s.State().Roll {
+		if r.Source == other.addr {
+			return true
+		}
+	}
+	return false
+}
+
+// staysOut runs the world and counts the looks at which a proxy listed another that is not to be listed.
+func staysOut(w *World, seconds float64, proxies []*Proxy, out *Proxy) (looks, wrong int) {
+	for until := w.Now + seconds; w.Now < until; looks++ {
+		w.Run(lookEvery)
+		for _, s := range proxies {
+			if s.up && lists(s, out) {
+				wrong++
+				break
+			}
+		}
+	}
+	return looks, wrong
+}
+
+// wantForgotten checks that no server and no proxy knows a source any more.
+func wantForgotten(t *testing.T, name string, w *World, proxies []*Proxy, out *Proxy) {
+	t.Helper()
+	for _, h := range w.Servers {
+		for _, r := range h.server.State(w.Now).Roll {
+			if r.Source == out.addr {
+				t.Errorf("%s: server %s knows it", name, h.addr)
+			}
+		}
+	}
+	for _, s := range proxies {
+		if remembers(s, out) {
+			t.Errorf("%s: proxy %s knows it", name, s.addr)
+		}
+	}
+}
+
+// wantListed checks that all others list a proxy again.
+func wantListed(t *testing.T, name string, w *World, one *Proxy) {
+	t.Helper()
+	for _, s := range w.Proxies {
+		if s != one && !lists(s, one) {
+			t.Errorf("%s: %s does not list %s", name, s.addr, one.addr)
+		}
+	}
+}
+
+// isolate cuts a proxy off from all other machines.
+func isolate(w *World, one *Proxy) {
+	for _, h := range w.Servers {
+		w.CutOff(one.addr, h.addr)
+	}
+	for _, s := range w.Proxies {
+		w.CutOff(one.addr, s.addr)
+	}
+}
+
+// restartServers has all control servers restart at once: what they know is only in memory.
+func restartServers(w *World) {
+	for _, h := range w.Servers {
+		h.Kill()
+		w.After(0.2, h.Start)
+	}
+}
+
+// restartInTurn has the control servers restart one after the other, after so many seconds.
+func restartInTurn(w *World, after float64) {
+	const each, down = 2.0, 0.5
+	for i, h := range w.Servers {
+		w.After(after+each*float64(i), h.Kill)
+		w.After(after+each*float64(i)+down, h.Start)
+	}
+}
+
+// A machine goes without a word and for good while another proxy is cut off from everybody. The others list it
+// no more from then on, and have forgotten it in the end, though the servers restart in turn; the one that was
+// cut off does as soon as it is back.
+func TestForgottenSourceStaysAway(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(6) {
+		name := fmt.Sprintf("seed %d", seed)
+		w := cluster(t, seed, 3+2*int(seed%2))
+		gone, cut, others := w.Proxies[0], w.Proxies[1], w.Proxies[2:]
+		isolate(w, cut)
+		gone.PowerOff()
+		w.Run(silentWithin)
+		restartInTurn(w, 2)
+		restartInTurn(w, 18) // as it is forgotten, or shortly before
+		looks, wrong := staysOut(w, 2*forgottenWithin, others, gone)
+		if wrong > 0 {
+			t.Errorf("%s: listed at %d of %d looks", name, wrong, looks)
+		}
+		wantForgotten(t, name, w, others, gone)
+		w.JoinAll()
+		w.Run(listedWithin)
+		wantForgotten(t, name+", back from a cut", w, w.Proxies[1:], gone)
+		looks, wrong = staysOut(w, forgottenWithin, w.Proxies[1:], gone)
+		if wrong > 0 {
+			t.Errorf("%s: after the cut listed at %d of %d looks", name, wrong, looks)
+		}
+		wantListed(t, name, w, others[0])
+		verdictOn(t, w, name, 0)
+	}
+}
+
+// All control servers restart while a proxy is cut off that knows a machine that is gone for good: nobody else
+// does, so only what that proxy names tells of it. It is silent and forgotten in time.
+func TestForgottenSourceIsNamedByOneProxy(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(4) {
+		name := fmt.Sprintf("seed %d", seed)
+		w := cluster(t, seed, 3)
+		gone, cut := w.Proxies[0], w.Proxies[1]
+		isolate(w, cut)
+		gone.PowerOff()
+		w.Run(forgottenWithin + silentWithin)
+		for _, s := range w.Proxies[2:] { // with their tombstones
+			s.Kill()
+			s.Start()
+		}
+		restartServers(w)
+		w.Run(3)
+		w.JoinAll()
+		w.Run(silentWithin)
+		looks, wrong := staysOut(w, forgottenWithin, w.Proxies[1:], gone)
+		if wrong > 0 {
+			t.Errorf("%s: listed at %d of %d looks", name, wrong, looks)
+		}
+		wantForgotten(t, name, w, w.Proxies[1:], gone)
+		verdictOn(t, w, name, 0)
+	}
+}
+
+// A proxy that was forgotten speaks again: after a cut the same process, or a new one at the same address
+// whose versions begin below those of the former. All list it again.
+func TestForgottenSourceSpeaksAgain(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(6) {
+		name := fmt.Sprintf("seed %d", seed)
+		w := cluster(t, seed, 3)
+		one := w.Proxies[0]
+		if seed%2 == 0 {
+			isolate(w, one)
+		} else {
+			one.PowerOff()
+		}
+		w.Run(silentWithin + forgottenWithin)
+		wantForgotten(t, name, w, w.Proxies[1:], one)
+		if seed%2 == 0 {
+			w.JoinAll()
+		} else {
+			one.version = 0
+			one.Start()
+			one.StartHost()
+		}
+		w.Run(listedWithin)
+		wantListed(t, name, w, one)
+		w.Run(forgottenWithin)
+		wantListed(t, name+", later", w, one)
+		verdictOn(t, w, name, 0)
+	}
+}
+
+// A control server is cut off from the others, with the proxies or without, for longer than silent sources are
+// remembered. It forgets nobody for all: what it did not hear is no sign.
+func TestServerThatWasCutOffForgetsNobody(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(4) {
+		name := fmt.Sprintf("seed %d", seed)
+		w := cluster(t, seed, 3)
+		h := w.Servers[seed%3]
+		cutOff(w, h, cutWays[seed%3])
+		if seed%2 == 0 {
+			for _, s := range w.Proxies {
+				w.CutOff(h.addr, s.addr)
+			}
+		}
+		w.Run(silentWithin + forgottenWithin)
+		w.JoinAll()
+		for until := w.Now + 3; w.Now < until; w.Run(lookEvery) {
+			for _, s := range w.Proxies[1:] {
+				if !remembers(s, w.Proxies[0]) {
+					t.Fatalf("%s: %s has forgotten a proxy that lives", name, s.addr)
+				}
+			}
+		}
+		wantListed(t, name, w, w.Proxies[0])
+		verdictOn(t, w, name, 0)
+	}
+}
