register: a claim is its gate's, and that of its life

Cause: a token and attempt that were granted were granted again to whoever asked, as the gate may not have heard. Of one attempt that reached two gates, or two lives of a gate without naming either, both were told that they hold the key.

Change: Claim and Receipt name the gate's address and life. The same attempt is granted again to the life of the gate that holds it only; another is told that it is at work. The next attempt of the token takes over as before, from any gate; a gate that goes on to another control server asks by the same name. Proxies of before name no gate, and are told apart no better than before.

--- a/internal/mesh/register/operation.go
+++ b/internal/mesh/register/operation.go
@@ -56,7 +56,8 @@
 }
 
 func claim(c *meshpb.Claim, old *meshpb.Receipt) (*meshpb.Receipt, State) {
-	mine := &meshpb.Receipt{Token: c.Token, State: Claimed, Attempt: c.Attempt, Voided: old.GetVoided()}
+	mine := &meshpb.Receipt{Token: c.Token, State: Claimed, Attempt: c.Attempt, Voided: old.GetVoided(), Gate: c.Gate,
+		GateLife: c.GateLife}
 	switch {
 	case slices.Contains(old.GetVoided(), c.Token): // a late one: its client was promised that it never runs
 		return nil, Void
@@ -68,7 +69,7 @@
 		return mine, Claimed
 	case old.State == Claimed && old.Token == c.Token && old.Attempt < c.Attempt: // the attempt before it has not run
 		return mine, Claimed
-	case old.State == Claimed && old.Token == c.Token && old.Attempt == c.Attempt: // asked twice
+	case old.State == Claimed && askedAgain(c, old):
 		return old, Claimed
 	case old.State == Claimed:
 		return nil, Busy
@@ -76,6 +77,12 @@
 	return nil, old.State
 }
 
+// askedAgain reports whether a claim is the one that was granted, asked again by the same process, which may not have heard.
+// Another gate that was sent the same attempt, or the gate's next process, may not run it a second time.
+func askedAgain(c *meshpb.Claim, held *meshpb.Receipt) bool {
+	return held.Token == c.Token && held.Attempt == c.Attempt && held.Gate == c.Gate && held.GateLife == c.GateLife
+}
+
 // aged says that a claim's holder is gone where that is so.
 func (l *Registers) aged(now float64, e *entry, state State) State {
 	if state == Busy && now > e.at+holderGone {
--- a/internal/mesh/register/register_test.go
+++ b/internal/mesh/register/register_test.go
@@ -289,3 +289,20 @@
 		}
 	}
 }
+
+// A claim is granted again to the life of the gate that holds it, and to nobody else; the next attempt takes over from any gate.
+func TestClaimIsItsGatesOnly(t *testing.T) {
+	b := newBag(1, 1)
+	l := b.servers["m0"]
+	claim := func(gate string, life uint64, attempt uint32) (told State) {
+		l.Claim(b.now, &meshpb.Claim{Key: "k", Token: 1, Attempt: attempt, Gate: gate, GateLife: life},
+			func(state State, _ *meshpb.Receipt) { told = state })
+		b.take("m0", true)
+		return told
+	}
+	states := []State{claim("g", 1, 0), claim("g", 1, 0), claim("h", 1, 0), claim("g", 2, 0), claim("h", 1, 1), claim("g", 1, 0),
+		claim("g", 1, 1), claim("h", 1, 1)}
+	if want := []State{Claimed, Claimed, Busy, Busy, Claimed, Busy, Busy, Claimed}; !slices.Equal(states, want) {
+		t.Errorf("%v, want %v", states, want)
+	}
+}
--- a/internal/mesh/sidecar/admission.go
+++ b/internal/mesh/sidecar/admission.go
@@ -402,7 +402,8 @@
 	to := j.servers[0]
 	j.at = to
 	j.servers = j.servers[1:]
-	claim := &meshpb.Claim{Key: j.carry.Key, Token: j.carry.Token, Attempt: j.carry.Attempt}
+	claim := &meshpb.Claim{Key: j.carry.Key, Token: j.carry.Token, Attempt: j.carry.Attempt, Gate: g.p.o.Self,
+		GateLife: g.p.life}
 	g.p.send(to, g.p.question(j.claim, &meshpb.Message{Claim: claim}))
 }
 
