--- a/internal/mesh/control/forgotten.go
+++ b/internal/mesh/control/forgotten.go
@@ -14,10 +14,8 @@
 // Tombstones are only in memory. A source that a proxy names and that is not known here, as after a restart of
 // all servers, is forgotten like any other if it does not speak.
 
-const (
-	forgetAfter = 30.0 // seconds for which nobody has heard of a source, after which it is forgotten
-	silentSince = 1.0  // seconds for which a source is taken to be silent of which another server says so
-)
+// forgetAfter is how many seconds nobody has to have heard of a source for it to be forgotten.
+const forgetAfter = 30.0
 
 // forgotten is what a server knows of sources that are forgotten, or may have to be.
 type forgotten struct {
@@ -69,10 +67,9 @@
 func (s *Server) heardSilent(now float64, d *meshpb.Digest) {
 	for _, r := range d.Records {
 		if s.propagation.records[r.Source] == nil && slices.Contains(d.Silent, r.Source) {
-			s.propagation.heard[r.Source] = now - silentAfter - silentSince
+			s.propagation.heard[r.Source] = now - silentAfter
 		}
 	}
-	s.propagation.silent = s.silentSources(now)
 }
 
 // tickForgotten forgets sources, and drops tombstones that are too old.
@@ -82,7 +79,6 @@
 		if now > at+meshpb.TombstoneSeconds {
 			delete(p.forgotten.at, source)
 			delete(p.records, source)
-			p.changes.drop(source)
 		}
 	}
 	if !s.hearsAll(now) {
--- a/internal/mesh/control/propagation.go
+++ b/internal/mesh/control/propagation.go
@@ -1,30 +1,40 @@
 package control
 
 import (
+	"cmp"
 	"slices"
 
 	"beechwing/internal/mesh/meshpb"
 	"beechwing/internal/mesh/view"
 )
 
-// Proxies pull what they lack (pulls.go). Servers tell each other at once what is new, in digests that are their heartbeats too, and
-// compare everything they know every few seconds.
+// Proxies pull what they lack by a vector of versions, one for each source. Servers tell each other at once what is new, in digests
+// that are their heartbeats too, and compare everything they know every few seconds.
 
 const (
 	digestSoon   = 0.06 // seconds between digests while no quorum is in reach
 	digestEvery  = 0.25 // and at least else
 	wholeEvery   = 3.0  // seconds between comparisons of everything with all other members
 	silentAfter  = 7.0  // seconds after which a proxy that nobody has heard of takes no requests
+	holdFor      = 0.7  // seconds after which a pull that lacks nothing is answered at the latest
 	informWithin = 0.6  // seconds in contact after which a server that just came tells what it knows, whatever that is
+	mostHeld     = 4096 // pulls
 	mostSources  = 8192
 )
 
+// heldPull is a pull that waits for something new.
+type heldPull struct {
+	from  string
+	id    uint64
+	life  uint64
+	pull  *meshpb.Pull
+	until float64
+}
+
 type propagation struct {
 	records   map[string]*meshpb.Record // tombstones too
 	heard     map[string]float64        // when a source was last heard of, by anybody
 	direct    map[string]bool           // heard here since the last digest
-	silent    []string                  // proxies of which nobody has heard for long, in order, as of the last tick
-	changes   changeLog                 // of the records
 	pulls     []heldPull
 	changed   bool             // something has come since the pulls were looked through
 	news      []*meshpb.Record // since the last digest
@@ -40,7 +50,6 @@
 func (p *propagation) init() {
 	p.records, p.heard, p.direct = map[string]*meshpb.Record{}, map[string]float64{}, map[string]bool{}
 	p.forgotten.init()
-	p.changes.init()
 	p.wantWhole = true
 }
 
@@ -52,7 +61,6 @@
 		return
 	}
 	p.records[r.Source], p.changed = r, true
-	p.changes.add(r.Source)
 	s.rememberSource(now, r)
 	if tell {
 		p.news = append(p.news, r)
@@ -61,6 +69,94 @@
 	s.wake(now)
 }
 
+func (s *Server) heardPull(now float64, from string, m *meshpb.Message) {
+	p, pull := &s.propagation, m.Pull
+	s.count.Pulls++
+	if own := pull.Own; own != nil {
+		p.heard[own.Source], p.direct[own.Source] = now, true
+		s.learn(now, own, true)
+		s.heardObservations(now, own.Source, pull.Observations, true)
+	}
+	s.heardNamed(now, pull.Seen)
+	held := heldPull{from, m.Id, m.Life, pull, now + holdFor}
+	if !s.answerPull(now, held, !pull.Hold || s.behind(now)) && len(p.pulls) < mostHeld {
+		p.pulls = append(p.pulls, held)
+	}
+}
+
+// behind says that what is known here may be old: proxies had better ask another.
+func (s *Server) behind(now float64) bool {
+	c := &s.configuration
+	return !s.Voting() || !s.inContact(now) || !c.confirmed || c.chosenVersion() < c.known || !s.propagation.informed
+}
+
+// answerPull tells a proxy what it lacks. Where that is nothing it is told so only if it must be. A server that is behind tells
+// nothing but whom to ask.
+func (s *Server) answerPull(now float64, held heldPull, must bool) bool {
+	update := &meshpb.Update{Servers: s.view().Staying(), FromServer: true, Epoch: s.view().Epoch}
+	if update.Alone = s.behind(now); !update.Alone {
+		s.fill(now, update, held.pull)
+		nothing := len(update.Records) == 0 && update.Edition == 0 && update.EjectionsVersion == 0
+		if nothing && !must && !s.asks(held.pull) {
+			return false
+		}
+	} else if !must {
+		return false
+	}
+	s.send(held.from, &meshpb.Message{Id: held.id, Life: held.life, Update: update})
+	return true
+}
+
+func (s *Server) fill(now float64, update *meshpb.Update, pull *meshpb.Pull) {
+	has := make(map[string]uint64, len(pull.Seen))
+	for _, seen := range pull.Seen {
+		has[seen.Source] = seen.Version
+	}
+	for source, r := range s.propagation.records {
+		if v, known := has[source]; known && v < r.Version || !known && !r.IsTombstone() {
+			update.Records = append(update.Records, s.aged(now, r))
+		}
+	}
+	slices.SortFunc(update.Records, func(a, b *meshpb.Record) int { return cmp.Compare(a.Source, b.Source) })
+	if version := s.ejections.version(); version > pull.EjectionLists {
+		update.EjectionLists, update.EjectionsVersion = s.wireEjections(now), version
+	}
+	if chosen := s.configuration.chosen; chosen.GetVersion() > pull.Edition {
+		update.Edition, update.Text = chosen.Version, chosen.Text
+	}
+	update.Accused = s.ejections.asked
+	update.Silent = s.silentSources(now)
+}
+
+// silentSources are the proxies of which nobody has heard for long, in order.
+func (s *Server) silentSources(now float64) (sources []string) {
+	for source, at := range s.propagation.heard {
+		if now > at+silentAfter {
+			sources = append(sources, source)
+		}
+	}
+	slices.Sort(sources)
+	return sources
+}
+
+// asks says whether a proxy is to be asked about an accused host of which it has not spoken.
+func (s *Server) asks(pull *meshpb.Pull) bool {
+	return slices.ContainsFunc(s.ejections.asked, func(station string) bool {
+		return !slices.Contains(pull.Accused, station)
+	})
+}
+
+// wake answers the proxies that lack something by now.
+func (s *Server) wake(now float64) {
+	p := &s.propagation
+	changed, behind := p.changed, s.behind(now)
+	p.changed = false
+	p.pulls = slices.DeleteFunc(p.pulls, func(held heldPull) bool {
+		must := now > held.until || behind
+		return (must || changed) && s.answerPull(now, held, must)
+	})
+}
+
 func (s *Server) heardDigest(now float64, from view.Member, d *meshpb.Digest) {
 	p := &s.propagation
 	if known := s.contact.peers[from.Address]; known != nil && now > known.heardAt+contactFor {
@@ -95,7 +191,6 @@
 // tickPropagation tells the others what is new, and forgets whom nobody has heard of.
 func (s *Server) tickPropagation(now float64) {
 	p := &s.propagation
-	p.silent = s.silentSources(now)
 	s.inform(now)
 	s.wake(now)
 	if !s.isMember() || now < p.digestAt {
--- a/internal/mesh/control/state.go
+++ b/internal/mesh/control/state.go
@@ -17,8 +17,7 @@
 	Settles     uint64            `json:"settles"`
 	Unsure      uint64            `json:"unsure"` // claims and ends of runs for which no quorum was found
 	Pulls       uint64            `json:"pulls"`
-	Vectors     uint64            `json:"vectorPulls"` // of them: by a vector of versions, and not by a cursor
-	Orders      map[string]uint64 `json:"orders"`      // by their end
+	Orders      map[string]uint64 `json:"orders"` // by their end
 	ViewChanges uint64            `json:"viewChanges"`
 }
 
--- a/internal/mesh/sidecar/discovery.go
+++ b/internal/mesh/sidecar/discovery.go
@@ -35,8 +35,7 @@
 )
 
 // news is what this proxy knows: the host beside it, which it alone tells the others of; who else there is; and which
-// configuration is in force. It pulls what it lacks: from a control process that it asked before by a cursor, else by a vector of
-// versions, one for each source.
+// configuration is in force. It pulls what it lacks by a vector of versions, one for each source.
 type news struct {
 	p        *Sidecar
 	own      *meshpb.Record
@@ -56,7 +55,6 @@
 	server  int               // whom it pulls from
 	pull    uint64            // the newest question to one
 	pulls   []openPull        // the questions to them that are open, in order
-	cursor  cursor            // how far the control process that answered last has told
 	watch   map[string]uint64 // those to other proxies
 	pullAt  float64
 	held    bool    // it may be held until there is something
@@ -232,8 +230,8 @@
 	}
 	n.pull, n.pullAt, n.held = n.p.id(), n.p.now, hold
 	to := servers[n.server%len(servers)]
-	n.open(openPull{id: n.pull, peer: to})
-	n.p.send(to, n.p.question(n.pull, &meshpb.Message{Pull: n.question(to, hold)}))
+	n.open(openPull{n.pull, to})
+	n.p.send(to, n.p.question(n.pull, &meshpb.Message{Pull: n.vector(hold)}))
 }
 
 // patience is how long the control process that was asked may say nothing.
@@ -244,11 +242,11 @@
 	return min(pullAgain, pullAtOnce*float64(int(1)<<min(n.missed, 4))) // if all are slow, asking more often makes them slower
 }
 
-// question asks a peer for what is lacking here: after the cursor that it told, or beyond the vector of versions by source.
-func (n *news) question(to string, hold bool) *meshpb.Pull {
-	pull := &meshpb.Pull{Own: n.own, Hold: hold, Epoch: n.epoch, Cursor: n.cursor.of(to)}
-	if pull.Cursor == nil {
-		pull.Seen = n.vector()
+// vector is what this proxy has, by source.
+func (n *news) vector(hold bool) *meshpb.Pull {
+	pull := &meshpb.Pull{Own: n.own, Hold: hold}
+	for _, source := range n.sources() {
+		pull.Seen = append(pull.Seen, &meshpb.Seen{Source: source, Version: n.records[source].Version})
 	}
 	if n.p.table != nil {
 		pull.Edition = n.p.table.Edition
@@ -267,7 +265,7 @@
 	if !p.accepts(from, m, asked) {
 		return
 	}
-	behind := n.close(m.Id, from)
+	n.close(m.Id, from)
 	changed := false
 	for _, r := range w.Records {
 		if r.Source == p.o.Self {
@@ -278,7 +276,7 @@
 			}
 			continue
 		}
-		if n.take(from, r) {
+		if n.take(r) {
 			changed = true
 		}
 	}
@@ -288,7 +286,6 @@
 			n.servers, n.epoch = servers, w.Epoch
 		}
 		n.told = true
-		n.cursor.told(from, w, behind)
 		if !w.Alone && n.judged(w) {
 			changed = true
 		}
@@ -343,7 +340,7 @@
 // answers them.
 func (n *news) pulled(from string, m *meshpb.Message) {
 	p, pull := n.p, m.Pull
-	if pull.Own != nil && n.take(from, pull.Own) {
+	if pull.Own != nil && n.take(pull.Own) {
 		n.list()
 	}
 	w := &meshpb.Update{}
@@ -421,7 +418,7 @@
 		n.watchAt = p.now + watchEvery
 		for _, source := range n.neighbours() {
 			n.watch[source] = p.id()
-			p.send(source, p.question(n.watch[source], &meshpb.Message{Pull: n.question(source, false)}))
+			p.send(source, p.question(n.watch[source], &meshpb.Message{Pull: n.vector(false)}))
 		}
 	}
 }
--- a/internal/mesh/sidecar/forgotten.go
+++ b/internal/mesh/sidecar/forgotten.go
@@ -15,7 +15,7 @@
 }
 
 // take takes another source's record if it is newer than what is known, and says whether the list may change.
-func (n *news) take(from string, r *meshpb.Record) bool {
+func (n *news) take(r *meshpb.Record) bool {
 	known := n.records[r.Source]
 	if known == nil {
 		known = n.gone[r.Source].record
@@ -23,7 +23,6 @@
 	if !r.Supersedes(known) {
 		return false
 	}
-	n.learned(from)
 	if !r.IsTombstone() {
 		delete(n.gone, r.Source)
 		n.records[r.Source] = r
--- a/internal/mesh/sidecar/pulls.go
+++ b/internal/mesh/sidecar/pulls.go
@@ -8,9 +8,8 @@
 
 // openPull is a question to a control process that has not been answered.
 type openPull struct {
-	id     uint64
-	peer   string
-	behind bool // a record has come from elsewhere since: it does not name all that is known here
+	id   uint64
+	peer string
 }
 
 // open notes a question to a control process. Those before it stay open: where all are slow, an answer that
@@ -37,14 +36,12 @@
 }
 
 // close takes a question that was answered off the open ones, and all that were put to control processes
-// before it: they would be answered by what was known earlier. behind: more has been known here than it named.
-func (n *news) close(id uint64, from string) (behind bool) {
+// before it: they would be answered by what was known earlier.
+func (n *news) close(id uint64, from string) {
 	if n.watch[from] == id {
 		delete(n.watch, from)
-		return false
+		return
 	}
 	at := slices.IndexFunc(n.pulls, func(q openPull) bool { return q.id == id })
-	behind = n.pulls[at].behind
 	n.pulls = n.pulls[at+1:]
-	return behind
 }
