--- a/internal/mesh/capacity/options.go
+++ b/internal/mesh/capacity/options.go
@@ -24,8 +24,6 @@
 	PlanProxyCoreShare      = 0.011
 	PlanProxyBytesPerSecond = 27_000.0
 	PlanProxyMemoryBytes    = 128 << 20
-
-	secondsPerDay = 86_400.0
 )
 
 // Options describes one hollow fleet and what is done with it. Times are in seconds of simulated time.
