Control, register: one home, one list of addresses, and nothing that is never read

Cause: read once more as a whole. The home of a key was looked up in two places, the members' addresses listed in two packages; the count of bytes read, the time of a disk's change and the position of the registers were kept and read by nobody; when a member is asked again stood in one condition of five parts. Change: Registers.home, View.OldAddresses, Server.askAgainAt; the unused state is gone. Behaviour and tests as before.

--- a/internal/mesh/control/catchup.go
+++ b/internal/mesh/control/catchup.go
@@ -37,11 +37,10 @@
 	caughtUp    bool               // a majority of the members has been read once
 	syncedEpoch uint64             // the joint epoch for which everything was read
 	syncingTill float64            // the disk is about to have the last of it; after this time it is asked again
-	bytes       int                // read in this life
 	began       float64
 }
 
-func (c *catchup) init() { *c = catchup{sources: map[string]*source{}, bytes: c.bytes} }
+func (c *catchup) init() { *c = catchup{sources: map[string]*source{}} }
 
 // viewChanged has everything that is read count for the new view only.
 func (c *catchup) viewChanged() { c.syncingTill = 0 }
@@ -56,7 +55,7 @@
 		c.began = now
 	}
 	wanted := s.view().Majority()
-	for _, address := range rendezvous.Order(s.o.Self, memberAddresses(s.view().Members)) {
+	for _, address := range rendezvous.Order(s.o.Self, s.view().OldAddresses()) {
 		if address == s.o.Self || wanted == 0 {
 			continue
 		}
@@ -72,21 +71,20 @@
 	}
 }
 
-func memberAddresses(members []view.Member) (all []string) {
-	for _, m := range members {
-		all = append(all, m.Address)
-	}
-	return all
+// askAgainAt is when a member is to be asked next: at once where there is more to read in this epoch.
+func (s *Server) askAgainAt(from *source) float64 {
+	switch {
+	case from.asking:
+		return from.askedAt + pageAgain
+	case from.complete && from.epoch == s.view().Epoch:
+		return from.askedAt + followEvery
+	}
+	return 0
 }
 
 // follow asks a member for the next page.
 func (s *Server) follow(now float64, address string, from *source) {
-	wait := pageAgain
-	if !from.asking && from.complete && from.epoch == s.view().Epoch {
-		wait = followEvery
-	}
-	if from.asking && now < from.askedAt+pageAgain || !from.asking && from.complete && now < from.askedAt+wait &&
-		from.epoch == s.view().Epoch {
+	if now < s.askAgainAt(from) {
 		return
 	}
 	if from.id == 0 {
--- a/internal/mesh/control/disk.go
+++ b/internal/mesh/control/disk.go
@@ -2,7 +2,6 @@
 
 // diskState is how the disk of this server takes writes.
 type diskState struct {
-	since   float64
 	failing bool
 	why     string
 }
@@ -11,7 +10,7 @@
 // for the disk is sent, so no promise can be kept: orders and claims are refused at once, and this server changes no view. It goes
 // on telling what is in force, which it learns from the others.
 func (s *Server) DiskState(now float64, failing bool, why string) {
-	s.disk = diskState{since: now, failing: failing, why: why}
+	s.disk = diskState{failing: failing, why: why}
 	if failing {
 		s.registers.Abort(now)
 	}
--- a/internal/mesh/register/registers.go
+++ b/internal/mesh/register/registers.go
@@ -158,9 +158,12 @@
 // Home is the order of the servers for a key's claims: the first is its home, the others follow where that one is silent.
 func Home(key string, servers []string) []string { return rendezvous.Order(key, servers) }
 
+// home is the member that a key's claims go to first.
+func (l *Registers) home(key string) string { return Home(key, l.view.Addresses())[0] }
+
 // isHome says whether this server is the home of a key in this epoch. A joint view has no homes: nobody goes the short way in it.
 func (l *Registers) isHome(key string) bool {
-	return !l.view.Joint() && Home(key, l.view.Addresses())[0] == l.self.Address
+	return !l.view.Joint() && l.home(key) == l.self.Address
 }
 
 // promised is what this server has promised for a key in this epoch, at least the first ballot to its home. Who holds a value of an
@@ -177,7 +180,7 @@
 		return first
 	}
 	if !l.view.Joint() {
-		home := Home(key, l.view.Addresses())[0]
+		home := l.home(key)
 		first.Node = uint32(slices.IndexFunc(l.view.Members, func(m view.Member) bool { return m.Address == home }) + 1)
 	}
 	return first
--- a/internal/mesh/register/sync.go
+++ b/internal/mesh/register/sync.go
@@ -17,9 +17,6 @@
 // pageBytes bounds one page.
 const pageBytes = 256 << 10
 
-// Position is that of the last change of this life.
-func (l *Registers) Position() uint64 { return l.position }
-
 // Page gives the entries that changed after a position, oldest first; last says that these are all.
 func (l *Registers) Page(after uint64) (page []*meshpb.Entry, position uint64, last bool) {
 	type changed struct {
--- a/internal/mesh/view/view.go
+++ b/internal/mesh/view/view.go
@@ -98,6 +98,9 @@
 // Addresses are those of all members, each once: a disk that is replaced has the address of the one before.
 func (v View) Addresses() []string { return addresses(v.All()) }
 
+// OldAddresses are those of the members before the change.
+func (v View) OldAddresses() []string { return addresses(v.Members) }
+
 // Staying are the addresses of the members that belong to every set: who coordinates, and whom proxies ask.
 func (v View) Staying() []string {
 	if !v.Joint() {
