One splitmix64 for the mesh: package random, in place of two copies

Cause: the control server drew its numbers by a copy of what the sidecar had. The decision module keeps its own: it imports nothing of the mesh.

--- a/internal/mesh/control/membership.go
+++ b/internal/mesh/control/membership.go
@@ -242,7 +242,7 @@
 		members = append(members, founder)
 	}
 	s.configuration.confirmed = true
-	s.adopt(now, view.Founding(s.draw()|1, members))
+	s.adopt(now, view.Founding(s.random.Next()|1, members))
 	s.tellAll(s.view())
 }
 
--- a/internal/mesh/control/server.go
+++ b/internal/mesh/control/server.go
@@ -12,6 +12,7 @@
 	"slices"
 
 	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/random"
 	"beechwing/internal/mesh/register"
 	"beechwing/internal/mesh/store"
 	"beechwing/internal/mesh/transport"
@@ -43,7 +44,7 @@
 type Server struct {
 	o         Options
 	began     float64
-	random    uint64
+	random    random.Source
 	self      view.Member
 	registers *register.Registers
 	out       register.Effects
@@ -65,7 +66,7 @@
 	if o.Log == nil {
 		o.Log = func(string, ...any) {}
 	}
-	s := &Server{o: o, began: now, random: o.Random, lastID: uint64(o.Life) << 32, synced: map[uint64]func(float64){}}
+	s := &Server{o: o, began: now, random: random.Source(o.Random), lastID: uint64(o.Life) << 32, synced: map[uint64]func(float64){}}
 	s.self = view.Member{Address: o.Self, Incarnation: number(values[nameIdentity])}
 	if s.self.Incarnation == 0 {
 		s.drawIncarnation()
@@ -91,19 +92,10 @@
 
 // drawIncarnation makes this disk another one for the others.
 func (s *Server) drawIncarnation() {
-	s.self.Incarnation = s.draw()>>(64-incarnationBits) | 1
+	s.self.Incarnation = s.random.Next()>>(64-incarnationBits) | 1
 	s.put(nameIdentity, word(s.self.Incarnation))
 }
 
-// draw gives the next of the numbers that Options.Random begins (splitmix64).
-func (s *Server) draw() uint64 {
-	s.random += 0x9e3779b97f4a7c15
-	x := s.random
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 func number(text []byte) uint64 {
 	if len(text) != 8 {
 		return 0
--- a/internal/mesh/sidecar/calls.go
+++ b/internal/mesh/sidecar/calls.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/random"
 )
 
 // Why a message was dropped. They are the labels of a metric.
@@ -27,8 +28,8 @@
 // identify draws this process's life and where its ids begin, so that neither is a former process's of the
 // same address. The upper half of all ids stays free: they do not wrap.
 func (p *Sidecar) identify() {
-	p.life = mix(p.o.Seed^lifeSalt) | 1
-	p.lastID = mix(p.o.Seed^firstIDSalt) >> 1
+	p.life = random.Mix(p.o.Seed^lifeSalt) | 1
+	p.lastID = random.Mix(p.o.Seed^firstIDSalt) >> 1
 }
 
 // id numbers a message, or something else of which an end comes back.
--- a/internal/mesh/sidecar/dispatch.go
+++ b/internal/mesh/sidecar/dispatch.go
@@ -15,6 +15,7 @@
 	"beechwing/internal/mesh/transport"
 
 	"beechwing/internal/mesh/outcome"
+	"beechwing/internal/mesh/random"
 	"beechwing/internal/mesh/register"
 	"beechwing/internal/mesh/routeconfig"
 )
@@ -156,7 +157,7 @@
 func (c class) number() uint32 {
 	h := uint64(c.effect)
 	for _, x := range [...]uint64{math.Float64bits(c.aim), math.Float64bits(c.deadline), uint64(c.precedence)} {
-		h = mix(h ^ x)
+		h = random.Mix(h ^ x)
 	}
 	return uint32(h)
 }
--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -13,6 +13,7 @@
 	"beechwing/internal/mesh/meshpb"
 	"beechwing/internal/mesh/transport"
 
+	"beechwing/internal/mesh/random"
 	"beechwing/internal/mesh/retrybudget"
 	"beechwing/internal/mesh/routeconfig"
 )
@@ -67,7 +68,7 @@
 type Sidecar struct {
 	o     Options
 	now   float64
-	rng   uint64
+	rng   random.Source
 	table *routeconfig.Table
 	out   Effects
 	local []func() // what actions of the module gave rise to; it may not be called from within one
@@ -96,7 +97,7 @@
 	if o.Log == nil {
 		o.Log = func(string, ...any) {}
 	}
-	p := &Sidecar{o: o, now: now, rng: o.Seed, services: map[string]*service{}, orders: map[uint64]*Order{}, tries: map[uint64]*try{},
+	p := &Sidecar{o: o, now: now, rng: random.Source(o.Seed), services: map[string]*service{}, orders: map[uint64]*Order{}, tries: map[uint64]*try{},
 		budget: retrybudget.New(o.Ratio, o.Slack), peers: map[string]*peer{},
 		count: Counts{Answers: map[int]uint64{}, Tries: map[string]uint64{}, Turned: map[string]uint64{}, Dropped: map[string]uint64{}}}
 	p.pauses.inputAt = now
@@ -124,17 +125,7 @@
 }
 
 // random gives the next of the numbers that the seed begins.
-func (p *Sidecar) random() uint64 {
-	p.rng += 0x9e3779b97f4a7c15
-	return mix(p.rng)
-}
-
-// mix spreads the bits of a number over all of them (splitmix64).
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
+func (p *Sidecar) random() uint64 { return p.rng.Next() }
 
 // send has a parcel go out; what is for this process itself comes back at once.
 func (p *Sidecar) send(to string, parcel *meshpb.Message) {
