Simulation: a replaced machine and a lost disk are each one call

The same three and four lines stood nine times in the tests of the control side; World.Replace and World.LoseDisk serve them.

--- a/internal/mesh/simulation/control_test.go
+++ b/internal/mesh/simulation/control_test.go
@@ -227,14 +227,9 @@
 		w.After(5, w.Servers[0].Start)
 		w.Run(20)
 		lost := w.Servers[1]
-		lost.PowerOff()
-		lost.Wipe()
-		w.Run(0.5)
-		lost.Start()
+		w.LoseDisk(lost, 0.5)
 		w.Run(catchUp)
-		w.Remove(w.Servers[2])
-		w.Run(1)
-		w.Add()
+		w.Replace(w.Servers[2])
 		w.Run(catchUp)
 		if n := len(w.Members()); n != 3 {
 			t.Errorf("%s: %d members", x.name, n)
@@ -314,9 +309,7 @@
 			old.Term()
 			w.Run(catchUp - 1)
 		} else {
-			w.Remove(old)
-			w.Run(1)
-			w.Add()
+			w.Replace(old)
 			w.Run(catchUp)
 		}
 		w.Configure(int(seed)%n, 7, nil)
@@ -336,15 +329,10 @@
 		n := 3 + int(seed%3)
 		w := cluster(t, seed, n)
 		h := w.Servers[seed%3]
-		h.PowerOff()
-		h.Wipe()
-		w.Run(0.5)
-		h.Start()
+		w.LoseDisk(h, 0.5)
 		w.Run(catchUp)
 		epochs := []uint64{w.Members()[0].server.State(w.Now).Epoch}
-		w.Remove(w.Servers[(seed+1)%3])
-		w.Run(1)
-		w.Add()
+		w.Replace(w.Servers[(seed+1)%3])
 		w.Run(catchUp)
 		epochs = append(epochs, w.Members()[0].server.State(w.Now).Epoch)
 		if epochs[0] != 3 || epochs[1] != 5 {
@@ -375,9 +363,7 @@
 				old.Term()
 				w.Run(0.5)
 			} else {
-				w.Remove(old)
-				w.Run(1)
-				w.Add()
+				w.Replace(old)
 				w.Run(0.5)
 			}
 			w.Run(catchUp)
@@ -427,14 +413,9 @@
 		w.Run(moment)
 		switch way {
 		case "newcomer lost":
-			w.Remove(newcomer)
-			w.Run(1)
-			w.Add()
+			w.Replace(newcomer)
 		case "newcomer wiped":
-			newcomer.PowerOff()
-			newcomer.Wipe()
-			w.Run(0.3)
-			newcomer.Start()
+			w.LoseDisk(newcomer, 0.3)
 		case "two at once":
 			w.Add()
 		case "power", "core killed":
@@ -477,10 +458,7 @@
 		}
 		w.Run(12)
 		h := w.Servers[seed%3]
-		h.PowerOff()
-		h.Wipe()
-		w.Run(0.4)
-		h.Start()
+		w.LoseDisk(h, 0.4)
 		if h.Voting() {
 			t.Errorf("%s: it votes at once", name)
 		}
--- a/internal/mesh/simulation/world.go
+++ b/internal/mesh/simulation/world.go
@@ -154,6 +154,21 @@
 	h.gone = true
 }
 
+// Replace takes a machine away for good; a second later another one comes at an address of its own.
+func (w *World) Replace(h *ControlServer) {
+	w.Remove(h)
+	w.Run(1)
+	w.Add()
+}
+
+// LoseDisk takes a machine's power and its disk's content; so many seconds later it is back with an empty disk.
+func (w *World) LoseDisk(h *ControlServer, down float64) {
+	h.PowerOff()
+	h.Wipe()
+	w.Run(down)
+	h.Start()
+}
+
 // Members are the servers that vote, and are up.
 func (w *World) Members() (all []*ControlServer) {
 	for _, h := range w.Servers {
