Control: held pulls are looked through once for a digest, not for each record of it

Cause: a digest of all records, sent every few seconds and asked for after a start, had every held pull compared with all records once for each record that was newer; the digest does so once more at its end. Change: learn wakes pulls for what a proxy says itself; a digest's own look serves its records. Join no longer says that the system starts for the first time, which nobody read; two tests that sent it send the message without. Result: tests of control, capacity and the simulation's cases on drains, forgetting, recovery, contact and ejection pass.

--- a/internal/mesh/control/contact.go
+++ b/internal/mesh/control/contact.go
@@ -15,7 +15,7 @@
 
 const (
 	contactFor = 0.9 // seconds for which an acknowledged digest shows that a member is in reach
-	// SendsKept are the digests whose times are remembered: more than go out in contactFor.
+	// sendsKept are the digests whose times are remembered: more than go out in contactFor.
 	sendsKept = 128
 )
 
--- a/internal/mesh/control/membership.go
+++ b/internal/mesh/control/membership.go
@@ -248,7 +248,7 @@
 
 // askToJoin goes to the members that are known, and to the seeds where none are. The disk has this server's identity by then.
 func (s *Server) askToJoin() {
-	j := &meshpb.Join{CaughtUp: s.catchup.caughtUp, SyncedEpoch: s.catchup.syncedEpoch, First: s.o.First}
+	j := &meshpb.Join{CaughtUp: s.catchup.caughtUp, SyncedEpoch: s.catchup.syncedEpoch}
 	to := slices.Clone(s.view().Addresses())
 	for _, seed := range s.o.Seeds {
 		if !slices.Contains(to, seed) && (len(to) == 0 || !s.answered(s.view().Addresses())) {
--- a/internal/mesh/control/membership_test.go
+++ b/internal/mesh/control/membership_test.go
@@ -14,7 +14,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.Heard(1, "s1", &meshpb.Message{Incarnation: 7, Join: &meshpb.Join{First: true}})
+	s.Heard(1, "s1", &meshpb.Message{Incarnation: 7, Join: &meshpb.Join{}})
 	for now := 1.0; now < 1+foundAfter+foundQuiet; now += 0.02 {
 		s.Tick(now)
 	}
--- a/internal/mesh/control/propagation.go
+++ b/internal/mesh/control/propagation.go
@@ -62,10 +62,11 @@
 	}
 	p.records[r.Source], p.changed = r, true
 	s.rememberSource(now, r)
-	if tell {
-		p.news = append(p.news, r)
-		p.digestAt = 0
+	if !tell { // another server's digest says so: what it brings is looked through as a whole
+		return
 	}
+	p.news = append(p.news, r)
+	p.digestAt = 0
 	s.wake(now)
 }
 
--- a/internal/mesh/simulation/fuzz_test.go
+++ b/internal/mesh/simulation/fuzz_test.go
@@ -172,7 +172,7 @@
 		}
 		if seed%3 > 0 { // else it is alone, and knows no view
 			for _, other := range seeds[1:] {
-				s.Heard(now, other, &meshpb.Message{Incarnation: 1, Join: &meshpb.Join{First: true}})
+				s.Heard(now, other, &meshpb.Message{Incarnation: 1, Join: &meshpb.Join{}})
 			}
 		}
 		for range 200 {
