--- a/cmd/beechwing-control/calls.go
+++ b/cmd/beechwing-control/calls.go
@@ -168,6 +168,10 @@
 	page.Gauge("beechwing_control_disk_waiting", float64(disk.Values), "what", "values")
 	page.Gauge("beechwing_control_disk_waiting", float64(disk.Messages), "what", "messages")
 	page.Count("beechwing_control_disk_dropped_messages_total", disk.Dropped)
+	for _, t := range p.work.Totals() {
+		page.Count("beechwing_control_work_total", t.Count, "kind", string(t.Kind))
+		page.Gauge("beechwing_control_work_seconds_total", t.Seconds, "kind", string(t.Kind))
+	}
 	page.Gauge("beechwing_control_roll", float64(len(s.Roll)))
 	page.Gauge("beechwing_control_silent", float64(len(s.SilentProxies)))
 }
--- a/cmd/beechwing-control/run.go
+++ b/cmd/beechwing-control/run.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"beechwing/internal/mesh/meshpb"
 	"beechwing/internal/mesh/transport"
 
 	"beechwing/internal/mesh/bootstrap"
@@ -19,6 +20,7 @@
 	"beechwing/internal/mesh/control"
 	"beechwing/internal/mesh/routeconfig/validate"
 	"beechwing/internal/mesh/store"
+	"beechwing/internal/mesh/workload"
 )
 
 const (
@@ -41,13 +43,15 @@
 	server *control.Server
 
 	writer *store.Writer[transport.Send]
+	work   *workload.Meter
+	load   loadReport
 
 	validatorMu sync.Mutex
 	validator   *validate.Validator
 }
 
 func run(ctx context.Context, d *bootstrap.Settings, says cli.Options, log *slog.Logger) error {
-	p := &program{log: log, clock: cli.NewClock(), settings: d}
+	p := &program{log: log, clock: cli.NewClock(), settings: d, work: workload.NewMeter()}
 	if d.DataDir == "" {
 		return errors.New("settings: dataDir: is missing, and the control plane keeps its promises on disk")
 	}
@@ -98,8 +102,9 @@
 	for {
 		select {
 		case <-tick.C:
-			p.with(func(now float64) { p.server.Tick(now) })
+			p.timed(workTick, func(now float64) { p.server.Tick(now) })
 			p.writer.Tick()
+			p.reportLoad()
 		case <-ctx.Done():
 			log.Info("ending")
 			p.leave(tick.C)
@@ -167,6 +172,7 @@
 
 func (p *program) event(e transport.Event) {
 	if came, ok := e.(transport.Came); ok {
-		p.with(func(now float64) { p.server.Heard(now, came.From, came.Message) })
+		kind := workload.Kind(meshpb.Kind(came.Message))
+		p.timed(kind, func(now float64) { p.server.Heard(now, came.From, came.Message) })
 	}
 }
--- a/internal/mesh/control/state.go
+++ b/internal/mesh/control/state.go
@@ -91,6 +91,12 @@
 	return state
 }
 
+// Counts are what has been counted since the process started.
+func (s *Server) Counts() Counts { return s.count }
+
+// Size is the number of registers held, and of changes under way.
+func (s *Server) Size() (registers, changes int) { return s.registers.Size() }
+
 // Redirect is the server to ask in place of one that is no member: a member that answered lately; empty: none did.
 func (s *Server) Redirect(now float64) string {
 	for _, address := range s.view().Staying() {
