Control: a joint view is proposed once its new majority has acknowledged that it is wanted

Cause: the coordinator took a member for reachable for 0.9 s after its last word. A joint view chosen just after one of its new members and its joiner were lost has no quorum, and can neither be completed nor abandoned: the open point of docs/control.md. Change: once a change is wanted, members have to acknowledge a digest that is sent after that.

--- a/internal/mesh/control/contact.go
+++ b/internal/mesh/control/contact.go
@@ -72,6 +72,12 @@
 	return p != nil && p.member == m && p.ackedAt > 0 && now < p.ackedAt+contactFor
 }
 
+// acknowledgedSince says whether a member acknowledged a digest that was sent at a time or later.
+func (c *contact) acknowledgedSince(m view.Member, at float64) bool {
+	p := c.peers[m.Address]
+	return p != nil && p.member == m && p.ackedAt >= at
+}
+
 // lastContact is when a quorum was in reach, as far as is known.
 func (s *Server) lastContact() (at float64) {
 	if !s.isMember() {
--- a/internal/mesh/control/membership.go
+++ b/internal/mesh/control/membership.go
@@ -49,6 +49,7 @@
 	founders  map[string]view.Member
 	foundAt   float64 // when the last founder came
 	changing  bool    // a change of the view is being proposed
+	wantedAt  float64 // since when this server wants to begin a change; 0: it does not
 	leaving   bool    // this server is about to end
 	settled   bool    // the epoch is older than keys are kept
 	foreign   bool    // a disk of another mesh: it takes no part here
@@ -319,11 +320,31 @@
 	if m.changing || m.leaving || !s.canPromise(now) || !s.coordinates(now) || now < s.began+coordinateIn {
 		return
 	}
-	if next, change := s.nextView(now); change {
+	next, change := s.nextView(now)
+	switch {
+	case !change:
+		m.wantedAt = 0
+	case !next.Joint() || s.confirmed(now, next):
+		m.wantedAt = 0
 		s.changeView(now, next)
 	}
 }
 
+// confirmed says whether a majority of the new members, the joiner not counted, has acknowledged a digest that was sent since the change is
+// wanted. A member that is only known to have been in reach lately may be gone, and a joint view that was chosen without its new
+// majority can neither be completed nor abandoned.
+func (s *Server) confirmed(now float64, joint view.View) bool {
+	m := &s.membership
+	if m.wantedAt == 0 {
+		m.wantedAt, s.propagation.digestAt = now, 0
+		return false
+	}
+	joiner, _ := joint.Joiner()
+	return joint.NewQuorum(func(member view.Member) bool {
+		return member == s.self || member != joiner && s.contact.acknowledgedSince(member, m.wantedAt)
+	})
+}
+
 // nextView says which view is to follow, if any.
 func (s *Server) nextView(now float64) (next view.View, change bool) {
 	v := s.view()
