Registers and gates: what is sent stays in proportion to what is answered

Cause: work that was begun anew because answers were late. A ballot without a quorum after 0.25 s was prepared again under a higher number, at all members, and what had been done for it was thrown away; a gate asked the next server after 0.12 s, whose ballot outbid the first; ends of runs were told again each 0.25 s; each request that found no quorum brought an end (void) of its own. Once answers took longer than 0.25 s nothing got through, and it went on when the cause had gone. Change: a ballot is only followed by a newer one where it was refused, after pauses that double; who is silent is sent the same message again, and acceptors answer that again. Prepares go to a quorum first. A server with many late changes begins no claims and says that it touched nothing, so that no end has to be told. A joiner writes what is new only.

--- a/cmd/beechwing-control/calls.go
+++ b/cmd/beechwing-control/calls.go
@@ -142,6 +142,7 @@
 	page.Count("beechwing_control_claims_granted_total", s.Counts.Granted)
 	page.Count("beechwing_control_settles_total", s.Counts.Settles)
 	page.Count("beechwing_control_unsure_total", s.Counts.Unsure)
+	page.Count("beechwing_control_untouched_total", s.Counts.Untouched)
 	page.Count("beechwing_control_pulls_total", s.Counts.Pulls)
 	page.Count("beechwing_control_view_changes_total", s.Counts.ViewChanges)
 	for end, n := range s.Counts.Orders {
--- a/internal/mesh/control/server.go
+++ b/internal/mesh/control/server.go
@@ -212,7 +212,7 @@
 func (s *Server) heardClaim(now float64, from string, m *meshpb.Message) {
 	answer := s.claimAnswer(from, m, m.Claim.Token, true)
 	if !s.canPromise(now) { // nothing can be bound from here: the asker goes elsewhere at once
-		answer(register.Unsure, nil)
+		answer(register.Unavailable, nil)
 		return
 	}
 	s.count.Claims++
@@ -232,6 +232,9 @@
 	return func(state register.State, held *meshpb.Receipt) {
 		c := &meshpb.Claimed{State: state, Token: token}
 		switch {
+		case state == register.Unavailable, state == register.Overloaded:
+			c.State, c.Untouched, c.Overloaded = register.Unsure, true, state == register.Overloaded
+			s.count.Untouched++
 		case state == register.Unsure:
 			s.count.Unsure++
 		case withReceipt && state == register.Claimed:
--- a/internal/mesh/control/state.go
+++ b/internal/mesh/control/state.go
@@ -15,7 +15,8 @@
 	Claims      uint64            `json:"claims"`
 	Granted     uint64            `json:"granted"`
 	Settles     uint64            `json:"settles"`
-	Unsure      uint64            `json:"unsure"` // claims and ends of runs for which no quorum was found
+	Unsure      uint64            `json:"unsure"`    // claims and ends of runs for which no quorum was found
+	Untouched   uint64            `json:"untouched"` // claims for which nothing was begun: no contact, no disk, or too much under way
 	Pulls       uint64            `json:"pulls"`
 	Orders      map[string]uint64 `json:"orders"` // by their end
 	ViewChanges uint64            `json:"viewChanges"`
--- a/internal/mesh/register/acceptor.go
+++ b/internal/mesh/register/acceptor.go
@@ -32,6 +32,10 @@
 	if !l.voting || b.Epoch != l.view.Epoch {
 		return
 	}
+	if e := l.entries[p.Key]; e != nil && e.promised == b { // the same message again: its answer may be lost
+		l.promise(from, id, e)
+		return
+	}
 	if b.compare(l.promised(p.Key)) <= 0 {
 		l.out.Sends = append(l.out.Sends, transport.Send{To: from.Address, Message: &meshpb.Message{Id: id,
 			Promise: &meshpb.Promise{Promised: l.promised(p.Key).Wire()}}})
@@ -44,15 +48,20 @@
 	}
 	e.promised, e.chosen = b, false
 	l.keep(p.Key, e)
-	l.out.After = append(l.out.After, transport.Send{To: from.Address, Message: &meshpb.Message{Id: id,
-		Promise: &meshpb.Promise{Yes: true, Promised: p.Ballot, Accepted: e.accepted.Wire(), Value: e.value}}})
+	l.promise(from, id, e)
+}
+
+// promise tells what a register has promised and accepted, once the disk has it.
+func (l *Registers) promise(to view.Member, id uint64, e *entry) {
+	l.out.After = append(l.out.After, transport.Send{To: to.Address, Message: &meshpb.Message{Id: id,
+		Promise: &meshpb.Promise{Yes: true, Promised: e.promised.Wire(), Accepted: e.accepted.Wire(), Value: e.value}}})
 }
 
 func (l *Registers) heardAccept(now float64, from view.Member, id uint64, a *meshpb.Accept) {
 	if !l.voting || FromWire(a.Ballot).Epoch != l.view.Epoch {
 		return
 	}
-	yes := l.accept(now, a)
+	yes := l.hasAccepted(a.Key, FromWire(a.Ballot)) || l.accept(now, a)
 	answer := &meshpb.Message{Id: id, Accepted: &meshpb.Accepted{Yes: yes, Promised: a.Ballot}}
 	if !yes {
 		answer.Accepted.Promised = l.promised(a.Key).Wire()
@@ -60,6 +69,13 @@
 	l.out.After = append(l.out.After, transport.Send{To: from.Address, Message: answer})
 }
 
+// hasAccepted says whether a value was accepted at a ballot, and nothing newer was promised since: the same message comes again, as no
+// ballot is ever used for two values.
+func (l *Registers) hasAccepted(key string, b Ballot) bool {
+	e := l.entries[key]
+	return e != nil && e.accepted == b && e.promised == b.next()
+}
+
 // accept takes a value where nothing newer was promised.
 func (l *Registers) accept(now float64, a *meshpb.Accept) bool {
 	b := FromWire(a.Ballot)
--- a/internal/mesh/register/operation.go
+++ b/internal/mesh/register/operation.go
@@ -27,17 +27,24 @@
 const (
 	mostVoided = 24 // tokens that a register remembers as voided
 	// A claim that nobody has settled for so long has lost its holder: the answer no longer says that it is at work.
-	holderGone = 5.0 // seconds
-	otherHolds = 100 // added to Claimed where it is somebody else's
+	holderGone  = 5.0 // seconds
+	otherHolds  = 100 // added to Claimed where it is somebody else's
+	nothingDone = 200 // added to Unsure where nothing was begun
 )
 
 // Busy is the state of a key that somebody else has claimed.
 const Busy = Claimed + otherHolds
 
+// Answers to what was not begun at all. They are not told as states.
+const (
+	Unavailable = Unsure + nothingDone + iota // nothing can be promised from here
+	Overloaded                                // too much is under way here, and gets no answers in time
+)
+
 // Claim binds a key to one run. The answer is told once: the state, and what is held. Claimed means that the asker holds it.
 func (l *Registers) Claim(now float64, c *meshpb.Claim, answer func(state State, held *meshpb.Receipt)) {
-	if !l.voting || len(l.work) >= mostWork {
-		answer(Unsure, nil)
+	if !l.voting {
+		answer(Unavailable, nil)
 		return
 	}
 	if e := l.entries[c.Key]; e != nil && e.value != nil { // what is known here to hold somebody else's needs no ballot
@@ -51,6 +58,10 @@
 		answer(Busy, nil)
 		return
 	}
+	if l.overloaded() {
+		answer(Overloaded, nil)
+		return
+	}
 	l.begin(now, &change{key: c.Key, answer: answer,
 		work: func(old *meshpb.Receipt) (*meshpb.Receipt, State) { return claim(c, old) }})
 }
--- a/internal/mesh/register/proposer.go
+++ b/internal/mesh/register/proposer.go
@@ -25,11 +25,12 @@
 	work     edit
 	answer   func(state State, held *meshpb.Receipt)
 	state    State
-	rejected Ballot
-	tries    int
-	rest     []string // addresses that were not sent the value yet
-	message  *meshpb.Message
-	sent     []string
+	rejected Ballot          // the newest ballot for whose sake a member refused this one
+	tries    int             // ballots that were prepared
+	message  *meshpb.Message // of the present phase
+	sent     []string        // addresses that it went to
+	rest     []string        // and those that it goes to if these are slow
+	resends  int             // of the message
 
 	linearizable bool // what is answered has to be made sure of, even where nothing changes
 }
@@ -78,9 +79,8 @@
 	c.votes, c.best, c.old, c.alike = map[view.Member]bool{}, Ballot{}, nil, map[view.Member]bool{}
 	c.tries++
 	m := &meshpb.Message{Id: c.id, Prepare: &meshpb.Prepare{Key: c.key, Ballot: c.ballot.Wire()}}
-	for _, address := range l.view.Addresses() {
-		l.out.Sends = append(l.out.Sends, transport.Send{To: address, Message: m})
-	}
+	l.out.Sends = append(l.out.Sends, transport.Send{To: l.self.Address, Message: m})
+	l.spread(now, c, m)
 }
 
 // propose has a changed value accepted. Where nothing changes, what is held is made sure of: it is accepted anew unless it is known
@@ -122,8 +122,8 @@
 	return c.best.Epoch == l.view.Epoch && l.view.Quorum(func(m view.Member) bool { return c.alike[m] })
 }
 
-// spread sends a value to as many others as make a quorum with this server, and keeps the rest in reserve: answers have bodies, and
-// every copy is bytes between zones and work on another's disk. Who did not answer lately comes last. All get what is permanent, as
+// spread sends the message of a phase to as many others as make a quorum with this server, and keeps the rest in reserve: answers have
+// bodies, and every copy is bytes between zones and work on another's disk. Who did not answer lately comes last. All get what is permanent, as
 // all need it, and in a joint view all get everything.
 func (l *Registers) spread(now float64, c *change, m *meshpb.Message) {
 	order := slices.DeleteFunc(Home(c.key, l.view.Addresses()), func(a string) bool { return a == l.self.Address })
@@ -132,9 +132,19 @@
 	if l.view.Joint() || permanent(c.key) {
 		first = len(order)
 	}
-	c.message, c.sent, c.rest = m, order[:first], order[first:]
-	for _, address := range c.sent {
-		l.out.After = append(l.out.After, transport.Send{To: address, Message: m})
+	c.message, c.sent, c.rest, c.resends = m, order[:first], order[first:], 0
+	l.deliver(c, c.sent)
+}
+
+// deliver sends the message of the present phase. A value goes once this disk has it.
+func (l *Registers) deliver(c *change, addresses []string) {
+	for _, address := range addresses {
+		send := transport.Send{To: address, Message: c.message}
+		if c.asking {
+			l.out.Sends = append(l.out.Sends, send)
+		} else {
+			l.out.After = append(l.out.After, send)
+		}
 	}
 }
 
@@ -149,17 +159,45 @@
 	return until
 }
 
-// widen sends a value to the rest.
+// widen sends the message to the rest.
 func (l *Registers) widen(now float64, c *change) {
 	for _, m := range l.view.All() {
 		if _, answered := c.votes[m]; !answered && slices.Contains(c.sent, m.Address) {
 			l.slowUntil[m] = now + slowFor
 		}
 	}
-	for _, address := range c.rest {
-		l.out.After = append(l.out.After, transport.Send{To: address, Message: c.message})
+	l.deliver(c, c.rest)
+	c.sent, c.rest = slices.Concat(c.sent, c.rest), nil
+}
+
+// advance does what is due for a change: a member that does not answer is sent the same message again, and a ballot that was refused is
+// followed by a newer one. Slow answers still count: a ballot that is only slow is never given up for another, as that would ask for
+// the same work once more where there is too much of it already. The pauses grow, as often as either happens.
+func (l *Registers) advance(now float64, c *change) {
+	switch {
+	case now > c.began+GiveUp:
+		l.end(now, c, Unsure, nil)
+	case len(c.rest) > 0 && now > c.tried+widenAfter:
+		l.widen(now, c)
+	case c.rejected.compare(c.ballot) >= 0 && now > c.tried+rivalPause*float64(uint(1)<<c.tries):
+		l.ask(now, c)
+	case now > c.tried+resendAfter*float64(uint(1)<<c.resends):
+		l.resend(now, c)
 	}
-	c.rest = nil
+}
+
+// resend sends the message again to those that have not answered: it was lost with a connection, or with a process.
+func (l *Registers) resend(now float64, c *change) {
+	c.resends++
+	silent := slices.DeleteFunc(slices.Clone(c.sent), func(address string) bool {
+		for _, m := range l.view.All() {
+			if _, answered := c.votes[m]; answered && m.Address == address {
+				return true
+			}
+		}
+		return false
+	})
+	l.deliver(c, silent)
 }
 
 func (l *Registers) end(now float64, c *change, state State, held *meshpb.Receipt) {
@@ -195,9 +233,7 @@
 		return
 	}
 	if !p.Yes {
-		if b := FromWire(p.Promised); b.compare(c.ballot) >= 0 && b.compare(c.rejected) > 0 {
-			c.rejected = b
-		}
+		l.heardNoPromise(now, from, c, FromWire(p.Promised))
 		return
 	}
 	if FromWire(p.Promised) != c.ballot || c.votes[from] {
@@ -215,6 +251,22 @@
 	}
 }
 
+// heardNoPromise takes word that a member has promised a newer ballot than the one that is being prepared.
+func (l *Registers) heardNoPromise(now float64, from view.Member, c *change, newer Ballot) {
+	if newer.compare(c.ballot) < 0 { // of an older ballot of this change
+		return
+	}
+	if newer.compare(c.rejected) > 0 {
+		c.rejected = newer
+	}
+	if !c.votes[from] {
+		c.votes[from] = false
+	}
+	if len(c.rest) > 0 {
+		l.widen(now, c)
+	}
+}
+
 func (l *Registers) heardAccepted(now float64, from view.Member, c *change, a *meshpb.Accepted) {
 	if c == nil || c.asking || !l.view.Has(from) {
 		return
--- a/internal/mesh/register/registers.go
+++ b/internal/mesh/register/registers.go
@@ -28,12 +28,15 @@
 )
 
 const (
-	widenAfter = 0.04 // seconds until the members in reserve are sent a value
-	slowFor    = 2.0  // seconds for which one that did not answer is kept in reserve
-	tryFor     = 0.25 // seconds until a ballot is begun anew
-	GiveUp     = 0.8  // seconds until a change is given up; no message of it is sent later
-	mostWork   = 4096 // changes under way; more are turned away
-	sweepEvery = 1.0  // seconds
+	widenAfter  = 0.04 // seconds until the members in reserve are asked
+	slowFor     = 2.0  // seconds for which one that did not answer is kept in reserve
+	resendAfter = 0.4  // seconds until who has not answered is sent a message again; twice as long after each time
+	rivalPause  = 0.03 // seconds, twice as long with each ballot, until one that was refused is followed by a newer one
+	GiveUp      = 0.8  // seconds until a change is given up; no message of it is sent later
+	mostWork    = 4096 // changes under way; more are turned away
+	lateAfter   = 0.2  // seconds under way after which a change is late: who asked for it has lost most of the time that it had
+	mostLate    = 32   // of them, beyond which no claim is begun until some have ended
+	sweepEvery  = 1.0  // seconds
 	// Ages are counted from when a server saw a value, and start anew with it, so they err to the side of keeping.
 	slack = 15.0
 )
@@ -80,6 +83,7 @@
 	lastID    uint64
 	out       Effects
 	sweepAt   float64
+	late      int // changes that were late at the last tick
 	slowUntil map[view.Member]float64
 }
 
@@ -194,17 +198,14 @@
 	return nil, Ballot{}
 }
 
-// Tick begins anew what got no quorum, gives up what took too long, and forgets what is older than the window.
+// Tick goes on with what got no quorum yet, gives up what took too long, and forgets what is older than the window.
 func (l *Registers) Tick(now float64) {
+	l.late = 0
 	for _, c := range l.ordered() {
-		switch {
-		case now > c.began+GiveUp:
-			l.end(now, c, Unsure, nil)
-		case !c.asking && len(c.rest) > 0 && now > c.tried+widenAfter:
-			l.widen(now, c)
-		case now > c.tried+tryFor, c.asking && c.rejected.compare(c.ballot) >= 0 && now > c.tried+tryFor/4:
-			l.ask(now, c)
+		if now > c.began+lateAfter {
+			l.late++
 		}
+		l.advance(now, c)
 	}
 	if now >= l.sweepAt {
 		l.sweepAt = now + sweepEvery
@@ -212,6 +213,9 @@
 	}
 }
 
+// overloaded says that changes get no answers in time: more of them would only make all of them later.
+func (l *Registers) overloaded() bool { return l.late > mostLate || len(l.work) >= mostWork }
+
 func (l *Registers) forget(now float64) {
 	for key, e := range l.entries {
 		if now > e.at+l.window && l.work[key] == nil && !permanent(key) {
--- a/internal/mesh/register/sync.go
+++ b/internal/mesh/register/sync.go
@@ -44,19 +44,28 @@
 // Merge takes a page of another server's. Of each register the newest accepted value holds.
 func (l *Registers) Merge(now float64, page []*meshpb.Entry) {
 	for _, w := range page {
-		e := l.entries[w.Key]
-		if e == nil {
-			e = &entry{at: now}
-			l.entries[w.Key] = e
-		}
-		if b := FromWire(w.Promised); b.compare(e.promised) > 0 {
-			e.promised, e.chosen = b, false
-		}
-		if b := FromWire(w.Accepted); b.compare(e.accepted) > 0 {
-			e.accepted, e.value, e.chosen = b, w.Value, false
-		}
-		l.keep(w.Key, e)
+		l.merge(now, w)
+	}
+}
+
+// merge takes one entry. What brings nothing new costs no write: the members tell mostly the same.
+func (l *Registers) merge(now float64, w *meshpb.Entry) {
+	promised, accepted := FromWire(w.Promised), FromWire(w.Accepted)
+	e := l.entries[w.Key]
+	switch {
+	case e == nil:
+		e = &entry{at: now}
+		l.entries[w.Key] = e
+	case promised.compare(e.promised) <= 0 && accepted.compare(e.accepted) <= 0:
+		return
+	}
+	if promised.compare(e.promised) > 0 {
+		e.promised, e.chosen = promised, false
+	}
+	if accepted.compare(e.accepted) > 0 {
+		e.accepted, e.value, e.chosen = accepted, w.Value, false
 	}
+	l.keep(w.Key, e)
 }
 
 func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/mesh/sidecar/admission.go
+++ b/internal/mesh/sidecar/admission.go
@@ -2,12 +2,9 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 
 	"beechwing/internal/mesh/meshpb"
-	"beechwing/internal/mesh/transport"
-
 	"beechwing/internal/mesh/outcome"
 	"beechwing/internal/mesh/register"
 )
@@ -28,14 +25,8 @@
 	lateShare     = 0.5      // of the berths: so many may wait that are late, until it is known how many get their turn
 	lateMost      = 0.5      // of the berths that are in use, beyond which those that are late get none
 	firstWait     = 0.8      // of a mean run, that a first try may wait
-	muteFor       = 1.5      // seconds for which a control process that did not answer is asked last
-	claimAsk      = 0.12     // seconds until the next control process is asked for a claim
-	claimMost     = 0.36     // and until it is given up: nothing has been sent then
-	settleAsk     = 0.25     // seconds until the end of a run is told again
-	settleTries   = 6
-	mostSettles   = 4096
-	hostSlack     = 0.15 // seconds beyond its deadline in which a host still gives its own answer
-	drainAfter    = 1.0  // seconds after word of a drain in which what waited here may still go to the host
+	hostSlack     = 0.15     // seconds beyond its deadline in which a host still gives its own answer
+	drainAfter    = 1.0      // seconds after word of a drain in which what waited here may still go to the host
 )
 
 // gate is the last before the host: all requests to it pass here, so here it is sure which life of a host has the address,
@@ -44,11 +35,9 @@
 	p        *Sidecar
 	jobs     map[uint64]*job
 	arrivals arrivals
-	claims   map[uint64]*job
-	settles  map[uint64]*settling
-	mute     map[string]float64 // control processes that did not answer, until when they are asked last
-	queue    []*job             // waiting for a berth, each still in time for its aim
-	late     lane               // the others: they go when nobody else waits
+	keys     keys
+	queue    []*job // waiting for a berth, each still in time for its aim
+	late     lane   // the others: they go when nobody else waits
 	running  int
 	serving  bool
 	work     float64            // mean seconds that the host takes
@@ -68,34 +57,19 @@
 	came    float64
 	until   float64
 	aim     float64 // by then its answer is worth most
-	claim   uint64  // the parcel in which its key was asked for last
-	servers []string
-	at      string // whom
-	asked   float64
-	began   float64 // its claim was first asked for
+	claim   claim
 	running bool    // it has a berth
 	late    bool    // it can no longer be answered within its aim
 	sent    float64 // when it went to the host
 	ended   bool
 }
 
-// settling is word on the end of a run, until a control process has taken it.
-type settling struct {
-	key     string
-	receipt *meshpb.Receipt
-	ifFree  bool
-	told    func(state uint32) // nil: nobody waits for it
-	servers []string
-	at      string // whom
-	asked   float64
-	tries   int
-}
-
 func (g *gate) begin(p *Sidecar) {
 	g.p, g.work = p, firstWork
-	g.took, g.bytes, g.mute = map[uint32]float64{}, map[uint32]float64{}, map[string]float64{}
+	g.took, g.bytes = map[uint32]float64{}, map[uint32]float64{}
 	g.arrivals = newArrivals()
-	g.jobs, g.claims, g.settles = map[uint64]*job{}, map[uint64]*job{}, map[uint64]*settling{}
+	g.jobs = map[uint64]*job{}
+	g.keys.init()
 }
 
 func (g *gate) berths() int {
@@ -164,7 +138,7 @@
 	p.inUse += len(c.Body)
 	g.jobs[j.id] = j
 	if c.Key != "" { // asked for while it waits: no berth is held for that
-		g.claim(j)
+		g.beginClaim(j)
 		return
 	}
 	g.enter(j)
@@ -327,12 +301,12 @@
 		delete(g.jobs, j.id)
 		g.p.inUse -= len(j.carry.Body)
 	}
-	delete(g.claims, j.claim)
+	g.keys.close(j)
 	if j.running {
 		j.running = false
 		g.running--
 	}
-	c.Claimed = j.began > 0
+	c.Claimed = j.claim.mayStand
 	g.p.answer(j.from, j.message, &meshpb.Message{Forwarded: c})
 	g.serve()
 }
@@ -381,178 +355,12 @@
 // mostKept bounds the body of an answer that a register keeps.
 const mostKept = 128 << 10
 
-// ---- keys
-
-// claim asks that a request's key be bound to its run here. Until that is granted nothing goes to the host.
-func (g *gate) claim(j *job) {
-	if j.began == 0 {
-		j.began = g.p.now
-	}
-	if len(j.servers) == 0 {
-		j.servers = g.homes(j.carry.Key)
-	}
-	mute := j.claim != 0 && !slices.ContainsFunc(j.servers, func(h string) bool { return g.p.now >= g.mute[h] })
-	if len(j.servers) == 0 || mute || g.p.now > j.began+claimMost || g.p.now >= j.until {
-		g.end(j, &meshpb.Forwarded{Verdict: uint32(outcome.Unclaimed)})
-		return
-	}
-	delete(g.claims, j.claim)
-	j.claim, j.asked = g.p.id(), g.p.now
-	g.claims[j.claim] = j
-	to := j.servers[0]
-	j.at = to
-	j.servers = j.servers[1:]
-	claim := &meshpb.Claim{Key: j.carry.Key, Token: j.carry.Token, Attempt: j.carry.Attempt, Gate: g.p.o.Self,
-		GateLife: g.p.life}
-	g.p.send(to, g.p.question(j.claim, &meshpb.Message{Claim: claim}))
-}
-
-// homes are the control processes in the order in which one asks them for a key. Those that did not answer lately come last.
-func (g *gate) homes(key string) []string {
-	all := register.Home(key, g.p.news.servers)
-	slices.SortStableFunc(all, func(a, b string) int {
-		return cmp.Compare(btoi(g.p.now < g.mute[a]), btoi(g.p.now < g.mute[b]))
-	})
-	return all
-}
-
-func btoi(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
-// muted notes that a control process did not answer, or could do nothing.
-func (g *gate) muted(hall string) {
-	if slices.Contains(g.p.news.servers, hall) {
-		g.mute[hall] = g.p.now + muteFor
-	}
-}
-
-// claimed takes a control process's answer to a claim or to word on the end of a run.
-func (g *gate) claimed(from string, m *meshpb.Message) {
-	s, j := g.settles[m.Id], g.claims[m.Id]
-	asked, token := "", m.Claimed.Token
-	switch {
-	case s != nil:
-		asked, token = s.at, s.receipt.Token
-	case j != nil:
-		asked, token = j.at, j.carry.Token
-	}
-	switch {
-	case !g.p.accepts(from, m, asked):
-	case m.Claimed.Token != token:
-		g.p.drop(from, m, dropToken)
-	case s != nil:
-		g.settled(m.Id, s, m.Claimed.State)
-	default:
-		delete(g.claims, m.Id)
-		g.granted(j, m.Claimed)
-	}
-}
-
-// settled ends the telling of how a run ended. Of what no majority was found for it goes on.
-func (g *gate) settled(id uint64, s *settling, state uint32) {
-	if state == register.Unsure {
-		return
-	}
-	delete(g.settles, id)
-	if s.told != nil {
-		s.told(state)
-	}
-}
-
-// granted takes what became of a claim.
-func (g *gate) granted(j *job, c *meshpb.Claimed) {
-	switch c.State {
-	case register.Claimed:
-		if g.p.now >= j.until {
-			g.end(j, &meshpb.Forwarded{Verdict: uint32(outcome.Expired)})
-			return
-		}
-		if own := g.p.news.own; own.Station != j.carry.Station || own.Condition == Gone { // meanwhile
-			g.end(j, &meshpb.Forwarded{Verdict: uint32(outcome.Unclaimed), Why: "the host has gone"})
-			return
-		}
-		g.enter(j)
-	case register.Busy:
-		g.end(j, &meshpb.Forwarded{Verdict: uint32(outcome.Busy)})
-	case register.Done:
-		g.end(j, &meshpb.Forwarded{Verdict: uint32(outcome.Kept), Status: c.Receipt.GetStatus(), Fields: c.Receipt.GetFields(),
-			Body: c.Receipt.GetBody()})
-	case register.Lost:
-		g.end(j, &meshpb.Forwarded{Verdict: uint32(outcome.Lost)})
-	case register.Unsure:
-		g.muted(j.at)
-		g.claim(j)
-	default:
-		g.end(j, &meshpb.Forwarded{Verdict: uint32(outcome.Unclaimed), Why: "its claim was given back"})
-	}
-}
-
-// settle tells how a run ended, until a control process has taken it.
-func (g *gate) settle(key string, r *meshpb.Receipt) {
-	if len(g.settles) >= mostSettles {
-		return // its key stays claimed, and ends as lost
-	}
-	g.tellEnd(&settling{key: key, receipt: r})
-}
-
-// voidIfFree keeps claims of a token out, and tells whether that was in time.
-func (g *gate) voidIfFree(key string, token uint64, told func(state uint32)) {
-	if len(g.settles) < mostSettles {
-		g.tellEnd(&settling{key: key, receipt: &meshpb.Receipt{Token: token, State: register.Void}, ifFree: true, told: told})
-	}
-}
-
-func (g *gate) tellEnd(s *settling) {
-	if len(s.servers) == 0 {
-		s.servers = g.homes(s.key)
-	}
-	if s.tries++; len(s.servers) == 0 || s.tries > settleTries {
-		return
-	}
-	id := g.p.id()
-	s.asked = g.p.now
-	g.settles[id] = s
-	s.at = s.servers[0]
-	s.servers = s.servers[1:]
-	settle := &meshpb.Settle{Key: s.key, Receipt: s.receipt, IfFree: s.ifFree}
-	g.p.send(s.at, g.p.question(id, &meshpb.Message{Settle: settle}))
-}
-
-// broke goes on to the next control process with what the one that is gone had in hand.
-func (g *gate) broke(b transport.Broke) {
-	for _, id := range b.Unsent {
-		if j := g.claims[id]; j != nil && j.at == b.Peer {
-			g.muted(j.at)
-			g.claim(j)
-		}
-		if s := g.settles[id]; s != nil && s.at == b.Peer {
-			delete(g.settles, id)
-			g.tellEnd(s)
-		}
-	}
-}
-
 func (g *gate) tick() {
 	if g.p.now < g.tickedAt+0.02 {
 		return
 	}
 	g.tickedAt = g.p.now
-	for _, id := range slices.Sorted(maps.Keys(g.claims)) {
-		if j := g.claims[id]; j != nil && (g.p.now > j.asked+claimAsk || g.p.now >= j.until) {
-			g.muted(j.at)
-			g.claim(j)
-		}
-	}
-	for _, id := range slices.Sorted(maps.Keys(g.settles)) {
-		if s := g.settles[id]; g.p.now > s.asked+settleAsk {
-			delete(g.settles, id)
-			g.tellEnd(s)
-		}
-	}
+	g.tickKeys()
 	for len(g.queue) > 0 {
 		late := slices.IndexFunc(g.queue, func(j *job) bool { return j.until <= g.p.now })
 		if late < 0 {
--- a/internal/mesh/sidecar/dispatch.go
+++ b/internal/mesh/sidecar/dispatch.go
@@ -479,7 +479,7 @@
 	case outcome.HostTurned:
 		p.ended(t, balancer.TurnedAway, nil, why)
 	case outcome.Unclaimed:
-		if p.now > p.news.heardAt+coreGone || t.number > 0 { // nobody reaches the control plane: nothing to try elsewhere
+		if p.now > p.news.heardAt+coreGone || t.number > 0 || c.BackMs > 0 { // another gate reaches no more of the control plane
 			p.ended(t, balancer.Moot, nil, why)
 		} else {
 			p.ended(t, balancer.TurnedAway, nil, why)
--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -127,6 +127,9 @@
 // random gives the next of the numbers that the seed begins.
 func (p *Sidecar) random() uint64 { return p.rng.Next() }
 
+// draw is a random number in [0, 1).
+func (p *Sidecar) draw() float64 { return float64(p.random()>>11) / (1 << 53) }
+
 // send has a parcel go out; what is for this process itself comes back at once.
 func (p *Sidecar) send(to string, parcel *meshpb.Message) {
 	if to == p.o.Self {
@@ -211,7 +214,7 @@
 // Idle says whether nothing is under way here. Word on the end of a run is, until it has been taken: lost with this process,
 // it would leave a key that has run without its answer.
 func (p *Sidecar) Idle() bool {
-	return len(p.orders) == 0 && len(p.gate.jobs) == 0 && len(p.gate.settles) == 0
+	return len(p.orders) == 0 && len(p.gate.jobs) == 0 && len(p.gate.keys.settles) == 0
 }
 
 // Limits are those of the configuration in force; nil: none is.
