Registers: pages by the order of changes; admission by the share of late changes

Cause: a page looked through and sorted all registers of a member, so catching up cost their square, and what it took was taken from requests: up to 318 ms a second in sync_request, single pages 142 and 221 ms. Change: registers keep the order in which they changed; a page walks it from where the last one ended, and is 64 KB at most. Who does not answer is asked again after pauses that double. No claim is begun while a quarter of the changes under way are late, no end of a run while three quarters are; repeated ends are throttled as claims are, and one that is told again before it was taken is one change. Tests for each part beside it.

--- a/internal/mesh/control/catchup.go
+++ b/internal/mesh/control/catchup.go
@@ -13,7 +13,8 @@
 // older ballot any more, so whatever was chosen before is among what they told. Only then it votes.
 
 const (
-	pageAgain   = 0.4 // seconds without an answer until a member is asked again
+	pageAgain   = 0.4 // seconds without an answer until a member is asked again, twice as long after each time
+	pageMost    = 1   // times that this grows
 	pageGiveUp  = 1.0 // and until another one is asked in its place
 	syncWithin  = 1.5 // and until what was put is put again, as a disk that fails may have dropped the word on it
 	followEvery = 0.3 // seconds between questions for what has changed, once all has been read
@@ -26,6 +27,7 @@
 	askedAt  float64
 	heardAt  float64
 	asking   bool
+	again    int    // how often the open question was put again
 	id       uint64 // of the question that is open; it is the same where that is asked again
 	complete bool   // all was read once in this life of the member
 	epoch    uint64 // the member's when all that it had was read last
@@ -75,7 +77,7 @@
 func (s *Server) askAgainAt(from *source) float64 {
 	switch {
 	case from.asking:
-		return from.askedAt + pageAgain
+		return from.askedAt + pageAgain*float64(uint(1)<<min(from.again, pageMost))
 	case from.complete && from.epoch == s.view().Epoch:
 		return from.askedAt + followEvery
 	}
@@ -89,7 +91,9 @@
 	}
 	if from.id == 0 {
 		s.lastID++
-		from.id = s.lastID
+		from.id, from.again = s.lastID, 0
+	} else {
+		from.again++
 	}
 	from.askedAt, from.asking = now, true
 	s.send(address, &meshpb.Message{Id: from.id, SyncRequest: &meshpb.SyncRequest{SourceLife: from.life, Position: from.position}})
--- a/internal/mesh/register/acceptor.go
+++ b/internal/mesh/register/acceptor.go
@@ -96,6 +96,7 @@
 func (l *Registers) keep(key string, e *entry) {
 	l.position++
 	e.position = l.position
+	l.order.add(l.position, key)
 	text, err := proto.Marshal(wireEntry(key, e))
 	if err != nil {
 		return // a value that came over the wire can be written again
@@ -120,6 +121,7 @@
 		l.position++
 		l.entries[w.Key] = &entry{promised: FromWire(w.Promised), accepted: FromWire(w.Accepted), value: w.Value, at: now,
 			position: l.position}
+		l.order.add(l.position, w.Key)
 	}
 	return nil
 }
--- a/internal/mesh/register/operation.go
+++ b/internal/mesh/register/operation.go
@@ -58,7 +58,7 @@
 		answer(Busy, nil)
 		return
 	}
-	if l.overloaded() {
+	if l.overloaded(lateShare) {
 		answer(Overloaded, nil)
 		return
 	}
@@ -115,14 +115,39 @@
 // whether the request may still run.
 func (l *Registers) Settle(now float64, key string, r *meshpb.Receipt, ifFree bool,
 	answer func(state State, held *meshpb.Receipt)) {
-	if !l.voting || len(l.work) >= mostWork || !isEnd(r) {
+	if !l.voting || l.overloaded(endsShare) || !isEnd(r) {
 		answer(Unsure, nil)
 		return
 	}
-	l.begin(now, &change{key: key, answer: answer, linearizable: true, // an end that a retry finds may stand on one disk only
+	end := &settlement{r.Token, r.State, ifFree}
+	if c := l.sameEnd(key, end); c != nil { // told again before it was taken
+		c.answer = answer
+		return
+	}
+	l.begin(now, &change{key: key, answer: answer, end: end, linearizable: true, // an end that a retry finds may stand on one disk only
 		work: func(old *meshpb.Receipt) (*meshpb.Receipt, State) { return settle(old, r, ifFree) }})
 }
 
+// settlement is which end of which run a change records.
+type settlement struct {
+	token  uint64
+	state  State
+	ifFree bool
+}
+
+// sameEnd is a change that is under way, or waits, for the same end.
+func (l *Registers) sameEnd(key string, end *settlement) *change {
+	if c := l.work[key]; c != nil && c.end != nil && *c.end == *end {
+		return c
+	}
+	for _, c := range l.waiting[key] {
+		if c.end != nil && *c.end == *end {
+			return c
+		}
+	}
+	return nil
+}
+
 // isEnd reports whether a receipt is the end of a run: a garbled message, or a foreign one, may hold none.
 func isEnd(r *meshpb.Receipt) bool {
 	switch r.GetState() {
--- a/internal/mesh/register/proposer.go
+++ b/internal/mesh/register/proposer.go
@@ -32,7 +32,8 @@
 	rest     []string        // and those that it goes to if these are slow
 	resends  int             // of the message
 
-	linearizable bool // what is answered has to be made sure of, even where nothing changes
+	end          *settlement // nil: it records no end of a run
+	linearizable bool        // what is answered has to be made sure of, even where nothing changes
 }
 
 // edit says what a register is to hold, by what it holds: the new value and the state to answer with. A nil value leaves it.
--- a/internal/mesh/register/registers.go
+++ b/internal/mesh/register/registers.go
@@ -34,8 +34,10 @@
 	rivalPause  = 0.03 // seconds, twice as long with each ballot, until one that was refused is followed by a newer one
 	GiveUp      = 0.8  // seconds until a change is given up; no message of it is sent later
 	mostWork    = 4096 // changes under way; more are turned away
-	lateAfter   = 0.2  // seconds under way after which a change is late: who asked for it has lost most of the time that it had
-	mostLate    = 32   // of them, beyond which no claim is begun until some have ended
+	lateAfter   = 0.12 // seconds under way after which a change is late: who asked for it asks elsewhere soon, or gives up
+	lateShare   = 0.25 // of the changes under way: with more of them late no claim is begun
+	endsShare   = 0.75 // and no end of a run is recorded
+	fewLate     = 8    // late changes that say nothing yet: their keys may be fought over, or a member may have gone
 	sweepEvery  = 1.0  // seconds
 	// Ages are counted from when a server saw a value, and start anew with it, so they err to the side of keeping.
 	slack = 15.0
@@ -77,6 +79,7 @@
 
 	entries   map[string]*entry
 	position  uint64
+	order     changeOrder
 	work      map[string]*change
 	byID      map[uint64]*change
 	waiting   map[string][]*change
@@ -130,6 +133,7 @@
 	}
 	l.self, l.voting, l.node = self, false, 0
 	clear(l.entries)
+	l.order = changeOrder{}
 	l.Abort(now)
 }
 
@@ -210,11 +214,14 @@
 	if now >= l.sweepAt {
 		l.sweepAt = now + sweepEvery
 		l.forget(now)
+		l.order.compact(l.entries)
 	}
 }
 
-// overloaded says that changes get no answers in time: more of them would only make all of them later.
-func (l *Registers) overloaded() bool { return l.late > mostLate || len(l.work) >= mostWork }
+// overloaded says that more than a share of the changes get no answers in time: more of them would only make all of them later.
+func (l *Registers) overloaded(share float64) bool {
+	return len(l.work) >= mostWork || l.late > fewLate && float64(l.late) > share*float64(len(l.work))
+}
 
 func (l *Registers) forget(now float64) {
 	for key, e := range l.entries {
--- a/internal/mesh/register/slow_test.go
+++ b/internal/mesh/register/slow_test.go
@@ -142,3 +142,133 @@
 		t.Errorf("%d writes for %d registers", puts, registers)
 	}
 }
+
+// stuck is a server that has so many changes under way for so many seconds, and no answer to any.
+func stuck(changes int, seconds float64) *slowNet {
+	c := newSlowNet(4, 10)
+	for i := range changes {
+		c.servers["m0"].Claim(c.now, &meshpb.Claim{Key: fmt.Sprint("stuck", i), Token: 1, Gate: "g"}, func(State, *meshpb.Receipt) {})
+	}
+	c.take("m0")
+	c.run(seconds)
+	return c
+}
+
+// A server whose changes get no answers begins no more claims and says so at once; of an end of a run it says that it knows nothing.
+// A few late changes say nothing, and once they are given up claims are begun again.
+func TestOverloadedServerBeginsNoClaims(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		changes int
+		seconds float64
+		want    State
+	}{
+		{"many, not late yet", 100, lateAfter / 2, Claimed},
+		{"many late", 100, 2 * lateAfter, Overloaded},
+		{"a few late", fewLate, 2 * lateAfter, Claimed},
+		{"many, given up", 100, GiveUp + 0.1, Claimed},
+	} {
+		c := stuck(test.changes, test.seconds)
+		got := Claimed // it is begun and has no answer yet
+		c.servers["m0"].Claim(c.now, &meshpb.Claim{Key: "new", Token: 2, Gate: "g"}, func(s State, _ *meshpb.Receipt) { got = s })
+		if got != test.want {
+			t.Errorf("%s: the answer to a claim is %v, want %v", test.name, got, test.want)
+		}
+	}
+}
+
+// The end of a run that is told again before it was taken is one change, answered to who told it last.
+func TestEndToldAgainIsOneChange(t *testing.T) {
+	c := newSlowNet(3, 0.05)
+	const key = "operation"
+	home := Home(key, c.names)[0]
+	c.servers[home].Claim(c.now, &meshpb.Claim{Key: key, Token: 7, Gate: "g"}, func(State, *meshpb.Receipt) {})
+	c.take(home)
+	c.run(0.3)
+	var answered []int
+	for i := range 4 {
+		end := &meshpb.Receipt{Token: 7, State: Done, Status: 200}
+		c.servers[home].Settle(c.now, key, end, false, func(State, *meshpb.Receipt) { answered = append(answered, i) })
+	}
+	if _, changes := c.servers[home].Size(); changes != 1 || len(c.servers[home].waiting[key]) != 0 {
+		t.Errorf("%d changes under way, %d wait", changes, len(c.servers[home].waiting[key]))
+	}
+	c.take(home)
+	c.run(0.3)
+	if !slices.Equal(answered, []int{3}) {
+		t.Errorf("answered: %v", answered)
+	}
+}
+
+// A message that comes again is answered as it was: its answer may be lost. Both by an acceptor that has been asked for nothing newer.
+func TestMessageAgainIsAnsweredAgain(t *testing.T) {
+	c := newSlowNet(3, 0)
+	b := Ballot{Epoch: 1, Round: 5, Node: 2, Life: 2}
+	prepare := &meshpb.Message{Id: 1, Prepare: &meshpb.Prepare{Key: "k", Ballot: b.Wire()}}
+	accept := &meshpb.Message{Id: 1, Accept: &meshpb.Accept{Key: "k", Ballot: b.Wire(), Value: &meshpb.Receipt{Token: 1, State: Claimed}}}
+	newer := &meshpb.Message{Id: 2, Prepare: &meshpb.Prepare{Key: "k", Ballot: Ballot{Epoch: 1, Round: 9, Node: 3, Life: 3}.Wire()}}
+	acceptor := c.servers["m0"]
+	answers := func(m *meshpb.Message) *meshpb.Message {
+		acceptor.Heard(1, view.Member{Address: "m1", Incarnation: 1}, m)
+		out := acceptor.Take()
+		return slices.Concat(out.Sends, out.After)[0].Message
+	}
+	for range 2 {
+		if m := answers(prepare); !m.Promise.Yes {
+			t.Error("a prepare is refused")
+		}
+	}
+	for range 2 {
+		if m := answers(accept); !m.Accepted.Yes {
+			t.Error("an accept is refused")
+		}
+	}
+	if m := answers(prepare); m.Promise.Yes {
+		t.Error("a ballot is promised again at which a value was accepted")
+	}
+	answers(newer)
+	if m := answers(accept); m.Accepted.Yes {
+		t.Error("an accept is taken again after a newer promise")
+	}
+}
+
+// Pages together give each register once, in the order of its last change, and cost what they give: what changed before is not looked at.
+func TestPagesFollowTheOrderOfChanges(t *testing.T) {
+	const registers, again = 2000, 100
+	c := newSlowNet(1, 0)
+	l := c.servers["m0"]
+	accept := func(i int, round uint32) {
+		l.accept(1, &meshpb.Accept{Key: fmt.Sprint("k", i), Ballot: Ballot{Epoch: 1, Round: round, Node: 1, Life: 1}.Wire(),
+			Value: &meshpb.Receipt{Token: uint64(i), State: Done, Body: make([]byte, 200)}})
+	}
+	for round := range uint32(5) { // most of the order counts no more
+		for i := range registers {
+			accept(i, 2+round)
+		}
+	}
+	seen := map[string]int{}
+	position, pages := uint64(0), 0
+	for last := false; !last; pages++ {
+		var page []*meshpb.Entry
+		page, position, last = l.Page(position)
+		for _, e := range page {
+			seen[e.Key]++
+		}
+	}
+	if len(seen) != registers || pages < 2 {
+		t.Errorf("%d registers in %d pages", len(seen), pages)
+	}
+	for i := range again {
+		accept(i, 20)
+	}
+	if page, _, last := l.Page(position); len(page) != again || !last {
+		t.Errorf("%d registers changed since, want %d; last %v", len(page), again, last)
+	}
+	if behind := len(l.order.after(position)); behind != again {
+		t.Errorf("%d places of the order are looked at for %d changes", behind, again)
+	}
+	l.Tick(100) // all have grown old
+	if page, _, _ := l.Page(0); len(page) != 0 || len(l.order.changes) > sparseOrder {
+		t.Errorf("%d registers are left, %d places in the order", len(page), len(l.order.changes))
+	}
+}
--- a/internal/mesh/register/sync.go
+++ b/internal/mesh/register/sync.go
@@ -1,6 +1,7 @@
 package register
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -14,25 +15,54 @@
 // not what has happened. Once it has read, from a quorum of the old members that go by the joint view, everything up to the moment
 // at which they took that view, it holds whatever was chosen before: none of them takes part in older ballots any more.
 
-// pageBytes bounds one page.
-const pageBytes = 256 << 10
+// pageBytes bounds one page: what a member has to do for one, and what waits behind it on its link, is no more than that.
+const pageBytes = 64 << 10
 
-// Page gives the entries that changed after a position, oldest first; last says that these are all.
-func (l *Registers) Page(after uint64) (page []*meshpb.Entry, position uint64, last bool) {
-	type changed struct {
-		key string
-		*entry
-	}
-	var all []changed
-	for key, e := range l.entries {
-		if e.position > after {
-			all = append(all, changed{key, e})
-		}
+// changeOrder has the keys of entries in the order in which they changed. A key that has changed again stands in it again.
+type changeOrder struct {
+	changes []keyChange
+}
+
+type keyChange struct {
+	position uint64
+	key      string
+}
+
+// sparseOrder is how many places the order has beyond twice the entries before those that count no more are taken out.
+const sparseOrder = 1024
+
+func (o *changeOrder) add(position uint64, key string) {
+	o.changes = append(o.changes, keyChange{position, key})
+}
+
+// after gives the changes behind a position.
+func (o *changeOrder) after(position uint64) []keyChange {
+	at, _ := slices.BinarySearchFunc(o.changes, position+1, func(c keyChange, p uint64) int { return cmp.Compare(c.position, p) })
+	return o.changes[at:]
+}
+
+// compact takes out what counts no more, once that is most of it: the cost is shared by as many changes.
+func (o *changeOrder) compact(entries map[string]*entry) {
+	if len(o.changes) <= 2*len(entries)+sparseOrder {
+		return
 	}
-	slices.SortFunc(all, func(a, b changed) int { return int(int64(a.position) - int64(b.position)) })
+	o.changes = slices.DeleteFunc(o.changes, func(c keyChange) bool { return !c.counts(entries) })
+}
+
+// counts says that the key has not changed since.
+func (c keyChange) counts(entries map[string]*entry) bool {
+	e := entries[c.key]
+	return e != nil && e.position == c.position
+}
+
+// Page gives the entries that changed after a position, oldest first; last says that these are all. It costs what it gives.
+func (l *Registers) Page(after uint64) (page []*meshpb.Entry, position uint64, last bool) {
 	size := 0
-	for _, c := range all {
-		w := wireEntry(c.key, c.entry)
+	for _, c := range l.order.after(after) {
+		if !c.counts(l.entries) {
+			continue
+		}
+		w := wireEntry(c.key, l.entries[c.key])
 		page = append(page, w)
 		if size += proto.Size(w); size > pageBytes {
 			return page, c.position, false
--- a/internal/mesh/sidecar/claims.go
+++ b/internal/mesh/sidecar/claims.go
@@ -70,6 +70,9 @@
 	tries   int
 }
 
+// urgent says that it is the first word on a run's answer, which repeats of the request wait for.
+func (s *settling) urgent() bool { return s.tries == 1 && s.receipt.State != register.Void }
+
 // againAt is when it is to be told again.
 func (s *settling) againAt() float64 { return s.asked + settleAsk*float64(uint(1)<<(s.tries-1)) }
 
@@ -261,6 +264,10 @@
 	id := g.p.id()
 	s.asked = g.p.now
 	g.keys.settles[id] = s
+	allowed := g.keys.throttle.Allow(g.p.now, g.p.draw())
+	if s.at = ""; !allowed && !s.urgent() { // it has its turn after the next pause
+		return
+	}
 	s.at = s.servers[0]
 	s.servers = s.servers[1:]
 	settle := &meshpb.Settle{Key: s.key, Receipt: s.receipt, IfFree: s.ifFree}
@@ -273,6 +280,7 @@
 		return
 	}
 	delete(g.keys.settles, id)
+	g.keys.throttle.Accepted(g.p.now)
 	if s.told != nil {
 		s.told(state)
 	}
--- /dev/null
+++ b/internal/mesh/sidecar/claims_test.go
@@ -0,0 +1,165 @@
+package sidecar
+
+import (
+	"fmt"
+	"testing"
+
+	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/outcome"
+	"beechwing/internal/mesh/register"
+)
+
+// claimants is a gate to which keyed requests come, and the control processes that it asks, which answer as the test says.
+type claimants struct {
+	*door
+	answer func(claim *meshpb.Claim) *meshpb.Claimed // nil: none
+	claims int                                       // sent
+	ends   []*meshpb.Forwarded
+	beats  uint64
+}
+
+func openClaimants(t *testing.T) *claimants {
+	c := &claimants{door: openDoor(t)}
+	c.p.news.servers = []string{"s1", "s2", "s3", "s4"}
+	return c
+}
+
+// run has so many requests a second come for some seconds.
+func (c *claimants) run(rate, seconds float64) {
+	const tick = 0.01
+	due, beats := 0.0, c.now
+	for until := c.now + seconds; c.now < until; c.now += tick {
+		if c.now >= beats {
+			beats += 1.5
+			c.beats++
+			c.p.Beat(c.now, Station{ID: "i-1", Carrier: "shop", Berths: 4, Sequence: 1 + c.beats})
+		}
+		for due += rate * tick; due >= 1; due-- {
+			c.next++
+			c.p.Message(c.now, "there", &meshpb.Message{Id: c.next, Life: 9, Forward: &meshpb.Forward{Station: "i-1", Token: c.next,
+				Key: fmt.Sprint("k", c.next), AimUs: 4e5, LeftUs: 1e6}})
+		}
+		c.p.Tick(c.now)
+		c.settleAll()
+	}
+}
+
+// settleAll carries claims and ends of runs with their answers, and has the host answer at once, until nothing is left to carry.
+func (c *claimants) settleAll() {
+	for {
+		out := c.p.Take()
+		if len(out.Sends) == 0 && len(out.Dos) == 0 {
+			return
+		}
+		for _, s := range out.Sends {
+			if f := s.Message.Forwarded; f != nil {
+				c.ends = append(c.ends, f)
+			}
+			if s.Message.Claim != nil {
+				c.claims++
+			}
+			token := s.Message.Claim.GetToken() | s.Message.Settle.GetReceipt().GetToken()
+			if answer := c.answer(s.Message.Claim); token > 0 && answer != nil {
+				answer.Token = token
+				c.p.Message(c.now, s.To, &meshpb.Message{Id: s.Message.Id, Life: s.Message.Life, Claimed: answer})
+			}
+		}
+		for _, do := range out.Dos {
+			if x, ok := do.(Exchange); ok {
+				c.p.Exchanged(c.now, x.Job, &meshpb.Forwarded{Verdict: uint32(outcome.Answered), Status: 200})
+			}
+		}
+	}
+}
+
+func granted(claim *meshpb.Claim) *meshpb.Claimed { return &meshpb.Claimed{State: register.Claimed} }
+func silent(*meshpb.Claim) *meshpb.Claimed        { return nil }
+func overloaded(*meshpb.Claim) *meshpb.Claimed {
+	return &meshpb.Claimed{State: register.Unsure, Untouched: true, Overloaded: true}
+}
+func notVoting(*meshpb.Claim) *meshpb.Claimed {
+	return &meshpb.Claimed{State: register.Unsure, Untouched: true}
+}
+
+// What a gate asks of a control plane that does not answer, or has no room, is less than a claim for each request; all of it is asked
+// again within seconds of its return.
+func TestClaimsFollowAnswers(t *testing.T) {
+	const rate = 40.0
+	for name, answer := range map[string]func(*meshpb.Claim) *meshpb.Claimed{"silent": silent, "overloaded": overloaded} {
+		c := openClaimants(t)
+		c.answer = granted
+		c.run(rate, 5)
+		if got := float64(c.claims); got > 5*rate*1.02 {
+			t.Errorf("%s: %.0f claims for %.0f requests before", name, got, 5*rate)
+		}
+		c.answer, c.claims = answer, 0
+		c.run(rate, 10)
+		if share := float64(c.claims) / (10 * rate); share > 0.5 {
+			t.Errorf("%s: %.2f claims a request", name, share)
+		}
+		c.answer = granted
+		c.run(rate, 4)
+		c.ends = nil
+		c.run(rate, 4)
+		served := 0
+		for _, end := range c.ends {
+			if end.Verdict == uint32(outcome.Answered) {
+				served++
+			}
+		}
+		if float64(served) < 0.9*4*rate {
+			t.Errorf("%s: %d of %.0f requests run from 4 s after its return on", name, served, 4*rate)
+		}
+	}
+}
+
+// A request whose claim no control process has begun gives no key back, as none can be bound; one whose claim may stand says so.
+func TestUntouchedClaimLeavesNothingBehind(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		answer   func(*meshpb.Claim) *meshpb.Claimed
+		mayStand bool
+	}{{"silent", silent, true}, {"overloaded", overloaded, false}, {"not voting", notVoting, false}} {
+		c := openClaimants(t)
+		c.answer = test.answer
+		c.run(20, 0.06)
+		c.run(0, 1)
+		if len(c.ends) == 0 {
+			t.Fatalf("%s: no request has ended", test.name)
+		}
+		for _, end := range c.ends {
+			if end.Verdict != uint32(outcome.Unclaimed) || end.Claimed != test.mayStand {
+				t.Errorf("%s: ends as %v, a claim may stand: %v", test.name, outcome.Outcome(end.Verdict), end.Claimed)
+			}
+		}
+	}
+}
+
+// A grant that comes after another control process was asked still counts.
+func TestLateGrantCounts(t *testing.T) {
+	c := openClaimants(t)
+	var first *meshpb.Message
+	c.next++
+	c.p.Message(c.now, "there", &meshpb.Message{Id: c.next, Life: 9, Forward: &meshpb.Forward{Station: "i-1", Token: 1, Key: "k",
+		AimUs: 4e5, LeftUs: 1e6}})
+	claims := 0
+	asked := ""
+	for until := c.now + 0.2; c.now < until; c.now += 0.01 {
+		c.p.Tick(c.now)
+		for _, s := range c.p.Take().Sends {
+			if s.Message.Claim == nil {
+				continue
+			}
+			if claims++; first == nil {
+				first, asked = s.Message, s.To
+			}
+		}
+	}
+	if claims != 2 {
+		t.Fatalf("%d control processes are asked within 0.2 s", claims)
+	}
+	c.p.Message(c.now, asked, &meshpb.Message{Id: first.Id, Life: first.Life, Claimed: &meshpb.Claimed{State: register.Claimed, Token: 1}})
+	if len(c.p.Take().Dos) != 1 {
+		t.Error("the request does not go to the host")
+	}
+}
--- a/internal/mesh/simulation/overload_test.go
+++ b/internal/mesh/simulation/overload_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"strconv"
 	"testing"
 )
 
@@ -47,7 +49,11 @@
 // served again within seconds, and the server that lost its disk is replaced by itself, within catchUpS.
 func TestPowerLossWithAnEmptyDiskUnderLoad(t *testing.T) {
 	t.Parallel()
-	for seed := range uint64(3) {
+	seeds := uint64(3)
+	if n, err := strconv.ParseUint(os.Getenv("SIMULATION_LOADED"), 10, 64); err == nil { // more, by hand
+		seeds = n
+	}
+	for seed := range seeds {
 		w := loaded(t, seed)
 		operate(w, loadedRate, loadedFirst+offFor+soon+8)
 		w.Run(loadedFirst)
@@ -85,5 +91,6 @@
 			t.Errorf("%s: 11 s after the start the server that lost its disk does not vote", name)
 		}
 		verdictOn(t, w, name, 0)
+		t.Logf("%s: %d of %.0f served; answers %v", name, served, 6*loadedRate, w.Checker.Statuses)
 	}
 }
