Invariants: checks that run in the control servers, are counted, and fail tests

Violations are logged, counted in state and metrics, and the server goes on. Simulation and both models fail on any.

--- a/cmd/beechwing-control/calls.go
+++ b/cmd/beechwing-control/calls.go
@@ -145,6 +145,9 @@
 	page.Count("beechwing_control_untouched_total", s.Counts.Untouched)
 	page.Count("beechwing_control_pulls_total", s.Counts.Pulls)
 	page.Count("beechwing_control_view_changes_total", s.Counts.ViewChanges)
+	for name, n := range s.Counts.Violations {
+		page.Count("beechwing_control_invariant_violations_total", n, "invariant", string(name))
+	}
 	for end, n := range s.Counts.Orders {
 		page.Count("beechwing_control_orders_total", n, "end", end)
 	}
--- a/internal/mesh/control/configuration.go
+++ b/internal/mesh/control/configuration.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"beechwing/internal/mesh/invariant"
 	"beechwing/internal/mesh/meshpb"
 	"beechwing/internal/mesh/register"
 	"beechwing/internal/mesh/view"
@@ -153,6 +154,7 @@
 			return
 		}
 		s.learnConfig(now, decodeConfig(body))
+		s.checks.Check(invariant.ConfirmedIsChosen, result != OrderTaken || s.configuration.chosenVersion() >= version, "version", version)
 		told(result)
 	})
 }
@@ -192,6 +194,7 @@
 	if chosen.GetVersion() <= c.chosenVersion() {
 		return
 	}
+	s.checks.Check(invariant.ConfigurationRises, chosen.GetVersion() > c.chosenVersion(), "from", c.chosenVersion(), "to", chosen.GetVersion())
 	c.setChosen(chosen)
 	c.known = max(c.known, chosen.Version)
 	s.putChosen()
--- a/internal/mesh/control/membership.go
+++ b/internal/mesh/control/membership.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"beechwing/internal/mesh/invariant"
 	"beechwing/internal/mesh/meshpb"
 	"beechwing/internal/mesh/register"
 	"beechwing/internal/mesh/rendezvous"
@@ -52,6 +53,7 @@
 	wantedAt  float64 // since when this server wants to begin a change; 0: it does not
 	leaving   bool    // this server is about to end
 	settled   bool    // the epoch is older than keys are kept
+	restoring bool    // the view is the one that this disk has
 	foreign   bool    // a disk of another mesh: it takes no part here
 	joinAt    float64
 	askAt     float64
@@ -78,7 +80,9 @@
 	}
 	s.catchup.syncedEpoch = number(values[nameSynced])
 	s.membership.settled = v.Epoch == 1 || number(values[nameSettled]) == v.Epoch
+	s.membership.restoring = true
 	s.takeView(now, v)
+	s.membership.restoring = false
 	return nil
 }
 
@@ -134,6 +138,8 @@
 	joiner, _ := s.view().Joiner()
 	member := slices.Contains(s.view().Members, s.self)
 	if member || joiner == s.self && s.catchup.syncedEpoch == s.view().Epoch {
+		synced := s.membership.restoring || s.view().Epoch == 1 || s.catchup.syncedEpoch+1 >= s.view().Epoch
+		s.checks.Check(invariant.JoinerHolds, synced, "epoch", s.view().Epoch, "synced", s.catchup.syncedEpoch)
 		s.registers.Vote()
 		s.o.Log("voting", "epoch", s.view().Epoch)
 	}
--- a/internal/mesh/control/model_cluster_test.go
+++ b/internal/mesh/control/model_cluster_test.go
@@ -137,7 +137,12 @@
 	}
 	server, err := New(c.now, Options{Self: m.address, Seeds: c.seeds, First: m.first && len(values) == 0,
 		Tolerance: c.tolerance, Window: modelWindow, Life: c.random.Uint32() | 1, Random: c.random.Uint64(),
-		Log: func(event string, args ...any) { c.trace("%.3f %s: %s %v", c.now, m.address, event, args) }}, values)
+		Log: func(event string, args ...any) {
+			c.trace("%.3f %s: %s %v", c.now, m.address, event, args)
+			if event == EventViolation {
+				c.orders.fail(invariantViolated, "by %s: %v", m.address, args)
+			}
+		}}, values)
 	if err != nil {
 		panic(err)
 	}
--- a/internal/mesh/control/model_orders_test.go
+++ b/internal/mesh/control/model_orders_test.go
@@ -12,6 +12,7 @@
 	refusedAfterwards   = "a text was refused after it was confirmed"
 	orderLost           = "a confirmed order is lost"
 	confirmedOutOfReach = "a server out of contact confirmed"
+	invariantViolated   = "an invariant is violated"
 	answeredTwice       = "an order was answered twice"
 	neverAnswered       = "an order was never answered"
 )
--- a/internal/mesh/control/server.go
+++ b/internal/mesh/control/server.go
@@ -11,6 +11,7 @@
 	"encoding/binary"
 	"slices"
 
+	"beechwing/internal/mesh/invariant"
 	"beechwing/internal/mesh/meshpb"
 	"beechwing/internal/mesh/random"
 	"beechwing/internal/mesh/register"
@@ -59,8 +60,12 @@
 	propagation   propagation
 	ejections     ejections
 	count         Counts
+	checks        invariant.Checks
 }
 
+// EventViolation is the event of a log line that tells of a violated invariant.
+const EventViolation = "invariant violated"
+
 // New makes a server from what its disk held.
 func New(now float64, o Options, values map[string][]byte) (*Server, error) {
 	if o.Log == nil {
@@ -71,7 +76,11 @@
 	if s.self.Incarnation == 0 {
 		s.drawIncarnation()
 	}
+	s.checks.Violated = func(name invariant.Name, args ...any) {
+		s.o.Log(EventViolation, append([]any{"invariant", string(name)}, args...)...)
+	}
 	s.registers = register.New(s.self, o.Life, o.Window)
+	s.registers.Checks = &s.checks
 	s.contact.init()
 	s.catchup.init()
 	s.propagation.init()
--- a/internal/mesh/control/state.go
+++ b/internal/mesh/control/state.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"beechwing/internal/mesh/invariant"
 	"beechwing/internal/mesh/meshpb"
 	"beechwing/internal/mesh/view"
 )
@@ -20,6 +21,8 @@
 	Pulls       uint64            `json:"pulls"`
 	Orders      map[string]uint64 `json:"orders"` // by their end
 	ViewChanges uint64            `json:"viewChanges"`
+
+	Violations map[invariant.Name]uint64 `json:"violations,omitempty"` // of invariants: none is ever due
 }
 
 func (c *Counts) order(r OrderResult) {
@@ -85,6 +88,7 @@
 		}
 	}
 	slices.SortFunc(state.Roll, func(a, b *meshpb.Record) int { return cmp.Compare(a.Source, b.Source) })
+	state.Counts.Violations = s.checks.Counts()
 	state.Counts.Orders = map[string]uint64{}
 	for end, n := range s.count.Orders {
 		state.Counts.Orders[end] = n
--- a/internal/mesh/register/acceptor.go
+++ b/internal/mesh/register/acceptor.go
@@ -3,6 +3,7 @@
 import (
 	"google.golang.org/protobuf/proto"
 
+	"beechwing/internal/mesh/invariant"
 	"beechwing/internal/mesh/meshpb"
 	"beechwing/internal/mesh/store"
 	"beechwing/internal/mesh/transport"
@@ -61,7 +62,7 @@
 	if !l.voting || FromWire(a.Ballot).Epoch != l.view.Epoch {
 		return
 	}
-	yes := l.hasAccepted(a.Key, FromWire(a.Ballot)) || l.accept(now, a)
+	yes := l.hasAccepted(a) || l.accept(now, a)
 	answer := &meshpb.Message{Id: id, Accepted: &meshpb.Accepted{Yes: yes, Promised: a.Ballot}}
 	if !yes {
 		answer.Accepted.Promised = l.promised(a.Key).Wire()
@@ -71,9 +72,13 @@
 
 // hasAccepted says whether a value was accepted at a ballot, and nothing newer was promised since: the same message comes again, as no
 // ballot is ever used for two values.
-func (l *Registers) hasAccepted(key string, b Ballot) bool {
-	e := l.entries[key]
-	return e != nil && e.accepted == b && e.promised == b.next()
+func (l *Registers) hasAccepted(a *meshpb.Accept) bool {
+	e, b := l.entries[a.Key], FromWire(a.Ballot)
+	if e == nil || e.accepted != b || e.promised != b.next() {
+		return false
+	}
+	l.Checks.Check(invariant.BallotUnique, proto.Equal(e.value, a.Value), "key", a.Key, "ballot", b)
+	return true
 }
 
 // accept takes a value where nothing newer was promised.
@@ -87,6 +92,7 @@
 		e = &entry{}
 		l.entries[a.Key] = e
 	}
+	l.Checks.Check(invariant.PromiseKept, b.compare(e.accepted) > 0, "key", a.Key, "ballot", b, "accepted", e.accepted)
 	e.promised, e.accepted, e.value, e.at, e.chosen = b.next(), b, a.Value, now, false
 	l.keep(a.Key, e)
 	return true
--- a/internal/mesh/register/model_cluster_test.go
+++ b/internal/mesh/register/model_cluster_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"beechwing/internal/mesh/invariant"
 	"beechwing/internal/mesh/meshpb"
 	"beechwing/internal/mesh/store"
 	"beechwing/internal/mesh/view"
@@ -153,6 +154,11 @@
 	}
 	s.synced = modelNumber(s.disk[modelSyncedName])
 	s.registers = New(s.self, s.life, modelWindow)
+	if c.fault == noFault { // a planted one is for the checker of histories to find
+		s.registers.Checks.Violated = func(name invariant.Name, args ...any) {
+			c.history.fail("invariant violated", "%s by %s: %v", name, s.address, args)
+		}
+	}
 	if err := s.registers.Restore(c.now, s.disk); err != nil {
 		panic(err)
 	}
--- a/internal/mesh/register/proposer.go
+++ b/internal/mesh/register/proposer.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"beechwing/internal/mesh/invariant"
 	"beechwing/internal/mesh/meshpb"
 	"beechwing/internal/mesh/transport"
 	"beechwing/internal/mesh/view"
@@ -70,6 +71,8 @@
 
 // ask prepares a ballot.
 func (l *Registers) ask(now float64, c *change) {
+	refused := c.rejected.compare(c.ballot) >= 0 || c.ballot.Epoch != l.view.Epoch
+	l.Checks.Check(invariant.BallotSuperseded, c.tries == 0 || refused, "key", c.key, "ballot", c.ballot)
 	round := max(l.promised(c.key).Round, 1)
 	for _, b := range []Ballot{c.ballot, c.rejected} {
 		if b.Epoch == l.view.Epoch {
--- a/internal/mesh/register/register_test.go
+++ b/internal/mesh/register/register_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"testing"
 
+	"beechwing/internal/mesh/invariant"
 	"beechwing/internal/mesh/meshpb"
 	"beechwing/internal/mesh/store"
 	"beechwing/internal/mesh/transport"
@@ -51,6 +52,7 @@
 
 func (b *bag) start(name string) {
 	l := New(b.member(name), b.rng.Uint32()|1, 60)
+	l.Checks.Violated = func(name invariant.Name, args ...any) { panic(fmt.Sprint("invariant violated: ", name, args)) }
 	l.SetView(b.now, b.view, b.now)
 	if err := l.Restore(b.now, b.disks[name]); err != nil {
 		panic(err)
--- a/internal/mesh/register/registers.go
+++ b/internal/mesh/register/registers.go
@@ -20,6 +20,7 @@
 	"slices"
 	"strings"
 
+	"beechwing/internal/mesh/invariant"
 	"beechwing/internal/mesh/meshpb"
 	"beechwing/internal/mesh/rendezvous"
 	"beechwing/internal/mesh/store"
@@ -69,6 +70,8 @@
 
 // Registers is one server's part in all registers. Its methods take the time in seconds on a clock that never jumps.
 type Registers struct {
+	Checks *invariant.Checks
+
 	self     view.Member
 	view     view.View
 	node     uint32 // this server's number in the view, from 1; 0: it is no member
@@ -93,7 +96,7 @@
 // New makes the registers of a server. window is for how long a key's answer is kept, in seconds; life is drawn anew for each start
 // of the process, and is not 0.
 func New(self view.Member, life uint32, window float64) *Registers {
-	return &Registers{self: self, life: life, window: window + slack, lastID: uint64(life) << 32, entries: map[string]*entry{},
+	return &Registers{Checks: &invariant.Checks{}, self: self, life: life, window: window + slack, lastID: uint64(life) << 32, entries: map[string]*entry{},
 		work: map[string]*change{}, byID: map[uint64]*change{}, waiting: map[string][]*change{},
 		slowUntil: map[view.Member]float64{}}
 }
--- a/internal/mesh/register/slow_test.go
+++ b/internal/mesh/register/slow_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"testing"
 
+	"beechwing/internal/mesh/invariant"
 	"beechwing/internal/mesh/meshpb"
 	"beechwing/internal/mesh/transport"
 	"beechwing/internal/mesh/view"
@@ -272,3 +273,22 @@
 		t.Errorf("%d registers are left, %d places in the order", len(page), len(l.order.changes))
 	}
 }
+
+// The checks find what they are for: a ballot that is begun anew for lateness alone, and two values under one ballot.
+func TestChecksFindViolations(t *testing.T) {
+	c := stuck(1, 0.1)
+	l := c.servers["m0"]
+	for _, under := range l.ordered() {
+		l.ask(c.now, under)
+		under.tries++
+		l.ask(c.now, under)
+	}
+	b := Ballot{Epoch: 1, Round: 9, Node: 2, Life: 2}.Wire()
+	for i := range uint64(2) {
+		l.heardAccept(c.now, view.Member{Address: "m1", Incarnation: 1}, 1, &meshpb.Accept{Key: "k", Ballot: b, Value: &meshpb.Receipt{Token: i + 1}})
+	}
+	got := l.Checks.Counts()
+	if got[invariant.BallotSuperseded] == 0 || got[invariant.BallotUnique] != 1 {
+		t.Errorf("found %v", got)
+	}
+}
--- a/internal/mesh/simulation/world.go
+++ b/internal/mesh/simulation/world.go
@@ -343,7 +343,12 @@
 	var err error
 	h.server, err = control.New(h.w.Now, control.Options{Self: h.addr, Seeds: h.seeds, First: h.w.first && len(values) == 0,
 		Tolerance: h.w.tolerance, Window: window, Life: h.w.Rand.Uint32() | 1, Random: h.w.Rand.Uint64(),
-		Log: func(event string, args ...any) { trace("%.3f %s %s %v", h.w.Now, h.addr, event, args) }}, values)
+		Log: func(event string, args ...any) {
+			trace("%.3f %s %s %v", h.w.Now, h.addr, event, args)
+			if event == control.EventViolation {
+				h.w.Checker.fail("INVARIANT", "%s: %v", h.addr, args)
+			}
+		}}, values)
 	if err != nil {
 		panic(err)
 	}
