Soak: real processes and sockets under overlapping troubles; large answers are not sent again at once

Hosts, clients, an operator who reads back and the processes' invariants judge. -share gives control processes a part of a processor.

--- a/cmd/beechwing-control/run.go
+++ b/cmd/beechwing-control/run.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -73,7 +74,7 @@
 		return err
 	}
 	p.mu.Lock()
-	if p.net, err = transport.Listen(d.Inner(), p.event); err != nil {
+	if p.net, err = transport.ListenAt(cmp.Or(says.ListenInner, d.Inner()), d.Inner(), p.event); err != nil {
 		p.mu.Unlock()
 		return err
 	}
--- a/cmd/beechwing-sidecar/run.go
+++ b/cmd/beechwing-sidecar/run.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -67,7 +68,7 @@
 	signal.Notify(reload, syscall.SIGHUP)
 	var err error
 	p.mu.Lock()
-	if p.net, err = transport.Listen(s.Inner(), p.event); err != nil {
+	if p.net, err = transport.ListenAt(cmp.Or(opts.ListenInner, s.Inner()), s.Inner(), p.event); err != nil {
 		p.mu.Unlock()
 		return err
 	}
--- a/examples/mesh/main.go
+++ b/examples/mesh/main.go
@@ -4,6 +4,7 @@
 //	go run ./examples/mesh              # builds the programs into target/ first
 //	go run ./examples/mesh -rate 400 -for 10s
 //	go run ./examples/mesh -added -work 1ms        # what the mesh adds to a call, from paired calls (added.go)
+//	go run ./examples/mesh -soak 20 -controls 4    # processes killed, stopped, cut off and wiped by lot (soak.go)
 //	go run ./examples/mesh -removal -proxies 24   # hosts fail and are taken out under traffic; their records judge (removal.go)
 package main
 
@@ -37,14 +38,17 @@
 )
 
 var (
-	controls = flag.Int("controls", 3, "control processes")
-	proxies  = flag.Int("proxies", 4, "proxies, each with a host")
-	rate     = flag.Int("rate", 200, "requests a second")
-	length   = flag.Duration("for", 3*time.Second, "how long clients ask")
-	work     = flag.Duration("work", 10*time.Millisecond, "how long a host works on a request")
-	level    = flag.String("log", "warn", "least level of the programs' logs")
-	removal  = flag.Bool("removal", false, "hosts fail, die and are taken out by hand under traffic")
-	profiles = flag.String("profiles", "", "folder for a CPU profile of each process")
+	controls  = flag.Int("controls", 3, "control processes")
+	proxies   = flag.Int("proxies", 4, "proxies, each with a host")
+	rate      = flag.Int("rate", 200, "requests a second")
+	length    = flag.Duration("for", 3*time.Second, "how long clients ask")
+	work      = flag.Duration("work", 10*time.Millisecond, "how long a host works on a request")
+	level     = flag.String("log", "warn", "least level of the programs' logs")
+	soaks     = flag.Int("soak", 0, "seeds of troubles by lot to play, one after the other, with hosts and clients that judge (soak.go)")
+	firstSeed = flag.Uint64("seed", 1, "the first of them")
+	share     = flag.Float64("share", 1, "of a processor's time that each control process has, with -soak")
+	removal   = flag.Bool("removal", false, "hosts fail, die and are taken out by hand under traffic")
+	profiles  = flag.String("profiles", "", "folder for a CPU profile of each process")
 )
 
 type process struct {
@@ -64,6 +68,9 @@
 	if out, err := exec.Command("go", "build", "-o", "target/", "./cmd/beechwing-sidecar", "./cmd/beechwing-control").CombinedOutput(); err != nil {
 		return fmt.Errorf("build: %w\n%s", err, out)
 	}
+	if *soaks > 0 {
+		return soakAll(*soaks)
+	}
 	dir, err := os.MkdirTemp("", "mesh")
 	if err != nil {
 		return err
@@ -133,29 +140,43 @@
 }
 
 func start(dir, program, ip, carrier string, seeds []string) (*process, error) {
-	quoted := make([]string, len(seeds))
-	for i, s := range seeds {
-		quoted[i] = strconv.Quote(s)
-	}
-	text := fmt.Sprintf("nodeName = %q\nstationRole = %q\nip = %q\nzone = \"a\"\nsparePorts = [%d,%d]\nseedDepots = [%s]\n"+
-		"firstStart = true\nbeatMs = 1500\ndataDir = %q\nappAddress = \"%s:%d\"\ncarrier = %q\nbounds = [\"passWindowS=60\",\"retryRatio=0.2\","+
-		"\"retrySlack=60\",\"graceS=6\"]\n[docking]\noutboundDock = \"%s:%d\"\nreadyDock = \"%s:%d\"\ncontrolDock = \"%s:%d\"\n"+
-		"[sizeLimits]\nmemoryMb = 256\n", program+"-"+ip, program, ip, inner, inner+15, strings.Join(quoted, ","),
-		filepath.Join(dir, "data-"+ip), ip, app, carrier, ip, outbound, ip, ready, ip, control)
-	path := filepath.Join(dir, ip+".toml")
-	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+	path, err := writeSettings(dir, program, ip, carrier, seeds, true)
+	if err != nil {
 		return nil, err
 	}
-	args := []string{"run", "--log", *level}
+	var args []string
 	if program == "beechwing-sidecar" && *removal {
 		args = append(args, "--agreed-ejection")
 	}
 	if *profiles != "" {
 		args = append(args, "--profile", filepath.Join(*profiles, program+"-"+ip+".pprof"))
 	}
-	cmd := exec.Command("target/"+program, args...)
-	cmd.Env = append(os.Environ(), "BEECHWING_SETTINGS="+path, "GOMAXPROCS=1")
-	cmd.Stderr = os.Stderr
+	return launch(program, ip, path, os.Stderr, args...)
+}
+
+// writeSettings writes the settings file of a process, and gives its path.
+func writeSettings(dir, program, ip, carrier string, seeds []string, first bool) (string, error) {
+	quoted := make([]string, len(seeds))
+	for i, s := range seeds {
+		quoted[i] = strconv.Quote(s)
+	}
+	text := fmt.Sprintf("nodeName = %q\nstationRole = %q\nip = %q\nzone = \"a\"\nsparePorts = [%d,%d]\nseedDepots = [%s]\n"+
+		"firstStart = %v\nbeatMs = 1500\ndataDir = %q\nappAddress = \"%s:%d\"\ncarrier = %q\nbounds = [\"passWindowS=60\",\"retryRatio=0.2\","+
+		"\"retrySlack=60\",\"graceS=6\"]\n[docking]\noutboundDock = \"%s:%d\"\nreadyDock = \"%s:%d\"\ncontrolDock = \"%s:%d\"\n"+
+		"[sizeLimits]\nmemoryMb = 256\n[tolerance]\nmachines = 1\n", program+"-"+ip, program, ip, inner, inner+15, strings.Join(quoted, ","),
+		first, dataDir(dir, ip), ip, app, carrier, ip, outbound, ip, ready, ip, control)
+	path := filepath.Join(dir, ip+".toml")
+	return path, os.WriteFile(path, []byte(text), 0o644)
+}
+
+// dataDir is the disk of a machine.
+func dataDir(dir, ip string) string { return filepath.Join(dir, "data-"+ip) }
+
+// launch starts a program on a settings file.
+func launch(program, ip, settings string, log io.Writer, args ...string) (*process, error) {
+	cmd := exec.Command("target/"+program, append([]string{"run", "--log", *level}, args...)...)
+	cmd.Env = append(os.Environ(), "BEECHWING_SETTINGS="+settings, "GOMAXPROCS=1")
+	cmd.Stderr = log
 	return &process{program, ip, cmd}, cmd.Start()
 }
 
@@ -193,7 +214,7 @@
 		fmt.Fprintf(w, "%s of %s answers %s, asked by %s\n", id, carrier, r.URL.Path, r.Header.Get("Beechwing-Sender-Carrier"))
 	}))
 	go func() {
-		for seq := 1; ; seq++ {
+		for seq := 1; !s.stopped.Load(); seq++ {
 			beat := fmt.Sprintf(`{"carrier":%q,"address":"%s:%d","zone":"a","edition":"v1","berths":16,"condition":"at_dock","sequence":%d}`,
 				carrier, ip, app, seq)
 			if put(fmt.Sprintf("http://%s:%d/-/stations/%s", ip, control, id), beat) == 200 {
@@ -208,12 +229,25 @@
 
 // configure is the operator: the configuration is sent until it is taken.
 func configure(seeds []string) error {
+	text, err := configText(1)
+	if err != nil {
+		return err
+	}
+	n := 0
+	return until(10*time.Second, func() bool {
+		n++
+		return put("http://"+seeds[n%len(seeds)]+"/-/timetable", text) == 200
+	})
+}
+
+// configText is the configuration of a version: a route for reads and one for operations, the same in each.
+func configText(version int) (string, error) {
 	var c struct {
 		Edition     string           `json:"edition"`
 		Itineraries []map[string]any `json:"itineraries"`
 		Carriers    []map[string]any `json:"carriers"`
 	}
-	c.Edition = "r1"
+	c.Edition = fmt.Sprintf("r%d", version)
 	for _, r := range []struct{ name, kind, carrier string }{{"read", "safe", "shop"}, {"pay", "tracked", "till"}} {
 		c.Itineraries = append(c.Itineraries, map[string]any{"name": r.name, "depot": "shop.example", "lanePrefix": "/" + r.name + "/",
 			"routeKind": r.kind, "timeoutMs": 1000, "targetMs": 200, "precedence": 1, "carrier": r.carrier, "tries": 2})
@@ -222,14 +256,7 @@
 		c.Carriers = append(c.Carriers, map[string]any{"name": name, "healthPath": "/health", "berthCap": 110})
 	}
 	text, err := json.Marshal(c)
-	if err != nil {
-		return err
-	}
-	n := 0
-	return until(10*time.Second, func() bool {
-		n++
-		return put("http://"+seeds[n%len(seeds)]+"/-/timetable", string(text)) == 200
-	})
+	return string(text), err
 }
 
 func until(most time.Duration, f func() bool) error {
--- a/examples/mesh/mesh_test.go
+++ b/examples/mesh/mesh_test.go
@@ -10,3 +10,14 @@
 		t.Fatal(err)
 	}
 }
+
+// Processes are killed, stopped, cut off and robbed of a disk by lot, two or three troubles at a time, under traffic: the hosts' records,
+// what is read back and the processes' own invariants judge. For hours: go run ./examples/mesh -soak 100 -controls 4 -seed 1000.
+func TestSoak(t *testing.T) {
+	t.Chdir("../..")
+	*soaks, *controls, *proxies, *rate = 1, 4, 6, 60
+	defer func() { *soaks = 0 }()
+	if err := run(); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/examples/mesh/removal.go
+++ b/examples/mesh/removal.go
@@ -18,6 +18,7 @@
 	ln          net.Listener
 	grey        atomic.Bool // most of its answers are lost after the run
 	total       atomic.Int64
+	stopped     atomic.Bool // it sends no more beats
 
 	mu   sync.Mutex
 	keys map[string]int
@@ -25,6 +26,12 @@
 
 var servers []*server
 
+// stop ends a host.
+func (s *server) stop() {
+	s.stopped.Store(true)
+	s.ln.Close()
+}
+
 // ran notes a run, and says whether its answer is to be lost.
 func (s *server) ran(key string) (lost bool) {
 	s.total.Add(1)
--- a/internal/mesh/cli/commands.go
+++ b/internal/mesh/cli/commands.go
@@ -33,6 +33,8 @@
 type Options struct {
 	Metrics int  // port of the metrics; 0: none
 	Agreed  bool // eject hosts for requests that must not run twice only by vote
+
+	ListenInner string // address to listen at for the other processes; empty: the one that they know
 }
 
 // Main runs a program's command line and returns the exit status: 0 success, 1 failure, 2 usage.
@@ -41,15 +43,16 @@
 	flags := ff.NewFlagSet("run")
 	level := flags.StringLong("log", "info", "least level of the log: debug, info, warn, error")
 	agreed := flags.BoolLong("agreed-ejection", "leave a host out for operations only where most proxies that met it agree that it fails (beechwing-sidecar)")
+	inner := flags.StringLong("listen-inner", "", "address to listen at for the other processes, where they reach this one through a relay at the one they know")
 	metrics := flags.IntLong("metrics", 0, "port of sparePorts at which figures are served as text; 0: none")
 	profile := flags.StringLong("profile", "", "file for a CPU profile of the whole run")
 	stateFlags := ff.NewFlagSet("state")
 	plain := stateFlags.BoolLong("json", "as JSON in place of a table")
 	root.Subcommands = []*ff.Command{
-		{Name: "run", Usage: p.Name + " run [--log LEVEL] [--agreed-ejection] [--metrics PORT] [--profile FILE]", Flags: flags,
+		{Name: "run", Usage: p.Name + " run [--log LEVEL] [--agreed-ejection] [--metrics PORT] [--listen-inner ADDRESS] [--profile FILE]", Flags: flags,
 			ShortHelp: "serve, by the settings file that " + bootstrap.Variable + " names",
 			Exec: func(ctx context.Context, _ []string) error {
-				return p.serve(ctx, *level, *profile, Options{*metrics, *agreed})
+				return p.serve(ctx, *level, *profile, Options{*metrics, *agreed, *inner})
 			}},
 		{Name: "check", Usage: p.Name + " check FILE ...", ShortHelp: "check settings (.toml) and configurations (.json)",
 			Exec: func(_ context.Context, args []string) error { return p.check(args) }},
--- a/internal/mesh/control/catchup_test.go
+++ b/internal/mesh/control/catchup_test.go
@@ -125,3 +125,36 @@
 		t.Fatal("does not vote by pages that it asked for")
 	}
 }
+
+// A server that knows nothing asks for everything with each digest, and for a newer configuration with each that tells of it. Neither is
+// sent again and again while it is on its way; one that has started again gets it at once.
+func TestLargeAnswersAreNotSentAgainAtOnce(t *testing.T) {
+	_, _, members := joinerAndMembers()
+	s := startScripted(t, members[0], onDisk(members[0], view.Founding(9, members)))
+	s.learn(1, &meshpb.Record{Source: "proxy", Version: 1}, false)
+	s.Take()
+	digest := func(now float64, life uint32, sequence uint64) (wholes, requests int) {
+		s.Heard(now, "s1", &meshpb.Message{Incarnation: 1, Epoch: 1, Digest: &meshpb.Digest{Life: life, Sequence: sequence, WantWhole: true,
+			Config: &meshpb.ConfigState{ChosenVersion: 7, ChosenHash: []byte("x")}}})
+		for _, send := range s.Take().Sends {
+			if send.Message.Digest.GetWhole() {
+				wholes++
+			}
+			if send.Message.ConfigRequest != nil {
+				requests++
+			}
+		}
+		return wholes, requests
+	}
+	wholes, requests := 0, 0
+	for i := range 50 { // three seconds
+		w, r := digest(1+0.06*float64(i), 8, uint64(i+1))
+		wholes, requests = wholes+w, requests+r
+	}
+	if wholes < 2 || wholes > 7 || requests < 2 || requests > 5 {
+		t.Errorf("in 3 s everything is sent %d times, the configuration asked for %d times", wholes, requests)
+	}
+	if w, _ := digest(4.01, 9, 1); w != 1 {
+		t.Errorf("to a new life of its process everything is sent %d times", w)
+	}
+}
--- a/internal/mesh/control/configuration.go
+++ b/internal/mesh/control/configuration.go
@@ -22,7 +22,8 @@
 	hashBytes      = 16
 	mostHistory    = 1024 // versions whose hashes are remembered; of older ones it is only known that they are older
 	resolveAfter   = 0.25 // seconds for which a value may stand that is not known to be chosen
-	fetchEvery     = 0.2  // seconds between questions for a configuration that another says is in force
+	fetchAgain     = 0.2  // seconds until a configuration that another says is in force is asked for again, twice as long after each time
+	fetchMost      = 4    // times that this grows: it is large, and sending it again delays what is on its way
 	mostOrdersOpen = 64
 )
 
@@ -54,6 +55,7 @@
 	resolving  bool
 	open       int // orders under way
 	fetchAt    float64
+	fetches    int // since one came
 }
 
 // chosenVersion is the newest version known to be in force; 0: none.
@@ -196,6 +198,7 @@
 	}
 	s.checks.Check(invariant.ConfigurationRises, chosen.GetVersion() > c.chosenVersion(), "from", c.chosenVersion(), "to", chosen.GetVersion())
 	c.setChosen(chosen)
+	c.fetches = 0
 	c.known = max(c.known, chosen.Version)
 	s.putChosen()
 	s.o.Log("in force", "edition", chosen.Version, "bytes", len(chosen.Text))
@@ -275,7 +278,8 @@
 		if held.GetVersion() == state.ChosenVersion && bytes.Equal(hashOf(held.Text), state.ChosenHash) {
 			s.learnConfig(now, held)
 		} else if now >= c.fetchAt {
-			c.fetchAt = now + fetchEvery
+			c.fetchAt = now + fetchAgain*float64(uint(1)<<min(c.fetches, fetchMost))
+			c.fetches++
 			s.send(from.Address, &meshpb.Message{ConfigRequest: &meshpb.ConfigRequest{After: c.chosenVersion()}})
 		}
 	}
--- a/internal/mesh/control/contact.go
+++ b/internal/mesh/control/contact.go
@@ -27,6 +27,7 @@
 	heardAt  float64
 	seenAt   float64 // when this server, or another that told so, last heard something new of it
 	ackedAt  float64 // when the newest digest of this server that it acknowledged was sent
+	wholeAt  float64 // when everything was sent to it last, because it asked
 	leaving  bool
 	config   *meshpb.ConfigState
 	echoed   map[string]uint64 // the newest digests of others that it told of
--- a/internal/mesh/control/propagation.go
+++ b/internal/mesh/control/propagation.go
@@ -15,6 +15,7 @@
 	digestSoon   = 0.06 // seconds between digests while no quorum is in reach
 	digestEvery  = 0.25 // and at least else
 	wholeEvery   = 3.0  // seconds between comparisons of everything with all other members
+	wholeAgain   = 0.5  // seconds until everything is sent again to one that asks for it: what was sent may be on its way
 	silentAfter  = 7.0  // seconds after which a proxy that nobody has heard of takes no requests
 	holdFor      = 0.7  // seconds after which a pull that lacks nothing is answered at the latest
 	informWithin = 0.6  // seconds in contact after which a server that just came tells what it knows, whatever that is
@@ -182,13 +183,23 @@
 	if d.Whole {
 		p.wantWhole, p.informed = false, true
 	}
-	if d.WantWhole && len(p.records) > 0 {
-		s.sendWhole(now, from.Address)
+	if d.WantWhole {
+		s.answerWantWhole(now, from.Address)
 	}
 	s.heardConfigState(now, from, d.Config)
 	s.wake(now)
 }
 
+// answerWantWhole sends everything to a member that knows nothing yet. It asks with each digest until something has come.
+func (s *Server) answerWantWhole(now float64, to string) {
+	known := s.contact.peers[to]
+	if known == nil || len(s.propagation.records) == 0 || known.wholeAt > 0 && now < known.wholeAt+wholeAgain {
+		return
+	}
+	known.wholeAt = now
+	s.sendWhole(now, to)
+}
+
 // tickPropagation tells the others what is new, and forgets whom nobody has heard of.
 func (s *Server) tickPropagation(now float64) {
 	p := &s.propagation
--- a/internal/mesh/transport/net.go
+++ b/internal/mesh/transport/net.go
@@ -151,8 +151,11 @@
 }
 
 // Listen takes the address at which this process is known to the others and tells what comes. tell must not wait.
-func Listen(self string, tell func(Event)) (*Net, error) {
-	ln, err := net.Listen("tcp", self)
+func Listen(self string, tell func(Event)) (*Net, error) { return ListenAt(self, self, tell) }
+
+// ListenAt is Listen for a process that the others reach through a relay: it listens at another address than they know.
+func ListenAt(address, self string, tell func(Event)) (*Net, error) {
+	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "inner address")
 	}
