--- a/internal/mesh/sidecar/claims.go
+++ b/internal/mesh/sidecar/claims.go
@@ -216,6 +216,9 @@
 func (g *gate) notGranted(q *claimQuestion, c *meshpb.Claimed) {
 	j := q.job
 	j.claim.mayStand = j.claim.mayStand || !c.Untouched
+	if !q.late { // it has been counted else
+		g.keys.throttle.Failed(g.p.now)
+	}
 	if c.Overloaded {
 		if len(j.claim.open) == 0 && !g.mayAskFurther() {
 			g.unclaimed(j, overloadBack)
@@ -258,6 +261,9 @@
 	if len(s.servers) == 0 {
 		s.servers = g.homes(s.key)
 	}
+	if s.at != "" {
+		g.keys.throttle.Failed(g.p.now)
+	}
 	if s.tries++; len(s.servers) == 0 || s.tries > settleTries {
 		return
 	}
@@ -313,6 +319,7 @@
 			g.unclaimed(q.job, 0)
 		case !q.late && g.p.now > q.asked+claimAsk:
 			q.late = true
+			g.keys.throttle.Failed(g.p.now)
 			g.muted(q.at)
 			if g.mayAskFurther() {
 				g.askNext(q.job)
--- a/internal/mesh/sidecar/claims_test.go
+++ b/internal/mesh/sidecar/claims_test.go
@@ -163,3 +163,15 @@
 		t.Error("the request does not go to the host")
 	}
 }
+
+// Requests that come all at once after a quiet time are all claimed: that no answer has come yet says nothing.
+func TestBurstIsClaimed(t *testing.T) {
+	c := openClaimants(t)
+	c.answer = silent // for as long as answers are on their way
+	c.run(0, 6)
+	const burst = 100
+	c.run(burst/0.02, 0.02)
+	if c.claims < burst*9/10 {
+		t.Errorf("%d claims for a burst of %d", c.claims, burst)
+	}
+}
--- a/internal/mesh/throttle/throttle.go
+++ b/internal/mesh/throttle/throttle.go
@@ -3,7 +3,8 @@
 // service recovers without being told of anybody.
 //
 // It is the method of Google's SRE book, "Handling Overload": of the requests of the last seconds, those beyond K times the accepted
-// ones are turned away with the probability (requests - K x accepts) / (requests + 1).
+// ones are turned away with the probability (requests - K x accepts) / (requests + 1). A request counts once it is known how it ended:
+// a burst to a service that is well is not turned away for want of answers that are on their way.
 package throttle
 
 import "math"
@@ -20,20 +21,30 @@
 	at                float64 // time to which they have faded
 }
 
-// Allow counts a request and says whether it may go out. draw is a random number in [0, 1).
+// Allow says whether a request may go out. draw is a random number in [0, 1).
 func (t *Throttle) Allow(now, draw float64) bool {
 	t.fade(now)
 	refused := (t.requests - multiplier*t.accepts - spare) / (t.requests + 1)
+	if draw >= refused {
+		return true
+	}
 	t.requests++
-	return draw >= refused
+	return false
 }
 
 // Accepted counts a request that was answered.
 func (t *Throttle) Accepted(now float64) {
 	t.fade(now)
+	t.requests++
 	t.accepts++
 }
 
+// Failed counts a request that was turned away, or has no answer in time.
+func (t *Throttle) Failed(now float64) {
+	t.fade(now)
+	t.requests++
+}
+
 func (t *Throttle) fade(now float64) {
 	if passed := now - t.at; passed > 0 {
 		kept := math.Exp(-passed / memory)
--- a/internal/mesh/throttle/throttle_test.go
+++ b/internal/mesh/throttle/throttle_test.go
@@ -17,6 +17,8 @@
 		sent++
 		if random.Float64() < answer {
 			t.Accepted(now)
+		} else {
+			t.Failed(now)
 		}
 	}
 	return asked, sent
@@ -42,6 +44,23 @@
 	}
 }
 
+// A burst after a quiet time is not turned away for want of answers that are still on their way.
+func TestBurstGoesOut(t *testing.T) {
+	throttle := &Throttle{}
+	for i := range 200 {
+		if !throttle.Allow(100, 0) {
+			t.Fatalf("request %d of a burst is turned away", i)
+		}
+	}
+	for range 100 { // half of them fail
+		throttle.Failed(100.2)
+		throttle.Accepted(100.2)
+	}
+	if !throttle.Allow(100.2, 0) {
+		t.Error("a request is turned away though half are answered")
+	}
+}
+
 // A caller that has been quiet, or has few requests, is not turned away.
 func TestFewRequestsGoOut(t *testing.T) {
 	throttle := &Throttle{}
@@ -49,5 +68,6 @@
 		if !throttle.Allow(float64(i), 0) {
 			t.Fatalf("request %d of one a second is turned away", i)
 		}
+		throttle.Failed(float64(i))
 	}
 }
