Control: an order that is not taken says why; a soak takes no second disk before the first is made up for

Need: "no contact" stood for five reasons, also beside contact; the log names the one (event 'order not taken'). The harness asks the first one's state now.

--- a/examples/mesh/soak.go
+++ b/examples/mesh/soak.go
@@ -26,7 +26,6 @@
 	troubleLeast = 300 * time.Millisecond
 	troubleMore  = 900 * time.Millisecond
 	lasts        = 2500 * time.Millisecond // the longest trouble
-	diskBack     = 9 * time.Second         // after a disk is lost until another may be: it counts until catchUpS after its machine is back
 )
 
 // soak is one seed's run.
@@ -43,7 +42,7 @@
 	served    int
 	newest    atomic.Int64 // version that was acknowledged
 	sent      atomic.Int64 // that was sent
-	diskAt    time.Time    // from then on a disk may be lost
+	wiped     *machine     // that lost its disk last
 	calm      atomic.Bool
 	over      atomic.Bool
 	clients   sync.WaitGroup
@@ -230,18 +229,24 @@
 	s.later(length, func() { s.restart(m) })
 }
 
-// takeDisk empties a disk, if none was lost too lately.
+// takeDisk empties a disk, unless one that was lost before is not made up for yet: so long its loss counts, and the site bears one.
 func (s *soak) takeDisk(m *machine) {
-	if time.Now().Before(s.diskAt) {
+	if s.wiped != nil && !s.votes(s.wiped) {
 		return
 	}
 	s.say("%s loses its disk", m.ip)
-	s.diskAt = time.Now().Add(diskBack)
+	s.wiped = m
 	if err := m.wipe(); err != nil {
 		s.fail("disk of %s: %v", m.ip, err)
 	}
 }
 
+// votes says whether a control process tells that it votes.
+func (s *soak) votes(m *machine) bool {
+	state, err := m.state()
+	return err == nil && state.Voting
+}
+
 // heal ends all troubles.
 func (s *soak) heal() {
 	s.say("all troubles end")
@@ -384,17 +389,24 @@
 	}
 }
 
-// judgeServer looks at a control process's state: it votes, and no invariant was violated.
-func (s *soak) judgeServer(m *machine) {
-	var state struct {
-		Voting  bool
-		Members []any
-		Counts  struct{ Violations map[string]int }
-	}
+// serverState is what the soak wants to know of a control process's state.
+type serverState struct {
+	Voting bool
+	Counts struct{ Violations map[string]int }
+}
+
+// state asks a control process for its state.
+func (m *machine) state() (state serverState, err error) {
 	text, err := get(fmt.Sprintf("http://%s:%d/-/state", m.ip, control))
 	if err == nil {
 		err = json.Unmarshal(text, &state)
 	}
+	return state, err
+}
+
+// judgeServer looks at a control process's state: it votes, and no invariant was violated.
+func (s *soak) judgeServer(m *machine) {
+	state, err := m.state()
 	switch {
 	case err != nil:
 		s.fail("%s does not tell its state: %v", m.ip, err)
--- a/internal/mesh/control/configuration.go
+++ b/internal/mesh/control/configuration.go
@@ -27,6 +27,9 @@
 	mostOrdersOpen = 64
 )
 
+// eventNotTaken is the event of a log line that says why an order ends in "no contact".
+const eventNotTaken = "order not taken"
+
 var configKey = register.Permanent("configuration")
 
 // OrderResult is the end of an operator's order.
@@ -124,7 +127,12 @@
 	case !s.isMember():
 		told(OrderNotMember)
 		return
-	case !s.canPromise(now), c.open >= mostOrdersOpen:
+	case !s.canPromise(now):
+		s.o.Log(eventNotTaken, "edition", version, "why", s.obstacle(now))
+		told(OrderNoContact)
+		return
+	case c.open >= mostOrdersOpen:
+		s.o.Log(eventNotTaken, "edition", version, "why", "too many orders are under way")
 		told(OrderNoContact)
 		return
 	}
@@ -152,6 +160,7 @@
 	s.registers.Update(now, configKey, edit, func(_ uint64, body []byte, ok bool) {
 		c.open--
 		if !ok {
+			s.o.Log(eventNotTaken, "edition", version, "why", "no quorum has answered in time")
 			told(OrderNoContact)
 			return
 		}
--- a/internal/mesh/control/disk.go
+++ b/internal/mesh/control/disk.go
@@ -17,6 +17,17 @@
 }
 
 // canPromise says whether a change of a register begun here can come to an end.
-func (s *Server) canPromise(now float64) bool {
-	return s.Voting() && s.inContact(now) && !s.disk.failing
+func (s *Server) canPromise(now float64) bool { return s.obstacle(now) == "" }
+
+// obstacle is why no change of a register can come to an end here; empty: none is known.
+func (s *Server) obstacle(now float64) string {
+	switch {
+	case !s.Voting():
+		return "it does not vote"
+	case !s.inContact(now):
+		return "no quorum is in reach"
+	case s.disk.failing:
+		return "the disk takes no writes"
+	}
+	return ""
 }
