--- a/internal/mesh/register/proposer.go
+++ b/internal/mesh/register/proposer.go
@@ -289,6 +289,9 @@
 	if e := l.entries[c.key]; e != nil && e.accepted == c.ballot {
 		e.chosen = true
 	}
+	if took := now - c.tried; l.quickest == 0 || took < l.quickest {
+		l.quickest = took
+	}
 	l.end(now, c, c.state, c.value)
 }
 
--- a/internal/mesh/register/registers.go
+++ b/internal/mesh/register/registers.go
@@ -35,9 +35,12 @@
 	rivalPause  = 0.03 // seconds, twice as long with each ballot, until one that was refused is followed by a newer one
 	GiveUp      = 0.8  // seconds until a change is given up; no message of it is sent later
 	mostWork    = 4096 // changes under way; more are turned away
-	lateAfter   = 0.12 // seconds under way after which a change is late: who asked for it asks elsewhere soon, or gives up
+	lateAfter   = 0.12 // seconds under way, beyond the ways there and back, after which a change is late: who asked for it asks elsewhere soon, or gives up
+	farthest    = 0.12 // seconds that a way there and back counts for at most
+	forgetRate  = 0.01 // a second: by so much of itself the least time that a change took grows again
 	lateShare   = 0.25 // of the changes under way: with more of them late no claim is begun
 	endsShare   = 0.75 // and no end of a run is recorded
+	roundTrips  = 2    // of a change that is prepared
 	fewLate     = 8    // late changes that say nothing yet: their keys may be fought over, or a member may have gone
 	sweepEvery  = 1.0  // seconds
 	// Ages are counted from when a server saw a value, and start anew with it, so they err to the side of keeping.
@@ -89,7 +92,9 @@
 	lastID    uint64
 	out       Effects
 	sweepAt   float64
-	late      int // changes that were late at the last tick
+	late      int     // changes that were late at the last tick
+	quickest  float64 // seconds that a change took at least, of late: a way to a quorum and back; 0: not known
+	tickedAt  float64
 	slowUntil map[view.Member]float64
 }
 
@@ -207,9 +212,12 @@
 
 // Tick goes on with what got no quorum yet, gives up what took too long, and forgets what is older than the window.
 func (l *Registers) Tick(now float64) {
+	l.quickest *= 1 + forgetRate*(now-l.tickedAt)
+	l.tickedAt = now
 	l.late = 0
+	due := lateAfter + roundTrips*min(l.quickest, farthest)
 	for _, c := range l.ordered() {
-		if now > c.began+lateAfter {
+		if now > c.began+due {
 			l.late++
 		}
 		l.advance(now, c)
--- a/internal/mesh/sidecar/claims.go
+++ b/internal/mesh/sidecar/claims.go
@@ -19,7 +19,10 @@
 
 const (
 	muteFor      = 1.5  // seconds for which a control process that did not answer is asked last
-	claimAsk     = 0.12 // seconds until the next control process is asked for a claim beside the first
+	claimAsk     = 0.12 // seconds at least until the next control process is asked for a claim beside the first,
+	claimSlow    = 2.0  // or so many times what answers of the first usually take,
+	claimLate    = 0.24 // and at most
+	tookStep     = 0.1  // weight of one answer in that
 	claimMost    = 0.36 // and until it is given up: nothing has been sent to the host then
 	furtherEarn  = 0.1  // further questions for each claim that is answered
 	furtherMost  = 5.0  // that are saved up
@@ -35,11 +38,27 @@
 	settles  map[uint64]*settling
 	mute     map[string]float64 // control processes that did not answer, until when they are asked last
 	throttle throttle.Throttle  // of claims
+	took     map[string]float64 // mean seconds until a control process answers a claim
 	further  float64            // questions that may go out beside one that is not answered yet
 }
 
 func (k *keys) init() {
-	k.claims, k.settles, k.mute, k.further = map[uint64]*claimQuestion{}, map[uint64]*settling{}, map[string]float64{}, furtherMost
+	k.claims, k.settles, k.further = map[uint64]*claimQuestion{}, map[uint64]*settling{}, furtherMost
+	k.mute, k.took = map[string]float64{}, map[string]float64{}
+}
+
+// lateAt is when the answer to a question is late: a control process in another region takes longer, and is no worse for that.
+func (k *keys) lateAt(q *claimQuestion) float64 {
+	return q.asked + min(claimLate, max(claimAsk, claimSlow*k.took[q.at]))
+}
+
+// sawAnswer notes how long a control process took to answer a claim.
+func (k *keys) sawAnswer(now float64, q *claimQuestion) {
+	seconds := now - q.asked
+	if was, known := k.took[q.at]; known {
+		seconds = was + tookStep*(seconds-was)
+	}
+	k.took[q.at] = seconds
 }
 
 // claim is a job's part of that.
@@ -186,6 +205,7 @@
 		return
 	}
 	j.claim.mayStand = true
+	g.keys.sawAnswer(g.p.now, q)
 	g.keys.throttle.Accepted(g.p.now)
 	g.keys.further = min(furtherMost, g.keys.further+furtherEarn)
 	g.keys.close(j) // what else was asked asks for the same
@@ -317,7 +337,7 @@
 		case q == nil: // its job has ended in here
 		case g.claimOver(q.job):
 			g.unclaimed(q.job, 0)
-		case !q.late && g.p.now > q.asked+claimAsk:
+		case !q.late && g.p.now > g.keys.lateAt(q):
 			q.late = true
 			g.keys.throttle.Failed(g.p.now)
 			g.muted(q.at)
--- /dev/null
+++ b/internal/mesh/simulation/regions_test.go
@@ -0,0 +1,42 @@
+package simulation
+
+import (
+	"fmt"
+	"testing"
+)
+
+// regionAway is one way between regions, in seconds.
+const regionAway = 0.055
+
+// Three control servers in three regions, and proxies in each: every change of a register takes a way to another region and back, or
+// two. That is not overload: operations are claimed and served, also by homes that are far.
+func TestControlServersInThreeRegions(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(3) {
+		w := New(seed, 3, Host{"till", "a"}, Host{"till", "b"}, Host{"till", "c"}, Host{"till", "a"}, Host{"till", "b"}, Host{"till", "c"})
+		region := map[string]int{}
+		for i, h := range w.Servers {
+			region[h.addr] = i
+		}
+		for i, s := range w.Proxies {
+			region[s.addr] = i % 3
+		}
+		for one := range region {
+			for other := range region {
+				if region[one] != region[other] {
+					w.Slow(one, other, regionAway)
+				}
+			}
+		}
+		w.Configure(int(seed), 1, nil)
+		w.Run(4)
+		const rate, seconds = 250.0, 12.0
+		operate(w, rate, seconds)
+		w.Run(seconds + 3)
+		if float64(w.Checker.Served) < 0.97*rate*seconds {
+			t.Errorf("seed %d: %d of %.0f operations served; answers %v", seed, w.Checker.Served, rate*seconds, w.Checker.Statuses)
+		}
+		t.Logf("seed %d: %d served, %d asked, answers %v", seed, w.Checker.Served, w.Checker.Asked, w.Checker.Statuses)
+		verdictOn(t, w, fmt.Sprintf("seed %d", seed), 0)
+	}
+}
