--- /dev/null
+++ b/internal/mesh/sidecar/timers.go
@@ -0,0 +1,49 @@
+package sidecar
+
+import (
+	"container/heap"
+	"math"
+)
+
+// Timers are inputs that a process gives itself, in order of their times.
+
+type timer struct {
+	at  float64
+	seq uint64
+	do  func()
+}
+
+// timers is a heap, the next one due first.
+type timers []timer
+
+func (h timers) Len() int { return len(h) }
+func (h timers) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h timers) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *timers) Push(x any)   { *h = append(*h, x.(timer)) }
+func (h *timers) Pop() any {
+	last := len(*h) - 1
+	t := (*h)[last]
+	(*h)[last] = timer{}
+	*h = (*h)[:last]
+	return t
+}
+
+func (p *Sidecar) at(when float64, do func()) { heap.Push(&p.timers, timer{when, p.id(), do}) }
+
+// fire plays the timers that are due.
+func (p *Sidecar) fire() {
+	for len(p.timers) > 0 && p.timers[0].at <= p.now {
+		heap.Pop(&p.timers).(timer).do()
+		p.settle()
+	}
+}
+
+// Next is when the next timer is due; infinite: none is set.
+func (p *Sidecar) Next() float64 {
+	if len(p.timers) == 0 {
+		return math.Inf(1)
+	}
+	return p.timers[0].at
+}
