Configurations are kept and sent packed

Change: a text of 4 KB and more is kept in the register and sent as gzip (package packed), told by its first bytes. Hashes are of the plain text, read-back is plain. Proxies of before this change do not understand it: start them first.

--- a/internal/mesh/control/configuration.go
+++ b/internal/mesh/control/configuration.go
@@ -10,6 +10,7 @@
 
 	"beechwing/internal/mesh/invariant"
 	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/packed"
 	"beechwing/internal/mesh/register"
 	"beechwing/internal/mesh/view"
 )
@@ -144,6 +145,7 @@
 		}
 	}
 	c.open++
+	kept := packed.Pack(text)
 	var result OrderResult
 	edit := func(old []byte) []byte {
 		held := decodeConfig(old)
@@ -151,7 +153,7 @@
 		if result, open = judge(held, version, hash); !open {
 			return nil
 		}
-		body, err := proto.Marshal(succeed(held, version, text, hash))
+		body, err := proto.Marshal(succeed(held, version, kept, hash))
 		if err != nil {
 			return nil
 		}
@@ -185,7 +187,13 @@
 			answer(nil, OrderNoContact)
 			return
 		}
-		answer(s.configuration.chosen.GetText(), OrderTaken)
+		text, err := packed.Unpack(s.configuration.chosen.GetText())
+		if err != nil {
+			s.o.Log("configuration not understood", "edition", s.configuration.chosenVersion(), "error", err)
+			answer(nil, OrderNoContact)
+			return
+		}
+		answer(text, OrderTaken)
 	})
 }
 
--- a/internal/mesh/sidecar/discovery.go
+++ b/internal/mesh/sidecar/discovery.go
@@ -11,6 +11,7 @@
 	"beechwing/internal/mesh/meshpb"
 	"beechwing/internal/mesh/rendezvous"
 
+	"beechwing/internal/mesh/packed"
 	"beechwing/internal/mesh/routeconfig"
 )
 
@@ -291,7 +292,7 @@
 		}
 	}
 	if w.Edition > 0 && (p.table == nil || w.Edition > p.table.Edition) {
-		if t, err := routeconfig.Compile(w.Text); err != nil {
+		if t, err := compile(w.Text); err != nil {
 			p.o.Log("configuration not understood", "edition", w.Edition, "error", err)
 		} else {
 			p.adopt(t)
@@ -312,6 +313,15 @@
 	}
 }
 
+// compile reads a configuration as it is sent.
+func compile(text []byte) (*routeconfig.Table, error) {
+	plain, err := packed.Unpack(text)
+	if err != nil {
+		return nil, err
+	}
+	return routeconfig.Compile(plain)
+}
+
 // others are the addresses that are not this proxy's: it asks no news of itself.
 func (n *news) others(addresses []string) (all []string) {
 	for _, address := range addresses {
@@ -355,7 +365,7 @@
 	}
 	w.Records = append(w.Records, n.forgottenOf(has)...)
 	if p.table != nil && p.table.Edition > pull.Edition {
-		w.Edition, w.Text = p.table.Edition, p.table.Text
+		w.Edition, w.Text = p.table.Edition, packed.Pack(p.table.Text)
 	}
 	p.answer(from, m, &meshpb.Message{Update: w})
 }
--- /dev/null
+++ b/internal/mesh/simulation/large_config_test.go
@@ -0,0 +1,66 @@
+package simulation
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"beechwing/internal/mesh/control"
+	"beechwing/internal/mesh/routeconfig"
+)
+
+// largeConfig is a configuration with so many routes beside the usual ones.
+func largeConfig(t *testing.T, version uint64, routes int) []byte {
+	t.Helper()
+	var c routeconfig.Config
+	if err := json.Unmarshal(Config(version), &c); err != nil {
+		t.Fatal(err)
+	}
+	for i := range routes {
+		c.Itineraries = append(c.Itineraries, routeconfig.Route{Name: fmt.Sprintf("more-%d", i), Depot: "shop.example",
+			LanePrefix: fmt.Sprintf("/more%d/", i), RouteKind: routeconfig.Safe, TimeoutMs: 1000, TargetMs: 200, Carrier: "shop", Tries: 2})
+	}
+	text, err := json.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+// A configuration of 1,400 routes goes between control servers, to their disks and to proxies in a fraction of its bytes, all act by it,
+// and it is read back as it was sent.
+func TestLargeConfigurationIsPacked(t *testing.T) {
+	w := cluster(t, 1, 3)
+	text := largeConfig(t, 2, 1400)
+	before := w.Bytes
+	taken := false
+	w.Order(w.Servers[0], 2, text, func(r control.OrderResult) { taken = r == control.OrderTaken })
+	w.Run(2)
+	if !taken {
+		t.Fatal("the order is not taken")
+	}
+	if sent := w.Bytes - before; sent > len(text)/2 {
+		t.Errorf("%d bytes between control servers for a text of %d", sent, len(text))
+	}
+	for _, s := range w.Proxies {
+		if got := s.State().Edition; got != 2 {
+			t.Errorf("%s acts by version %d", s.addr, got)
+		}
+	}
+	for _, h := range w.Servers {
+		h.input(func() {
+			h.server.Configuration(w.Now, func(read []byte, result control.OrderResult) {
+				if result != control.OrderTaken || string(read) != string(text) {
+					t.Errorf("%s reads back %d bytes, %v", h.addr, len(read), result)
+				}
+			})
+		})
+	}
+	w.Run(1)
+	for _, h := range w.Servers {
+		if size := len(h.disk.held["k."+"\x00configuration"]); size == 0 || size > len(text)/5 {
+			t.Errorf("%s keeps %d bytes", h.addr, size)
+		}
+	}
+	verdictOn(t, w, "large", 0)
+}
