examples/mesh: a run ends its hosts, so that another may follow

Cause: TestSoak after TestRemovalUnderTraffic found the addresses of the first one's hosts taken: both had never run in one process. Change: run stops the hosts that it started.

--- a/examples/mesh/main.go
+++ b/examples/mesh/main.go
@@ -77,7 +77,13 @@
 	}
 	defer os.RemoveAll(dir)
 	var all []*process
-	defer func() { stop(all) }()
+	defer func() {
+		stop(all)
+		for _, s := range servers {
+			s.stop()
+		}
+		servers = nil
+	}()
 	var seeds []string
 	for i := range min(3, *controls) {
 		seeds = append(seeds, fmt.Sprintf("127.0.7.%d:%d", i+1, control))
