--- a/internal/mesh/control/catchup.go
+++ b/internal/mesh/control/catchup.go
@@ -38,7 +38,7 @@
 	member   view.Member
 
 	part      register.Part              // of which it sends the values
-	readEpoch uint64                     // its epoch at that time; 0: everything up to there is complete
+	readEpoch uint64                     // its epoch when its last page came; 0: nothing told up to there is lacking
 	lacking   map[string]register.Ballot // what it told without its value, and was newer than here
 	fetching  []string                   // keys that the open question asks for; nil: it asks for a page
 }
