--- /dev/null
+++ b/deploy/packages_test.go
@@ -0,0 +1,166 @@
+// Package deploy_test checks the deploy files against the machine that builds from them.
+package deploy_test
+
+import (
+	"errors"
+	"maps"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// systemFile is the part of deploy/system.toml that says how the system is built.
+type systemFile struct {
+	Build    string   `toml:"build"`
+	Packages []string `toml:"packages"`
+}
+
+func readSystemFile(t *testing.T) systemFile {
+	t.Helper()
+	text, err := os.ReadFile("system.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var file systemFile
+	if err := toml.Unmarshal(text, &file); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+// installed is what the package database of this machine says.
+type installed struct {
+	depends   map[string][]string // by package: the packages that it depends on, all alternatives
+	providers map[string][]string // by virtual package
+	essential []string
+}
+
+func readInstalled(t *testing.T) *installed {
+	t.Helper()
+	const format = `${Package}\t${Essential}\t${Provides}\t${Pre-Depends}, ${Depends}\n`
+	out, err := exec.Command("dpkg-query", "-W", "-f", format).Output()
+	if err != nil {
+		t.Fatalf("dpkg-query, which says to which package a tool belongs: %v", err)
+	}
+	all := &installed{depends: map[string][]string{}, providers: map[string][]string{}}
+	for line := range strings.Lines(string(out)) {
+		field := strings.Split(strings.TrimSuffix(line, "\n"), "\t")
+		name := field[0]
+		all.depends[name] = append(all.depends[name], packageNames(field[3])...)
+		for _, virtual := range packageNames(field[2]) {
+			all.providers[virtual] = append(all.providers[virtual], name)
+		}
+		if field[1] == "yes" {
+			all.essential = append(all.essential, name)
+		}
+	}
+	return all
+}
+
+// packageNames are the names in a dependency field such as "libc6 (>= 2.36), default-mta | mail-transport-agent".
+func packageNames(field string) []string {
+	var names []string
+	for _, entry := range strings.FieldsFunc(field, func(r rune) bool { return r == ',' || r == '|' }) {
+		if word := strings.Fields(entry); len(word) > 0 {
+			name, _, _ := strings.Cut(word[0], ":")
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// closure is the packages that are there once these are installed on a machine that has nothing else.
+func (i *installed) closure(packages []string) map[string]bool {
+	closed := map[string]bool{}
+	open := slices.Concat(packages, i.essential)
+	for len(open) > 0 {
+		name := open[len(open)-1]
+		open = open[:len(open)-1]
+		if closed[name] {
+			continue
+		}
+		open = append(open, i.providers[name]...)
+		if _, known := i.depends[name]; known {
+			closed[name] = true
+			open = append(open, i.depends[name]...)
+		}
+	}
+	return closed
+}
+
+// commands links the commands of some packages, and the go command, into a folder that can serve as the whole PATH.
+func (i *installed) commands(t *testing.T, packages []string) string {
+	t.Helper()
+	dir := t.TempDir()
+	closed := i.closure(packages)
+	for _, name := range packages {
+		if !closed[name] {
+			t.Errorf("package %s is listed and not installed here", name)
+		}
+	}
+	list, err := exec.Command("dpkg-query", append([]string{"-L"}, slices.Sorted(maps.Keys(closed))...)...).Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for path := range strings.Lines(string(list)) {
+		path = strings.TrimSpace(path)
+		if slices.Contains([]string{"/bin", "/usr/bin", "/usr/sbin", "/sbin"}, filepath.Dir(path)) {
+			link(t, path, filepath.Join(dir, filepath.Base(path)))
+		}
+	}
+	goCommand, err := exec.LookPath("go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	link(t, goCommand, filepath.Join(dir, "go"))
+	return dir
+}
+
+func link(t *testing.T, from, to string) {
+	t.Helper()
+	if err := os.Symlink(from, to); err != nil && !errors.Is(err, os.ErrExist) {
+		t.Fatal(err)
+	}
+}
+
+// run gives a command line to a shell at the root of the repository, with the commands of one folder alone and nothing built before.
+func run(t *testing.T, line, commands string) ([]byte, error) {
+	t.Helper()
+	cache := t.TempDir()
+	cmd := exec.CommandContext(t.Context(), filepath.Join(commands, "sh"), "-c", line)
+	cmd.Dir = ".."
+	cmd.Env = append(os.Environ(), "PATH="+commands, "GOCACHE="+cache, "CC=")
+	return cmd.CombinedOutput()
+}
+
+// TestBuildNeedsListedPackages: the system is built from nothing by the Go toolchain and the tools of the packages that are listed,
+// those that they depend on, and those that every Debian system has. A tool of any other package is not found.
+func TestBuildNeedsListedPackages(t *testing.T) {
+	file := readSystemFile(t)
+	machine := readInstalled(t)
+	if out, err := run(t, file.Build, machine.commands(t, file.Packages)); err != nil {
+		t.Errorf("%s\nwith the packages %v: %v\n%s", file.Build, file.Packages, err, out)
+	}
+}
+
+// TestUnlistedPackageIsFound: the check fails for each tool that a list lacks.
+func TestUnlistedPackageIsFound(t *testing.T) {
+	file := readSystemFile(t)
+	machine := readInstalled(t)
+	for _, tool := range []string{"as", "gcc", "ld"} {
+		if out, err := run(t, tool+" --version", machine.commands(t, file.Packages)); err != nil {
+			t.Errorf("%s: %v\n%s", tool, err, out)
+		}
+		if out, err := run(t, tool+" --version", machine.commands(t, []string{"ca-certificates"})); err == nil {
+			t.Errorf("%s was found without its package\n%s", tool, out)
+		}
+	}
+	if out, err := run(t, "git --version && make --version", machine.commands(t, file.Packages)); err == nil {
+		t.Errorf("a tool of no listed package was found\n%s", out)
+	}
+}
