--- a/cmd/beechwing-lab/main.go
+++ b/cmd/beechwing-lab/main.go
@@ -15,7 +15,7 @@
 	defer stop()
 	root := &cobra.Command{Use: "beechwing-lab", Short: "Measures a proxy on stand-ins, on loopback",
 		SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(capacityCommand(), compareCommand(), idleCommand(), playCommand(), selftestCommand(), standinCommand(), tallyCommand())
+	root.AddCommand(compareCommand(), idleCommand(), playCommand(), selftestCommand(), standinCommand(), tallyCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "beechwing-lab:", err)
 		os.Exit(1)
