--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -24,6 +24,7 @@
 	Class    int
 	Key      uint64
 	Due      time.Duration // when it was meant to go out
+	Began    time.Duration // just before its first byte was written
 	Sent     time.Duration // when its last byte was written
 	Done     time.Duration // when the last byte of the answer had come, or the caller gave up
 	Deadline time.Duration // after Sent
@@ -97,6 +98,12 @@
 	Changed, At time.Duration
 }
 
+// Heard is a proxy's acknowledgement of such a word: it asked for what is newer than that.
+type Heard struct {
+	Proxy, Host int
+	Changed, At time.Duration // when the list changed, and when the proxy's question came
+}
+
 // Sample is what a process held at a moment.
 type Sample struct {
 	Proxy       int
@@ -149,6 +156,7 @@
 	Connections []Connection
 	Calls       []Call
 	Tolds       []Told
+	Heards      []Heard
 	Samples     []Sample
 	Events      []Event
 	Machine     Machine
@@ -210,6 +218,8 @@
 			b.Calls = append(b.Calls, r)
 		case Told:
 			b.Tolds = append(b.Tolds, r)
+		case Heard:
+			b.Heards = append(b.Heards, r)
 		case Sample:
 			b.Samples = append(b.Samples, r)
 		case Event:
