Views: what follows a joint view is decided by a majority of its old members

A joint quorum was needed to leave it. Change: ballots of the view register need a majority of the old members only; completing and abandoning exclude each other there. The same mends a member lost between its acknowledgement and the choice. Model: disks are lost whenever that is borne, also in joint views and with no pause (3.0 s apart before); each link and machine has its own luck; steps are recorded and replayed (testdata/histories), so that a finding survives changes of the generator. New: the end of a joint view in every order.

--- a/internal/mesh/control/membership.go
+++ b/internal/mesh/control/membership.go
@@ -33,8 +33,6 @@
 	coordinateKey = "coordinator"
 )
 
-var viewKey = register.Permanent("view")
-
 // standby is a server that asks to join.
 type standby struct {
 	member      view.Member
@@ -323,7 +321,7 @@
 			delete(m.standbys, address)
 		}
 	}
-	if m.changing || m.leaving || !s.canPromise(now) || !s.coordinates(now) || now < s.began+coordinateIn {
+	if m.changing || m.leaving || !s.mayChangeView(now) || !s.coordinates(now) || now < s.began+coordinateIn {
 		return
 	}
 	next, change := s.nextView(now)
@@ -336,9 +334,15 @@
 	}
 }
 
+// mayChangeView says whether a change of the view begun here can come to an end: it takes a majority of the members, in a joint view of
+// the old ones, and no contact with the new ones.
+func (s *Server) mayChangeView(now float64) bool {
+	return s.Voting() && !s.disk.failing && s.view().OldQuorum(func(m view.Member) bool { return s.reaches(now, m) })
+}
+
 // confirmed says whether a majority of the new members, the joiner not counted, has acknowledged a digest that was sent since the change is
-// wanted. A member that is only known to have been in reach lately may be gone, and a joint view that was chosen without its new
-// majority can neither be completed nor abandoned.
+// wanted. A member that is only known to have been in reach lately may be gone, and a joint view without its new majority serves
+// nobody until it is abandoned.
 func (s *Server) confirmed(now float64, joint view.View) bool {
 	m := &s.membership
 	if m.wantedAt == 0 {
@@ -358,6 +362,8 @@
 		waiting := s.membership.standbys[joiner.Address]
 		known := waiting != nil && waiting.member == joiner
 		switch {
+		case now > s.membership.adoptedAt+joinerGone && !s.newMajorityHeard(now):
+			return v.Abandon(), true
 		case known && waiting.syncedEpoch == v.Epoch:
 			return v.Complete(), true
 		case known && now < waiting.heardAt+joinerGone, now < s.membership.adoptedAt+joinerGone:
@@ -368,6 +374,17 @@
 	return s.exchange(now)
 }
 
+// newMajorityHeard says whether a majority of the members of the view to come has been heard of lately. Without it the change can only
+// be abandoned, also where the joiner has read everything.
+func (s *Server) newMajorityHeard(now float64) bool {
+	return s.view().NewQuorum(func(m view.Member) bool {
+		if waiting := s.membership.standbys[m.Address]; waiting != nil && waiting.member == m {
+			return now < waiting.heardAt+joinerGone
+		}
+		return m == s.self || !s.silent(now, m.Address, joinerGone)
+	})
+}
+
 // exchange chooses a joiner and the member whose place it takes. A disk that came back empty takes the place of what it was; then go
 // the members that are silent, then those that leave.
 func (s *Server) exchange(now float64) (next view.View, change bool) {
@@ -405,7 +422,8 @@
 	return view.View{}, false
 }
 
-// goesOnWithout says whether a change could still be abandoned if its joiner were lost: that takes a majority of the new members.
+// goesOnWithout says whether the joint view would have its quorums, and lose none by the loss of the joiner: that takes a majority of the
+// new members without it.
 func (s *Server) goesOnWithout(now float64, joiner, leaver view.Member) bool {
 	joint := s.view().Join(joiner, leaver)
 	return joint.NewQuorum(func(m view.Member) bool { return m != joiner && s.reaches(now, m) })
@@ -423,7 +441,7 @@
 		}
 		return next.Encode()
 	}
-	s.registers.Update(now, viewKey, edit, func(_ uint64, body []byte, ok bool) {
+	s.registers.Update(now, register.ViewKey, edit, func(_ uint64, body []byte, ok bool) {
 		m.changing = false
 		chosen, err := view.Decode(body)
 		if !ok || err != nil || chosen.Epoch != s.view().Epoch+1 {
--- a/internal/mesh/control/model_cases_test.go
+++ b/internal/mesh/control/model_cases_test.go
@@ -1,6 +1,12 @@
 package control
 
-import "testing"
+import (
+	"testing"
+
+	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/register"
+	"beechwing/internal/mesh/view"
+)
 
 // Members are lost for good, and ones that wait take their places: each by one joint view and one stable view, and no more.
 func TestExchangeTakesTwoViews(t *testing.T) {
@@ -51,8 +57,67 @@
 		c.run(4)
 		lost.start()
 		c.run(10)
-		if v := c.newest(); v.Joint() || c.lost(v) > 0 {
-			t.Fatalf("seed %d: %v, %d members lost", seed, v, c.lost(v))
+		if v := c.newest(); v.Joint() || c.lost(v.Members) > 0 {
+			t.Fatalf("seed %d: %v, %d members lost", seed, v, c.lost(v.Members))
 		}
 	}
 }
+
+// A joint view is accepted by its coordinator alone, or is chosen; then a member and the joiner lose their disks for good. The old members
+// leave the joint view, which has no majority of its new members any more, and take somebody else in.
+func TestJointViewWithoutItsNewMembersIsLeft(t *testing.T) {
+	for _, chosen := range []bool{false, true} {
+		for seed := range uint64(20) {
+			c := newModelCluster(seed, 1, 2)
+			c.run(2)
+			silent := c.machines[seed%3]
+			coordinator, joiner := proposeExchange(c, silent, chosen)
+			if coordinator == nil {
+				t.Fatalf("seed %d: nobody proposed a joint view", seed)
+			}
+			silent.start()
+			for _, m := range c.machines[:3] {
+				if m != coordinator && m != silent {
+					m.powerOff()
+					m.wipe()
+				}
+			}
+			joiner.powerOff()
+			joiner.wipe()
+			c.lose = func(string, string, *meshpb.Message) bool { return false }
+			c.run(2)
+			for _, m := range c.machines {
+				if !m.up {
+					m.start()
+				}
+			}
+			c.run(10)
+			if v := c.newest(); v.Joint() || c.lost(v.Members) > 0 {
+				t.Fatalf("seed %d, chosen %v: %v, %d members lost", seed, chosen, v, c.lost(v.Members))
+			}
+		}
+	}
+}
+
+// proposeExchange has a member fall silent and waits until its exchange is proposed: who proposed it, and who is to join. Where the joint view is
+// not to be chosen, nobody hears the proposal.
+func proposeExchange(c *modelCluster, silent *modelMachine, chosen bool) (coordinator, joiner *modelMachine) {
+	c.lose = func(from, _ string, m *meshpb.Message) bool {
+		if m.Accept.GetKey() != register.ViewKey {
+			return false
+		}
+		if next, err := view.Decode(m.Accept.Value.GetBody()); err == nil && next.Joint() && coordinator == nil {
+			entering, _ := next.Joiner()
+			coordinator, joiner = c.byName[from], c.byName[entering.Address]
+		}
+		return !chosen
+	}
+	silent.powerOff()
+	for until := c.now + 8; c.now < until && (coordinator == nil || chosen && !c.newest().Joint()); {
+		c.run(modelTick)
+	}
+	if !chosen {
+		c.run(0.1) // until the coordinator's own disk has accepted it
+	}
+	return coordinator, joiner
+}
--- a/internal/mesh/control/model_cluster_test.go
+++ b/internal/mesh/control/model_cluster_test.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"container/heap"
 	"fmt"
+	"hash/fnv"
+	"io"
 	"math/rand/v2"
 	"slices"
 
@@ -50,7 +52,8 @@
 
 // modelCluster is all servers and what is between them.
 type modelCluster struct {
-	random    *rand.Rand
+	seed      uint64
+	links     map[[2]string]*rand.Rand // from, to: one link's luck does not hang on another's messages
 	now       float64
 	events    modelEvents
 	number    uint64
@@ -60,6 +63,7 @@
 	byName    map[string]*modelMachine
 	cuts      map[[2]string]bool // from, to
 	lossy     bool               // messages are lost, doubled and late, and disks are slow
+	lose      func(from, to string, m *meshpb.Message) bool
 	trace     func(format string, args ...any)
 	orders    *orderHistory
 }
@@ -67,6 +71,7 @@
 // modelMachine is one machine: a disk, and a server while it is up.
 type modelMachine struct {
 	cluster *modelCluster
+	random  *rand.Rand
 	address string
 	disk    map[string][]byte
 	server  *Server
@@ -83,12 +88,13 @@
 
 // newModelCluster founds a mesh, and starts the servers that wait to join.
 func newModelCluster(seed uint64, tolerance, spares int) *modelCluster {
-	c := &modelCluster{random: rand.New(rand.NewPCG(seed, 13)), now: 1, tolerance: tolerance,
+	c := &modelCluster{seed: seed, links: map[[2]string]*rand.Rand{}, now: 1, tolerance: tolerance,
 		byName: map[string]*modelMachine{}, cuts: map[[2]string]bool{}, trace: func(string, ...any) {},
-		orders: newOrderHistory()}
+		lose: func(string, string, *meshpb.Message) bool { return false }, orders: newOrderHistory()}
 	members := 2*tolerance + 1
 	for i := range members + spares {
-		m := &modelMachine{cluster: c, address: fmt.Sprintf("s%d", i), disk: map[string][]byte{}, first: i < members}
+		address := fmt.Sprintf("s%d", i)
+		m := &modelMachine{cluster: c, random: luck(seed, address), address: address, disk: map[string][]byte{}, first: i < members}
 		c.machines, c.byName[m.address] = append(c.machines, m), m
 		if m.first {
 			c.seeds = append(c.seeds, m.address)
@@ -107,6 +113,23 @@
 	return c
 }
 
+// luck is a source of randomness of its own for each thing that has a name: what one draws more or less after a change of the code
+// leaves the others' draws as they were, so that a recorded run stays much the same run.
+func luck(seed uint64, name string) *rand.Rand {
+	h := fnv.New64a()
+	io.WriteString(h, name)
+	return rand.New(rand.NewPCG(seed, h.Sum64()))
+}
+
+// link is the luck of messages from one machine to another.
+func (c *modelCluster) link(from, to string) *rand.Rand {
+	key := [2]string{from, to}
+	if c.links[key] == nil {
+		c.links[key] = luck(c.seed, from+" to "+to)
+	}
+	return c.links[key]
+}
+
 // after does something so many seconds from now.
 func (c *modelCluster) after(seconds float64, do func()) {
 	c.number++
@@ -136,7 +159,7 @@
 		values[name] = slices.Clone(value)
 	}
 	server, err := New(c.now, Options{Self: m.address, Seeds: c.seeds, First: m.first && len(values) == 0,
-		Tolerance: c.tolerance, Window: modelWindow, Life: c.random.Uint32() | 1, Random: c.random.Uint64(),
+		Tolerance: c.tolerance, Window: modelWindow, Life: m.random.Uint32() | 1, Random: m.random.Uint64(),
 		Log: func(event string, args ...any) {
 			c.trace("%.3f %s: %s %v", c.now, m.address, event, args)
 			if event == EventViolation {
@@ -153,7 +176,7 @@
 }
 
 func (m *modelMachine) tick(life uint32) {
-	m.cluster.after(modelTick*(0.5+m.cluster.random.Float64()), func() {
+	m.cluster.after(modelTick*(0.5+m.random.Float64()), func() {
 		if m.up && m.lives == life {
 			m.server.Tick(m.cluster.now)
 			m.work()
@@ -191,9 +214,9 @@
 		return
 	}
 	c := m.cluster
-	takes := modelMostSync * c.random.Float64()
-	if c.lossy && c.random.IntN(10) == 0 {
-		takes = modelLateSync * c.random.Float64()
+	takes := modelMostSync * m.random.Float64()
+	if c.lossy && m.random.IntN(10) == 0 {
+		takes = modelLateSync * m.random.Float64()
 	}
 	m.syncing, m.writing = true, m.puts
 	after, life := m.after, m.lives
@@ -231,7 +254,7 @@
 	m.cluster.trace("%.3f %s loses power, %d values on their way to the disk", m.cluster.now, m.address, len(m.writing))
 	puts := slices.Clone(m.writing)
 	slices.SortStableFunc(puts, func(a, b store.Put) int { return cmp.Compare(a.Name, b.Name) })
-	m.apply(slices.DeleteFunc(puts, func(store.Put) bool { return m.cluster.random.IntN(2) == 0 }))
+	m.apply(slices.DeleteFunc(puts, func(store.Put) bool { return m.random.IntN(2) == 0 }))
 	m.up, m.writing = false, nil
 }
 
@@ -250,9 +273,12 @@
 
 // carry takes a message to another machine.
 func (c *modelCluster) carry(from, to string, message *meshpb.Message) {
-	copies := 1
+	if c.lose(from, to, message) {
+		return
+	}
+	random, copies := c.link(from, to), 1
 	if c.lossy {
-		switch c.random.IntN(30) {
+		switch random.IntN(30) {
 		case 0:
 			copies = 0
 		case 1:
@@ -260,9 +286,9 @@
 		}
 	}
 	for range copies {
-		takes := 0.0002 + modelMostDelay*c.random.Float64()
-		if c.lossy && c.random.IntN(20) == 0 {
-			takes = modelLateDelay * c.random.Float64()
+		takes := 0.0002 + modelMostDelay*random.Float64()
+		if c.lossy && random.IntN(20) == 0 {
+			takes = modelLateDelay * random.Float64()
 		}
 		c.after(takes, func() { c.deliver(from, to, message) })
 	}
@@ -299,19 +325,23 @@
 	}
 }
 
-// newest is the newest view that a server goes by.
+// newest is the newest view that a server goes by, or that a disk has.
 func (c *modelCluster) newest() (newest view.View) {
 	for _, m := range c.machines {
-		if m.up && m.server.view().Epoch > newest.Epoch {
-			newest = m.server.view()
+		known, _ := view.Decode(m.disk[nameView])
+		if m.up {
+			known = m.server.view()
+		}
+		if known.Epoch > newest.Epoch {
+			newest = known
 		}
 	}
 	return newest
 }
 
-// lost counts the members of a view whose disks are lost.
-func (c *modelCluster) lost(v view.View) (n int) {
-	for _, member := range v.Members {
+// lost counts those of some members whose disks are lost.
+func (c *modelCluster) lost(members []view.Member) (n int) {
+	for _, member := range members {
 		if !c.byName[member.Address].holds(member) {
 			n++
 		}
--- /dev/null
+++ b/internal/mesh/control/model_history_test.go
@@ -0,0 +1,121 @@
+package control
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+// The steps of a run: what operators and trouble did, and when. A run that failed is kept as a list of its steps in testdata/histories and
+// played again by TestRecordedHistories, whatever the generator of steps draws by then.
+
+// modelStep is one thing that operators or trouble do.
+type modelStep struct {
+	At      float64  `json:"at"`
+	Kind    stepKind `json:"kind"`
+	Machine string   `json:"machine,omitempty"`
+	Number  uint64   `json:"number,omitempty"`  // of an order
+	Variant int      `json:"variant,omitempty"` // an order's text; a cut: 0 one way, 1 both
+}
+
+type stepKind string
+
+const (
+	stepOrder    stepKind = "order"
+	stepRead     stepKind = "read"
+	stepLossy    stepKind = "lossy" // messages begin to be lost, or that ends
+	stepCut      stepKind = "cut"
+	stepJoin     stepKind = "join" // all cuts end
+	stepKill     stepKind = "kill"
+	stepPowerOff stepKind = "power off"
+	stepStart    stepKind = "start"
+	stepLose     stepKind = "lose disk"
+	stepLeave    stepKind = "leave"
+)
+
+// modelHistory is a run that was recorded.
+type modelHistory struct {
+	About     string      `json:"about"`
+	Seed      uint64      `json:"seed"` // of links, disks and clocks
+	Tolerance int         `json:"tolerance"`
+	Steps     []modelStep `json:"steps"`
+}
+
+// step takes a step now, and notes it.
+func (r *modelRun) step(step modelStep) {
+	step.At = r.now
+	r.steps = append(r.steps, step)
+	r.take(step)
+}
+
+func (r *modelRun) take(step modelStep) {
+	m := r.byName[step.Machine]
+	switch step.Kind {
+	case stepOrder:
+		r.order(m, step.Number, step.Variant)
+	case stepRead:
+		r.read(m)
+	case stepLossy:
+		r.lossy = !r.lossy
+	case stepCut:
+		r.cutOff(m, step.Variant == 0)
+	case stepJoin:
+		r.joinAll()
+	case stepKill:
+		if m.up {
+			m.kill()
+		}
+	case stepPowerOff:
+		if m.up {
+			m.powerOff()
+		}
+	case stepStart:
+		r.start(m)
+	case stepLose:
+		r.loseDisk(m)
+	case stepLeave:
+		r.leave(m)
+	}
+}
+
+// record keeps the steps of a run that failed, if there is a folder for it.
+func (r *modelRun) record(t *testing.T) {
+	dir := os.Getenv(modelRecordVariable)
+	if dir == "" {
+		return
+	}
+	text, err := json.MarshalIndent(modelHistory{About: r.orders.broken.Error(), Seed: r.seed, Tolerance: r.tolerance, Steps: r.steps}, "", " ")
+	if err == nil {
+		err = os.WriteFile(filepath.Join(dir, fmt.Sprintf("seed-%d.json", r.seed)), text, 0o644)
+	}
+	if err != nil {
+		t.Error(err)
+	}
+}
+
+// TestRecordedHistories plays runs that failed once.
+func TestRecordedHistories(t *testing.T) {
+	files, err := filepath.Glob("testdata/histories/*.json")
+	if err != nil || len(files) == 0 {
+		t.Fatal(files, err)
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var h modelHistory
+		if err := json.Unmarshal(text, &h); err != nil {
+			t.Fatalf("%s: %v", file, err)
+		}
+		var trace func(string, ...any)
+		if os.Getenv(modelTraceVariable) != "" {
+			trace = t.Logf
+		}
+		if broken := newModelRunFor(h.Seed, h.Tolerance, trace).replay(h.Steps); broken != nil {
+			t.Errorf("%s (%s): %v", file, h.About, broken)
+		}
+	}
+}
--- a/internal/mesh/control/model_test.go
+++ b/internal/mesh/control/model_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
+
+	"beechwing/internal/mesh/view"
 )
 
 // How many seeds the random exploration plays, and from which on. For hours:
@@ -18,13 +22,14 @@
 	modelSeedsVariable = "MODEL_SEEDS"
 	modelFromVariable  = "MODEL_FROM"
 	modelTraceVariable = "MODEL_TRACE"
-	modelSeeds         = 40
-	modelSeedsRace     = 6    // under the race detector, which has nothing to find in one goroutine
-	modelTrouble       = 40.0 // seconds of trouble in a run
-	modelCalm          = 12.0 // seconds without any, until everything has to work again
-	lossesApart        = 3.0  // seconds between two lost disks, also of servers that wait
-	answerWithin       = 2.0  // seconds until an order is answered by a server that goes on
-	outOfContactAfter  = contactFor + 0.1
+	// modelRecordVariable names a folder in which the steps of a run that fails are kept, for testdata/histories.
+	modelRecordVariable = "MODEL_RECORD"
+	modelSeeds          = 40
+	modelSeedsRace      = 6    // under the race detector, which has nothing to find in one goroutine
+	modelTrouble        = 40.0 // seconds of trouble in a run
+	modelCalm           = 12.0 // seconds without any, until everything has to work again
+	answerWithin        = 2.0  // seconds until an order is answered by a server that goes on
+	outOfContactAfter   = contactFor + 0.1
 )
 
 func modelSetting(name string, otherwise uint64) uint64 {
@@ -41,17 +46,23 @@
 	return modelSeeds
 }
 
-// modelRun is one run: operators, and what goes wrong.
+// modelRun is one run: operators, and what goes wrong. Its steps are drawn, or those of a run that was recorded.
 type modelRun struct {
 	*modelCluster
-	last      uint64 // number of the newest order
-	exchanged uint64 // epochs
+	random    *rand.Rand
+	steps     []modelStep // that were taken
+	last      uint64      // number of the newest order
+	exchanged uint64      // epochs
 	leaving   *modelMachine
-	lostAt    float64 // when a disk was lost last
+	counted   uint64 // the newest epoch in which a joiner counts as a member
 }
 
 func newModelRun(seed uint64, trace func(string, ...any)) *modelRun {
-	r := &modelRun{modelCluster: newModelCluster(seed, 1+int(seed%4/3), 2)}
+	return newModelRunFor(seed, 1+int(seed%4/3), trace)
+}
+
+func newModelRunFor(seed uint64, tolerance int, trace func(string, ...any)) *modelRun {
+	r := &modelRun{modelCluster: newModelCluster(seed, tolerance, 2), random: luck(seed, "run")}
 	if trace != nil {
 		r.trace = trace
 	}
@@ -63,6 +74,18 @@
 	until := r.now + modelTrouble
 	r.nextOrder(until)
 	r.nextTrouble(until)
+	return r.finish()
+}
+
+// replay takes the steps of a run that was recorded.
+func (r *modelRun) replay(steps []modelStep) error {
+	for _, step := range steps {
+		r.after(step.At-r.now, func() { r.take(step) })
+	}
+	return r.finish()
+}
+
+func (r *modelRun) finish() error {
 	r.run(modelTrouble)
 	r.heal()
 	r.run(modelCalm)
@@ -83,24 +106,28 @@
 		}
 		switch r.random.IntN(8) {
 		case 0:
-			r.read(r.anyMachine())
+			r.step(modelStep{Kind: stepRead, Machine: r.anyMachine().address})
 		case 1:
 			for range 8 { // at once, to any servers, with two texts
-				r.order(r.anyMachine(), r.last+1, r.random.IntN(2))
+				r.stepOrder(r.last+1, r.random.IntN(2))
 			}
 			r.last++
 		case 2, 3: // again, or the other text
 			if r.last > 0 {
-				r.order(r.anyMachine(), r.last-min(r.last-1, r.random.Uint64N(4)), r.random.IntN(2))
+				r.stepOrder(r.last-min(r.last-1, r.random.Uint64N(4)), r.random.IntN(2))
 			}
 		default:
 			r.last++
-			r.order(r.anyMachine(), r.last, 0)
+			r.stepOrder(r.last, 0)
 		}
 		r.nextOrder(until)
 	})
 }
 
+func (r *modelRun) stepOrder(number uint64, variant int) {
+	r.step(modelStep{Kind: stepOrder, Machine: r.anyMachine().address, Number: number, Variant: variant})
+}
+
 // order gives an order to a server. Its answer may be lost on the way back.
 func (r *modelRun) order(m *modelMachine, number uint64, variant int) {
 	if !m.up {
@@ -117,7 +144,7 @@
 		if result == OrderTaken && m.cutAt > 0 && r.now > m.cutAt+outOfContactAfter {
 			r.orders.fail(confirmedOutOfReach, "%q by %s", text, m.address)
 		}
-		if r.random.IntN(6) > 0 {
+		if m.random.IntN(6) > 0 {
 			r.orders.answered(number, text, result)
 		}
 	})
@@ -161,66 +188,77 @@
 	m := r.anyMachine()
 	switch n := r.random.IntN(20); {
 	case n < 2:
-		r.lossy = !r.lossy
+		r.step(modelStep{Kind: stepLossy})
 	case n < 4 && len(r.cuts) == 0:
-		r.cutOff(m, r.random.IntN(2) == 0)
+		r.step(modelStep{Kind: stepCut, Machine: m.address, Variant: r.random.IntN(2)})
 	case n < 8:
 		if len(r.cuts) > 0 {
-			r.joinAll()
+			r.step(modelStep{Kind: stepJoin})
 		}
 	case n < 12 && m.up:
 		r.stop(m)
 	case n < 15:
-		if !m.up {
-			m.start()
-		}
+		r.step(modelStep{Kind: stepStart, Machine: m.address})
 	case n < 17:
-		r.loseDisk(m)
+		if r.mayLose(m) {
+			r.step(modelStep{Kind: stepLose, Machine: m.address})
+			r.startAfter(m, 2*r.random.Float64())
+		}
 	case n == 17 && m.up && m.server.isMember() && r.leaving == nil:
-		r.leave(m)
+		r.step(modelStep{Kind: stepLeave, Machine: m.address})
 	}
 }
 
 // stop ends a server by one of two ways, and often starts it again soon.
 func (r *modelRun) stop(m *modelMachine) {
+	kind := stepPowerOff
 	if r.random.IntN(2) == 0 {
-		m.kill()
-	} else {
-		m.powerOff()
+		kind = stepKill
 	}
+	r.step(modelStep{Kind: kind, Machine: m.address})
 	if r.random.IntN(3) > 0 {
 		r.startAfter(m, 3*r.random.Float64())
 	}
 }
 
 func (r *modelRun) startAfter(m *modelMachine, seconds float64) {
-	r.after(seconds, func() {
-		if !m.up {
-			m.start()
-		}
-	})
+	r.after(seconds, func() { r.step(modelStep{Kind: stepStart, Machine: m.address}) })
 }
 
-// loseDisk takes a disk, where no more members are lost by that than the mesh tolerates.
-func (r *modelRun) loseDisk(m *modelMachine) {
-	if r.now < r.lostAt+lossesApart {
-		return
-	}
+// mayLose says whether the mesh bears the loss of one more disk: of the members, and of the members to be once a joiner counts as one
+// of them. Disks of servers that wait, and of a joiner that has not read everything yet, may be lost at any time.
+func (r *modelRun) mayLose(m *modelMachine) bool {
 	v := r.newest()
-	member := v.Has(viewMember(m))
-	if member && (v.Joint() || r.lost(v) >= r.tolerance) {
+	joiner, _ := v.Joiner()
+	if v.Joint() && number(r.byName[joiner.Address].disk[nameSynced]) == v.Epoch && r.byName[joiner.Address].holds(joiner) {
+		r.counted = v.Epoch
+	}
+	if !r.bears(v.Members, m) {
+		return false
+	}
+	return !v.Joint() || r.counted != v.Epoch || r.bears(v.Next, m)
+}
+
+func (r *modelRun) bears(members []view.Member, m *modelMachine) bool {
+	return !slices.Contains(members, viewMember(m)) || r.lost(members) < r.tolerance
+}
+
+// loseDisk takes a disk, where the mesh bears that.
+func (r *modelRun) loseDisk(m *modelMachine) {
+	if !r.mayLose(m) {
 		return
 	}
-	r.lostAt = r.now
 	if m.up {
 		m.powerOff()
 	}
 	m.wipe()
-	r.startAfter(m, 2*r.random.Float64())
 }
 
 // leave is a planned end: the server goes once its place is given away.
 func (r *modelRun) leave(m *modelMachine) {
+	if !m.up || r.leaving != nil {
+		return
+	}
 	r.trace("%.3f %s leaves", r.now, m.address)
 	r.leaving = m
 	m.server.Leave(r.now)
@@ -231,11 +269,17 @@
 		if m.up && m.lives == life {
 			r.trace("%.3f %s has left: %v", r.now, m.address, m.server.Left(r.now))
 			m.kill()
-			r.startAfter(m, 2)
+			r.after(2, func() { r.start(m) })
 		}
 	})
 }
 
+func (r *modelRun) start(m *modelMachine) {
+	if !m.up {
+		m.start()
+	}
+}
+
 // ---- the end
 
 // heal ends all trouble.
@@ -265,7 +309,7 @@
 // loseTolerance takes as many disks as the mesh tolerates, and reads from the others.
 func (r *modelRun) loseTolerance() {
 	v := r.newest()
-	if r.orders.broken != nil || v.Joint() || r.lost(v) > 0 {
+	if r.orders.broken != nil || v.Joint() || r.lost(v.Members) > 0 {
 		return
 	}
 	for _, i := range r.random.Perm(len(v.Members))[:r.tolerance] {
@@ -292,6 +336,7 @@
 	for seed := from; seed < from+seeds; seed++ {
 		r := newModelRun(seed, trace)
 		if broken := r.play(); broken != nil {
+			r.record(t)
 			t.Fatalf("seed %d: %v", seed, broken)
 		}
 		taken += r.orders.taken
--- a/internal/mesh/register/model_cluster_test.go
+++ b/internal/mesh/register/model_cluster_test.go
@@ -25,7 +25,7 @@
 	modelSyncedName  = "synced"
 )
 
-var modelViewKey = Permanent("view")
+var modelViewKey = ViewKey
 
 // modelRegister and modelOperation are the keys in use: of registers that are never forgotten, and of operations.
 func modelRegister(i int) string  { return Permanent(fmt.Sprintf("register%d", i)) }
--- a/internal/mesh/register/model_exhaustive_test.go
+++ b/internal/mesh/register/model_exhaustive_test.go
@@ -31,8 +31,9 @@
 	read      []view.Member // of the old members, those that it has read in the joint view
 }
 
-// smallChange is one of the two changes.
+// smallChange is one of the changes.
 type smallChange struct {
+	key     string
 	at      int // server
 	body    string
 	saw     string
@@ -76,6 +77,9 @@
 	path     []smallStep
 	seed     maphash.Seed
 	buffer   []byte
+	keys     []string                              // registers in use
+	follows  func(w *smallWorld) (view.View, bool) // what follows the joint view, once that may be chosen
+	leaf     func(w *smallWorld) string            // looks at a state whose depth is used up
 }
 
 func newSmallSearch() *smallSearch {
@@ -85,8 +89,10 @@
 	}
 	first := view.Founding(1, members[:3])
 	joint := first.Join(members[3], members[2])
-	return &smallSearch{views: []view.View{first, joint, joint.Complete()}, members: members, seen: map[uint64]int8{},
-		seed: maphash.MakeSeed()}
+	x := &smallSearch{views: []view.View{first, joint, joint.Complete()}, members: members, seen: map[uint64]int8{},
+		seed: maphash.MakeSeed(), keys: []string{smallKey}, leaf: func(*smallWorld) string { return "" }}
+	x.follows = func(w *smallWorld) (view.View, bool) { return x.views[2], x.joined(w) }
+	return x
 }
 
 // smallBeginning is a state from which everything is explored.
@@ -120,7 +126,7 @@
 func chosenBeforeExchange(x *smallSearch, w *smallWorld) {
 	x.accept(w, 0, Ballot{1, 1, 1, 1}, "a")
 	x.accept(w, 2, Ballot{1, 1, 1, 1}, "a")
-	w.changes[0] = smallChange{at: 0, body: "a", begun: true, version: 1, held: "a"}
+	w.changes[0] = smallChange{key: smallKey, at: 0, body: "a", begun: true, version: 1, held: "a"}
 }
 
 // accept puts a value of version 1 on one server.
@@ -133,7 +139,7 @@
 
 // world is the state at the beginning: changes are to come at s0 and s1.
 func (x *smallSearch) world(fault plantedFault) *smallWorld {
-	w := &smallWorld{fault: fault, changes: []smallChange{{at: 0, body: "c"}, {at: 1, body: "d"}}}
+	w := &smallWorld{fault: fault, changes: []smallChange{{key: smallKey, at: 0, body: "c"}, {key: smallKey, at: 1, body: "d"}}}
 	for i, m := range x.members {
 		l := New(m, uint32(i+1), modelWindow)
 		l.SetView(1, x.views[0], 1)
@@ -167,7 +173,9 @@
 		copied := *c
 		copied.votes, copied.alike = maps.Clone(c.votes), maps.Clone(c.alike)
 		copied.rest, copied.sent = slices.Clone(c.rest), slices.Clone(c.sent)
-		w.bind(&copied, slices.IndexFunc(w.changes, func(small smallChange) bool { return small.at == int(l.life)-1 }))
+		w.bind(&copied, slices.IndexFunc(w.changes, func(small smallChange) bool {
+			return small.at == int(l.life)-1 && small.key == c.key
+		}))
 		next.work[key], next.byID[c.id] = &copied, &copied
 	}
 	next.waiting, next.slowUntil = map[string][]*change{}, maps.Clone(l.slowUntil)
@@ -178,6 +186,9 @@
 func (w *smallWorld) bind(c *change, i int) {
 	c.work = func(old *meshpb.Receipt) (*meshpb.Receipt, State) {
 		w.changes[i].saw = string(old.GetBody())
+		if w.changes[i].key == ViewKey && old != nil { // what follows is decided, or about to be
+			return nil, Stored
+		}
 		return &meshpb.Receipt{Token: old.GetToken() + 1, State: Stored, Body: []byte(w.changes[i].body)}, Stored
 	}
 	c.answer = func(state State, held *meshpb.Receipt) {
@@ -192,7 +203,7 @@
 // steps are those that can be taken now.
 func (x *smallSearch) steps(w *smallWorld) (all []smallStep) {
 	for i, c := range w.changes {
-		if !c.begun && w.servers[c.at].registers.voting {
+		if !c.begun && w.servers[c.at].registers.voting && x.mayBegin(w, c) {
 			all = append(all, smallStep{stepBegin, c.at, i})
 		}
 	}
@@ -200,7 +211,8 @@
 		all = append(all, smallStep{stepDeliver, x.index(m.to), i})
 	}
 	for i, s := range w.servers {
-		if epoch := s.registers.view.Epoch; epoch == 1 || epoch == 2 && x.joined(w) {
+		_, followed := x.follows(w)
+		if epoch := s.registers.view.Epoch; epoch == 1 || epoch == 2 && followed {
 			all = append(all, smallStep{stepAdopt, i, 0})
 		}
 	}
@@ -215,6 +227,12 @@
 	return all
 }
 
+// mayBegin says whether a change is one that a server would begin now: only the coordinator of a joint view proposes what follows it,
+// and the view of the new members only once the joiner has read everything.
+func (x *smallSearch) mayBegin(w *smallWorld, c smallChange) bool {
+	return c.key != ViewKey || w.servers[c.at].registers.view.Epoch == 2 && (c.body != completed || x.joined(w))
+}
+
 func (x *smallSearch) index(address string) int { return int(address[1] - '0') }
 
 // joined says whether the stable view may have been chosen.
@@ -266,9 +284,11 @@
 	c := &w.changes[i]
 	c.begun = true
 	for _, other := range w.changes {
-		c.least = max(c.least, other.version)
+		if other.key == c.key {
+			c.least = max(c.least, other.version)
+		}
 	}
-	begun := &change{key: smallKey, linearizable: true}
+	begun := &change{key: c.key, linearizable: true}
 	w.bind(begun, i)
 	w.servers[c.at].registers.begin(1, begun)
 }
@@ -276,6 +296,9 @@
 func (x *smallSearch) adopt(w *smallWorld, i int) {
 	l := w.servers[i].registers
 	v := x.views[l.view.Epoch]
+	if l.view.Epoch == 2 {
+		v, _ = x.follows(w)
+	}
 	left := l.view.Has(l.self) && !v.Has(l.self)
 	if left {
 		l.Reset(1, view.Member{Address: l.self.Address, Incarnation: 2})
@@ -324,6 +347,7 @@
 		return
 	}
 	if depth == 0 {
+		x.broken = x.leaf(w)
 		return
 	}
 	key := x.key(w)
@@ -350,11 +374,14 @@
 // check says what is wrong with the answers so far.
 func (w *smallWorld) check() string {
 	a, b := w.changes[0], w.changes[1]
-	for _, c := range w.changes {
+	for _, c := range []smallChange{a, b} {
 		if c.version > 0 && c.version <= c.least {
 			return staleVersion
 		}
 	}
+	if wrong := checkSuccessors(w); wrong != "" {
+		return wrong
+	}
 	switch {
 	case a.version == 0 || b.version == 0:
 	case a.version == b.version:
@@ -411,17 +438,23 @@
 
 func (x *smallSearch) addServer(s smallServer) {
 	l := s.registers
-	x.add(l.view.Epoch, flag(l.voting), uint64(len(s.read)))
+	x.add(l.view.Epoch, uint64(len(l.view.Members)), flag(l.view.Has(x.members[2])), flag(l.voting), uint64(len(s.read)))
 	for _, m := range x.members {
 		x.add(flag(slices.Contains(s.read, m)))
 	}
-	if e := l.entries[smallKey]; e != nil {
+	for _, key := range x.keys {
+		x.addRegister(l, key)
+	}
+}
+
+func (x *smallSearch) addRegister(l *Registers, key string) {
+	if e := l.entries[key]; e != nil {
 		x.add(1, flag(e.chosen))
 		x.addBallot(e.promised)
 		x.addBallot(e.accepted)
 		x.addValue(e.value)
 	}
-	c := l.work[smallKey]
+	c := l.work[key]
 	if c == nil {
 		x.add(0)
 		return
--- a/internal/mesh/register/model_test.go
+++ b/internal/mesh/register/model_test.go
@@ -19,14 +19,15 @@
 //
 //	MODEL_FROM=1234 MODEL_SEEDS=1 MODEL_TRACE=1 go test -v -run TestModelRandom ./internal/mesh/register
 const (
-	modelSeedsVariable = "MODEL_SEEDS"
-	modelFromVariable  = "MODEL_FROM"
-	modelTraceVariable = "MODEL_TRACE"
-	modelSeeds         = 1500
-	modelSeedsRace     = 150 // under the race detector, which has nothing to find in one goroutine
-	modelSteps         = 600
-	modelKeys          = 4     // registers, and as many keys of operations
-	plantedSeeds       = 40000 // at most, until a planted fault is found
+	modelSeedsVariable  = "MODEL_SEEDS"
+	modelFromVariable   = "MODEL_FROM"
+	modelTraceVariable  = "MODEL_TRACE"
+	modelWithinVariable = "MODEL_WITHIN"
+	modelSeeds          = 1500
+	modelSeedsRace      = 150 // under the race detector, which has nothing to find in one goroutine
+	modelSteps          = 600
+	modelKeys           = 4     // registers, and as many keys of operations
+	plantedSeeds        = 40000 // at most, until a planted fault is found
 )
 
 func modelSetting(name string, otherwise uint64) uint64 {
--- a/internal/mesh/register/proposer.go
+++ b/internal/mesh/register/proposer.go
@@ -123,7 +123,7 @@
 // known says whether a quorum told one ballot of this epoch: what it accepted there was chosen. Of an earlier epoch that does not
 // follow: a joiner's part in it is a copy, and a quorum of that epoch may have accepted something else.
 func (l *Registers) known(c *change) bool {
-	return c.best.Epoch == l.view.Epoch && l.view.Quorum(func(m view.Member) bool { return c.alike[m] })
+	return c.best.Epoch == l.view.Epoch && l.quorum(c.key, func(m view.Member) bool { return c.alike[m] })
 }
 
 // spread sends the message of a phase to as many others as make a quorum with this server, and keeps the rest in reserve: answers have
@@ -250,7 +250,7 @@
 	case 0:
 		c.alike[from] = true
 	}
-	if l.view.Quorum(func(m view.Member) bool { return c.votes[m] }) {
+	if l.quorum(c.key, func(m view.Member) bool { return c.votes[m] }) {
 		l.propose(now, c, c.old)
 	}
 }
@@ -283,7 +283,7 @@
 		return
 	}
 	c.votes[from] = true
-	if !l.view.Quorum(func(m view.Member) bool { return c.votes[m] }) {
+	if !l.quorum(c.key, func(m view.Member) bool { return c.votes[m] }) {
 		return
 	}
 	if e := l.entries[c.key]; e != nil && e.accepted == c.ballot {
@@ -315,7 +315,7 @@
 
 // refused says whether a quorum can no longer come together.
 func (l *Registers) refused(c *change) bool {
-	return !l.view.Quorum(func(m view.Member) bool {
+	return !l.quorum(c.key, func(m view.Member) bool {
 		yes, answered := c.votes[m]
 		return yes || !answered
 	})
--- a/internal/mesh/register/registers.go
+++ b/internal/mesh/register/registers.go
@@ -55,6 +55,19 @@
 
 func permanent(key string) bool { return strings.HasPrefix(key, permanentPrefix) }
 
+// ViewKey is the register that names the next view. What follows a joint view is decided by a majority of its old members alone: all
+// joint quorums contain one, so completing and abandoning a change exclude each other, and a joint view can be left for as long as a
+// majority of the old members is there, whoever of the new ones is lost.
+var ViewKey = Permanent("view")
+
+// quorum says whether some members are enough for a ballot of a register.
+func (l *Registers) quorum(key string, has func(view.Member) bool) bool {
+	if key == ViewKey {
+		return l.view.OldQuorum(has)
+	}
+	return l.view.Quorum(has)
+}
+
 // Effects are what a state machine wants done. Sends go at once; Puts go to the disk, and After when they are synced there.
 type Effects struct {
 	Sends []transport.Send
