Claims take one round trip again within catchUpS of a change of view

Change: a home asks a majority of the members that go by the new view for hashes of the keys that they hold from earlier epochs and whose home it is; it prepares those, all others take one round trip. Processes of before ignore the question; their homes wait for 75 s as before. Rendezvous hashing without allocations, the same scores (TestScoresStay).

--- /dev/null
+++ b/internal/mesh/control/homed.go
@@ -0,0 +1,101 @@
+package control
+
+import (
+	"slices"
+
+	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/rendezvous"
+	"beechwing/internal/mesh/view"
+)
+
+// After a change of view this server asks a majority of the members which keys they hold from earlier epochs whose home it is by now, so
+// that claims of all other keys take one round trip again (register.HomedAt). Until it knows, its claims take two.
+
+const (
+	homedAgain = 0.4 // seconds without an answer until a member is asked again, and the next one beside it
+)
+
+// homedSource is a member that is asked.
+type homedSource struct {
+	life     uint32
+	position uint64
+	askedAt  float64
+	id       uint64 // of the open question
+	done     bool
+}
+
+// homedReading is what was read of the present epoch.
+type homedReading struct {
+	sources map[string]*homedSource // by address
+	began   float64
+}
+
+// viewChanged has everything asked anew.
+func (h *homedReading) viewChanged(now float64) {
+	*h = homedReading{sources: map[string]*homedSource{}, began: now}
+}
+
+// tickHomed asks as many others as make a majority, and one more for each that has not answered in time.
+func (s *Server) tickHomed(now float64) {
+	if !s.Voting() || s.view().Joint() || s.membership.settled || s.registers.KnowsHomed() {
+		return
+	}
+	wanted := s.view().Majority() - 1
+	for _, address := range rendezvous.Order(s.o.Self, s.view().Addresses()) {
+		if wanted == 0 {
+			return
+		}
+		if address == s.o.Self {
+			continue
+		}
+		from := s.homed.sources[address]
+		if from == nil {
+			from = &homedSource{}
+			s.homed.sources[address] = from
+			s.askHomed(now, address, from)
+		}
+		if from.done || now < from.askedAt+homedAgain {
+			wanted--
+			continue
+		}
+		s.askHomed(now, address, from)
+	}
+}
+
+func (s *Server) askHomed(now float64, address string, from *homedSource) {
+	s.lastID++
+	from.id, from.askedAt = s.lastID, now
+	s.send(address, &meshpb.Message{Id: from.id, HomedRequest: &meshpb.HomedRequest{SourceLife: from.life, Position: from.position}})
+}
+
+// heardHomedRequest answers once the disk has the view: who asks counts on this server to take part in no older ballot any more, also
+// after a loss of power.
+func (s *Server) heardHomedRequest(from string, id uint64, r *meshpb.HomedRequest) {
+	if !s.Voting() || s.view().Joint() {
+		return
+	}
+	read := r.Position
+	if r.SourceLife != s.o.Life {
+		read = 0
+	}
+	answer := &meshpb.Homed{SourceLife: s.o.Life}
+	answer.Hashes, answer.Position, answer.Last = s.registers.HomedAt(from, read)
+	s.out.After = append(s.out.After, after(from, &meshpb.Message{Id: id, Homed: answer}))
+}
+
+// heardHomed takes the answer to the question that is open. A member that has started again tells all from the beginning.
+func (s *Server) heardHomed(now float64, member view.Member, id uint64, h *meshpb.Homed) {
+	from := s.homed.sources[member.Address]
+	if from == nil || from.id != id || from.done || !slices.Contains(s.view().Members, member) {
+		return
+	}
+	from.life, from.position, from.done = h.SourceLife, h.Position, h.Last
+	s.registers.LearnHomed(member, h.Hashes, h.Last)
+	if !h.Last {
+		s.askHomed(now, member.Address, from)
+		return
+	}
+	if s.registers.KnowsHomed() {
+		s.o.Log("one round trip", "epoch", s.view().Epoch, "seconds", now-s.homed.began)
+	}
+}
--- a/internal/mesh/control/membership.go
+++ b/internal/mesh/control/membership.go
@@ -124,6 +124,7 @@
 	s.registers.SetView(now, v, fastFrom)
 	s.contact.viewChanged(now, v)
 	s.catchup.viewChanged()
+	s.homed.viewChanged(now)
 	s.vote(now)
 	s.propagation.digestAt = 0
 }
--- a/internal/mesh/control/model_cluster_test.go
+++ b/internal/mesh/control/model_cluster_test.go
@@ -339,6 +339,30 @@
 	return newest
 }
 
+// inForce are the views that may be gone by: the newest that is on the disks of a majority of its members, and all that follow it.
+func (c *modelCluster) inForce() (all []view.View) {
+	known := map[uint64]view.View{}
+	epochs := map[view.Member]uint64{} // that are on disk
+	for _, m := range c.machines {
+		held, _ := view.Decode(m.disk[nameView])
+		known[held.Epoch], epochs[viewMember(m)] = held, held.Epoch
+		if m.up {
+			known[m.server.view().Epoch] = m.server.view()
+		}
+	}
+	for epoch := c.newest().Epoch; epoch > 0; epoch-- {
+		v, found := known[epoch]
+		if !found {
+			continue
+		}
+		all = append(all, v)
+		if v.OldQuorum(func(m view.Member) bool { return epochs[m] >= epoch }) {
+			break
+		}
+	}
+	return all
+}
+
 // lost counts those of some members whose disks are lost.
 func (c *modelCluster) lost(members []view.Member) (n int) {
 	for _, member := range members {
--- a/internal/mesh/control/model_test.go
+++ b/internal/mesh/control/model_test.go
@@ -226,17 +226,20 @@
 }
 
 // mayLose says whether the mesh bears the loss of one more disk: of the members, and of the members to be once a joiner counts as one
-// of them. Disks of servers that wait, and of a joiner that has not read everything yet, may be lost at any time.
+// of them. A change is complete, and who it leaves out no longer counts, once a majority of its members has the view on disk: until then
+// the loss has to be borne by the view before it too. Disks of servers that wait, and of a joiner that has not read everything yet, may
+// be lost at any time.
 func (r *modelRun) mayLose(m *modelMachine) bool {
-	v := r.newest()
-	joiner, _ := v.Joiner()
-	if v.Joint() && number(r.byName[joiner.Address].disk[nameSynced]) == v.Epoch && r.byName[joiner.Address].holds(joiner) {
-		r.counted = v.Epoch
-	}
-	if !r.bears(v.Members, m) {
-		return false
+	for _, v := range r.inForce() {
+		joiner, _ := v.Joiner()
+		if v.Joint() && number(r.byName[joiner.Address].disk[nameSynced]) == v.Epoch && r.byName[joiner.Address].holds(joiner) {
+			r.counted = v.Epoch
+		}
+		if !r.bears(v.Members, m) || v.Joint() && r.counted == v.Epoch && !r.bears(v.Next, m) {
+			return false
+		}
 	}
-	return !v.Joint() || r.counted != v.Epoch || r.bears(v.Next, m)
+	return true
 }
 
 func (r *modelRun) bears(members []view.Member, m *modelMachine) bool {
--- a/internal/mesh/control/server.go
+++ b/internal/mesh/control/server.go
@@ -3,7 +3,7 @@
 // and clock are the program's.
 //
 // Its files: membership.go changes the view; contact.go knows whether a quorum is in reach; catchup.go brings a server that joins up
-// to date; configuration.go takes orders; propagation.go tells proxies and the other servers what is new; ejection.go leaves hosts
+// to date; homed.go has claims take one round trip after a change; configuration.go takes orders; propagation.go tells proxies and the other servers what is new; ejection.go leaves hosts
 // out by agreement; state.go is what an operator sees.
 package control
 
@@ -56,6 +56,7 @@
 	membership    membership
 	contact       contact
 	catchup       catchup
+	homed         homedReading
 	configuration configuration
 	propagation   propagation
 	ejections     ejections
@@ -209,6 +210,10 @@
 		s.heardSyncRequest(from, m.Id, m.SyncRequest)
 	case m.SyncPage != nil:
 		s.heardSyncPage(now, member, m.Id, m.SyncPage)
+	case m.HomedRequest != nil:
+		s.heardHomedRequest(from, m.Id, m.HomedRequest)
+	case m.Homed != nil:
+		s.heardHomed(now, member, m.Id, m.Homed)
 	case m.ConfigRequest != nil:
 		s.heardConfigRequest(from, m.ConfigRequest)
 	case m.Config != nil:
@@ -260,6 +265,7 @@
 func (s *Server) Tick(now float64) {
 	s.tickMembership(now)
 	s.tickCatchup(now)
+	s.tickHomed(now)
 	s.tickContact(now)
 	s.registers.Tick(now)
 	s.tickConfiguration(now)
--- a/internal/mesh/meshpb/kinds.go
+++ b/internal/mesh/meshpb/kinds.go
@@ -23,6 +23,8 @@
 		return "sync_request"
 	case m.SyncPage != nil:
 		return "sync_page"
+	case m.HomedRequest != nil, m.Homed != nil:
+		return "homed"
 	case m.View != nil, m.ViewRequest != nil, m.Join != nil:
 		return "membership"
 	case m.Config != nil, m.ConfigRequest != nil:
--- a/internal/mesh/register/model_cluster_test.go
+++ b/internal/mesh/register/model_cluster_test.go
@@ -43,6 +43,7 @@
 	reusedLife                    // a process reuses the ids and ballots of the one before it
 	unchosenFastPath              // the fast path continues a value that is on this disk, whether it was chosen or not
 	wipedMemberVotes              // a disk that lost its content votes as the member that it was
+	homedUntold                   // a home begins first ballots without knowing which keys were chosen without it
 )
 
 // modelMessage is a message under way.
@@ -287,6 +288,10 @@
 		s.heardSyncRequest(m)
 	case m.message.SyncPage != nil:
 		s.heardSyncPage(m)
+	case m.message.HomedRequest != nil:
+		s.heardHomedRequest(m)
+	case m.message.Homed != nil:
+		s.heardHomed(m)
 	case s.cluster.fault == contentBlindVote && m.message.Accept != nil && s.voteBlindly(m):
 	default:
 		s.registers.Heard(s.cluster.now, m.from, m.message)
@@ -409,9 +414,13 @@
 
 // ---- joining
 
-// follow reads the registers of the members.
+// follow reads the registers of the members, or which keys they hold whose home this server is.
 func (s *modelServer) follow() {
-	if s.registers.Voting() || !s.view.Known() {
+	if s.registers.Voting() {
+		s.askHomed()
+		return
+	}
+	if !s.view.Known() {
 		return
 	}
 	for _, m := range s.view.Members {
@@ -458,6 +467,34 @@
 	s.reviewSync()
 }
 
+// askHomed asks all other members for the keys whose home this server is.
+func (s *modelServer) askHomed() {
+	if s.view.Joint() || s.view.Epoch == 1 || s.registers.KnowsHomed() {
+		return
+	}
+	for _, m := range s.view.Members {
+		if m.Address != s.address {
+			s.send(m.Address, &meshpb.Message{HomedRequest: &meshpb.HomedRequest{}})
+		}
+	}
+}
+
+func (s *modelServer) heardHomedRequest(m modelMessage) {
+	if !s.registers.Voting() || s.view.Joint() {
+		return
+	}
+	answer := &meshpb.Homed{Last: true}
+	answer.Hashes, _, _ = s.registers.HomedAt(m.from.Address, 0)
+	s.sendSynced(m.from.Address, &meshpb.Message{Homed: answer})
+}
+
+func (s *modelServer) heardHomed(m modelMessage) {
+	if s.cluster.fault == homedUntold { // planted: which keys there are is not looked at
+		m.message.Homed.Hashes = nil
+	}
+	s.registers.LearnHomed(m.from, m.message.Homed.Hashes, m.message.Homed.Last)
+}
+
 // reviewSync looks whether a majority of the old members has told everything. The disk has it all before it says so.
 func (s *modelServer) reviewSync() {
 	joiner, _ := s.view.Joiner()
--- a/internal/mesh/register/model_planted_test.go
+++ b/internal/mesh/register/model_planted_test.go
@@ -14,6 +14,7 @@
 		{"a leaver's values are dropped", leaverDropped},
 		{"the fast path on a value that was not chosen", unchosenFastPath},
 		{"a wiped disk votes as the member that it was", wipedMemberVotes},
+		{"a home does not know which keys were chosen without it", homedUntold},
 	} {
 		t.Run(planted.name, func(t *testing.T) {
 			broken, seed := findPlanted(planted.fault)
--- a/internal/mesh/register/proposer.go
+++ b/internal/mesh/register/proposer.go
@@ -63,10 +63,17 @@
 	}
 }
 
-// mayBeginFirst says whether the first ballot of a key in this epoch may go without being prepared. Of what is permanent something may
-// have been chosen in any earlier epoch, however long ago: there only the founding view has a first ballot that needs none.
+// mayBeginFirst says whether the first ballot of a key in this epoch may go without being prepared: nothing was chosen for it in an
+// earlier epoch, or that is forgotten. Of what is permanent something may have been chosen in any earlier epoch, however long ago:
+// there only the founding view has a first ballot that needs none.
 func (l *Registers) mayBeginFirst(now float64, key string) bool {
-	return now >= l.fastFrom && l.isHome(key) && (!permanent(key) || l.view.Epoch == 1)
+	switch {
+	case !l.isHome(key):
+		return false
+	case permanent(key):
+		return l.view.Epoch == 1
+	}
+	return now >= l.fastFrom || l.homed.known && !l.homed.has(key)
 }
 
 // ask prepares a ballot.
--- a/internal/mesh/register/registers.go
+++ b/internal/mesh/register/registers.go
@@ -10,8 +10,9 @@
 // only. Between two stable views stands a joint one, whose quorums are majorities of the old and the new members, so what is
 // chosen in one epoch is seen by the ballots of the next. A joiner votes once it holds what was chosen before it came: see sync.go.
 //
-// After a change of view, values may stand elsewhere that the home of a key has not seen. No server takes the short way for the
-// first ballot of a key until the window, after which keys are forgotten, has passed in that epoch.
+// After a change of view, values may stand elsewhere that the home of a key has not seen. A server takes the short way for the first
+// ballot of a key once it knows which keys those are, see homed.go, or once the window, after which keys are forgotten, has passed
+// in that epoch.
 package register
 
 import (
@@ -88,13 +89,15 @@
 type Registers struct {
 	Checks *invariant.Checks
 
-	self     view.Member
-	view     view.View
-	node     uint32 // this server's number in the view, from 1; 0: it is no member
-	life     uint32
-	window   float64
-	fastFrom float64 // until then no first ballot of a key goes without being prepared
-	voting   bool
+	self      view.Member
+	view      view.View
+	addresses []string // of the view's members
+	node      uint32   // this server's number in the view, from 1; 0: it is no member
+	life      uint32
+	window    float64
+	fastFrom  float64 // from then on what was chosen in earlier epochs is forgotten
+	homed     homed
+	voting    bool
 
 	entries   map[string]*entry
 	position  uint64
@@ -120,12 +123,15 @@
 }
 
 // SetView takes the view in force. fastFrom is the time from which the home of a key may leave out the first half of its first
-// ballot: at once in the founding view, and after the window in any later one. Changes under way begin anew in the new epoch.
+// ballot whatever the others hold: at once in the founding view, and after the window in any later one. Changes under way begin anew
+// in the new epoch.
 func (l *Registers) SetView(now float64, v view.View, fastFrom float64) {
 	if v.Epoch == l.view.Epoch {
 		return
 	}
 	l.view, l.node, l.fastFrom = v, v.Node(l.self), fastFrom
+	l.addresses = v.Addresses()
+	l.homed = homed{}
 	if l.node == 0 {
 		l.voting = false
 	}
@@ -188,7 +194,7 @@
 func Home(key string, servers []string) []string { return rendezvous.Order(key, servers) }
 
 // home is the member that a key's claims go to first.
-func (l *Registers) home(key string) string { return Home(key, l.view.Addresses())[0] }
+func (l *Registers) home(key string) string { return rendezvous.First(key, l.addresses) }
 
 // isHome says whether this server is the home of a key in this epoch. A joint view has no homes: nobody goes the short way in it.
 func (l *Registers) isHome(key string) bool {
--- a/internal/mesh/rendezvous/rendezvous_test.go
+++ b/internal/mesh/rendezvous/rendezvous_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"slices"
 	"testing"
 )
@@ -49,3 +50,28 @@
 		}
 	}
 }
+
+// The scores are those of FNV-1a, mixed: processes of other versions compute the same, and First is the first of Order.
+func TestScoresStay(t *testing.T) {
+	for i := range 200 {
+		key, all := fmt.Sprintf("key %d", i), names(1+i%9)
+		order := Order(key, all)
+		if first := First(key, all); first != order[0] {
+			t.Fatalf("first is %s of %v", first, order)
+		}
+		for _, name := range all {
+			h := fnv.New64a()
+			h.Write([]byte(key + "\x00" + name))
+			x := h.Sum64()
+			x ^= x >> 33
+			x *= 0xff51afd7ed558ccd
+			x ^= x >> 33
+			if got := score(ofKey(key), name); got != x {
+				t.Fatalf("%s, %s: %x for %x", key, name, got, x)
+			}
+		}
+	}
+	if First("key", nil) != "" {
+		t.Error("the first of nobody")
+	}
+}
--- a/internal/mesh/simulation/fuzz_test.go
+++ b/internal/mesh/simulation/fuzz_test.go
@@ -84,7 +84,7 @@
 		return protoreflect.ValueOfBool(d.rng.IntN(2) == 0)
 	case protoreflect.Uint32Kind, protoreflect.Fixed32Kind:
 		return protoreflect.ValueOfUint32(uint32(number))
-	case protoreflect.Uint64Kind:
+	case protoreflect.Uint64Kind, protoreflect.Fixed64Kind:
 		return protoreflect.ValueOfUint64(number)
 	case protoreflect.StringKind:
 		return protoreflect.ValueOfString(d.text())
