Views: a joint view whose joiner has another disk by now is abandoned at once

Change: a word from the joiner's address by another disk proves that the joiner is gone; its joint view is abandoned without a wait.

--- a/internal/mesh/control/homed.go
+++ b/internal/mesh/control/homed.go
@@ -90,12 +90,13 @@
 		return
 	}
 	from.life, from.position, from.done = h.SourceLife, h.Position, h.Last
+	knew := s.registers.KnowsHomed()
 	s.registers.LearnHomed(member, h.Hashes, h.Last)
 	if !h.Last {
 		s.askHomed(now, member.Address, from)
 		return
 	}
-	if s.registers.KnowsHomed() {
+	if !knew && s.registers.KnowsHomed() {
 		s.o.Log("one round trip", "epoch", s.view().Epoch, "seconds", now-s.homed.began)
 	}
 }
--- a/internal/mesh/control/membership.go
+++ b/internal/mesh/control/membership.go
@@ -363,6 +363,8 @@
 		waiting := s.membership.standbys[joiner.Address]
 		known := waiting != nil && waiting.member == joiner
 		switch {
+		case waiting != nil && !known: // another disk is at its address: the joiner of an old proposal, which is gone for good
+			return v.Abandon(), true
 		case now > s.membership.adoptedAt+joinerGone && !s.newMajorityHeard(now):
 			return v.Abandon(), true
 		case known && waiting.syncedEpoch == v.Epoch:
--- a/internal/mesh/control/model_cases_test.go
+++ b/internal/mesh/control/model_cases_test.go
@@ -121,3 +121,45 @@
 	}
 	return coordinator, joiner
 }
+
+// A joint view that was proposed before is chosen after all, and its joiner has another disk by now: nobody waits for it.
+func TestOldProposalIsAbandonedAtOnce(t *testing.T) {
+	const atOnce = 0.5
+	found := 0
+	for seed := range uint64(20) {
+		c := newModelCluster(seed, 1, 2)
+		c.run(2)
+		silent := c.machines[seed%3]
+		_, joiner := proposeExchange(c, silent, false)
+		old := viewMember(joiner)
+		joiner.powerOff()
+		joiner.wipe()
+		silent.start()
+		joiner.start()
+		c.lose = func(string, string, *meshpb.Message) bool { return false }
+		var since float64
+		for until := c.now + 8; c.now < until; {
+			c.run(modelTick)
+			waits := false
+			for _, m := range c.machines {
+				entering, joint := m.server.view().Joiner()
+				waits = waits || m.up && joint && entering == old && m.server.coordinates(c.now)
+			}
+			switch {
+			case !waits:
+				since = 0
+			case since == 0:
+				since = c.now
+				found++
+			case c.now > since+atOnce:
+				t.Fatalf("seed %d: %v is waited for, and its disk is gone", seed, old)
+			}
+		}
+		if v := c.newest(); v.Joint() || c.lost(v.Members) > 0 {
+			t.Fatalf("seed %d: %v", seed, v)
+		}
+	}
+	if found == 0 {
+		t.Fatal("no old proposal was chosen: this shows nothing")
+	}
+}
