Store: a starved processor is no stalled disk

Cause: a write counted as stalled 0.5 s after it began by the clock; on a full processor (0.176 of a core) a small write took so long because the process did not run, and the server refused orders and claims for a healthy disk.

--- a/internal/mesh/store/queue.go
+++ b/internal/mesh/store/queue.go
@@ -18,8 +18,9 @@
 type queue[M any] struct {
 	waiting batch[M]
 	writing *batch[M]           // nil: no write is on its way
-	movedAt float64             // when it began, or got on
-	longest float64             // seconds that it did not get on
+	ran     running             // how long this process has run
+	moved   float64             // how long it had run when the write began, or got on
+	longest float64             // seconds, while this process ran, that the write did not get on
 	opened  bool                // a write has succeeded: what the store was opened with is on the disk for good
 	kept    map[string]struct{} // names that are on the disk
 	retryAt float64
@@ -87,7 +88,7 @@
 	if !write && len(q.waiting.after) == 0 {
 		return nil, false, false
 	}
-	q.writing, q.movedAt, q.longest = &batch[M]{q.waiting.puts, q.waiting.after}, now, 0
+	q.writing, q.moved, q.longest = &batch[M]{q.waiting.puts, q.waiting.after}, q.ran.at(now), 0
 	q.waiting = batch[M]{puts: map[string][]byte{}}
 	for _, name := range slices.Sorted(maps.Keys(q.writing.puts)) {
 		puts = append(puts, Put{name, q.writing.puts[name]})
@@ -100,8 +101,9 @@
 	if q.writing == nil {
 		return
 	}
-	q.longest = max(q.longest, now-q.movedAt)
-	q.movedAt = now
+	ran := q.ran.at(now)
+	q.longest = max(q.longest, ran-q.moved)
+	q.moved = ran
 }
 
 // end notes how the write that was begun ended, and gives the messages that may go now, in the order in
@@ -150,9 +152,10 @@
 
 // tick notes that time has passed.
 func (q *queue[M]) tick(now float64) {
+	q.ran.tick(now)
 	q.dropOld(now)
 	if q.writing != nil {
-		q.health.waits(now, now-q.movedAt)
+		q.health.waits(now, q.ran.at(now)-q.moved)
 	} else {
 		q.health.waits(now, 0)
 	}
