Registers: a promise of a permanent register writes and sends a ballot, not its value

Cause: each promise on the configuration's register wrote its value anew on every disk, and each answer carried it back to who asked. Change: a promise is written under a name of its own ('p.' and the key), a few bytes; a Prepare says which accepted value its sender holds, and who holds the same leaves it out. Only for permanent registers: the ballots of other keys are used again once these are forgotten.

--- a/internal/mesh/control/model_cluster_test.go
+++ b/internal/mesh/control/model_cluster_test.go
@@ -64,6 +64,7 @@
 	cuts      map[[2]string]bool // from, to
 	lossy     bool               // messages are lost, doubled and late, and disks are slow
 	lose      func(from, to string, m *meshpb.Message) bool
+	wrote     func(name string, value []byte)
 	trace     func(format string, args ...any)
 	orders    *orderHistory
 }
@@ -86,12 +87,15 @@
 	syncing bool
 }
 
-// newModelCluster founds a mesh, and starts the servers that wait to join.
+// newModelCluster founds a mesh of as many members as the tolerance needs, and starts the servers that wait to join.
 func newModelCluster(seed uint64, tolerance, spares int) *modelCluster {
+	return newModelClusterOf(seed, 2*tolerance+1, tolerance, spares)
+}
+
+func newModelClusterOf(seed uint64, members, tolerance, spares int) *modelCluster {
 	c := &modelCluster{seed: seed, links: map[[2]string]*rand.Rand{}, now: 1, tolerance: tolerance,
 		byName: map[string]*modelMachine{}, cuts: map[[2]string]bool{}, trace: func(string, ...any) {},
-		lose: func(string, string, *meshpb.Message) bool { return false }, orders: newOrderHistory()}
-	members := 2*tolerance + 1
+		lose: func(string, string, *meshpb.Message) bool { return false }, wrote: func(string, []byte) {}, orders: newOrderHistory()}
 	for i := range members + spares {
 		address := fmt.Sprintf("s%d", i)
 		m := &modelMachine{cluster: c, random: luck(seed, address), address: address, disk: map[string][]byte{}, first: i < members}
@@ -234,6 +238,7 @@
 
 func (m *modelMachine) apply(puts []store.Put) {
 	for _, p := range puts {
+		m.cluster.wrote(p.Name, p.Value)
 		if len(p.Value) == 0 {
 			delete(m.disk, p.Name)
 		} else {
--- /dev/null
+++ b/internal/mesh/control/order_cost_test.go
@@ -0,0 +1,82 @@
+package control
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"beechwing/internal/mesh/meshpb"
+)
+
+// routesText is a configuration of so many routes, with names as those of operators.
+func routesText(routes int, version uint64) []byte {
+	random := rand.New(rand.NewPCG(7, 7))
+	var b strings.Builder
+	fmt.Fprintf(&b, `{"edition":"r%d","itineraries":[`, version)
+	for range routes {
+		fmt.Fprintf(&b, `{"name":"r-%07x","depot":"%05x.example","lanePrefix":"/%06x/","routeKind":"safe","timeoutMs":%d,"targetMs":200,"carrier":"%06x","tries":2},`,
+			random.IntN(1<<28), random.IntN(1<<20), random.IntN(1<<24), version%7*100+500, random.IntN(40))
+	}
+	return []byte(strings.TrimSuffix(b.String(), ",") + "]}")
+}
+
+// orderCost is what a number of orders took over all members.
+type orderCost struct{ wire, disk, writes int }
+
+// costOfOrders has a server that has given no order before give some, one after the other, each by another server.
+func costOfOrders(t *testing.T, members, orders, routes int) (orderCost, int) {
+	t.Helper()
+	c := newModelClusterOf(1, members, (members-1)/2, 0)
+	c.run(2)
+	give := func(version int) []byte {
+		text, taken := routesText(routes, uint64(version)), false
+		m := c.machines[version%members]
+		m.server.Order(c.now, uint64(version), text, func(result OrderResult) { taken = result == OrderTaken })
+		m.work()
+		c.run(1)
+		if !taken {
+			t.Fatalf("order %d is not taken", version)
+		}
+		return text
+	}
+	give(1)
+	cost := orderCost{}
+	c.lose = func(_, _ string, m *meshpb.Message) bool {
+		if m.Prepare != nil || m.Promise != nil || m.Accept != nil || m.Accepted != nil {
+			cost.wire += proto.Size(m)
+		}
+		return false
+	}
+	c.wrote = func(name string, value []byte) {
+		if strings.HasSuffix(name, "\x00configuration") {
+			cost.disk += len(value)
+			cost.writes++
+		}
+	}
+	for version := 2; version < 2+orders; version++ {
+		give(version)
+	}
+	held, _ := c.machines[0].server.registers.Local("\x00configuration")
+	return cost, proto.Size(held)
+}
+
+// An order by a server that gave none before writes the configuration once on each disk, and sends it once to each other member: promises move
+// ballots.
+func TestCostOfAnOrder(t *testing.T) {
+	const orders, routes = 5, 1400
+	for _, members := range []int{5, 18} {
+		cost, value := costOfOrders(t, members, orders, routes)
+		t.Logf("%d members, %d routes (%d bytes as kept): an order sends %d bytes over all, writes %d bytes in %d writes", members, routes, value,
+			cost.wire/orders, cost.disk/orders, cost.writes/orders)
+		once := value + value/10
+		if sent := cost.wire / orders; sent > once*(members-1) {
+			t.Errorf("%d members: an order sends %d bytes, %d are what it takes", members, sent, once*(members-1))
+		}
+		if written := cost.disk / orders; written > once*members {
+			t.Errorf("%d members: an order writes %d bytes, %d are what it takes", members, written, once*members)
+		}
+	}
+}
--- a/internal/mesh/register/acceptor.go
+++ b/internal/mesh/register/acceptor.go
@@ -1,6 +1,8 @@
 package register
 
 import (
+	"strings"
+
 	"google.golang.org/protobuf/proto"
 
 	"beechwing/internal/mesh/invariant"
@@ -10,8 +12,12 @@
 	"beechwing/internal/mesh/view"
 )
 
-// prefix of the names under which registers lie in the store.
-const prefix = "k."
+// Prefixes of the names under which the store has registers: each with its value, and, of what is permanent, promises that are newer than
+// what stands there. A promise is a ballot: it does not write a configuration anew.
+const (
+	prefix        = "k."
+	promisePrefix = "p."
+)
 
 // Heard takes a message of another server's, or of this one's. Whoever calls it has compared the epochs: questions of another epoch
 // than this server's are not its to answer.
@@ -34,7 +40,7 @@
 		return
 	}
 	if e := l.entries[p.Key]; e != nil && e.promised == b { // the same message again: its answer may be lost
-		l.promise(from, id, e)
+		l.promise(from, id, e, FromWire(p.Held))
 		return
 	}
 	if b.compare(l.promised(p.Key)) <= 0 {
@@ -48,14 +54,17 @@
 		l.entries[p.Key] = e
 	}
 	e.promised, e.chosen = b, false
-	l.keep(p.Key, e)
-	l.promise(from, id, e)
+	l.keepPromise(p.Key, e)
+	l.promise(from, id, e, FromWire(p.Held))
 }
 
-// promise tells what a register has promised and accepted, once the disk has it.
-func (l *Registers) promise(to view.Member, id uint64, e *entry) {
-	l.out.After = append(l.out.After, transport.Send{To: to.Address, Message: &meshpb.Message{Id: id,
-		Promise: &meshpb.Promise{Yes: true, Promised: e.promised.Wire(), Accepted: e.accepted.Wire(), Value: e.value}}})
+// promise tells what a register has promised and accepted, once the disk has it. A value that the asker holds is not sent.
+func (l *Registers) promise(to view.Member, id uint64, e *entry, held Ballot) {
+	p := &meshpb.Promise{Yes: true, Promised: e.promised.Wire(), Accepted: e.accepted.Wire()}
+	if held == (Ballot{}) || held != e.accepted {
+		p.Value = e.value
+	}
+	l.out.After = append(l.out.After, transport.Send{To: to.Address, Message: &meshpb.Message{Id: id, Promise: p}})
 }
 
 func (l *Registers) heardAccept(now float64, from view.Member, id uint64, a *meshpb.Accept) {
@@ -110,6 +119,20 @@
 	l.out.Puts = append(l.out.Puts, store.Put{Name: prefix + key, Value: text})
 }
 
+// keepPromise has a promise written: with the value, or without where that is permanent and on the disk already. Who joins needs no promises
+// of others, so the entry keeps its position.
+func (l *Registers) keepPromise(key string, e *entry) {
+	if !permanent(key) || e.accepted == (Ballot{}) {
+		l.keep(key, e)
+		return
+	}
+	text, err := proto.Marshal(e.promised.Wire())
+	if err != nil {
+		return // a ballot can always be written
+	}
+	l.out.Puts = append(l.out.Puts, store.Put{Name: promisePrefix + key, Value: text})
+}
+
 func wireEntry(key string, e *entry) *meshpb.Entry {
 	return &meshpb.Entry{Key: key, Promised: e.promised.Wire(), Accepted: e.accepted.Wire(), Value: e.value}
 }
@@ -129,5 +152,24 @@
 			position: l.position}
 		l.order.add(l.position, w.Key)
 	}
+	return l.restorePromises(values)
+}
+
+// restorePromises takes promises that are newer than what stands with their registers.
+func (l *Registers) restorePromises(values map[string][]byte) error {
+	for _, name := range sortedKeys(values) {
+		key, found := strings.CutPrefix(name, promisePrefix)
+		e := l.entries[key]
+		if !found || e == nil || len(values[name]) == 0 {
+			continue
+		}
+		w := &meshpb.Ballot{}
+		if err := proto.Unmarshal(values[name], w); err != nil {
+			return err
+		}
+		if promised := FromWire(w); promised.compare(e.promised) > 0 {
+			e.promised = promised
+		}
+	}
 	return nil
 }
--- a/internal/mesh/register/proposer.go
+++ b/internal/mesh/register/proposer.go
@@ -22,6 +22,8 @@
 	best     Ballot               // the newest accepted ballot that was told
 	alike    map[view.Member]bool // who told that one
 	old      *meshpb.Receipt
+	held     Ballot          // accepted on this disk when the ballot was asked for
+	heldHere *meshpb.Receipt // and its value: members that hold the same do not send it
 	value    *meshpb.Receipt
 	work     edit
 	answer   func(state State, held *meshpb.Receipt)
@@ -89,7 +91,13 @@
 	c.ballot, c.asking, c.tried = Ballot{l.view.Epoch, round + 1, l.node, l.life}, true, now
 	c.votes, c.best, c.old, c.alike = map[view.Member]bool{}, Ballot{}, nil, map[view.Member]bool{}
 	c.tries++
-	m := &meshpb.Message{Id: c.id, Prepare: &meshpb.Prepare{Key: c.key, Ballot: c.ballot.Wire()}}
+	c.held, c.heldHere = Ballot{}, nil
+	prepare := &meshpb.Prepare{Key: c.key, Ballot: c.ballot.Wire()}
+	if e := l.entries[c.key]; e != nil && permanent(c.key) && e.accepted != (Ballot{}) { // other keys' ballots are used again once they are forgotten
+		c.held, c.heldHere = e.accepted, e.value
+		prepare.Held = c.held.Wire()
+	}
+	m := &meshpb.Message{Id: c.id, Prepare: prepare}
 	l.out.Sends = append(l.out.Sends, transport.Send{To: l.self.Address, Message: m})
 	l.spread(now, c, m)
 }
@@ -254,6 +262,9 @@
 	switch b := FromWire(p.Accepted); b.compare(c.best) {
 	case 1:
 		c.best, c.old, c.alike = b, p.Value, map[view.Member]bool{from: true}
+		if b == c.held { // it is not sent back
+			c.old = c.heldHere
+		}
 	case 0:
 		c.alike[from] = true
 	}
--- a/internal/mesh/register/registers.go
+++ b/internal/mesh/register/registers.go
@@ -157,6 +157,9 @@
 func (l *Registers) Reset(now float64, self view.Member) {
 	for key := range l.entries {
 		l.out.Puts = append(l.out.Puts, store.Put{Name: prefix + key})
+		if permanent(key) {
+			l.out.Puts = append(l.out.Puts, store.Put{Name: promisePrefix + key})
+		}
 	}
 	l.self, l.voting, l.node = self, false, 0
 	clear(l.entries)
