A late beat of a host's former life, and a view that cannot be, change nothing

Change: a proxy remembers the ids of eight former lives of its host and passes over their beats; views are checked when they come from the disk, a message or the register. Left of the line: a frozen asker's buffers, a founder that dies before it has decided. Result: TestLateBeatOfAFormerLifeChangesNothing and TestImpossibleViewIsRefused fail before and pass now.

--- a/internal/mesh/control/membership.go
+++ b/internal/mesh/control/membership.go
@@ -73,6 +73,9 @@
 		return nil
 	}
 	v, err := view.Decode(values[nameView])
+	if err == nil {
+		err = v.Check()
+	}
 	if err != nil {
 		return err
 	}
@@ -159,6 +162,8 @@
 	s.contact.answeredAt[from] = now
 	switch {
 	case !v.Known():
+	case v.Check() != nil:
+		s.o.Log("view refused", "from", from, "why", v.Check())
 	case v.Epoch < s.view().Epoch && v.Mesh == s.view().Mesh:
 		s.tellView(from)
 	default:
@@ -447,7 +452,7 @@
 	s.registers.Update(now, register.ViewKey, edit, func(_ uint64, body []byte, ok bool) {
 		m.changing = false
 		chosen, err := view.Decode(body)
-		if !ok || err != nil || chosen.Epoch != s.view().Epoch+1 {
+		if !ok || err != nil || chosen.Epoch != s.view().Epoch+1 || chosen.Check() != nil {
 			return
 		}
 		before := s.view()
--- a/internal/mesh/control/model_cases_test.go
+++ b/internal/mesh/control/model_cases_test.go
@@ -163,3 +163,21 @@
 		t.Fatal("no old proposal was chosen: this shows nothing")
 	}
 }
+
+// A view that no agreement can have made, of a damaged disk or message, is not gone by.
+func TestImpossibleViewIsRefused(t *testing.T) {
+	c := newModelCluster(1, 1, 0)
+	c.run(2)
+	m, before := c.machines[0], c.newest()
+	for name, v := range map[string]view.View{
+		"without members":     {Mesh: before.Mesh, Epoch: 9},
+		"without old members": {Mesh: before.Mesh, Epoch: 9, Next: before.Members},
+		"an address twice":    {Mesh: before.Mesh, Epoch: 9, Members: append(before.Members[:2:2], before.Members[0])},
+	} {
+		m.server.Heard(c.now, "s1", &meshpb.Message{View: v.Wire(), Epoch: 9, Incarnation: before.Members[1].Incarnation})
+		m.work()
+		if got := m.server.view(); !got.Equal(before) {
+			t.Errorf("%s: goes by %v", name, got)
+		}
+	}
+}
--- a/internal/mesh/sidecar/discovery.go
+++ b/internal/mesh/sidecar/discovery.go
@@ -40,10 +40,11 @@
 type news struct {
 	p        *Sidecar
 	own      *meshpb.Record
-	sequence uint64  // of the host's last beat
-	beatRan  float64 // for how long this process had run then
-	signed   bool    // the host has signed off
-	leftAt   float64 // when it said that it leaves
+	sequence uint64   // of the host's last beat
+	former   []string // ids of the lives before the host's present one, the newest last
+	beatRan  float64  // for how long this process had run then
+	signed   bool     // the host has signed off
+	leftAt   float64  // when it said that it leaves
 	ending   bool
 	leaveAt  float64 // when the others hear of that
 	leaving  bool    // they have
@@ -93,9 +94,10 @@
 func (p *Sidecar) Beat(now float64, s Station) {
 	p.input(now)
 	n := &p.news
-	if s.ID == n.own.Station && !n.counts(s) {
-		return
+	if slices.Contains(n.former, s.ID) || s.ID == n.own.Station && !n.counts(s) {
+		return // a late one
 	}
+	n.replace(s.ID)
 	n.beatRan, n.sequence, n.signed = p.pauses.ran, s.Sequence, false
 	condition := AtDock
 	if s.Unloading {
@@ -108,6 +110,17 @@
 	p.settle()
 }
 
+// formerKept is how many former lives of the host are remembered: beats come seconds late, and a host does not start more often.
+const formerKept = 8
+
+// replace notes that the host's present life gives way to another: no late beat of it takes that one's place.
+func (n *news) replace(life string) {
+	if before := n.own.Station; before != "" && before != life {
+		n.former = append(n.former, before)
+		n.former = n.former[max(0, len(n.former)-formerKept):]
+	}
+}
+
 // counts says whether a further beat of the host here is no late one. A host that has signed off stays gone. One that was taken
 // for gone because its beats were missing is back with its next one.
 func (n *news) counts(s Station) bool {
--- a/internal/mesh/sidecar/pause_test.go
+++ b/internal/mesh/sidecar/pause_test.go
@@ -126,3 +126,26 @@
 		t.Errorf("ran %v, want 1", d.runs)
 	}
 }
+
+// A late beat of the host's former life changes nothing, whatever it says: the present life stays in the list and is sent to.
+func TestLateBeatOfAFormerLifeChangesNothing(t *testing.T) {
+	d := openDoor(t)
+	life := func(id string, sequence uint64, unloading bool) {
+		d.p.Beat(d.now, Station{ID: id, Carrier: "shop", Berths: 4, Sequence: sequence, Unloading: unloading})
+		d.take()
+	}
+	life("i-2", 1, false)
+	for _, unloading := range []bool{false, true} {
+		life("i-1", 7, unloading)
+		if got := d.p.news.own.Station; got != "i-2" {
+			t.Fatalf("the list has %q", got)
+		}
+		d.wantCondition(AtDock, "a late beat of a former life")
+	}
+	life("i-3", 1, false)
+	life("i-2", 2, false)
+	life("i-1", 8, false)
+	if got := d.p.news.own.Station; got != "i-3" {
+		t.Fatalf("the list has %q", got)
+	}
+}
--- a/internal/mesh/view/view.go
+++ b/internal/mesh/view/view.go
@@ -178,6 +178,33 @@
 	return all
 }
 
+// Check says what is wrong with a view that came from elsewhere: it has members, each address once in a set, and a joint view's sets
+// differ by one member at most that comes and one that goes.
+func (v View) Check() error {
+	if len(v.Members) == 0 {
+		return errors.New("view without members")
+	}
+	for _, set := range [][]Member{v.Members, v.Next} {
+		if len(addresses(set)) != len(set) {
+			return errors.Newf("view with an address twice: %v", set)
+		}
+	}
+	if v.Joint() && (differences(v.Next, v.Members) > 1 || differences(v.Members, v.Next) > 1) {
+		return errors.Newf("joint view that exchanges more than one member: %v to %v", v.Members, v.Next)
+	}
+	return nil
+}
+
+// differences counts members of one set that the other has not.
+func differences(set, other []Member) (n int) {
+	for _, m := range set {
+		if !slices.Contains(other, m) {
+			n++
+		}
+	}
+	return n
+}
+
 // Encode is the view as it stands on disk and in its register.
 func (v View) Encode() []byte {
 	text, err := proto.MarshalOptions{Deterministic: true}.Marshal(v.Wire())
