--- a/cmd/beechwing-control/run.go
+++ b/cmd/beechwing-control/run.go
@@ -39,6 +39,7 @@
 	clock    cli.Clock
 	settings *bootstrap.Settings
 	net      *transport.Net
+	inbox    *inbox
 
 	mu     sync.Mutex
 	server *control.Server
@@ -52,7 +53,7 @@
 }
 
 func run(ctx context.Context, d *bootstrap.Settings, says cli.Options, log *slog.Logger) error {
-	p := &program{log: log, clock: cli.NewClock(), settings: d, work: workload.NewMeter()}
+	p := &program{log: log, clock: cli.NewClock(), settings: d, inbox: newInbox(), work: workload.NewMeter()}
 	if d.DataDir == "" {
 		return errors.New("settings: dataDir: is missing, and the control plane keeps its promises on disk")
 	}
@@ -79,6 +80,7 @@
 		return err
 	}
 	p.mu.Unlock()
+	go p.hear()
 	go p.writer.Run(context.Background()) // calls that are open at the end still get their answers
 	server, err := cli.Serve(ctx, d.Docking.Control, p.calls(), log)
 	if err != nil {
@@ -173,6 +175,14 @@
 
 func (p *program) event(e transport.Event) {
 	if came, ok := e.(transport.Came); ok {
+		p.inbox.put(came)
+	}
+}
+
+// hear works on what comes, for as long as the process runs.
+func (p *program) hear() {
+	for {
+		came := p.inbox.take()
 		kind := workload.Kind(meshpb.Kind(came.Message))
 		p.timed(kind, func(now float64) { p.server.Heard(now, came.From, came.Message) })
 	}
--- a/internal/mesh/meshpb/calls.go
+++ b/internal/mesh/meshpb/calls.go
@@ -14,8 +14,11 @@
 	switch {
 	case m.Forwarded != nil, m.Claimed != nil, m.Promise != nil, m.Accepted != nil:
 		return true
-	case m.Update != nil, m.SyncPage != nil, m.Config != nil, m.View != nil, m.Pong != nil:
+	case m.Update != nil, m.SyncPage != nil, m.Homed != nil, m.Config != nil, m.View != nil, m.Pong != nil:
 		return true
 	}
 	return false
 }
+
+// IsHeartbeat says that failure detection depends on when a message comes: it goes ahead of others wherever messages wait.
+func IsHeartbeat(m *Message) bool { return m.Digest != nil }
--- a/internal/mesh/simulation/overload_test.go
+++ b/internal/mesh/simulation/overload_test.go
@@ -155,3 +155,33 @@
 		verdictOn(t, w, fmt.Sprintf("seed %d", seed), 0)
 	}
 }
+
+// contactsLost is how often contact is lost in 20 s in which more operations are asked for than the control servers' processors can do.
+func contactsLost(t *testing.T, seed uint64, heartbeatsWait bool) int {
+	t.Helper()
+	const overload, slower, lasts = 4, 12, 20.0
+	w := loaded(t, seed)
+	w.HeartbeatsWait = heartbeatsWait
+	w.Processor.Message *= slower
+	operate(w, overload*loadedRate, lasts)
+	w.Run(2) // until the processors are full
+	before := w.ContactsLost
+	w.Run(lasts - 2)
+	return w.ContactsLost - before
+}
+
+// On full processors no contact is lost for 18 s: heartbeats are worked on before all else that waits. Where they wait their turn, it is.
+func TestContactHoldsOnFullProcessors(t *testing.T) {
+	t.Parallel()
+	planted := 0
+	for seed := range seedsOr(2) {
+		if lost := contactsLost(t, seed, false); lost > 0 {
+			t.Errorf("seed %d: contact lost %d times", seed, lost)
+		}
+		planted += contactsLost(t, seed, true)
+	}
+	t.Logf("%d times where heartbeats wait", planted)
+	if planted == 0 {
+		t.Error("the processors are not full enough: contact holds where heartbeats wait")
+	}
+}
--- a/internal/mesh/simulation/processor.go
+++ b/internal/mesh/simulation/processor.go
@@ -13,6 +13,7 @@
 // processor is the processor of one machine: work waits for the work that came before it.
 type processor struct {
 	freeAt float64
+	urgent []func() // heartbeats: they go before all other work
 	queue  []func()
 	asked  bool // the next piece of work has its time
 }
@@ -22,9 +23,15 @@
 	h.processor.freeAt = max(h.processor.freeAt, h.w.Now) + seconds
 }
 
+// idle says that an input can be worked on at once.
+func (h *ControlServer) idle() bool {
+	p := &h.processor
+	return h.w.Processor == (Processor{}) || len(p.urgent)+len(p.queue) == 0 && p.freeAt <= h.w.Now
+}
+
 // waits keeps an input until the processor is free. Inputs keep their order.
 func (h *ControlServer) waits(f func()) bool {
-	if h.w.Processor == (Processor{}) || len(h.processor.queue) == 0 && h.processor.freeAt <= h.w.Now {
+	if h.idle() {
 		return false
 	}
 	h.processor.queue = append(h.processor.queue, f)
@@ -32,9 +39,20 @@
 	return true
 }
 
+// next takes the input that is to be worked on now.
+func (p *processor) next() (f func()) {
+	queue := &p.queue
+	if len(p.urgent) > 0 {
+		queue = &p.urgent
+	}
+	f = (*queue)[0]
+	*queue = (*queue)[1:]
+	return f
+}
+
 // workLater takes the next input from the queue as the processor is free.
 func (h *ControlServer) workLater() {
-	if h.processor.asked || len(h.processor.queue) == 0 {
+	if h.processor.asked || len(h.processor.urgent)+len(h.processor.queue) == 0 {
 		return
 	}
 	h.processor.asked = true
@@ -48,9 +66,7 @@
 			h.workLater()
 			return
 		}
-		next := h.processor.queue[0]
-		h.processor.queue = h.processor.queue[1:]
-		h.work(next)
+		h.work(h.processor.next())
 		h.workLater()
 	})
 }
--- a/internal/mesh/simulation/servers.go
+++ b/internal/mesh/simulation/servers.go
@@ -74,6 +74,9 @@
 		Tolerance: h.w.tolerance, Window: window, Life: h.w.Rand.Uint32() | 1, Random: h.w.Rand.Uint64(),
 		Log: func(event string, args ...any) {
 			trace("%.3f %s %s %v", h.w.Now, h.addr, event, args)
+			if event == "contact" && args[1] == false {
+				h.w.ContactsLost++
+			}
 			if event == control.EventViolation {
 				h.w.Checker.fail("INVARIANT", "%s: %v", h.addr, args)
 			}
@@ -143,7 +146,13 @@
 func (h *ControlServer) Voting() bool { return h.up && h.server.Voting() }
 
 func (h *ControlServer) heard(from string, p *meshpb.Message) {
-	h.input(func() { h.server.Heard(h.w.Now, from, p) })
+	f := func() { h.server.Heard(h.w.Now, from, p) }
+	if !h.frozen && !h.idle() && meshpb.IsHeartbeat(p) && !h.w.HeartbeatsWait {
+		h.processor.urgent = append(h.processor.urgent, f)
+		h.workLater()
+		return
+	}
+	h.input(f)
 }
 
 func (h *ControlServer) broke(transport.Broke) {}
--- a/internal/mesh/simulation/world.go
+++ b/internal/mesh/simulation/world.go
@@ -47,6 +47,9 @@
 
 	Processor Processor // of the machines of control servers
 
+	HeartbeatsWait bool // planted: on a full processor heartbeats wait their turn
+	ContactsLost   int  // how often a control server lost contact with a quorum
+
 	Agreed   bool   // proxies leave hosts out for operations by agreement only
 	Faults   Faults // of the network
 	Messages int    // parcels sent between control processes
--- a/internal/mesh/transport/link.go
+++ b/internal/mesh/transport/link.go
@@ -11,7 +11,7 @@
 	"beechwing/internal/wire"
 )
 
-// A link queues what goes to one peer and writes it: small messages first, large ones in pieces between them.
+// A link queues what goes to one peer and writes it: heartbeats first, then small messages, large ones in pieces between them.
 
 func (l *link) put(p *meshpb.Message) bool {
 	l.mu.Lock()
@@ -19,24 +19,28 @@
 	if l.dead {
 		return false
 	}
-	was := len(l.frames)
-	frames, err := AppendFrame(l.frames, p)
+	queue := &l.frames
+	if meshpb.IsHeartbeat(p) {
+		queue = &l.urgent
+	}
+	was := len(*queue)
+	frames, err := AppendFrame(*queue, p)
 	size := len(frames) - was
 	if waits := l.net.queued.Load(); err != nil || waits > 0 && waits+int64(size) > l.net.most {
 		return false
 	}
 	var ids []uint64
-	if !meshpb.IsAnswer(p) {
+	if !meshpb.IsAnswer(p) && !meshpb.IsHeartbeat(p) {
 		ids = []uint64{p.Id}
 	}
 	l.net.queued.Add(int64(size))
 	if size > largeFrame {
 		l.large = append(l.large, large{bytes.Clone(frames[was:]), ids})
 		if was == 0 { // what was grown for it is not kept
-			l.frames = nil
+			*queue = nil
 		}
 	} else {
-		l.frames, l.ids = frames, append(l.ids, ids...)
+		*queue, l.ids = frames, append(l.ids, ids...)
 	}
 	select {
 	case l.wake <- struct{}{}:
@@ -52,6 +56,9 @@
 	defer l.mu.Unlock()
 	switch {
 	case l.dead:
+	case len(l.urgent) > 0: // they leave the buffer that may take the place to the others
+		frames = l.urgent
+		l.urgent = nil
 	case len(l.frames) > 0:
 		frames = l.frames
 		l.frames, l.ids = spare[:0], nil
@@ -74,13 +81,13 @@
 	was := l.dead
 	l.dead = true
 	unsent = append(unsent, l.ids...)
-	waits := len(l.frames)
+	waits := len(l.urgent) + len(l.frames)
 	for _, f := range l.large {
 		unsent = append(unsent, f.ids...)
 		waits += len(f.frame)
 	}
 	l.net.queued.Add(-int64(waits))
-	l.frames, l.ids, l.large = nil, nil, nil
+	l.urgent, l.frames, l.ids, l.large = nil, nil, nil, nil
 	l.mu.Unlock()
 	if was && len(unsent) == 0 || closed {
 		return
--- a/internal/mesh/transport/net.go
+++ b/internal/mesh/transport/net.go
@@ -130,6 +130,7 @@
 	wake   chan struct{}
 
 	mu     sync.Mutex
+	urgent []byte   // heartbeats that wait to be written: they go before all others
 	frames []byte   // that wait to be written
 	ids    []uint64 // of the questions in them
 	large  []large  // the same, one by one: they go after all others
