--- a/internal/mesh/register/acceptor.go
+++ b/internal/mesh/register/acceptor.go
@@ -157,14 +157,14 @@
 
 // restorePromises takes promises that are newer than what stands with their registers.
 func (l *Registers) restorePromises(values map[string][]byte) error {
-	for _, name := range sortedKeys(values) {
+	for name, value := range values {
 		key, found := strings.CutPrefix(name, promisePrefix)
 		e := l.entries[key]
-		if !found || e == nil || len(values[name]) == 0 {
+		if !found || e == nil || len(value) == 0 {
 			continue
 		}
 		w := &meshpb.Ballot{}
-		if err := proto.Unmarshal(values[name], w); err != nil {
+		if err := proto.Unmarshal(value, w); err != nil {
 			return err
 		}
 		if promised := FromWire(w); promised.compare(e.promised) > 0 {
