Control server: the inbox is bounded in bytes too; constants of membership say what larger and smaller mean

Change: 8 MB wait at most, and one larger message. Comments only in control/membership.go, contact.go, homed.go. Result: TestInboxIsBoundedInBytes; the tests of the program pass under -race.

--- a/cmd/beechwing-control/inbox.go
+++ b/cmd/beechwing-control/inbox.go
@@ -3,12 +3,17 @@
 import (
 	"sync"
 
+	"google.golang.org/protobuf/proto"
+
 	"beechwing/internal/mesh/meshpb"
 	"beechwing/internal/mesh/transport"
 )
 
-// mostWaiting is how many messages wait to be worked on before connections are no longer read: what came since waits with its sender then.
-const mostWaiting = 1024
+// How much waits to be worked on before connections are no longer read: what comes then waits with its sender.
+const (
+	mostWaiting      = 1024    // messages
+	mostWaitingBytes = 8 << 20 // and bytes in them; one larger message has the room for itself
+)
 
 // inbox is what has come and waits to be worked on, in order, but for heartbeats: they go first, so that on a full processor no member is
 // taken for lost because its word waits behind other work.
@@ -16,8 +21,39 @@
 	mu      sync.Mutex
 	filled  sync.Cond // something has come
 	emptied sync.Cond // there is room again
-	urgent  []transport.Came
-	normal  []transport.Came
+	urgent  queue
+	normal  queue
+}
+
+// queue is messages in order.
+type queue struct {
+	waiting []arrival
+	bytes   int
+}
+
+// arrival is a message with its size.
+type arrival struct {
+	transport.Came
+	size int
+}
+
+func (q *queue) full(more int) bool {
+	n := len(q.waiting)
+	return n >= mostWaiting || n > 0 && q.bytes+more > mostWaitingBytes
+}
+
+func (q *queue) add(a arrival) {
+	q.waiting, q.bytes = append(q.waiting, a), q.bytes+a.size
+}
+
+func (q *queue) first() transport.Came {
+	a := q.waiting[0]
+	q.waiting[0] = arrival{}
+	q.bytes -= a.size
+	if q.waiting = q.waiting[1:]; len(q.waiting) == 0 {
+		q.waiting = nil
+	}
+	return a.Came
 }
 
 func newInbox() *inbox {
@@ -34,10 +70,11 @@
 	if meshpb.IsHeartbeat(came.Message) {
 		queue = &b.urgent
 	}
-	for len(*queue) >= mostWaiting {
+	a := arrival{came, proto.Size(came.Message)}
+	for queue.full(a.size) {
 		b.emptied.Wait()
 	}
-	*queue = append(*queue, came)
+	queue.add(a)
 	b.filled.Signal()
 }
 
@@ -45,18 +82,13 @@
 func (b *inbox) take() transport.Came {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for len(b.urgent)+len(b.normal) == 0 {
+	for len(b.urgent.waiting)+len(b.normal.waiting) == 0 {
 		b.filled.Wait()
 	}
 	queue := &b.urgent
-	if len(b.urgent) == 0 {
+	if len(b.urgent.waiting) == 0 {
 		queue = &b.normal
 	}
-	came := (*queue)[0]
-	(*queue)[0] = transport.Came{}
-	if *queue = (*queue)[1:]; len(*queue) == 0 {
-		*queue = nil
-	}
 	b.emptied.Broadcast()
-	return came
+	return queue.first()
 }
--- a/cmd/beechwing-control/inbox_test.go
+++ b/cmd/beechwing-control/inbox_test.go
@@ -55,3 +55,19 @@
 	}
 	<-more
 }
+
+// Large messages are bounded by their bytes; one that is larger than the bound comes through where nothing else waits.
+func TestInboxIsBoundedInBytes(t *testing.T) {
+	q := queue{}
+	if q.full(2 * mostWaitingBytes) {
+		t.Error("a message larger than the bound never comes through")
+	}
+	q.add(arrival{claim(1), mostWaitingBytes - 1})
+	if !q.full(2) || q.full(1) {
+		t.Error("the bound in bytes does not hold")
+	}
+	q.first()
+	if q.full(2 * mostWaitingBytes) {
+		t.Error("room is not given back")
+	}
+}
--- a/internal/mesh/control/contact.go
+++ b/internal/mesh/control/contact.go
@@ -14,7 +14,9 @@
 // confirms nothing, tells proxies to ask another, and refuses orders at once.
 
 const (
-	contactFor = 0.9 // seconds for which an acknowledged digest shows that a member is in reach
+	// contactFor is for how many seconds an acknowledged digest shows that a member is in reach. Larger: a server that is cut off refuses
+	// later, and proxies act by an old configuration for longer. Smaller: pauses of a busy processor count as a cut.
+	contactFor = 0.9
 	// sendsKept are the digests whose times are remembered: more than go out in contactFor.
 	sendsKept = 128
 )
--- a/internal/mesh/control/homed.go
+++ b/internal/mesh/control/homed.go
@@ -11,9 +11,9 @@
 // After a change of view this server asks a majority of the members which keys they hold from earlier epochs whose home it is by now, so
 // that claims of all other keys take one round trip again (register.HomedAt). Until it knows, its claims take two.
 
-const (
-	homedAgain = 0.4 // seconds without an answer until a member is asked again, and the next one beside it
-)
+// homedAgain is how many seconds a member has to answer before it is asked again, and the next one beside it. Larger: after a loss claims
+// take two round trips for longer. Smaller: a busy member looks through its registers twice.
+const homedAgain = 0.4
 
 // homedSource is a member that is asked.
 type homedSource struct {
--- a/internal/mesh/control/membership.go
+++ b/internal/mesh/control/membership.go
@@ -19,17 +19,44 @@
 // removed while nobody is there to take the place. The change goes by a joint view, in which the joiner reads the rest, to the
 // stable view of the new members. If the joiner is lost on the way the old members go on.
 
+// Times are in seconds.
 const (
-	foundAfter    = 1.2  // seconds that the founder waits for others to come
-	foundQuiet    = 0.6  // and for nobody to have come for so long
-	joinEvery     = 0.15 // seconds between questions of a server that is no member
-	viewAskEvery  = 0.05 // seconds between questions for a newer view
-	seedAskEvery  = 0.5  // seconds between questions to the seeds, while no quorum is in reach
-	standbyFor    = 1.0  // seconds without a word from a server that asks to join until it no longer counts
-	replaceAfter  = 1.5  // seconds of silence until a member is exchanged, where somebody can take its place
-	joinerGone    = 1.5  // seconds of a joiner's silence until its change is abandoned
-	coordinateIn  = 0.4  // seconds after its start or a change before a server begins another change
-	mostStandbys  = 64
+	// foundAfter is how long the founder waits for others to come, and foundQuiet for how long nobody may have come before it decides.
+	// Larger: the first start takes longer. Smaller: a seed that is slow to start is left out, and has to join by a change of view.
+	foundAfter = 1.2
+	foundQuiet = 0.6
+
+	// joinEvery is the pause between questions of a server that is no member. Larger: a joiner is taken in later, and counts as silent
+	// sooner (standbyFor, joinerGone). Smaller: more messages to every member.
+	joinEvery = 0.15
+
+	// viewAskEvery is the pause between questions for a newer view. Larger: a member that missed a view votes later. Smaller: several
+	// answers, each with the view, while one is on its way.
+	viewAskEvery = 0.05
+
+	// seedAskEvery is the pause between questions to the seeds while no quorum is in reach. Larger: a member that was replaced while it
+	// was away finds the others later. Smaller: messages to machines that may be gone.
+	seedAskEvery = 0.5
+
+	// standbyFor is how long a server that asks to join counts without a word. Larger: a change may be proposed with a joiner that is gone,
+	// and takes joinerGone to abandon. Smaller: lost messages take a joiner out of the choice.
+	standbyFor = 1.0
+
+	// replaceAfter is for how long a member is silent before it is exchanged, where somebody can take its place. Larger: the tolerance is
+	// whole later. Smaller: a member that is only slow is exchanged, and reads everything anew.
+	replaceAfter = 1.5
+
+	// joinerGone is for how long a joiner, or the majority of the new members, is silent before the change is abandoned. Larger: nothing is
+	// served for longer in a joint view without its new majority. Smaller: a joiner that reads on a slow machine is given up.
+	joinerGone = 1.5
+
+	// coordinateIn is how long after its start a server waits before it begins a change: others' digests have to reach it first. Larger:
+	// the first change is later. Smaller: members that it has not heard yet count as silent.
+	coordinateIn = 0.4
+
+	// mostStandbys bounds what is kept of servers that ask to join.
+	mostStandbys = 64
+
 	coordinateKey = "coordinator"
 )
 
