TestSlowReader waits until the proxy has cut the client off

Cause: make check failed once: 'all 65536 bytes came', in 0.09 s. The client read at once, and whether the proxy's 100 ms were over before 64 KB had passed small buffers hung on the scheduler. Change: the client reads nothing until the proxy holds no connection of a client, then reads what there is; the assertion is the same. The wait of waitReady for the same thing, which had no bound, is that of eventually now (nobodyHeld).

--- a/internal/proxy/client_test.go
+++ b/internal/proxy/client_test.go
@@ -396,6 +396,7 @@
 	c.(*net.TCPConn).SetReadBuffer(4096)
 	io.WriteString(c, message("read", ""))
 	h.seen.next(t, "the request")
+	eventually(t, "the client that takes nothing is cut off", g.nobodyHeld)
 	r, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		return
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -159,15 +159,16 @@
 			g.t.Fatal("the proxy does not get ready")
 		}
 	}
-	for f := g.p.front; ; time.Sleep(time.Millisecond) { // until the connections that asked are gone
-		n := 0
-		for _, held := range f.figures().Places.Held {
-			n += held
-		}
-		if n == 0 {
-			return
-		}
+	eventually(g.t, "the connections that asked are gone", g.nobodyHeld)
+}
+
+// nobodyHeld says whether the proxy holds no connection of a client.
+func (g *rig) nobodyHeld() bool {
+	n := 0
+	for _, held := range g.p.front.figures().Places.Held {
+		n += held
 	}
+	return n == 0
 }
 
 // heard is an answer as a client got it.
