--- a/internal/mesh/control/server.go
+++ b/internal/mesh/control/server.go
@@ -2,7 +2,7 @@
 // proxies, and the registers of operations' keys. It takes inputs and returns what to send, to write and to answer; sockets, disk
 // and clock are the program's.
 //
-// Its files: membership.go changes the view; contact.go knows whether a quorum is in reach; catchup.go brings a server that joins up
+// Its files: membership.go knows the view, coordinator.go changes it; contact.go knows whether a quorum is in reach; catchup.go brings a server that joins up
 // to date; homed.go has claims take one round trip after a change; configuration.go takes orders; propagation.go tells proxies and the other servers what is new; ejection.go leaves hosts
 // out by agreement; state.go is what an operator sees.
 package control
