lab: one loop notes what was told and what was heard; TestSelftest plays by plant

Cause: noteHeard was note again with another map, and TestSelftest wrote again what plant does. Change: eachOnce serves both; the test calls plant, and judges the book it gives. Assertions are the same.

--- a/cmd/beechwing-lab/fleet_test.go
+++ b/cmd/beechwing-lab/fleet_test.go
@@ -94,18 +94,15 @@
 	for _, defect := range append([]string{standin.None}, standin.Defects...) {
 		t.Run(defect, func(t *testing.T) {
 			t.Parallel()
-			s, o := f.Draw(f.Seed), paced(me, f.Seed)
-			o.Args = []string{"standin", defect}
-			book, err := rig.Play(t.Context(), s, o)
-			if err != nil {
-				t.Fatal(err)
+			n, book := plant(t.Context(), f, paced(me, f.Seed), defect)
+			if n.err != nil {
+				t.Fatal(n.err)
 			}
-			v := judge.Judge(s, book)
 			want := planted[defect]
-			if want != "" && !slices.ContainsFunc(v.Breaks, func(b judge.Break) bool { return b.Rule == want }) {
-				t.Errorf("%q is not named in %v", want, found(defect, v).rules)
+			if want != "" && !slices.Contains(n.rules, want) {
+				t.Errorf("%q is not named in %v", want, n.rules)
 			}
-			for _, b := range v.AtAnySpeed() {
+			for _, b := range judge.Judge(f.Draw(f.Seed), book).AtAnySpeed() {
 				if b.Rule != want && !(want == judge.Crashed && b.Rule == judge.LostRequest) {
 					t.Errorf("accused of %q at %v: %s", b.Rule, b.At, b.Text)
 				}
--- a/internal/lab/list/list.go
+++ b/internal/lab/list/list.go
@@ -304,31 +304,31 @@
 	return list
 }
 
-// note records what a proxy has been told, once for each change that sends must stop for.
+// note records what a proxy has been told up to a version, once for each change that sends must stop for.
 func (s *Service) note(proxy, version int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for i, c := range s.changes {
-		k := [2]int{proxy, i}
-		if c.version > version || c.entry.State == Ready || s.told[k] {
-			continue
-		}
-		s.told[k] = true
+	s.eachOnce(s.told, proxy, version, func(c change) {
 		s.book.Add(record.Told{Proxy: proxy, Host: c.host, Changed: c.at, At: s.book.Now()})
-	}
+	})
 }
 
-// noteHeard records which words a proxy has taken, as it now asks for what is newer.
-func (s *Service) noteHeard(proxy, since int) {
+// noteHeard records which of these words a proxy has taken, as it now asks for what is newer than a version.
+func (s *Service) noteHeard(proxy, version int) {
+	s.eachOnce(s.heard, proxy, version, func(c change) {
+		s.book.Add(record.Heard{Proxy: proxy, Host: c.host, Changed: c.at, At: s.book.Now()})
+	})
+}
+
+// eachOnce calls f for the changes up to a version that sends must stop for, and that were not noted for this proxy before.
+func (s *Service) eachOnce(noted map[[2]int]bool, proxy, version int, f func(change)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i, c := range s.changes {
 		k := [2]int{proxy, i}
-		if c.version > since || c.entry.State == Ready || s.heard[k] {
+		if c.version > version || c.entry.State == Ready || noted[k] {
 			continue
 		}
-		s.heard[k] = true
-		s.book.Add(record.Heard{Proxy: proxy, Host: c.host, Changed: c.at, At: s.book.Now()})
+		noted[k] = true
+		f(c)
 	}
 }
 
