--- a/internal/mesh/simulation/closing_test.go
+++ b/internal/mesh/simulation/closing_test.go
@@ -105,21 +105,33 @@
 		if done {
 			return
 		}
-		r.w.Order(r.w.Servers[random.IntN(len(r.w.Servers))], version, text, func(result control.OrderResult) {
-			if result != control.OrderTaken || done {
-				return
+		r.send(version, text, random, func() {
+			if !done {
+				done = true
+				acked()
 			}
-			done = true
-			if version > r.acked {
-				r.acked, r.text = version, text
-			}
-			acked()
 		})
 		r.w.After(orderAgain, again)
 	}
 	again()
 }
 
+// send sends a configuration to any server, once.
+func (r *reader) send(version uint64, text []byte, random *rand.Rand, acked func()) {
+	r.w.Order(r.w.Servers[random.IntN(len(r.w.Servers))], version, text, func(result control.OrderResult) {
+		if result != control.OrderTaken {
+			return
+		}
+		switch {
+		case version > r.acked:
+			r.acked, r.text = version, text
+		case version == r.acked && !bytes.Equal(text, r.text):
+			r.fail("two texts are acknowledged under version %d", version)
+		}
+		acked()
+	})
+}
+
 // readAll asks every server that is up, again and again until a time.
 func (r *reader) readAll(until float64) {
 	if r.w.Now > until {
@@ -256,20 +268,11 @@
 		r.order(last, Config(last), random, func() {})
 		w.After(0.02*random.Float64(), strike)
 	default:
-		r.sent[last] = append(r.sent[last], ConfigVariant(last, 1))
-		w.Order(w.Servers[random.IntN(len(w.Servers))], last, ConfigVariant(last, 1), func(result control.OrderResult) {
-			if result == control.OrderTaken {
-				r.acked, r.text = max(r.acked, last), ConfigVariant(last, 1)
-				strike()
-			}
-		})
-		r.sent[last] = append(r.sent[last], Config(last))
-		w.Order(w.Servers[random.IntN(len(w.Servers))], last, Config(last), func(result control.OrderResult) {
-			if result == control.OrderTaken {
-				r.acked, r.text = max(r.acked, last), Config(last)
-				strike()
-			}
-		})
+		for variant := range 2 {
+			text := ConfigVariant(last, 1-variant)
+			r.sent[last] = append(r.sent[last], text)
+			r.send(last, text, random, strike)
+		}
 	}
 	began := w.Now
 	w.Run(readsFor + 3)
