--- a/cmd/beechwing-sidecar/run.go
+++ b/cmd/beechwing-sidecar/run.go
@@ -107,6 +107,7 @@
 				p.sidecar.Link(p.net.Backlog())
 				p.sidecar.Tick(now)
 			})
+			clients.CheckClosed()
 		}
 	}()
 	<-term
@@ -229,6 +230,7 @@
 	}
 	reply := make(chan sidecar.Reply, 1)
 	o.Slot = reply
+	q.NotifyClosed(func() { p.with(func(now float64) { p.sidecar.ClientLeft(now, o) }) })
 	p.with(func(now float64) { p.sidecar.Ask(now, o) })
 	return response(o, <-reply)
 }
@@ -301,6 +303,10 @@
 	for why, n := range s.Counts.Dropped {
 		page.Count("beechwing_sidecar_dropped_messages_total", n, "why", why)
 	}
+	for place, n := range s.Counts.Left {
+		page.Count("beechwing_sidecar_clients_left_total", n, "place", place)
+	}
+	page.Count("beechwing_sidecar_tries_for_clients_left_total", s.Counts.Unasked)
 	page.Count("beechwing_sidecar_host_connections_total", uint64(p.host.Opened()))
 	page.Gauge("beechwing_sidecar_edition", float64(s.Edition))
 	page.Flag("beechwing_sidecar_ready", s.Ready)
--- a/internal/mesh/listener/listener.go
+++ b/internal/mesh/listener/listener.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
 	"beechwing/internal/wire"
 )
@@ -44,9 +45,13 @@
 	Header               http.Header
 	Body                 []byte
 	Framed               bool // it had a body, also an empty one
+
+	listener *Listener
+	conn     *conn
 }
 
-// Response is the response to a request. Content-Length and Connection are added to its fields.
+// Response is the response to a request. Content-Length and Connection are added to its fields. One without a status closes the
+// connection without an answer.
 type Response struct {
 	Status int
 	Fields []Field
@@ -64,17 +69,21 @@
 	bufs   *wire.Pool
 	last   atomic.Bool // every response closes its connection
 
-	mu    sync.Mutex
-	conns map[*conn]bool
-	ended bool
-	wg    sync.WaitGroup
+	mu      sync.Mutex
+	conns   map[*conn]bool
+	ended   bool
+	watched []*conn // kept between calls of closed, with what it asks of them
+	polled  []unix.PollFd
+	wg      sync.WaitGroup
 }
 
 type conn struct {
 	net.Conn
 	meter wire.Meter
 	br    *bufio.Reader
-	busy  bool // a request is being read or served; guarded by Listener.mu
+	busy  bool   // a request is being read or served; guarded by Listener.mu
+	fd    int32  // 0: not known yet; guarded by Listener.mu
+	left  func() // to be called once if the client closes the connection; nil: nobody waits for that; guarded by Listener.mu
 }
 
 // Open begins to accept connections. serve is called for each request, concurrently.
@@ -174,7 +183,7 @@
 			}
 			return
 		}
-		q := &Request{Method: r.Method, Target: target(r), Host: r.Host, Header: r.Header}
+		q := &Request{Method: r.Method, Target: target(r), Host: r.Host, Header: r.Header, listener: l, conn: c}
 		if q.Body, bad = c.body(r, limits); bad != nil {
 			if bad.Status > 0 && c.write(*bad, true) == nil {
 				c.linger()
@@ -183,6 +192,10 @@
 		}
 		q.Framed = r.ContentLength != 0 || r.Header.Get("Content-Length") != ""
 		response := l.serve(q)
+		l.unwatch(c)
+		if response.Status == 0 {
+			return
+		}
 		last := r.Close || l.last.Load()
 		if c.write(response, last) != nil || last {
 			return
--- a/internal/mesh/sidecar/actions.go
+++ b/internal/mesh/sidecar/actions.go
@@ -56,6 +56,9 @@
 // sendTry has a try go to the proxy beside its host.
 func (p *Sidecar) sendTry(t *try) {
 	t.gateLife = p.peers[t.peer].life
+	if t.order.left {
+		p.count.Unasked++
+	}
 	parcel := p.question(t.id, &meshpb.Message{Forward: p.forward(t)})
 	if t.peer == p.o.Self {
 		p.send(t.peer, parcel)
--- a/internal/mesh/sidecar/dispatch.go
+++ b/internal/mesh/sidecar/dispatch.go
@@ -69,6 +69,7 @@
 	arrivals int
 	claims   bool // a claim of its key may stand
 	told     bool
+	left     bool              // its client has closed the connection
 	last     *meshpb.Forwarded // a host's answer that is no success
 }
 
--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -99,7 +99,8 @@
 	}
 	p := &Sidecar{o: o, now: now, rng: random.Source(o.Seed), services: map[string]*service{}, orders: map[uint64]*Order{}, tries: map[uint64]*try{},
 		budget: retrybudget.New(o.Ratio, o.Slack), peers: map[string]*peer{},
-		count: Counts{Answers: map[int]uint64{}, Tries: map[string]uint64{}, Turned: map[string]uint64{}, Dropped: map[string]uint64{}}}
+		count: Counts{Answers: map[int]uint64{}, Tries: map[string]uint64{}, Turned: map[string]uint64{}, Dropped: map[string]uint64{},
+			Left: map[string]uint64{}}}
 	p.pauses.inputAt = now
 	p.identify()
 	p.gate.begin(p)
@@ -234,6 +235,8 @@
 	Late    uint64            `json:"late"`    // of those past their aim before they began
 	Doubts  uint64            `json:"doubts"`  // tries given up as the proxy that had them is silent or gone
 	Dropped map[string]uint64 `json:"dropped"` // messages that changed nothing, by reason
+	Left    map[string]uint64 `json:"left"`    // requests whose clients left before the answer, by where they were
+	Unasked uint64            `json:"unasked"` // tries sent for clients that had left
 }
 
 // State is what an operator sees of a proxy.
@@ -261,7 +264,8 @@
 	s := State{Ready: p.Ready(), Ending: p.news.ending, Servers: p.news.servers, Host: p.news.own, Orders: len(p.orders),
 		Jobs: len(p.gate.jobs), Queued: len(p.gate.queue), Waiting: len(p.gate.late.jobs), Avoided: map[string]int{},
 		Counts: Counts{Answers: maps.Clone(p.count.Answers), Tries: maps.Clone(p.count.Tries), Turned: maps.Clone(p.count.Turned),
-			Runs: p.count.Runs, Late: p.count.Late, Doubts: p.count.Doubts, Dropped: maps.Clone(p.count.Dropped)}}
+			Runs: p.count.Runs, Late: p.count.Late, Doubts: p.count.Doubts, Dropped: maps.Clone(p.count.Dropped), Left: maps.Clone(p.count.Left),
+			Unasked: p.count.Unasked}}
 	if p.table != nil {
 		s.Edition = p.table.Edition
 	}
