--- a/internal/mesh/simulation/checker.go
+++ b/internal/mesh/simulation/checker.go
@@ -29,6 +29,8 @@
 	Statuses map[int]int
 	asks     map[string][]float64 // when requests for a service came
 	further  map[string][]float64 // when one arrived at a host that had arrived at another before
+	leftAt   map[string]float64   // by id, when its client closed the connection
+	Left     int                  // clients that closed before they had an answer
 	Near     int                  // runs in the zone in which they were asked for, of those that may run anywhere
 	Far      int
 }
@@ -47,7 +49,7 @@
 	return &Checker{w: w, runs: map[string][]run{}, byID: map[string][]run{}, requests: map[string]request{},
 		promised: map[string]bool{}, stamps: map[string]run{}, versions: map[uint64]bool{}, ackedAt: map[uint64]float64{},
 		seen: map[string]uint64{}, at: map[*Proxy]int{}, Statuses: map[int]int{}, asks: map[string][]float64{},
-		further: map[string][]float64{}}
+		further: map[string][]float64{}, leftAt: map[string]float64{}}
 }
 
 func (c *Checker) fail(rule, format string, args ...any) {
@@ -68,6 +70,9 @@
 		c.fail("UNASKED", "%s runs %s, which nobody asked", st.id, id)
 	}
 	tracked := strings.HasPrefix(q.path, "/pay/")
+	if c.leftLongAgo(id) {
+		c.fail("GONE", "%s runs %s, whose client left at %.3f", st.id, id, c.leftAt[id])
+	}
 	if len(c.byID[id]) > 0 {
 		c.again(s.host.Carrier)
 	}
@@ -102,6 +107,28 @@
 	return r.stamp
 }
 
+// left is a client that closes its connection before it has an answer.
+func (c *Checker) left(id string) {
+	c.leftAt[id] = c.w.Now
+	c.Left++
+}
+
+// goneSlack is for how many seconds after its client has left a request may still reach a host, or be at work there. The operators'
+// rule bears a few that are later; here there are none.
+const goneSlack = 0.5
+
+func (c *Checker) leftLongAgo(id string) bool {
+	at, left := c.leftAt[id]
+	return left && c.w.Now > at+goneSlack
+}
+
+// worked is a host that comes to the end of a run. What may be repeated is broken off once its client has left.
+func (c *Checker) worked(id string, carry *meshpb.Forward) {
+	if carry.Repeatable && c.leftLongAgo(id) {
+		c.fail("GONE", "a host worked on %s to its end, its client left at %.3f", id, c.leftAt[id])
+	}
+}
+
 func serviceOf(path string) string {
 	if strings.HasPrefix(path, "/pay/") {
 		return "till"
--- /dev/null
+++ b/internal/mesh/simulation/departure_test.go
@@ -0,0 +1,86 @@
+package simulation
+
+import (
+	"fmt"
+	"testing"
+)
+
+// impatient is a cluster whose hosts take so many seconds more for each run than they would.
+func impatient(t *testing.T, seed uint64, takes float64) *World {
+	t.Helper()
+	w := New(seed, 3, Host{"shop", "a"}, Host{"shop", "b"}, Host{"till", "a"}, Host{"till", "b"})
+	w.Configure(int(seed), 1, nil)
+	w.Run(4)
+	if w.Checker.Newest != 1 {
+		t.Fatalf("seed %d: no configuration after 4 s", seed)
+	}
+	for _, s := range w.Proxies {
+		s.station.takes = takes
+	}
+	return w
+}
+
+// mustKeep fails the test for each broken rule.
+func mustKeep(t *testing.T, seed uint64, w *World) {
+	t.Helper()
+	for _, broken := range w.Checker.Broken {
+		t.Errorf("seed %d: %s", seed, broken)
+	}
+}
+
+// Hosts lose answers half a second after they began, so requests go to a second host: not for a client that has left.
+func TestNothingIsSentForClientsThatLeft(t *testing.T) {
+	for seed := range uint64(8) {
+		w := impatient(t, seed, 0.55)
+		for _, s := range w.Proxies[:2] {
+			s.LoseAnswers(0.5)
+		}
+		for i := range 60 {
+			w.After(0.1*float64(i), func() { w.AskAndLeave(w.Proxies[i%4], "/read/x", "", 0.02+0.01*float64(i%7)) })
+		}
+		w.Run(9)
+		if w.Checker.Left < 50 {
+			t.Errorf("seed %d: %d clients left, want most of 60", seed, w.Checker.Left)
+		}
+		mustKeep(t, seed, w)
+	}
+}
+
+// More is asked for than the hosts have room for: what waits at their proxies for a client that has left is not begun, what runs is
+// broken off, and those who stay are served in its place.
+func TestHostsStopForClientsThatLeft(t *testing.T) {
+	for seed := range uint64(8) {
+		w := impatient(t, seed, 0.9)
+		for i := range 40 {
+			w.After(0.05*float64(i), func() { w.AskAndLeave(w.Proxies[i%4], "/read/x", "", 0.1) })
+		}
+		w.Run(2)
+		served := w.Checker.Served
+		for _, s := range w.Proxies {
+			s.station.takes = 0
+			w.Ask(s, "/read/x", "", 1)
+		}
+		w.Run(0.5)
+		if n := w.Checker.Served - served; n != len(w.Proxies) {
+			t.Errorf("seed %d: %d of %d who stay are served", seed, n, len(w.Proxies))
+		}
+		mustKeep(t, seed, w)
+	}
+}
+
+// An operation goes on when its client leaves: whoever repeats it by its key gets the answer of the one run.
+func TestOperationsOutliveTheirClients(t *testing.T) {
+	for seed := range uint64(8) {
+		w := impatient(t, seed, 0.3)
+		for i := range 12 {
+			key := fmt.Sprintf("k%d", i)
+			w.After(0.2*float64(i), func() { w.AskAndLeave(w.Proxies[i%4], "/pay/x", key, 0.01+0.02*float64(i)) })
+			w.After(0.2*float64(i)+1.5, func() { w.Ask(w.Proxies[(i+1)%4], "/pay/x", key, 3) })
+		}
+		w.Run(8)
+		if w.Checker.Served < 12 {
+			t.Errorf("seed %d: %d of 12 repeats are served", seed, w.Checker.Served)
+		}
+		mustKeep(t, seed, w)
+	}
+}
--- a/internal/mesh/simulation/people.go
+++ b/internal/mesh/simulation/people.go
@@ -96,6 +96,11 @@
 	id := field(c.Fields, sidecar.HeaderID)
 	stamp := s.w.Checker.ran(s, st, id, c)
 	work := st.takes + 0.02 + 0.04*s.w.Rand.Float64()
+	s.w.After(work, func() {
+		if s.up && s.lives == life && s.station == st && !st.dead {
+			s.w.Checker.worked(id, c)
+		}
+	})
 	if s.w.Rand.Float64() < st.Grey {
 		back(work, &meshpb.Forwarded{Verdict: uint32(outcome.Broken), Why: "reset"})
 		return
@@ -130,17 +135,14 @@
 	if !s.up {
 		return
 	}
-	w.seq++
-	id := fmt.Sprintf("q%d", w.seq)
-	w.Checker.asked(s, id, path, key)
+	o := w.order(s, path, key)
+	id := o.ID
 	again := func(after float64) {
 		if tries > 1 {
 			w.After(after, func() { w.Ask(s, path, key, tries-1) })
 		}
 	}
 	life, thawed, answered := s.lives, s.thawed, false
-	o := &sidecar.Order{Method: "POST", Target: path, Host: "shop.example", ID: id, Key: key, Left: 1.5,
-		Fields: []*meshpb.Field{{Name: sidecar.HeaderID, Value: id}, {Name: sidecar.HeaderKey, Value: key}}}
 	o.Slot = func(r sidecar.Reply) {
 		answered = true
 		w.Checker.answered(id, r)
@@ -159,6 +161,41 @@
 	s.input(func() { s.sidecar.Ask(w.Now, o) })
 }
 
+// order is a new request of a client's.
+func (w *World) order(s *Proxy, path, key string) *sidecar.Order {
+	w.seq++
+	id := fmt.Sprintf("q%d", w.seq)
+	w.Checker.asked(s, id, path, key)
+	return &sidecar.Order{Method: "POST", Target: path, Host: "shop.example", ID: id, Key: key, Left: 1.5,
+		Fields: []*meshpb.Field{{Name: sidecar.HeaderID, Value: id}, {Name: sidecar.HeaderKey, Value: key}}}
+}
+
+// AskAndLeave has a client send a request to a proxy, and close its connection after so many seconds if there is no answer by then.
+func (w *World) AskAndLeave(s *Proxy, path, key string, after float64) {
+	if !s.up {
+		return
+	}
+	o := w.order(s, path, key)
+	life, answered, left := s.lives, false, false
+	o.Slot = func(r sidecar.Reply) {
+		if !left {
+			answered = true
+			w.Checker.answered(o.ID, r)
+		}
+	}
+	s.input(func() { s.sidecar.Ask(w.Now, o) })
+	w.After(after, func() {
+		if answered || !s.up || s.lives != life {
+			return
+		}
+		left = true
+		s.input(func() {
+			w.Checker.left(o.ID)
+			s.sidecar.ClientLeft(w.Now, o)
+		})
+	})
+}
+
 // Config makes a configuration: a safe and a tracked route that stay, and one route by its version.
 func Config(version uint64) []byte { return ConfigVariant(version, 0) }
 
