A member whose address asks to join with another disk does not coordinate views

Cause: a wiped server that is first in the coordinators' order counted as the coordinator until it had been silent for 1.5 s, from a restart of the others on once more. Change: the others know from its request to join that the member is gone, and go on at once.

--- a/internal/mesh/control/coordinator.go
+++ b/internal/mesh/control/coordinator.go
@@ -28,19 +28,27 @@
 	coordinateKey = "coordinator"
 )
 
-// coordinates says whether this server is the one to change the view: the first in order that is neither silent nor leaving.
+// coordinates says whether this server is the one to change the view: the first in order that is neither silent nor leaving, and still
+// has the disk with which it is a member.
 func (s *Server) coordinates(now float64) bool {
 	for _, address := range rendezvous.Order(coordinateKey, s.view().Staying()) {
 		if address == s.o.Self {
 			return true
 		}
-		if !s.silent(now, address, replaceAfter) && !s.contact.leaving(address) {
+		if !s.silent(now, address, replaceAfter) && !s.contact.leaving(address) && !s.lostDisk(address) {
 			return false
 		}
 	}
 	return false
 }
 
+// lostDisk says whether a server at a member's address asks to join with another disk: the member is gone for good, however short a
+// time it has been silent.
+func (s *Server) lostDisk(address string) bool {
+	waiting := s.membership.standbys[address]
+	return waiting != nil && !s.view().Has(waiting.member)
+}
+
 func (s *Server) coordinate(now float64) {
 	m := &s.membership
 	for address, waiting := range m.standbys {
