A client that leaves takes its request back: nothing is begun for it, repeatable runs are broken off

Change: Sidecar.ClientLeft ends the request here and has the module call off what is out; Cancel to the proxy beside the host; what waits there is not begun and gives its claim back, what runs and may be repeated is broken off at the host (Abort), what may not goes on to its end.

--- a/cmd/beechwing-sidecar/run.go
+++ b/cmd/beechwing-sidecar/run.go
@@ -45,6 +45,7 @@
 
 	mu      sync.Mutex
 	sidecar *sidecar.Sidecar
+	running map[uint64]context.CancelFunc // requests at the host, by their jobs
 }
 
 func run(ctx context.Context, s *bootstrap.Settings, opts cli.Options, log *slog.Logger) error {
@@ -52,7 +53,8 @@
 		return errors.New("settings: docking.outboundDock, docking.readyDock and appAddress: all have to be there")
 	}
 	bufs := wire.NewPool()
-	p := &program{log: log, clock: cli.NewClock(), settings: s, host: upstream.New(s.AppAddress, bufs)}
+	p := &program{log: log, clock: cli.NewClock(), settings: s, host: upstream.New(s.AppAddress, bufs),
+		running: map[uint64]context.CancelFunc{}}
 	o := sidecar.Options{Self: s.Inner(), Zone: s.Zone, Sender: s.Carrier, Seeds: s.Seeds(), Beat: float64(s.BeatMs) / 1000,
 		Ratio: s.Bound("retryRatio", 0.2), Slack: s.Bound("retrySlack", 0), Version: uint64(time.Now().UnixMilli()),
 		Seed: rand.Uint64(), Agreed: opts.Agreed, Memory: max(16, s.Limits.MemoryMB/memoryShare) << 20,
@@ -154,7 +156,13 @@
 			case sidecar.Tell:
 				do.Order.Slot.(chan sidecar.Reply) <- do.Reply
 			case sidecar.Exchange:
-				go p.exchange(do)
+				ctx, cancel := context.WithCancel(context.Background())
+				p.running[do.Job] = cancel
+				go p.exchange(ctx, do)
+			case sidecar.Abort:
+				if cancel := p.running[do.Job]; cancel != nil {
+					cancel()
+				}
 			case sidecar.Probe:
 				go func() {
 					station, well := p.host.Probe(do.Path)
@@ -182,9 +190,13 @@
 }
 
 // exchange sends a request to the host.
-func (p *program) exchange(do sidecar.Exchange) {
-	c := p.host.Run(do.Forward, p.clock.At(do.Until))
-	p.with(func(now float64) { p.sidecar.Exchanged(now, do.Job, c) })
+func (p *program) exchange(ctx context.Context, do sidecar.Exchange) {
+	c := p.host.Run(ctx, do.Forward, p.clock.At(do.Until))
+	p.with(func(now float64) {
+		p.running[do.Job]()
+		delete(p.running, do.Job)
+		p.sidecar.Exchanged(now, do.Job, c)
+	})
 }
 
 // ready answers the platform's readiness probe.
@@ -237,6 +249,9 @@
 
 // response is the HTTP response for a reply.
 func response(o *sidecar.Order, r sidecar.Reply) listener.Response {
+	if r.Status == 0 {
+		return listener.Response{}
+	}
 	a := listener.Response{Status: r.Status, Body: r.Body, Fields: make([]listener.Field, 0, len(r.Fields)+2)}
 	for _, f := range r.Fields {
 		if f.Name != sidecar.HeaderID {
@@ -306,6 +321,9 @@
 	for place, n := range s.Counts.Left {
 		page.Count("beechwing_sidecar_clients_left_total", n, "place", place)
 	}
+	for place, n := range s.Counts.Cancelled {
+		page.Count("beechwing_sidecar_cancelled_total", n, "place", place)
+	}
 	page.Count("beechwing_sidecar_tries_for_clients_left_total", s.Counts.Unasked)
 	page.Count("beechwing_sidecar_host_connections_total", uint64(p.host.Opened()))
 	page.Gauge("beechwing_sidecar_edition", float64(s.Edition))
--- a/internal/mesh/outcome/outcome.go
+++ b/internal/mesh/outcome/outcome.go
@@ -20,10 +20,11 @@
 	Expired                   // its deadline passed before a byte went to the host
 	Late                      // its deadline passed after it was sent: it may have run
 	Unclaimed                 // its key could not be claimed in time: nothing was sent
+	Cancelled                 // its client left while the host ran it: broken off
 )
 
 var names = [...]string{"answered", "turned away", "turned away by the host", "broken", "busy", "kept", "lost", "expired",
-	"late", "unclaimed"}
+	"late", "unclaimed", "cancelled"}
 
 func (o Outcome) String() string {
 	if int(o) < len(names) {
@@ -39,7 +40,7 @@
 
 // Arrived reports whether the attempt reached a host, so that it counts for the retry budget.
 func (o Outcome) Arrived() bool {
-	return o == Answered || o == HostTurned || o == Broken || o == Late
+	return o == Answered || o == HostTurned || o == Broken || o == Late || o == Cancelled
 }
 
 type marked struct {
--- a/internal/mesh/sidecar/actions.go
+++ b/internal/mesh/sidecar/actions.go
@@ -128,9 +128,6 @@
 	p.later(func() { p.forget(o) })
 }
 
-// Cancel would stop an attempt: a host at work is left to finish, as its answer is worth recording.
-func (s *service) Cancel(balancer.RequestID, int) {}
-
 // Probe is not asked for.
 func (s *service) Probe(balancer.HostID) {}
 
--- a/internal/mesh/sidecar/dispatch.go
+++ b/internal/mesh/sidecar/dispatch.go
@@ -73,7 +73,7 @@
 	last     *meshpb.Forwarded // a host's answer that is no success
 }
 
-// Reply is the answer to a client.
+// Reply is the answer to a client. It has no status where the client has left: nothing is to be written then.
 type Reply struct {
 	Status int
 	Fields []*meshpb.Field
@@ -243,7 +243,9 @@
 		return
 	}
 	o.told = true
-	p.count.Answers[r.Status]++
+	if !o.left {
+		p.count.Answers[r.Status]++
+	}
 	p.out.Dos = append(p.out.Dos, Tell{o, r})
 	if p.o.Debug != nil {
 		p.o.Debug("answered", "id", o.ID, "status", r.Status, "ours", r.Ours, "why", r.Why, "tries", len(o.tries),
--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -35,7 +35,7 @@
 	Debug   func(event string, args ...any) // nil: nobody listens
 }
 
-// Do is something for the program to carry out: Exchange, Tell or Probe.
+// Do is something for the program to carry out: Exchange, Abort, Tell or Probe.
 type Do interface{ do() }
 
 // Exchange has a request run by the host beside this proxy. The end of it comes back by Exchanged.
@@ -45,6 +45,9 @@
 	Until   float64 // the host has to have answered by then
 }
 
+// Abort breaks off an Exchange: nobody waits for its end, which may come back all the same.
+type Abort struct{ Job uint64 }
+
 // Tell gives a client's request its answer.
 type Tell struct {
 	Order *Order
@@ -56,6 +59,7 @@
 
 func (Probe) do()    {}
 func (Exchange) do() {}
+func (Abort) do()    {}
 func (Tell) do()     {}
 
 // Effects are what a machine wants done, in order.
@@ -100,7 +104,7 @@
 	p := &Sidecar{o: o, now: now, rng: random.Source(o.Seed), services: map[string]*service{}, orders: map[uint64]*Order{}, tries: map[uint64]*try{},
 		budget: retrybudget.New(o.Ratio, o.Slack), peers: map[string]*peer{},
 		count: Counts{Answers: map[int]uint64{}, Tries: map[string]uint64{}, Turned: map[string]uint64{}, Dropped: map[string]uint64{},
-			Left: map[string]uint64{}}}
+			Left: map[string]uint64{}, Cancelled: map[string]uint64{}}}
 	p.pauses.inputAt = now
 	p.identify()
 	p.gate.begin(p)
@@ -165,6 +169,8 @@
 	switch {
 	case parcel.Forward != nil:
 		p.gate.carry(from, parcel)
+	case parcel.Cancel != nil:
+		p.gate.cancel(from, parcel)
 	case parcel.Forwarded != nil:
 		p.forwarded(from, parcel)
 	case parcel.Claimed != nil:
@@ -236,7 +242,9 @@
 	Doubts  uint64            `json:"doubts"`  // tries given up as the proxy that had them is silent or gone
 	Dropped map[string]uint64 `json:"dropped"` // messages that changed nothing, by reason
 	Left    map[string]uint64 `json:"left"`    // requests whose clients left before the answer, by where they were
-	Unasked uint64            `json:"unasked"` // tries sent for clients that had left
+	Unasked uint64            `json:"unasked"` // tries sent for clients that had left: none is ever due
+
+	Cancelled map[string]uint64 `json:"cancelled"` // requests taken back by others, by where they were here
 }
 
 // State is what an operator sees of a proxy.
@@ -265,7 +273,7 @@
 		Jobs: len(p.gate.jobs), Queued: len(p.gate.queue), Waiting: len(p.gate.late.jobs), Avoided: map[string]int{},
 		Counts: Counts{Answers: maps.Clone(p.count.Answers), Tries: maps.Clone(p.count.Tries), Turned: maps.Clone(p.count.Turned),
 			Runs: p.count.Runs, Late: p.count.Late, Doubts: p.count.Doubts, Dropped: maps.Clone(p.count.Dropped), Left: maps.Clone(p.count.Left),
-			Unasked: p.count.Unasked}}
+			Unasked: p.count.Unasked, Cancelled: maps.Clone(p.count.Cancelled)}}
 	if p.table != nil {
 		s.Edition = p.table.Edition
 	}
--- a/internal/mesh/sidecar/tries.go
+++ b/internal/mesh/sidecar/tries.go
@@ -49,6 +49,10 @@
 		p.budget.Back(o.service)
 	}
 	o.claims = o.claims || v.NeverRan() && c.Claimed
+	if o.left && v.NeverRan() || v == outcome.Cancelled {
+		p.endLeft(t, v)
+		return
+	}
 	why := c.Why
 	if why == "" {
 		why = v.String()
--- a/internal/mesh/simulation/checker.go
+++ b/internal/mesh/simulation/checker.go
@@ -42,6 +42,7 @@
 
 type request struct {
 	path, key, zone string
+	proxy           string // address of the one that was asked
 	at              float64
 }
 
@@ -59,7 +60,7 @@
 func (c *Checker) asked(s *Proxy, id, path, key string) {
 	c.Asked++
 	c.asks[serviceOf(path)] = append(c.asks[serviceOf(path)], c.w.Now)
-	c.requests[id] = request{path, key, s.host.Zone, c.w.Now}
+	c.requests[id] = request{path, key, s.host.Zone, s.addr, c.w.Now}
 }
 
 // ran is a host that begins a request.
@@ -70,7 +71,7 @@
 		c.fail("UNASKED", "%s runs %s, which nobody asked", st.id, id)
 	}
 	tracked := strings.HasPrefix(q.path, "/pay/")
-	if c.leftLongAgo(id) {
+	if c.leftLongAgo(id) && c.w.inTouch(s.addr, q.proxy) {
 		c.fail("GONE", "%s runs %s, whose client left at %.3f", st.id, id, c.leftAt[id])
 	}
 	if len(c.byID[id]) > 0 {
@@ -123,8 +124,8 @@
 }
 
 // worked is a host that comes to the end of a run. What may be repeated is broken off once its client has left.
-func (c *Checker) worked(id string, carry *meshpb.Forward) {
-	if carry.Repeatable && c.leftLongAgo(id) {
+func (c *Checker) worked(s *Proxy, id string, carry *meshpb.Forward) {
+	if carry.Repeatable && c.leftLongAgo(id) && c.w.inTouch(s.addr, c.requests[id].proxy) {
 		c.fail("GONE", "a host worked on %s to its end, its client left at %.3f", id, c.leftAt[id])
 	}
 }
--- a/internal/mesh/simulation/departure_test.go
+++ b/internal/mesh/simulation/departure_test.go
@@ -84,3 +84,23 @@
 		mustKeep(t, seed, w)
 	}
 }
+
+// The checker finds it on a day of troubles, too, where nobody hears of clients that leave.
+func TestCheckerFindsWorkForClientsThatLeft(t *testing.T) {
+	found := 0
+	for seed := range uint64(3) {
+		w := cluster(t, seed, 3)
+		w.CloseUnheard = true
+		for _, s := range w.Proxies {
+			s.LoseAnswers(0.3)
+			s.station.takes = 0.7
+		}
+		traffic(w, 6)
+		w.Run(8)
+		found += broken(w)["GONE"]
+	}
+	if found == 0 {
+		t.Error("nothing is found")
+	}
+	t.Logf("%d found", found)
+}
--- a/internal/mesh/simulation/faults.go
+++ b/internal/mesh/simulation/faults.go
@@ -28,7 +28,7 @@
 // Done is how often a fault came to pass, by its name.
 func (f *Faults) Done(name string) int { return f.done[name] }
 
-func (w *World) faulty(name string, share float64) bool {
+func (w *World) faulty(name string, share float64, from, to string) bool {
 	if share == 0 || w.Rand.Float64() >= share {
 		return false
 	}
@@ -36,6 +36,7 @@
 		w.Faults.done = map[string]int{}
 	}
 	w.Faults.done[name]++
+	w.disturbed(from, to)
 	return true
 }
 
@@ -52,14 +53,14 @@
 	if !w.befallen(from, to) {
 		return false
 	}
-	if w.faulty("double", w.Faults.Double) {
+	if w.faulty("double", w.Faults.Double, from, to) {
 		again := proto.Clone(m).(*meshpb.Message)
 		if w.Faults.Renamed {
 			again.Id |= firstRenamed
 		}
 		w.stray(from, to, again)
 	}
-	if w.faulty("late", w.Faults.Late) {
+	if w.faulty("late", w.Faults.Late, from, to) {
 		w.stray(from, to, m)
 		return true
 	}
@@ -77,7 +78,7 @@
 }
 
 func (w *World) garbles(from, to string) bool {
-	return w.befallen(from, to) && w.faulty("garble", w.Faults.Garble)
+	return w.befallen(from, to) && w.faulty("garble", w.Faults.Garble, from, to)
 }
 
 // garble changes a byte of a message. What the reader of the connection makes of that comes; where it makes
@@ -106,7 +107,7 @@
 }
 
 func (w *World) loses(from, to string) bool {
-	return w.befallen(from, to) && w.faulty("lose", w.Faults.Lose)
+	return w.befallen(from, to) && w.faulty("lose", w.Faults.Lose, from, to)
 }
 
 // endBoth breaks a connection for the processes at both ends.
@@ -161,6 +162,7 @@
 
 // Reset ends the connections between two machines, with what is on its way in them.
 func (w *World) Reset(one, other string) {
+	w.disturbed(one, other)
 	for _, key := range [][2]string{{one, other}, {other, one}} {
 		if l := w.links[key]; l != nil {
 			w.end(l, key[0], key[1])
--- a/internal/mesh/simulation/proxies.go
+++ b/internal/mesh/simulation/proxies.go
@@ -24,7 +24,8 @@
 	version  uint64
 	station  *station
 	stations int
-	seed     uint64 // of its state machine; 0: drawn for each life
+	seed     uint64              // of its state machine; 0: drawn for each life
+	running  map[uint64]*hostRun // requests at the host, by their jobs
 	freezer
 }
 
@@ -36,7 +37,9 @@
 // Start starts the process.
 func (s *Proxy) Start() {
 	s.lives++
+	s.w.disturbed(s.addr)
 	s.up, s.unlit, s.freezer = true, false, freezer{}
+	s.running = map[uint64]*hostRun{}
 	s.version += uint64(1000 * s.w.Rand.Float64()) // the time of day may have gone back
 	s.sidecar = sidecar.New(s.w.Now, sidecar.Options{Self: s.addr, Zone: s.host.Zone, Sender: s.host.Carrier, Seeds: s.seeds, Beat: beat,
 		Ratio: 0.2, Slack: 60, Version: s.version, Seed: cmp.Or(s.seed, s.w.Rand.Uint64()), Memory: 1 << 24, Agreed: s.w.Agreed})
@@ -53,10 +56,14 @@
 }
 
 // Kill ends the process. Its clients see their connections closed.
-func (s *Proxy) Kill() { s.up = false }
+func (s *Proxy) Kill() {
+	s.w.disturbed(s.addr)
+	s.up = false
+}
 
 // PowerOff takes the power of proxy and host away.
 func (s *Proxy) PowerOff() {
+	s.w.disturbed(s.addr)
 	s.up, s.unlit = false, true
 	s.station = nil
 }
@@ -108,6 +115,8 @@
 				do.Order.Slot.(func(sidecar.Reply))(do.Reply)
 			case sidecar.Exchange:
 				s.exchange(do)
+			case sidecar.Abort:
+				s.abort(do)
 			case sidecar.Probe:
 				s.probe()
 			}
--- a/internal/mesh/upstream/upstream.go
+++ b/internal/mesh/upstream/upstream.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -118,9 +119,9 @@
 	}
 }
 
-func (p *Host) dial() (*conn, error) {
+func (p *Host) dial(ctx context.Context) (*conn, error) {
 	d := net.Dialer{Timeout: dialWithin, KeepAlive: -1} // on one machine nobody goes silent without the other
-	nc, err := d.Dial("tcp", p.addr)
+	nc, err := d.DialContext(ctx, "tcp", p.addr)
 	if err != nil {
 		return nil, outcome.Mark(err, outcome.Turned)
 	}
@@ -134,9 +135,10 @@
 	return c, nil
 }
 
-// Run has a request run by the host, which has to answer by until.
-func (p *Host) Run(r *meshpb.Forward, until time.Time) *meshpb.Forwarded {
-	answer, err := p.run(r, until)
+// Run has a request run by the host, which has to answer by until. Once ctx is done the run is broken off: most hosts drop a request
+// whose connection closes.
+func (p *Host) Run(ctx context.Context, r *meshpb.Forward, until time.Time) *meshpb.Forwarded {
+	answer, err := p.run(ctx, r, until)
 	if err != nil {
 		return &meshpb.Forwarded{Verdict: uint32(outcome.Of(err)), Why: short(err), Refused: outcome.Of(err) == outcome.Turned}
 	}
@@ -145,7 +147,7 @@
 
 // Probe asks the host for its health: which life of it answers, and whether it is well.
 func (p *Host) Probe(path string) (station string, well bool) {
-	c, err := p.dial()
+	c, err := p.dial(context.Background())
 	if err != nil {
 		return "", false
 	}
@@ -167,24 +169,30 @@
 	return text[:min(len(text), most)]
 }
 
-func (p *Host) run(r *meshpb.Forward, until time.Time) (*meshpb.Forwarded, error) {
+func (p *Host) run(ctx context.Context, r *meshpb.Forward, until time.Time) (*meshpb.Forwarded, error) {
 	id := requestID(r)
 	c := p.take(id)
 	if c == nil {
 		var err error
-		if c, err = p.dial(); err != nil {
+		if c, err = p.dial(ctx); err != nil {
 			return nil, err
 		}
 	}
 	c.SetDeadline(until)
-	if err := c.write(r); err != nil { // some of it may have gone out
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	var a answer
+	err := c.write(r) // where it fails, some of it may have gone out
+	wrote := err == nil
+	if wrote {
+		a, err = c.read(r.Method, id)
+	}
+	if !stop() { // its deadline is in the past, or about to be: it cannot be used again
 		c.Close()
-		return nil, outcome.Mark(err, outcome.Broken)
+		return nil, outcome.Newf(outcome.Cancelled, "broken off")
 	}
-	a, err := c.read(r.Method, id)
 	if err != nil {
 		c.Close()
-		if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(c.meter.Err, os.ErrDeadlineExceeded) {
+		if wrote && errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(c.meter.Err, os.ErrDeadlineExceeded) {
 			return nil, outcome.Newf(outcome.Late, "the host has not answered")
 		}
 		return nil, outcome.Mark(err, outcome.Broken)
