Failing test: a sharded service serves nothing, as nobody grants its hosts their keys (KNOWN-RED)

Change: hosts of the simulated cluster hold keys with fences and a slow clock; the checker knows OWNER; a test that fails. Configuration: sharded and warmUpS are read and checked.

--- a/internal/mesh/routeconfig/routeconfig.go
+++ b/internal/mesh/routeconfig/routeconfig.go
@@ -48,6 +48,9 @@
 	HealthPath string `json:"healthPath"`
 	BerthCap   int    `json:"berthCap"`
 	DedupSelf  bool   `json:"dedupSelf"`
+
+	Sharded bool    `json:"sharded,omitempty"` // a host runs a request only while it holds the request's key
+	WarmUpS float64 `json:"warmUpS,omitempty"` // seconds for which keys that come without a handover are slow
 }
 
 // Limits bound the size of clients' requests and the time that they may take.
--- a/internal/mesh/routeconfig/validate/validate.go
+++ b/internal/mesh/routeconfig/validate/validate.go
@@ -42,6 +42,8 @@
 	name: string & !=""
 	healthPath?: =~"^/"
 	berthCap?: int & >0
+	sharded?:  bool
+	warmUpS?:  number & >=0
 	...
 }
 #Limits: {
--- a/internal/mesh/simulation/checker.go
+++ b/internal/mesh/simulation/checker.go
@@ -87,6 +87,9 @@
 	if s.host.Carrier != serviceOf(q.path) {
 		c.fail("ROUTE", "%s of %s runs %s", st.id, s.host.Carrier, q.path)
 	}
+	if key, sharded := shardKey(carry); sharded {
+		c.owner(st, key)
+	}
 	if st.acked > 0 && c.w.Now > st.acked+2 {
 		c.fail("DRAIN", "%s runs %s %.1f s after its word was acknowledged", st.id, id, c.w.Now-st.acked)
 	}
@@ -131,8 +134,11 @@
 }
 
 func serviceOf(path string) string {
-	if strings.HasPrefix(path, "/pay/") {
+	switch {
+	case strings.HasPrefix(path, "/pay/"):
 		return "till"
+	case strings.HasPrefix(path, "/stock/"):
+		return shardedService
 	}
 	return "shop"
 }
--- a/internal/mesh/simulation/people.go
+++ b/internal/mesh/simulation/people.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 
 	"google.golang.org/protobuf/proto"
 
@@ -23,6 +24,7 @@
 	leaving bool
 	acked   float64 // when its word that it leaves was acknowledged
 	dead    bool
+	held    heldKeys
 	Grey    float64 // share of runs whose answer is lost
 	takes   float64 // seconds that each run takes on top
 }
@@ -106,6 +108,11 @@
 		back(0.0005, &meshpb.Forwarded{Verdict: uint32(outcome.HostTurned), Why: "421"})
 		return
 	}
+	key, sharded := shardKey(c)
+	if sharded && !st.held.has(s.w.Now, key) {
+		back(0.0005, &meshpb.Forwarded{Verdict: uint32(outcome.HostTurned), Why: "421: not its key"})
+		return
+	}
 	id := field(c.Fields, sidecar.HeaderID)
 	stamp := s.w.Checker.ran(s, st, id, c)
 	work := st.takes + 0.02 + 0.04*s.w.Rand.Float64()
@@ -179,8 +186,12 @@
 	w.seq++
 	id := fmt.Sprintf("q%d", w.seq)
 	w.Checker.asked(s, id, path, key)
-	return &sidecar.Order{Method: "POST", Target: path, Host: "shop.example", ID: id, Key: key, Left: 1.5,
+	o := &sidecar.Order{Method: "POST", Target: path, Host: "shop.example", ID: id, Key: key, Left: 1.5,
 		Fields: []*meshpb.Field{{Name: sidecar.HeaderID, Value: id}, {Name: sidecar.HeaderKey, Value: key}}}
+	if serviceOf(path) == shardedService {
+		o.Fields = append(o.Fields, &meshpb.Field{Name: headerShardKey, Value: strconv.Itoa(w.Rand.IntN(shardKeys))})
+	}
+	return o
 }
 
 // AskAndLeave has a client send a request to a proxy, and close its connection after so many seconds if there is no answer by then.
@@ -223,9 +234,12 @@
 				Carrier: "shop", Tries: 2},
 			{Name: "pay", Depot: "shop.example", LanePrefix: "/pay/", RouteKind: routeconfig.Tracked, TimeoutMs: 1000, TargetMs: 200,
 				Carrier: "till", Tries: 2},
+			{Name: "stock", Depot: "shop.example", LanePrefix: "/stock/", RouteKind: routeconfig.Safe, TimeoutMs: 1200, TargetMs: 200,
+				Carrier: shardedService, Tries: 2},
 			{Name: "new", Depot: "shop.example", LanePrefix: fmt.Sprintf("/new%d/", version+uint64(variant)<<32), RouteKind: routeconfig.Safe, TimeoutMs: 1000,
 				TargetMs: 200, Carrier: "shop", Tries: 2}},
-		Carriers: []routeconfig.Service{{Name: "shop", HealthPath: "/health"}, {Name: "till", HealthPath: "/health"}}}
+		Carriers: []routeconfig.Service{{Name: "shop", HealthPath: "/health"}, {Name: "till", HealthPath: "/health"},
+			{Name: shardedService, HealthPath: "/health", Sharded: true, WarmUpS: 2}}}
 	text, err := json.Marshal(c)
 	if err != nil {
 		panic(err)
