A host is not taken for slow for a stop of the process beside it, and an idle one is tried again

Cause: how long a run takes was measured over a stop of this process too (12 s of a freeze count as a run of 12 s), and a host that was slow, or seemed so, was given nothing from then on: all came too late for their aims, also with nothing under way, so nothing showed that it was fast again. Change: runs are measured by the seconds for which this process ran; an idle host gets one request in any case. Result: both tests fail before (2.03 s a run; turned away) and pass.

--- a/internal/mesh/sidecar/admission.go
+++ b/internal/mesh/sidecar/admission.go
@@ -60,7 +60,7 @@
 	claim   claim
 	running bool    // it has a berth
 	late    bool    // it can no longer be answered within its aim
-	sent    float64 // when it went to the host
+	sent    float64 // when it went to the host, by the seconds for which this process has run
 	ended   bool
 }
 
@@ -230,8 +230,10 @@
 
 // demoted lets one that has waited past its aim go on waiting behind all that are in time, or turns it away. What has little time,
 // as a call that a run elsewhere waits for, keeps its place.
+//
+// Where the host has nothing to do one goes in any case: if it was slow, nothing else shows that it no longer is.
 func (g *gate) demoted(j *job) bool {
-	if !g.pastAim(j) {
+	if !g.pastAim(j) || g.running == 0 {
 		return false
 	}
 	j.late = true
@@ -275,7 +277,7 @@
 }
 
 func (g *gate) start(j *job) {
-	j.sent = g.p.now
+	j.sent = g.p.pauses.ran
 	g.p.count.Runs++
 	if j.late {
 		g.p.count.Late++
@@ -324,7 +326,7 @@
 		return
 	}
 	v := outcome.Outcome(c.Verdict)
-	took := g.p.now - j.sent
+	took := g.p.pauses.ran - j.sent // a stop of this process says nothing of the host
 	g.p.sawEnd(j.carry.Station, c)
 	c.TookUs = uint32(min(took, 1000) * 1e6)
 	if v == outcome.Answered {
--- a/internal/mesh/sidecar/admission_test.go
+++ b/internal/mesh/sidecar/admission_test.go
@@ -18,6 +18,7 @@
 	jobs map[uint64]Exchange // by the same
 	told map[uint64]*meshpb.Forwarded
 
+	beats   uint64
 	aborted []uint64 // jobs that were broken off at the host
 }
 
@@ -57,6 +58,12 @@
 	return d.next
 }
 
+// beatNext has the host say again that it is well.
+func (d *door) beatNext() {
+	d.beats++
+	d.beat(1+d.beats, false)
+}
+
 // answer has the host answer a request.
 func (d *door) answer(n uint64) {
 	d.p.Exchanged(d.now, d.jobs[n].Job, &meshpb.Forwarded{Verdict: uint32(outcome.Answered), Status: 200})
@@ -177,3 +184,44 @@
 		t.Errorf("a small one is turned away: %v", d.told[n])
 	}
 }
+
+// This process is stopped while its host runs something: that says nothing of how long the host takes, and all goes on afterwards.
+func TestStopOfThisProcessIsNoSlowHost(t *testing.T) {
+	d := openDoor(t)
+	n := d.carry(1, 2)
+	d.now += 40
+	d.answer(n)
+	d.pass(bufferedFor)
+	d.beatNext()
+	if work := d.p.gate.work; work > firstWork+workStep {
+		t.Errorf("the host is taken to work %.2f s on a request", work)
+	}
+	if n := d.carry(0.2, 2); d.told[n] != nil {
+		t.Errorf("turned away from an idle host: %v", d.told[n])
+	}
+}
+
+// A host that was slow is found to be fast again, though nothing seemed to be in time there.
+func TestSlowHostIsTriedAgain(t *testing.T) {
+	d := openDoor(t)
+	const slow = 1.0
+	for range 60 {
+		n := d.carry(2, 4)
+		d.pass(slow)
+		d.answer(n)
+		d.beatNext()
+	}
+	for range 200 {
+		n := d.carry(0.2, 0.5)
+		if d.told[n] != nil {
+			t.Fatalf("turned away from an idle host: %v", d.told[n])
+		}
+		d.pass(0.02)
+		d.answer(n)
+		d.beatNext()
+	}
+	first, second := d.carry(0.2, 0.5), d.carry(0.2, 0.5)
+	if d.told[first] != nil || d.told[second] != nil {
+		t.Errorf("fast again, and turned away: %v, %v", d.told[first], d.told[second])
+	}
+}
