Hosts are granted the keys of a sharded service: members in a register, holders by hashing, leases

Epochs of members in a register, leases that count from a question which a quorum has answered, releases before others get a range, requests to the one holder (Request.Only), keys checked beside the host. Simulated hosts hold keys by a slow clock; the checker judges OWNER and finds a planted early end.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -167,8 +167,12 @@
 	Budget float64 // seconds until the client gives this try up
 	Repeat bool    // the client marked it as a repeat
 	Coming bool    // its body is still coming: hosts begin, and its time counts, with Whole
+	Only   HostID  // the one host that can serve it; 0: any. It may be picked whatever is thought of it: it is the whole set
 }
 
+// allows reports whether a host can serve the request.
+func (r *Request) allows(h HostID) bool { return r.Only == 0 || r.Only == h }
+
 // Outcome is the end of one attempt. Final means that the request has its answer, by this outcome or earlier.
 type Outcome struct {
 	ID      RequestID
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -9,8 +9,8 @@
 	b.set = b.set[:0]
 	home := [2]float64{math.Inf(1), math.Inf(1)} // the best score in this zone and in others
 	for _, h := range b.hosts {
-		out := !panicking && b.out(h, o.Class) || h.zone.out(b.now) && !b.agreed(o.Class)
-		if h.Status != Ready || out || o.tried(h) || !inGroup(o.class.Group, anchor, h) {
+		out := o.Only == 0 && (!panicking && b.out(h, o.Class) || h.zone.out(b.now) && !b.agreed(o.Class))
+		if h.Status != Ready || out || !o.allows(h.ID) || o.tried(h) || !inGroup(o.class.Group, anchor, h) {
 			continue
 		}
 		key, cold := o.Key, b.warmth(h) < 1
--- a/cmd/beechwing-control/run.go
+++ b/cmd/beechwing-control/run.go
@@ -20,6 +20,7 @@
 	"beechwing/internal/mesh/cli"
 	"beechwing/internal/mesh/control"
 	"beechwing/internal/mesh/routeconfig/validate"
+	"beechwing/internal/mesh/sharding"
 	"beechwing/internal/mesh/store"
 	"beechwing/internal/mesh/workload"
 )
@@ -69,7 +70,8 @@
 	p.writer = p.newWriter(disk)
 	log.Info("disk read", "found", found, "values", len(values), "first", d.FirstStart)
 	p.server, err = control.New(p.clock.Now(), control.Options{Self: d.Inner(), Seeds: d.Seeds(), First: d.FirstStart,
-		Tolerance: d.Tolerance.Machines, Window: d.Bound("passWindowS", 60), Life: rand.Uint32() | 1, Random: rand.Uint64(),
+		Tolerance: d.Tolerance.Machines, Window: d.Bound("passWindowS", 60),
+		LeaseTime: sharding.LeaseTime(d.Span("holdMaxMs", 0).Seconds()), Life: rand.Uint32() | 1, Random: rand.Uint64(),
 		Log: func(e string, args ...any) { log.Info(e, args...) }}, values)
 	if err != nil {
 		return err
--- a/cmd/beechwing-sidecar/run.go
+++ b/cmd/beechwing-sidecar/run.go
@@ -26,12 +26,14 @@
 )
 
 const (
-	tickEvery   = 33 * time.Millisecond
-	slowLink    = 400.0                   // Mbit/s: on faster links a response of 100 KB delays nothing noticeably
-	linkShare   = 0.85                    // of a slow link, for large responses; the rest is for everything else
-	memoryShare = 4                       // a quarter of the memory limit may be bodies in progress
-	noticeAfter = 2200 * time.Millisecond // the platform probes readiness once a second and acts on the second failure
-	lastSpare   = 900 * time.Millisecond  // before the platform kills a process that does not end
+	tickEvery     = 33 * time.Millisecond
+	slowLink      = 400.0                   // Mbit/s: on faster links a response of 100 KB delays nothing noticeably
+	linkShare     = 0.85                    // of a slow link, for large responses; the rest is for everything else
+	memoryShare   = 4                       // a quarter of the memory limit may be bodies in progress
+	releaseWithin = 5 * time.Second         // for a host to end what runs on the keys that it releases
+	noticeAfter   = 2200 * time.Millisecond // the platform probes readiness once a second and acts on the second failure
+	grantWithin   = 250 * time.Millisecond  // for a host to take its keys, on the same machine
+	lastSpare     = 900 * time.Millisecond  // before the platform kills a process that does not end
 )
 
 // program owns the sockets and the clock around the state machine, which does no I/O.
@@ -56,7 +58,7 @@
 	p := &program{log: log, clock: cli.NewClock(), settings: s, host: upstream.New(s.AppAddress, bufs),
 		running: map[uint64]context.CancelFunc{}}
 	o := sidecar.Options{Self: s.Inner(), Zone: s.Zone, Sender: s.Carrier, Seeds: s.Seeds(), Beat: float64(s.BeatMs) / 1000,
-		Ratio: s.Bound("retryRatio", 0.2), Slack: s.Bound("retrySlack", 0), Version: uint64(time.Now().UnixMilli()),
+		Ratio: s.Bound("retryRatio", 0.2), Slack: s.Bound("retrySlack", 0), HoldMost: s.Span("holdMaxMs", 0).Seconds(), Version: uint64(time.Now().UnixMilli()),
 		Seed: rand.Uint64(), Agreed: opts.Agreed, Memory: max(16, s.Limits.MemoryMB/memoryShare) << 20,
 		Log: func(e string, args ...any) { log.Info(e, args...) }}
 	if log.Enabled(ctx, slog.LevelDebug) {
@@ -163,6 +165,8 @@
 				if cancel := p.running[do.Job]; cancel != nil {
 					cancel()
 				}
+			case sidecar.KeyCalls:
+				go p.callKeys(do)
 			case sidecar.Probe:
 				go func() {
 					station, well := p.host.Probe(do.Path)
@@ -199,6 +203,21 @@
 	})
 }
 
+// callKeys makes calls about keys at the host, one after the other. A grant that has become old meanwhile is not sent.
+func (p *program) callKeys(do sidecar.KeyCalls) {
+	for _, call := range do.Calls {
+		within := grantWithin
+		if call.Release { // it is answered when what runs on the keys has ended
+			within = releaseWithin
+		}
+		var result sidecar.KeyResult
+		if call.Release || p.clock.Now() < do.Before {
+			result = p.host.CallKeys(call, time.Now().Add(within))
+		}
+		p.with(func(now float64) { p.sidecar.KeyCalled(now, call.ID, result) })
+	}
+}
+
 // ready answers the platform's readiness probe.
 func (p *program) ready(w http.ResponseWriter, r *http.Request) {
 	ready := false
@@ -324,6 +343,8 @@
 	for place, n := range s.Counts.Cancelled {
 		page.Count("beechwing_sidecar_cancelled_total", n, "place", place)
 	}
+	page.Count("beechwing_sidecar_grants_total", s.Counts.Grants)
+	page.Count("beechwing_sidecar_grants_refused_total", s.Counts.NotGranted)
 	page.Count("beechwing_sidecar_tries_for_clients_left_total", s.Counts.Unasked)
 	page.Count("beechwing_sidecar_host_connections_total", uint64(p.host.Opened()))
 	page.Gauge("beechwing_sidecar_edition", float64(s.Edition))
--- a/internal/mesh/control/propagation.go
+++ b/internal/mesh/control/propagation.go
@@ -98,7 +98,8 @@
 	update := &meshpb.Update{Servers: s.view().Staying(), FromServer: true, Epoch: s.view().Epoch}
 	if update.Alone = s.behind(now); !update.Alone {
 		s.fill(now, update, held.pull)
-		nothing := len(update.Records) == 0 && update.Edition == 0 && update.EjectionsVersion == 0
+		nothing := len(update.Records) == 0 && update.Edition == 0 && update.EjectionsVersion == 0 &&
+			len(update.Assignments) == 0
 		if nothing && !must && !s.asks(held.pull) {
 			return false
 		}
@@ -123,6 +124,9 @@
 	if version := s.ejections.version(); version > pull.EjectionLists {
 		update.EjectionLists, update.EjectionsVersion = s.wireEjections(now), version
 	}
+	if s.assignments.version() > pull.Assignments {
+		update.Assignments = s.assignments.wire(0)
+	}
 	if chosen := s.configuration.chosen; chosen.GetVersion() > pull.Edition {
 		update.Edition, update.Text = chosen.Version, chosen.Text
 	}
@@ -180,6 +184,7 @@
 		s.heardObservations(now, r.Witness, r.Observations, false)
 	}
 	s.heardEjections(now, d.EjectionLists)
+	s.heardAssignments(now, d.Assignments)
 	if d.Whole {
 		p.wantWhole, p.informed = false, true
 	}
@@ -215,6 +220,7 @@
 	d := s.digest(now)
 	d.WantWhole = p.wantWhole
 	d.Records, d.Reports, d.EjectionLists = p.news, s.ejections.news, s.wireEjections(now)
+	d.Assignments = s.assignments.wire(now - assignNews)
 	p.news, s.ejections.news = nil, nil
 	d.Heard = sorted(p.direct)
 	clear(p.direct)
@@ -259,7 +265,7 @@
 
 func (s *Server) sendWhole(now float64, to string) {
 	d := s.digest(now)
-	d.Whole, d.Silent = true, s.silentSources(now)
+	d.Whole, d.Silent, d.Assignments = true, s.silentSources(now), s.assignments.wire(0)
 	for _, source := range sorted(s.propagation.records) {
 		d.Records = append(d.Records, s.aged(now, s.propagation.records[source]))
 	}
--- a/internal/mesh/control/server.go
+++ b/internal/mesh/control/server.go
@@ -4,7 +4,7 @@
 //
 // Its files: membership.go knows the view, coordinator.go changes it; contact.go knows whether a quorum is in reach; catchup.go brings a server that joins up
 // to date; homed.go has claims take one round trip after a change; configuration.go takes orders; propagation.go tells proxies and the other servers what is new; ejection.go leaves hosts
-// out by agreement; state.go is what an operator sees.
+// out by agreement; assignment.go says which hosts hold which keys; state.go is what an operator sees.
 package control
 
 import (
@@ -36,6 +36,7 @@
 	First     bool     // the whole system starts for the first time
 	Tolerance int      // members that may be lost at once
 	Window    float64  // seconds for which a key's answer is kept
+	LeaseTime float64  // seconds after the question for it within which a lease of a host's keys has run out
 	Life      uint32   // drawn anew for each start, not 0
 	Random    uint64   // drawn anew for each start
 	Log       func(event string, args ...any)
@@ -60,6 +61,7 @@
 	configuration configuration
 	propagation   propagation
 	ejections     ejections
+	assignments   assignments
 	count         Counts
 	checks        invariant.Checks
 }
@@ -86,6 +88,7 @@
 	s.catchup.init()
 	s.propagation.init()
 	s.ejections.init()
+	s.assignments.init()
 	s.membership.init()
 	if err := s.registers.Restore(now, values); err != nil {
 		return nil, err
@@ -138,7 +141,7 @@
 }
 
 func (s *Server) mark(m *meshpb.Message) {
-	if m.Incarnation != 0 || m.Update != nil || m.Claimed != nil || m.Pong != nil {
+	if m.Incarnation != 0 || m.Update != nil || m.Claimed != nil || m.Pong != nil || m.Lease != nil {
 		return
 	}
 	m.Epoch, m.Incarnation = s.view().Epoch, s.self.Incarnation
@@ -181,6 +184,8 @@
 		s.send(from, &meshpb.Message{Id: m.Id, Life: m.Life, Pong: m.Ping})
 	case m.Pull != nil:
 		s.heardPull(now, from, m)
+	case m.LeaseRequest != nil:
+		s.heardLeaseRequest(now, from, m)
 	case m.Claim != nil:
 		s.heardClaim(now, from, m)
 	case m.Settle != nil:
@@ -270,6 +275,7 @@
 	s.registers.Tick(now)
 	s.tickConfiguration(now)
 	s.tickEjections(now)
+	s.tickAssignments(now)
 	s.tickPropagation(now)
 }
 
--- a/internal/mesh/meshpb/calls.go
+++ b/internal/mesh/meshpb/calls.go
@@ -14,7 +14,7 @@
 	switch {
 	case m.Forwarded != nil, m.Claimed != nil, m.Promise != nil, m.Accepted != nil:
 		return true
-	case m.Update != nil, m.SyncPage != nil, m.Homed != nil, m.Config != nil, m.View != nil, m.Pong != nil:
+	case m.Update != nil, m.SyncPage != nil, m.Homed != nil, m.Config != nil, m.View != nil, m.Pong != nil, m.Lease != nil:
 		return true
 	}
 	return false
--- a/internal/mesh/meshpb/kinds.go
+++ b/internal/mesh/meshpb/kinds.go
@@ -15,6 +15,8 @@
 		return "accept"
 	case m.Accepted != nil:
 		return "accepted"
+	case m.LeaseRequest != nil:
+		return "lease"
 	case m.Pull != nil:
 		return "pull"
 	case m.Digest != nil:
--- /dev/null
+++ b/internal/mesh/sharding/sharding.go
@@ -0,0 +1,172 @@
+// Package sharding says which host of a service holds which keys.
+//
+// A service's keys are cut into ranges of equal size. Which member holds a range follows from the members alone, by rendezvous hashing
+// with bounded loads, so everybody computes the same and nothing is stored but the members. A member is a machine, named by the address
+// of the proxy on it: the host there can be reached through that proxy only, whichever life of it runs.
+//
+// Members change in epochs. In an epoch a member that loses a range to another one releases it first; a member that gains it waits for
+// that, or until every lease of the epoch before has run out. The next epoch begins only when no member waits any more, so of each range
+// there is at most one earlier holder to wait for.
+package sharding
+
+import (
+	"math"
+	"slices"
+	"strconv"
+
+	"beechwing/internal/mesh/meshpb"
+)
+
+const (
+	// Keys is the number of keys of a service, Ranges that of its ranges. More ranges: the load of busy keys that are close to one another
+	// is spread over more hosts. Fewer: less has to be renewed.
+	Keys         = 1 << 16
+	Ranges       = 1024
+	keysPerRange = Keys / Ranges
+
+	// loadSlack is by how much a member may hold more ranges than the mean. Larger: fewer ranges move when members change. Smaller: the
+	// members are loaded more evenly.
+	loadSlack = 1.25
+)
+
+// RegisterName is the name under which a service's assignment is kept, and by which its coordinator is chosen.
+func RegisterName(service string) string { return "assignment\x00" + service }
+
+// Range is a run of neighbouring keys.
+type Range int
+
+// RangeOf is the range that a key belongs to.
+func RangeOf(key int) Range { return Range(key / keysPerRange) }
+
+// First is the least key of the range.
+func (r Range) First() int { return int(r) * keysPerRange }
+
+// Last is the greatest.
+func (r Range) Last() int { return r.First() + keysPerRange - 1 }
+
+// ParseKey reads a key as requests carry it.
+func ParseKey(text string) (key int, ok bool) {
+	n, err := strconv.ParseUint(text, 10, 16)
+	return int(n), err == nil
+}
+
+// nobody is the place in a list of members of the holder of a range that has none.
+const nobody = -1
+
+// Table is the assignment of an epoch with the holders that follow from it. It is immutable.
+type Table struct {
+	*meshpb.Assignment
+	holders, before []int // by range: places in Members and in Previous
+	handovers       map[Range]string
+}
+
+// Compile works out the holders of an assignment.
+func Compile(a *meshpb.Assignment) *Table {
+	t := &Table{Assignment: a, holders: place(a.GetMembers()), before: place(a.GetPrevious()), handovers: map[Range]string{}}
+	for _, h := range a.GetHandovers() {
+		t.handovers[Range(h.Range)] = h.Token
+	}
+	return t
+}
+
+// place gives each range the member that scores highest for it among those that are not full.
+func place(members []string) []int {
+	holders := make([]int, Ranges)
+	if len(members) == 0 {
+		for r := range holders {
+			holders[r] = nobody
+		}
+		return holders
+	}
+	most := int(math.Ceil(loadSlack * Ranges / float64(len(members))))
+	seeds := make([]uint64, len(members))
+	for i, member := range members {
+		seeds[i] = hash(member)
+	}
+	loads := make([]int, len(members))
+	for r := range holders {
+		best, highest := nobody, uint64(0)
+		for i := range members {
+			if loads[i] >= most {
+				continue
+			}
+			if score := mix(seeds[i] ^ mix(uint64(r)+1)); best == nobody || score > highest {
+				best, highest = i, score
+			}
+		}
+		holders[r] = best
+		loads[best]++
+	}
+	return holders
+}
+
+// hash is FNV-1a.
+func hash(text string) uint64 {
+	h := uint64(0xcbf29ce484222325)
+	for i := range len(text) {
+		h = (h ^ uint64(text[i])) * 0x100000001b3
+	}
+	return h
+}
+
+// mix is the finalizer of MurmurHash3.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// Holder is the member that holds a range in this epoch; empty: there is none.
+func (t *Table) Holder(r Range) string { return nameAt(t.Members, t.holders[r]) }
+
+// Before is the member that held a range in the epoch before.
+func (t *Table) Before(r Range) string { return nameAt(t.Previous, t.before[r]) }
+
+func nameAt(members []string, at int) string {
+	if at == nobody {
+		return ""
+	}
+	return members[at]
+}
+
+// Free says whether the holder of a range may have it: nobody else held it, or whoever did has no lease of it any more.
+func (t *Table) Free(r Range) bool {
+	before := t.Before(r)
+	return before == "" || before == t.Holder(r) || slices.Contains(t.Cleared, before)
+}
+
+// Handover is what the former holder of a range told when it released it; empty: nothing.
+func (t *Table) Handover(r Range) string { return t.handovers[r] }
+
+// Held are the ranges of a member in this epoch.
+func (t *Table) Held(member string) (ranges []Range) {
+	for r := range Range(Ranges) {
+		if t.Holder(r) == member {
+			ranges = append(ranges, r)
+		}
+	}
+	return ranges
+}
+
+// Lost are the ranges that a member has to release: it held them in the epoch before, and another one holds them now.
+func (t *Table) Lost(member string) (ranges []Range) {
+	for r := range Range(Ranges) {
+		if t.Before(r) == member && t.Holder(r) != member {
+			ranges = append(ranges, r)
+		}
+	}
+	return ranges
+}
+
+// Waiting are the former members of which somebody else's range waits, in order.
+func (t *Table) Waiting() (members []string) {
+	for r := range Range(Ranges) {
+		if before := t.Before(r); !t.Free(r) && !slices.Contains(members, before) {
+			members = append(members, before)
+		}
+	}
+	slices.Sort(members)
+	return members
+}
--- /dev/null
+++ b/internal/mesh/sharding/sharding_test.go
@@ -0,0 +1,93 @@
+package sharding
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"beechwing/internal/mesh/meshpb"
+)
+
+func members(n int) (all []string) {
+	for i := range n {
+		all = append(all, fmt.Sprintf("10.1.0.%d:7620", i+8))
+	}
+	return all
+}
+
+// No member holds much more than the mean, and ranges that are neighbours are spread.
+func TestLoadsAreBounded(t *testing.T) {
+	for _, n := range []int{1, 2, 7, 30, 73, 300} {
+		table := Compile(&meshpb.Assignment{Members: members(n)})
+		mean, spread := float64(Ranges)/float64(n), 0
+		for _, m := range table.Members {
+			if held := float64(len(table.Held(m))); held > loadSlack*mean+1 {
+				t.Errorf("%d members: %s holds %.0f ranges, the mean is %.1f", n, m, held, mean)
+			}
+		}
+		for r := range Range(Ranges - 1) {
+			if table.Holder(r) != table.Holder(r+1) {
+				spread++
+			}
+		}
+		if want := Ranges * (n - 1) / n * 8 / 10; spread < want {
+			t.Errorf("%d members: %d of the neighbouring ranges have different holders, want %d", n, spread, want)
+		}
+	}
+}
+
+// The loss of a member moves its ranges, and few others.
+func TestFewRangesMove(t *testing.T) {
+	for _, n := range []int{4, 30, 73} {
+		all := members(n)
+		most := 0
+		for i := range all {
+			table := Compile(&meshpb.Assignment{Previous: all, Members: slices.Delete(slices.Clone(all), i, i+1)})
+			moved := 0
+			for r := range Range(Ranges) {
+				if table.Before(r) != table.Holder(r) {
+					moved++
+				}
+			}
+			most = max(most, moved)
+		}
+		share := float64(most) * float64(n) / Ranges
+		t.Logf("%d members: %.2f / n of the ranges move at most", n, share)
+		if share > 2 {
+			t.Errorf("%d members: %d ranges move, %.2f times a member's", n, most, share)
+		}
+	}
+}
+
+// A range that another member held waits until that one is cleared; what stays where it was does not wait.
+func TestRangesWaitForTheirFormerHolder(t *testing.T) {
+	all := members(5)
+	a := &meshpb.Assignment{Epoch: 2, Previous: all[:4], Members: all[1:]}
+	table := Compile(a)
+	if waiting := table.Waiting(); !slices.Contains(waiting, all[0]) {
+		t.Fatalf("waits for %v, the one that left is %s", waiting, all[0])
+	}
+	if held, lost := Compile(&meshpb.Assignment{Members: all[:4]}).Held(all[0]), table.Lost(all[0]); !slices.Equal(held, lost) {
+		t.Errorf("the one that left held %d ranges and loses %d", len(held), len(lost))
+	}
+	for r := range Range(Ranges) {
+		if want := table.Before(r) == table.Holder(r); table.Free(r) != want {
+			t.Fatalf("range %d of %s, before of %s: free %v", r, table.Holder(r), table.Before(r), table.Free(r))
+		}
+	}
+	a.Cleared = table.Waiting()
+	if waiting := Compile(a).Waiting(); len(waiting) > 0 {
+		t.Errorf("all are cleared, and it waits for %v", waiting)
+	}
+}
+
+func TestParseKey(t *testing.T) {
+	for text, want := range map[string]int{"0": 0, "65535": 65535, "65536": -1, "-1": -1, "": -1, "7x": -1, " 7": -1} {
+		if key, ok := ParseKey(text); ok != (want >= 0) || ok && key != want {
+			t.Errorf("%q is %d, %v", text, key, ok)
+		}
+	}
+	if r := RangeOf(65535); r != Ranges-1 || r.Last() != 65535 || Range(0).First() != 0 {
+		t.Error("the ranges do not cover the keys")
+	}
+}
--- a/internal/mesh/sidecar/actions.go
+++ b/internal/mesh/sidecar/actions.go
@@ -99,7 +99,13 @@
 	if o == nil || o.told {
 		return
 	}
+	if p.waitsForHolder(o) {
+		return
+	}
 	r := Reply{Status: 503, Ours: true, Back: min(comeBackMost, max(comeBack, coolDown)), Why: "refused"}
+	if o.holder != 0 {
+		r.Back = max(r.Back, keyBack)
+	}
 	if n := len(o.tries); n == 0 {
 		r.Why = "no room"
 	}
--- a/internal/mesh/sidecar/admission.go
+++ b/internal/mesh/sidecar/admission.go
@@ -111,6 +111,9 @@
 	case own.Condition != AtDock:
 		g.turn(j, "the host leaves", 0)
 		return
+	case !g.holdsKey(c):
+		g.turn(j, whyNotHeld, notHeldBackMs)
+		return
 	case sent < p.now && j.until <= p.now: // its sender may have given it up; a fresh one may go elsewhere
 		g.turn(j, "this process was stopped for longer than its time", 1)
 		return
@@ -199,6 +202,8 @@
 			g.turn(j, "the host has gone", 0)
 		case own.Condition != AtDock && g.p.now > g.p.news.leftAt+drainAfter:
 			g.turn(j, "the host leaves", 0)
+		case !g.holdsKey(j.carry):
+			g.turn(j, whyNotHeld, notHeldBackMs)
 		case j.late && !g.canFinish(j):
 			g.turn(j, "no berth before its deadline", 1)
 		default:
--- a/internal/mesh/sidecar/discovery.go
+++ b/internal/mesh/sidecar/discovery.go
@@ -265,6 +265,7 @@
 	if n.p.table != nil {
 		pull.Edition = n.p.table.Edition
 	}
+	pull.Assignments = n.p.shards.version()
 	if n.p.o.Agreed {
 		w := &n.p.witness
 		pull.Observations, pull.Accused, pull.EjectionLists = w.words(n.p.now), w.accused, w.version
@@ -304,6 +305,7 @@
 			changed = true
 		}
 	}
+	p.shards.learn(w.Assignments)
 	if w.Edition > 0 && (p.table == nil || w.Edition > p.table.Edition) {
 		if t, err := compile(w.Text); err != nil {
 			p.o.Log("configuration not understood", "edition", w.Edition, "error", err)
--- a/internal/mesh/sidecar/dispatch.go
+++ b/internal/mesh/sidecar/dispatch.go
@@ -65,6 +65,8 @@
 	class    class
 	service  string
 	token    uint64
+	shardKey int             // in a sharded service; noKey: the service is none
+	holder   balancer.HostID // of that; 0: any host will do
 	tries    []*try
 	arrivals int
 	claims   bool // a claim of its key may stand
@@ -196,6 +198,13 @@
 		left = min(left, o.route.TimeoutMs/1000)
 	}
 	o.deadline = o.taken + left
+	o.shardKey = noKey
+	if p.sharded(o.service) {
+		if o.shardKey = keyOf(o.Fields); o.shardKey == noKey {
+			p.tell(o, Reply{Status: 400, Ours: true, Why: HeaderShardKey + ": is to be a number from 0 to 65535"})
+			return
+		}
+	}
 	if p.inUse+len(o.Body) > p.o.Memory {
 		p.tell(o, Reply{Status: 503, Back: comeBackMost, Ours: true, Why: "no memory for its body"})
 		return
@@ -205,8 +214,21 @@
 	p.orders[o.id] = o
 	p.budget.Earn(o.service)
 	p.at(o.deadline+afterDeadline, func() { p.over(o) })
-	s.bal.Request(p.now, balancer.Request{ID: balancer.RequestID(o.id), Class: s.class(o.class),
-		Key: p.random() | 1, Budget: max(0, o.deadline-p.now)})
+	if o.shardKey != noKey {
+		p.askHolder(o)
+		return
+	}
+	p.request(o)
+}
+
+// request puts an order to the module of its service.
+func (p *Sidecar) request(o *Order) {
+	s := p.services[o.service]
+	if s == nil {
+		return // its service is gone: it ends with its time
+	}
+	s.bal.Request(p.now, balancer.Request{ID: balancer.RequestID(o.id), Class: s.class(o.class), Key: p.random() | 1, Only: o.holder,
+		Budget: max(0, o.deadline-p.now)})
 }
 
 // over ends an order whose time is over.
--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -16,26 +16,28 @@
 	"beechwing/internal/mesh/random"
 	"beechwing/internal/mesh/retrybudget"
 	"beechwing/internal/mesh/routeconfig"
+	"beechwing/internal/mesh/sharding"
 )
 
 // Options is what a proxy is told at its start.
 type Options struct {
-	Self    string // its address for the others
-	Zone    string
-	Sender  string // the service of the host on this machine
-	Seeds   []string
-	Beat    float64 // seconds between a host's beats
-	Ratio   float64 // of the rule on further tries
-	Slack   float64
-	Version uint64 // of its news to begin with: later starts have higher ones, as a rule
-	Seed    uint64
-	Agreed  bool // a host is left out for what must not run twice only where most that met it agree
-	Memory  int  // bytes that bodies under way may take
-	Log     func(event string, args ...any)
-	Debug   func(event string, args ...any) // nil: nobody listens
+	Self     string // its address for the others
+	Zone     string
+	Sender   string // the service of the host on this machine
+	Seeds    []string
+	Beat     float64 // seconds between a host's beats
+	Ratio    float64 // of the rule on further tries
+	Slack    float64
+	Version  uint64 // of its news to begin with: later starts have higher ones, as a rule
+	Seed     uint64
+	Agreed   bool    // a host is left out for what must not run twice only where most that met it agree
+	HoldMost float64 // seconds for which hosts let themselves be granted keys at most; 0: not told
+	Memory   int     // bytes that bodies under way may take
+	Log      func(event string, args ...any)
+	Debug    func(event string, args ...any) // nil: nobody listens
 }
 
-// Do is something for the program to carry out: Exchange, Abort, Tell or Probe.
+// Do is something for the program to carry out: Exchange, Abort, KeyCalls, Tell or Probe.
 type Do interface{ do() }
 
 // Exchange has a request run by the host beside this proxy. The end of it comes back by Exchanged.
@@ -91,6 +93,8 @@
 	pongs    float64 // mean seconds that others take to say that they are there
 
 	gate    gate
+	shards  shards
+	lease   keyLease
 	pauses  pauses
 	news    news
 	witness witness
@@ -108,6 +112,8 @@
 	p.pauses.inputAt = now
 	p.identify()
 	p.gate.begin(p)
+	p.shards.tables = map[string]*sharding.Table{}
+	p.lease.init(o.Sender)
 	p.news.begin(p)
 	return p
 }
@@ -173,6 +179,8 @@
 		p.gate.cancel(from, parcel)
 	case parcel.Forwarded != nil:
 		p.forwarded(from, parcel)
+	case parcel.Lease != nil:
+		p.leased(from, parcel)
 	case parcel.Claimed != nil:
 		p.gate.claimed(from, parcel)
 	case parcel.Update != nil:
@@ -202,6 +210,7 @@
 	p.watchPeers()
 	p.gate.tick()
 	p.news.tick()
+	p.tickLease()
 	p.settle()
 }
 
@@ -244,6 +253,9 @@
 	Left    map[string]uint64 `json:"left"`    // requests whose clients left before the answer, by where they were
 	Unasked uint64            `json:"unasked"` // tries sent for clients that had left: none is ever due
 
+	Grants     uint64 `json:"grants"`     // of keys to the host here
+	NotGranted uint64 `json:"notGranted"` // of these, how many it did not take
+
 	Cancelled map[string]uint64 `json:"cancelled"` // requests taken back by others, by where they were here
 }
 
@@ -273,7 +285,8 @@
 		Jobs: len(p.gate.jobs), Queued: len(p.gate.queue), Waiting: len(p.gate.late.jobs), Avoided: map[string]int{},
 		Counts: Counts{Answers: maps.Clone(p.count.Answers), Tries: maps.Clone(p.count.Tries), Turned: maps.Clone(p.count.Turned),
 			Runs: p.count.Runs, Late: p.count.Late, Doubts: p.count.Doubts, Dropped: maps.Clone(p.count.Dropped), Left: maps.Clone(p.count.Left),
-			Unasked: p.count.Unasked, Cancelled: maps.Clone(p.count.Cancelled)}}
+			Unasked: p.count.Unasked, Cancelled: maps.Clone(p.count.Cancelled), Grants: p.count.Grants,
+			NotGranted: p.count.NotGranted}}
 	if p.table != nil {
 		s.Edition = p.table.Edition
 	}
--- a/internal/mesh/simulation/proxies.go
+++ b/internal/mesh/simulation/proxies.go
@@ -42,7 +42,7 @@
 	s.running = map[uint64]*hostRun{}
 	s.version += uint64(1000 * s.w.Rand.Float64()) // the time of day may have gone back
 	s.sidecar = sidecar.New(s.w.Now, sidecar.Options{Self: s.addr, Zone: s.host.Zone, Sender: s.host.Carrier, Seeds: s.seeds, Beat: beat,
-		Ratio: 0.2, Slack: 60, Version: s.version, Seed: cmp.Or(s.seed, s.w.Rand.Uint64()), Memory: 1 << 24, Agreed: s.w.Agreed})
+		Ratio: 0.2, Slack: 60, Version: s.version, Seed: cmp.Or(s.seed, s.w.Rand.Uint64()), Memory: 1 << 24, Agreed: s.w.Agreed, HoldMost: holdMost})
 	life := s.lives
 	var tick func()
 	tick = func() {
@@ -117,6 +117,8 @@
 				s.exchange(do)
 			case sidecar.Abort:
 				s.abort(do)
+			case sidecar.KeyCalls:
+				s.callKeys(do)
 			case sidecar.Probe:
 				s.probe()
 			}
--- a/internal/mesh/simulation/servers.go
+++ b/internal/mesh/simulation/servers.go
@@ -1,12 +1,14 @@
 package simulation
 
 import (
+	"cmp"
 	"slices"
 
 	"beechwing/internal/mesh/meshpb"
 	"beechwing/internal/mesh/transport"
 
 	"beechwing/internal/mesh/control"
+	"beechwing/internal/mesh/sharding"
 	"beechwing/internal/mesh/store"
 )
 
@@ -70,7 +72,7 @@
 		values[name] = slices.Clone(v)
 	}
 	var err error
-	h.server, err = control.New(h.w.Now, control.Options{Self: h.addr, Seeds: h.seeds, First: h.w.first && len(values) == 0,
+	h.server, err = control.New(h.w.Now, control.Options{LeaseTime: cmp.Or(h.w.LeaseTime, sharding.LeaseTime(holdMost)), Self: h.addr, Seeds: h.seeds, First: h.w.first && len(values) == 0,
 		Tolerance: h.w.tolerance, Window: window, Life: h.w.Rand.Uint32() | 1, Random: h.w.Rand.Uint64(),
 		Log: func(event string, args ...any) {
 			trace("%.3f %s %s %v", h.w.Now, h.addr, event, args)
--- a/internal/mesh/simulation/world.go
+++ b/internal/mesh/simulation/world.go
@@ -52,6 +52,8 @@
 	HeartbeatsWait bool // planted: on a full processor heartbeats wait their turn
 	ContactsLost   int  // how often a control server lost contact with a quorum
 
+	LeaseTime float64 // planted: seconds after which control servers take a lease for over; 0: as they should
+
 	CloseUnheard bool // planted: no proxy hears that a client closes its connection
 
 	Agreed   bool   // proxies leave hosts out for operations by agreement only
@@ -121,16 +123,25 @@
 		w.byAddr[addr] = h
 		h.Start()
 	}
-	for i, host := range hosts {
-		s := &Proxy{w: w, addr: fmt.Sprintf("10.0.1.%d:7000", i+1), host: host, seeds: seeds[:min(3, servers)]}
-		w.Proxies = append(w.Proxies, s)
-		w.byAddr[s.addr] = s
-		s.Start()
-		s.StartHost()
+	for _, host := range hosts {
+		w.addProxy(host, seeds[:min(3, servers)])
 	}
 	return w
 }
 
+// addProxy starts a machine with a host and the proxy beside it.
+func (w *World) addProxy(host Host, seeds []string) *Proxy {
+	s := &Proxy{w: w, addr: fmt.Sprintf("10.0.1.%d:7000", len(w.Proxies)+1), host: host, seeds: seeds}
+	w.Proxies = append(w.Proxies, s)
+	w.byAddr[s.addr] = s
+	s.Start()
+	s.StartHost()
+	return s
+}
+
+// AddHost starts a new machine with a host. Its proxy is told of control servers that are up.
+func (w *World) AddHost(host Host) *Proxy { return w.addProxy(host, w.upSeeds()) }
+
 // Add starts a control server with an empty disk at an address that nobody had before. It is told of servers that are up.
 func (w *World) Add() *ControlServer {
 	addr := fmt.Sprintf("10.0.0.%d:7000", len(w.Servers)+1)
