--- a/internal/mesh/control/catchup.go
+++ b/internal/mesh/control/catchup.go
@@ -53,8 +53,22 @@
 
 func (c *catchup) init() { *c = catchup{sources: map[string]*source{}} }
 
-// viewChanged has everything that is read count for the new view only.
-func (c *catchup) viewChanged() { c.syncingTill = 0 }
+// viewChanged has everything that is read count for the new view only. A question that is open bears the epoch before, and is not
+// answered by a member that goes by the new view: it is asked again at once.
+func (c *catchup) viewChanged() {
+	c.syncingTill = 0
+	for _, from := range c.sources {
+		from.asking = false
+	}
+}
+
+// memberBehind takes word that a member asks for this server's view: it has not answered a question that bears a newer epoch than its
+// own, which is asked again once it has the view.
+func (c *catchup) memberBehind(address string) {
+	if from := c.sources[address]; from != nil {
+		from.asking = false
+	}
+}
 
 // tickCatchup asks as many members as make a majority, in an order of this server's own; who does not answer is passed over.
 func (s *Server) tickCatchup(now float64) {
--- a/internal/mesh/control/server.go
+++ b/internal/mesh/control/server.go
@@ -203,6 +203,7 @@
 		s.heardView(now, from, view.FromWire(m.View))
 	case m.ViewRequest != nil:
 		s.tellView(from)
+		s.catchup.memberBehind(from)
 	case m.Join != nil:
 		s.heardJoin(now, member, m.Epoch, m.Join)
 	case m.Epoch < s.view().Epoch: // fenced: what it says belongs to a view that is no longer in force
