--- a/internal/mesh/register/operation.go
+++ b/internal/mesh/register/operation.go
@@ -28,6 +28,9 @@
 	mostVoided = 24 // tokens that a register remembers as voided
 	// A claim that nobody has settled for so long has lost its holder: the answer no longer says that it is at work.
 	holderGone  = 5.0 // seconds
+	// A claim that is older than this may have been settled without this server: that it is at work is for a quorum to say. Larger: a
+	// repeat is told so for longer after the answer. Smaller: a ballot for each repeat that comes while the first is at work.
+	busyFresh   = 0.7 // seconds
 	otherHolds  = 100 // added to Claimed where it is somebody else's
 	nothingDone = 200 // added to Unsure where nothing was begun
 )
@@ -49,7 +52,7 @@
 	}
 	if e := l.entries[c.Key]; e != nil && e.value != nil { // what is known here to hold somebody else's needs no ballot
 		_, state := claim(c, e.value)
-		if state != Claimed && l.aged(now, e, state) == state { // that its holder is gone is for a quorum to say
+		if state != Claimed && !e.mayBeOver(now, state) {
 			answer(state, e.value)
 			return
 		}
@@ -94,6 +97,9 @@
 	return held.Token == c.Token && held.Attempt == c.Attempt && held.Gate == c.Gate && held.GateLife == c.GateLife
 }
 
+// mayBeOver says whether a claim that stands on this disk may have ended by now.
+func (e *entry) mayBeOver(now float64, state State) bool { return state == Busy && now > e.at+busyFresh }
+
 // aged says that a claim's holder is gone where that is so.
 func (l *Registers) aged(now float64, e *entry, state State) State {
 	if state == Busy && now > e.at+holderGone {
--- a/internal/mesh/register/proposer.go
+++ b/internal/mesh/register/proposer.go
@@ -107,12 +107,11 @@
 func (l *Registers) propose(now float64, c *change, old *meshpb.Receipt) {
 	value, state := c.work(old)
 	if value == nil {
-		aged := l.agedHere(now, c.key, state)
-		if aged != state && !c.asking { // others may know how the run ended
+		if e := l.entries[c.key]; e != nil && e.mayBeOver(now, state) && !c.asking { // others may know how the run ended
 			l.ask(now, c)
 			return
 		}
-		state = aged
+		state = l.agedHere(now, c.key, state)
 		if old == nil && c.asking || !c.linearizable || c.asking && l.known(c) {
 			l.end(now, c, state, old)
 			return
--- a/internal/mesh/register/register_test.go
+++ b/internal/mesh/register/register_test.go
@@ -308,3 +308,56 @@
 		t.Errorf("%v, want %v", states, want)
 	}
 }
+
+// deliver brings all mail, and what it gives rise to, but for what goes from or to one process.
+func (b *bag) deliver(but string) {
+	for len(b.mail) > 0 {
+		m := b.mail[0]
+		b.mail = b.mail[1:]
+		if m.from == but || m.to == but {
+			continue
+		}
+		b.servers[m.to].Heard(b.now, b.member(m.from), m.message)
+		b.take(m.to, true)
+	}
+}
+
+// A server that granted a claim and missed the end of its run asks the others a second later, and does not tell a repeat that the run is
+// at work.
+func TestRepeatIsAnsweredByAServerThatMissedTheEnd(t *testing.T) {
+	for seed := range uint64(20) {
+		b := newBag(seed, 3)
+		order := Home("k", b.names)
+		granted, settled, told := false, false, Free
+		b.servers[order[0]].Claim(b.now, &meshpb.Claim{Key: "k", Token: 1}, func(state uint32, _ *meshpb.Receipt) { granted = state == Claimed })
+		b.take(order[0], true)
+		b.deliver("")
+		b.now += 0.05
+		b.servers[order[1]].Settle(b.now, "k", &meshpb.Receipt{Token: 1, State: Done, Status: 201}, false,
+			func(state uint32, _ *meshpb.Receipt) { settled = state == Done })
+		b.take(order[1], true)
+		b.deliver(order[0])
+		for range 4 { // the third is asked where the first does not answer
+			b.now += 0.05
+			b.servers[order[1]].Tick(b.now)
+			b.take(order[1], true)
+			b.deliver(order[0])
+		}
+		if !granted || !settled {
+			t.Fatalf("seed %d: granted %v, settled %v", seed, granted, settled)
+		}
+		b.now += 1
+		b.servers[order[0]].Claim(b.now, &meshpb.Claim{Key: "k", Token: 5}, func(state uint32, _ *meshpb.Receipt) { told = state })
+		b.take(order[0], true)
+		b.deliver("")
+		for range 6 { // a ballot that is refused is followed by a newer one
+			b.now += 0.05
+			b.servers[order[0]].Tick(b.now)
+			b.take(order[0], true)
+			b.deliver("")
+		}
+		if told != Done {
+			t.Errorf("seed %d: a repeat is told state %d, want %d", seed, told, Done)
+		}
+	}
+}
