Simulation: a server's tick goes before the messages that wait, as in the program

In the model a tick waited behind the whole inbox, so heartbeats were sent late; in the program it competes for the lock with the one worker for each message anew. The model was wrong, not the check. Change: ticks go first, but where heartbeats are planted to wait.

--- a/internal/mesh/simulation/servers.go
+++ b/internal/mesh/simulation/servers.go
@@ -92,7 +92,7 @@
 	var tick func()
 	tick = func() {
 		if h.up && h.lives == life {
-			h.input(func() {
+			h.inputFirst(func() {
 				h.server.Tick(h.w.Now)
 				h.w.After(tickEvery, tick)
 			})
@@ -149,14 +149,24 @@
 
 func (h *ControlServer) heard(from string, p *meshpb.Message) {
 	f := func() { h.server.Heard(h.w.Now, from, p) }
-	if !h.frozen && !h.idle() && meshpb.IsHeartbeat(p) && !h.w.HeartbeatsWait {
-		h.processor.urgent = append(h.processor.urgent, f)
-		h.workLater()
+	if meshpb.IsHeartbeat(p) {
+		h.inputFirst(f)
 		return
 	}
 	h.input(f)
 }
 
+// inputFirst gives the machine an input that goes before what waits: a heartbeat, and a tick, which in the program competes with the
+// inbox's one worker for each message anew, and so waits for one message at most.
+func (h *ControlServer) inputFirst(f func()) {
+	if h.frozen || h.idle() || h.w.HeartbeatsWait {
+		h.input(f)
+		return
+	}
+	h.processor.urgent = append(h.processor.urgent, f)
+	h.workLater()
+}
+
 func (h *ControlServer) broke(transport.Broke) {}
 
 // input gives the machine something, and does what it wants done.
