A crashed host's keys go to others at once: nobody listens at its address

Cause: a host that crashed stayed a member until its beats were missed (5.3 s) and the leases had run out (7.4 s more), though the proxy beside it gets its connections refused. Change: a refused request has the lease asked for at once; a refused grant makes the host gone, so the next epoch gives its keys away, and the proxy clears itself, as nothing of its own is under way there. A further beat of the same life proves it wrong.

--- a/internal/mesh/sidecar/admission.go
+++ b/internal/mesh/sidecar/admission.go
@@ -333,6 +333,9 @@
 	v := outcome.Outcome(c.Verdict)
 	took := g.p.pauses.ran - j.sent // a stop of this process says nothing of the host
 	g.p.sawEnd(j.carry.Station, c)
+	if c.Refused {
+		g.p.lease.hostRefused()
+	}
 	c.TookUs = uint32(min(took, 1000) * 1e6)
 	if v == outcome.Answered {
 		g.work += workStep * (took - g.work)
--- a/internal/mesh/sidecar/keylease.go
+++ b/internal/mesh/sidecar/keylease.go
@@ -307,11 +307,30 @@
 	p.count.Grants++
 	if result.Status != statusGranted || k.station != p.news.own.Station || k.table.Epoch < k.epoch || k.table.Holder(r) != p.o.Self {
 		p.count.NotGranted++
+		if result.Refused {
+			p.hostLost()
+		}
 		return
 	}
 	k.until[r] = k.batchAt + sharding.HeldFor(p.o.HoldMost)
 }
 
+// hostLost notes that no process listens at the host's address: its keys are to go to others, who cannot serve them before. A further
+// beat of the same life proves it wrong.
+func (p *Sidecar) hostLost() {
+	if p.news.own.Condition == AtDock {
+		p.o.Log("host lost", "station", p.news.own.Station, "why", "nobody listens at its address")
+		p.news.change(func(r *meshpb.Record) { r.Condition = Gone })
+	}
+}
+
+// hostRefused has the host asked for at once, where it holds keys: a request to it found no process, or none in time.
+func (k *keyLease) hostRefused() {
+	if len(k.mine) > 0 {
+		k.askAt = 0
+	}
+}
+
 // releaseEnded notes that the host has released a range, or everything. No process that listens, with nothing of this proxy's under
 // way, begins nothing.
 func (p *Sidecar) releaseEnded(r sharding.Range, result KeyResult) {
--- a/internal/mesh/simulation/keys_test.go
+++ b/internal/mesh/simulation/keys_test.go
@@ -205,3 +205,20 @@
 	}
 	verdictOn(t, w, "cut off", 0.5)
 }
+
+// A host that crashes takes no keys with it: the proxy beside it finds that nobody listens there any more, and others get them at once.
+func TestCrashedHostsKeysMoveAtOnce(t *testing.T) {
+	for seed := range uint64(4) {
+		w := stocked(t, seed, 4)
+		askStock(w, 9)
+		w.Run(2)
+		w.Proxies[0].CrashHost()
+		w.Run(2)
+		served, asked := w.Checker.Served, w.Checker.Asked
+		w.Run(6)
+		if got, of := w.Checker.Served-served, w.Checker.Asked-asked; float64(got) < 0.98*float64(of) {
+			t.Errorf("seed %d: %d of %d served from 2 s after the crash on", seed, got, of)
+		}
+		verdictOn(t, w, fmt.Sprintf("seed %d", seed), 0.8)
+	}
+}
--- a/internal/mesh/simulation/people.go
+++ b/internal/mesh/simulation/people.go
@@ -101,7 +101,7 @@
 		})
 	}
 	if st == nil || st.dead {
-		back(0.0005, &meshpb.Forwarded{Verdict: uint32(outcome.Turned), Why: "refused"})
+		back(0.0005, &meshpb.Forwarded{Verdict: uint32(outcome.Turned), Why: "refused", Refused: true})
 		return
 	}
 	if st.id != c.Station { // another host has the address: it says so and does not run it
