--- a/cmd/beechwing-control/calls.go
+++ b/cmd/beechwing-control/calls.go
@@ -176,6 +176,11 @@
 		page.Count("beechwing_control_work_total", t.Count, "kind", string(t.Kind))
 		page.Gauge("beechwing_control_work_seconds_total", t.Seconds, "kind", string(t.Kind))
 	}
+	for _, a := range s.Assignments {
+		page.Gauge("beechwing_control_assignment_epoch", float64(a.Epoch), "carrier", a.Carrier)
+		page.Gauge("beechwing_control_assignment_members", float64(a.Members), "carrier", a.Carrier)
+		page.Gauge("beechwing_control_assignment_waiting", float64(len(a.Waiting)), "carrier", a.Carrier)
+	}
 	page.Gauge("beechwing_control_roll", float64(len(s.Roll)))
 	page.Gauge("beechwing_control_silent", float64(len(s.SilentProxies)))
 }
--- a/cmd/beechwing-sidecar/run.go
+++ b/cmd/beechwing-sidecar/run.go
@@ -347,6 +347,12 @@
 	page.Count("beechwing_sidecar_grants_refused_total", s.Counts.NotGranted)
 	page.Count("beechwing_sidecar_tries_for_clients_left_total", s.Counts.Unasked)
 	page.Count("beechwing_sidecar_host_connections_total", uint64(p.host.Opened()))
+	if k := s.Keys; k != nil {
+		page.Gauge("beechwing_sidecar_key_ranges", float64(k.Ranges), "state", "own")
+		page.Gauge("beechwing_sidecar_key_ranges", float64(k.Held), "state", "held")
+		page.Gauge("beechwing_sidecar_key_ranges", float64(k.Releasing), "state", "releasing")
+		page.Gauge("beechwing_sidecar_key_lease_left_seconds", k.Left)
+	}
 	page.Gauge("beechwing_sidecar_edition", float64(s.Edition))
 	page.Flag("beechwing_sidecar_ready", s.Ready)
 	page.Gauge("beechwing_sidecar_requests_open", float64(s.Orders))
--- a/internal/mesh/control/assignment.go
+++ b/internal/mesh/control/assignment.go
@@ -341,3 +341,26 @@
 	}
 	return all
 }
+
+// AssignmentState is what an operator sees of a sharded service.
+type AssignmentState struct {
+	Carrier string   `json:"carrier"`
+	Epoch   uint64   `json:"epoch"` // the fence of what is granted
+	Age     float64  `json:"epochSeconds"`
+	Members int      `json:"members"`
+	Wanted  int      `json:"wanted"`     // members that the hosts known here make
+	Waiting []string `json:"waitingFor"` // former members that have not released what they lost
+}
+
+// state is what is known of the sharded services, in order. It is not read anew.
+func (a *assignments) state(now float64) (all []AssignmentState) {
+	for _, carrier := range slices.Sorted(maps.Keys(a.services)) {
+		known := a.services[carrier]
+		if known.table == nil {
+			continue
+		}
+		all = append(all, AssignmentState{Carrier: carrier, Epoch: known.epoch(), Age: now - known.epochAt, Members: len(known.table.Members),
+			Wanted: len(known.wanted), Waiting: known.table.Waiting()})
+	}
+	return all
+}
--- a/internal/mesh/control/state.go
+++ b/internal/mesh/control/state.go
@@ -57,6 +57,7 @@
 	Pulls         int                    `json:"heldPulls"`
 	EjectionLists []*meshpb.EjectionList `json:"ejectionLists"`
 	SilentProxies []string               `json:"silent"`
+	Assignments   []AssignmentState      `json:"assignments"`
 	Counts        Counts                 `json:"counts"`
 	Roll          []*meshpb.Record       `json:"roll"`
 }
@@ -68,7 +69,7 @@
 		Voting: s.Voting(), InContact: s.inContact(now), ContactAge: -1, Behind: s.behind(now), CaughtUp: s.catchup.caughtUp,
 		Foreign: s.membership.foreign, Standbys: sorted(s.membership.standbys), Edition: s.configuration.held,
 		InForce: s.configuration.chosenVersion(), Pulls: len(s.propagation.pulls), EjectionLists: s.wireEjections(now),
-		SilentProxies: s.silentSources(now), Counts: s.count}
+		SilentProxies: s.silentSources(now), Assignments: s.assignments.state(now), Counts: s.count}
 	if s.disk.failing {
 		state.DiskFailing = cmp.Or(s.disk.why, "stalled")
 	}
--- a/internal/mesh/register/operation.go
+++ b/internal/mesh/register/operation.go
@@ -27,7 +27,7 @@
 const (
 	mostVoided = 24 // tokens that a register remembers as voided
 	// A claim that nobody has settled for so long has lost its holder: the answer no longer says that it is at work.
-	holderGone  = 5.0 // seconds
+	holderGone = 5.0 // seconds
 	// A claim that is older than this may have been settled without this server: that it is at work is for a quorum to say. Larger: a
 	// repeat is told so for longer after the answer. Smaller: a ballot for each repeat that comes while the first is at work.
 	busyFresh   = 0.7 // seconds
@@ -98,7 +98,9 @@
 }
 
 // mayBeOver says whether a claim that stands on this disk may have ended by now.
-func (e *entry) mayBeOver(now float64, state State) bool { return state == Busy && now > e.at+busyFresh }
+func (e *entry) mayBeOver(now float64, state State) bool {
+	return state == Busy && now > e.at+busyFresh
+}
 
 // aged says that a claim's holder is gone where that is so.
 func (l *Registers) aged(now float64, e *entry, state State) State {
--- a/internal/mesh/sidecar/keylease.go
+++ b/internal/mesh/sidecar/keylease.go
@@ -366,3 +366,33 @@
 	}
 	return left
 }
+
+// KeyState is what an operator sees of the keys that the host here holds.
+type KeyState struct {
+	Carrier   string  `json:"carrier"`
+	Epoch     uint64  `json:"epoch"`     // the fence
+	Ranges    int     `json:"ranges"`    // that are its own
+	Held      int     `json:"held"`      // of these, on how many requests may begin now
+	Left      float64 `json:"leftS"`     // seconds until the first of them runs out, if nothing is renewed
+	Releasing int     `json:"releasing"` // that it has lost and not released yet
+}
+
+// keyState is what is known of the keys here; nil: there are none.
+func (p *Sidecar) keyState() *KeyState {
+	k := &p.lease
+	if k.table == nil {
+		return nil
+	}
+	s := &KeyState{Carrier: k.carrier, Epoch: k.table.Epoch, Ranges: len(k.mine), Releasing: len(k.toRelease)}
+	for _, until := range k.until {
+		left := until - p.now
+		if left <= 0 {
+			continue
+		}
+		if s.Held == 0 || left < s.Left {
+			s.Left = left
+		}
+		s.Held++
+	}
+	return s
+}
--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -276,6 +276,7 @@
 	Avoided map[string]int   `json:"avoided"`
 	Out     []string         `json:"condemned"`
 	Accused []string         `json:"accused"`
+	Keys    *KeyState        `json:"keys,omitempty"` // nil: the host here holds none, nor is to
 }
 
 // State tells what is known here.
@@ -297,6 +298,7 @@
 		}
 	}
 	s.Out, s.Accused = p.witness.all(now), p.witness.accused
+	s.Keys = p.keyState()
 	for name, service := range p.services {
 		s.Avoided[name] = service.bal.Avoided(now)
 	}
