--- a/cmd/beechwing-sidecar/run.go
+++ b/cmd/beechwing-sidecar/run.go
@@ -357,8 +357,8 @@
 	page.Flag("beechwing_sidecar_ready", s.Ready)
 	page.Gauge("beechwing_sidecar_requests_open", float64(s.Orders))
 	page.Gauge("beechwing_sidecar_host_requests", float64(s.Jobs))
-	page.Gauge("beechwing_sidecar_waiting", float64(s.Queued), "lane", "in time")
-	page.Gauge("beechwing_sidecar_waiting", float64(s.Waiting), "lane", "late")
+	page.Gauge("beechwing_sidecar_waiting", float64(s.Queued), "queue", "in time")
+	page.Gauge("beechwing_sidecar_waiting", float64(s.Waiting), "queue", "late")
 	page.Gauge("beechwing_sidecar_roll", float64(len(s.Roll)))
 	page.Gauge("beechwing_sidecar_silent", float64(len(s.Silent)))
 	for service, n := range s.Avoided {
--- a/internal/mesh/sidecar/admission.go
+++ b/internal/mesh/sidecar/admission.go
@@ -36,8 +36,8 @@
 	jobs     map[uint64]*job
 	arrivals arrivals
 	keys     keys
-	queue    []*job // waiting for a berth, each still in time for its aim
-	late     lane   // the others: they go when nobody else waits
+	queue    []*job    // waiting for a berth, each still in time for its aim
+	late     lateQueue // the others: they go when nobody else waits
 	running  int
 	serving  bool
 	work     float64            // mean seconds that the host takes
@@ -122,7 +122,7 @@
 		return
 	}
 	link, most := g.linkWait(c.Class), g.patience(j)
-	if link > most { // what is late in the link keeps all behind it late: there is no lane there
+	if link > most { // what is late in the link keeps all behind it late: no queue for late ones is kept there
 		g.turn(j, "the link is full", uint32(link*1000)+1)
 		return
 	}
