sidecar: admission and discovery are called so; the package comment names its files

Change: types, fields and comments of internal/mesh/sidecar; the wire's names stay. Behaviour stays, tests keep their assertions.

--- a/internal/mesh/sidecar/actions.go
+++ b/internal/mesh/sidecar/actions.go
@@ -113,7 +113,7 @@
 		r = p.hosts(o, o.last)
 	}
 	if o.claims && r.Ours { // what is promised not to run gives its key back
-		p.gate.settle(o.Key, &meshpb.Receipt{Token: o.token, State: register.Void})
+		p.admission.settle(o.Key, &meshpb.Receipt{Token: o.token, State: register.Void})
 	}
 	p.tell(o, r)
 	p.later(func() { p.forget(o) })
--- a/internal/mesh/sidecar/admission.go
+++ b/internal/mesh/sidecar/admission.go
@@ -29,9 +29,9 @@
 	drainAfter    = 1.0      // seconds after word of a drain in which what waited here may still go to the host
 )
 
-// gate is the last before the host: all requests to it pass here, so here it is sure which life of a host has the address,
+// admission is the last before the host: all requests to it pass here, so here it is sure which life of a host has the address,
 // that nothing goes to one that leaves, how many requests it has in hand, and what has been sent at all.
-type gate struct {
+type admission struct {
 	p        *Sidecar
 	jobs     map[uint64]*job
 	arrivals arrivals
@@ -64,7 +64,7 @@
 	ended   bool
 }
 
-func (g *gate) begin(p *Sidecar) {
+func (g *admission) begin(p *Sidecar) {
 	g.p, g.work = p, firstWork
 	g.took, g.bytes = map[uint32]float64{}, map[uint32]float64{}
 	g.arrivals = newArrivals()
@@ -72,8 +72,8 @@
 	g.keys.init()
 }
 
-func (g *gate) berths() int {
-	if n := int(g.p.news.own.Berths); n > 0 {
+func (g *admission) berths() int {
+	if n := int(g.p.discovery.own.Berths); n > 0 {
 		return n + spareBerths
 	}
 	return defaultBerths + spareBerths
@@ -81,7 +81,7 @@
 
 // carry takes a request for the host. What has come before, or may have, is dropped before anything is said of it: its
 // sender would take a word that it was turned away for a promise, while the first one runs.
-func (g *gate) carry(from string, m *meshpb.Message) {
+func (g *admission) carry(from string, m *meshpb.Message) {
 	if why := g.arrivals.admit(g.p.now, arrival{asker{from, m.Life}, m.Id}); why != "" {
 		g.p.drop(from, m, why)
 		return
@@ -96,7 +96,7 @@
 }
 
 // admit takes a request that comes for the first time.
-func (g *gate) admit(from string, m *meshpb.Message) {
+func (g *admission) admit(from string, m *meshpb.Message) {
 	p, c := g.p, m.Forward
 	sent := p.now
 	if from != p.o.Self {
@@ -104,7 +104,7 @@
 	}
 	j := &job{id: p.id(), from: from, message: m, carry: c, came: p.now, until: sent + float64(c.LeftUs)/1e6,
 		aim: sent + float64(c.AimUs)/1e6}
-	switch own := p.news.own; {
+	switch own := p.discovery.own; {
 	case own.Station == "" || own.Station != c.Station:
 		g.turn(j, "another host is here", 0)
 		return
@@ -148,7 +148,7 @@
 }
 
 // enter queues a request that may go to the host.
-func (g *gate) enter(j *job) {
+func (g *admission) enter(j *job) {
 	if j.late {
 		g.late.add(j)
 		g.serve()
@@ -161,7 +161,7 @@
 
 // patience is how long a request may wait here: so long that it can still be answered before its answer loses worth. What has
 // little time, as a call that a run elsewhere waits for, cannot come again, and waits longer.
-func (g *gate) patience(j *job) float64 {
+func (g *admission) patience(j *job) float64 {
 	left := j.until - g.p.now
 	most := max(leastWait, j.aim-g.p.now-spread*g.took[j.carry.Class]-onTheWay)
 	if left < returns {
@@ -177,13 +177,13 @@
 }
 
 // wait is how long a request would wait for a berth, from what is before it.
-func (g *gate) wait(j *job) float64 {
+func (g *admission) wait(j *job) float64 {
 	at, _ := slices.BinarySearchFunc(g.queue, j, order)
 	return float64(at+1) * g.work / float64(g.berths())
 }
 
 // serve gives free berths to those that wait.
-func (g *gate) serve() {
+func (g *admission) serve() {
 	if g.serving { // what is turned away in here leads back here
 		return
 	}
@@ -194,13 +194,13 @@
 		if j == nil {
 			return
 		}
-		own := g.p.news.own
+		own := g.p.discovery.own
 		switch {
 		case j.until <= g.p.now:
 			g.end(j, &meshpb.Forwarded{Verdict: uint32(outcome.Expired)})
 		case own.Station != j.carry.Station || own.Condition == Gone:
 			g.turn(j, "the host has gone", 0)
-		case own.Condition != AtDock && g.p.now > g.p.news.leftAt+drainAfter:
+		case own.Condition != AtDock && g.p.now > g.p.discovery.leftAt+drainAfter:
 			g.turn(j, "the host leaves", 0)
 		case !g.holdsKey(j.carry):
 			g.turn(j, whyNotHeld, notHeldBackMs)
@@ -215,7 +215,7 @@
 }
 
 // next takes the one out of the queues that is to have the next berth.
-func (g *gate) next() *job {
+func (g *admission) next() *job {
 	for len(g.queue) > 0 {
 		j := g.queue[0]
 		g.queue = g.queue[1:]
@@ -237,7 +237,7 @@
 // as a call that a run elsewhere waits for, keeps its place.
 //
 // Where the host has nothing to do one goes in any case: if it was slow, nothing else shows that it no longer is.
-func (g *gate) demoted(j *job) bool {
+func (g *admission) demoted(j *job) bool {
 	if !g.pastAim(j) || g.running == 0 {
 		return false
 	}
@@ -251,17 +251,17 @@
 }
 
 // pastAim says that a run which begins now would not end within its aim, and that there is time beyond that.
-func (g *gate) pastAim(j *job) bool {
+func (g *admission) pastAim(j *job) bool {
 	return g.p.now+g.took[j.carry.Class] >= j.aim && j.until-g.p.now >= returns
 }
 
 // canFinish says whether a run that begins now is expected to end before its client's time does.
-func (g *gate) canFinish(j *job) bool {
+func (g *admission) canFinish(j *job) bool {
 	return g.p.now+spread*g.took[j.carry.Class]+onTheWay < j.until
 }
 
 // linkWait is how long an answer of a class is expected to wait until this machine's link has carried what was there before.
-func (g *gate) linkWait(class uint32) float64 {
+func (g *admission) linkWait(class uint32) float64 {
 	if g.bytes[class] < largeAnswer {
 		return 0
 	}
@@ -276,12 +276,12 @@
 
 // admitLate says whether one that is too late for its aim may wait on here: as many may as have lately been served so in the time
 // that this one has, and a few where that is not known.
-func (g *gate) admitLate(j *job) bool {
+func (g *admission) admitLate(j *job) bool {
 	room := j.until - g.p.now - spread*g.took[j.carry.Class] - onTheWay - g.linkWait(j.carry.Class)
 	return room > 0 && float64(len(g.late.jobs)) < max(float64(g.berths())*lateShare, g.late.rate(g.p.now)*room)
 }
 
-func (g *gate) start(j *job) {
+func (g *admission) start(j *job) {
 	j.sent = g.p.pauses.ran
 	g.p.count.Runs++
 	if j.late {
@@ -293,13 +293,13 @@
 }
 
 // turn gives a request back before a byte of it went to the host. backMs is set where the host is full, and not gone.
-func (g *gate) turn(j *job, why string, backMs uint32) {
+func (g *admission) turn(j *job, why string, backMs uint32) {
 	g.p.count.Turned[why]++
 	g.end(j, &meshpb.Forwarded{Verdict: uint32(outcome.Turned), Why: why, BackMs: backMs})
 }
 
 // end gives the word on a request to the proxy that it came from.
-func (g *gate) end(j *job, c *meshpb.Forwarded) {
+func (g *admission) end(j *job, c *meshpb.Forwarded) {
 	if j.ended {
 		return
 	}
@@ -321,11 +321,11 @@
 // Exchanged takes the end of an Exchange.
 func (p *Sidecar) Exchanged(now float64, id uint64, c *meshpb.Forwarded) {
 	p.input(now)
-	p.gate.exchanged(id, c)
+	p.admission.exchanged(id, c)
 	p.settle()
 }
 
-func (g *gate) exchanged(id uint64, c *meshpb.Forwarded) {
+func (g *admission) exchanged(id uint64, c *meshpb.Forwarded) {
 	j := g.jobs[id]
 	if j == nil {
 		return
@@ -365,7 +365,7 @@
 // mostKept bounds the body of an answer that a register keeps.
 const mostKept = 128 << 10
 
-func (g *gate) tick() {
+func (g *admission) tick() {
 	if g.p.now < g.tickedAt+0.02 {
 		return
 	}
--- a/internal/mesh/sidecar/admission_test.go
+++ b/internal/mesh/sidecar/admission_test.go
@@ -161,7 +161,7 @@
 // A full link: a large answer is asked for only where it can be in time behind those that wait or are being made; small ones go as ever.
 func TestLargeAnswersDoNotQueueInAFullLink(t *testing.T) {
 	d := openDoor(t)
-	d.p.gate.bytes[9] = 100 << 10
+	d.p.admission.bytes[9] = 100 << 10
 	const perByte = 1.0 / (2 << 20) // 100 KB take 49 ms
 	large := func(aim float64) uint64 {
 		d.next++
@@ -193,7 +193,7 @@
 	d.answer(n)
 	d.pass(bufferedFor)
 	d.beatNext()
-	if work := d.p.gate.work; work > firstWork+workStep {
+	if work := d.p.admission.work; work > firstWork+workStep {
 		t.Errorf("the host is taken to work %.2f s on a request", work)
 	}
 	if n := d.carry(0.2, 2); d.told[n] != nil {
--- a/internal/mesh/sidecar/arrivals_test.go
+++ b/internal/mesh/sidecar/arrivals_test.go
@@ -160,7 +160,7 @@
 // A proxy that is to end waits until the control plane has taken how its runs ended.
 func TestEndWaitsForTheWordOnRuns(t *testing.T) {
 	d := openDoor(t)
-	d.p.news.servers = []string{"hall"}
+	d.p.discovery.servers = []string{"hall"}
 	m := numbered(1, someLife)
 	m.Forward.Key = "k"
 	var asked *meshpb.Message
--- a/internal/mesh/sidecar/calls.go
+++ b/internal/mesh/sidecar/calls.go
@@ -90,7 +90,7 @@
 }
 
 func (p *Sidecar) isServer(address string) bool {
-	return slices.Contains(p.news.servers, address) || slices.Contains(p.o.Seeds, address)
+	return slices.Contains(p.discovery.servers, address) || slices.Contains(p.o.Seeds, address)
 }
 
 // drop counts a message that changes nothing.
--- a/internal/mesh/sidecar/claims.go
+++ b/internal/mesh/sidecar/claims.go
@@ -13,7 +13,7 @@
 )
 
 // An operation's key is bound to its run here before anything goes to the host, and the end of the run is told. Both go to control
-// processes, which may be slow, cut off or overloaded. What this gate sends them stays in proportion to what they answer: claims are
+// processes, which may be slow, cut off or overloaded. What this proxy sends them stays in proportion to what they answer: claims are
 // throttled by the answers of late, a slow answer is waited for while another process is asked only within a budget, and the end
 // of a run is told again after pauses that grow.
 
@@ -32,7 +32,7 @@
 	mostSettles  = 4096
 )
 
-// keys is what this gate has asked control processes about operations' keys.
+// keys is what this proxy has asked control processes about operations' keys.
 type keys struct {
 	claims   map[uint64]*claimQuestion
 	settles  map[uint64]*settling
@@ -110,13 +110,13 @@
 }
 
 // beginClaim asks that a request's key be bound to its run here. Until that is granted nothing goes to the host.
-func (g *gate) beginClaim(j *job) {
+func (g *admission) beginClaim(j *job) {
 	j.claim.began, j.claim.servers = g.p.now, g.homes(j.carry.Key)
 	g.askNext(j)
 }
 
 // askNext puts the claim to the next control process. Without one, or where they have no room, the job ends once no answer can come.
-func (g *gate) askNext(j *job) {
+func (g *admission) askNext(j *job) {
 	c := &j.claim
 	allMute := len(c.open) == 0 && c.mayStand && !slices.ContainsFunc(c.servers, func(h string) bool { return g.p.now >= g.keys.mute[h] })
 	switch {
@@ -142,19 +142,19 @@
 }
 
 // claimOver says that a claim has taken so long that nothing may go to the host any more.
-func (g *gate) claimOver(j *job) bool {
+func (g *admission) claimOver(j *job) bool {
 	return g.p.now > j.claim.began+claimMost || g.p.now >= j.until
 }
 
 // unclaimed ends a job whose key was not bound. backMs is set where the control plane has no room for it.
-func (g *gate) unclaimed(j *job, backMs uint32) {
+func (g *admission) unclaimed(j *job, backMs uint32) {
 	j.claim.mayStand = j.claim.mayStand || len(j.claim.open) > 0
 	g.end(j, &meshpb.Forwarded{Verdict: uint32(outcome.Unclaimed), BackMs: backMs})
 }
 
 // homes are the control processes in the order in which one asks them for a key. Those that did not answer lately come last.
-func (g *gate) homes(key string) []string {
-	all := register.Home(key, g.p.news.servers)
+func (g *admission) homes(key string) []string {
+	all := register.Home(key, g.p.discovery.servers)
 	slices.SortStableFunc(all, func(a, b string) int {
 		return cmp.Compare(btoi(g.p.now < g.keys.mute[a]), btoi(g.p.now < g.keys.mute[b]))
 	})
@@ -169,14 +169,14 @@
 }
 
 // muted notes that a control process did not answer, or could do nothing.
-func (g *gate) muted(server string) {
-	if slices.Contains(g.p.news.servers, server) {
+func (g *admission) muted(server string) {
+	if slices.Contains(g.p.discovery.servers, server) {
 		g.keys.mute[server] = g.p.now + muteFor
 	}
 }
 
 // claimed takes a control process's answer to a claim or to word on the end of a run.
-func (g *gate) claimed(from string, m *meshpb.Message) {
+func (g *admission) claimed(from string, m *meshpb.Message) {
 	s, q := g.keys.settles[m.Id], g.keys.claims[m.Id]
 	asked, token := "", m.Claimed.Token
 	switch {
@@ -198,7 +198,7 @@
 }
 
 // granted takes what became of a claim.
-func (g *gate) granted(q *claimQuestion, c *meshpb.Claimed) {
+func (g *admission) granted(q *claimQuestion, c *meshpb.Claimed) {
 	j := q.job
 	if c.State == register.Unsure {
 		g.notGranted(q, c)
@@ -215,7 +215,7 @@
 			g.end(j, &meshpb.Forwarded{Verdict: uint32(outcome.Expired)})
 			return
 		}
-		if own := g.p.news.own; own.Station != j.carry.Station || own.Condition == Gone { // meanwhile
+		if own := g.p.discovery.own; own.Station != j.carry.Station || own.Condition == Gone { // meanwhile
 			g.end(j, &meshpb.Forwarded{Verdict: uint32(outcome.Unclaimed), Why: "the host has gone"})
 			return
 		}
@@ -233,7 +233,7 @@
 }
 
 // notGranted goes on after a control process that could not say.
-func (g *gate) notGranted(q *claimQuestion, c *meshpb.Claimed) {
+func (g *admission) notGranted(q *claimQuestion, c *meshpb.Claimed) {
 	j := q.job
 	j.claim.mayStand = j.claim.mayStand || !c.Untouched
 	if !q.late { // it has been counted else
@@ -253,7 +253,7 @@
 }
 
 // mayAskFurther takes a question beyond a claim's first off the budget, if there is one.
-func (g *gate) mayAskFurther() bool {
+func (g *admission) mayAskFurther() bool {
 	if g.keys.further < 1 {
 		return false
 	}
@@ -262,7 +262,7 @@
 }
 
 // settle tells how a run ended, until a control process has taken it.
-func (g *gate) settle(key string, r *meshpb.Receipt) {
+func (g *admission) settle(key string, r *meshpb.Receipt) {
 	if len(g.keys.settles) >= mostSettles {
 		return // its key stays claimed, and ends as lost
 	}
@@ -270,14 +270,14 @@
 }
 
 // voidIfFree keeps claims of a token out, and tells whether that was in time.
-func (g *gate) voidIfFree(key string, token uint64, told func(state uint32)) {
+func (g *admission) voidIfFree(key string, token uint64, told func(state uint32)) {
 	if len(g.keys.settles) < mostSettles {
 		g.tellEnd(&settling{key: key, receipt: &meshpb.Receipt{Token: token, State: register.Void}, ifFree: true, told: told})
 	}
 }
 
 // tellEnd sends word on the end of a run to the next control process.
-func (g *gate) tellEnd(s *settling) {
+func (g *admission) tellEnd(s *settling) {
 	if len(s.servers) == 0 {
 		s.servers = g.homes(s.key)
 	}
@@ -301,7 +301,7 @@
 }
 
 // settled ends the telling of how a run ended. Of what no majority was found for it goes on.
-func (g *gate) settled(id uint64, s *settling, state uint32) {
+func (g *admission) settled(id uint64, s *settling, state uint32) {
 	if state == register.Unsure {
 		return
 	}
@@ -313,7 +313,7 @@
 }
 
 // broke goes on to the next control process with what the one that is gone had in hand.
-func (g *gate) broke(b transport.Broke) {
+func (g *admission) broke(b transport.Broke) {
 	for _, id := range b.Unsent {
 		if q := g.keys.claims[id]; q != nil && q.at == b.Peer {
 			g.keys.answered(id, q.job)
@@ -330,7 +330,7 @@
 }
 
 // tickKeys asks others where answers are late, and gives up what has waited for long enough.
-func (g *gate) tickKeys() {
+func (g *admission) tickKeys() {
 	for _, id := range slices.Sorted(maps.Keys(g.keys.claims)) {
 		q := g.keys.claims[id]
 		switch {
--- a/internal/mesh/sidecar/claims_test.go
+++ b/internal/mesh/sidecar/claims_test.go
@@ -9,7 +9,7 @@
 	"beechwing/internal/mesh/register"
 )
 
-// claimants is a gate to which keyed requests come, and the control processes that it asks, which answer as the test says.
+// claimants is a proxy to which keyed requests come, and the control processes that it asks, which answer as the test says.
 type claimants struct {
 	*door
 	answer func(claim *meshpb.Claim) *meshpb.Claimed // nil: none
@@ -20,7 +20,7 @@
 
 func openClaimants(t *testing.T) *claimants {
 	c := &claimants{door: openDoor(t)}
-	c.p.news.servers = []string{"s1", "s2", "s3", "s4"}
+	c.p.discovery.servers = []string{"s1", "s2", "s3", "s4"}
 	return c
 }
 
@@ -81,7 +81,7 @@
 	return &meshpb.Claimed{State: register.Unsure, Untouched: true}
 }
 
-// What a gate asks of a control plane that does not answer, or has no room, is less than a claim for each request; all of it is asked
+// What a proxy asks of a control plane that does not answer, or has no room, is less than a claim for each request; all of it is asked
 // again within seconds of its return.
 func TestClaimsFollowAnswers(t *testing.T) {
 	const rate = 40.0
--- a/internal/mesh/sidecar/departure.go
+++ b/internal/mesh/sidecar/departure.go
@@ -79,13 +79,13 @@
 func (p *Sidecar) endLeft(t *try, v outcome.Outcome) {
 	o := t.order
 	if o.claims && o.arrivals == 0 && v.NeverRan() {
-		p.gate.settle(o.Key, &meshpb.Receipt{Token: o.token, State: register.Void})
+		p.admission.settle(o.Key, &meshpb.Receipt{Token: o.token, State: register.Void})
 	}
 	p.ended(t, balancer.Cancelled, nil, whyLeft)
 }
 
 // cancel takes a request back whose client has left.
-func (g *gate) cancel(from string, m *meshpb.Message) {
+func (g *admission) cancel(from string, m *meshpb.Message) {
 	j := g.find(from, m)
 	place := cancelUnknown
 	switch {
@@ -108,7 +108,7 @@
 }
 
 // find is the job of a request that its sender names.
-func (g *gate) find(from string, m *meshpb.Message) *job {
+func (g *admission) find(from string, m *meshpb.Message) *job {
 	for _, j := range g.jobs {
 		if j.from == from && j.message.Life == m.Life && j.message.Id == m.Cancel.Forward {
 			return j
--- a/internal/mesh/sidecar/discovery.go
+++ b/internal/mesh/sidecar/discovery.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	pullAgain   = 1.3 // seconds without an answer until another control process is asked, where it may wait for news
+	pullAgain   = 1.3 // seconds without an answer until another control process is asked, where it may wait for something new
 	pullAtOnce  = 0.2 // the same where it has to answer at once: its machine may have no power
 	beatsMissed = 3.5 // beats after which a host that said nothing while this process ran is gone
 	watched     = 3   // other proxies that this one knows and watches
@@ -35,9 +35,9 @@
 	retryAfter  = 0.04 // seconds after a control process that could not be reached
 )
 
-// news is what this proxy knows: the host beside it, which it alone tells the others of; who else there is; and which
+// discovery is what this proxy knows: the host beside it, which it alone tells the others of; who else there is; and which
 // configuration is in force. It pulls what it lacks by a vector of versions, one for each source.
-type news struct {
+type discovery struct {
 	p        *Sidecar
 	own      *meshpb.Record
 	sequence uint64   // of the host's last beat
@@ -70,7 +70,7 @@
 	zones   []string
 }
 
-func (n *news) begin(p *Sidecar) {
+func (n *discovery) begin(p *Sidecar) {
 	n.p = p
 	n.own = &meshpb.Record{Source: p.o.Self, Version: p.o.Version, Carrier: p.o.Sender, Zone: p.o.Zone}
 	n.records = map[string]*meshpb.Record{p.o.Self: n.own}
@@ -93,7 +93,7 @@
 // Beat takes a host's word. From here on nothing new goes to one that leaves: it may be acknowledged. A late beat is too.
 func (p *Sidecar) Beat(now float64, s Station) {
 	p.input(now)
-	n := &p.news
+	n := &p.discovery
 	if slices.Contains(n.former, s.ID) || s.ID == n.own.Station && !n.counts(s) {
 		return // a late one
 	}
@@ -114,7 +114,7 @@
 const formerKept = 8
 
 // replace notes that the host's present life gives way to another: no late beat of it takes that one's place.
-func (n *news) replace(life string) {
+func (n *discovery) replace(life string) {
 	if before := n.own.Station; before != "" && before != life {
 		n.former = append(n.former, before)
 		n.former = n.former[max(0, len(n.former)-formerKept):]
@@ -123,7 +123,7 @@
 
 // counts says whether a further beat of the host here is no late one. A host that has signed off stays gone. One that was taken
 // for gone because its beats were missing is back with its next one.
-func (n *news) counts(s Station) bool {
+func (n *discovery) counts(s Station) bool {
 	switch {
 	case n.signed, s.Sequence < n.sequence:
 		return false
@@ -138,7 +138,7 @@
 // Probed takes what the host beside this proxy answered: a proxy that has just started need not wait for its next beat.
 func (p *Sidecar) Probed(now float64, station string, well bool) {
 	p.input(now)
-	if n := &p.news; station != "" && well && n.own.Station == "" {
+	if n := &p.discovery; station != "" && well && n.own.Station == "" {
 		n.beatRan = p.pauses.ran
 		n.change(func(r *meshpb.Record) { r.Station, r.Condition = station, AtDock })
 	}
@@ -148,7 +148,7 @@
 // Leave takes a host's sign-off.
 func (p *Sidecar) Leave(now float64, id string) {
 	p.input(now)
-	if n := &p.news; id == n.own.Station {
+	if n := &p.discovery; id == n.own.Station {
 		n.signed = true
 		n.change(func(r *meshpb.Record) { r.Condition = Gone })
 	}
@@ -156,14 +156,14 @@
 }
 
 // next is the record of the host here under another version, for others may have this one.
-func (n *news) next(version uint64) *meshpb.Record {
+func (n *discovery) next(version uint64) *meshpb.Record {
 	r := proto.Clone(n.own).(*meshpb.Record)
 	r.Version, r.Leaving = version, n.leaving
 	return r
 }
 
 // change makes a new record of the host here, if anything changed that others have to know.
-func (n *news) change(f func(*meshpb.Record)) {
+func (n *discovery) change(f func(*meshpb.Record)) {
 	old := n.own
 	r := n.next(old.Version + 1)
 	f(r)
@@ -180,11 +180,11 @@
 	n.records[r.Source] = r
 	n.list()
 	n.ask(false)
-	n.p.gate.serve()
+	n.p.admission.serve()
 }
 
 // zone numbers a zone, for the module.
-func (n *news) zone(name string) int {
+func (n *discovery) zone(name string) int {
 	at := slices.Index(n.zones, name)
 	if at < 0 {
 		n.zones = append(n.zones, name)
@@ -193,10 +193,10 @@
 	return at
 }
 
-func (n *news) sources() []string { return slices.Sorted(maps.Keys(n.records)) }
+func (n *discovery) sources() []string { return slices.Sorted(maps.Keys(n.records)) }
 
 // list gives the module of each service its hosts anew.
-func (n *news) list() {
+func (n *discovery) list() {
 	p := n.p
 	by := map[string][]balancer.Host{}
 	was := map[string]*place{}
@@ -237,7 +237,7 @@
 // ---- pulling
 
 // ask pulls from a control process what is lacking here. hold says that it may wait until there is something.
-func (n *news) ask(hold bool) {
+func (n *discovery) ask(hold bool) {
 	servers := n.servers
 	if len(servers) == 0 {
 		servers = n.p.o.Seeds
@@ -249,7 +249,7 @@
 }
 
 // patience is how long the control process that was asked may say nothing.
-func (n *news) patience() float64 {
+func (n *discovery) patience() float64 {
 	if n.held {
 		return pullAgain
 	}
@@ -257,7 +257,7 @@
 }
 
 // vector is what this proxy has, by source.
-func (n *news) vector(hold bool) *meshpb.Pull {
+func (n *discovery) vector(hold bool) *meshpb.Pull {
 	pull := &meshpb.Pull{Own: n.own, Hold: hold}
 	for _, source := range n.sources() {
 		pull.Seen = append(pull.Seen, &meshpb.Seen{Source: source, Version: n.records[source].Version})
@@ -274,7 +274,7 @@
 }
 
 // came takes what another process knows. A process never goes back: older versions change nothing.
-func (n *news) came(from string, m *meshpb.Message) {
+func (n *discovery) came(from string, m *meshpb.Message) {
 	p, w := n.p, m.Update
 	asked, fromServer := n.asked(m.Id, from)
 	if !p.accepts(from, m, asked) {
@@ -337,8 +337,8 @@
 	return routeconfig.Compile(plain)
 }
 
-// others are the addresses that are not this proxy's: it asks no news of itself.
-func (n *news) others(addresses []string) (all []string) {
+// others are the addresses that are not this proxy's: it asks itself nothing.
+func (n *discovery) others(addresses []string) (all []string) {
 	for _, address := range addresses {
 		if address != n.p.o.Self {
 			all = append(all, address)
@@ -348,7 +348,7 @@
 }
 
 // judged takes what a control server that is in contact says of proxies that are silent and of hosts that are out.
-func (n *news) judged(w *meshpb.Update) (changed bool) {
+func (n *discovery) judged(w *meshpb.Update) (changed bool) {
 	p := n.p
 	silent := map[string]bool{}
 	for _, source := range w.Silent {
@@ -363,7 +363,7 @@
 
 // pulled tells another proxy what it lacks of what is known here: those that watch this one ask while no control process
 // answers them.
-func (n *news) pulled(from string, m *meshpb.Message) {
+func (n *discovery) pulled(from string, m *meshpb.Message) {
 	p, pull := n.p, m.Pull
 	if pull.Own != nil && n.take(pull.Own) {
 		n.list()
@@ -386,7 +386,7 @@
 }
 
 // broke goes on to the next control process.
-func (n *news) broke(from string) {
+func (n *discovery) broke(from string) {
 	servers := n.servers
 	if len(servers) == 0 {
 		servers = n.p.o.Seeds
@@ -404,7 +404,7 @@
 	p.settle()
 }
 
-func (n *news) tick() {
+func (n *discovery) tick() {
 	p := n.p
 	n.dropTombstones()
 	if n.ending && !n.leaving && p.now >= n.leaveAt { // the host cannot be reached for a while
@@ -449,4 +449,6 @@
 }
 
 // neighbours are the few other proxies that this one knows and watches.
-func (n *news) neighbours() []string { return rendezvous.Watched(n.p.o.Self, n.sources(), watched) }
+func (n *discovery) neighbours() []string {
+	return rendezvous.Watched(n.p.o.Self, n.sources(), watched)
+}
--- a/internal/mesh/sidecar/forgotten.go
+++ b/internal/mesh/sidecar/forgotten.go
@@ -15,7 +15,7 @@
 }
 
 // take takes another source's record if it is newer than what is known, and says whether the list may change.
-func (n *news) take(r *meshpb.Record) bool {
+func (n *discovery) take(r *meshpb.Record) bool {
 	known := n.records[r.Source]
 	if known == nil {
 		known = n.gone[r.Source].record
@@ -36,7 +36,7 @@
 
 // isOlder says of a record of the host here whether it is an earlier life's, or a tombstone: a newer one has
 // to be told.
-func (n *news) isOlder(r *meshpb.Record) bool {
+func (n *discovery) isOlder(r *meshpb.Record) bool {
 	if r.Version != n.own.Version {
 		return r.Version > n.own.Version
 	}
@@ -44,7 +44,7 @@
 }
 
 // forgottenOf are the tombstones of sources of which another proxy has older versions.
-func (n *news) forgottenOf(has map[string]uint64) (all []*meshpb.Record) {
+func (n *discovery) forgottenOf(has map[string]uint64) (all []*meshpb.Record) {
 	for _, source := range slices.Sorted(maps.Keys(n.gone)) {
 		gone := n.gone[source]
 		if version, named := has[source]; named && version < gone.record.Version {
@@ -55,7 +55,7 @@
 }
 
 // dropTombstones drops those that are too old.
-func (n *news) dropTombstones() {
+func (n *discovery) dropTombstones() {
 	maps.DeleteFunc(n.gone, func(_ string, gone tombstone) bool {
 		return n.p.now > gone.at+meshpb.TombstoneSeconds
 	})
--- a/internal/mesh/sidecar/introduction_test.go
+++ b/internal/mesh/sidecar/introduction_test.go
@@ -45,15 +45,15 @@
 // What may not be repeated goes once it is known to which process, and names it. An answer by another process
 // at that address is none.
 func TestUnrepeatableGoesToAKnownProcess(t *testing.T) {
-	const gate = 40
+	const proxyLife = 40
 	c, peer, ping := onceCaller(t, 1)
-	c.hears(peer, meshpb.Answer(ping, &meshpb.Message{Responder: gate, Pong: &meshpb.Ping{}}))
+	c.hears(peer, meshpb.Answer(ping, &meshpb.Message{Responder: proxyLife, Pong: &meshpb.Ping{}}))
 	to, q := c.question(t, isForward)
-	if to != peer || q.Forward.GateLife != gate || c.forwards(peer) != 1 {
+	if to != peer || q.Forward.GateLife != proxyLife || c.forwards(peer) != 1 {
 		t.Fatalf("%d requests, to %s for %d", c.forwards(peer), to, q.Forward.GateLife)
 	}
 	turned := &meshpb.Forwarded{Verdict: uint32(outcome.Turned)}
-	c.hears(peer, meshpb.Answer(q, &meshpb.Message{Responder: gate + 2, Forwarded: turned}))
+	c.hears(peer, meshpb.Answer(q, &meshpb.Message{Responder: proxyLife + 2, Forwarded: turned}))
 	if n := c.p.count.Dropped[dropResponder]; n != 1 {
 		t.Errorf("%d answers of another process dropped", n)
 	}
--- a/internal/mesh/sidecar/keylease.go
+++ b/internal/mesh/sidecar/keylease.go
@@ -91,9 +91,9 @@
 }
 
 // holdsKey says whether the host may begin a request now, by its key. Where keys are not held that is no question.
-func (g *gate) holdsKey(c *meshpb.Forward) bool {
+func (g *admission) holdsKey(c *meshpb.Forward) bool {
 	p := g.p
-	if !p.sharded(p.news.own.Carrier) {
+	if !p.sharded(p.discovery.own.Carrier) {
 		return true
 	}
 	key := keyOf(c.Fields)
@@ -102,7 +102,7 @@
 
 // tickLease asks, releases and grants what is due.
 func (p *Sidecar) tickLease() {
-	k, own := &p.lease, p.news.own
+	k, own := &p.lease, p.discovery.own
 	if own.Carrier != k.carrier {
 		k.init(own.Carrier)
 	}
@@ -164,10 +164,10 @@
 
 // askControl puts a question about a service to a control process: the one that changes its assignment, or one of those after it.
 func (p *Sidecar) askControl(ask *meshpb.LeaseRequest, nth int) leaseQuestion {
-	if len(p.news.servers) == 0 {
+	if len(p.discovery.servers) == 0 {
 		return leaseQuestion{}
 	}
-	order := rendezvous.Order(sharding.RegisterName(ask.Carrier), p.news.servers)
+	order := rendezvous.Order(sharding.RegisterName(ask.Carrier), p.discovery.servers)
 	q := leaseQuestion{p.id(), order[nth%len(order)], p.now}
 	p.send(q.to, p.question(q.id, &meshpb.Message{LeaseRequest: ask}))
 	return q
@@ -175,7 +175,7 @@
 
 // tellReplaced tells that the host which held keys of another service, on this machine, is no more: another service's host is here.
 func (p *Sidecar) tellReplaced() {
-	k, own := &p.lease, p.news.own
+	k, own := &p.lease, p.discovery.own
 	if own.Station == "" || p.now < k.replaced.at+leaseAgain {
 		return
 	}
@@ -203,7 +203,7 @@
 	}
 	a := m.Lease.Assignment
 	if a != nil && p.shards.learn([]*meshpb.Assignment{a}) {
-		p.news.list()
+		p.discovery.list()
 	}
 	if q.id != k.question.id {
 		return
@@ -257,7 +257,7 @@
 
 // grant grants the host what is its own by the newest answer, and what it holds anew.
 func (p *Sidecar) grant() {
-	k, own := &p.lease, p.news.own
+	k, own := &p.lease, p.discovery.own
 	before := k.askedAt + sharding.GrantWithin
 	if k.table == nil || len(k.grants) > 0 || p.now >= before || own.Condition != AtDock || own.Station == "" ||
 		k.table.Epoch < k.epoch {
@@ -305,7 +305,7 @@
 	k := &p.lease
 	k.granted[r] = k.batchAt // where it failed, the next answer is granted on
 	p.count.Grants++
-	if result.Status != statusGranted || k.station != p.news.own.Station || k.table.Epoch < k.epoch || k.table.Holder(r) != p.o.Self {
+	if result.Status != statusGranted || k.station != p.discovery.own.Station || k.table.Epoch < k.epoch || k.table.Holder(r) != p.o.Self {
 		p.count.NotGranted++
 		if result.Refused {
 			p.hostLost()
@@ -318,9 +318,9 @@
 // hostLost notes that no process listens at the host's address: its keys are to go to others, who cannot serve them before. A further
 // beat of the same life proves it wrong.
 func (p *Sidecar) hostLost() {
-	if p.news.own.Condition == AtDock {
-		p.o.Log("host lost", "station", p.news.own.Station, "why", "nobody listens at its address")
-		p.news.change(func(r *meshpb.Record) { r.Condition = Gone })
+	if p.discovery.own.Condition == AtDock {
+		p.o.Log("host lost", "station", p.discovery.own.Station, "why", "nobody listens at its address")
+		p.discovery.change(func(r *meshpb.Record) { r.Condition = Gone })
 	}
 }
 
@@ -335,7 +335,7 @@
 // way, begins nothing.
 func (p *Sidecar) releaseEnded(r sharding.Range, result KeyResult) {
 	k := &p.lease
-	if result.Status != statusGranted && !(result.Refused && p.gate.running == 0) {
+	if result.Status != statusGranted && !(result.Refused && p.admission.running == 0) {
 		return
 	}
 	if k.releaseAll {
--- a/internal/mesh/sidecar/pause_test.go
+++ b/internal/mesh/sidecar/pause_test.go
@@ -18,7 +18,7 @@
 
 func (d *door) wantCondition(want uint32, when string) {
 	d.t.Helper()
-	if got := d.p.news.own.Condition; got != want {
+	if got := d.p.discovery.own.Condition; got != want {
 		d.t.Errorf("%s: the host's condition is %d, want %d", when, got, want)
 	}
 }
@@ -77,7 +77,7 @@
 	}
 }
 
-// What a gate finds after a freeze is taken for as old as the freeze: it runs if its time is not over by then.
+// What a proxy finds after a freeze is taken for as old as the freeze: it runs if its time is not over by then.
 // What is over is turned away, so that a fresh one may go elsewhere. A second later all is fresh again.
 func TestRequestsFoundAfterAFreezeAreOld(t *testing.T) {
 	d := openDoor(t)
@@ -115,7 +115,7 @@
 	}
 }
 
-// What this process asks its own gate after a freeze has not been in any buffer.
+// What this process asks itself after a freeze has not been in any buffer.
 func TestOwnRequestsAfterAFreezeAreFresh(t *testing.T) {
 	d := openDoor(t)
 	d.freeze(6)
@@ -137,7 +137,7 @@
 	life("i-2", 1, false)
 	for _, unloading := range []bool{false, true} {
 		life("i-1", 7, unloading)
-		if got := d.p.news.own.Station; got != "i-2" {
+		if got := d.p.discovery.own.Station; got != "i-2" {
 			t.Fatalf("the list has %q", got)
 		}
 		d.wantCondition(AtDock, "a late beat of a former life")
@@ -145,7 +145,7 @@
 	life("i-3", 1, false)
 	life("i-2", 2, false)
 	life("i-1", 8, false)
-	if got := d.p.news.own.Station; got != "i-3" {
+	if got := d.p.discovery.own.Station; got != "i-3" {
 		t.Fatalf("the list has %q", got)
 	}
 }
--- a/internal/mesh/sidecar/pulls.go
+++ b/internal/mesh/sidecar/pulls.go
@@ -14,7 +14,7 @@
 
 // open notes a question to a control process. Those before it stay open: where all are slow, an answer that
 // comes after the next one was asked is better than none.
-func (n *news) open(q openPull) {
+func (n *discovery) open(q openPull) {
 	n.pulls = append(n.pulls, q)
 	if len(n.pulls) > mostPulls {
 		n.pulls = n.pulls[1:]
@@ -23,7 +23,7 @@
 
 // asked is the peer that an open question was put to, and whether it was put to a control process; "": none
 // of that id is open.
-func (n *news) asked(id uint64, from string) (peer string, server bool) {
+func (n *discovery) asked(id uint64, from string) (peer string, server bool) {
 	for _, q := range n.pulls {
 		if q.id == id {
 			return q.peer, true
@@ -37,7 +37,7 @@
 
 // close takes a question that was answered off the open ones, and all that were put to control processes
 // before it: they would be answered by what was known earlier.
-func (n *news) close(id uint64, from string) {
+func (n *discovery) close(id uint64, from string) {
 	if n.watch[from] == id {
 		delete(n.watch, from)
 		return
--- a/internal/mesh/sidecar/services.go
+++ b/internal/mesh/sidecar/services.go
@@ -11,7 +11,7 @@
 	"beechwing/internal/mesh/routeconfig"
 )
 
-// A service is the balancer of a service with its hosts, as configuration and news have them.
+// A service is the balancer of a service with its hosts, as configuration and discovery have them.
 
 // adopt makes services of what a configuration says.
 func (p *Sidecar) adopt(t *routeconfig.Table) {
@@ -56,7 +56,7 @@
 		s.classes, s.took, s.far = by[name], took, far[name]
 		s.bal.Configure(p.now, s.config(), kept)
 	}
-	p.news.list()
+	p.discovery.list()
 }
 
 // timed takes how long a host had a request. Hosts of a service have different speeds, and the proxy beside each lets only as
@@ -87,7 +87,7 @@
 
 func (s *service) config() balancer.Config {
 	p := s.p
-	cfg := balancer.Config{Seed: p.random(), Zone: p.news.zone(p.o.Zone), Balancers: max(1, len(p.news.records)),
+	cfg := balancer.Config{Seed: p.random(), Zone: p.discovery.zone(p.o.Zone), Balancers: max(1, len(p.discovery.records)),
 		Prices: balancer.Prices{CrossZone: crossing}, Weighted: true, Gated: true, Cancelling: true, Agreed: p.o.Agreed, MaxCoolDown: comeBackMost, ConnectTimeout: 1}
 	if s.far {
 		cfg.Prices.CrossZone = crossingLarge
--- a/internal/mesh/sidecar/shards.go
+++ b/internal/mesh/sidecar/shards.go
@@ -72,7 +72,7 @@
 	if table == nil {
 		return 0
 	}
-	r := p.news.records[table.Holder(sharding.RangeOf(o.shardKey))]
+	r := p.discovery.records[table.Holder(sharding.RangeOf(o.shardKey))]
 	if r == nil || r.Station == "" {
 		return 0
 	}
--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -2,8 +2,10 @@
 // clients ask, what the host beside it says, what other processes send and the time, and returns what to send and what to do.
 // Sockets and the clock are the program's.
 //
-// Its files: this one joins the parts; ask.go follows a request from a client here to the proxy beside the picked host;
-// gate.go is that other end, the last before the host; news.go knows who there is and what is in force.
+// Its files: this one joins the parts. dispatch.go follows a request from a client here to the proxy beside the picked host, with
+// actions.go (what the balancer wants done), tries.go (how tries end) and departure.go (clients that leave). admission.go is that other
+// end, the last before the host, with claims.go (operations' keys) and keylease.go (keys that the host holds). discovery.go knows who
+// there is and what is in force; shards.go which host holds which keys.
 package sidecar
 
 import (
@@ -28,7 +30,7 @@
 	Beat     float64 // seconds between a host's beats
 	Ratio    float64 // of the rule on further tries
 	Slack    float64
-	Version  uint64 // of its news to begin with: later starts have higher ones, as a rule
+	Version  uint64 // of its record to begin with: later starts have higher ones, as a rule
 	Seed     uint64
 	Agreed   bool    // a host is left out for what must not run twice only where most that met it agree
 	HoldMost float64 // seconds for which hosts let themselves be granted keys at most; 0: not told
@@ -81,7 +83,7 @@
 	inUse int      // bytes of bodies
 	count Counts
 
-	// ask.go
+	// dispatch.go
 	services map[string]*service
 	orders   map[uint64]*Order
 	tries    map[uint64]*try
@@ -92,12 +94,12 @@
 	peers    map[string]*peer
 	pongs    float64 // mean seconds that others take to say that they are there
 
-	gate    gate
-	shards  shards
-	lease   keyLease
-	pauses  pauses
-	news    news
-	witness witness
+	admission admission
+	shards    shards
+	lease     keyLease
+	pauses    pauses
+	discovery discovery
+	witness   witness
 }
 
 // New makes a proxy.
@@ -111,10 +113,10 @@
 			Left: map[string]uint64{}, Cancelled: map[string]uint64{}}}
 	p.pauses.inputAt = now
 	p.identify()
-	p.gate.begin(p)
+	p.admission.begin(p)
 	p.shards.tables = map[string]*sharding.Table{}
 	p.lease.init(o.Sender)
-	p.news.begin(p)
+	p.discovery.begin(p)
 	return p
 }
 
@@ -162,7 +164,7 @@
 }
 
 // Link takes word of how many seconds a large answer waits for this machine's link, and takes there for each byte; 0: next to nothing.
-func (p *Sidecar) Link(wait, perByte float64) { p.gate.link, p.gate.perByte = wait, perByte }
+func (p *Sidecar) Link(wait, perByte float64) { p.admission.link, p.admission.perByte = wait, perByte }
 
 // Sign takes word that a large parcel of another process's is on its way: it is not silent.
 func (p *Sidecar) Sign(now float64, from string) {
@@ -174,19 +176,19 @@
 func (p *Sidecar) parcel(from string, parcel *meshpb.Message) {
 	switch {
 	case parcel.Forward != nil:
-		p.gate.carry(from, parcel)
+		p.admission.carry(from, parcel)
 	case parcel.Cancel != nil:
-		p.gate.cancel(from, parcel)
+		p.admission.cancel(from, parcel)
 	case parcel.Forwarded != nil:
 		p.forwarded(from, parcel)
 	case parcel.Lease != nil:
 		p.leased(from, parcel)
 	case parcel.Claimed != nil:
-		p.gate.claimed(from, parcel)
+		p.admission.claimed(from, parcel)
 	case parcel.Update != nil:
-		p.news.came(from, parcel)
+		p.discovery.came(from, parcel)
 	case parcel.Pull != nil:
-		p.news.pulled(from, parcel)
+		p.discovery.pulled(from, parcel)
 	case parcel.Ping != nil:
 		p.answer(from, parcel, &meshpb.Message{Pong: parcel.Ping})
 	case parcel.Pong != nil:
@@ -198,8 +200,8 @@
 func (p *Sidecar) Broke(now float64, b transport.Broke) {
 	p.input(now)
 	p.brokeTries(b)
-	p.gate.broke(b)
-	p.news.broke(b.Peer)
+	p.admission.broke(b)
+	p.discovery.broke(b.Peer)
 	p.settle()
 }
 
@@ -208,29 +210,29 @@
 	p.input(now)
 	p.fire()
 	p.watchPeers()
-	p.gate.tick()
-	p.news.tick()
+	p.admission.tick()
+	p.discovery.tick()
 	p.tickLease()
 	p.settle()
 }
 
 // Ready says whether clients may come: a configuration is in force here, and the process is not about to end.
-func (p *Sidecar) Ready() bool { return p.table != nil && !p.news.ending && p.news.told }
+func (p *Sidecar) Ready() bool { return p.table != nil && !p.discovery.ending && p.discovery.told }
 
 // Term begins the end: clients hear that they had better go elsewhere, and once they have had time to, after so many seconds,
 // nothing may be under way. The others hear of it shortly before that: until then the host here is of use to them. What comes
 // nevertheless is served.
 func (p *Sidecar) Term(now, notice float64) {
 	p.input(now)
-	p.news.ending = true
-	p.news.leaveAt = now + max(0, notice-leaveAhead)
+	p.discovery.ending = true
+	p.discovery.leaveAt = now + max(0, notice-leaveAhead)
 	p.settle()
 }
 
 // Idle says whether nothing is under way here. Word on the end of a run is, until it has been taken: lost with this process,
 // it would leave a key that has run without its answer.
 func (p *Sidecar) Idle() bool {
-	return len(p.orders) == 0 && len(p.gate.jobs) == 0 && len(p.gate.keys.settles) == 0
+	return len(p.orders) == 0 && len(p.admission.jobs) == 0 && len(p.admission.keys.settles) == 0
 }
 
 // Limits are those of the configuration in force; nil: none is.
@@ -245,7 +247,7 @@
 type Counts struct {
 	Answers map[int]uint64    `json:"answers"` // to clients, by status
 	Tries   map[string]uint64 `json:"tries"`   // sent to proxies beside hosts, by verdict
-	Turned  map[string]uint64 `json:"turned"`  // away by the gate here, by reason
+	Turned  map[string]uint64 `json:"turned"`  // away before the host here, by reason
 	Runs    uint64            `json:"runs"`    // given to the host here
 	Late    uint64            `json:"late"`    // of those past their aim before they began
 	Doubts  uint64            `json:"doubts"`  // tries given up as the proxy that had them is silent or gone
@@ -282,8 +284,8 @@
 // State tells what is known here.
 func (p *Sidecar) State(now float64) State {
 	p.input(now)
-	s := State{Ready: p.Ready(), Ending: p.news.ending, Servers: p.news.servers, Host: p.news.own, Orders: len(p.orders),
-		Jobs: len(p.gate.jobs), Queued: len(p.gate.queue), Waiting: len(p.gate.late.jobs), Avoided: map[string]int{},
+	s := State{Ready: p.Ready(), Ending: p.discovery.ending, Servers: p.discovery.servers, Host: p.discovery.own, Orders: len(p.orders),
+		Jobs: len(p.admission.jobs), Queued: len(p.admission.queue), Waiting: len(p.admission.late.jobs), Avoided: map[string]int{},
 		Counts: Counts{Answers: maps.Clone(p.count.Answers), Tries: maps.Clone(p.count.Tries), Turned: maps.Clone(p.count.Turned),
 			Runs: p.count.Runs, Late: p.count.Late, Doubts: p.count.Doubts, Dropped: maps.Clone(p.count.Dropped), Left: maps.Clone(p.count.Left),
 			Unasked: p.count.Unasked, Cancelled: maps.Clone(p.count.Cancelled), Grants: p.count.Grants,
@@ -291,9 +293,9 @@
 	if p.table != nil {
 		s.Edition = p.table.Edition
 	}
-	for _, source := range p.news.sources() {
-		s.Roll = append(s.Roll, p.news.records[source])
-		if p.news.silent[source] {
+	for _, source := range p.discovery.sources() {
+		s.Roll = append(s.Roll, p.discovery.records[source])
+		if p.discovery.silent[source] {
 			s.Silent = append(s.Silent, source)
 		}
 	}
--- a/internal/mesh/sidecar/tries.go
+++ b/internal/mesh/sidecar/tries.go
@@ -13,7 +13,7 @@
 	"beechwing/internal/mesh/register"
 )
 
-// A try ends by the word of the gate that it went to, by a connection that breaks, or by silence.
+// A try ends by the word of the proxy that it went to, by a connection that breaks, or by silence.
 
 // forwarded takes the end of a try from the proxy that had it.
 func (p *Sidecar) forwarded(from string, m *meshpb.Message) {
@@ -40,7 +40,7 @@
 	if v == outcome.Answered && c.Status < 500 {
 		p.services[o.service].timed(t.host, o.class, float64(c.TookUs)/1e6)
 	}
-	if at := p.services[o.service].hosts[t.host]; at != nil && t.peer != p.o.Self { // of the host here the gate speaks
+	if at := p.services[o.service].hosts[t.host]; at != nil && t.peer != p.o.Self { // of the host here its admission speaks
 		p.sawEnd(at.station, c)
 	}
 	if v.Arrived() {
@@ -73,7 +73,7 @@
 	case outcome.HostTurned:
 		p.ended(t, balancer.TurnedAway, nil, why)
 	case outcome.Unclaimed:
-		if p.now > p.news.heardAt+coreGone || t.number > 0 || c.BackMs > 0 { // another gate reaches no more of the control plane
+		if p.now > p.discovery.heardAt+coreGone || t.number > 0 || c.BackMs > 0 { // another proxy reaches no more of the control plane
 			p.ended(t, balancer.Moot, nil, why)
 		} else {
 			p.ended(t, balancer.TurnedAway, nil, why)
@@ -202,7 +202,7 @@
 		p.ended(t, balancer.Reset, nil, why)
 	case !t.asked:
 		t.asked = true
-		p.gate.voidIfFree(o.Key, o.token, func(state uint32) {
+		p.admission.voidIfFree(o.Key, o.token, func(state uint32) {
 			if state != register.Void {
 				o.arrivals++
 				p.ended(t, balancer.Reset, nil, why+"; its key was claimed")
--- a/internal/mesh/sidecar/witness.go
+++ b/internal/mesh/sidecar/witness.go
@@ -42,7 +42,7 @@
 // saw notes how a run ended, or that the proxy beside a host is gone. Time that ran out says nothing: that is load.
 func (p *Sidecar) saw(station string, bad bool) {
 	if p.o.Agreed && station != "" && p.witness.docket.Record(p.now, station, bad) {
-		p.news.ask(false) // a complaint is told at once
+		p.discovery.ask(false) // a complaint is told at once
 	}
 }
 
@@ -57,18 +57,18 @@
 }
 
 // ruled takes what is in force.
-func (w *witness) ruled(now float64, news *meshpb.Update) (changed bool) {
-	w.accused = news.Accused
-	if news.EjectionsVersion <= w.version {
+func (w *witness) ruled(now float64, update *meshpb.Update) (changed bool) {
+	w.accused = update.Accused
+	if update.EjectionsVersion <= w.version {
 		return false
 	}
-	w.version = news.EjectionsVersion
+	w.version = update.EjectionsVersion
 	was := w.out
 	w.out, w.hand = map[string]float64{}, map[string]bool{}
 	if w.back == nil {
 		w.back = map[string]float64{}
 	}
-	for _, b := range news.EjectionLists {
+	for _, b := range update.EjectionLists {
 		for _, r := range b.Ejections {
 			switch {
 			case r.Hand:
