--- a/internal/mesh/simulation/checker.go
+++ b/internal/mesh/simulation/checker.go
@@ -29,6 +29,7 @@
 	Statuses map[int]int
 	asks     map[string][]float64 // when requests for a service came
 	further  map[string][]float64 // when one arrived at a host that had arrived at another before
+	kept     map[string]success   // by key, the first answer
 	leftAt   map[string]float64   // by id, when its client closed the connection
 	Left     int                  // clients that closed before they had an answer
 	Near     int                  // runs in the zone in which they were asked for, of those that may run anywhere
@@ -40,6 +41,12 @@
 	at             float64
 }
 
+// success is the answer to an operation.
+type success struct {
+	at    float64
+	proxy string // that gave it
+}
+
 type request struct {
 	path, key, zone string
 	proxy           string // address of the one that was asked
@@ -50,7 +57,7 @@
 	return &Checker{w: w, runs: map[string][]run{}, byID: map[string][]run{}, requests: map[string]request{},
 		promised: map[string]bool{}, stamps: map[string]run{}, versions: map[uint64]bool{}, ackedAt: map[uint64]float64{},
 		seen: map[string]uint64{}, at: map[*Proxy]int{}, Statuses: map[int]int{}, asks: map[string][]float64{},
-		further: map[string][]float64{}, leftAt: map[string]float64{}}
+		further: map[string][]float64{}, leftAt: map[string]float64{}, kept: map[string]success{}}
 }
 
 func (c *Checker) fail(rule, format string, args ...any) {
@@ -180,9 +187,14 @@
 		if !known || string(r.Body) != "body of "+stamp || ran.id != id && (q.key == "" || ran.key != q.key) {
 			c.fail("MIXED", "%s is answered by %q", id, stamp)
 		}
+		if _, known := c.kept[q.key]; tracked && q.key != "" && !known {
+			c.kept[q.key] = success{c.w.Now, q.proxy}
+		}
 		if tracked && q.key != "" && (len(c.runs[q.key]) == 0 || ran.stamp != c.runs[q.key][0].stamp) {
 			c.fail("MIXED", "key %s is answered by another run than its first", q.key)
 		}
+	case r.Status == 409:
+		c.denied(id, q)
 	case r.Status == 503 || r.Status == 429 || r.Status == 408 || r.Status == 421:
 		c.promised[id] = true
 		if tracked && len(c.byID[id]) > 0 {
@@ -191,6 +203,21 @@
 	}
 }
 
+// repeatAfter is how many seconds after an operation's answer a repeat gets the same, and is not told that it is at work.
+const repeatAfter = 1.0
+
+// denied is a repeat that is told that its operation is at work. The operators' rule bears three such keys on a day; here there are none.
+func (c *Checker) denied(id string, q request) {
+	first, known := c.kept[q.key]
+	if !known || q.at < first.at+repeatAfter || c.w.Now > first.at+window || !c.w.inTouch(q.proxy) || !c.w.settled() {
+		return
+	}
+	if at, disturbed := c.w.disturbedAt[first.proxy]; disturbed && at > first.at-touchAfter && at < first.at+touchAfter {
+		return
+	}
+	c.fail("DENIED", "%s repeats key %s, which was answered at %.3f, and gets 409", id, q.key, first.at)
+}
+
 // refused is an order that was answered otherwise than by a yes: of one text under a number, none is ever refused for another's sake.
 func (c *Checker) refused(version uint64, result control.OrderResult) {
 	if result == control.OrderConflict {
--- a/internal/mesh/simulation/departure_test.go
+++ b/internal/mesh/simulation/departure_test.go
@@ -104,3 +104,16 @@
 	}
 	t.Logf("%d found", found)
 }
+
+// The checker finds it where repeats are told that an operation is at work, which was answered over a second before.
+func TestCheckerFindsRepeatsDenied(t *testing.T) {
+	w := cluster(t, 1, 3)
+	w.EndsUntold = true
+	traffic(w, 6)
+	w.Run(8)
+	found := broken(w)["DENIED"]
+	if found == 0 {
+		t.Error("nothing is found")
+	}
+	t.Logf("%d found", found)
+}
--- a/internal/mesh/simulation/servers.go
+++ b/internal/mesh/simulation/servers.go
@@ -65,6 +65,7 @@
 		return
 	}
 	h.lives++
+	h.w.disturbed(h.addr)
 	h.freezer, h.processor = freezer{}, processor{}
 	h.up, h.unlit, h.busy, h.puts, h.after = true, false, false, nil, nil
 	values := map[string][]byte{}
@@ -104,6 +105,7 @@
 // Kill ends the process: what it had begun to write is on the disk.
 func (h *ControlServer) Kill() {
 	if h.up {
+		h.w.disturbed(h.addr)
 		h.up = false
 		h.disk.apply(h.disk.writing)
 		h.disk.writing = nil
@@ -135,6 +137,7 @@
 		h.disk.apply(h.disk.writing[:h.w.Rand.IntN(n)])
 	}
 	h.disk.writing = nil
+	h.w.disturbed(h.addr)
 	h.up, h.unlit = false, true
 }
 
--- a/internal/mesh/simulation/simulation_test.go
+++ b/internal/mesh/simulation/simulation_test.go
@@ -54,6 +54,10 @@
 			} else {
 				w.Ask(s, "/pay/x", key, 3)
 			}
+			if w.Rand.IntN(4) == 0 { // once more after its answer
+				other := w.Proxies[w.Rand.IntN(len(w.Proxies))]
+				w.After(1+3*w.Rand.Float64(), func() { w.Ask(other, "/pay/x", key, 2) })
+			}
 			if w.Rand.IntN(3) == 0 {
 				other := w.Proxies[w.Rand.IntN(len(w.Proxies))]
 				w.After(0.3*w.Rand.Float64()*w.Rand.Float64(), func() { w.Ask(other, "/pay/x", key, 3) })
--- a/internal/mesh/simulation/touch.go
+++ b/internal/mesh/simulation/touch.go
@@ -34,6 +34,30 @@
 	return true
 }
 
+// settled says whether all control servers have been in touch for long enough.
+func (w *World) settled() bool {
+	for _, h := range w.Servers {
+		if !h.gone && (!h.up || !w.inTouch(h.addr)) {
+			return false
+		}
+	}
+	return true
+}
+
+// Freeze holds the process up; Thaw lets it go on.
+func (h *ControlServer) Freeze() {
+	h.w.disturbed(h.addr)
+	h.freezer.Freeze()
+}
+
+// Thaw lets a frozen process go on. What came meanwhile comes now, in order.
+func (h *ControlServer) Thaw() {
+	if h.frozen {
+		h.w.disturbed(h.addr)
+	}
+	h.freezer.Thaw()
+}
+
 // Freeze holds the process up; Thaw lets it go on.
 func (s *Proxy) Freeze() {
 	s.w.disturbed(s.addr)
--- a/internal/mesh/simulation/world.go
+++ b/internal/mesh/simulation/world.go
@@ -54,6 +54,8 @@
 
 	LeaseTime float64 // planted: seconds after which control servers take a lease for over; 0: as they should
 
+	EndsUntold bool // planted: word on the end of a run does not reach the control servers
+
 	CloseUnheard bool // planted: no proxy hears that a client closes its connection
 
 	Agreed   bool   // proxies leave hosts out for operations by agreement only
@@ -281,6 +283,9 @@
 		}
 	}
 	number, born, made := l.number, sender.life(), l.made
+	if w.EndsUntold && p.Settle != nil {
+		return number
+	}
 	parcel := proto.Clone(p).(*meshpb.Message)
 	fail := func(after float64, unsent bool) {
 		w.After(after, func() {
