Sharding uses the hashes that the project has; a new life of a host begins without calls of the one before

Need: reading the change again. Change: rendezvous.Hash and random.Mix in place of copies; grants under way end with a host's life, as their answers count for nothing; who never held keys does not work out who is waited for at every tick; metrics by label in one function.

--- a/cmd/beechwing-sidecar/run.go
+++ b/cmd/beechwing-sidecar/run.go
@@ -325,24 +325,14 @@
 	for status, n := range s.Counts.Answers {
 		page.Count("beechwing_sidecar_answers_total", n, "status", strconv.Itoa(status))
 	}
-	for outcome, n := range s.Counts.Tries {
-		page.Count("beechwing_sidecar_tries_total", n, "outcome", outcome)
-	}
-	for why, n := range s.Counts.Turned {
-		page.Count("beechwing_sidecar_turned_away_total", n, "why", why)
-	}
+	countBy(page, "beechwing_sidecar_tries_total", "outcome", s.Counts.Tries)
+	countBy(page, "beechwing_sidecar_turned_away_total", "why", s.Counts.Turned)
 	page.Count("beechwing_sidecar_runs_total", s.Counts.Runs)
 	page.Count("beechwing_sidecar_late_runs_total", s.Counts.Late)
 	page.Count("beechwing_sidecar_doubts_total", s.Counts.Doubts)
-	for why, n := range s.Counts.Dropped {
-		page.Count("beechwing_sidecar_dropped_messages_total", n, "why", why)
-	}
-	for place, n := range s.Counts.Left {
-		page.Count("beechwing_sidecar_clients_left_total", n, "place", place)
-	}
-	for place, n := range s.Counts.Cancelled {
-		page.Count("beechwing_sidecar_cancelled_total", n, "place", place)
-	}
+	countBy(page, "beechwing_sidecar_dropped_messages_total", "why", s.Counts.Dropped)
+	countBy(page, "beechwing_sidecar_clients_left_total", "place", s.Counts.Left)
+	countBy(page, "beechwing_sidecar_cancelled_total", "place", s.Counts.Cancelled)
 	page.Count("beechwing_sidecar_grants_total", s.Counts.Grants)
 	page.Count("beechwing_sidecar_grants_refused_total", s.Counts.NotGranted)
 	page.Count("beechwing_sidecar_tries_for_clients_left_total", s.Counts.Unasked)
@@ -365,3 +355,10 @@
 		page.Gauge("beechwing_sidecar_avoided_hosts", float64(n), "carrier", service)
 	}
 }
+
+// countBy fills in a counter for each value of a label.
+func countBy(page cli.Page, name, label string, counts map[string]uint64) {
+	for value, n := range counts {
+		page.Count(name, n, label, value)
+	}
+}
--- a/internal/mesh/rendezvous/rendezvous.go
+++ b/internal/mesh/rendezvous/rendezvous.go
@@ -21,6 +21,9 @@
 	return hash
 }
 
+// Hash is the hash of a name, for rankings of many keys: it need not be worked out for each.
+func Hash(name string) uint64 { return addTo(fnvOffset, name) }
+
 // ofKey is the part of a score that all names share: the hash of the key and a zero byte.
 func ofKey(key string) uint64 { return addTo(fnvOffset, key) * fnvPrime }
 
--- a/internal/mesh/sharding/sharding.go
+++ b/internal/mesh/sharding/sharding.go
@@ -15,6 +15,8 @@
 	"strconv"
 
 	"beechwing/internal/mesh/meshpb"
+	"beechwing/internal/mesh/random"
+	"beechwing/internal/mesh/rendezvous"
 )
 
 const (
@@ -81,7 +83,7 @@
 	most := int(math.Ceil(loadSlack * Ranges / float64(len(members))))
 	seeds := make([]uint64, len(members))
 	for i, member := range members {
-		seeds[i] = hash(member)
+		seeds[i] = rendezvous.Hash(member)
 	}
 	loads := make([]int, len(members))
 	for r := range holders {
@@ -90,7 +92,7 @@
 			if loads[i] >= most {
 				continue
 			}
-			if score := mix(seeds[i] ^ mix(uint64(r)+1)); best == nobody || score > highest {
+			if score := random.Mix(seeds[i] ^ random.Mix(uint64(r)+1)); best == nobody || score > highest {
 				best, highest = i, score
 			}
 		}
@@ -100,24 +102,6 @@
 	return holders
 }
 
-// hash is FNV-1a.
-func hash(text string) uint64 {
-	h := uint64(0xcbf29ce484222325)
-	for i := range len(text) {
-		h = (h ^ uint64(text[i])) * 0x100000001b3
-	}
-	return h
-}
-
-// mix is the finalizer of MurmurHash3.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
-
 // Holder is the member that holds a range in this epoch; empty: there is none.
 func (t *Table) Holder(r Range) string { return nameAt(t.Members, t.holders[r]) }
 
--- a/internal/mesh/sidecar/keylease.go
+++ b/internal/mesh/sidecar/keylease.go
@@ -110,6 +110,7 @@
 		k.station, k.askAt = own.Station, 0
 		clear(k.until)
 		clear(k.granted)
+		clear(k.grants) // what was sent to the one before counts for nothing
 	}
 	p.tellReplaced()
 	if !p.sharded(k.carrier) {
@@ -181,7 +182,8 @@
 	}
 	for _, carrier := range slices.Sorted(maps.Keys(p.shards.tables)) {
 		table := p.shards.tables[carrier]
-		if carrier != own.Carrier && slices.Contains(table.Waiting(), p.o.Self) {
+		held := carrier != own.Carrier && slices.Contains(table.Previous, p.o.Self)
+		if held && slices.Contains(table.Waiting(), p.o.Self) {
 			k.replaced = p.askControl(&meshpb.LeaseRequest{Carrier: carrier, Released: table.Epoch}, 0)
 			return
 		}
