--- a/internal/mesh/simulation/departure_test.go
+++ b/internal/mesh/simulation/departure_test.go
@@ -9,11 +9,7 @@
 func impatient(t *testing.T, seed uint64, takes float64) *World {
 	t.Helper()
 	w := New(seed, 3, Host{"shop", "a"}, Host{"shop", "b"}, Host{"till", "a"}, Host{"till", "b"})
-	w.Configure(int(seed), 1, nil)
-	w.Run(4)
-	if w.Checker.Newest != 1 {
-		t.Fatalf("seed %d: no configuration after 4 s", seed)
-	}
+	configured(t, seed, w)
 	for _, s := range w.Proxies {
 		s.station.takes = takes
 	}
--- a/internal/mesh/simulation/faults_test.go
+++ b/internal/mesh/simulation/faults_test.go
@@ -16,15 +16,21 @@
 	faultyMost  = 1.5  // seconds within which they come
 )
 
-// stall is a cluster in which every proxy asks, and two tills and a shop are asked.
-func stall(t *testing.T, seed uint64) *World {
+// configured gives a cluster its first configuration.
+func configured(t *testing.T, seed uint64, w *World) {
 	t.Helper()
-	w := New(seed, 3, Host{"shop", "a"}, Host{"till", "a"}, Host{"till", "b"})
 	w.Configure(int(seed), 1, nil)
 	w.Run(4)
 	if w.Checker.Newest != 1 {
 		t.Fatalf("seed %d: no configuration after 4 s", seed)
 	}
+}
+
+// stall is a cluster in which every proxy asks, and two tills and a shop are asked.
+func stall(t *testing.T, seed uint64) *World {
+	t.Helper()
+	w := New(seed, 3, Host{"shop", "a"}, Host{"till", "a"}, Host{"till", "b"})
+	configured(t, seed, w)
 	return w
 }
 
--- a/internal/mesh/simulation/keys_test.go
+++ b/internal/mesh/simulation/keys_test.go
@@ -17,11 +17,7 @@
 		all = append(all, Host{shardedService, []string{"a", "b"}[i%2]})
 	}
 	w := New(seed, 3, append(all, Host{"shop", "a"}, Host{"till", "b"})...)
-	w.Configure(int(seed), 1, nil)
-	w.Run(4)
-	if w.Checker.Newest != 1 {
-		t.Fatalf("seed %d: no configuration after 4 s", seed)
-	}
+	configured(t, seed, w)
 	return w
 }
 
