--- a/review/harness/mesh.go
+++ b/review/harness/mesh.go
@@ -278,13 +278,10 @@
 }
 
 // Kill kills the machine's process and waits for its end.
-func (m *Machine) Kill() { m.signal(syscall.SIGKILL, true) }
+func (m *Machine) Kill() { m.signal(syscall.SIGKILL) }
 
 // Terminate sends SIGTERM and waits for the end of the process.
-func (m *Machine) Terminate() { m.signal(syscall.SIGTERM, true) }
-
-// Reload sends SIGHUP.
-func (m *Machine) Reload() { m.signal(syscall.SIGHUP, false) }
+func (m *Machine) Terminate() { m.signal(syscall.SIGTERM) }
 
 // Running reports whether the process that was started last still runs.
 func (m *Machine) Running() bool {
@@ -302,7 +299,7 @@
 	}
 }
 
-func (m *Machine) signal(s syscall.Signal, wait bool) {
+func (m *Machine) signal(s syscall.Signal) {
 	m.mu.Lock()
 	process, exited := m.process, m.exited
 	m.mu.Unlock()
@@ -310,9 +307,7 @@
 		return
 	}
 	process.Process.Signal(s)
-	if wait {
-		<-exited
-	}
+	<-exited
 }
 
 // Log returns what the machine's processes have logged.
@@ -413,10 +408,3 @@
 	res.Body.Close()
 	return res.StatusCode == http.StatusOK
 }
-
-// PID returns the id of the machine's process.
-func (m *Machine) PID() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.process.Process.Pid
-}
