proxy: count a request before the last byte of its answer is written

Seen: beside load TestSwitchUnderLoad and TestUpgrade found proxy.active=1 (and proxy.shed.write=0) after the client had its whole answer.

Cause: respond, refuse and the answer of a connection over the limit counted the end of a request after the write had returned. A client can read the answer and ask for the statistics before that.

Change: the end is counted before the write that completes the answer: the only write of a short one, the final chunk, or the piece that reaches the announced length. If that write fails, the request is moved to the errors, so that the figures at rest are as before. The outcome is counted before the request stops being active. The two tests are unchanged.

--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -21,16 +21,18 @@
 	noChunks          bool      // the client speaks HTTP/1.0 and cannot read chunked encoding
 	text              string    // body of a response made by the proxy
 	retryAfterSeconds float64
-	closeAfter        bool       // the connection is closed after it
-	protocolError     bool       // it answers an invalid request
-	abortedAttempts   []*attempt // attempts that were aborted when the response was decided
+	closeAfter        bool        // the connection is closed after it
+	protocolError     bool        // it answers an invalid request
+	abortedAttempts   []*attempt  // attempts that were aborted when the response was decided
+	end               *requestEnd // counts the request before the last byte is written; nil: the request is not counted
 }
 
 // respond waits for the response from the owner and writes it. It reports whether the connection stays open.
 func (c *clientConn) respond(q *request, class *classStats, last bool) bool {
 	a := <-q.response
 	defer c.front.bufs.FreeBody(&a.body)
-	defer func() { c.front.owner.stats.end(class, a.status) }()
+	a.end = &requestEnd{stats: c.front.owner.stats, class: class}
+	defer func() { a.end.count(a.status) }()
 	if a.stream != nil {
 		defer a.stream.abandon()
 	}
@@ -85,6 +87,9 @@
 	if w.Full { // only a host's Content-Type can be that long
 		return wire.ErrTooLarge
 	}
+	if a.stream == nil {
+		a.end.count(a.status)
+	}
 	c.conn.SetWriteDeadline(time.Now().Add(c.front.times.responseTimeout))
 	parts := a.body.AppendTo(net.Buffers{w.Buf})
 	_, err := parts.WriteTo(c.conn)
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -179,7 +179,7 @@
 		freeRequest(c.front.bufs, q)
 		bad = &badRequest{http.StatusInternalServerError, "too many connections"}
 		c.front.owner.stats.begin()
-		defer c.front.owner.stats.end(q.names.tallies[q.Class], bad.status)
+		c.front.owner.stats.end(q.names.tallies[q.Class], bad.status)
 	}
 	if bad != nil {
 		c.reject(bad)
@@ -242,7 +242,7 @@
 	freeRequest(c.front.bufs, q)
 	c.markReceived()
 	c.front.owner.stats.begin()
-	defer c.front.owner.stats.end(q.names.tallies[q.Class], http.StatusServiceUnavailable)
+	c.front.owner.stats.end(q.names.tallies[q.Class], http.StatusServiceUnavailable)
 	a := clientResponse{status: http.StatusServiceUnavailable, text: "busy\n", retryAfterSeconds: q.names.retryAfterSeconds}
 	return c.deliver(&a, last)
 }
--- a/internal/proxy/long.go
+++ b/internal/proxy/long.go
@@ -320,18 +320,21 @@
 }
 
 // relayResponse passes a long response on to the client. On an error the connection ends before the response is
-// complete, so that the client can detect it.
+// complete, so that the client can detect it. The request is counted before the write that completes the response.
 func (c *clientConn) relayResponse(a *clientResponse) error {
 	if a.stream == nil {
 		return nil
 	}
 	chunked := a.contentLength < 0 && !a.noChunks
-	for {
+	for remaining := a.contentLength; ; {
 		p, err := a.stream.take(context.Background())
 		if err == io.EOF {
 			break
 		}
 		if err == nil {
+			if remaining -= int64(p.size); remaining == 0 {
+				a.end.count(a.status)
+			}
 			err = c.writePiece(p.bytes(), chunked)
 			c.front.bufs.PutBuffer(p.buf)
 		}
@@ -343,6 +346,7 @@
 		}
 	}
 	if chunked {
+		a.end.count(a.status)
 		return c.writePiece(nil, true)
 	}
 	return nil
--- a/internal/proxy/request_stats.go
+++ b/internal/proxy/request_stats.go
@@ -55,16 +55,45 @@
 
 // end counts the end of a request by the status that its client got. Status 0 means that the client had left.
 func (t *requestStats) end(c *classStats, status int) {
+	c.add(status, 1)
 	t.active.Add(-1)
+}
+
+// add adds n to the counter of a status. Status 0 has none.
+func (c *classStats) add(status int, n int64) {
 	switch status {
 	case 0:
 	case http.StatusOK:
-		c.ok.Add(1)
+		c.ok.Add(n)
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		c.shed.Add(1)
+		c.shed.Add(n)
+	default:
+		c.errors.Add(n)
+	}
+}
+
+// requestEnd counts the end of one request. It is counted before the last byte of the response is written, so that a client
+// that has its whole response finds its request counted. If the write fails, the request is moved to the counter of errors.
+type requestEnd struct {
+	stats   *requestStats
+	class   *classStats
+	counted bool
+	status  int // that was counted
+}
+
+// count counts the request with a status, or moves it to that status if it has been counted with another one. A nil
+// requestEnd counts nothing.
+func (e *requestEnd) count(status int) {
+	switch {
+	case e == nil || e.counted && e.status == status:
+		return
+	case e.counted:
+		e.class.add(e.status, -1)
+		e.class.add(status, 1)
 	default:
-		c.errors.Add(1)
+		e.stats.end(e.class, status)
 	}
+	e.counted, e.status = true, status
 }
 
 // text returns the statistics, one per line.
