store: a slot belongs to the name that it was written for, and to no other

Only keys K beside which a key "K/1" is in use are concerned.

Cause: each name has two slots, the name with "/0" or "/1" behind it. To get the name back, parseRecord trimmed "/0" and then "/1" again. The even slot of "K/1" ("K/1/0") was read as a record of "K": it replaced the record of K if its sequence number was higher, and "K/1" got the older value of its odd slot. The generation that the start wrote made both permanent.

Change: slotName removes exactly one suffix. The form on disk is as before, so disks of the landed version are read as they were written, and a member may be replaced or put back at any time. Where a start of the landed version has already stored a value of one key under the name of another, Restore keeps the newest state of the key, writes it under its own name and removes the other; the overwritten record of K is on that disk no more and has to come from others.

--- a/internal/mesh/register/acceptor.go
+++ b/internal/mesh/register/acceptor.go
@@ -139,8 +139,11 @@
 	return &meshpb.Entry{Key: key, Promised: e.promised.Wire(), Accepted: e.accepted.Wire(), Value: e.value}
 }
 
-// Restore loads the registers from the store's values. Ages start again from now.
+// Restore loads the registers from the store's values. Ages start again from now. A value under the name of another key was
+// put there by an earlier version, whose store confused names that end in "/0" or "/1". Such values are moved to their own
+// names; the newest value of a key counts.
 func (rs *Registers) Restore(now float64, values map[string][]byte) error {
+	var misplaced []string // keys of values under names of other keys
 	for _, name := range sortedKeys(values) {
 		if len(name) <= len(valuePrefix) || name[:len(valuePrefix)] != valuePrefix {
 			continue
@@ -149,14 +152,30 @@
 		if err := proto.Unmarshal(values[name], w); err != nil {
 			return err
 		}
-		rs.position++
-		rs.entries[w.Key] = &entry{promised: FromWire(w.Promised), accepted: FromWire(w.Accepted), value: w.Value, receivedAt: now,
-			position: rs.position}
-		rs.entryOrder.add(rs.position, w.Key)
+		rs.restoreEntry(now, w)
+		if name != valuePrefix+w.Key {
+			misplaced = append(misplaced, w.Key)
+			rs.effects.Puts = append(rs.effects.Puts, store.Put{Name: name})
+		}
+	}
+	for _, key := range misplaced {
+		rs.persist(key, rs.entries[key])
 	}
 	return rs.restorePromises(values)
 }
 
+// restoreEntry loads one register, unless a newer state of it has been loaded.
+func (rs *Registers) restoreEntry(now float64, w *meshpb.Entry) {
+	e := &entry{promised: FromWire(w.Promised), accepted: FromWire(w.Accepted), value: w.Value, receivedAt: now}
+	if loaded := rs.entries[w.Key]; loaded != nil && e.promised.compare(loaded.promised) <= 0 {
+		return
+	}
+	rs.position++
+	e.position = rs.position
+	rs.entries[w.Key] = e
+	rs.entryOrder.add(rs.position, w.Key)
+}
+
 // restorePromises loads promises that are newer than those stored with their registers.
 func (rs *Registers) restorePromises(values map[string][]byte) error {
 	for name, value := range values {
--- a/internal/mesh/store/codec.go
+++ b/internal/mesh/store/codec.go
@@ -45,10 +45,21 @@
 	return string(buf)
 }
 
+// slotName returns the name that a slot belongs to; ok is false if the key is not that of a slot. Exactly one suffix is
+// removed, because names may end in a suffix themselves.
+func slotName(key string) (name string, ok bool) {
+	for _, suffix := range slotSuffixes {
+		if name, ok = strings.CutSuffix(key, suffix); ok {
+			return name, true
+		}
+	}
+	return "", false
+}
+
 // parseRecord decodes the content of a slot; ok is false if the slot is torn or holds no record.
 func parseRecord(key, text string) (r record, ok bool) {
-	name := strings.TrimSuffix(strings.TrimSuffix(key, slotSuffixes[0]), slotSuffixes[1])
-	if len(name) == len(key) || len(text) < headerBytes {
+	name, ok := slotName(key)
+	if !ok || len(text) < headerBytes {
 		return record{}, false
 	}
 	header, rest := []byte(text[:headerBytes]), []byte(text[4:])
