routeconfig: the control plane checks configurations as proxies read them

Cause: the validator had a reader of its own. strictJSON asked Decoder.More whether anything follows, which is false for "}" and "]", while proxies use json.Unmarshal, which refuses the text.

Change: routeconfig.Parse is the one reader of both planes. Check reads the text with it and checks services and weights on what was read; checkNames refuses names that the reader would take for others. Fields that nobody reads stay free. Proxies accept what they accepted before, so versions side by side read alike; an old control server still acknowledges such a text.

--- a/internal/mesh/routeconfig/routeconfig.go
+++ b/internal/mesh/routeconfig/routeconfig.go
@@ -101,16 +101,26 @@
 	routes   map[string]*Route // by lower-case host name followed by path prefix
 }
 
-// Compile compiles the JSON text of a configuration that the control plane has validated. If two routes have the same host name
-// and path prefix, the first one counts.
-func Compile(text []byte) (*Table, error) {
+// Parse decodes the JSON text of a configuration, which must consist of exactly one JSON value, and returns its version. The
+// control plane and the proxies both read configurations with it, so that whatever is accepted can be read.
+func Parse(text []byte) (*Config, uint64, error) {
 	c := &Config{}
 	if err := json.Unmarshal(text, c); err != nil {
-		return nil, errors.Wrap(err, "configuration")
+		return nil, 0, errors.Wrap(err, "cannot be read in full")
 	}
 	version, err := ParseVersion(c.Version)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
+	}
+	return c, version, nil
+}
+
+// Compile compiles the JSON text of a configuration that the control plane has validated. If two routes have the same host name
+// and path prefix, the first one counts.
+func Compile(text []byte) (*Table, error) {
+	c, version, err := Parse(text)
+	if err != nil {
+		return nil, errors.Wrap(err, "configuration")
 	}
 	t := &Table{Version: version, Config: c, Text: text, services: map[string]*Service{}, routes: map[string]*Route{}}
 	for i := range c.Services {
@@ -146,16 +156,22 @@
 	return nil
 }
 
+// WeightSum returns the sum of the weights of the route's shares.
+func (r *Route) WeightSum() float64 {
+	sum := 0.0
+	for _, share := range r.Shares {
+		sum += share.Weight
+	}
+	return sum
+}
+
 // ServiceFor picks the service of a request on the route according to the weights of its shares. It hashes the key, so that all
 // attempts of one operation go to the same service unless the shares change.
 func (r *Route) ServiceFor(key string) string {
 	if len(r.Shares) == 0 {
 		return r.Service
 	}
-	sum := 0.0
-	for _, share := range r.Shares {
-		sum += share.Weight
-	}
+	sum := r.WeightSum()
 	h := fnv.New64a()
 	h.Write([]byte(key))
 	position := float64(mix(h.Sum64())>>11) / (1 << 53) * sum
--- a/internal/mesh/routeconfig/validate/validate.go
+++ b/internal/mesh/routeconfig/validate/validate.go
@@ -4,9 +4,10 @@
 package validate
 
 import (
-	"bytes"
 	"encoding/json"
 	"hash/maphash"
+	"math"
+	"reflect"
 	"strings"
 
 	"cuelang.org/go/cue"
@@ -86,56 +87,76 @@
 	v.limits = compiled.LookupPath(cue.ParsePath("#Limits"))
 }
 
-// Check returns the version of a valid configuration, or an error that names the invalid field.
+// parts holds the parts of a configuration as they are written.
+type parts struct {
+	Version  json.RawMessage   `json:"edition"`
+	Routes   []json.RawMessage `json:"itineraries"`
+	Services []json.RawMessage `json:"carriers"`
+	Limits   json.RawMessage   `json:"sizeLimits"`
+}
+
+// Check returns the version of a valid configuration, or an error that names the invalid field. It reads the text as the proxies
+// do, and checks both what is written and what is read.
 func (v *Validator) Check(text []byte) (uint64, error) {
-	var config struct {
-		Version  string            `json:"edition"`
-		Routes   []json.RawMessage `json:"itineraries"`
-		Services []json.RawMessage `json:"carriers"`
-		Limits   json.RawMessage   `json:"sizeLimits"`
-	}
-	if err := strictJSON(text, &config); err != nil {
+	config, version, err := routeconfig.Parse(text)
+	if err != nil {
 		return 0, err
 	}
-	version, err := routeconfig.ParseVersion(config.Version)
-	if err != nil {
+	var written parts
+	if err := checkNames(text, reflect.TypeOf(written)); err != nil {
 		return 0, err
 	}
+	if err := json.Unmarshal(text, &written); err != nil {
+		return 0, errors.Wrap(err, "cannot be read in full")
+	}
 	if config.Routes == nil || config.Services == nil {
 		return 0, errors.New("itineraries and carriers: both have to be there")
 	}
 	if len(v.valid) > maxCached {
 		v.reset()
 	}
+	if err := v.checkParts(&written); err != nil {
+		return 0, err
+	}
 	services := map[string]bool{}
-	for _, raw := range config.Services {
-		if err := v.checkPart("carriers", v.service, raw); err != nil {
-			return 0, err
-		}
-		var s routeconfig.Service
-		if err := json.Unmarshal(raw, &s); err != nil {
-			return 0, errors.Wrap(err, "carriers")
-		}
+	for _, s := range config.Services {
 		services[s.Name] = true
 	}
-	for _, raw := range config.Routes {
-		if err := v.checkPart("itineraries", v.route, raw); err != nil {
-			return 0, err
+	for i := range config.Routes {
+		if err := checkRoute(&config.Routes[i], services); err != nil {
+			return 0, errors.Wrapf(err, "itineraries, %s", config.Routes[i].Name)
 		}
-		var r routeconfig.Route
-		if err := json.Unmarshal(raw, &r); err != nil {
-			return 0, errors.Wrap(err, "itineraries")
-		}
-		if err := checkServices(&r, services); err != nil {
-			return 0, errors.Wrapf(err, "itineraries, %s", r.Name)
+	}
+	return version, nil
+}
+
+// checkParts checks each service, each route and the limits.
+func (v *Validator) checkParts(written *parts) error {
+	for _, raw := range written.Services {
+		if err := v.checkPart("carriers", v.service, reflect.TypeFor[routeconfig.Service](), raw); err != nil {
+			return err
 		}
 	}
-	if config.Limits != nil {
-		if err := v.checkPart("sizeLimits", v.limits, config.Limits); err != nil {
-			return 0, err
+	for _, raw := range written.Routes {
+		if err := v.checkPart("itineraries", v.route, reflect.TypeFor[routeconfig.Route](), raw); err != nil {
+			return err
 		}
 	}
-	return version, nil
+	if written.Limits == nil {
+		return nil
+	}
+	return v.checkPart("sizeLimits", v.limits, reflect.TypeFor[routeconfig.Limits](), written.Limits)
+}
+
+// checkRoute checks a route as proxies read it.
+func checkRoute(r *routeconfig.Route, services map[string]bool) error {
+	if err := checkServices(r, services); err != nil {
+		return err
+	}
+	if sum := r.WeightSum(); len(r.Shares) > 0 && (sum <= 0 || math.IsInf(sum, 0)) {
+		return errors.Newf("allotment: the weights sum to %v", sum)
+	}
+	return nil
 }
 
 // checkServices checks that a route names a service, and that the configuration contains all services that the route names.
@@ -154,12 +175,16 @@
 	return nil
 }
 
-// checkPart checks one route, one service or the limits. field is the name of the field that contains the part.
-func (v *Validator) checkPart(field string, rule cue.Value, raw json.RawMessage) error {
+// checkPart checks one route, one service or the limits. field is the name of the field that contains the part, and read is the
+// type that proxies read it into.
+func (v *Validator) checkPart(field string, rule cue.Value, read reflect.Type, raw json.RawMessage) error {
 	h := maphash.Bytes(v.seed, append([]byte(field), raw...))
 	if v.valid[h] {
 		return nil
 	}
+	if err := checkNames(raw, read); err != nil {
+		return errors.Wrap(err, field)
+	}
 	value := v.ctx.CompileBytes(raw)
 	if err := rule.Unify(value).Validate(cue.Concrete(true)); err != nil {
 		return errors.Newf("%s: %s", field, firstError(err))
@@ -184,15 +209,3 @@
 	}
 	return strings.Join(strings.Fields(text), " ")
 }
-
-// strictJSON decodes a text that must consist of exactly one JSON value.
-func strictJSON(text []byte, into any) error {
-	dec := json.NewDecoder(bytes.NewReader(text))
-	if err := dec.Decode(into); err != nil {
-		return errors.Wrap(err, "cannot be read in full")
-	}
-	if dec.More() {
-		return errors.New("cannot be read in full: more follows it")
-	}
-	return nil
-}
