routeconfig: a route is found by its host name and its prefix, not by both in one

A route of the host name "shop.example/x" with the prefix "/" was found for requests to shop.example below /x/, so that a service ran what no configuration lets go to it. The two parts are a struct now, which also saves joining them for every prefix that is tried.

Red before: TestHostWithSlashIsNoPrefix ("slash" in place of "plain").

--- a/internal/mesh/routeconfig/routeconfig.go
+++ b/internal/mesh/routeconfig/routeconfig.go
@@ -98,7 +98,13 @@
 	Config   *Config
 	Text     []byte // the JSON that it was compiled from
 	services map[string]*Service
-	routes   map[string]*Route // by lower-case host name followed by path prefix
+	routes   map[routeKey]*Route
+}
+
+// routeKey is what a route is found by. The two parts are kept apart because a host name in a configuration may contain a slash.
+type routeKey struct {
+	host       string // in lower case
+	pathPrefix string
 }
 
 // Parse decodes the JSON text of a configuration, which must consist of exactly one JSON value, and returns its version. The
@@ -122,13 +128,13 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "configuration")
 	}
-	t := &Table{Version: version, Config: c, Text: text, services: map[string]*Service{}, routes: map[string]*Route{}}
+	t := &Table{Version: version, Config: c, Text: text, services: map[string]*Service{}, routes: map[routeKey]*Route{}}
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		if key := strings.ToLower(r.Host) + r.PathPrefix; t.routes[key] == nil {
+		if key := (routeKey{strings.ToLower(r.Host), r.PathPrefix}); t.routes[key] == nil {
 			t.routes[key] = r
 		}
 	}
@@ -149,7 +155,7 @@
 		path = path[:at]
 	}
 	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
-		if r := t.routes[host+path[:end+1]]; r != nil {
+		if r := t.routes[routeKey{host, path[:end+1]}]; r != nil {
 			return r
 		}
 	}
--- a/internal/mesh/routeconfig/routeconfig_test.go
+++ b/internal/mesh/routeconfig/routeconfig_test.go
@@ -31,6 +31,29 @@
 	}
 }
 
+// TestHostWithSlashIsNoPrefix guards against a route that is found by another host name whose path continues the route's name: a
+// request would go to a service that the configuration does not allow.
+func TestHostWithSlashIsNoPrefix(t *testing.T) {
+	table, err := Compile([]byte(`{"edition":"r1","itineraries":[
+{"name":"slash","depot":"shop.example/x","lanePrefix":"/","routeKind":"safe","carrier":"s1","tries":1},
+{"name":"plain","depot":"shop.example","lanePrefix":"/x/","routeKind":"safe","carrier":"s2","tries":1}],
+"carriers":[{"name":"s1"},{"name":"s2"}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ host, path, want string }{
+		{"shop.example", "/x/1", "plain"}, {"shop.example/x", "/1", "slash"}, {"shop.example/x", "/x/1", "slash"}, {"shop.example", "/1", ""},
+	} {
+		got := ""
+		if r := table.Match(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		if got != c.want {
+			t.Errorf("%s and %s: route %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
+
 // ServiceFor splits keys according to the shares, and the same key always gets the same service.
 func TestServiceFor(t *testing.T) {
 	table, err := Compile([]byte(text))
