sidecar: a configuration that cannot be read is asked for four times a second

Cause: the sidecar kept its older version and sent the next pull at once, which the server answers at once as it has something newer.

Change: after such an answer the next pull waits 0.25 s, and each version is logged once. News of hosts still comes with each answer. The control plane no longer accepts such texts, but a server of before may while versions stand side by side, and a newer format may be unreadable to an older proxy.

--- a/internal/mesh/sidecar/discovery.go
+++ b/internal/mesh/sidecar/discovery.go
@@ -33,6 +33,9 @@
 	leaveNotice           = 0.5  // seconds before the end of the shutdown notice in which other proxies send nothing here any more
 	probeInterval         = 0.3  // seconds between two probes of a host that has not sent a heartbeat yet
 	unreachableRetryDelay = 0.04 // seconds until the next pull after the connection to a control server was lost
+	// unreadableRetryDelay is the time in seconds until the next pull after a configuration that cannot be read. The server answers
+	// that pull at once, with the same configuration, until there is a newer one.
+	unreadableRetryDelay = 0.25
 )
 
 // discovery holds the host beside this sidecar, whose record only this sidecar publishes, the records of all other
@@ -69,6 +72,7 @@
 	nextWeightsAt    float64
 	nextProbeAt      float64
 	zones            []string
+	unreadableConfig uint64 // version of the last configuration that could not be read; 0: none
 }
 
 func (d *discovery) init(p *Sidecar) {
@@ -316,9 +320,11 @@
 		}
 	}
 	p.shards.learn(update.Assignments)
+	readable := true
 	if update.Edition > 0 && (p.table == nil || update.Edition > p.table.Version) {
 		if table, err := decodeConfig(update.Text); err != nil {
-			p.opts.Log("configuration not understood", "edition", update.Edition, "error", err)
+			readable = false
+			d.logUnreadable(update.Edition, err)
 		} else {
 			p.applyConfig(table)
 			p.opts.Log("in force", "edition", table.Version, "routes", len(table.Config.Routes))
@@ -333,11 +339,22 @@
 	case update.Alone: // the server is cut off from the other control servers, so its knowledge may be old
 		d.serverIndex++
 		d.newestPull, d.pullNotBefore = 0, p.now+isolatedRetryDelay
+	case !readable:
+		d.newestPull, d.pullNotBefore = 0, p.now+unreadableRetryDelay
 	default:
 		d.sendPull(true)
 	}
 }
 
+// logUnreadable logs once for each version that a configuration cannot be read. The one before stays in force.
+func (d *discovery) logUnreadable(version uint64, err error) {
+	if d.unreadableConfig == version {
+		return
+	}
+	d.unreadableConfig = version
+	d.sidecar.opts.Log("configuration not understood", "edition", version, "error", err)
+}
+
 // decodeConfig decodes a configuration as received.
 func decodeConfig(text []byte) (*routeconfig.Table, error) {
 	plain, err := packed.Unpack(text)
