validate: the version r0 is refused in place of acknowledged and lost

In a trial on the real clock (three control servers, two proxies) the first configuration r0 got 200 {"taken":0}; 15 s later no proxy was ready, and GET /-/timetable answered 404.

Red before: the part "edition r0" of TestCheckRefusesWhatProxiesCannotRead.

--- a/internal/mesh/routeconfig/validate/read_test.go
+++ b/internal/mesh/routeconfig/validate/read_test.go
@@ -29,6 +29,7 @@
 		"itineraries as Itineraries":   {`"carriers":[`, `"Itineraries":[],"carriers":[`, "Itineraries"},
 		"limits twice":                 {`"sizeLimits":{`, `"sizeLimits":{"headerBytes":1},"sizeLimits":{`, "sizeLimits"},
 		"edition as Edition":           {`"edition":"r7"`, `"edition":"r7","Edition":"r8"`, "Edition"},
+		"edition r0":                   {`"edition":"r7"`, `"edition":"r0"`, "r0"},
 		"weights that are read as 0":   {`"share":90},{"carrier":"s2","share":10`, `"share":1e-400},{"carrier":"s2","share":0`, "weights"},
 		"weights beyond all numbers":   {`"share":90},{"carrier":"s2","share":10`, `"share":1e308},{"carrier":"s2","share":1e308`, "weights"},
 	} {
--- a/internal/mesh/routeconfig/validate/validate.go
+++ b/internal/mesh/routeconfig/validate/validate.go
@@ -102,6 +102,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if version == 0 { // servers and proxies take it for no configuration
+		return 0, errors.New("edition: r0 is not a version, the first one is r1")
+	}
 	var written parts
 	if err := checkNames(text, reflect.TypeOf(written)); err != nil {
 		return 0, err
