sidecar: an operation is named by its host name however that is spelt

Cause: the route was found by the host name without port and in lower case, the operation's register was named by the header as it came.

Change: CanonicalHost reads a host name for both. If a client spelt it otherwise, the proxy beside the host claims the register of the spelling first, then the canonical one, and settles both. Older proxies know the spelling's register only, so a client that keeps to one spelling is as safe as before while versions stand side by side. No message and no stored form changes; canonical names cost what they did.

--- a/internal/mesh/routeconfig/routeconfig.go
+++ b/internal/mesh/routeconfig/routeconfig.go
@@ -144,13 +144,18 @@
 // Service returns the configuration of a service, or nil if there is none.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
-// Match returns the route with the longest matching path prefix, or nil if no route matches. host may include a port, and path a
-// query.
-func (t *Table) Match(host, path string) *Route {
+// CanonicalHost returns a host name as routes are found by it: without a port and in lower case.
+func CanonicalHost(host string) string {
 	if at := strings.LastIndexByte(host, ':'); at >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:at]
 	}
-	host = strings.ToLower(host)
+	return strings.ToLower(host)
+}
+
+// Match returns the route with the longest matching path prefix, or nil if no route matches. host may include a port, and path a
+// query.
+func (t *Table) Match(host, path string) *Route {
+	host = CanonicalHost(host)
 	if at := strings.IndexAny(path, "?#"); at >= 0 {
 		path = path[:at]
 	}
--- a/internal/mesh/sidecar/claims.go
+++ b/internal/mesh/sidecar/claims.go
@@ -65,7 +65,9 @@
 
 // claim is the state of a job's claim.
 type claim struct {
-	servers     []string // not asked yet
+	registers   []string // not claimed yet; the first one is being claimed
+	granted     []string // registers that are claimed
+	servers     []string // not asked yet about the register that is being claimed
 	outstanding []uint64 // IDs of the unanswered RPCs
 	startedAt   float64  // when the claim began; 0: not yet
 	mayBeHeld   bool     // a control server may have bound the key to this job
@@ -119,7 +121,13 @@
 
 // beginClaim claims the key of a request for its run here. Nothing goes to the host until the claim is granted.
 func (adm *admission) beginClaim(j *job) {
-	j.claim.startedAt, j.claim.servers = adm.sidecar.now, adm.serversFor(j.forward.Key)
+	j.claim.startedAt, j.claim.registers = adm.sidecar.now, registersOf(j.forward.Key)
+	adm.claimNextRegister(j)
+}
+
+// claimNextRegister claims the first register of those that are left.
+func (adm *admission) claimNextRegister(j *job) {
+	j.claim.servers = adm.serversFor(j.claim.registers[0])
 	adm.claimAtNextServer(j)
 }
 
@@ -148,7 +156,7 @@
 	id := adm.sidecar.nextID()
 	rpc := &claimRPC{job: j, server: c.servers[0], sentAt: adm.sidecar.now}
 	adm.keys.claims[id], c.outstanding, c.servers = rpc, append(c.outstanding, id), c.servers[1:]
-	m := &meshpb.Claim{Key: j.forward.Key, Token: j.forward.Token, Attempt: j.forward.Attempt,
+	m := &meshpb.Claim{Key: c.registers[0], Token: j.forward.Token, Attempt: j.forward.Attempt,
 		Gate: adm.sidecar.opts.Self, GateLife: adm.sidecar.incarnation}
 	adm.sidecar.send(rpc.server, adm.sidecar.newRPC(id, &meshpb.Message{Claim: m}))
 }
@@ -234,19 +242,37 @@
 			adm.finish(j, &meshpb.Forwarded{Verdict: uint32(outcome.Unclaimed), Why: "the host has gone"})
 			return
 		}
+		j.claim.granted, j.claim.registers = append(j.claim.granted, j.claim.registers[0]), j.claim.registers[1:]
+		if len(j.claim.registers) > 0 {
+			adm.claimNextRegister(j)
+			return
+		}
 		adm.enqueue(j)
 	case register.Busy:
+		adm.releaseGranted(j, register.Void, nil)
 		adm.finish(j, &meshpb.Forwarded{Verdict: uint32(outcome.Busy)})
 	case register.Done:
+		adm.releaseGranted(j, register.Done, claimed.Receipt)
 		adm.finish(j, &meshpb.Forwarded{Verdict: uint32(outcome.Kept), Status: claimed.Receipt.GetStatus(),
 			Fields: claimed.Receipt.GetFields(), Body: claimed.Receipt.GetBody()})
 	case register.Lost:
+		adm.releaseGranted(j, register.Lost, nil)
 		adm.finish(j, &meshpb.Forwarded{Verdict: uint32(outcome.Lost)})
 	default:
+		adm.releaseGranted(j, register.Void, nil)
 		adm.finish(j, &meshpb.Forwarded{Verdict: uint32(outcome.Unclaimed), Why: "its claim was given back"})
 	}
 }
 
+// releaseGranted settles the registers that were granted to a job whose operation has ended, or is under way, under another
+// spelling of its host name. ended is the recorded response if the state is Done.
+func (adm *admission) releaseGranted(j *job, state register.State, ended *meshpb.Receipt) {
+	for _, name := range j.claim.granted {
+		adm.settleRegister(name, &meshpb.Receipt{Token: j.forward.Token, State: state, Attempt: j.forward.Attempt,
+			Status: ended.GetStatus(), Fields: ended.GetFields(), Body: ended.GetBody()})
+	}
+}
+
 // claimUndecided handles the answer of a control server that could not decide a claim.
 func (adm *admission) claimUndecided(rpc *claimRPC, claimed *meshpb.Claimed) {
 	j := rpc.job
@@ -276,16 +302,25 @@
 	return true
 }
 
-// settle records how a run ended, with retries until a control server acknowledges it or maxSettleAttempts is reached.
+// settle records how the run of an operation ended in all its registers.
 func (adm *admission) settle(key string, receipt *meshpb.Receipt) {
+	for _, name := range registersOf(key) {
+		adm.settleRegister(name, receipt)
+	}
+}
+
+// settleRegister records how a run ended in one register, with retries until a control server acknowledges it or
+// maxSettleAttempts is reached.
+func (adm *admission) settleRegister(name string, receipt *meshpb.Receipt) {
 	if len(adm.keys.settles) >= maxSettles {
 		return // the key stays claimed, and its run ends as lost
 	}
-	adm.sendSettle(&settleRPC{key: key, receipt: receipt})
+	adm.sendSettle(&settleRPC{key: name, receipt: receipt})
 }
 
 // voidIfFree voids a token unless its claim was granted, and passes the resulting state of the key to done.
-// If no control server decides, done is never called.
+// If no control server decides, done is never called. The register that is claimed first decides: while the token is void
+// there, no other register is claimed for it.
 func (adm *admission) voidIfFree(key string, token uint64, done func(state uint32)) {
 	if len(adm.keys.settles) < maxSettles {
 		adm.sendSettle(&settleRPC{key: key, receipt: &meshpb.Receipt{Token: token, State: register.Void}, ifFree: true, done: done})
--- a/internal/mesh/sidecar/dispatch.go
+++ b/internal/mesh/sidecar/dispatch.go
@@ -187,7 +187,7 @@
 	}
 	if req.route.Kind == routeconfig.Tracked && req.IdempotencyKey != "" {
 		// The host name tells tenants apart, so their keys do not collide.
-		req.IdempotencyKey = req.Host + "\x00" + req.IdempotencyKey
+		req.IdempotencyKey = operationKey(req.Host, req.IdempotencyKey)
 	} else {
 		req.IdempotencyKey = ""
 	}
--- a/internal/mesh/simulation/actors.go
+++ b/internal/mesh/simulation/actors.go
@@ -192,7 +192,7 @@
 	w.seq++
 	id := fmt.Sprintf("q%d", w.seq)
 	w.Checker.requestSent(s, id, path, key)
-	request := &sidecar.Request{Method: "POST", Target: path, Host: "shop.example", ID: id, IdempotencyKey: key, Timeout: 1.5,
+	request := &sidecar.Request{Method: "POST", Target: path, Host: w.spelledHost(), ID: id, IdempotencyKey: key, Timeout: 1.5,
 		Fields: []*meshpb.Field{{Name: sidecar.HeaderID, Value: id}, {Name: sidecar.HeaderIdempotencyKey, Value: key}}}
 	if serviceOf(path) == shardedService {
 		request.Fields = append(request.Fields, &meshpb.Field{Name: headerShardKey,
@@ -201,6 +201,17 @@
 	return request
 }
 
+// hostSpellings are ways to write the host name of all routes.
+var hostSpellings = []string{"shop.example", "shop.example:8080", "Shop.Example", "SHOP.example:80"}
+
+// spelledHost returns the host name of a request as its client writes it.
+func (w *World) spelledHost() string {
+	if !w.VaryHostSpelling {
+		return hostSpellings[0]
+	}
+	return hostSpellings[w.Rand.IntN(len(hostSpellings))]
+}
+
 // RequestAndDisconnect makes a client send a request to a proxy, and close its connection if there is no response after
 // afterSeconds.
 func (w *World) RequestAndDisconnect(s *Proxy, path, key string, afterSeconds float64) {
--- a/internal/mesh/simulation/simulation_test.go
+++ b/internal/mesh/simulation/simulation_test.go
@@ -257,41 +257,49 @@
 		runs = n
 	}
 	for seed := range uint64(runs) {
-		w := newCluster(t, seed, 3+int(seed%3))
-		if seed%2 == 1 {
-			enableAgreedEjection(w)
-		}
-		startTraffic(w, 14)
-		version := uint64(1)
-		lostUntil := 0.0 // until then a control server counts as lost; only one may be lost at a time
-		for at := 0.5; at < 9; at += 0.3 + 0.7*w.Rand.Float64() {
-			w.After(at, func() { injectFault(w, &version, &lostUntil) })
-		}
-		w.Run(12)
-		w.HealNetwork()
-		for _, s := range w.Proxies {
-			if s.instance != nil {
-				s.LoseResponses(0)
-			}
-		}
-		w.Run(4)
-		w.Checker.CheckConfigInForce(w.Proxies...)
-		served := w.Checker.Served
-		for i := range 40 {
-			w.After(float64(i)*0.02, func() { w.Request(w.Proxies[i%len(w.Proxies)], "/pay/x", fmt.Sprintf("after%d", i), 3) })
-		}
-		w.Run(4)
-		if got := w.Checker.Served - served; got < 36 {
-			t.Errorf("seed %d: %d of 40 operations served after the faults; statuses %v", seed, got, w.Checker.Statuses)
-		}
-		var read uint64
-		w.ReadConfig(0, func(v uint64) { read = v })
-		w.Run(2)
-		if read < w.Checker.NewestAcked {
-			t.Errorf("seed %d: read version %d, but %d was acknowledged", seed, read, w.Checker.NewestAcked)
+		playDayOfFaults(t, seed, func(*World) {})
+	}
+}
+
+// playDayOfFaults plays traffic under random faults, and checks that no rule is violated and that all requests are served again
+// afterwards. prepare is called before the traffic.
+func playDayOfFaults(t *testing.T, seed uint64, prepare func(*World)) {
+	t.Helper()
+	w := newCluster(t, seed, 3+int(seed%3))
+	if seed%2 == 1 {
+		enableAgreedEjection(w)
+	}
+	prepare(w)
+	startTraffic(w, 14)
+	version := uint64(1)
+	lostUntil := 0.0 // until then a control server counts as lost; only one may be lost at a time
+	for at := 0.5; at < 9; at += 0.3 + 0.7*w.Rand.Float64() {
+		w.After(at, func() { injectFault(w, &version, &lostUntil) })
+	}
+	w.Run(12)
+	w.HealNetwork()
+	for _, s := range w.Proxies {
+		if s.instance != nil {
+			s.LoseResponses(0)
 		}
-		checkOutcome(t, w, fmt.Sprintf("seed %d", seed), 0.3)
 	}
+	w.Run(4)
+	w.Checker.CheckConfigInForce(w.Proxies...)
+	served := w.Checker.Served
+	for i := range 40 {
+		w.After(float64(i)*0.02, func() { w.Request(w.Proxies[i%len(w.Proxies)], "/pay/x", fmt.Sprintf("after%d", i), 3) })
+	}
+	w.Run(4)
+	if got := w.Checker.Served - served; got < 36 {
+		t.Errorf("seed %d: %d of 40 operations served after the faults; statuses %v", seed, got, w.Checker.Statuses)
+	}
+	var read uint64
+	w.ReadConfig(0, func(v uint64) { read = v })
+	w.Run(2)
+	if read < w.Checker.NewestAcked {
+		t.Errorf("seed %d: read version %d, but %d was acknowledged", seed, read, w.Checker.NewestAcked)
+	}
+	checkOutcome(t, w, fmt.Sprintf("seed %d", seed), 0.3)
 }
 
 // injectFault injects a random fault, or sends a configuration. lostUntil keeps the loss of control servers within the
--- a/internal/mesh/simulation/world.go
+++ b/internal/mesh/simulation/world.go
@@ -67,6 +67,8 @@
 
 	IgnoreDisconnects bool // deliberate bug: proxies are not told that a client has closed its connection
 
+	VaryHostSpelling bool // clients write the host name with and without a port and in either case
+
 	AgreedEjection bool   // proxies eject hosts for tracked operations only if the control plane has agreed
 	Faults         Faults // of the network
 	Messages       int    // sent between control servers
