--- a/cmd/beechwing-sidecar/run.go
+++ b/cmd/beechwing-sidecar/run.go
@@ -232,29 +232,11 @@
 	}
 }
 
-// limits returns the limits of the current configuration, with the defaults for limits that it does not set.
+// limits returns the limits of the current configuration.
 func (p *program) limits() listener.Limits {
-	l := listener.DefaultLimits
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c := p.sidecar.Limits()
-	if c == nil {
-		return l
-	}
-	duration := func(configured float64, defaultValue time.Duration) time.Duration {
-		if configured <= 0 {
-			return defaultValue
-		}
-		return time.Duration(configured * float64(time.Millisecond))
-	}
-	l.HeadTimeout, l.IdleTimeout = duration(c.HeaderWaitMs, l.HeadTimeout), duration(c.IdleWaitMs, l.IdleTimeout)
-	if c.HeaderBytes > 0 {
-		l.HeadBytes = c.HeaderBytes
-	}
-	if c.BodyBytes > 0 {
-		l.BodyBytes = min(l.BodyBytes, c.BodyBytes)
-	}
-	return l
+	return listenerLimits(p.sidecar.Limits())
 }
 
 // serve passes a client's request to the state machine and waits for its reply.
--- a/internal/mesh/sidecar/actions.go
+++ b/internal/mesh/sidecar/actions.go
@@ -83,7 +83,7 @@
 		Sender:     p.opts.Service,
 		Key:        req.IdempotencyKey,
 		Token:      req.token,
-		Precedence: uint32(max(0, req.route.Precedence)),
+		Precedence: uint32(min(math.MaxUint32, uint64(max(0, req.route.Precedence)))),
 		Repeatable: req.route.Repeatable(),
 		Attempt:    uint32(a.number),
 		Class:      req.class.wireID(),
--- a/internal/mesh/sidecar/dispatch_test.go
+++ b/internal/mesh/sidecar/dispatch_test.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"math"
+	"strings"
 	"testing"
 
 	"beechwing/internal/mesh/meshpb"
@@ -62,3 +64,26 @@
 		t.Errorf("attempts by peer: %v after a second of silence", forwards)
 	}
 }
+
+// TestHugePrecedenceIsNoSmallOne guards against a precedence that is accepted as the least urgent and wraps to the most urgent.
+func TestHugePrecedenceIsNoSmallOne(t *testing.T) {
+	for configured, want := range map[string]uint32{"-1": 0, "3": 3, "4294967295": math.MaxUint32, "4294967296": math.MaxUint32} {
+		p := New(1, Options{Self: "here", Zone: "a", Service: "till", Seeds: []string{"hall"}, HeartbeatInterval: 1.5,
+			MaxBodyBytes: 1 << 20, RetryRatio: 0.2, RetrySlack: 60})
+		text := strings.Replace(safeRoute, `"routeKind"`, `"precedence":`+configured+`,"routeKind"`, 1)
+		answerPull(p, 1, &meshpb.Update{FromServer: true, Edition: 1, Text: []byte(text), Records: []*meshpb.Record{
+			{Source: "p1", Version: 1, Station: "i-1", Carrier: "shop", Zone: "a", Berths: 4, Condition: Serving}}})
+		p.Submit(1, &Request{Method: "GET", Target: "/x/1", Host: "h.example", ID: "q1", Timeout: 5})
+		forwards := 0
+		for _, s := range p.TakeOutput().Sends {
+			if forward := s.Message.Forward; forward != nil {
+				if forwards++; forward.Precedence != want {
+					t.Errorf("%s is sent as %d, want %d", configured, forward.Precedence, want)
+				}
+			}
+		}
+		if forwards != 1 {
+			t.Errorf("%s: %d attempts, want one", configured, forwards)
+		}
+	}
+}
