Soak: keys that end alike, repeats after the answer, host names spelt in ways

Now a third of the operations is sent again up to 8 s later at any proxy, through the kills of all control processes, and all successes of a key have to bear one postmark.

--- a/examples/mesh/main.go
+++ b/examples/mesh/main.go
@@ -314,11 +314,19 @@
 
 // sendRequest sends request number n through the proxy at an IP address, with an idempotency key unless key is empty.
 func sendRequest(ip, path, key string, n int) (*http.Response, string, error) {
+	return sendRequestFor(hostSpellings[0], ip, path, key, n)
+}
+
+// hostSpellings are ways in which clients may write the host name of the routes.
+var hostSpellings = []string{"shop.example", "Shop.Example", "shop.example:8080"}
+
+// sendRequestFor is like sendRequest, with a host name as the client writes it.
+func sendRequestFor(host, ip, path, key string, n int) (*http.Response, string, error) {
 	req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d%s", ip, outboundPort, path), strings.NewReader("a seat"))
 	if err != nil {
 		return nil, "", err
 	}
-	req.Host = "shop.example"
+	req.Host = host
 	req.Header.Set("Beechwing-Consignment-Id", fmt.Sprintf("c%d", n))
 	req.Header.Set("Beechwing-Deadline-Ms", "1000")
 	if key != "" {
--- a/examples/mesh/soak.go
+++ b/examples/mesh/soak.go
@@ -26,6 +26,8 @@
 	minFaultGap    = 300 * time.Millisecond  // minimum time between the starts of two faults
 	faultGapSpread = 900 * time.Millisecond  // random time in addition
 	maxFaultLength = 2500 * time.Millisecond // maximum duration of a fault
+	repeatedOneIn  = 3                       // reciprocal of the share of operations that are sent again
+	maxRepeatDelay = 8 * time.Second         // until an operation is sent again
 )
 
 // soak is a run with one seed.
@@ -37,14 +39,14 @@
 
 	mu           sync.Mutex
 	failures     []string
-	succeeded    map[string]bool // by key
-	requested    int             // operations after recovery
-	served       int             // of these, the successful ones
-	acknowledged atomic.Int64    // newest configuration version that was acknowledged
-	lastSent     atomic.Int64    // newest configuration version that was sent
-	lastWiped    *machine        // machine whose disk was wiped last
-	recovered    atomic.Bool     // the time for recovery is over
-	finished     atomic.Bool     // clients stop sending
+	succeeded    map[string]string // postmarks of the successful responses, by key
+	requested    int               // operations after recovery
+	served       int               // of these, the successful ones
+	acknowledged atomic.Int64      // newest configuration version that was acknowledged
+	lastSent     atomic.Int64      // newest configuration version that was sent
+	lastWiped    *machine          // machine whose disk was wiped last
+	recovered    atomic.Bool       // the time for recovery is over
+	finished     atomic.Bool       // clients stop sending
 	clients      sync.WaitGroup
 	faults       sync.WaitGroup
 }
@@ -100,7 +102,7 @@
 		return nil, err
 	}
 	defer os.RemoveAll(dir)
-	s := &soak{random: rand.New(rand.NewPCG(seed, 3)), logs: &lockedBuffer{}, succeeded: map[string]bool{}}
+	s := &soak{random: rand.New(rand.NewPCG(seed, 3)), logs: &lockedBuffer{}, succeeded: map[string]string{}}
 	if s.fleet, err = startFleet(dir, s.logs, *controls, *proxies, *cpuShare); err != nil {
 		s.fleet.stop()
 		return nil, err
@@ -278,30 +280,60 @@
 	pending.Wait()
 }
 
-// sendOperation sends an operation as a client with its own key, and retries up to two times at other proxies.
+// keySuffixes end the keys of consecutive operations. Keys that differ in their ends only are different keys.
+var keySuffixes = []string{"", "/0", "/1"}
+
+// sendOperation sends an operation as a client with its own key, and retries up to two times at other proxies. One in
+// repeatedOneIn is sent once more some seconds later, at any proxy. Each request spells the host name in some way.
 func (s *soak) sendOperation(n int, proxy *machine, recovered bool) {
-	key, status := fmt.Sprintf("soak-%d", n), 0
+	key, status := fmt.Sprintf("soak-%d%s", n/len(keySuffixes), keySuffixes[n%len(keySuffixes)]), 0
 	for attempt := range 3 {
-		res, _, err := sendRequest(proxy.ip, "/pay/seat", key, n*10+attempt)
-		if status = 0; err == nil {
-			status = res.StatusCode
-		}
+		status = s.try(key, proxy, n*10+attempt)
 		if status == 200 || status == 502 { // 502: the result is unknown, and the operation never runs again
 			break
 		}
 		time.Sleep(200 * time.Millisecond)
 		proxy = s.proxies[rand.IntN(len(s.proxies))]
 	}
+	if recovered {
+		s.countAfterRecovery(status)
+	} else if rand.IntN(repeatedOneIn) == 0 {
+		time.Sleep(time.Duration(rand.Float64() * float64(maxRepeatDelay)))
+		s.try(key, s.proxies[rand.IntN(len(s.proxies))], n*10+9)
+	}
+}
+
+// try sends a request of an operation and returns its status, 0 if there is none. All successful responses of an operation have
+// to bear the same postmark.
+func (s *soak) try(key string, proxy *machine, id int) int {
+	host := hostSpellings[rand.IntN(len(hostSpellings))]
+	res, _, err := sendRequestFor(host, proxy.ip, "/pay/seat", key, id)
+	if err != nil {
+		return 0
+	}
+	if res.StatusCode == http.StatusOK {
+		s.recordSuccess(key, res.Header.Get("Beechwing-Postmark"))
+	}
+	return res.StatusCode
+}
+
+// recordSuccess records the postmark of a successful response.
+func (s *soak) recordSuccess(key, postmark string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if status == 200 {
-		s.succeeded[key] = true
+	if before, found := s.succeeded[key]; found && before != postmark {
+		s.failures = append(s.failures, fmt.Sprintf("MIXED: %s got postmark %s, before %s", key, postmark, before))
 	}
-	if recovered {
-		s.requested++
-		if status == 200 {
-			s.served++
-		}
+	s.succeeded[key] = postmark
+}
+
+// countAfterRecovery counts an operation that was sent after recovery.
+func (s *soak) countAfterRecovery(status int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requested++
+	if status == http.StatusOK {
+		s.served++
 	}
 }
 
