--- a/examples/mesh/fleet.go
+++ b/examples/mesh/fleet.go
@@ -35,10 +35,11 @@
 	carrier     string
 	cpuShare    float64 // share of a processor's time that the process gets; 1: no limit
 
-	mu      sync.Mutex
-	process *process
-	life    atomic.Int64 // incremented at each start and kill, which ends throttling of the earlier process
-	stopped atomic.Bool  // the process is paused
+	mu        sync.Mutex
+	process   *process
+	startedAt time.Time    // when the process was started last
+	life      atomic.Int64 // incremented at each start and kill, which ends throttling of the earlier process
+	stopped   atomic.Bool  // the process is paused
 }
 
 // address returns the address at which the other processes reach the machine, which is that of its relay.
@@ -119,6 +120,7 @@
 		return err
 	}
 	m.stopped.Store(false)
+	m.startedAt = time.Now()
 	life := m.life.Add(1)
 	if m.cpuShare < 1 {
 		go m.throttle(m.process.cmd.Process, life)
@@ -153,6 +155,16 @@
 	m.process = nil
 }
 
+// runsFor returns how long the process has been running since its last start, 0 if it is not running.
+func (m *machine) runsFor() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.process == nil {
+		return 0
+	}
+	return time.Since(m.startedAt)
+}
+
 // pause pauses the process until resume.
 func (m *machine) pause() { m.signal(true, syscall.SIGSTOP) }
 
