--- a/cmd/beechwing-control/calls.go
+++ b/cmd/beechwing-control/calls.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -82,7 +83,9 @@
 		p.validatorMu.Unlock()
 		return nil, errUnavailable
 	}
+	startedAt := p.clock.Now()
 	version, err := p.validator.Check(text)
+	checkSeconds := p.clock.Now() - startedAt
 	p.validatorMu.Unlock()
 	if err != nil {
 		p.log.Warn("configuration refused", "error", err)
@@ -94,7 +97,7 @@
 	if !answered {
 		result = control.OrderNoContact
 	}
-	p.log.Info("configuration", "edition", version, "order", result)
+	p.log.Info("configuration", "edition", version, "order", result, "checkSeconds", fmt.Sprintf("%.3f", checkSeconds))
 	if result != control.OrderTaken {
 		return nil, p.orderError(result)
 	}
--- a/internal/mesh/control/configuration.go
+++ b/internal/mesh/control/configuration.go
@@ -31,6 +31,9 @@
 // eventOrderNotTaken is the log event that explains why an order ended in "no contact".
 const eventOrderNotTaken = "order not taken"
 
+// eventConfigurationNotRead is the log event that explains why an operator's read of the configuration ended in "no contact".
+const eventConfigurationNotRead = "configuration not read"
+
 var configKey = register.Permanent("configuration")
 
 // OrderResult is the outcome of an order.
@@ -180,11 +183,13 @@
 		answer(nil, OrderNotMember)
 		return
 	case !s.canCommit(now):
+		s.options.Log(eventConfigurationNotRead, "why", s.commitObstacle(now))
 		answer(nil, OrderNoContact)
 		return
 	}
 	s.readConfig(now, func(ok bool) {
 		if !ok {
+			s.options.Log(eventConfigurationNotRead, "why", "no quorum has answered in time")
 			answer(nil, OrderNoContact)
 			return
 		}
@@ -264,6 +269,18 @@
 		p := s.contact.peers[m.Address]
 		return m == s.self || p != nil && p.member == m && p.config != nil && p.config.HeldVersion <= newest
 	})
+	if c.confirmed {
+		s.options.Log("configuration confirmed", "edition", newest, "held", s.heldVersions())
+	}
+}
+
+// heldVersions returns the newest version that each other member has reported to hold, by address.
+func (s *Server) heldVersions() map[string]uint64 {
+	versions := map[string]uint64{}
+	for address, p := range s.contact.peers {
+		versions[address] = p.config.GetHeldVersion()
+	}
+	return versions
 }
 
 // trackHeld notices a new value of the register on this server. Other servers are told about it once it is synced to disk.
--- a/internal/mesh/control/homed.go
+++ b/internal/mesh/control/homed.go
@@ -30,11 +30,38 @@
 type homedState struct {
 	sources   map[string]*homedSource // by address
 	startedAt float64
+	requests  int // sent since startedAt
+	unusable  int // answers since startedAt that came after their request was given up
+	nextLogAt float64
 }
 
+// homedLogInterval is the number of seconds between log lines about a reading that is not complete.
+const homedLogInterval = 2.0
+
 // viewChanged restarts the reading.
 func (h *homedState) viewChanged(now float64) {
-	*h = homedState{sources: map[string]*homedSource{}, startedAt: now}
+	*h = homedState{sources: map[string]*homedSource{}, startedAt: now, nextLogAt: now + homedLogInterval}
+}
+
+// complete returns the number of members that have sent all their keys.
+func (h *homedState) complete() (n int) {
+	for _, from := range h.sources {
+		if from.done {
+			n++
+		}
+	}
+	return n
+}
+
+// logHomedProgress logs a reading that takes long.
+func (s *Server) logHomedProgress(now float64) {
+	h := &s.homed
+	if now < h.nextLogAt {
+		return
+	}
+	h.nextLogAt = now + homedLogInterval
+	s.options.Log("two round trips", "epoch", s.view().Epoch, "seconds", now-h.startedAt, "complete", h.complete(),
+		"needed", s.view().Majority()-1, "asked", len(h.sources), "requests", h.requests, "unusable", h.unusable)
 }
 
 // tickHomed asks as many other members as make a majority with this server, and one more for each that has not answered in time.
@@ -42,6 +69,7 @@
 	if !s.Voting() || s.view().Joint() || s.membership.epochSettled || s.registers.KnowsHomedKeys() {
 		return
 	}
+	s.logHomedProgress(now)
 	remaining := s.view().Majority() - 1
 	for _, address := range rendezvous.Order(s.options.Self, s.view().Addresses()) {
 		if remaining == 0 {
@@ -66,6 +94,7 @@
 
 func (s *Server) sendHomedRequest(now float64, address string, from *homedSource) {
 	s.lastID++
+	s.homed.requests++
 	from.requestID, from.requestedAt = s.lastID, now
 	s.send(address, &meshpb.Message{Id: from.requestID,
 		HomedRequest: &meshpb.HomedRequest{SourceLife: from.life, Position: from.position}})
@@ -90,6 +119,7 @@
 func (s *Server) handleHomed(now float64, member view.Member, id uint64, h *meshpb.Homed) {
 	from := s.homed.sources[member.Address]
 	if from == nil || from.requestID != id || from.done || !slices.Contains(s.view().Members, member) {
+		s.homed.unusable++
 		return
 	}
 	from.life, from.position, from.done = h.SourceLife, h.Position, h.Last
@@ -100,6 +130,7 @@
 		return
 	}
 	if !knew && s.registers.KnowsHomedKeys() {
-		s.options.Log("one round trip", "epoch", s.view().Epoch, "seconds", now-s.homed.startedAt)
+		s.options.Log("one round trip", "epoch", s.view().Epoch, "seconds", now-s.homed.startedAt, "requests",
+			s.homed.requests, "unusable", s.homed.unusable)
 	}
 }
--- a/internal/mesh/control/state.go
+++ b/internal/mesh/control/state.go
@@ -104,6 +104,9 @@
 // Size returns the number of registers held and of register changes in progress.
 func (s *Server) Size() (registers, changes int) { return s.registers.Size() }
 
+// HomeLookups returns how often the home of a register was computed since the start.
+func (s *Server) HomeLookups() uint64 { return s.registers.HomeLookups() }
+
 // Redirect returns the address of a member that answered recently, for clients of a server that is not a member. It is empty if
 // there is none.
 func (s *Server) Redirect(now float64) string {
--- a/internal/mesh/register/registers.go
+++ b/internal/mesh/register/registers.go
@@ -121,6 +121,7 @@
 	minRoundTrip float64 // recent minimum time in seconds for a round trip to a quorum; 0: unknown
 	lastTick     float64
 	slowUntil    map[view.Member]float64 // time until which a member is kept in reserve
+	homeLookups  uint64                  // number of calls of homeAddress
 }
 
 // New returns the registers of a server. window is the retention time of a key's answer in seconds. life is a random number
@@ -210,7 +211,13 @@
 func HomeOrder(key string, servers []string) []string { return rendezvous.Order(key, servers) }
 
 // homeAddress returns the address of the key's home, the member to which its claims are sent first.
-func (rs *Registers) homeAddress(key string) string { return rendezvous.First(key, rs.addresses) }
+func (rs *Registers) homeAddress(key string) string {
+	rs.homeLookups++
+	return rendezvous.First(key, rs.addresses)
+}
+
+// HomeLookups returns how often the home of a key was computed since the start. Each time costs a hash for each member.
+func (rs *Registers) HomeLookups() uint64 { return rs.homeLookups }
 
 // isHome reports whether this server is the home of a key in this epoch. A joint view has no homes, so no server takes the fast
 // path in it.
--- a/internal/mesh/sidecar/updates.go
+++ b/internal/mesh/sidecar/updates.go
@@ -63,7 +63,7 @@
 		changed = true
 	}
 	p.shards.learn(update.Assignments)
-	applied, readable := d.applyConfigUpdate(update)
+	applied, readable := d.applyConfigUpdate(from, update)
 	if changed && !applied { // a new configuration has updated the balancers
 		d.updateBalancers()
 	}
@@ -102,7 +102,7 @@
 
 // applyConfigUpdate applies the configuration of an update if it is newer than the one in force. readable is false if it is newer
 // and cannot be read.
-func (d *discovery) applyConfigUpdate(update *meshpb.Update) (applied, readable bool) {
+func (d *discovery) applyConfigUpdate(from string, update *meshpb.Update) (applied, readable bool) {
 	p := d.sidecar
 	if update.Edition == 0 || p.table != nil && update.Edition <= p.table.Version {
 		return false, true
@@ -113,7 +113,7 @@
 		return false, false
 	}
 	p.applyConfig(table)
-	p.opts.Log("in force", "edition", table.Version, "routes", len(table.Config.Routes))
+	p.opts.Log("in force", "edition", table.Version, "routes", len(table.Config.Routes), "from", from)
 	return true, true
 }
 
--- a/internal/mesh/simulation/processor.go
+++ b/internal/mesh/simulation/processor.go
@@ -8,6 +8,7 @@
 	Message float64 // seconds for each message received or sent
 	Sync    float64 // seconds for each disk sync, in addition to the time of the disk
 	Value   float64 // seconds for each value read at the start or written
+	Home    float64 // seconds for each lookup of a key's home
 }
 
 // processor is the processor of one control server. It handles one input at a time, the urgent ones first.
--- a/internal/mesh/simulation/servers.go
+++ b/internal/mesh/simulation/servers.go
@@ -77,6 +77,7 @@
 		Tolerance: h.w.tolerance, RetentionSeconds: dedupWindowSeconds, Life: h.w.Rand.Uint32() | 1, RandomSeed: h.w.Rand.Uint64(),
 		Log: func(event string, args ...any) {
 			trace("%.3f %s %s %v", h.w.Now, h.addr, event, args)
+			h.w.LogEvents[event]++
 			if event == "contact" && args[1] == false {
 				h.w.QuorumContactLosses++
 			}
@@ -185,8 +186,9 @@
 
 // process handles an input, whose turn on the processor has come, and carries out the output.
 func (h *ControlServer) process(f func()) {
-	h.useProcessor(h.w.Processor.Message)
+	lookups := h.server.HomeLookups()
 	f()
+	h.useProcessor(h.w.Processor.Message + float64(h.server.HomeLookups()-lookups)*h.w.Processor.Home)
 	for {
 		out := h.server.TakeEffects()
 		h.pendingPuts, h.pendingSends = append(h.pendingPuts, out.Puts...), append(h.pendingSends, out.After...)
--- a/internal/mesh/simulation/world.go
+++ b/internal/mesh/simulation/world.go
@@ -58,8 +58,9 @@
 
 	Processor Processor // processing times of the control servers
 
-	QueueHeartbeats     bool // deliberate bug: heartbeats queue behind all other work on a busy processor
-	QuorumContactLosses int  // number of times that a control server lost contact with a quorum
+	QueueHeartbeats     bool           // deliberate bug: heartbeats queue behind all other work on a busy processor
+	LogEvents           map[string]int // number of log lines of the control servers, by event
+	QuorumContactLosses int            // number of times that a control server lost contact with a quorum
 
 	LeaseSeconds float64 // deliberate bug if not 0: control servers assume that leases expire after this time
 
@@ -126,7 +127,7 @@
 func New(seed uint64, servers int, hosts ...Host) *World {
 	w := &World{Now: 1, LatencySeconds: 0.001, Rand: rand.New(rand.NewPCG(seed, 7)), links: map[[2]string]*link{},
 		blocked: map[[2]string]bool{}, addedLatency: map[[2]string]float64{}, machines: map[string]machine{}, bootstrap: true,
-		disturbedAt: map[string]float64{}}
+		disturbedAt: map[string]float64{}, LogEvents: map[string]int{}}
 	w.Checker = newChecker(w)
 	w.tolerance = (servers - 1) / 2
 	var seeds []string
