Configuration: a server that starts reports what its disk holds from its first digest on

What callers see: after all control servers have started at once, a server that had missed the newest configuration calls an older one the newest and gives it to proxies, until it learns better; while no change of a register ends, that is for good, at those proxies only.

Cause: a server reports the version that it holds once its first write is synced, which rewrites all that it has read and takes 0.7 to 1 s on a small processor. Its digests until then said that it holds nothing, and a server that is behind took that for a quorum that holds nothing newer (checkConfirmed).

Change: the version found on the disk is reported from the first digest on. The ballot, from which others conclude that a value is chosen, is still reported only once it is synced.

Evidence: TestServerThatIsBehindDoesNotConfirmWhileOthersStart failed on the commit before (version 1 counts as the newest although a member holds version 2) and passes.

--- a/internal/mesh/control/configuration.go
+++ b/internal/mesh/control/configuration.go
@@ -56,7 +56,7 @@
 	confirmed       bool            // the known configuration was the newest one at some time in this run of the process
 	newestKnown     uint64          // newest version that any server reported as chosen
 	heldBallot      register.Ballot // ballot of the value synced to this server's disk
-	heldVersion     uint64          // version synced to this server's disk
+	heldVersion     uint64          // version on this server's disk: found there at the start, or synced since
 	notedBallot     register.Ballot // ballot of the newest value on this server, synced or not
 	unresolvedSince float64         // since when it has been unknown whether the newest value is chosen; 0: it is known
 	resolving       bool            // a read that finds out whether the newest value is chosen is in progress
@@ -242,8 +242,11 @@
 	}
 }
 
-// restoreChosen restores the chosen configuration from disk. It was in force once, but may not be the newest.
+// restoreChosen restores the chosen configuration from disk. It was in force once, but may not be the newest. The version on the
+// disk is reported from the first digest on, as another server may take the absence of a newer one for confirmation.
 func (s *Server) restoreChosen(values map[string][]byte) {
+	onDisk, _ := s.registers.LocalValue(configKey)
+	s.configuration.heldVersion = decodeConfig(onDisk.GetBody()).GetVersion()
 	stored := &meshpb.Ballot{}
 	if len(values[nameChosen]) == 0 || proto.Unmarshal(values[nameChosen], stored) != nil {
 		return
--- a/internal/mesh/control/configuration_test.go
+++ b/internal/mesh/control/configuration_test.go
@@ -57,3 +57,51 @@
 		t.Fatalf("version %d counts as chosen although only one server holds it", version)
 	}
 }
+
+// diskWithConfig returns the disk of a member that holds a version of the configuration, and whether it knew that it was chosen.
+func diskWithConfig(t *testing.T, m view.Member, v view.View, version uint64, chosen bool) map[string][]byte {
+	t.Helper()
+	text := []byte("configuration")
+	body, err := proto.Marshal(applyOrder(nil, version, text, hashOf(text)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ballot := register.Ballot{Epoch: 1, Round: uint32(version), Node: 2, Life: 8}.Wire()
+	entry := &meshpb.Entry{Key: configKey, Promised: ballot, Accepted: ballot,
+		Value: &meshpb.Receipt{Token: version, State: register.Stored, Body: body}}
+	values := diskContents(m, v)
+	if values["k."+configKey], err = proto.Marshal(entry); err != nil {
+		t.Fatal(err)
+	}
+	if chosen {
+		if values[nameChosen], err = proto.Marshal(ballot); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return values
+}
+
+// All servers start at once. One has missed the newest configuration, and the others have not completed a write yet.
+func TestServerThatIsBehindDoesNotConfirmWhileOthersStart(t *testing.T) {
+	_, _, members := joinerAndMembers()
+	v := view.Initial(9, members)
+	behind := startServer(t, members[0], diskWithConfig(t, members[0], v, 1, true))
+	other := startServer(t, members[1], diskWithConfig(t, members[1], v, 2, false))
+	for now := 1.0; now < 2; now += 0.1 {
+		for _, s := range []*Server{behind, other} {
+			s.Tick(now)
+			to := map[*Server]*Server{behind: other, other: behind}[s]
+			for _, send := range s.TakeEffects().Sends {
+				if send.To == to.options.Self {
+					to.HandleMessage(now, s.options.Self, send.Message)
+				}
+			}
+		}
+	}
+	if !behind.inContact(2) {
+		t.Fatal("the servers are not in contact")
+	}
+	if behind.configuration.confirmed {
+		t.Fatalf("version %d counts as the newest although a member holds version 2", behind.configuration.chosenVersion())
+	}
+}
