Catching up: keys to request by name are sorted once a pass, not for each request

Cause: each request for 256 values by key sorted all keys that the member had named, once for each answer and member.

Change: a queue of the sorted keys, made once for a pass; what an answer leaves out is asked in the next pass.

Evidence: TestRequestsByKeyDoNotSortAllKeysEachTime failed before (56,789,152 bytes of lists for 20,000 values) and passes (limit 3,200,000).

--- a/internal/mesh/control/catchup.go
+++ b/internal/mesh/control/catchup.go
@@ -35,6 +35,7 @@
 	part          register.Part              // the part of the registers whose values the member sends
 	lastPageEpoch uint64                     // epoch of its last page, until no value that its pages named is missing; else 0
 	missing       map[string]register.Ballot // by key: ballots of newer values that the member named without sending them
+	missingQueue  []string                   // sorted keys of missing that are still to be requested
 	fetchingKeys  []string                   // keys of the open request; nil: it asks for a page
 }
 
@@ -208,15 +209,25 @@
 	}
 }
 
-// stillMissing returns keys for which the member has a newer value than this server, at most maxKeysPerRequest.
+// stillMissing returns keys for which the member has a newer value than this server, at most maxKeysPerRequest. The keys are
+// sorted once for a whole pass over them.
 func (s *Server) stillMissing(from *syncSource) (keys []string) {
-	for _, key := range sorted(from.missing) {
-		if !s.registers.Lacks(key, from.missing[key]) {
-			delete(from.missing, key)
-			continue
+	for len(keys) < maxKeysPerRequest {
+		if len(from.missingQueue) == 0 {
+			if len(keys) > 0 || len(from.missing) == 0 {
+				break
+			}
+			from.missingQueue = sorted(from.missing)
 		}
-		if keys = append(keys, key); len(keys) == maxKeysPerRequest {
-			break
+		key := from.missingQueue[0]
+		from.missingQueue = from.missingQueue[1:]
+		ballot, missing := from.missing[key]
+		switch {
+		case !missing:
+		case s.registers.Lacks(key, ballot):
+			keys = append(keys, key)
+		default:
+			delete(from.missing, key)
 		}
 	}
 	return keys
--- a/internal/mesh/control/catchup_test.go
+++ b/internal/mesh/control/catchup_test.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"fmt"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
@@ -160,3 +162,27 @@
 		t.Errorf("after a restart of the peer, %d full digests were sent, want 1", n)
 	}
 }
+
+// A joiner that requests many values by key does not go through all of them for each request.
+func TestRequestsByKeyDoNotSortAllKeysEachTime(t *testing.T) {
+	const keys = 20_000
+	s, _, _, _ := scriptedJoiner(t)
+	from := &syncSource{missing: map[string]register.Ballot{}}
+	for i := range keys {
+		from.missing[fmt.Sprintf("operation %d", i)] = register.Ballot{Epoch: 1, Round: 1, Node: 1, Life: 1}
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	asked := 0
+	for len(from.missing) > 0 {
+		for _, key := range s.stillMissing(from) {
+			delete(from.missing, key)
+			asked++
+		}
+	}
+	runtime.ReadMemStats(&after)
+	const sortedOnceBytes = keys * 16 // of the headers of the keys in a sorted list
+	if used := after.TotalAlloc - before.TotalAlloc; asked != keys || used > 10*sortedOnceBytes {
+		t.Errorf("%d of %d values were requested, with %d bytes of lists, want at most %d", asked, keys, used, 10*sortedOnceBytes)
+	}
+}
