Key leases: slow answers count, and each retry waits longer

What callers would see: where control servers take longer than 0.3 s, no host of a service with sharded keys keeps its keys, and all their requests are refused.

Cause: a lease request without an answer after 0.3 s was sent anew to another server, always after 0.3 s, and the answer to the first was dropped, though a lease may rest on an answer of up to 0.8 s (GrantMaxAgeSeconds).

Change: up to four requests stay outstanding; an answer counts from when its own request was sent, and the delay doubles.

--- a/internal/mesh/sidecar/keylease.go
+++ b/internal/mesh/sidecar/keylease.go
@@ -17,7 +17,9 @@
 // control plane is told when that is done. Until then, or until all leases have expired, the new holder gets nothing.
 
 const (
-	leaseRetryDelay   = 0.3  // seconds without an answer until another control server is asked
+	leaseRetryDelay   = 0.3  // seconds without an answer until another control server is asked; doubles with each retry
+	maxLeaseDoublings = 2    // number of times that the delay doubles
+	maxLeaseRequests  = 4    // outstanding requests whose answers are accepted
 	releaseRetryDelay = 0.15 // seconds until a failed release is tried again
 	maxGrantBatch     = 16   // grant calls in one command
 	msPerSecond       = 1000
@@ -63,10 +65,11 @@
 	pendingGrants map[uint64]sharding.Range  // calls in progress, by ID
 	grantsAskedAt float64                    // the tableAskedAt on which the pendingGrants are based
 
-	request          leaseRPC
-	nextRequestAt    float64 // when the next request is due
-	requestNotBefore float64 // no request is sent before this time, as no server could answer
-	serverIndex      int     // of the next control server, in the service's order of servers
+	requests         []leaseRPC // outstanding, in the order sent; where all servers are slow, the answer to an earlier one counts
+	unanswered       int        // requests sent since the last answer
+	nextRequestAt    float64    // when the next request is due
+	requestNotBefore float64    // no request is sent before this time, as no server could answer
+	serverIndex      int        // of the next control server, in the service's order of servers
 
 	releaseEpoch    uint64 // the epoch whose lost ranges are being released, or have been
 	toRelease       []sharding.Range
@@ -147,15 +150,15 @@
 // requestLease asks which assignment is in force when that is due, and reports finished releases.
 func (p *Sidecar) requestLease() {
 	lease, newest := &p.lease, p.shards.tables[p.lease.service]
-	if lease.request.id != 0 {
-		if p.now < lease.request.sentAt+leaseRetryDelay {
+	if lease.unanswered > 0 {
+		if p.now < lease.retryAt() {
 			return
 		}
 		lease.serverIndex++
 	}
 	newer := newest != nil && (lease.table == nil || newest.Version > lease.table.Version)
 	reports := lease.releasedEpoch == lease.releaseEpoch && lease.reportedEpoch < lease.releasedEpoch
-	due := p.now >= lease.nextRequestAt || lease.request.id != 0 || newer || reports
+	due := p.now >= lease.nextRequestAt || lease.unanswered > 0 || newer || reports
 	if !due || p.now < lease.requestNotBefore {
 		return
 	}
@@ -163,7 +166,36 @@
 	if reports {
 		request.Released, request.Handovers = lease.releasedEpoch, lease.handovers
 	}
-	lease.request = p.sendLeaseRequest(request, lease.serverIndex)
+	if rpc := p.sendLeaseRequest(request, lease.serverIndex); rpc.id != 0 {
+		lease.requests = append(lease.requests[max(0, len(lease.requests)+1-maxLeaseRequests):], rpc)
+		lease.unanswered++
+	}
+}
+
+// retryAt returns when another control server is asked if none answers.
+func (lease *keyLease) retryAt() float64 {
+	newest := lease.requests[len(lease.requests)-1]
+	return newest.sentAt + leaseRetryDelay*float64(uint(1)<<min(lease.unanswered-1, maxLeaseDoublings))
+}
+
+// finishRequest removes an answered request and the earlier ones, whose answers would tell less.
+func (lease *keyLease) finishRequest(id uint64) (rpc leaseRPC, found bool) {
+	at := slices.IndexFunc(lease.requests, func(rpc leaseRPC) bool { return rpc.id == id })
+	if at < 0 {
+		return leaseRPC{}, false
+	}
+	rpc, lease.requests, lease.unanswered = lease.requests[at], lease.requests[at+1:], 0
+	return rpc, true
+}
+
+// requestTarget returns the control server to which an outstanding request was sent; empty if there is no such request.
+func (lease *keyLease) requestTarget(id uint64) string {
+	for _, rpc := range slices.Concat(lease.requests, []leaseRPC{lease.replacedHost}) {
+		if rpc.id != 0 && rpc.id == id {
+			return rpc.to
+		}
+	}
+	return ""
 }
 
 // sendLeaseRequest sends a lease request to the nth control server in the service's order. The first one is the
@@ -198,24 +230,17 @@
 // receiveLease handles the answer to a lease request.
 func (p *Sidecar) receiveLease(from string, m *meshpb.Message) {
 	lease := &p.lease
-	rpc, asked := lease.request, ""
-	if m.Id == lease.replacedHost.id {
-		rpc = lease.replacedHost
-	}
-	if rpc.id != 0 && rpc.id == m.Id {
-		asked = rpc.to
-	}
-	if !p.acceptsResponse(from, m, asked) {
+	if !p.acceptsResponse(from, m, lease.requestTarget(m.Id)) {
 		return
 	}
 	a := m.Lease.Assignment
 	if a != nil && p.shards.learn([]*meshpb.Assignment{a}) {
 		p.discovery.updateBalancers()
 	}
-	if rpc.id != lease.request.id {
+	rpc, found := lease.finishRequest(m.Id)
+	if !found { // the answer to the report of a replaced host
 		return
 	}
-	lease.request = leaseRPC{}
 	if a == nil || a.Carrier != lease.service { // the server does not know the assignment
 		lease.serverIndex++
 		lease.requestNotBefore = p.now + leaseRetryDelay
