--- a/internal/mesh/control/configuration.go
+++ b/internal/mesh/control/configuration.go
@@ -290,13 +290,15 @@
 	}
 }
 
-// heldVersions returns the newest version that each other member has reported to hold, by address.
-func (s *Server) heldVersions() map[string]uint64 {
-	versions := map[string]uint64{}
+// heldVersions returns how many other members have reported each version as the newest that they hold.
+func (s *Server) heldVersions() map[uint64]int {
+	members := map[uint64]int{}
 	for address, p := range s.contact.peers {
-		versions[address] = p.config.GetHeldVersion()
+		if address != s.options.Self {
+			members[p.config.GetHeldVersion()]++
+		}
 	}
-	return versions
+	return members
 }
 
 // trackHeld notices a new value of the register on this server. Other servers are told about it once it is synced to disk.
