Catching up: following a member that was read does not hold up the values of another

Cause: values that a member named are requested by key only once no member is sending pages. Members that were read completely are asked for changes each 0.3 s, and each of these questions counted as pages under way; with ten members one is almost always.

Change: a member that was read completely in this epoch counts no longer as sending pages.

--- a/internal/mesh/control/catchup.go
+++ b/internal/mesh/control/catchup.go
@@ -190,7 +190,7 @@
 // sending pages, which contain most of these values. A member from which nothing is missing counts as read completely.
 func (s *Server) fetchMissing(now float64) {
 	for _, from := range s.catchup.sources {
-		if from.request.open && from.fetchingKeys == nil && now < from.heardAt+pageTimeout {
+		if s.isSendingPages(now, from) {
 			return
 		}
 	}
@@ -209,6 +209,13 @@
 	}
 }
 
+// isSendingPages reports whether a member is expected to send more pages of its registers soon. A member that was read completely
+// in this epoch is only followed: it is asked for changes again and again, and its answers contain little.
+func (s *Server) isSendingPages(now float64, from *syncSource) bool {
+	following := from.fullyRead && from.completeEpoch == s.view().Epoch
+	return !following && from.request.open && from.fetchingKeys == nil && now < from.heardAt+pageTimeout
+}
+
 // stillMissing returns keys for which the member has a newer value than this server, at most maxKeysPerRequest. The keys are
 // sorted once for a whole pass over them.
 func (s *Server) stillMissing(from *syncSource) (keys []string) {
--- a/internal/mesh/control/catchup_test.go
+++ b/internal/mesh/control/catchup_test.go
@@ -199,3 +199,31 @@
 		t.Errorf("%d of %d values were requested, with %d bytes of lists, want at most %d", asked, keys, used, 10*sortedOnceBytes)
 	}
 }
+
+// A member that was read completely is asked for changes all the time. Another member counts as read once its values are there.
+func TestFollowingOneMemberDoesNotDelayAnother(t *testing.T) {
+	s, joint, members, asked := scriptedJoiner(t)
+	var sources []view.Member
+	for _, m := range members {
+		if asked[m.Address] != 0 {
+			sources = append(sources, m)
+		}
+	}
+	complete, other := sources[0], sources[1]
+	operation := &meshpb.Entry{Key: "operation", Accepted: register.Ballot{Epoch: 1, Round: 1, Node: 1, Life: 1}.Wire()}
+	answer := func(now float64, id uint64, entry *meshpb.Entry) {
+		s.HandleMessage(now, other.Address, &meshpb.Message{Id: id, Incarnation: other.Incarnation, Epoch: joint.Epoch,
+			SyncPage: &meshpb.SyncPage{SourceLife: 8, Position: 12, Last: true, Entries: []*meshpb.Entry{entry}}})
+	}
+	sendPage(s, complete, asked[complete.Address], joint.Epoch)
+	answer(1, asked[other.Address], operation) // the value is in the part of another member
+	s.Tick(1 + 2*followInterval)
+	if following := s.catchup.sources[complete.Address].request; !following.open {
+		t.Fatal("the first member is not asked for changes")
+	}
+	operation.Value = &meshpb.Receipt{Token: 1, State: register.Done}
+	answer(1+2*followInterval, s.catchup.sources[other.Address].request.id, operation)
+	if s.catchup.sources[other.Address].completeEpoch != joint.Epoch {
+		t.Error("the second member has sent all its values and does not count as read")
+	}
+}
