--- a/review/cases2/download.go
+++ b/review/cases2/download.go
@@ -11,22 +11,23 @@
 	if trouble {
 		size = 80 << 20
 	}
-	w, err := newMesh(rec, []string{"front", "desk"})
+	w, err := newMesh(rec, []string{"desk"})
 	if err != nil {
 		return false, err
 	}
 	defer w.stop()
 	routes := []route{{"r-desk", "desk.example", "/file/", "download", 30000, 10000, 1, "desk", 2}}
-	if err := w.up(configuration(1, routes, "front", "desk")); err != nil {
+	if err := w.up(configuration(1, routes, "desk")); err != nil {
 		return false, err
 	}
 	body := make([]byte, size)
 	for i := range body {
 		body[i] = byte(i>>16 ^ i*7)
 	}
-	w.couriers[1].host.mu.Lock()
-	w.couriers[1].host.answer = body
-	w.couriers[1].host.mu.Unlock()
+	h := w.couriers[0].host
+	h.mu.Lock()
+	h.answer = body
+	h.mu.Unlock()
 	a := w.couriers[0].try(&request{method: "GET", host: "desk.example", path: "/file/statement", deadlineMs: 30000})
 	rec.say("status %d, stamp %q, %d bytes of %d, %v", a.status, a.header.Get("Beechwing-Postmark"), len(a.body), size, a.err)
 	for _, m := range w.couriers {
--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -12,8 +12,10 @@
 
 // cases are the scripted cases by name. Each returns whether its rule was broken.
 var cases = map[string]func(rec *record) (broken bool, err error){
-	"upload":   playUpload,
 	"term":     playTerm,
+	"upload":   playUpload,
+	"waiting":  playWaiting,
+	"founder":  playFounder,
 	"download": playDownload,
 	"repeat":   playRepeat,
 	"drain":    playDrain,
--- a/review/cases2/mesh.go
+++ b/review/cases2/mesh.go
@@ -136,7 +136,7 @@
 	w := &mesh{rec: rec, dir: dir, commands: commands}
 	for try := 0; ; try++ {
 		w.net = fmt.Sprintf("127.%d.%d", 30+rand.IntN(90), 1+rand.IntN(250))
-		if w.isFree(3 + len(services)) {
+		if w.isFree(len(services)) {
 			break
 		}
 		if try > 20 {
@@ -157,10 +157,15 @@
 	return w, nil
 }
 
-func (w *mesh) isFree(n int) bool {
-	for i := range n {
-		for _, port := range []int{portInner, portApp, portReady, portOutbound, portControl} {
-			ln, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", w.net, 11+i, port))
+// isFree reports whether nothing listens at the addresses of three control machines, a spare one and n couriers.
+func (w *mesh) isFree(couriers int) bool {
+	last := []int{11, 12, 13, 14}
+	for i := range couriers {
+		last = append(last, 21+i)
+	}
+	for _, n := range last {
+		for _, port := range []int{portInner, portBehind, portApp, portReady, portOutbound, portControl} {
+			ln, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", w.net, n, port))
 			if err != nil {
 				return false
 			}
