--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
-# Plays the case "upload" and writes record.txt beside this script. Exit 0: the rule held, 1: it was broken, 2: not played.
+# Plays the case "repeat" and writes record.txt beside this script. Exit 0: the rule held, 1: it was broken, 2: not played.
 # TROUBLE=0 plays it without the disruption. Needs the build of deploy/system.toml and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 test -x target/review-2/cases2 && test -x target/beechwing-sidecar && test -x target/beechwing-control || exit 2
-timeout -k 5 110 target/review-2/cases2 upload review/8
+timeout -k 5 110 target/review-2/cases2 repeat review/8
 code=$?
 test $code -le 1 || exit 2
 exit $code
