--- a/review/cases2/drain.go
+++ b/review/cases2/drain.go
@@ -9,7 +9,7 @@
 // playDrain has a host sign off while one of its beats is late, kills the proxy beside it after the acknowledgement, and
 // looks for requests that reach the host later than drainMs after the acknowledgement.
 func playDrain(rec *record) (bool, error) {
-	w, err := newMesh(rec, []string{"front", "desk", "desk", "desk"})
+	w, err := newMesh(rec, withFronts(10, "front", "desk", "desk", "desk"))
 	if err != nil {
 		return false, err
 	}
--- a/review/cases2/mesh.go
+++ b/review/cases2/mesh.go
@@ -123,6 +123,14 @@
 	return commands, lines.Err()
 }
 
+// withFronts adds couriers with hosts of the service front until there are n.
+func withFronts(n int, services ...string) []string {
+	for len(services) < n {
+		services = append(services, "front")
+	}
+	return services
+}
+
 // newMesh prepares machines at free loopback addresses: three control machines and a courier machine for each service given.
 func newMesh(rec *record, services []string) (*mesh, error) {
 	commands, err := deployCommands()
--- a/review/cases2/repeat.go
+++ b/review/cases2/repeat.go
@@ -14,7 +14,7 @@
 		work = 580 * time.Millisecond // the longest of seat-choice on the sheet
 		cut  = 5500 * time.Millisecond
 	)
-	w, err := newMesh(rec, []string{"front", "desk", "desk", "front"})
+	w, err := newMesh(rec, withFronts(6, "front", "desk", "desk", "front"))
 	if err != nil {
 		return false, err
 	}
--- a/review/cases2/waiting.go
+++ b/review/cases2/waiting.go
@@ -12,7 +12,7 @@
 // same keys.
 func playWaiting(rec *record) (bool, error) {
 	const work = 500 * time.Millisecond
-	w, err := newMesh(rec, []string{"front", "desk", "desk"})
+	w, err := newMesh(rec, withFronts(10, "front", "desk", "desk"))
 	if err != nil {
 		return false, err
 	}
