--- a/examples/mesh/main.go
+++ b/examples/mesh/main.go
@@ -38,6 +38,8 @@
 	hostPort     = 8301
 )
 
+const healthPath = "/health" // of all hosts
+
 var (
 	controls     = flag.Int("controls", 3, "number of control servers")
 	proxies      = flag.Int("proxies", 4, "number of proxies, each with a host")
@@ -215,6 +217,10 @@
 	s := &toyHost{id: id, carrier: carrier, ln: ln}
 	toyHosts = append(toyHosts, s)
 	go http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == healthPath {
+			w.Header().Set("Beechwing-Station", id)
+			return
+		}
 		if r.Header.Get("Beechwing-Addressee") != id {
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
@@ -268,7 +274,7 @@
 			"routeKind": r.kind, "timeoutMs": 1000, "targetMs": 200, "precedence": 1, "carrier": r.carrier, "tries": 2})
 	}
 	for _, name := range []string{"shop", "till"} {
-		c.Services = append(c.Services, map[string]any{"name": name, "healthPath": "/health", "berthCap": 110})
+		c.Services = append(c.Services, map[string]any{"name": name, "healthPath": healthPath, "berthCap": 110})
 	}
 	text, err := json.Marshal(c)
 	return string(text), err
--- a/internal/mesh/sidecar/admission_test.go
+++ b/internal/mesh/sidecar/admission_test.go
@@ -26,6 +26,7 @@
 	f := &hostFixture{t: t, now: 1, exchanges: map[uint64]Exchange{}, results: map[uint64]*meshpb.Forwarded{}}
 	f.sidecar = New(f.now, Options{Self: "here", Seeds: []string{"hall"}, HeartbeatInterval: 1.5, MaxBodyBytes: 1 << 20})
 	f.sidecar.Heartbeat(f.now, Heartbeat{ID: "i-1", Service: "shop", Slots: 4, Sequence: 1})
+	f.sidecar.ProbeDone(f.now, "i-1", true)
 	f.collect()
 	return f
 }
--- a/internal/mesh/sidecar/discovery.go
+++ b/internal/mesh/sidecar/discovery.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 
@@ -28,7 +27,6 @@
 	watchInterval         = 1.0  // seconds between two pulls from them, while no control server answers
 	isolatedRetryDelay    = 0.05 // seconds until the next pull after an answer of a control server without contact to the others
 	leaveNotice           = 0.5  // seconds before the end of the shutdown notice in which other proxies send nothing here any more
-	probeInterval         = 0.3  // seconds between two probes of a host that has not sent a heartbeat yet
 	unreachableRetryDelay = 0.04 // seconds until the next pull after the connection to a control server was lost
 	// unreadableRetryDelay is the time in seconds until the next pull after a configuration that cannot be read. The server answers
 	// that pull at once, with the same configuration, until there is a newer one.
@@ -43,8 +41,9 @@
 	own                *meshpb.Record // of the host here
 	lastSequence       uint64         // of the host's last heartbeat
 	formerInstances    []string       // IDs of earlier host instances, the latest last
-	heartbeatAt        float64        // of the last heartbeat, in seconds that this process has run
-	signedOff          bool           // the host has signed off
+	unconfirmed        unconfirmedHost
+	heartbeatAt        float64 // of the last heartbeat, in seconds that this process has run
+	signedOff          bool    // the host has signed off
 	conditionChangedAt float64
 	shuttingDown       bool
 	announceLeavingAt  float64 // when other processes are told of the shutdown
@@ -83,85 +82,6 @@
 	d.serverHeardAt = p.now
 }
 
-// Heartbeat is what a host reports about itself.
-type Heartbeat struct {
-	ID, Service, Address, Zone string
-	Slots                      int // requests that the host runs at once; 0: not stated
-	Draining                   bool
-	WarmUpLeftMs               int
-	Sequence                   uint64 // grows with each heartbeat of an instance
-}
-
-// Heartbeat handles a heartbeat of the host. When it returns, no new requests go to a host that is draining, so the
-// heartbeat may be acknowledged. An outdated heartbeat is acknowledged too and has no effect.
-func (p *Sidecar) Heartbeat(now float64, h Heartbeat) {
-	p.beginInput(now)
-	d := &p.discovery
-	if slices.Contains(d.formerInstances, h.ID) || h.ID == d.own.Station && !d.isNewHeartbeat(h) {
-		return // outdated
-	}
-	d.replaceInstance(h.ID)
-	d.heartbeatAt, d.lastSequence, d.signedOff = p.pauses.runSeconds, h.Sequence, false
-	condition := Serving
-	if h.Draining {
-		condition = Draining
-	}
-	d.updateOwn(func(record *meshpb.Record) {
-		record.Station, record.Carrier, record.Zone, record.Berths = h.ID, cmp.Or(h.Service, record.Carrier),
-			cmp.Or(h.Zone, record.Zone), uint32(max(0, h.Slots))
-		record.ColdMs, record.Condition = uint32(max(0, h.WarmUpLeftMs)), condition
-	})
-	p.runPending()
-}
-
-// maxFormerInstances is how many former host instances are remembered. Heartbeats arrive seconds late at most, and a
-// host does not restart more often in that time.
-const maxFormerInstances = 8
-
-// replaceInstance records that another instance replaces the present one, so that no late heartbeat of the former
-// instance brings it back.
-func (d *discovery) replaceInstance(instance string) {
-	if before := d.own.Station; before != "" && before != instance {
-		d.formerInstances = append(d.formerInstances, before)
-		d.formerInstances = d.formerInstances[max(0, len(d.formerInstances)-maxFormerInstances):]
-	}
-}
-
-// isNewHeartbeat reports whether a heartbeat of the present host instance is not outdated. A host that has signed off
-// stays gone. A host that counted as gone because its heartbeats were missing returns with its next one.
-func (d *discovery) isNewHeartbeat(h Heartbeat) bool {
-	switch {
-	case d.signedOff, h.Sequence < d.lastSequence:
-		return false
-	case d.own.Condition == Gone:
-		return h.Sequence > d.lastSequence
-	case d.own.Condition == Draining && !d.shuttingDown && !h.Draining:
-		return h.Sequence > d.lastSequence
-	}
-	return true
-}
-
-// ProbeDone handles the host's answer to a probe. The probe lets a sidecar that has just started learn of its host without
-// waiting for the next heartbeat.
-func (p *Sidecar) ProbeDone(now float64, instance string, healthy bool) {
-	p.beginInput(now)
-	if d := &p.discovery; instance != "" && healthy && d.own.Station == "" {
-		d.heartbeatAt = p.pauses.runSeconds
-		d.updateOwn(func(record *meshpb.Record) { record.Station, record.Condition = instance, Serving })
-	}
-	p.runPending()
-}
-
-// HostSignedOff handles the sign-off of a host.
-func (p *Sidecar) HostSignedOff(now float64, id string) {
-	p.beginInput(now)
-	if d := &p.discovery; id == d.own.Station {
-		d.signedOff = true
-		d.updateOwn(func(record *meshpb.Record) { record.Condition = Gone })
-	}
-	p.runPending()
-}
-
 // nextRecord returns a copy of the record of the host here under another version. The present version cannot be
 // used again, as other processes may hold the present record.
 func (d *discovery) nextRecord(version uint64) *meshpb.Record {
@@ -264,12 +184,7 @@
 		d.missedPulls++
 		d.sendPull(false)
 	}
-	if d.own.Station == "" && !d.shuttingDown && p.table != nil && p.now >= d.nextProbeAt { // the next heartbeat may be a while away
-		if s := p.table.Service(p.opts.Service); s != nil && s.HealthPath != "" {
-			d.nextProbeAt = p.now + probeInterval
-			p.output.Commands = append(p.output.Commands, Probe{s.HealthPath})
-		}
-	}
+	d.probeHost()
 	if p.opts.AgreedEjection && p.ejections.tick(p.now) {
 		d.updateBalancers()
 	}
--- a/internal/mesh/sidecar/pause_test.go
+++ b/internal/mesh/sidecar/pause_test.go
@@ -140,6 +140,7 @@
 		f.collect()
 	}
 	heartbeat("i-2", 1, false)
+	f.sidecar.ProbeDone(f.now, "i-2", true)
 	for _, draining := range []bool{false, true} {
 		heartbeat("i-1", 7, draining)
 		if got := f.sidecar.discovery.own.Station; got != "i-2" {
@@ -148,6 +149,7 @@
 		f.wantCondition(Serving, "a late heartbeat of a former instance")
 	}
 	heartbeat("i-3", 1, false)
+	f.sidecar.ProbeDone(f.now, "i-3", true)
 	heartbeat("i-2", 2, false)
 	heartbeat("i-1", 8, false)
 	if got := f.sidecar.discovery.own.Station; got != "i-3" {
--- a/internal/mesh/sidecar/rpc_test.go
+++ b/internal/mesh/sidecar/rpc_test.go
@@ -46,6 +46,7 @@
 		},
 	})
 	c.sidecar.Heartbeat(c.now, Heartbeat{ID: "i-0", Service: "till", Slots: 4, Sequence: 1})
+	c.sidecar.ProbeDone(c.now, "i-0", true)
 	c.collect()
 	return c
 }
--- a/internal/mesh/simulation/actors.go
+++ b/internal/mesh/simulation/actors.go
@@ -25,6 +25,7 @@
 	draining     bool
 	drainAckedAt float64 // time at which the proxy acknowledged that the host drains; 0: not yet
 	ended        bool
+	silent       bool // it sends no heartbeats any more
 	holds        keyHolds
 	lostShare    float64 // share of requests whose response is lost after they ran
 	extraSeconds float64 // additional duration of each request
@@ -37,7 +38,7 @@
 	s.instance = instance
 	var heartbeatLoop func()
 	heartbeatLoop = func() {
-		if s.instance != instance || instance.ended {
+		if s.instance != instance || instance.ended || instance.silent {
 			return
 		}
 		s.sendHeartbeat(instance)
@@ -74,6 +75,24 @@
 	})
 }
 
+// SignOff makes the host sign off without having announced that it drains, serve on for servesSeconds and end.
+func (s *Proxy) SignOff(servesSeconds float64) {
+	instance := s.instance
+	instance.draining = true // it answers probes accordingly
+	instance.silent = true
+	s.input(func() {
+		s.sidecar.HostSignedOff(s.w.Now, instance.id)
+		instance.drainAckedAt = s.w.Now
+	})
+	s.w.After(servesSeconds, func() { instance.ended = true })
+}
+
+// LateHeartbeat delivers the last heartbeat that the host sent before it began to leave.
+func (s *Proxy) LateHeartbeat() {
+	late := sidecar.Heartbeat{ID: s.instance.id, Service: s.host.Service, Zone: s.host.Zone, Slots: 4, Sequence: s.instance.sequence}
+	s.input(func() { s.sidecar.Heartbeat(s.w.Now, late) })
+}
+
 // CrashHost ends the host without notice. The proxy goes on running.
 func (s *Proxy) CrashHost() { s.instance.ended = true }
 
--- a/internal/mesh/simulation/fuzz_test.go
+++ b/internal/mesh/simulation/fuzz_test.go
@@ -228,6 +228,7 @@
 			}
 		}
 		p.Heartbeat(now, sidecar.Heartbeat{ID: "i-1", Service: "shop", Slots: 1, Sequence: 1})
+		p.ProbeDone(now, "i-1", true)
 		p.Tick(now)
 		take()
 		for i := range messagesPerProcess {
