--- a/cmd/beechwing-sidecar/run.go
+++ b/cmd/beechwing-sidecar/run.go
@@ -320,6 +320,7 @@
 	countBy(scrape, "beechwing_sidecar_dropped_messages_total", "why", s.Counts.Dropped)
 	countBy(scrape, "beechwing_sidecar_clients_left_total", "place", s.Counts.ClientsLeft)
 	countBy(scrape, "beechwing_sidecar_cancelled_total", "place", s.Counts.Cancelled)
+	scrape.SetCounter("beechwing_sidecar_outcomes_recorded_for_peers_total", s.Counts.RecordedForPeers)
 	scrape.SetCounter("beechwing_sidecar_grants_total", s.Counts.Grants)
 	scrape.SetCounter("beechwing_sidecar_grants_refused_total", s.Counts.GrantsRefused)
 	scrape.SetCounter("beechwing_sidecar_tries_for_clients_left_total", s.Counts.SentAfterClientLeft)
--- a/internal/mesh/meshpb/calls.go
+++ b/internal/mesh/meshpb/calls.go
@@ -14,7 +14,7 @@
 // IsAnswer reports whether a message is a response. The id and the process instance in a response are those of the requester.
 func IsAnswer(m *Message) bool {
 	switch {
-	case m.Forwarded != nil, m.Claimed != nil, m.Promise != nil, m.Accepted != nil:
+	case m.Forwarded != nil, m.Recorded != nil, m.Claimed != nil, m.Promise != nil, m.Accepted != nil:
 		return true
 	case m.Update != nil, m.SyncPage != nil, m.Homed != nil, m.Config != nil, m.View != nil, m.Pong != nil, m.Lease != nil:
 		return true
--- a/internal/mesh/sidecar/admission.go
+++ b/internal/mesh/sidecar/admission.go
@@ -363,12 +363,7 @@
 	if j.forward.Key != "" {
 		switch verdict {
 		case outcome.Answered:
-			receipt := &meshpb.Receipt{Token: j.forward.Token, State: register.Done, Attempt: j.forward.Attempt, Status: forwarded.Status,
-				Fields: forwarded.Fields, Body: forwarded.Body}
-			if len(forwarded.Body) > maxRecordedBody {
-				receipt = &meshpb.Receipt{Token: j.forward.Token, State: register.Lost, Attempt: j.forward.Attempt}
-			}
-			adm.settle(j.forward.Key, receipt)
+			adm.recordAnswer(j, forwarded)
 		case outcome.Broken, outcome.Late:
 			adm.settle(j.forward.Key, &meshpb.Receipt{Token: j.forward.Token, State: register.Lost, Attempt: j.forward.Attempt})
 		}
@@ -376,9 +371,6 @@
 	adm.finish(j, forwarded)
 }
 
-// maxRecordedBody bounds the body, in bytes, of a response that is recorded with its idempotency key.
-const maxRecordedBody = 128 << 10
-
 func (adm *admission) tick() {
 	if adm.sidecar.now < adm.tickedAt+0.02 {
 		return
--- a/internal/mesh/sidecar/attempts.go
+++ b/internal/mesh/sidecar/attempts.go
@@ -61,6 +61,7 @@
 	}
 	switch verdict {
 	case outcome.Answered:
+		p.awaitRecorded(a, forwarded)
 		if forwarded.Status >= 500 {
 			p.endAttempt(a, balancer.Errored, forwarded, why)
 		} else {
--- a/internal/mesh/sidecar/claims.go
+++ b/internal/mesh/sidecar/claims.go
@@ -269,7 +269,7 @@
 func (adm *admission) releaseGranted(j *job, state register.State, ended *meshpb.Receipt) {
 	for _, name := range j.claim.granted {
 		adm.settleRegister(name, &meshpb.Receipt{Token: j.forward.Token, State: state, Attempt: j.forward.Attempt,
-			Status: ended.GetStatus(), Fields: ended.GetFields(), Body: ended.GetBody()})
+			Status: ended.GetStatus(), Fields: ended.GetFields(), Body: ended.GetBody()}, nil)
 	}
 }
 
@@ -305,17 +305,17 @@
 // settle records how the run of an operation ended in all its registers.
 func (adm *admission) settle(key string, receipt *meshpb.Receipt) {
 	for _, name := range registersOf(key) {
-		adm.settleRegister(name, receipt)
+		adm.settleRegister(name, receipt, nil)
 	}
 }
 
 // settleRegister records how a run ended in one register, with retries until a control server acknowledges it or
-// maxSettleAttempts is reached.
-func (adm *admission) settleRegister(name string, receipt *meshpb.Receipt) {
+// maxSettleAttempts is reached. done, if it is not nil, is called with the state of the register once one acknowledges it.
+func (adm *admission) settleRegister(name string, receipt *meshpb.Receipt, done func(state uint32)) {
 	if len(adm.keys.settles) >= maxSettles {
 		return // the key stays claimed, and its run ends as lost
 	}
-	adm.sendSettle(&settleRPC{key: name, receipt: receipt})
+	adm.sendSettle(&settleRPC{key: name, receipt: receipt, done: done})
 }
 
 // voidIfFree voids a token unless its claim was granted, and passes the resulting state of the key to done.
--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -104,7 +104,8 @@
 	services        map[string]*service
 	requests        map[uint64]*Request
 	attempts        map[uint64]*attempt
-	incarnation     uint64 // identifies this process; its RPCs carry it
+	unrecorded      map[uint64]unrecordedOutcome // by ID of the attempt (recording.go)
+	incarnation     uint64                       // identifies this process; its RPCs carry it
 	lastID          uint64
 	timers          timers
 	retryBudget     *retrybudget.Budget
@@ -125,7 +126,7 @@
 		opts.Log = func(string, ...any) {}
 	}
 	p := &Sidecar{opts: opts, now: now, rng: random.Source(opts.Seed), services: map[string]*service{},
-		requests: map[uint64]*Request{}, attempts: map[uint64]*attempt{},
+		requests: map[uint64]*Request{}, attempts: map[uint64]*attempt{}, unrecorded: map[uint64]unrecordedOutcome{},
 		retryBudget: retrybudget.New(opts.RetryRatio, opts.RetrySlack), peers: map[string]*peerState{},
 		counts: Counts{Replies: map[int]uint64{}, Attempts: map[string]uint64{}, Rejected: map[string]uint64{},
 			Dropped: map[string]uint64{}, ClientsLeft: map[string]uint64{}, Cancelled: map[string]uint64{}}}
@@ -203,6 +204,8 @@
 		p.admission.cancel(from, m)
 	case m.Forwarded != nil:
 		p.receiveForwarded(from, m)
+	case m.Recorded != nil:
+		p.receiveRecorded(from, m)
 	case m.Lease != nil:
 		p.receiveLease(from, m)
 	case m.Claimed != nil:
@@ -258,7 +261,7 @@
 // Idle reports whether nothing is in progress. A run's outcome that no control server has acknowledged yet is in
 // progress too: if it were lost with this process, the run's idempotency key would stay without its recorded answer.
 func (p *Sidecar) Idle() bool {
-	return len(p.requests) == 0 && len(p.admission.jobs) == 0 && len(p.admission.keys.settles) == 0
+	return len(p.requests) == 0 && len(p.admission.jobs) == 0 && len(p.admission.keys.settles) == 0 && len(p.unrecorded) == 0
 }
 
 // Limits returns the request limits of the configuration in force, nil if there is no configuration.
@@ -281,6 +284,8 @@
 	ClientsLeft         map[string]uint64 `json:"left"`    // requests whose clients left before the reply, by where the request was
 	SentAfterClientLeft uint64            `json:"unasked"` // attempts sent although the client had left: expected to stay 0
 
+	RecordedForPeers uint64 `json:"recordedForPeers"` // outcomes recorded here, as the sidecar of the host did not confirm that it had
+
 	Grants        uint64 `json:"grants"`     // calls that grant shard key ranges to the host here, with or without success
 	GrantsRefused uint64 `json:"notGranted"` // of these, without effect: not accepted, or the assignment or host changed
 
@@ -317,7 +322,7 @@
 			Rejected: maps.Clone(p.counts.Rejected), Runs: p.counts.Runs, LateRuns: p.counts.LateRuns,
 			PeerFailures: p.counts.PeerFailures, Dropped: maps.Clone(p.counts.Dropped),
 			ClientsLeft: maps.Clone(p.counts.ClientsLeft), SentAfterClientLeft: p.counts.SentAfterClientLeft,
-			Cancelled: maps.Clone(p.counts.Cancelled), Grants: p.counts.Grants, GrantsRefused: p.counts.GrantsRefused}}
+			Cancelled: maps.Clone(p.counts.Cancelled), RecordedForPeers: p.counts.RecordedForPeers, Grants: p.counts.Grants, GrantsRefused: p.counts.GrantsRefused}}
 	if p.table != nil {
 		s.Edition = p.table.Version
 	}
