--- a/cmd/beechwing-sidecar/run.go
+++ b/cmd/beechwing-sidecar/run.go
@@ -123,24 +123,33 @@
 }
 
 // shutdown shuts the process down gracefully. New requests are sent to other hosts at once. Requests in progress continue until
-// they are done, or until shortly before the platform would kill the process.
+// they are done, or until shortly before the platform would kill the process; what could take longer is refused.
 func (p *program) shutdown(clients *listener.Listener) {
 	p.log.Info("ending")
 	startedAt := time.Now()
 	stopAt := startedAt.Add(p.settings.DurationParameter("graceS", 6*time.Second) - killMargin)
-	p.with(func(now float64) { p.sidecar.BeginShutdown(now, unreadyNotice.Seconds()) })
+	p.with(func(now float64) { p.sidecar.BeginShutdown(now, unreadyNotice.Seconds(), time.Until(stopAt).Seconds()) })
 	clients.DisableKeepAlives()
-	for time.Now().Before(stopAt) {
-		time.Sleep(tickInterval)
+	time.Sleep(min(unreadyNotice, time.Until(stopAt)))
+	p.awaitIdle(stopAt)
+	p.with(p.sidecar.StopServing)
+	endAt := stopAt.Add(killMargin / 2)
+	clients.Close(time.Until(endAt))
+	p.awaitIdle(endAt)
+	p.net.Close()
+	p.log.Info("ended", "after", time.Since(startedAt))
+}
+
+// awaitIdle waits until nothing is in progress, or until a time.
+func (p *program) awaitIdle(until time.Time) {
+	for time.Now().Before(until) {
 		idle := false
 		p.with(func(float64) { idle = p.sidecar.Idle() && p.net.Drained() })
-		if idle && time.Since(startedAt) > unreadyNotice {
-			break
+		if idle {
+			return
 		}
+		time.Sleep(tickInterval)
 	}
-	clients.Close(time.Until(stopAt.Add(killMargin / 2)))
-	p.net.Close()
-	p.log.Info("ended", "after", time.Since(startedAt))
 }
 
 // with calls the state machine and then executes its output, until there is no more output.
--- a/internal/mesh/sidecar/actions.go
+++ b/internal/mesh/sidecar/actions.go
@@ -24,7 +24,7 @@
 	req.attempts = append(req.attempts, a)
 	p.attempts[a.id] = a
 	switch {
-	case req.answered, p.now >= req.deadline:
+	case req.answered, p.now >= req.deadline, p.shutdown.stopped:
 		p.runLater(func() { p.endAttempt(a, balancer.Skipped, nil, "") })
 		return
 	case ep == nil:
--- a/internal/mesh/sidecar/admission.go
+++ b/internal/mesh/sidecar/admission.go
@@ -114,6 +114,9 @@
 	case own.Condition != Serving:
 		adm.reject(j, "the host leaves", 0)
 		return
+	case p.mayOutlast(j.deadline):
+		adm.reject(j, reasonStopping, 0)
+		return
 	case !adm.holdsKey(forward):
 		adm.reject(j, reasonKeyNotHeld, keyNotHeldRetryAfterMs)
 		return
@@ -312,6 +315,14 @@
 	adm.finish(j, &meshpb.Forwarded{Verdict: uint32(outcome.TurnedAway), Why: why, BackMs: backMs})
 }
 
+// rejectBeforeRun rejects a request that waits for its claim or for a slot.
+func (adm *admission) rejectBeforeRun(j *job, why string, backMs uint32) {
+	adm.queue = slices.DeleteFunc(adm.queue, func(queued *job) bool { return queued == j })
+	adm.lateQueue.removeIf(func(queued *job) bool { return queued == j })
+	j.claim.mayBeHeld = j.claim.mayBeHeld || len(j.claim.outstanding) > 0
+	adm.reject(j, why, backMs)
+}
+
 // finish ends a job and sends its outcome to the sidecar that sent the request.
 func (adm *admission) finish(j *job, forwarded *meshpb.Forwarded) {
 	if j.finished {
--- a/internal/mesh/sidecar/cancellation.go
+++ b/internal/mesh/sidecar/cancellation.go
@@ -94,10 +94,7 @@
 		adm.seen.admit(adm.sidecar.now, messageID{senderProcess{from, m.Life}, m.Cancel.Forward})
 	case !j.hasSlot:
 		place = cancelWaiting
-		adm.queue = slices.DeleteFunc(adm.queue, func(queued *job) bool { return queued == j })
-		adm.lateQueue.removeIf(func(queued *job) bool { return queued == j })
-		j.claim.mayBeHeld = j.claim.mayBeHeld || len(j.claim.outstanding) > 0
-		adm.reject(j, reasonClientLeft, 1)
+		adm.rejectBeforeRun(j, reasonClientLeft, 1)
 	case !j.forward.Repeatable || j.forward.Key != "":
 		place = cancelFinishes
 	default:
--- a/internal/mesh/sidecar/dispatch.go
+++ b/internal/mesh/sidecar/dispatch.go
@@ -199,6 +199,10 @@
 		left = min(left, req.route.TimeoutMs/1000)
 	}
 	req.deadline = req.receivedAt + left
+	if p.mayOutlast(req.deadline) {
+		p.reply(req, Reply{Status: 503, RetryAfter: maxRetryAfter, FromProxy: true, Reason: reasonStopping})
+		return
+	}
 	req.shardKey = noKey
 	if p.isSharded(req.service) {
 		if req.shardKey = shardKeyOf(req.Fields); req.shardKey == noKey {
--- a/internal/mesh/sidecar/shards.go
+++ b/internal/mesh/sidecar/shards.go
@@ -93,7 +93,7 @@
 // retriesAtHolder reports whether a refused request is passed to the holder of its key again, and schedules that
 // retry. The holder may be about to change, and the request has run nowhere.
 func (p *Sidecar) retriesAtHolder(req *Request) bool {
-	if req.holder == 0 || req.arrivals > 0 || req.lastResponse != nil || req.mayHoldClaim ||
+	if p.shutdown.stopped || req.holder == 0 || req.arrivals > 0 || req.lastResponse != nil || req.mayHoldClaim ||
 		p.now+holderRetryDelay > req.receivedAt+holderRetryShare*req.class.target {
 		return false
 	}
--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -118,6 +118,7 @@
 	pauses    pauseDetector
 	discovery discovery
 	ejections ejections
+	shutdown  shutdown
 }
 
 // New returns a sidecar that has no configuration yet.
@@ -248,22 +249,6 @@
 	return p.table != nil && !p.discovery.shuttingDown && p.discovery.serverAnswered
 }
 
-// BeginShutdown begins the graceful shutdown. Ready turns false at once, so that clients go elsewhere, and notice is
-// the number of seconds after which they have done so. Other processes learn of the shutdown only shortly before that
-// time, because until then they can still use the host. Requests that arrive nevertheless are served.
-func (p *Sidecar) BeginShutdown(now, notice float64) {
-	p.beginInput(now)
-	p.discovery.shuttingDown = true
-	p.discovery.announceLeavingAt = now + max(0, notice-leaveNotice)
-	p.runPending()
-}
-
-// Idle reports whether nothing is in progress. A run's outcome that no control server has acknowledged yet is in
-// progress too: if it were lost with this process, the run's idempotency key would stay without its recorded answer.
-func (p *Sidecar) Idle() bool {
-	return len(p.requests) == 0 && len(p.admission.jobs) == 0 && len(p.admission.keys.settles) == 0 && len(p.unrecorded) == 0
-}
-
 // Limits returns the request limits of the configuration in force, nil if there is no configuration.
 func (p *Sidecar) Limits() *routeconfig.Limits {
 	if p.table == nil {
--- a/internal/mesh/simulation/proxies.go
+++ b/internal/mesh/simulation/proxies.go
@@ -68,22 +68,28 @@
 	s.instance = nil
 }
 
-// Terminate shuts the process down gracefully, as SIGTERM does: the process ends once no request is in progress, or after a
-// timeout. Then onExit is called.
+// Terminate shuts the process down gracefully, as SIGTERM does: the process stops serving once no request is in progress, or
+// after a time, and ends once what it had begun has ended, or after a further time. Then onExit is called.
 func (s *Proxy) Terminate(onExit func()) {
-	const noticeSeconds, graceSeconds = 2.2, 5.0
+	const noticeSeconds, serveSeconds, endSeconds = 2.2, 5.0, 5.4
 	start, incarnation := s.w.Now, s.starts
-	s.input(func() { s.sidecar.BeginShutdown(s.w.Now, noticeSeconds) })
+	s.input(func() { s.sidecar.BeginShutdown(s.w.Now, noticeSeconds, serveSeconds) })
+	stopped := false
 	var poll func()
 	poll = func() {
+		idle := s.sidecar.Idle()
 		switch {
 		case !s.up || s.starts != incarnation:
-		case s.w.Now > start+noticeSeconds && s.sidecar.Idle(), s.w.Now > start+graceSeconds:
+			return
+		case stopped && (idle || s.w.Now > start+endSeconds):
 			s.up = false
 			onExit()
-		default:
-			s.w.After(tickSeconds, poll)
+			return
+		case !stopped && (idle || s.w.Now > start+serveSeconds):
+			stopped = true
+			s.input(func() { s.sidecar.StopServing(s.w.Now) })
 		}
+		s.w.After(tickSeconds, poll)
 	}
 	s.w.After(noticeSeconds, poll)
 }
