sidecar: one state of the shutdown; package comment names the new files

discovery.shuttingDown said what shutdown.begun says; the package comment lists heartbeats.go, recording.go, updates.go and shutdown.go.

--- a/internal/mesh/sidecar/discovery.go
+++ b/internal/mesh/sidecar/discovery.go
@@ -45,7 +45,6 @@
 	heartbeatAt        float64 // of the last heartbeat, in seconds that this process has run
 	signedOff          bool    // the host has signed off
 	conditionChangedAt float64
-	shuttingDown       bool
 	announceLeavingAt  float64 // when other processes are told of the shutdown
 	announcedLeaving   bool    // they have been told
 
@@ -173,7 +172,7 @@
 func (d *discovery) tick() {
 	p := d.sidecar
 	d.expireTombstones()
-	if d.shuttingDown && !d.announcedLeaving && p.now >= d.announceLeavingAt { // the host will be out of reach for a while
+	if p.shutdown.begun && !d.announcedLeaving && p.now >= d.announceLeavingAt { // the host will be out of reach for a while
 		d.announcedLeaving = true
 		d.updateOwn(func(*meshpb.Record) {})
 	}
--- a/internal/mesh/sidecar/heartbeats.go
+++ b/internal/mesh/sidecar/heartbeats.go
@@ -114,7 +114,7 @@
 		return false
 	case d.own.Condition == Gone:
 		return h.Sequence > d.lastSequence
-	case d.own.Condition == Draining && !d.shuttingDown && !h.Draining:
+	case d.own.Condition == Draining && !d.sidecar.shutdown.begun && !h.Draining:
 		return h.Sequence > d.lastSequence
 	}
 	return true
@@ -127,7 +127,7 @@
 	if u.newest.ID != "" && p.opts.HeartbeatInterval > 0 && p.now > u.heardAt+missedHeartbeats*p.opts.HeartbeatInterval {
 		*u = unconfirmedHost{}
 	}
-	if d.own.Station != "" && u.newest.ID == "" || d.shuttingDown || p.table == nil || p.now < d.nextProbeAt {
+	if d.own.Station != "" && u.newest.ID == "" || p.shutdown.begun || p.table == nil || p.now < d.nextProbeAt {
 		return
 	}
 	service := p.table.Service(cmp.Or(u.newest.Service, p.opts.Service))
--- a/internal/mesh/sidecar/shutdown.go
+++ b/internal/mesh/sidecar/shutdown.go
@@ -32,7 +32,6 @@
 func (p *Sidecar) BeginShutdown(now, notice, left float64) {
 	p.beginInput(now)
 	p.shutdown = shutdown{begun: true, fullService: now + min(fullServicePeriod, left/2), stopAt: now + left}
-	p.discovery.shuttingDown = true
 	p.discovery.announceLeavingAt = now + max(0, notice-leaveNotice)
 	p.runPending()
 }
--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -17,9 +17,10 @@
 // sidecar.go joins the parts. dispatch.go follows a client request to the sidecar of the picked host, with actions.go
 // (what the balancer orders), attempts.go (how attempts end), heldattempts.go (attempts that wait for a peer's
 // incarnation) and cancellation.go (clients that leave). admission.go is the receiving side in front of the host, with
-// duplicates.go, latequeue.go, claims.go (idempotency keys) and keylease.go (shard keys that the host holds).
-// discovery.go tracks the known hosts and the configuration in force, shards.go which host holds which shard keys, and
-// ejections.go which hosts fail.
+// duplicates.go, latequeue.go, claims.go (idempotency keys) and keylease.go (shard keys that the host holds). recording.go
+// sees to it that the response of an operation is recorded. discovery.go tracks the known hosts and the configuration in
+// force, with heartbeats.go (the host here) and updates.go (all others), shards.go which host holds which shard keys, and
+// ejections.go which hosts fail. shutdown.go ends the process gracefully.
 package sidecar
 
 import (
@@ -246,7 +247,7 @@
 // Ready reports whether clients may send requests here: a configuration is in force, a control server has answered since
 // the start, and the process is not shutting down.
 func (p *Sidecar) Ready() bool {
-	return p.table != nil && !p.discovery.shuttingDown && p.discovery.serverAnswered
+	return p.table != nil && !p.shutdown.begun && p.discovery.serverAnswered
 }
 
 // Limits returns the request limits of the configuration in force, nil if there is no configuration.
@@ -300,7 +301,7 @@
 // State returns the current status.
 func (p *Sidecar) State(now float64) State {
 	p.beginInput(now)
-	s := State{Ready: p.Ready(), Ending: p.discovery.shuttingDown, Servers: p.discovery.servers, Host: p.discovery.own,
+	s := State{Ready: p.Ready(), Ending: p.shutdown.begun, Servers: p.discovery.servers, Host: p.discovery.own,
 		Requests: len(p.requests), Jobs: len(p.admission.jobs), Queued: len(p.admission.queue),
 		QueuedLate: len(p.admission.lateQueue.jobs), AvoidedHosts: map[string]int{},
 		Counts: Counts{Replies: maps.Clone(p.counts.Replies), Attempts: maps.Clone(p.counts.Attempts),
